--- /dev/null
+++ b/ggt-core/src/claims/holder.rs
@@ -0,0 +1,285 @@
+//! A holder: grants each key to one attempt and remembers what became of it.
+
+use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::claims::AbstainReason;
+use crate::claims::ActionKey;
+use crate::claims::ActionOutcome;
+use crate::claims::AttemptId;
+use crate::claims::ClaimReply;
+use crate::claims::ClaimRequest;
+use crate::claims::EpochLedger;
+use crate::claims::SettleRequest;
+use crate::claims::holders_of;
+use crate::clock::WallTime;
+use crate::config::RosterSection;
+use crate::ident::DaemonName;
+
+/// Clock errors that a claim outlives its key's resend window by.
+const KEPT_CLOCK_ERRORS: u64 = 4;
+
+/// Settings of a [`ClaimHolder`].
+#[derive(Clone, Copy, Debug)]
+pub struct HolderOptions {
+    /// Milliseconds for which a key may be sent again.
+    pub resend_window_ms: u64,
+    /// Largest difference between any two wall clocks, in milliseconds.
+    pub max_clock_error_ms: u64,
+    /// Claims kept at most.
+    pub max_claims: usize,
+    /// Bytes of reply bodies kept at most, over all claims.
+    pub max_reply_bytes: usize,
+}
+
+/// Figures of a [`ClaimHolder`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HolderStats {
+    /// Claims kept.
+    pub claims: usize,
+    /// Claims whose outcome is not known yet.
+    pub pending: usize,
+    /// Bytes of reply bodies kept.
+    pub reply_bytes: usize,
+    /// Requests abstained from, so far.
+    pub abstained_total: u64,
+}
+
+#[derive(Clone, Debug)]
+enum ClaimState {
+    Granted { attempt: AttemptId, outcome: Option<ActionOutcome> },
+    Sealed,
+}
+
+#[derive(Clone, Debug)]
+struct ClaimRecord {
+    content_hash: u64,
+    state: ClaimState,
+    expires_at: WallTime,
+}
+
+/// The claims that one daemon holds.
+#[derive(Clone, Debug)]
+pub struct ClaimHolder {
+    own_name: DaemonName,
+    ledger: EpochLedger,
+    claims: BTreeMap<ActionKey, ClaimRecord>,
+    reply_bytes: usize,
+    abstained_total: u64,
+}
+
+impl ClaimHolder {
+    /// A holder without claims, for a daemon that starts at `started_at`.
+    pub fn new(own_name: DaemonName, started_at: WallTime) -> Self {
+        let ledger = EpochLedger::new(own_name.clone(), started_at);
+        let claims = BTreeMap::new();
+        Self { own_name, ledger, claims, reply_bytes: 0, abstained_total: 0 }
+    }
+
+    /// Enters the epoch that a daemon told in answer to a question of this life.
+    pub fn note_epoch(&mut self, name: &DaemonName, epoch: u64, now: WallTime) {
+        self.ledger.note(name, epoch, now);
+    }
+
+    /// Whether that daemon told, since this one's start, that it has reached `epoch`.
+    pub fn has_reached(&self, name: &DaemonName, epoch: u64) -> bool {
+        self.ledger.has_reached(name, epoch)
+    }
+
+    /// Whether another daemon told of an epoch above `epoch`.
+    pub fn is_behind(&self, epoch: u64) -> bool {
+        self.ledger.is_above(epoch)
+    }
+
+    /// Figures for metrics and status.
+    pub fn stats(&self) -> HolderStats {
+        let is_pending = |record: &&ClaimRecord| {
+            matches!(record.state, ClaimState::Granted { outcome: None, .. })
+        };
+        HolderStats {
+            claims: self.claims.len(),
+            pending: self.claims.values().filter(is_pending).count(),
+            reply_bytes: self.reply_bytes,
+            abstained_total: self.abstained_total,
+        }
+    }
+
+    /// Answers an attempt that asks for a key.
+    pub fn claim(
+        &mut self,
+        request: &ClaimRequest,
+        roster: &RosterSection,
+        options: &HolderOptions,
+        now: WallTime,
+    ) -> ClaimReply {
+        if let Some(reply) = self.known(request, roster) {
+            return reply;
+        }
+        if let Some(reason) = self.abstain_reason(request, roster, options, now) {
+            return self.abstain(reason, roster);
+        }
+        let state = ClaimState::Granted { attempt: request.attempt.clone(), outcome: None };
+        self.insert(request, state, options, now);
+        ClaimReply::Granted
+    }
+
+    /// Answers an attempt that gives up and asks that nobody else may win either.
+    ///
+    /// The attempt's own grant is turned into a seal; another attempt's grant stays.
+    pub fn seal(
+        &mut self,
+        request: &ClaimRequest,
+        roster: &RosterSection,
+        options: &HolderOptions,
+        now: WallTime,
+    ) -> ClaimReply {
+        let known = self.known(request, roster);
+        match &known {
+            None | Some(ClaimReply::Granted | ClaimReply::Sealed) => (),
+            Some(_) => return known.unwrap_or(ClaimReply::Conflict),
+        }
+        // A seal of long ago proves nothing about rosters that came and went since, so it is
+        // checked as if it were new.
+        if let Some(reason) = self.abstain_reason(request, roster, options, now)
+            && (known.is_none() || reason != AbstainReason::TableFull)
+        {
+            return self.abstain(reason, roster);
+        }
+        if let Some(record) = self.claims.get_mut(&request.key) {
+            record.state = ClaimState::Sealed;
+            return ClaimReply::Sealed;
+        }
+        self.insert(request, ClaimState::Sealed, options, now);
+        ClaimReply::Sealed
+    }
+
+    /// Records what became of an attempt that this holder granted its key.
+    pub fn settle(&mut self, request: SettleRequest, options: &HolderOptions) {
+        let Some(record) = self.claims.get_mut(&request.key) else { return };
+        let ClaimState::Granted { attempt, outcome } = &mut record.state else { return };
+        if *attempt != request.attempt || matches!(outcome, Some(ActionOutcome::Ran(_))) {
+            return;
+        }
+        let mut settled = request.outcome;
+        if settled == ActionOutcome::NotRun {
+            record.state = ClaimState::Sealed;
+            return;
+        }
+        if let ActionOutcome::Ran(reply) = &mut settled {
+            let bytes = reply.body.as_ref().map_or(0, String::len);
+            if self.reply_bytes + bytes > options.max_reply_bytes {
+                reply.body = None;
+            } else {
+                self.reply_bytes += bytes;
+            }
+        }
+        *outcome = Some(settled);
+    }
+
+    /// Drops claims whose keys can no longer be sent again.
+    pub fn expire(&mut self, now: WallTime) {
+        self.claims.retain(|_, record| now < record.expires_at);
+        self.reply_bytes = self.claims.values().map(ClaimRecord::reply_bytes).sum();
+    }
+
+    fn known(&self, request: &ClaimRequest, roster: &RosterSection) -> Option<ClaimReply> {
+        let record = self.claims.get(&request.key)?;
+        if record.content_hash != request.content_hash {
+            return Some(ClaimReply::Conflict);
+        }
+        Some(match &record.state {
+            ClaimState::Sealed => ClaimReply::Sealed,
+            // A grant counts under the roster that the attempt asks under, so it must be checked
+            // anew when the attempt comes back under another one.
+            ClaimState::Granted { attempt, outcome: None } if *attempt == request.attempt => {
+                match self.is_same_holders(request, roster) {
+                    true => ClaimReply::Granted,
+                    false => ClaimReply::Abstain {
+                        reason: AbstainReason::OtherRoster,
+                        epoch: roster.epoch,
+                    },
+                }
+            }
+            ClaimState::Granted { attempt, outcome } => {
+                ClaimReply::Held { attempt: attempt.clone(), outcome: outcome.clone() }
+            }
+        })
+    }
+
+    fn is_same_holders(&self, request: &ClaimRequest, roster: &RosterSection) -> bool {
+        let hash = request.key.hash();
+        let current = holders_of(roster, roster.epoch, hash);
+        request.epoch <= roster.epoch
+            && current.contains(&self.own_name)
+            && (request.epoch == roster.epoch
+                || current.is_same(&holders_of(roster, request.epoch, hash)))
+    }
+
+    fn abstain_reason(
+        &self,
+        request: &ClaimRequest,
+        roster: &RosterSection,
+        options: &HolderOptions,
+        now: WallTime,
+    ) -> Option<AbstainReason> {
+        if request.epoch > roster.epoch || self.ledger.is_above(roster.epoch) {
+            return Some(AbstainReason::Behind);
+        }
+        if !self.is_same_holders(request, roster) {
+            return Some(AbstainReason::OtherRoster);
+        }
+        let Some(ready_from) = self.ledger.ready_from(roster, request.key.hash()) else {
+            return Some(AbstainReason::Recovering);
+        };
+        let error = options.max_clock_error_ms;
+        match request.key.minted_at {
+            Some(at) if at > now + error || at + options.resend_window_ms + error < now => {
+                return Some(AbstainReason::Expired);
+            }
+            // A grant before `ready_from` was given to a key that its holder judged by its own
+            // clock to be no further ahead than one clock error, on a clock that was itself off
+            // by no more than that.
+            Some(at) if at <= ready_from + 2 * error => return Some(AbstainReason::Recovering),
+            None if now <= ready_from + options.resend_window_ms + 2 * error => {
+                return Some(AbstainReason::Recovering);
+            }
+            _ => (),
+        }
+        (self.claims.len() >= options.max_claims).then_some(AbstainReason::TableFull)
+    }
+
+    fn abstain(&mut self, reason: AbstainReason, roster: &RosterSection) -> ClaimReply {
+        self.abstained_total += 1;
+        ClaimReply::Abstain { reason, epoch: roster.epoch }
+    }
+
+    fn insert(
+        &mut self,
+        request: &ClaimRequest,
+        state: ClaimState,
+        options: &HolderOptions,
+        now: WallTime,
+    ) {
+        let kept_from = request.key.minted_at.unwrap_or(now).max(now);
+        let kept = options.resend_window_ms + KEPT_CLOCK_ERRORS * options.max_clock_error_ms;
+        let record =
+            ClaimRecord { content_hash: request.content_hash, state, expires_at: kept_from + kept };
+        if let Entry::Vacant(slot) = self.claims.entry(request.key.clone()) {
+            slot.insert(record);
+        }
+    }
+}
+
+impl ClaimRecord {
+    fn reply_bytes(&self) -> usize {
+        match &self.state {
+            ClaimState::Granted { outcome: Some(ActionOutcome::Ran(reply)), .. } => {
+                reply.body.as_ref().map_or(0, String::len)
+            }
+            _ => 0,
+        }
+    }
+}
--- /dev/null
+++ b/ggt-core/src/config/mod.rs
@@ -0,0 +1,25 @@
+//! The published configuration: merging, checking and the revision in force.
+
+mod accept;
+mod force;
+mod merge;
+mod model;
+
+pub use accept::AcceptError;
+pub use accept::AcceptedConfig;
+pub use accept::accept_files;
+pub use force::OfferOutcome;
+pub use force::RevisionGate;
+pub use merge::MergeError;
+pub use merge::MergedFolder;
+pub use merge::merge_files;
+pub use model::ClaimSection;
+pub use model::ConfigModel;
+pub use model::CustomerSection;
+pub use model::DaemonSection;
+pub use model::LimitSection;
+pub use model::PlainKeys;
+pub use model::RosterSection;
+pub use model::RoutingSection;
+pub use model::RuleSection;
+pub use model::WorkloadSection;
--- /dev/null
+++ b/ggt-core/src/limits/mod.rs
@@ -0,0 +1,115 @@
+//! Fair shares of a full workload, enforced by each daemon on its own sliver of the traffic.
+
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+new_key_type! {
+    /// Identifies one customer of one workload in a [`FairShare`].
+    pub struct ShareKey;
+}
+
+/// One customer's part in a workload.
+#[derive(Clone, Copy, Debug)]
+struct ShareEntry {
+    weight: f64,
+    in_flight: u32,
+}
+
+/// Whether a request may go on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ShareVerdict {
+    /// The request may go on.
+    Admitted,
+    /// The customer is over its share, which is given in requests in flight.
+    OverShare {
+        /// The customer's share on this daemon.
+        share: f64,
+    },
+}
+
+/// The customers of one workload on one daemon.
+///
+/// The balancer spreads each customer's callers over the daemons, so a daemon's own mix stands for
+/// the whole. While the workload is full, each customer may have in flight its max-min fair share
+/// of what this daemon carries: customers below the water level are never refused.
+#[derive(Clone, Debug, Default)]
+pub struct FairShare {
+    entries: SlotMap<ShareKey, ShareEntry>,
+}
+
+impl FairShare {
+    /// Adds a customer with its weight.
+    pub fn insert(&mut self, weight: f64) -> ShareKey {
+        self.entries.insert(ShareEntry { weight, in_flight: 0 })
+    }
+
+    /// Changes a customer's weight.
+    pub fn set_weight(&mut self, key: ShareKey, weight: f64) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.weight = weight;
+        }
+    }
+
+    /// Requests of the customer in flight on this daemon.
+    pub fn in_flight(&self, key: ShareKey) -> u32 {
+        self.entries.get(key).map_or(0, |entry| entry.in_flight)
+    }
+
+    /// Requests of all customers in flight on this daemon.
+    pub fn total(&self) -> u32 {
+        self.entries.values().map(|entry| entry.in_flight).sum()
+    }
+
+    /// Decides on one request of the customer and counts it when it is admitted.
+    ///
+    /// `utilisation` is the workload's load over its capacity, and shares are enforced from
+    /// `share_from` upwards.
+    pub fn admit(&mut self, key: ShareKey, utilisation: f64, share_from: f64) -> ShareVerdict {
+        if utilisation >= share_from {
+            let entry = self.entries.get(key).copied();
+            let Some(entry) = entry else { return ShareVerdict::OverShare { share: 0.0 } };
+            let allotted = f64::from(self.total()) * share_from / utilisation;
+            let share = self.water_level(key, allotted) * entry.weight;
+            // One request is always allowed, so that a quiet customer gets through.
+            if f64::from(entry.in_flight) + 1.0 > share.max(1.0) {
+                return ShareVerdict::OverShare { share };
+            }
+        }
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.in_flight += 1;
+        }
+        ShareVerdict::Admitted
+    }
+
+    /// Records that a request of the customer ended.
+    pub fn release(&mut self, key: ShareKey) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.in_flight = entry.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// The max-min fair level: requests in flight for each unit of weight, so that the demands
+    /// capped at the level sum to `allotted`.
+    fn water_level(&self, asking: ShareKey, allotted: f64) -> f64 {
+        let mut demands: Vec<(f64, f64)> = self
+            .entries
+            .iter()
+            .map(|(key, entry)| {
+                let demand = f64::from(entry.in_flight) + f64::from(u8::from(key == asking));
+                (demand / entry.weight, entry.weight)
+            })
+            .filter(|(level, _)| *level > 0.0)
+            .collect();
+        demands.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut weight_left: f64 = demands.iter().map(|(_, weight)| weight).sum();
+        let mut left = allotted;
+        for (level, weight) in demands {
+            if level * weight_left >= left {
+                return left / weight_left;
+            }
+            left -= level * weight;
+            weight_left -= weight;
+        }
+        f64::INFINITY
+    }
+}
--- /dev/null
+++ b/ggt-core/src/membership/item.rs
@@ -0,0 +1,205 @@
+//! News that spreads among the daemons.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::blame::DeathMark;
+use crate::blame::RequestPrint;
+use crate::ident::stable_hash;
+use crate::membership::PeerStatus;
+use crate::routing::LoadReport;
+
+/// Times that a fresh item is sent, for each doubling of the number of peers.
+const SENDS_FOR_EACH_DOUBLING: u32 = 2;
+/// Old items sent again with each datagram, so that those who missed them catch up.
+const REFRESHED_ITEMS: usize = 4;
+
+/// Shortens a name to the 32 bits by which items refer to it.
+pub fn short_hash(name: &str) -> u32 {
+    stable_hash(name.as_bytes()) as u32
+}
+
+/// Identifies what an item is about; a later item replaces an earlier one with the same key.
+///
+/// The order of the variants is the order of importance, the most important first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum ItemKey {
+    /// A target that is leaving.
+    Leaving(u32),
+    /// A request in flight on the death of a target.
+    Crash(RequestPrint, DeathMark),
+    /// The state of a daemon.
+    Peer(u32),
+    /// The load of a target.
+    Load(u32),
+}
+
+/// One piece of news.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum GossipItem {
+    /// An incarnation of a target is leaving.
+    Leaving {
+        /// Short hash of the target's name.
+        target: u32,
+        /// The incarnation that is leaving.
+        incarnation: u64,
+    },
+    /// A request was in flight when a target died.
+    Crash {
+        /// The request.
+        print: RequestPrint,
+        /// The death.
+        death: DeathMark,
+    },
+    /// What is believed of a daemon.
+    Peer {
+        /// Short hash of the daemon's name.
+        daemon: u32,
+        /// The daemon's incarnation.
+        incarnation: u64,
+        /// Its status.
+        status: PeerStatus,
+    },
+    /// The load of a target, as its prober heard it.
+    Load {
+        /// Short hash of the target's name.
+        target: u32,
+        /// The target's incarnation.
+        incarnation: u64,
+        /// The report.
+        report: LoadReport,
+        /// Whether the prober could not reach the target.
+        is_down: bool,
+    },
+}
+
+impl GossipItem {
+    /// What the item is about.
+    pub fn key(&self) -> ItemKey {
+        match *self {
+            Self::Leaving { target, .. } => ItemKey::Leaving(target),
+            Self::Crash { print, death } => ItemKey::Crash(print, death),
+            Self::Peer { daemon, .. } => ItemKey::Peer(daemon),
+            Self::Load { target, .. } => ItemKey::Load(target),
+        }
+    }
+
+    /// Orders items with the same key; the higher one is newer.
+    fn version(&self) -> (u64, u64) {
+        match self {
+            Self::Leaving { incarnation, .. } => (*incarnation, 0),
+            Self::Crash { .. } => (0, 0),
+            Self::Peer { incarnation, status, .. } => (*incarnation, *status as u64),
+            Self::Load { incarnation, report, is_down, .. } => {
+                (*incarnation, 2 * report.version() + u64::from(*is_down))
+            }
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct ItemSlot {
+    item: GossipItem,
+    sends_left: u32,
+}
+
+/// The newest item for each key, and how often each was passed on.
+#[derive(Clone, Debug, Default)]
+pub struct ItemTable {
+    slots: BTreeMap<ItemKey, ItemSlot>,
+    refreshed: Option<ItemKey>,
+}
+
+impl ItemTable {
+    /// Items kept.
+    pub fn len(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// Whether no item is kept.
+    pub fn is_empty(&self) -> bool {
+        self.slots.is_empty()
+    }
+
+    /// Takes an item unless a newer one is known; returns whether it was news.
+    ///
+    /// `peer_count` sets how often news is passed on.
+    pub fn take(&mut self, item: GossipItem, peer_count: usize) -> bool {
+        let key = item.key();
+        let is_old = self.slots.get(&key).is_some_and(|slot| slot.item.version() >= item.version());
+        if is_old {
+            return false;
+        }
+        let doublings = usize::BITS - peer_count.leading_zeros();
+        let sends_left = SENDS_FOR_EACH_DOUBLING * doublings.max(1);
+        self.slots.insert(key, ItemSlot { item, sends_left });
+        true
+    }
+
+    /// Drops items whose key `keep` refuses.
+    pub fn retain<F>(&mut self, mut keep: F)
+    where
+        F: FnMut(&ItemKey) -> bool,
+    {
+        self.slots.retain(|key, _| keep(key));
+    }
+
+    /// Picks the items for one datagram, fresh ones by importance and then a few old ones.
+    ///
+    /// `fits` is asked for each item whether it still fits; once it says no to a fresh item, the
+    /// less important ones are left for later. Returns the items and how many fresh ones were left.
+    pub fn pick<F>(&mut self, mut fits: F) -> (Vec<GossipItem>, usize)
+    where
+        F: FnMut(&GossipItem) -> bool,
+    {
+        let mut picked = Vec::new();
+        let mut left = 0;
+        // Among items of one kind the least often sent go first.
+        let mut fresh: Vec<(u8, u32, ItemKey)> = self
+            .slots
+            .iter()
+            .filter(|(_, slot)| slot.sends_left > 0)
+            .map(|(key, slot)| (rank_of(key), u32::MAX - slot.sends_left, *key))
+            .collect();
+        fresh.sort_unstable();
+        for (_, _, key) in fresh {
+            let Some(slot) = self.slots.get_mut(&key) else { continue };
+            if left == 0 && fits(&slot.item) {
+                slot.sends_left -= 1;
+                picked.push(slot.item);
+            } else {
+                left += 1;
+            }
+        }
+        for _ in 0..REFRESHED_ITEMS.min(self.slots.len()) {
+            let next = match self.refreshed {
+                Some(last) => self
+                    .slots
+                    .range((std::ops::Bound::Excluded(last), std::ops::Bound::Unbounded))
+                    .next(),
+                None => None,
+            };
+            let Some((key, slot)) = next.or_else(|| self.slots.iter().next()) else { break };
+            let (key, item) = (*key, slot.item);
+            if left > 0 || !fits(&item) {
+                break;
+            }
+            self.refreshed = Some(key);
+            if !picked.contains(&item) {
+                picked.push(item);
+            }
+        }
+        (picked, left)
+    }
+}
+
+fn rank_of(key: &ItemKey) -> u8 {
+    match key {
+        ItemKey::Leaving(_) => 0,
+        ItemKey::Crash(..) => 1,
+        ItemKey::Peer(_) => 2,
+        ItemKey::Load(_) => 3,
+    }
+}
--- /dev/null
+++ b/ggt-core/src/membership/peers.rs
@@ -0,0 +1,462 @@
+//! The peers of one daemon and the pings that tell which of them live.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+use crate::clock::MonoTime;
+use crate::config::RosterSection;
+use crate::ident::CentreName;
+use crate::ident::DaemonName;
+use crate::ident::mix_hash;
+use crate::membership::GossipItem;
+use crate::membership::PeerMessage;
+use crate::membership::PeerStatus;
+use crate::membership::SignedHead;
+use crate::membership::short_hash;
+
+/// Daemons asked to ping a silent one on this daemon's behalf.
+const INDIRECT_PINGS: usize = 2;
+/// Every so many periods a dead peer is pinged again, so that a healed partition is noticed.
+const DEAD_PEER_EVERY: u64 = 4;
+
+new_key_type! {
+    /// Identifies one peer in a [`PeerTable`].
+    pub struct PeerKey;
+}
+
+/// Settings of a [`PeerTable`].
+#[derive(Clone, Copy, Debug)]
+pub struct PeerOptions {
+    /// Milliseconds between pings.
+    pub period_millis: u64,
+    /// Milliseconds that a direct answer may take before others are asked.
+    pub direct_millis: u64,
+    /// Periods that a suspicion lasts before the peer is believed dead.
+    pub suspect_periods: u64,
+}
+
+impl Default for PeerOptions {
+    fn default() -> Self {
+        Self { period_millis: 1_000, direct_millis: 400, suspect_periods: 4 }
+    }
+}
+
+/// One peer.
+#[derive(Clone, Debug)]
+pub struct PeerEntry {
+    /// Its name.
+    pub name: DaemonName,
+    /// Its data centre.
+    pub centre: CentreName,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Its last known incarnation, zero while none is known.
+    pub incarnation: u64,
+    /// What is believed of it.
+    pub status: PeerStatus,
+    /// The highest revision that it showed.
+    pub revision: u64,
+    last_number: u64,
+    suspect_until: MonoTime,
+}
+
+/// What the table wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PeerAction {
+    /// Send a message to a peer.
+    Send {
+        /// The peer.
+        to: DaemonName,
+        /// Where it is reached.
+        address: SocketAddr,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// Spread an item.
+    Spread(GossipItem),
+    /// A peer's status changed.
+    Changed {
+        /// The peer.
+        name: DaemonName,
+        /// Its status from now on.
+        status: PeerStatus,
+    },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct OpenPing {
+    round: u64,
+    peer: PeerKey,
+    ask_others_at: MonoTime,
+    fails_at: MonoTime,
+    others_asked: bool,
+}
+
+/// The peers of one daemon.
+#[derive(Clone, Debug)]
+pub struct PeerTable {
+    own_name: DaemonName,
+    own_centre: CentreName,
+    incarnation: u64,
+    is_leaving: bool,
+    options: PeerOptions,
+    peers: SlotMap<PeerKey, PeerEntry>,
+    by_name: BTreeMap<DaemonName, PeerKey>,
+    by_short: BTreeMap<u32, PeerKey>,
+    rounds: u64,
+    next_period_at: MonoTime,
+    open_ping: Option<OpenPing>,
+    relayed: BTreeMap<u64, (DaemonName, u64, MonoTime)>,
+}
+
+impl PeerTable {
+    /// A table without peers. `incarnation` must be above that of any former life.
+    pub fn new(
+        own_name: DaemonName,
+        own_centre: CentreName,
+        incarnation: u64,
+        options: PeerOptions,
+        now: MonoTime,
+    ) -> Self {
+        Self {
+            own_name,
+            own_centre,
+            incarnation,
+            is_leaving: false,
+            options,
+            peers: SlotMap::with_key(),
+            by_name: BTreeMap::new(),
+            by_short: BTreeMap::new(),
+            rounds: 0,
+            next_period_at: now,
+            open_ping: None,
+            relayed: BTreeMap::new(),
+        }
+    }
+
+    /// This daemon's incarnation; it rises when a suspicion is refuted.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// All peers in the order of their names.
+    pub fn iter(&self) -> impl Iterator<Item = &PeerEntry> {
+        self.by_name.values().filter_map(|key| self.peers.get(*key))
+    }
+
+    /// The peer called `name`.
+    pub fn peer(&self, name: &DaemonName) -> Option<&PeerEntry> {
+        self.by_name.get(name).and_then(|key| self.peers.get(*key))
+    }
+
+    /// Names of this daemon and of the peers of its data centre that are believed to live.
+    pub fn living_in_centre(&self) -> impl Iterator<Item = &DaemonName> {
+        let peers = self.iter().filter(|peer| peer.centre == self.own_centre && peer.is_living());
+        peers.map(|peer| &peer.name).chain((!self.is_leaving).then_some(&self.own_name))
+    }
+
+    /// Takes the peers of the roster in force.
+    pub fn set_roster(&mut self, roster: &RosterSection) {
+        for (name, daemon) in &roster.daemons {
+            if *name == self.own_name || !daemon.belongs_to(roster.epoch) {
+                continue;
+            }
+            let known = self.by_name.get(name).and_then(|key| self.peers.get_mut(*key));
+            if let Some(peer) = known {
+                peer.address = daemon.peer;
+                peer.centre = daemon.data_centre.clone();
+                continue;
+            }
+            let key = self.peers.insert(PeerEntry {
+                name: name.clone(),
+                centre: daemon.data_centre.clone(),
+                address: daemon.peer,
+                incarnation: 0,
+                status: PeerStatus::Alive,
+                revision: 0,
+                last_number: 0,
+                suspect_until: MonoTime::default(),
+            });
+            self.by_name.insert(name.clone(), key);
+            self.by_short.insert(short_hash(name.as_str()), key);
+        }
+        let is_member = |name: &DaemonName| {
+            roster.daemons.get(name).is_some_and(|daemon| daemon.belongs_to(roster.epoch))
+        };
+        let peers = &mut self.peers;
+        self.by_name.retain(|name, key| {
+            let keep = is_member(name);
+            if !keep {
+                peers.remove(*key);
+            }
+            keep
+        });
+        self.by_short.retain(|_, key| peers.contains_key(*key));
+    }
+
+    /// Announces this daemon's departure.
+    pub fn leave(&mut self) -> GossipItem {
+        self.is_leaving = true;
+        self.own_item(PeerStatus::Left)
+    }
+
+    /// Checks the head of a datagram; `false` when it is foreign, replayed or of a former life.
+    pub fn admit(&mut self, head: &SignedHead) -> bool {
+        let Some(key) = self.by_name.get(&head.from).copied() else { return false };
+        let Some(peer) = self.peers.get_mut(key) else { return false };
+        if head.incarnation < peer.incarnation
+            || (head.incarnation == peer.incarnation && head.number <= peer.last_number)
+        {
+            return false;
+        }
+        peer.last_number = head.number;
+        peer.revision = peer.revision.max(head.revision);
+        true
+    }
+
+    /// Takes a message whose head was admitted.
+    pub fn on_message(
+        &mut self,
+        head: &SignedHead,
+        message: &PeerMessage,
+        now: MonoTime,
+    ) -> Vec<PeerAction> {
+        let mut actions = Vec::new();
+        self.note_alive(&head.from, head.incarnation, &mut actions);
+        match message {
+            PeerMessage::Ping { round } => {
+                let ack = PeerMessage::Ack { round: *round, subject: self.own_name.clone() };
+                self.send(&head.from, ack, &mut actions);
+            }
+            PeerMessage::PingFor { round, subject } => {
+                self.rounds += 1;
+                let relay = (head.from.clone(), *round, now + self.options.period_millis);
+                self.relayed.insert(self.rounds, relay);
+                let ping = PeerMessage::Ping { round: self.rounds };
+                self.send(subject, ping, &mut actions);
+            }
+            PeerMessage::Ack { round, subject } => {
+                if let Some((asker, asked, _)) = self.relayed.remove(round) {
+                    let ack = PeerMessage::Ack { round: asked, subject: subject.clone() };
+                    self.send(&asker, ack, &mut actions);
+                }
+                if self.open_ping.is_some_and(|ping| ping.round == *round) {
+                    self.open_ping = None;
+                }
+            }
+        }
+        actions
+    }
+
+    /// Takes what others believe of a daemon.
+    pub fn on_peer_item(
+        &mut self,
+        daemon: u32,
+        incarnation: u64,
+        status: PeerStatus,
+        now: MonoTime,
+    ) -> Vec<PeerAction> {
+        let mut actions = Vec::new();
+        if daemon == short_hash(self.own_name.as_str()) {
+            if !self.is_leaving && status != PeerStatus::Alive && incarnation >= self.incarnation {
+                self.incarnation = incarnation + 1;
+                actions.push(PeerAction::Spread(self.own_item(PeerStatus::Alive)));
+            }
+            return actions;
+        }
+        let Some(key) = self.by_short.get(&daemon).copied() else { return actions };
+        let Some(peer) = self.peers.get_mut(key) else { return actions };
+        if (incarnation, status) <= (peer.incarnation, peer.status) {
+            return actions;
+        }
+        peer.incarnation = incarnation;
+        if status == PeerStatus::Suspect {
+            peer.suspect_until = now + self.options.suspect_periods * self.options.period_millis;
+        }
+        if peer.status != status {
+            peer.status = status;
+            actions.push(PeerAction::Changed { name: peer.name.clone(), status });
+        }
+        actions
+    }
+
+    /// Does what has come due at `now`; `cross_centre` also pings one peer of another data centre.
+    pub fn on_tick(&mut self, now: MonoTime, cross_centre: bool) -> Vec<PeerAction> {
+        let mut actions = Vec::new();
+        self.relayed.retain(|_, (_, _, expires_at)| now < *expires_at);
+        self.check_open_ping(now, &mut actions);
+        self.check_suspects(now, &mut actions);
+        if now >= self.next_period_at {
+            self.next_period_at = now + self.options.period_millis;
+            self.begin_period(now, cross_centre, &mut actions);
+        }
+        actions
+    }
+
+    /// Pings `count` peers at once, so that news reaches them before the next period.
+    pub fn announce(&self, count: usize) -> Vec<PeerAction> {
+        let mut actions = Vec::new();
+        for key in self.candidates(true, false).into_iter().rev().take(count) {
+            self.send_to(key, PeerMessage::Ping { round: u64::MAX }, &mut actions);
+        }
+        actions
+    }
+
+    /// Forgets open pings, as after a pause in which answers may have been missed.
+    pub fn forgive_pings(&mut self, now: MonoTime) {
+        self.open_ping = None;
+        let until = now + self.options.suspect_periods * self.options.period_millis;
+        for peer in self.peers.values_mut() {
+            peer.suspect_until = peer.suspect_until.max(until);
+        }
+    }
+
+    fn begin_period(&mut self, now: MonoTime, cross_centre: bool, actions: &mut Vec<PeerAction>) {
+        self.rounds += 1;
+        let wants_dead = self.rounds.is_multiple_of(DEAD_PEER_EVERY);
+        if self.open_ping.is_none()
+            && let Some(key) = self.pick_peer(true, wants_dead)
+        {
+            let round = self.rounds;
+            self.open_ping = Some(OpenPing {
+                round,
+                peer: key,
+                ask_others_at: now + self.options.direct_millis,
+                fails_at: now + self.options.period_millis,
+                others_asked: false,
+            });
+            self.send_to(key, PeerMessage::Ping { round }, actions);
+        }
+        if cross_centre && let Some(key) = self.pick_peer(false, wants_dead) {
+            // Silence of another data centre's daemon proves nothing about it: no ping is open.
+            self.send_to(key, PeerMessage::Ping { round: u64::MAX }, actions);
+        }
+    }
+
+    fn check_open_ping(&mut self, now: MonoTime, actions: &mut Vec<PeerAction>) {
+        let Some(mut ping) = self.open_ping else { return };
+        if now >= ping.fails_at {
+            self.open_ping = None;
+            self.suspect(ping.peer, now, actions);
+        } else if now >= ping.ask_others_at && !ping.others_asked {
+            ping.others_asked = true;
+            self.open_ping = Some(ping);
+            let Some(subject) = self.peers.get(ping.peer).map(|peer| peer.name.clone()) else {
+                return;
+            };
+            let helpers: Vec<PeerKey> = self
+                .candidates(true, false)
+                .into_iter()
+                .filter(|key| *key != ping.peer)
+                .take(INDIRECT_PINGS)
+                .collect();
+            for key in helpers {
+                let subject = subject.clone();
+                self.send_to(key, PeerMessage::PingFor { round: ping.round, subject }, actions);
+            }
+        }
+    }
+
+    fn check_suspects(&mut self, now: MonoTime, actions: &mut Vec<PeerAction>) {
+        for peer in self.peers.values_mut() {
+            if peer.status == PeerStatus::Suspect && now >= peer.suspect_until {
+                peer.status = PeerStatus::Dead;
+                actions.push(PeerAction::Spread(peer.item()));
+                actions.push(PeerAction::Changed {
+                    name: peer.name.clone(),
+                    status: PeerStatus::Dead,
+                });
+            }
+        }
+    }
+
+    fn suspect(&mut self, key: PeerKey, now: MonoTime, actions: &mut Vec<PeerAction>) {
+        let lasts = self.options.suspect_periods * self.options.period_millis;
+        let Some(peer) = self.peers.get_mut(key) else { return };
+        if peer.status != PeerStatus::Alive {
+            return;
+        }
+        peer.status = PeerStatus::Suspect;
+        peer.suspect_until = now + lasts;
+        actions.push(PeerAction::Spread(peer.item()));
+        let name = peer.name.clone();
+        actions.push(PeerAction::Changed { name, status: PeerStatus::Suspect });
+    }
+
+    fn note_alive(&mut self, name: &DaemonName, incarnation: u64, actions: &mut Vec<PeerAction>) {
+        let Some(peer) = self.by_name.get(name).and_then(|key| self.peers.get_mut(*key)) else {
+            return;
+        };
+        if incarnation > peer.incarnation {
+            let was = peer.status;
+            peer.incarnation = incarnation;
+            peer.status = PeerStatus::Alive;
+            actions.push(PeerAction::Spread(peer.item()));
+            if was != PeerStatus::Alive {
+                let name = peer.name.clone();
+                actions.push(PeerAction::Changed { name, status: PeerStatus::Alive });
+            }
+        } else if matches!(peer.status, PeerStatus::Suspect | PeerStatus::Dead) {
+            // Tells the peer of the suspicion, so that it refutes it for everyone.
+            actions.push(PeerAction::Spread(peer.item()));
+        }
+    }
+
+    /// Peers that may be pinged, in an order that changes with each round.
+    fn candidates(&self, own_centre: bool, dead: bool) -> Vec<PeerKey> {
+        let mut keys: Vec<(u64, PeerKey)> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| (peer.centre == self.own_centre) == own_centre)
+            .filter(|(_, peer)| peer.is_living() != dead)
+            .map(|(key, peer)| {
+                let hash = u64::from(short_hash(peer.name.as_str()));
+                (mix_hash(mix_hash(self.rounds, self.incarnation), hash), key)
+            })
+            .collect();
+        keys.sort_unstable();
+        keys.into_iter().map(|(_, key)| key).collect()
+    }
+
+    fn pick_peer(&self, own_centre: bool, wants_dead: bool) -> Option<PeerKey> {
+        let dead = wants_dead.then(|| self.candidates(own_centre, true)).unwrap_or_default();
+        let first = dead.first().copied();
+        first.or_else(|| self.candidates(own_centre, false).first().copied())
+    }
+
+    fn send(&self, to: &DaemonName, message: PeerMessage, actions: &mut Vec<PeerAction>) {
+        if let Some(key) = self.by_name.get(to) {
+            self.send_to(*key, message, actions);
+        }
+    }
+
+    fn send_to(&self, key: PeerKey, message: PeerMessage, actions: &mut Vec<PeerAction>) {
+        if let Some(peer) = self.peers.get(key) {
+            let (to, address) = (peer.name.clone(), peer.address);
+            actions.push(PeerAction::Send { to, address, message });
+        }
+    }
+
+    fn own_item(&self, status: PeerStatus) -> GossipItem {
+        let daemon = short_hash(self.own_name.as_str());
+        GossipItem::Peer { daemon, incarnation: self.incarnation, status }
+    }
+}
+
+impl PeerEntry {
+    /// Whether the peer is believed to live.
+    pub fn is_living(&self) -> bool {
+        matches!(self.status, PeerStatus::Alive | PeerStatus::Suspect)
+    }
+
+    fn item(&self) -> GossipItem {
+        GossipItem::Peer {
+            daemon: short_hash(self.name.as_str()),
+            incarnation: self.incarnation,
+            status: self.status,
+        }
+    }
+}
--- /dev/null
+++ b/ggt-core/src/routing/table.rs
@@ -0,0 +1,511 @@
+//! Targets, their states and the choice among them.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+use crate::clock::MonoTime;
+use crate::hosts::HostEntry;
+use crate::hosts::HostList;
+use crate::hosts::HostState;
+use crate::ident::CentreName;
+use crate::ident::TargetName;
+use crate::ident::WorkloadName;
+use crate::ident::stable_hash;
+use crate::routing::ChoiceReason;
+use crate::routing::ChosenTarget;
+use crate::routing::HoldDown;
+use crate::routing::HoldOptions;
+use crate::routing::LoadEstimate;
+use crate::routing::LoadReport;
+use crate::routing::RouteQuery;
+use crate::routing::RouteRefusal;
+use crate::routing::rendezvous_score;
+
+/// Consecutive failures after which a target is down until a probe succeeds.
+const FAILURES_TO_DOWN: u32 = 2;
+/// Requests that a target may always carry: one that runs and one whose end has not been reported
+/// yet. A smaller bound would drive chats off an idle target.
+const MIN_BOUND: f64 = 2.0;
+/// Targets of a data centre that must be down before it counts as cut off.
+const MIN_DOWN_TO_CUT_OFF: usize = 2;
+/// Share of its capacity that a target takes at the start of its slow start.
+const SLOW_START_SHARE: f64 = 0.2;
+
+new_key_type! {
+    /// Identifies one target in a [`RoutingTable`].
+    pub struct TargetKey;
+}
+
+/// Settings of a [`RoutingTable`].
+#[derive(Clone, Copy, Debug)]
+pub struct RoutingOptions {
+    /// The most load a target may carry, as a multiple of the mean.
+    pub max_load_ratio: f64,
+    /// Load at which a target is full, as a multiple of its capacity.
+    pub full_ratio: f64,
+    /// How many requests each own request since a report stands for.
+    pub peer_scale: f64,
+    /// Whether callers' hints are used.
+    pub use_hints: bool,
+    /// Settings of the hold-down.
+    pub hold: HoldOptions,
+    /// Milliseconds over which a returning target takes up its full share.
+    pub slow_start_millis: u64,
+}
+
+impl Default for RoutingOptions {
+    fn default() -> Self {
+        Self {
+            max_load_ratio: 1.25,
+            full_ratio: 1.0,
+            peer_scale: 1.0,
+            use_hints: true,
+            hold: HoldOptions { first_millis: 5_000, longest_millis: 300_000 },
+            slow_start_millis: 10_000,
+        }
+    }
+}
+
+/// Whether a target takes new work, and why not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetStatus {
+    /// It takes new work.
+    Ready,
+    /// It is leaving.
+    Leaving,
+    /// It is held down for flapping.
+    Held,
+    /// It does not answer.
+    Down,
+    /// Its data centre cannot be reached.
+    CutOff,
+}
+
+impl TargetStatus {
+    /// The status as it stands in logs and in the status report.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Ready => "ready",
+            Self::Leaving => "leaving",
+            Self::Held => "held",
+            Self::Down => "down",
+            Self::CutOff => "cut-off",
+        }
+    }
+}
+
+/// One target.
+#[derive(Clone, Debug)]
+pub struct TargetEntry {
+    /// The target's entry in the host list.
+    pub host: HostEntry,
+    /// Its estimated load.
+    pub load: LoadEstimate,
+    hash: u64,
+    hold: HoldDown,
+    failures: u32,
+    is_down: bool,
+    ramp_from: Option<MonoTime>,
+}
+
+impl TargetEntry {
+    /// Where the target is reached.
+    pub fn address(&self) -> SocketAddr {
+        self.host.address
+    }
+
+    /// Hash of the target's name.
+    pub fn hash(&self) -> u64 {
+        self.hash
+    }
+
+    /// The end of the target's hold-down.
+    pub fn held_until(&self) -> MonoTime {
+        self.hold.held_until()
+    }
+
+    fn ramped_capacity(&self, options: &RoutingOptions, now: MonoTime) -> f64 {
+        let capacity = f64::from(self.host.capacity);
+        let Some(from) = self.ramp_from else { return capacity };
+        if options.slow_start_millis == 0 {
+            return capacity;
+        }
+        let passed = now.millis_since(from) as f64 / options.slow_start_millis as f64;
+        capacity * (SLOW_START_SHARE + (1.0 - SLOW_START_SHARE) * passed.min(1.0))
+    }
+}
+
+/// What a host list or a peer's word changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HostChange {
+    /// A target was added.
+    Joined(TargetName),
+    /// A target came back as a new incarnation.
+    Returned(TargetName),
+    /// A target is leaving.
+    Leaving(TargetName),
+    /// A target is no longer listed.
+    Gone(TargetName),
+}
+
+/// All targets that a daemon knows.
+#[derive(Clone, Debug, Default)]
+pub struct RoutingTable {
+    targets: SlotMap<TargetKey, TargetEntry>,
+    by_name: BTreeMap<TargetName, TargetKey>,
+    by_workload: BTreeMap<WorkloadName, Vec<TargetKey>>,
+    cut_off: BTreeSet<CentreName>,
+    leaving: BTreeMap<TargetName, u64>,
+    list_version: u64,
+}
+
+impl RoutingTable {
+    /// The version of the host list in use.
+    pub fn list_version(&self) -> u64 {
+        self.list_version
+    }
+
+    /// The target under `key`, unless it is gone.
+    pub fn target(&self, key: TargetKey) -> Option<&TargetEntry> {
+        self.targets.get(key)
+    }
+
+    /// The key of the target called `name`.
+    pub fn key_of(&self, name: &TargetName) -> Option<TargetKey> {
+        self.by_name.get(name).copied()
+    }
+
+    /// All targets in the order of their names.
+    pub fn iter(&self) -> impl Iterator<Item = (TargetKey, &TargetEntry)> {
+        self.by_name.values().filter_map(|key| Some((*key, self.targets.get(*key)?)))
+    }
+
+    /// Takes a host list unless a newer one is in use.
+    ///
+    /// A target that a peer reported as leaving stays so until the list shows a higher
+    /// incarnation, so that a lagging list cannot bring it back.
+    pub fn apply_hosts(
+        &mut self,
+        list: &HostList,
+        options: &RoutingOptions,
+        now: MonoTime,
+    ) -> Vec<HostChange> {
+        if list.version <= self.list_version && self.list_version != 0 {
+            return Vec::new();
+        }
+        let is_first = self.list_version == 0;
+        self.list_version = list.version;
+        let mut changes = Vec::new();
+        for host in &list.targets {
+            self.apply_host(host, is_first, options, now, &mut changes);
+        }
+        let listed: BTreeSet<&TargetName> = list.targets.iter().map(|host| &host.name).collect();
+        let gone: Vec<TargetName> =
+            self.by_name.keys().filter(|name| !listed.contains(name)).cloned().collect();
+        for name in gone {
+            if let Some(key) = self.by_name.remove(&name) {
+                self.targets.remove(key);
+            }
+            changes.push(HostChange::Gone(name));
+        }
+        self.index_workloads();
+        changes
+    }
+
+    fn apply_host(
+        &mut self,
+        host: &HostEntry,
+        is_first: bool,
+        options: &RoutingOptions,
+        now: MonoTime,
+        changes: &mut Vec<HostChange>,
+    ) {
+        let mut host = host.clone();
+        if self.leaving.get(&host.name).is_some_and(|left| *left >= host.incarnation) {
+            host.state = HostState::Leaving;
+        }
+        let known = self.by_name.get(&host.name).and_then(|key| self.targets.get_mut(*key));
+        let Some(entry) = known else {
+            changes.push(HostChange::Joined(host.name.clone()));
+            let entry = TargetEntry {
+                hash: stable_hash(host.name.as_str().as_bytes()),
+                load: LoadEstimate::default(),
+                hold: HoldDown::default(),
+                failures: 0,
+                is_down: false,
+                ramp_from: (!is_first).then_some(now),
+                host,
+            };
+            let name = entry.host.name.clone();
+            let key = self.targets.insert(entry);
+            self.by_name.insert(name, key);
+            return;
+        };
+        if host.incarnation < entry.host.incarnation {
+            return;
+        }
+        if host.incarnation > entry.host.incarnation {
+            entry.hold.note_flap(&options.hold, now);
+            entry.load.forget_report();
+            entry.failures = 0;
+            entry.is_down = false;
+            entry.ramp_from = Some(now.max(entry.hold.held_until()));
+            changes.push(HostChange::Returned(host.name.clone()));
+        } else if entry.host.state == HostState::Leaving {
+            host.state = HostState::Leaving;
+        }
+        if host.state == HostState::Leaving && entry.host.state == HostState::Live {
+            changes.push(HostChange::Leaving(host.name.clone()));
+        }
+        entry.host = host;
+    }
+
+    /// Takes the word of a peer, or of the target itself, that an incarnation is leaving.
+    ///
+    /// Returns whether that was news.
+    pub fn note_leaving(&mut self, name: &TargetName, incarnation: u64) -> bool {
+        let known = self.leaving.entry(name.clone()).or_insert(0);
+        let is_news = incarnation > *known;
+        *known = incarnation.max(*known);
+        if let Some(entry) = self.by_name.get(name).and_then(|key| self.targets.get_mut(*key))
+            && entry.host.incarnation <= incarnation
+        {
+            let changed = entry.host.state != HostState::Leaving;
+            entry.host.state = HostState::Leaving;
+            return changed;
+        }
+        is_news
+    }
+
+    /// Targets that are leaving, with the incarnation that is.
+    pub fn leaving(&self) -> impl Iterator<Item = (&TargetName, u64)> {
+        let listed = self.iter().filter(|(_, entry)| entry.host.state == HostState::Leaving);
+        listed.map(|(_, entry)| (&entry.host.name, entry.host.incarnation))
+    }
+
+    /// Data centres that this daemon cannot reach.
+    pub fn cut_off(&self) -> impl Iterator<Item = &CentreName> {
+        self.cut_off.iter()
+    }
+
+    /// Marks a data centre as cut off or as reachable again.
+    pub fn set_cut_off(&mut self, centre: &CentreName, is_cut_off: bool) {
+        match is_cut_off {
+            true => self.cut_off.insert(centre.clone()),
+            false => self.cut_off.remove(centre),
+        };
+    }
+
+    /// A data centre counts as cut off once half of its targets, and two at least, are down.
+    fn judge_centre(&mut self, centre: &CentreName) {
+        let targets = self.targets.values().filter(|entry| entry.host.data_centre == *centre);
+        let (down, all) = targets.fold((0_usize, 0_usize), |(down, all), entry| {
+            (down + usize::from(entry.is_down), all + 1)
+        });
+        self.set_cut_off(centre, down >= MIN_DOWN_TO_CUT_OFF && 2 * down >= all);
+    }
+
+    /// Whether the target does not answer, whatever its status says first.
+    pub fn is_down(&self, key: TargetKey) -> bool {
+        self.targets.get(key).is_some_and(|entry| entry.is_down)
+    }
+
+    /// Whether the target takes new work at `now`.
+    pub fn status(&self, entry: &TargetEntry, now: MonoTime) -> TargetStatus {
+        if entry.host.state == HostState::Leaving {
+            TargetStatus::Leaving
+        } else if self.cut_off.contains(&entry.host.data_centre) {
+            TargetStatus::CutOff
+        } else if entry.is_down {
+            TargetStatus::Down
+        } else if entry.hold.is_held(now) {
+            TargetStatus::Held
+        } else {
+            TargetStatus::Ready
+        }
+    }
+
+    /// Records that a request was sent to the target.
+    pub fn note_sent(&mut self, key: TargetKey) {
+        if let Some(entry) = self.targets.get_mut(key) {
+            entry.load.note_sent();
+        }
+    }
+
+    /// Records that a request on the target ended.
+    pub fn note_done(&mut self, key: TargetKey) {
+        if let Some(entry) = self.targets.get_mut(key) {
+            entry.load.note_done();
+        }
+    }
+
+    /// Takes a load report of one incarnation; returns whether it was news.
+    pub fn take_report(&mut self, key: TargetKey, incarnation: u64, report: LoadReport) -> bool {
+        self.targets.get_mut(key).is_some_and(|entry| {
+            entry.host.incarnation == incarnation && entry.load.take_report(report)
+        })
+    }
+
+    /// Records that the target answered: it is up.
+    ///
+    /// Returns whether it was down before.
+    pub fn note_answer(&mut self, key: TargetKey, now: MonoTime) -> bool {
+        let Some(entry) = self.targets.get_mut(key) else { return false };
+        entry.failures = 0;
+        let was_down = entry.is_down;
+        entry.is_down = false;
+        if was_down {
+            entry.ramp_from = Some(now.max(entry.hold.held_until()));
+            let centre = entry.host.data_centre.clone();
+            self.judge_centre(&centre);
+        }
+        was_down
+    }
+
+    /// Records that the target could not be reached; returns whether it is down from now on.
+    pub fn note_failure(&mut self, key: TargetKey, options: &HoldOptions, now: MonoTime) -> bool {
+        let Some(entry) = self.targets.get_mut(key) else { return false };
+        entry.failures += 1;
+        if entry.is_down || entry.failures < FAILURES_TO_DOWN {
+            return false;
+        }
+        entry.is_down = true;
+        entry.hold.note_flap(options, now);
+        let centre = entry.host.data_centre.clone();
+        self.judge_centre(&centre);
+        true
+    }
+
+    /// Takes the word of a prober that the target is down; returns whether that was news.
+    pub fn note_down(&mut self, key: TargetKey, options: &HoldOptions, now: MonoTime) -> bool {
+        (0..FAILURES_TO_DOWN).any(|_| self.note_failure(key, options, now))
+    }
+
+    /// Forgets all load reports, as after a pause that made them old.
+    pub fn forget_reports(&mut self) {
+        self.targets.values_mut().for_each(|entry| entry.load.forget_report());
+    }
+
+    /// Load of the workload's ready targets over their capacity.
+    pub fn utilisation(
+        &self,
+        workload: &WorkloadName,
+        options: &RoutingOptions,
+        now: MonoTime,
+    ) -> f64 {
+        let (load, capacity) = self.sum_ready(workload, options, now);
+        if capacity > 0.0 { load / capacity } else { 1.0 }
+    }
+
+    /// Chooses the target of one request.
+    ///
+    /// The hint's target comes first while its incarnation lives, then the chat's rendezvous
+    /// order; the first of them under the load bound is taken.
+    ///
+    /// # Errors
+    /// [`RouteRefusal`] when no target takes the request.
+    pub fn choose(
+        &self,
+        query: &RouteQuery<'_>,
+        options: &RoutingOptions,
+        now: MonoTime,
+    ) -> Result<ChosenTarget, RouteRefusal> {
+        let (load, capacity) = self.sum_ready(query.workload, options, now);
+        if capacity <= 0.0 {
+            return Err(RouteRefusal::NoTarget);
+        }
+        let mean_ratio = (load + 1.0) / capacity;
+        let bound_of = |entry: &TargetEntry| {
+            let share = entry.ramped_capacity(options, now);
+            let full = f64::from(entry.host.capacity) * options.full_ratio;
+            (options.max_load_ratio * mean_ratio * share).max(MIN_BOUND).min(full)
+        };
+        if let Some(chosen) = self.choose_hinted(query, options, now, bound_of) {
+            return Ok(chosen);
+        }
+        let mut home: Option<(f64, TargetKey)> = None;
+        let mut best: Option<(f64, ChosenTarget)> = None;
+        for (key, entry) in self.ready(query.workload, now) {
+            if query.tried.contains(&key) {
+                continue;
+            }
+            let weight = f64::from(entry.host.capacity);
+            let score = rendezvous_score(query.chat_hash, entry.hash, weight);
+            if home.is_none_or(|(top, _)| score > top) {
+                home = Some((score, key));
+            }
+            if best.as_ref().is_some_and(|(top, _)| score <= *top) {
+                continue;
+            }
+            let load = entry.load.value(options.peer_scale);
+            let bound = bound_of(entry);
+            if load + 1.0 <= bound {
+                let reason = ChoiceReason::Spill;
+                best = Some((score, ChosenTarget { key, reason, load, bound }));
+            }
+        }
+        let Some((_, home)) = home else { return Err(RouteRefusal::NoTarget) };
+        let (_, mut chosen) = best.ok_or(RouteRefusal::Full)?;
+        if chosen.key == home {
+            chosen.reason = ChoiceReason::Home;
+        }
+        Ok(chosen)
+    }
+
+    fn choose_hinted<F>(
+        &self,
+        query: &RouteQuery<'_>,
+        options: &RoutingOptions,
+        now: MonoTime,
+        bound_of: F,
+    ) -> Option<ChosenTarget>
+    where
+        F: Fn(&TargetEntry) -> f64,
+    {
+        let (name, incarnation) = query.hint.filter(|_| options.use_hints)?;
+        let key = self.key_of(name)?;
+        let entry = self.targets.get(key)?;
+        let is_usable = entry.host.incarnation == incarnation
+            && entry.host.workload == *query.workload
+            && !query.tried.contains(&key)
+            && self.status(entry, now) == TargetStatus::Ready;
+        let load = entry.load.value(options.peer_scale);
+        let bound = bound_of(entry);
+        let chosen = ChosenTarget { key, reason: ChoiceReason::Hint, load, bound };
+        (is_usable && load + 1.0 <= bound).then_some(chosen)
+    }
+
+    fn ready(
+        &self,
+        workload: &WorkloadName,
+        now: MonoTime,
+    ) -> impl Iterator<Item = (TargetKey, &TargetEntry)> {
+        let keys = self.by_workload.get(workload).map(Vec::as_slice).unwrap_or_default();
+        keys.iter()
+            .filter_map(|key| Some((*key, self.targets.get(*key)?)))
+            .filter(move |(_, entry)| self.status(entry, now) == TargetStatus::Ready)
+    }
+
+    fn sum_ready(
+        &self,
+        workload: &WorkloadName,
+        options: &RoutingOptions,
+        now: MonoTime,
+    ) -> (f64, f64) {
+        self.ready(workload, now).fold((0.0, 0.0), |(load, capacity), (_, entry)| {
+            let estimate = entry.load.value(options.peer_scale);
+            (load + estimate, capacity + entry.ramped_capacity(options, now))
+        })
+    }
+
+    fn index_workloads(&mut self) {
+        self.by_workload.clear();
+        for (key, entry) in &self.targets {
+            self.by_workload.entry(entry.host.workload.clone()).or_default().push(key);
+        }
+    }
+}
