--- /dev/null
+++ b/ggt-wire/src/datagram/mod.rs
@@ -0,0 +1,124 @@
+//! The datagrams by which daemons ping each other and spread news.
+
+use serde::Deserialize;
+use serde::Serialize;
+use snafu::Snafu;
+
+use ggt_core::membership::GossipItem;
+use ggt_core::membership::PeerMessage;
+use ggt_core::membership::SignedHead;
+
+use crate::seal::FleetKeys;
+use crate::seal::TAG_BYTES;
+
+/// Largest datagram: fits the usual MTU of 1,500 bytes with the IP and UDP heads.
+pub const MAX_DATAGRAM_BYTES: usize = 1_400;
+/// Bytes of the IPv4 and UDP heads that each datagram costs besides.
+pub const DATAGRAM_HEAD_BYTES: usize = 28;
+/// Version of the layout; a datagram of another version is dropped.
+const LAYOUT_VERSION: u8 = 1;
+const PURPOSE: &str = "datagram";
+
+/// Why a datagram is dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum DatagramError {
+    /// Its tag was not made with a key of the fleet.
+    #[snafu(display("the tag does not verify"))]
+    Foreign,
+    /// It is too short or too long, or does not decode.
+    #[snafu(display("the datagram does not decode"))]
+    Malformed,
+    /// It has another layout.
+    #[snafu(display("the layout version is not known"))]
+    Version,
+}
+
+/// One decoded datagram.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PeerDatagram {
+    /// Who sent it.
+    pub head: SignedHead,
+    /// The version of the host list in use on the sender.
+    pub hosts_version: u64,
+    /// The message, or `None` when a newer daemon sent a kind that this one does not know.
+    pub message: Option<PeerMessage>,
+    /// The news that rode along.
+    pub items: Vec<GossipItem>,
+    /// Items of kinds that this daemon does not know.
+    pub skipped: usize,
+}
+
+/// Each message and item stands in bytes of its own, so that unknown ones can be skipped.
+#[derive(Serialize, Deserialize)]
+struct DatagramBody<'a> {
+    version: u8,
+    head: SignedHead,
+    hosts_version: u64,
+    #[serde(borrow)]
+    message: &'a [u8],
+    #[serde(borrow)]
+    items: Vec<&'a [u8]>,
+}
+
+/// Encodes and tags a datagram.
+///
+/// # Errors
+/// [`DatagramError::Malformed`] when it would be larger than [`MAX_DATAGRAM_BYTES`].
+pub fn encode_datagram(
+    keys: &FleetKeys,
+    head: &SignedHead,
+    hosts_version: u64,
+    message: &PeerMessage,
+    items: &[GossipItem],
+) -> Result<Vec<u8>, DatagramError> {
+    let malformed = |_| DatagramError::Malformed;
+    let message = postcard::to_stdvec(message).map_err(malformed)?;
+    let items: Vec<Vec<u8>> =
+        items.iter().map(postcard::to_stdvec).collect::<Result<_, _>>().map_err(malformed)?;
+    let body = DatagramBody {
+        version: LAYOUT_VERSION,
+        head: head.clone(),
+        hosts_version,
+        message: &message,
+        items: items.iter().map(Vec::as_slice).collect(),
+    };
+    let mut bytes = postcard::to_stdvec(&body).map_err(malformed)?;
+    let tag = keys.sign(PURPOSE, &[&bytes]);
+    bytes.extend_from_slice(&tag);
+    if bytes.len() > MAX_DATAGRAM_BYTES { Err(DatagramError::Malformed) } else { Ok(bytes) }
+}
+
+/// Bytes that an item adds to a datagram.
+pub fn item_bytes(item: &GossipItem) -> usize {
+    1 + postcard::to_stdvec(item).map_or(MAX_DATAGRAM_BYTES, |bytes| bytes.len())
+}
+
+/// Verifies and decodes a datagram.
+///
+/// # Errors
+/// [`DatagramError`] says why it must be dropped.
+pub fn decode_datagram(keys: &FleetKeys, bytes: &[u8]) -> Result<PeerDatagram, DatagramError> {
+    if bytes.len() > MAX_DATAGRAM_BYTES {
+        return Err(DatagramError::Malformed);
+    }
+    let split = bytes.len().checked_sub(TAG_BYTES).ok_or(DatagramError::Malformed)?;
+    let (body, tag) = bytes.split_at(split);
+    if !keys.verify(PURPOSE, &[body], tag) {
+        return Err(DatagramError::Foreign);
+    }
+    match body.first() {
+        Some(&LAYOUT_VERSION) => (),
+        _ => return Err(DatagramError::Version),
+    }
+    let body: DatagramBody<'_> =
+        postcard::take_from_bytes(body).map_err(|_| DatagramError::Malformed)?.0;
+    let items: Vec<GossipItem> =
+        body.items.iter().filter_map(|bytes| postcard::from_bytes(bytes).ok()).collect();
+    Ok(PeerDatagram {
+        skipped: body.items.len() - items.len(),
+        head: body.head,
+        hosts_version: body.hosts_version,
+        message: postcard::from_bytes(body.message).ok(),
+        items,
+    })
+}
--- /dev/null
+++ b/ggt-wire/src/lib.rs
@@ -0,0 +1,14 @@
+//! Messages between daemons, and with the platform, targets and callers.
+//!
+//! This crate turns the types of `ggt-core` into bytes and back, authenticates what daemons say to
+//! each other and names the HTTP headers in use. It opens no socket.
+
+#![forbid(unsafe_code)]
+#![deny(missing_docs, rust_2018_idioms)]
+
+pub mod datagram;
+pub mod headers;
+pub mod hint;
+pub mod platform;
+pub mod rpc;
+pub mod seal;
--- /dev/null
+++ b/ggt-wire/src/seal/mod.rs
@@ -0,0 +1,75 @@
+//! Keys shared by the daemons of a fleet, and the tags made with them.
+
+use hmac::Hmac;
+use hmac::Mac;
+use sha2::Digest;
+use sha2::Sha256;
+
+/// Bytes of a tag: half of HMAC-SHA-256, as RFC 2104 allows.
+pub const TAG_BYTES: usize = 16;
+
+/// The keys of a fleet. The first one signs; all of them verify, so that keys can be rotated.
+#[derive(Clone)]
+pub struct FleetKeys {
+    keys: Vec<Vec<u8>>,
+}
+
+impl FleetKeys {
+    /// Builds the keys from secrets, the signing one first.
+    pub fn new<I, S>(secrets: I) -> Self
+    where
+        I: IntoIterator<Item = S>,
+        S: AsRef<[u8]>,
+    {
+        Self { keys: secrets.into_iter().map(|secret| secret.as_ref().to_vec()).collect() }
+    }
+
+    /// Tags `parts` for one purpose; a tag of one purpose is never valid for another.
+    pub fn sign(&self, purpose: &str, parts: &[&[u8]]) -> [u8; TAG_BYTES] {
+        let key = self.keys.first().map(Vec::as_slice).unwrap_or_default();
+        let mut tag = [0; TAG_BYTES];
+        tag.copy_from_slice(&full_tag(key, purpose, parts).finalize().into_bytes()[..TAG_BYTES]);
+        tag
+    }
+
+    /// Whether `tag` was made for the purpose and the parts with one of the keys.
+    pub fn verify(&self, purpose: &str, parts: &[&[u8]], tag: &[u8]) -> bool {
+        tag.len() == TAG_BYTES
+            && self
+                .keys
+                .iter()
+                .any(|key| full_tag(key, purpose, parts).verify_truncated_left(tag).is_ok())
+    }
+}
+
+fn full_tag(key: &[u8], purpose: &str, parts: &[&[u8]]) -> Hmac<Sha256> {
+    let mut mac = <Hmac<Sha256> as Mac>::new_from_slice(key)
+        .unwrap_or_else(|_| unreachable!("HMAC takes keys of any length"));
+    // Lengths go in, so that no two lists of parts look alike.
+    for part in std::iter::once(purpose.as_bytes()).chain(parts.iter().copied()) {
+        mac.update(&(part.len() as u64).to_le_bytes());
+        mac.update(part);
+    }
+    mac
+}
+
+/// Bytes as lower-case hexadecimal digits.
+pub fn to_hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// Reads hexadecimal digits; `None` when the text holds anything else.
+pub fn from_hex(text: &str) -> Option<Vec<u8>> {
+    if !text.len().is_multiple_of(2) || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
+        return None;
+    }
+    (0..text.len())
+        .step_by(2)
+        .map(|at| u8::from_str_radix(text.get(at..at + 2)?, 16).ok())
+        .collect()
+}
+
+/// The SHA-256 of a bearer key, as the configuration holds it.
+pub fn key_digest(bearer: &str) -> String {
+    to_hex(&Sha256::digest(bearer.as_bytes()))
+}
