--- /dev/null
+++ b/ggt-daemon/src/admin/serve.rs
@@ -0,0 +1,139 @@
+//! The operators' API over HTTP.
+//!
+//! It stands on `hyper`: `astra` 0.4.0 left a quarter of single requests without an answer, since
+//! it registers a connection for events before it can take them (`docs/design/edge.md`).
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use crossbeam::channel::Sender;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http::header::HeaderValue;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use serde::Serialize;
+use serde_json::json;
+use tokio::net::TcpListener;
+
+use crate::admin::build_report;
+use crate::admin::explain::explain;
+use crate::state::SharedState;
+
+/// Longest time that an operator's tool may take to send a request's head.
+const HEAD_WAIT: Duration = Duration::from_secs(10);
+const JSON: &str = "application/json";
+const TEXT: &str = "text/plain; version=0.0.4";
+
+/// Serves operators on `listener` for as long as the runtime lives.
+///
+/// `drains` takes the order to drain.
+pub async fn serve_admin(state: Arc<SharedState>, listener: TcpListener, drains: Sender<()>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        let (state, drains) = (state.clone(), drains.clone());
+        let service = service_fn(move |request: Request<Incoming>| {
+            let response = answer(&state, &drains, &request);
+            async move { Ok::<_, Infallible>(response) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_WAIT)
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(connection);
+    }
+}
+
+fn answer(
+    state: &SharedState,
+    drains: &Sender<()>,
+    request: &Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    let value = request.headers().get(header::AUTHORIZATION).and_then(|x| x.to_str().ok());
+    let key = value.and_then(|text| text.strip_prefix("Bearer "));
+    if !key.is_some_and(|key| is_same_key(key, &state.settings.admin_key)) {
+        return fail(401, "the operators' key is missing or wrong");
+    }
+    match (request.method(), request.uri().path()) {
+        (&Method::GET, "/status") => reply(200, &build_report(state)),
+        (&Method::GET, "/metrics") => respond(200, TEXT, state.metrics.render()),
+        (&Method::GET, "/explain") => answer_explain(state, request),
+        (&Method::POST, "/drain") => {
+            log::info!("event=drain cause=operator");
+            // The order is the same however often it is given.
+            let _ = drains.try_send(());
+            reply(202, &json!({ "draining": true }))
+        }
+        _ => fail(404, "no such call; there are /status, /metrics, /explain and POST /drain"),
+    }
+}
+
+/// Compares digests, so that the time taken tells nothing of the key.
+fn is_same_key(given: &str, expected: &str) -> bool {
+    ggt_wire::seal::key_digest(given) == ggt_wire::seal::key_digest(expected)
+}
+
+fn answer_explain(state: &SharedState, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let query = request.uri().query().unwrap_or_default();
+    let value = |name: &str| {
+        query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .find(|(key, _)| *key == name)
+            .map(|(_, value)| decode(value))
+    };
+    let (Some(customer), Some(path)) = (value("customer"), value("path")) else {
+        return fail(400, "customer and path are needed; method and chat may be given");
+    };
+    let method = value("method").unwrap_or_else(|| "POST".to_owned());
+    let chat = value("chat").unwrap_or_default();
+    match explain(state, &customer, &method, &path, &chat) {
+        Ok(report) => reply(200, &report),
+        Err(e) => fail(404, &e.to_string()),
+    }
+}
+
+/// Decodes `%XX` in a query's value; what is malformed stays as it is.
+fn decode(text: &str) -> String {
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.as_bytes();
+    while let Some((&first, after)) = rest.split_first() {
+        let code = (first == b'%').then(|| after.get(..2)).flatten();
+        let byte = code
+            .and_then(|digits| std::str::from_utf8(digits).ok())
+            .and_then(|digits| u8::from_str_radix(digits, 16).ok());
+        bytes.push(byte.unwrap_or(first));
+        rest = if byte.is_some() { &after[2..] } else { after };
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+fn reply<T>(status: u16, body: &T) -> Response<Full<Bytes>>
+where
+    T: Serialize,
+{
+    match serde_json::to_string(body) {
+        Ok(text) => respond(status, JSON, text),
+        Err(e) => fail(500, &e.to_string()),
+    }
+}
+
+fn fail(status: u16, detail: &str) -> Response<Full<Bytes>> {
+    respond(status, JSON, json!({ "error": detail }).to_string())
+}
+
+fn respond(status: u16, content_type: &'static str, text: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::from(text));
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or_default();
+    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(content_type));
+    response
+}
--- /dev/null
+++ b/ggt-daemon/src/daemon.rs
@@ -0,0 +1,265 @@
+//! Puts the daemon's parts together, runs them and stops them.
+
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use crossbeam::channel::Receiver;
+use crossbeam::channel::Sender;
+use crossbeam::channel::bounded;
+use http::Method;
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+use signal_hook::iterator::Signals;
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
+
+use ggt_wire::platform::FolderKind;
+
+use crate::admin::serve_admin;
+use crate::clock::mono_now;
+use crate::edge::EdgeContext;
+use crate::edge::EdgeHandle;
+use crate::edge::serve_callers;
+use crate::flow::CancelTicket;
+use crate::flow::WorkerPool;
+use crate::metrics::DaemonMetrics;
+use crate::metrics::MetricsError;
+use crate::peers::PeerLinks;
+use crate::peers::announce_departure;
+use crate::peers::run_gossip;
+use crate::peers::run_vouching;
+use crate::peers::serve_peers;
+use crate::probes::run_probing;
+use crate::settings::DaemonSettings;
+use crate::state::SharedState;
+use crate::state::lock;
+use crate::sync::run_fetching;
+use crate::sync::run_watching;
+use crate::upstream::simple_call;
+
+/// Threads of the runtime that carries connections.
+const RUNTIME_THREADS: usize = 2;
+/// Hints of newer folders that wait at most.
+const MAX_FETCH_HINTS: usize = 64;
+/// Cancelled requests that wait at most.
+const MAX_CANCELS: usize = 1_024;
+/// How often a stopping daemon looks at what is in flight.
+const DRAIN_STEP: Duration = Duration::from_millis(20);
+/// How often expired claims and suspicions are dropped.
+const SWEEP_PERIOD: Duration = Duration::from_secs(1);
+/// Longest wait for a target to take a cancellation.
+const CANCEL_WAIT: Duration = Duration::from_millis(500);
+
+/// Why the daemon cannot run.
+#[derive(Debug, Snafu)]
+pub enum DaemonError {
+    /// An address cannot be bound.
+    #[snafu(display("{role} address {address}: {source}"))]
+    Bind {
+        /// What the address is for.
+        role: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The runtime cannot start.
+    #[snafu(display("runtime: {source}"))]
+    Runtime {
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The metrics cannot be set up.
+    #[snafu(display("{source}"), context(false))]
+    Metrics {
+        /// The cause.
+        source: MetricsError,
+    },
+}
+
+/// How the daemon stopped.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StopOutcome {
+    /// Requests that were cut because they did not end before the deadline.
+    pub cut: Vec<String>,
+}
+
+/// Runs a daemon until it is told to stop.
+///
+/// # Errors
+/// [`DaemonError`] when it cannot start.
+pub fn run_daemon(settings: DaemonSettings) -> Result<StopOutcome, DaemonError> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(RUNTIME_THREADS)
+        .enable_all()
+        .build()
+        .context(RuntimeSnafu)?;
+    let callers = bind_tcp(&runtime, "callers", settings.callers)?;
+    let peers = bind_tcp(&runtime, "peer", settings.peer)?;
+    let socket = UdpSocket::bind(settings.peer)
+        .context(BindSnafu { role: "peer", address: settings.peer })?;
+    let admin = bind_tcp(&runtime, "admin", settings.admin)?;
+    let (fetch_hints, fetch_receiver) = bounded(MAX_FETCH_HINTS);
+    let (drains, drain_receiver) = bounded(1);
+    let (cancels, cancel_receiver) = bounded(MAX_CANCELS);
+    let state = Arc::new(SharedState::new(settings, DaemonMetrics::new()?, fetch_hints));
+    let links = Arc::new(PeerLinks::new(state.clone()));
+    let socket = Arc::new(socket);
+    log::info!(
+        "event=start data_centre={} incarnation={} callers={} peer={} admin={}",
+        state.settings.data_centre,
+        state.incarnation,
+        state.settings.callers,
+        state.settings.peer,
+        state.settings.admin,
+    );
+    start_threads(&state, &links, &runtime, &socket, fetch_receiver, cancel_receiver);
+    runtime.spawn(serve_admin(state.clone(), admin, drains.clone()));
+    start_signals(drains);
+    let edge = start_edge(&state, &links, &runtime, cancels, callers);
+    let server = serve_peers(state.clone(), peers);
+    runtime.spawn(async move {
+        if let Err(e) = server.await {
+            log::error!("event=peer-server cause=\"{e}\"");
+        }
+    });
+    // Without a sender left there is no way to stop but a signal, which ends the process.
+    let _ = drain_receiver.recv();
+    let outcome = stop(&state, &edge, &socket);
+    runtime.shutdown_timeout(DRAIN_STEP);
+    Ok(outcome)
+}
+
+fn bind_tcp(
+    runtime: &Runtime,
+    role: &'static str,
+    address: SocketAddr,
+) -> Result<TcpListener, DaemonError> {
+    runtime.block_on(TcpListener::bind(address)).context(BindSnafu { role, address })
+}
+
+fn start_threads(
+    state: &Arc<SharedState>,
+    links: &Arc<PeerLinks>,
+    runtime: &Runtime,
+    socket: &Arc<UdpSocket>,
+    fetch_hints: Receiver<crate::state::FetchHint>,
+    cancels: Receiver<CancelTicket>,
+) {
+    let handle = runtime.handle().clone();
+    spawn("gossip", (state.clone(), socket.clone()), |(state, socket)| run_gossip(&state, &socket));
+    spawn(
+        "fetch",
+        (state.clone(), links.clone(), handle.clone()),
+        move |(state, links, handle)| {
+            run_fetching(&state, &links, &handle, &fetch_hints);
+        },
+    );
+    spawn("vouch", (state.clone(), links.clone(), handle), |(state, links, handle)| {
+        run_vouching(&state, &links, &handle);
+    });
+    for kind in FolderKind::ALL {
+        spawn("watch", state.clone(), move |state| run_watching(&state, kind));
+    }
+    spawn("probe", state.clone(), |state| run_probing(&state));
+    spawn("sweep", state.clone(), |state| run_sweeping(&state));
+    spawn("cancel", state.clone(), move |state| run_cancelling(&state, &cancels));
+}
+
+fn spawn<T, F>(name: &str, value: T, work: F)
+where
+    T: Send + 'static,
+    F: FnOnce(T) + Send + 'static,
+{
+    if let Err(e) = thread::Builder::new().name(name.to_owned()).spawn(move || work(value)) {
+        log::error!("event=thread name={name} cause=\"{e}\"");
+    }
+}
+
+fn start_signals(drains: Sender<()>) {
+    match Signals::new([SIGTERM, SIGINT]) {
+        Ok(mut signals) => spawn("signals", (), move |()| {
+            for signal in signals.forever() {
+                log::info!("event=drain cause=signal signal={signal}");
+                let _ = drains.try_send(());
+            }
+        }),
+        Err(e) => log::error!("event=signals cause=\"{e}\""),
+    }
+}
+
+fn start_edge(
+    state: &Arc<SharedState>,
+    links: &Arc<PeerLinks>,
+    runtime: &Runtime,
+    cancels: Sender<CancelTicket>,
+    listener: TcpListener,
+) -> EdgeHandle {
+    let handle = EdgeHandle::default();
+    let max_concurrent = state.settings.limits.max_concurrent;
+    let pool =
+        WorkerPool::new(state.clone(), links.clone(), runtime.handle().clone(), max_concurrent);
+    let context = EdgeContext {
+        state: state.clone(),
+        pool,
+        runtime: runtime.handle().clone(),
+        cancels,
+        handle: handle.clone(),
+    };
+    runtime.spawn(serve_callers(Arc::new(context), listener));
+    handle
+}
+
+fn run_sweeping(state: &SharedState) {
+    loop {
+        thread::sleep(SWEEP_PERIOD);
+        lock(&state.holder).expire(crate::clock::wall_now());
+        lock(&state.blame).expire(mono_now());
+    }
+}
+
+fn run_cancelling(state: &SharedState, cancels: &Receiver<CancelTicket>) {
+    for ticket in cancels {
+        let path = format!("/cancel/{}", ticket.request_id);
+        let connect = Duration::from_millis(state.settings.timing.connect_ms).min(CANCEL_WAIT);
+        let call = simple_call(ticket.address, &Method::POST, &path, connect, CANCEL_WAIT, None);
+        let outcome = if call.is_ok() { "told" } else { "silent" };
+        log::info!("event=cancel request_id={} outcome={outcome}", ticket.request_id);
+    }
+}
+
+/// Stops without cutting anything that ends before the deadline.
+///
+/// First the daemon only announces that it leaves and still takes requests, since the balancer
+/// and the callers hear of it late. Then it closes its listener, and at last its idle connections.
+fn stop(state: &SharedState, edge: &EdgeHandle, socket: &UdpSocket) -> StopOutcome {
+    let timing = &state.settings.timing;
+    let announced_until = mono_now() + timing.drain_announce_ms;
+    let deadline = mono_now() + timing.drain_ms;
+    state.drain.start();
+    announce_departure(state, socket);
+    log::info!("event=draining in_flight={}", state.drain.count());
+    while mono_now() < announced_until {
+        thread::sleep(DRAIN_STEP);
+    }
+    edge.close();
+    // Callers that keep a connection open are told to close it by the answer to their next
+    // request; those that stay silent for as long again are taken to be idle.
+    let linger_until = mono_now() + timing.drain_announce_ms;
+    while mono_now() < linger_until.min(deadline) && edge.open() > 0 {
+        thread::sleep(DRAIN_STEP);
+    }
+    edge.end();
+    while mono_now() < deadline && (state.drain.count() > 0 || edge.open() > 0) {
+        thread::sleep(DRAIN_STEP);
+    }
+    let cut = state.drain.request_ids();
+    cut.iter().for_each(|id| log::warn!("event=cut-by-drain request_id={id}"));
+    log::info!("event=stopped cut={}", cut.len());
+    StopOutcome { cut }
+}
--- /dev/null
+++ b/ggt-daemon/src/edge/intake.rs
@@ -0,0 +1,221 @@
+//! Checks the form of a request before anything else is done with it.
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::header;
+use http::request::Parts;
+use snafu::Snafu;
+
+use ggt_core::claims::KeyError;
+use ggt_core::claims::parse_key;
+use ggt_core::ident::CustomerName;
+use ggt_core::ident::mix_hash;
+use ggt_core::ident::stable_hash;
+use ggt_core::verdict::RunVerdict;
+use ggt_wire::headers;
+use ggt_wire::hint::HintVerdict;
+use ggt_wire::hint::decode_hint;
+use ggt_wire::seal::key_digest;
+
+use crate::clock::mono_now;
+use crate::clock::wall_now;
+use crate::flow::Refusal;
+use crate::flow::RequestJob;
+use crate::state::ForceConfig;
+use crate::state::SharedState;
+
+/// Longest chat id or request id in bytes.
+const MAX_ID_BYTES: usize = 256;
+
+/// Why a request's form is refused.
+#[derive(Debug, Snafu)]
+pub enum IntakeError {
+    /// There is no bearer key, or no customer has it.
+    #[snafu(display("the bearer key is missing or unknown"))]
+    UnknownKey,
+    /// No rule matches.
+    #[snafu(display("no workload serves {method} {path} for this customer"))]
+    NoWorkload {
+        /// The method.
+        method: String,
+        /// The path.
+        path: String,
+    },
+    /// The body is too large.
+    #[snafu(display("the body is larger than {limit} bytes"))]
+    TooLarge {
+        /// The limit.
+        limit: usize,
+    },
+    /// A header is malformed.
+    #[snafu(display("the header {name} is malformed"))]
+    Malformed {
+        /// The header's name.
+        name: &'static str,
+    },
+    /// A one-time action came without a key.
+    #[snafu(display("this action needs an Idempotency-Key"))]
+    MissingKey,
+    /// The idempotency key is refused.
+    #[snafu(display("{source}"), context(false))]
+    Key {
+        /// The cause.
+        source: KeyError,
+    },
+}
+
+impl From<IntakeError> for Refusal {
+    fn from(error: IntakeError) -> Self {
+        let (status, cause) = match &error {
+            IntakeError::UnknownKey => (401, "unknown-key"),
+            IntakeError::NoWorkload { .. } => (404, "no-workload"),
+            IntakeError::TooLarge { .. } => (413, "too-large"),
+            IntakeError::Malformed { .. } => (400, "malformed-header"),
+            IntakeError::MissingKey => (400, "missing-key"),
+            IntakeError::Key { source: KeyError::Expired } => (410, "expired-key"),
+            IntakeError::Key { .. } => (400, "malformed-key"),
+        };
+        let refusal = Self::not_run(status, cause, error.to_string());
+        match error {
+            // What became of a key is forgotten when its resend window is over.
+            IntakeError::Key { source: KeyError::Expired } => {
+                Self { verdict: RunVerdict::Unknown, ..refusal }
+            }
+            _ => refusal,
+        }
+    }
+}
+
+/// Builds the job of a request whose head is known and whose body has been read.
+///
+/// # Errors
+/// [`IntakeError`] tells the caller what is wrong.
+pub(super) fn check_request(
+    state: &SharedState,
+    config: &ForceConfig,
+    number: u64,
+    request_id: &str,
+    parts: &Parts,
+    body: Bytes,
+) -> Result<RequestJob, IntakeError> {
+    let customer = find_customer(config, &parts.headers)?;
+    let method = parts.method.as_str();
+    let path = parts.uri.path();
+    let (_, rule) = config.accepted.find_rule(&customer, method, path).ok_or_else(|| {
+        IntakeError::NoWorkload { method: method.to_owned(), path: path.to_owned() }
+    })?;
+    let model = &config.accepted.model;
+    let no_workload =
+        || IntakeError::NoWorkload { method: method.to_owned(), path: path.to_owned() };
+    let customer_section = model.customers.get(&customer).ok_or(IntakeError::UnknownKey)?;
+    let workload_section = model.workloads.get(&rule.workload).ok_or_else(no_workload)?;
+    let chat = id_header(&parts.headers, headers::CHAT_ID)?;
+    let hint = match text_header(&parts.headers, headers::CHAT_HINT)? {
+        None => None,
+        Some(text) => match decode_hint(&state.keys, &customer, text) {
+            HintVerdict::Valid(hint) => Some(hint),
+            HintVerdict::Forged => {
+                log::info!("event=hint-ignored request_id={request_id} customer={customer}");
+                None
+            }
+            HintVerdict::Malformed => {
+                return Err(IntakeError::Malformed { name: headers::CHAT_HINT });
+            }
+        },
+    };
+    let key = match (rule.non_idempotent, text_header(&parts.headers, headers::IDEMPOTENCY_KEY)?) {
+        (false, _) => None,
+        (true, None) => return Err(IntakeError::MissingKey),
+        (true, Some(text)) => Some(parse_key(&customer, text, &config.keys, wall_now())?),
+    };
+    let place = chat.unwrap_or(request_id);
+    let customer_hash = stable_hash(customer.as_str().as_bytes());
+    let target_path = parts.uri.path_and_query().map_or(path, |whole| whole.as_str());
+    Ok(RequestJob {
+        number,
+        request_id: request_id.to_owned(),
+        customer_section: customer_section.clone(),
+        workload: rule.workload.clone(),
+        workload_section: workload_section.clone(),
+        method: parts.method.clone(),
+        path: target_path.to_owned(),
+        head: forwarded_head(&parts.headers),
+        body,
+        chat_hash: mix_hash(customer_hash, stable_hash(place.as_bytes())),
+        has_chat: chat.is_some(),
+        hint,
+        key,
+        deadline: mono_now() + deadline_ms(state, &parts.headers)?,
+        customer,
+    })
+}
+
+/// The customer whose bearer key stands in the head.
+pub(super) fn find_customer(
+    config: &ForceConfig,
+    head: &HeaderMap,
+) -> Result<CustomerName, IntakeError> {
+    let value = head.get(header::AUTHORIZATION).and_then(|value| value.to_str().ok());
+    let bearer = value.and_then(|text| text.strip_prefix("Bearer ")).map(str::trim);
+    let digest = key_digest(bearer.ok_or(IntakeError::UnknownKey)?);
+    config.accepted.customer_by_digest(&digest).cloned().ok_or(IntakeError::UnknownKey)
+}
+
+/// The caller's own request id, if it brought a usable one.
+pub(super) fn caller_request_id(head: &HeaderMap) -> Option<&str> {
+    id_header(head, headers::REQUEST_ID).ok().flatten()
+}
+
+fn text_header<'a>(
+    head: &'a HeaderMap,
+    name: &'static str,
+) -> Result<Option<&'a str>, IntakeError> {
+    let mut values = head.get_all(name).iter();
+    let Some(value) = values.next() else { return Ok(None) };
+    if values.next().is_some() {
+        return Err(IntakeError::Malformed { name });
+    }
+    value.to_str().map(Some).map_err(|_| IntakeError::Malformed { name })
+}
+
+fn id_header<'a>(head: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, IntakeError> {
+    let Some(text) = text_header(head, name)? else { return Ok(None) };
+    let is_id = !text.is_empty()
+        && text.len() <= MAX_ID_BYTES
+        && text.bytes().all(|byte| byte.is_ascii_graphic());
+    if is_id { Ok(Some(text)) } else { Err(IntakeError::Malformed { name }) }
+}
+
+fn deadline_ms(state: &SharedState, head: &HeaderMap) -> Result<u64, IntakeError> {
+    let longest = state.settings.timing.request_ms;
+    match text_header(head, headers::DEADLINE_MS)? {
+        None => Ok(longest),
+        Some(text) => match text.parse::<u64>() {
+            Ok(millis) if millis > 0 => Ok(millis.min(longest)),
+            _ => Err(IntakeError::Malformed { name: headers::DEADLINE_MS }),
+        },
+    }
+}
+
+/// The caller's headers that go on to the target: neither the connection's nor the fleet's own.
+fn forwarded_head(head: &HeaderMap) -> HeaderMap {
+    const OWN: [&str; 8] = [
+        headers::REQUEST_ID,
+        headers::CHAT_HINT,
+        headers::RUN_VERDICT,
+        headers::IDEMPOTENCY_KEY,
+        headers::DEADLINE_MS,
+        headers::PRIORITY,
+        headers::FENCING_NUMBER,
+        headers::SERVED_BY,
+    ];
+    head.iter()
+        .filter(|(name, _)| !crate::flow::is_hop_by_hop(name))
+        .filter(|(name, _)| !OWN.contains(&name.as_str()))
+        .filter(|(name, _)| {
+            ![header::AUTHORIZATION, header::HOST, header::CONTENT_LENGTH, header::EXPECT]
+                .contains(*name)
+        })
+        .map(|(name, value)| (name.clone(), value.clone()))
+        .collect()
+}
--- /dev/null
+++ b/ggt-daemon/src/edge/listen.rs
@@ -0,0 +1,286 @@
+//! Accepts callers' connections and answers their requests.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use bytes::Bytes;
+use crossbeam::channel::Sender;
+use http::HeaderMap;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::request::Parts;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::runtime::Handle;
+use tokio::sync::watch;
+
+use ggt_wire::headers;
+
+use crate::edge::IntakeError;
+use crate::edge::intake::caller_request_id;
+use crate::edge::intake::check_request;
+use crate::edge::intake::find_customer;
+use crate::flow::BrokenReply;
+use crate::flow::CancelTicket;
+use crate::flow::Refusal;
+use crate::flow::ReplyBody;
+use crate::flow::WorkerPool;
+use crate::flow::put;
+use crate::flow::reply_channel;
+use crate::logging::quoted;
+use crate::state::SharedState;
+
+/// Longest time that a caller may take to send a request's head.
+const HEAD_WAIT: Duration = Duration::from_secs(30);
+/// Path by which the balancer asks whether the daemon takes requests.
+const READY_PATH: &str = "/healthz";
+
+/// What the edge works with.
+pub struct EdgeContext {
+    /// The daemon's state.
+    pub state: Arc<SharedState>,
+    /// The serving threads.
+    pub pool: WorkerPool,
+    /// The runtime that carries the connections.
+    pub runtime: Handle,
+    /// Takes requests whose callers have left.
+    pub cancels: Sender<CancelTicket>,
+    /// How the edge is told to stop.
+    pub handle: EdgeHandle,
+}
+
+/// Tells the edge to stop, and counts its connections.
+#[derive(Clone)]
+pub struct EdgeHandle {
+    phase: watch::Sender<EdgePhase>,
+    open: Arc<AtomicUsize>,
+}
+
+/// How far the edge has stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum EdgePhase {
+    /// Connections are accepted.
+    Open,
+    /// No connection is accepted any more.
+    Closed,
+    /// Idle connections are closed.
+    Ending,
+}
+
+impl Default for EdgeHandle {
+    fn default() -> Self {
+        Self { phase: watch::Sender::new(EdgePhase::Open), open: Arc::default() }
+    }
+}
+
+impl EdgeHandle {
+    /// Stops accepting connections.
+    pub fn close(&self) {
+        self.phase.send_replace(EdgePhase::Closed);
+    }
+
+    /// Closes idle connections, and each other one after its request.
+    pub fn end(&self) {
+        self.phase.send_replace(EdgePhase::Ending);
+    }
+
+    /// Open connections.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::SeqCst)
+    }
+}
+
+/// Body of a reply: short and whole, or streamed.
+enum EdgeBody {
+    Whole(Option<Bytes>),
+    Streamed(ReplyBody),
+}
+
+impl Body for EdgeBody {
+    type Data = Bytes;
+    type Error = BrokenReply;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenReply>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Streamed(body) => Pin::new(body).poll_frame(context),
+        }
+    }
+}
+
+/// Accepts callers until the edge is closed.
+pub async fn serve_callers(context: Arc<EdgeContext>, listener: TcpListener) {
+    let mut phase = context.handle.phase.subscribe();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((stream, peer)) = accepted {
+                    tokio::spawn(serve_connection(context.clone(), stream, peer));
+                }
+            }
+            () = reach(&mut phase, EdgePhase::Closed) => return,
+        }
+    }
+}
+
+async fn reach(receiver: &mut watch::Receiver<EdgePhase>, phase: EdgePhase) {
+    // Without a sender the edge is gone, which is as good as any phase.
+    let _ = receiver.wait_for(|current| *current >= phase).await;
+}
+
+async fn serve_connection(context: Arc<EdgeContext>, stream: TcpStream, peer: SocketAddr) {
+    context.handle.open.fetch_add(1, Ordering::SeqCst);
+    // Small chunks of a stream must leave at once.
+    let _ = stream.set_nodelay(true);
+    let mut phase = context.handle.phase.subscribe();
+    let service = service_fn(|request| {
+        let context = context.clone();
+        async move { Ok::<_, Infallible>(serve_request(&context, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_WAIT)
+        .max_buf_size(context.state.settings.limits.max_head_bytes)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let outcome = tokio::select! {
+        outcome = connection.as_mut() => outcome,
+        () = reach(&mut phase, EdgePhase::Ending) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(e) = outcome {
+        log::debug!("event=connection peer={peer} cause={}", quoted(&e.to_string()));
+    }
+    context.handle.open.fetch_sub(1, Ordering::SeqCst);
+}
+
+async fn serve_request(context: &EdgeContext, request: Request<Incoming>) -> Response<EdgeBody> {
+    let state = &context.state;
+    if request.uri().path() == READY_PATH {
+        return readiness(state);
+    }
+    let number = state.next_number();
+    let own_id = format!("{}-{:x}-{number:x}", state.settings.name, state.incarnation);
+    let request_id = caller_request_id(request.headers()).map_or(own_id, str::to_owned);
+    let (parts, body) = request.into_parts();
+    match begin(context, number, &request_id, &parts, body).await {
+        Ok(response) => closing(state, response),
+        Err(refusal) => closing(state, refuse(state, &request_id, &parts, &refusal)),
+    }
+}
+
+async fn begin(
+    context: &EdgeContext,
+    number: u64,
+    request_id: &str,
+    parts: &Parts,
+    body: Incoming,
+) -> Result<Response<EdgeBody>, Refusal> {
+    let state = &context.state;
+    let config = state.force().filter(|_| state.bootstrapped.get().is_some()).ok_or_else(|| {
+        Refusal::not_run(503, "not-ready", "no configuration is in force").retry_after(1_000)
+    })?;
+    // The key is checked before the body is read, so that strangers cost little.
+    find_customer(&config, &parts.headers)?;
+    let limit = state.settings.limits.max_body_bytes;
+    let body = Limited::new(body, limit).collect().await.map_err(|e| {
+        match e.downcast_ref::<LengthLimitError>() {
+            Some(_) => Refusal::from(IntakeError::TooLarge { limit }),
+            None => Refusal::not_run(400, "cut-request", "the request's body ended early"),
+        }
+    })?;
+    let job = check_request(state, &config, number, request_id, parts, body.to_bytes())?;
+    let (sink, head, body) = reply_channel(context.runtime.clone(), context.cancels.clone());
+    if !context.pool.submit(job, sink) {
+        let detail = "the daemon serves as many requests as it may";
+        return Err(Refusal::not_run(503, "too-many-requests", detail).retry_after(1_000));
+    }
+    let head = head.await.map_err(|_| {
+        Refusal::unknown(500, "internal", "the request's thread ended without an answer")
+    })?;
+    let mut response = Response::new(match parts.method {
+        Method::HEAD => EdgeBody::Whole(None),
+        _ => EdgeBody::Streamed(body),
+    });
+    *response.status_mut() = status_of(head.status);
+    *response.headers_mut() = head.headers;
+    Ok(response)
+}
+
+fn status_of(code: u16) -> http::StatusCode {
+    http::StatusCode::from_u16(code).unwrap_or(http::StatusCode::BAD_GATEWAY)
+}
+
+fn refuse(
+    state: &SharedState,
+    request_id: &str,
+    parts: &Parts,
+    refusal: &Refusal,
+) -> Response<EdgeBody> {
+    log::info!(
+        "event=refuse request_id={} method={} path={} status={} cause={} verdict={} detail={}",
+        quoted(request_id),
+        parts.method,
+        quoted(parts.uri.path()),
+        refusal.status,
+        refusal.cause,
+        refusal.verdict,
+        quoted(&refusal.detail),
+    );
+    state.metrics.note_refusal("-", refusal.cause);
+    let mut response = whole(refusal.status, "application/json", refusal.to_json(request_id));
+    let head = response.headers_mut();
+    put(head, headers::REQUEST_ID, request_id);
+    put(head, headers::RUN_VERDICT, refusal.verdict.as_str());
+    if let Some(seconds) = refusal.retry_after_seconds() {
+        put(head, "retry-after", &seconds.to_string());
+    }
+    response
+}
+
+fn readiness(state: &SharedState) -> Response<EdgeBody> {
+    let is_ready = state.is_ready() && state.bootstrapped.get().is_some();
+    let (status, text) = if is_ready { (200, "ready\n") } else { (503, "not ready\n") };
+    closing(state, whole(status, "text/plain", text.to_owned()))
+}
+
+fn whole(status: u16, content_type: &'static str, text: String) -> Response<EdgeBody> {
+    let mut head = HeaderMap::new();
+    put(&mut head, "content-type", content_type);
+    put(&mut head, "content-length", &text.len().to_string());
+    let mut response = Response::new(EdgeBody::Whole(Some(text.into())));
+    *response.status_mut() = status_of(status);
+    *response.headers_mut() = head;
+    response
+}
+
+/// Asks the caller to open its next connection elsewhere while the daemon drains.
+fn closing(state: &SharedState, mut response: Response<EdgeBody>) -> Response<EdgeBody> {
+    if state.drain.is_draining() {
+        put(response.headers_mut(), "connection", "close");
+    }
+    response
+}
--- /dev/null
+++ b/ggt-daemon/src/edge/mod.rs
@@ -0,0 +1,12 @@
+//! The callers' edge: HTTP/1.1 with streamed replies.
+//!
+//! `astra` cannot stream a body as its bytes come, so this edge stands on `hyper`, which `astra`
+//! wraps; `docs/design/edge.md` has the trial.
+
+mod intake;
+mod listen;
+
+pub use intake::IntakeError;
+pub use listen::EdgeContext;
+pub use listen::EdgeHandle;
+pub use listen::serve_callers;
--- /dev/null
+++ b/ggt-daemon/src/flow/action.rs
@@ -0,0 +1,357 @@
+//! One-time actions: claimed before they are sent, sent at most once.
+
+use std::io::Read;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderMap;
+
+use ggt_core::claims::ActionKey;
+use ggt_core::claims::ActionOutcome;
+use ggt_core::claims::ClaimDecision;
+use ggt_core::claims::ClaimReply;
+use ggt_core::claims::ClaimRequest;
+use ggt_core::claims::HolderSet;
+use ggt_core::claims::SealDecision;
+use ggt_core::claims::SettleRequest;
+use ggt_core::claims::StoredReply;
+use ggt_core::claims::holders_of;
+use ggt_core::claims::tally_claims;
+use ggt_core::claims::tally_seals;
+use ggt_core::clock::MonoTime;
+use ggt_core::ident::mix_hash;
+use ggt_core::ident::stable_hash;
+use ggt_core::routing::TargetKey;
+use ggt_core::verdict::RunVerdict;
+use ggt_wire::headers;
+use ggt_wire::rpc;
+
+use crate::clock::mono_now;
+use crate::flow::Refusal;
+use crate::flow::ReplyHead;
+use crate::flow::ReplySink;
+use crate::flow::RequestJob;
+use crate::flow::exchange;
+use crate::flow::exchange::AttemptTarget;
+use crate::flow::exchange::put;
+use crate::flow::worker::WorkContext;
+use crate::peers::LinkError;
+use crate::peers::answer_claim;
+use crate::peers::answer_seal;
+use crate::peers::answer_settle;
+use crate::state::ForceConfig;
+use crate::state::lock;
+use crate::upstream::CallFailure;
+use crate::upstream::TargetReply;
+
+/// Targets that an action is offered to while no byte of it has left.
+const MAX_TARGETS: usize = 3;
+/// Largest reply body that is kept with the claim.
+const MAX_KEPT_BODY_BYTES: usize = 4 * 1024;
+/// Times that an outcome is sent to a holder that does not answer.
+const SETTLE_TRIES: usize = 3;
+
+/// What a call to the key's holders asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum HolderCall {
+    Claim,
+    Seal,
+}
+
+/// One attempt to run an action.
+struct ActionAttempt<'a> {
+    context: &'a WorkContext,
+    config: Arc<ForceConfig>,
+    job: &'a RequestJob,
+    holders: HolderSet,
+    request: ClaimRequest,
+}
+
+/// Serves a one-time action.
+pub(super) fn run_action(
+    context: &WorkContext,
+    job: &RequestJob,
+    key: &ActionKey,
+    sink: ReplySink,
+) {
+    let state = &context.state;
+    let Some(config) = state.force() else {
+        let refusal = Refusal::unknown(503, "not-ready", "no configuration is in force");
+        return exchange::refuse(state, job, sink, &refusal.retry_after(1_000));
+    };
+    let roster = &config.accepted.model.roster;
+    let place = stable_hash(format!("{} {}", job.method, job.path).as_bytes());
+    let request = ClaimRequest {
+        key: key.clone(),
+        content_hash: mix_hash(place, stable_hash(&job.body)),
+        attempt: state.new_attempt(),
+        epoch: roster.epoch,
+    };
+    let holders = holders_of(roster, roster.epoch, key.hash());
+    let attempt = ActionAttempt { context, config: config.clone(), job, holders, request };
+    match exchange::admit(state, &config, job) {
+        Ok(ticket) => {
+            attempt.run(sink);
+            lock(&state.shares).release(&ticket);
+        }
+        Err(refusal) => attempt.conclude_unsent(sink, refusal),
+    }
+}
+
+impl ActionAttempt<'_> {
+    fn run(&self, sink: ReplySink) {
+        // The grant runs from before the holders were asked, which is earlier than they granted.
+        let send_by = mono_now() + self.config.accepted.model.claims.grant_ms;
+        let decision = tally_claims(&self.holders, &self.ask_holders(HolderCall::Claim));
+        match decision {
+            ClaimDecision::Won => {
+                log::info!(
+                    "event=claimed request_id={} key={} attempt={}",
+                    self.job.request_id,
+                    self.request.key.text,
+                    self.request.attempt,
+                );
+                self.send(sink, send_by);
+            }
+            ClaimDecision::Ran(stored) => self.replay(sink, &stored),
+            ClaimDecision::Conflict => self.refuse_conflict(sink),
+            ClaimDecision::Lost => self.refuse_lost(sink),
+            ClaimDecision::NotWon => {
+                let limits = &self.config.accepted.model.limits;
+                let detail = "the key's holders cannot be reached or cannot tell";
+                let refusal = Refusal::not_run(503, "not-claimed", detail);
+                self.conclude_unsent(sink, refusal.retry_after(limits.retry_after_ms));
+            }
+        }
+    }
+
+    /// Sends the action to one target after the other, as long as no byte has left.
+    fn send(&self, sink: ReplySink, send_by: MonoTime) {
+        let state = &self.context.state;
+        let mut tried: Vec<TargetKey> = Vec::new();
+        let mut last = Refusal::not_run(503, "no-target", "no target could be reached");
+        while tried.len() < MAX_TARGETS && mono_now() < send_by.min(self.job.deadline) {
+            let target = match exchange::choose(state, &self.config, self.job, &tried) {
+                Ok(target) => target,
+                Err(refusal) => {
+                    last = refusal;
+                    break;
+                }
+            };
+            tried.push(target.key);
+            let reply = exchange::send(state, self.job, &target, &self.head(), send_by);
+            let outcome = reply.and_then(|reply| self.read_reply(&target, reply));
+            lock(&state.routing).note_done(target.key);
+            match outcome {
+                Ok((head, body)) => return self.finish(sink, &target, head, body),
+                Err(CallFailure::NotSent { cause }) => {
+                    exchange::learn_failure(state, &self.config, self.job, &target, false);
+                    last = Refusal::not_run(503, "not-sent", cause);
+                }
+                Err(failure) => return self.fail_unknown(sink, &target, &failure),
+            }
+        }
+        // The attempt won its key, so nobody else can send, and it will not: that is final.
+        self.settle(ActionOutcome::NotRun);
+        state.metrics.note_claim("not-run");
+        let millis = self.config.accepted.model.limits.retry_after_ms;
+        exchange::refuse(state, self.job, sink, &last.retry_after(millis));
+    }
+
+    fn head(&self) -> HeaderMap {
+        let mut head = exchange::request_head(self.job);
+        put(&mut head, headers::IDEMPOTENCY_KEY, &self.request.key.text);
+        if self.job.workload_section.checks_fencing {
+            let number = self.request.key.minted_at.unwrap_or_default().as_millis();
+            put(&mut head, headers::FENCING_NUMBER, &number.to_string());
+        }
+        head
+    }
+
+    fn read_reply(
+        &self,
+        target: &AttemptTarget,
+        reply: TargetReply,
+    ) -> Result<(ReplyHead, Vec<u8>), CallFailure> {
+        let state = &self.context.state;
+        let head = exchange::reply_head(state, self.job, target, &reply, RunVerdict::Ran);
+        let limit = state.settings.limits.max_action_reply_bytes;
+        let mut body = Vec::new();
+        let read = reply.into_reader().take(limit as u64 + 1).read_to_end(&mut body);
+        match read {
+            Ok(length) if length <= limit => Ok((head, body)),
+            Ok(_) => Err(CallFailure::NoReply { cause: format!("more than {limit} bytes") }),
+            Err(e) => Err(CallFailure::NoReply { cause: e.to_string() }),
+        }
+    }
+
+    fn finish(&self, sink: ReplySink, target: &AttemptTarget, head: ReplyHead, body: Vec<u8>) {
+        let state = &self.context.state;
+        let content_type = head.headers.get(http::header::CONTENT_TYPE);
+        let stored = StoredReply {
+            status: head.status,
+            content_type: content_type.and_then(|x| x.to_str().ok()).map(str::to_owned),
+            body: String::from_utf8(body.clone())
+                .ok()
+                .filter(|text| text.len() <= MAX_KEPT_BODY_BYTES),
+        };
+        let status = head.status;
+        let length = body.len();
+        exchange::answer(sink, head, body.into(), self.job.deadline);
+        exchange::note_done(state, self.job, target, status, RunVerdict::Ran, length);
+        state.metrics.note_claim("ran");
+        self.settle(ActionOutcome::Ran(stored));
+    }
+
+    fn fail_unknown(&self, sink: ReplySink, target: &AttemptTarget, failure: &CallFailure) {
+        let state = &self.context.state;
+        let refusal = Refusal::unknown(502, "answer-lost", failure.to_string());
+        exchange::refuse(state, self.job, sink, &refusal);
+        state.metrics.note_claim("unknown");
+        self.settle(ActionOutcome::Unknown);
+        exchange::learn_failure(state, &self.config, self.job, target, true);
+    }
+
+    /// Ends an attempt that will never send: asks for seals, and says what they allow.
+    fn conclude_unsent(&self, sink: ReplySink, refusal: Refusal) {
+        let state = &self.context.state;
+        let replies = self.ask_holders(HolderCall::Seal);
+        match tally_claims(&self.holders, &replies) {
+            ClaimDecision::Ran(stored) => return self.replay(sink, &stored),
+            ClaimDecision::Conflict => return self.refuse_conflict(sink),
+            ClaimDecision::Lost => return self.refuse_lost(sink),
+            ClaimDecision::Won | ClaimDecision::NotWon => (),
+        }
+        let refusal = match tally_seals(&self.holders, &replies) {
+            SealDecision::NotRun => {
+                state.metrics.note_claim("not-run");
+                refusal
+            }
+            SealDecision::InProgress => {
+                state.metrics.note_claim("in-progress");
+                let detail = "another request with this key is being served";
+                let millis = self.config.accepted.model.limits.retry_after_ms;
+                Refusal::unknown(409, "in-progress", detail).retry_after(millis)
+            }
+            SealDecision::Unknown => {
+                state.metrics.note_claim("unknown");
+                Refusal { verdict: RunVerdict::Unknown, ..refusal }
+            }
+        };
+        exchange::refuse(state, self.job, sink, &refusal);
+    }
+
+    fn refuse_conflict(&self, sink: ReplySink) {
+        let detail = "the idempotency key was used for another request";
+        self.context.state.metrics.note_claim("conflict");
+        let refusal = Refusal::unknown(422, "key-conflict", detail);
+        exchange::refuse(&self.context.state, self.job, sink, &refusal);
+    }
+
+    fn refuse_lost(&self, sink: ReplySink) {
+        let detail = "the action was sent and its answer was lost; it will not be sent again";
+        self.context.state.metrics.note_claim("unknown");
+        let refusal = Refusal::unknown(502, "answer-lost", detail);
+        exchange::refuse(&self.context.state, self.job, sink, &refusal);
+    }
+
+    /// Gives the caller the first attempt's answer.
+    fn replay(&self, sink: ReplySink, stored: &StoredReply) {
+        let state = &self.context.state;
+        state.metrics.note_claim("replayed");
+        let Some(body) = &stored.body else {
+            let detail = "the action ran; its answer was too large to be kept";
+            let base = Refusal::not_run(409, "answer-not-kept", detail);
+            let refusal = Refusal { verdict: RunVerdict::Ran, ..base };
+            return exchange::refuse(state, self.job, sink, &refusal);
+        };
+        let mut head = HeaderMap::new();
+        put(&mut head, headers::REQUEST_ID, &self.job.request_id);
+        put(&mut head, headers::RUN_VERDICT, RunVerdict::Ran.as_str());
+        if let Some(content_type) = &stored.content_type {
+            put(&mut head, "content-type", content_type);
+        }
+        log::info!(
+            "event=replay request_id={} customer={} workload={} key={} status={} verdict=ran",
+            self.job.request_id,
+            self.job.customer,
+            self.job.workload,
+            self.request.key.text,
+            stored.status,
+        );
+        state.metrics.note_request(self.job.workload.as_str(), RunVerdict::Ran.as_str());
+        let head = ReplyHead { status: stored.status, headers: head };
+        exchange::answer(sink, head, body.clone().into(), self.job.deadline);
+    }
+
+    /// Asks all holders at once; a holder without an answer is left out.
+    fn ask_holders(&self, call: HolderCall) -> Vec<ClaimReply> {
+        let state = &self.context.state;
+        let model = &self.config.accepted.model;
+        let wait = Duration::from_millis(model.claims.holder_timeout_ms);
+        let mut replies = Vec::new();
+        let mut tasks = Vec::new();
+        for name in self.holders.names() {
+            if *name == state.settings.name {
+                replies.push(match call {
+                    HolderCall::Claim => answer_claim(state, &self.request),
+                    HolderCall::Seal => answer_seal(state, &self.request),
+                });
+                continue;
+            }
+            let Some(daemon) = model.roster.daemons.get(name) else { continue };
+            let (peer, links, request) =
+                (daemon.peer, self.context.links.clone(), self.request.clone());
+            let method = if call == HolderCall::Claim { rpc::CLAIM } else { rpc::SEAL };
+            tasks.push(self.context.runtime.spawn(async move {
+                links.call::<_, ClaimReply>(peer, method, &request, wait).await
+            }));
+        }
+        for task in tasks {
+            match self.context.runtime.block_on(task) {
+                Ok(Ok(reply)) => replies.push(reply),
+                Ok(Err(e)) => log::info!(
+                    "event=holder-silent request_id={} key={} cause=\"{e}\"",
+                    self.job.request_id,
+                    self.request.key.text,
+                ),
+                Err(e) => log::error!("event=task-failed cause=\"{e}\""),
+            }
+        }
+        replies
+    }
+
+    /// Tells all holders what became of the attempt.
+    fn settle(&self, outcome: ActionOutcome) {
+        let state = &self.context.state;
+        let model = &self.config.accepted.model;
+        let wait = Duration::from_millis(model.claims.holder_timeout_ms);
+        let request = SettleRequest {
+            key: self.request.key.clone(),
+            attempt: self.request.attempt.clone(),
+            outcome,
+        };
+        let mut tasks = Vec::new();
+        for name in self.holders.names() {
+            if *name == state.settings.name {
+                answer_settle(state, request.clone());
+                continue;
+            }
+            let Some(daemon) = model.roster.daemons.get(name) else { continue };
+            let (peer, links, request) = (daemon.peer, self.context.links.clone(), request.clone());
+            tasks.push(self.context.runtime.spawn(async move {
+                for _ in 0..SETTLE_TRIES {
+                    let told: Result<bool, LinkError> =
+                        links.call(peer, rpc::SETTLE, &request, wait).await;
+                    if told.is_ok() {
+                        break;
+                    }
+                }
+            }));
+        }
+        for task in tasks {
+            // A holder that was not told keeps the key as granted, which is safe.
+            let _ = self.context.runtime.block_on(task);
+        }
+    }
+}
--- /dev/null
+++ b/ggt-daemon/src/flow/exchange.rs
@@ -0,0 +1,338 @@
+//! Steps that all requests share: admission, choice of a target, one call and the answer.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::header;
+
+use ggt_core::blame::DeathMark;
+use ggt_core::clock::MonoTime;
+use ggt_core::ident::TargetName;
+use ggt_core::routing::RouteQuery;
+use ggt_core::routing::RouteRefusal;
+use ggt_core::routing::TargetKey;
+use ggt_core::verdict::RunVerdict;
+use ggt_wire::headers;
+use ggt_wire::hint::ChatHint;
+use ggt_wire::hint::encode_hint;
+
+use crate::clock::mono_now;
+use crate::clock::until;
+use crate::flow::Refusal;
+use crate::flow::ReplyHead;
+use crate::flow::ReplySink;
+use crate::flow::RequestJob;
+use crate::logging::quoted;
+use crate::peers::note_crash;
+use crate::probes::note_leaving;
+use crate::probes::probe;
+use crate::state::ForceConfig;
+use crate::state::ShareTicket;
+use crate::state::SharedState;
+use crate::state::lock;
+use crate::upstream::CallFailure;
+use crate::upstream::CallOptions;
+use crate::upstream::TargetReply;
+use crate::upstream::call_target;
+
+/// Milliseconds between looks at whether facts are fresh again after a pause.
+const REFRESH_STEP: Duration = Duration::from_millis(20);
+
+/// The target chosen for one attempt.
+#[derive(Clone, Debug)]
+pub(super) struct AttemptTarget {
+    pub(super) key: TargetKey,
+    pub(super) name: TargetName,
+    pub(super) incarnation: u64,
+    pub(super) hash: u64,
+    pub(super) address: std::net::SocketAddr,
+    pub(super) chosen_at: MonoTime,
+}
+
+/// Admits a request by its customer's share.
+pub(super) fn admit(
+    state: &SharedState,
+    config: &ForceConfig,
+    job: &RequestJob,
+) -> Result<ShareTicket, Refusal> {
+    let limits = &config.accepted.model.limits;
+    let utilisation = lock(&state.routing).utilisation(&job.workload, &config.routing, mono_now());
+    let weight = job.customer_section.weight;
+    lock(&state.shares)
+        .admit(&job.workload, &job.customer, weight, utilisation, limits.share_from)
+        .map_err(|share| {
+            let detail = format!(
+                "the workload is full and the customer is over its share of {share:.1} requests \
+                 on this daemon"
+            );
+            Refusal::not_run(429, "over-share", detail).retry_after(limits.retry_after_ms)
+        })
+}
+
+/// Chooses a target, logs the choice and counts the request as sent there.
+pub(super) fn choose(
+    state: &SharedState,
+    config: &ForceConfig,
+    job: &RequestJob,
+    tried: &[TargetKey],
+) -> Result<AttemptTarget, Refusal> {
+    await_fresh(state, job.deadline);
+    let now = mono_now();
+    let query = RouteQuery {
+        workload: &job.workload,
+        chat_hash: job.chat_hash,
+        hint: job.hint.as_ref().map(|hint| (&hint.target, hint.incarnation)),
+        tried,
+    };
+    let mut routing = lock(&state.routing);
+    let chosen = routing.choose(&query, &config.routing, now).map_err(|e| {
+        let limits = &config.accepted.model.limits;
+        let cause = match e {
+            RouteRefusal::NoTarget => "no-target",
+            RouteRefusal::Full => "full",
+        };
+        Refusal::not_run(503, cause, e.to_string()).retry_after(limits.retry_after_ms)
+    })?;
+    let entry = routing.target(chosen.key);
+    let target = entry.map(|entry| AttemptTarget {
+        key: chosen.key,
+        name: entry.host.name.clone(),
+        incarnation: entry.host.incarnation,
+        hash: entry.hash(),
+        address: entry.address(),
+        chosen_at: now,
+    });
+    let gone = || Refusal::not_run(503, "no-target", "the chosen target is gone");
+    let target = target.ok_or_else(gone)?;
+    routing.note_sent(chosen.key);
+    drop(routing);
+    log::info!(
+        "event=route request_id={} customer={} workload={} chat={:016x} target={} reason={} \
+         load={:.1} bound={:.1} attempt={} revision={}",
+        job.request_id,
+        job.customer,
+        job.workload,
+        job.chat_hash,
+        target.name,
+        chosen.reason,
+        chosen.load,
+        chosen.bound,
+        tried.len() + 1,
+        config.revision,
+    );
+    state.metrics.note_route(job.workload.as_str(), &chosen.reason.to_string());
+    Ok(target)
+}
+
+/// Waits until decisions may rest on what is known, as after a pause of the process.
+///
+/// The wait is bounded by the time that the guard allows for a refresh.
+fn await_fresh(state: &SharedState, deadline: MonoTime) {
+    while !state.pace.is_fresh(mono_now()) && mono_now() < deadline {
+        std::thread::sleep(REFRESH_STEP);
+    }
+}
+
+/// Sends the request to the target and waits for the reply's head.
+pub(super) fn send(
+    state: &SharedState,
+    job: &RequestJob,
+    target: &AttemptTarget,
+    head: &HeaderMap,
+    send_by: MonoTime,
+) -> Result<TargetReply, CallFailure> {
+    let timing = &state.settings.timing;
+    let section = &job.workload_section;
+    let first_byte = Duration::from_millis(section.first_byte_timeout_ms).min(until(job.deadline));
+    let options = CallOptions {
+        connect: Duration::from_millis(timing.connect_ms),
+        send_by: send_by.min(target.chosen_at + timing.send_ms),
+        first_byte,
+        idle: Duration::from_millis(section.idle_timeout_ms).max(first_byte),
+    };
+    let (address, id) = (target.address, &job.request_id);
+    let reply = call_target(address, &job.method, &job.path, head, id, &job.body, &options);
+    if let Ok(reply) = &reply {
+        learn_from(state, target, reply);
+    }
+    reply
+}
+
+/// The head that goes to the target.
+pub(super) fn request_head(job: &RequestJob) -> HeaderMap {
+    let mut head = job.head.clone();
+    put(&mut head, headers::REQUEST_ID, &job.request_id);
+    if job.customer_section.priority != 0 {
+        put(&mut head, headers::PRIORITY, &job.customer_section.priority.to_string());
+    }
+    head
+}
+
+/// Takes load and state from the head of a target's reply.
+fn learn_from(state: &SharedState, target: &AttemptTarget, reply: &TargetReply) {
+    let mut routing = lock(&state.routing);
+    routing.note_answer(target.key, mono_now());
+    let incarnation = reply
+        .header(headers::INCARNATION)
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(target.incarnation);
+    if let Some(report) = reply.header(headers::LOAD).and_then(headers::parse_load) {
+        routing.take_report(target.key, incarnation, report);
+    }
+    drop(routing);
+    if reply.header(headers::LEAVING).is_some() {
+        note_leaving(state, &target.name, incarnation);
+    }
+}
+
+/// Records that an attempt failed, and finds out whether its target died of it or with it.
+pub(super) fn learn_failure(
+    state: &SharedState,
+    config: &ForceConfig,
+    job: &RequestJob,
+    target: &AttemptTarget,
+    was_sent: bool,
+) {
+    let answer = if was_sent { probe(state, target.address) } else { Err(String::new()) };
+    let is_dead = match &answer {
+        Ok(answer) => answer.incarnation != target.incarnation,
+        Err(_) => true,
+    };
+    let mut routing = lock(&state.routing);
+    match answer {
+        Ok(answer) => {
+            routing.take_report(target.key, answer.incarnation, answer.report);
+        }
+        Err(_) => {
+            if routing.note_failure(target.key, &config.routing.hold, mono_now()) {
+                log::info!("event=target target={} status=down cause=call", target.name);
+            }
+        }
+    }
+    drop(routing);
+    if was_sent && is_dead {
+        let death = DeathMark::of(target.hash, target.incarnation);
+        let print = job.print();
+        note_crash(state, print, death);
+        let item = ggt_core::membership::GossipItem::Crash { print, death };
+        lock(&state.gossip).spread(item);
+        log::warn!(
+            "event=crash request_id={} target={} incarnation={} print={:016x}",
+            job.request_id,
+            target.name,
+            target.incarnation,
+            print.0,
+        );
+    }
+}
+
+/// The head that goes to the caller, from the target's reply.
+pub(super) fn reply_head(
+    state: &SharedState,
+    job: &RequestJob,
+    target: &AttemptTarget,
+    reply: &TargetReply,
+    verdict: RunVerdict,
+) -> ReplyHead {
+    let mut head = HeaderMap::new();
+    let internal = [headers::LOAD, headers::INCARNATION, headers::LEAVING, headers::REQUEST_ID];
+    for (name, value) in &reply.headers {
+        if !is_hop_by_hop(name) && !internal.contains(&name.as_str()) {
+            head.append(name.clone(), value.clone());
+        }
+    }
+    put(&mut head, headers::REQUEST_ID, &job.request_id);
+    put(&mut head, headers::SERVED_BY, target.name.as_str());
+    put(&mut head, headers::RUN_VERDICT, verdict.as_str());
+    if job.has_chat {
+        let cached = reply.header(headers::CACHED_TOKENS).and_then(|text| text.parse().ok());
+        state.metrics.note_cached_tokens(job.workload.as_str(), cached.unwrap_or_default());
+        let hint = ChatHint {
+            target: target.name.clone(),
+            incarnation: target.incarnation,
+            warm_tokens: cached.unwrap_or_default(),
+        };
+        put(&mut head, headers::CHAT_HINT, &encode_hint(&state.keys, &job.customer, &hint));
+    }
+    ReplyHead { status: reply.status, headers: head }
+}
+
+/// Headers that belong to one connection only (RFC 9110, section 7.6.1).
+pub(crate) fn is_hop_by_hop(name: &HeaderName) -> bool {
+    [
+        header::CONNECTION,
+        header::PROXY_AUTHENTICATE,
+        header::PROXY_AUTHORIZATION,
+        header::TE,
+        header::TRAILER,
+        header::TRANSFER_ENCODING,
+        header::UPGRADE,
+    ]
+    .contains(name)
+        || name.as_str() == "keep-alive"
+}
+
+/// Sets a header, unless its value cannot stand in one.
+pub(crate) fn put(head: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        head.insert(HeaderName::from_static(name), value);
+    }
+}
+
+/// Gives the caller a final answer in a target's place.
+pub(super) fn refuse(state: &SharedState, job: &RequestJob, sink: ReplySink, refusal: &Refusal) {
+    log::info!(
+        "event=refuse request_id={} customer={} workload={} status={} cause={} verdict={} \
+         detail={}",
+        job.request_id,
+        job.customer,
+        job.workload,
+        refusal.status,
+        refusal.cause,
+        refusal.verdict,
+        quoted(&refusal.detail),
+    );
+    state.metrics.note_refusal(job.customer.as_str(), refusal.cause);
+    state.metrics.note_request(job.workload.as_str(), refusal.verdict.as_str());
+    let mut head = HeaderMap::new();
+    put(&mut head, headers::REQUEST_ID, &job.request_id);
+    put(&mut head, headers::RUN_VERDICT, refusal.verdict.as_str());
+    put(&mut head, "content-type", "application/json");
+    if let Some(seconds) = refusal.retry_after_seconds() {
+        put(&mut head, "retry-after", &seconds.to_string());
+    }
+    let body = refusal.to_json(&job.request_id);
+    answer(sink, ReplyHead { status: refusal.status, headers: head }, body.into(), job.deadline);
+}
+
+/// Gives the caller a whole answer.
+pub(super) fn answer(mut sink: ReplySink, mut head: ReplyHead, body: Bytes, deadline: MonoTime) {
+    put(&mut head.headers, "content-length", &body.len().to_string());
+    sink.begin(head);
+    if body.is_empty() || sink.push(body, deadline) {
+        sink.finish();
+    }
+}
+
+/// Logs the end of a request that a target served.
+pub(super) fn note_done(
+    state: &SharedState,
+    job: &RequestJob,
+    target: &AttemptTarget,
+    status: u16,
+    verdict: RunVerdict,
+    bytes: usize,
+) {
+    state.metrics.note_request(job.workload.as_str(), verdict.as_str());
+    log::info!(
+        "event=done request_id={} customer={} workload={} target={} status={status} \
+         verdict={verdict} bytes={bytes}",
+        job.request_id,
+        job.customer,
+        job.workload,
+        target.name,
+    );
+}
--- /dev/null
+++ b/ggt-daemon/src/flow/mod.rs
@@ -0,0 +1,23 @@
+//! What happens to a request between its admission and its answer.
+
+mod action;
+mod exchange;
+mod job;
+mod refusal;
+mod repeatable;
+mod sink;
+mod worker;
+
+pub(crate) use exchange::is_hop_by_hop;
+pub(crate) use exchange::put;
+pub use job::RequestJob;
+pub use refusal::Refusal;
+pub use sink::BrokenReply;
+pub use sink::CallerLink;
+pub use sink::CancelTicket;
+pub use sink::ReplyBody;
+pub use sink::ReplyHead;
+pub use sink::ReplySink;
+pub use sink::reply_channel;
+pub use worker::WorkerPool;
+pub use worker::run_job;
--- /dev/null
+++ b/ggt-daemon/src/flow/repeatable.rs
@@ -0,0 +1,241 @@
+//! Requests that may be repeated: they move to another target until their reply has begun.
+
+use std::io::Read;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Method;
+
+use ggt_core::retries::FailedAttempt;
+use ggt_core::routing::TargetKey;
+use ggt_core::verdict::RunVerdict;
+
+use crate::clock::mono_now;
+use crate::flow::Refusal;
+use crate::flow::ReplySink;
+use crate::flow::RequestJob;
+use crate::flow::exchange;
+use crate::flow::exchange::AttemptTarget;
+use crate::flow::sink::CancelTicket;
+use crate::flow::worker::WorkContext;
+use crate::state::ForceConfig;
+use crate::state::SharedState;
+use crate::state::lock;
+use crate::upstream::CallFailure;
+use crate::upstream::TargetReply;
+
+/// Bytes read from a target at once.
+const CHUNK_BYTES: usize = 16 * 1024;
+/// Times that a broken reply is resumed.
+const MAX_RESUMES: usize = 3;
+
+/// How one attempt ended.
+enum AttemptEnd {
+    /// The whole reply was passed on.
+    Whole,
+    /// The caller left.
+    CallerLeft,
+    /// The reply broke after it had begun.
+    Broken,
+    /// No reply began.
+    Failed(CallFailure),
+}
+
+/// Serves a request that may be repeated.
+pub(super) fn run_repeatable(context: &WorkContext, job: &RequestJob, sink: ReplySink) {
+    let state = &context.state;
+    let Some(config) = state.force() else {
+        let refusal = Refusal::not_run(503, "not-ready", "no configuration is in force");
+        return exchange::refuse(state, job, sink, &refusal.retry_after(1_000));
+    };
+    if let Some(refusal) = refuse_crashing(state, job) {
+        return exchange::refuse(state, job, sink, &refusal);
+    }
+    let ticket = match exchange::admit(state, &config, job) {
+        Ok(ticket) => ticket,
+        Err(refusal) => return exchange::refuse(state, job, sink, &refusal),
+    };
+    lock(&state.retries).earn(config.accepted.model.routing.retry_ratio);
+    attempt_all(state, &config, job, sink);
+    lock(&state.shares).release(&ticket);
+}
+
+fn refuse_crashing(state: &SharedState, job: &RequestJob) -> Option<Refusal> {
+    let now = mono_now();
+    let until = lock(&state.blame).refused_until(job.print(), now)?;
+    let detail = "each target that ran this request died while it ran";
+    Some(Refusal::not_run(422, "crashing", detail).retry_after(until.millis_since(now)))
+}
+
+fn attempt_all(state: &SharedState, config: &ForceConfig, job: &RequestJob, mut sink: ReplySink) {
+    let mut tried: Vec<TargetKey> = Vec::new();
+    loop {
+        let target = match exchange::choose(state, config, job, &tried) {
+            Ok(target) => target,
+            Err(refusal) => {
+                let refusal = match tried.is_empty() {
+                    true => refusal,
+                    false => Refusal { verdict: RunVerdict::Unknown, ..refusal },
+                };
+                return exchange::refuse(state, job, sink, &refusal);
+            }
+        };
+        tried.push(target.key);
+        let end = attempt(state, job, &target, &mut sink);
+        lock(&state.routing).note_done(target.key);
+        let failure = match end {
+            AttemptEnd::Whole => {
+                lock(&state.blame).clear(job.print());
+                return sink.finish();
+            }
+            AttemptEnd::CallerLeft => return,
+            AttemptEnd::Broken => {
+                exchange::learn_failure(state, config, job, &target, true);
+                return sink.abort();
+            }
+            AttemptEnd::Failed(failure) => failure,
+        };
+        let verdict = failure.verdict();
+        exchange::learn_failure(state, config, job, &target, verdict != RunVerdict::NotRun);
+        if let Some(refusal) = may_not_retry(state, job, &failure) {
+            return exchange::refuse(state, job, sink, &refusal);
+        }
+        state.metrics.note_retry(job.workload.as_str(), failure.as_str());
+        log::info!(
+            "event=retry request_id={} target={} cause={} verdict={verdict}",
+            job.request_id,
+            target.name,
+            crate::logging::quoted(&failure.to_string()),
+        );
+    }
+}
+
+/// Decides whether another target is tried; the refusal is final.
+fn may_not_retry(state: &SharedState, job: &RequestJob, failure: &CallFailure) -> Option<Refusal> {
+    let attempt =
+        FailedAttempt { verdict: failure.verdict(), non_idempotent: false, reply_begun: false };
+    let refusal = |status, cause, detail: String| {
+        let base = Refusal::not_run(status, cause, detail).retry_after(1_000);
+        Some(Refusal { verdict: failure.verdict(), ..base })
+    };
+    if let Some(refusal) = refuse_crashing(state, job) {
+        return Some(Refusal { verdict: RunVerdict::Unknown, ..refusal });
+    }
+    if mono_now() >= job.deadline {
+        return refusal(504, "deadline", failure.to_string());
+    }
+    if !attempt.may_retry() || !lock(&state.retries).spend() {
+        return refusal(502, "target-failed", failure.to_string());
+    }
+    None
+}
+
+fn attempt(
+    state: &SharedState,
+    job: &RequestJob,
+    target: &AttemptTarget,
+    sink: &mut ReplySink,
+) -> AttemptEnd {
+    if sink.link().is_gone() {
+        return AttemptEnd::CallerLeft;
+    }
+    let ticket = CancelTicket { address: target.address, request_id: job.request_id.clone() };
+    sink.link().set_ticket(Some(ticket));
+    let head = exchange::request_head(job);
+    let reply = match exchange::send(state, job, target, &head, job.deadline) {
+        Ok(reply) => reply,
+        Err(failure) => {
+            sink.link().set_ticket(None);
+            return AttemptEnd::Failed(failure);
+        }
+    };
+    let status = reply.status;
+    sink.begin(exchange::reply_head(state, job, target, &reply, RunVerdict::Ran));
+    let mut passed = 0;
+    let mut end = pass_on(job, reply, sink, &mut passed);
+    for _ in 0..MAX_RESUMES {
+        if !matches!(end, AttemptEnd::Broken) || !job.workload_section.resumable {
+            break;
+        }
+        end = match resume(state, job, target, passed) {
+            Some(reply) => pass_on(job, reply, sink, &mut passed),
+            None => break,
+        };
+    }
+    sink.link().set_ticket(None);
+    if matches!(end, AttemptEnd::Whole) {
+        exchange::note_done(state, job, target, status, RunVerdict::Ran, passed);
+    } else {
+        log::info!(
+            "event=cut request_id={} target={} bytes={passed} caller_left={}",
+            job.request_id,
+            target.name,
+            matches!(end, AttemptEnd::CallerLeft),
+        );
+    }
+    end
+}
+
+/// Asks the target for the rest of a reply that broke after `passed` bytes.
+fn resume(
+    state: &SharedState,
+    job: &RequestJob,
+    target: &AttemptTarget,
+    passed: usize,
+) -> Option<TargetReply> {
+    let again = AttemptTarget { chosen_at: mono_now(), ..target.clone() };
+    let resumed = RequestJob {
+        method: Method::GET,
+        path: format!("/resume/{}?from={passed}", job.request_id),
+        head: HeaderMap::new(),
+        body: Bytes::new(),
+        request_id: job.request_id.clone(),
+        customer: job.customer.clone(),
+        customer_section: job.customer_section.clone(),
+        workload: job.workload.clone(),
+        workload_section: job.workload_section.clone(),
+        hint: None,
+        key: None,
+        ..*job
+    };
+    let head = exchange::request_head(&resumed);
+    let reply = exchange::send(state, &resumed, &again, &head, job.deadline).ok()?;
+    let is_same = reply
+        .header(ggt_wire::headers::INCARNATION)
+        .is_some_and(|text| text.parse() == Ok(target.incarnation));
+    let is_usable = reply.status == 200 && is_same;
+    log::info!(
+        "event=resume request_id={} target={} from={passed} usable={is_usable}",
+        job.request_id,
+        target.name,
+    );
+    is_usable.then_some(reply)
+}
+
+fn pass_on(
+    job: &RequestJob,
+    reply: TargetReply,
+    sink: &mut ReplySink,
+    passed: &mut usize,
+) -> AttemptEnd {
+    let mut reader = reply.into_reader();
+    let mut buffer = vec![0; CHUNK_BYTES];
+    loop {
+        if sink.link().is_gone() {
+            return AttemptEnd::CallerLeft;
+        }
+        if mono_now() >= job.deadline {
+            return AttemptEnd::Broken;
+        }
+        match reader.read(&mut buffer) {
+            Ok(0) => return AttemptEnd::Whole,
+            Ok(length) => {
+                if !sink.push(Bytes::copy_from_slice(&buffer[..length]), job.deadline) {
+                    return AttemptEnd::CallerLeft;
+                }
+                *passed += length;
+            }
+            Err(_) => return AttemptEnd::Broken,
+        }
+    }
+}
--- /dev/null
+++ b/ggt-daemon/src/peers/gossip.rs
@@ -0,0 +1,247 @@
+//! The thread that pings peers and spreads news by datagrams.
+
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ggt_core::blame::DeathMark;
+use ggt_core::ident::TargetName;
+use ggt_core::membership::GossipItem;
+use ggt_core::membership::PeerAction;
+use ggt_core::membership::PeerMessage;
+use ggt_core::membership::SignedHead;
+use ggt_core::membership::short_hash;
+use ggt_core::membership::speakers_of;
+use ggt_core::routing::TargetKey;
+use ggt_wire::datagram;
+use ggt_wire::datagram::DATAGRAM_HEAD_BYTES;
+use ggt_wire::datagram::MAX_DATAGRAM_BYTES;
+use ggt_wire::datagram::PeerDatagram;
+use ggt_wire::platform::FolderKind;
+use ggt_wire::seal::TAG_BYTES;
+
+use crate::clock::mono_now;
+use crate::clock::wall_now;
+use crate::metrics::TrafficKind;
+use crate::state::FetchHint;
+use crate::state::SharedState;
+use crate::state::lock;
+
+/// Longest wait for a datagram between ticks.
+const TICK_WAIT: Duration = Duration::from_millis(50);
+/// Bytes of a datagram's head, message and tag at most.
+const FRAME_BYTES: usize = 160;
+/// Peers that hear of a new revision at once.
+const ANNOUNCED_PEERS: usize = 2;
+
+/// Pings peers and spreads news for as long as the process lives.
+pub fn run_gossip(state: &Arc<SharedState>, socket: &UdpSocket) {
+    // A socket without a timeout would only tick when a datagram comes.
+    let _ = socket.set_read_timeout(Some(TICK_WAIT));
+    let mut buffer = [0_u8; 2 * MAX_DATAGRAM_BYTES];
+    let mut announced = (0, 0);
+    loop {
+        if let Ok((length, _)) = socket.recv_from(&mut buffer) {
+            take_datagram(state, socket, &buffer[..length]);
+        }
+        note_pause(state);
+        tick(state, socket);
+        announce_revisions(state, socket, &mut announced);
+    }
+}
+
+/// Announces this daemon's departure to some peers at once.
+pub fn announce_departure(state: &SharedState, socket: &UdpSocket) {
+    let mut gossip = lock(&state.gossip);
+    let item = gossip.peers.leave();
+    gossip.spread(item);
+    drop(gossip);
+    announce(state, socket, 2 * ANNOUNCED_PEERS);
+}
+
+fn note_pause(state: &SharedState) {
+    let now = mono_now();
+    let Some(paused) = state.pace.tick(now, state.settings.timing.refresh_ms) else { return };
+    log::warn!("event=pause paused_ms={paused}");
+    lock(&state.gossip).peers.forgive_pings(now);
+    lock(&state.routing).forget_reports();
+}
+
+fn tick(state: &SharedState, socket: &UdpSocket) {
+    let now = mono_now();
+    let mut gossip = lock(&state.gossip);
+    let centre = &state.settings.data_centre;
+    let speakers = speakers_of(gossip.peers.living_in_centre(), centre, wall_now().as_millis());
+    let is_speaker = speakers.contains(&state.settings.name);
+    let actions = gossip.peers.on_tick(now, is_speaker);
+    drop(gossip);
+    perform(state, socket, actions);
+}
+
+fn announce_revisions(state: &SharedState, socket: &UdpSocket, announced: &mut (u64, u64)) {
+    let folders = lock(&state.folders);
+    let current = (folders.revision(FolderKind::Config), folders.revision(FolderKind::Hosts));
+    drop(folders);
+    if current != *announced {
+        *announced = current;
+        announce(state, socket, ANNOUNCED_PEERS);
+    }
+}
+
+fn announce(state: &SharedState, socket: &UdpSocket, count: usize) {
+    let gossip = lock(&state.gossip);
+    let actions = gossip.peers.announce(count);
+    drop(gossip);
+    perform(state, socket, actions);
+}
+
+fn perform(state: &SharedState, socket: &UdpSocket, actions: Vec<PeerAction>) {
+    for action in actions {
+        match action {
+            PeerAction::Send { address, message, .. } => send(state, socket, address, &message),
+            PeerAction::Spread(item) => {
+                lock(&state.gossip).spread(item);
+            }
+            PeerAction::Changed { name, status } => {
+                log::info!("event=peer peer={name} status={}", status.as_str());
+            }
+        }
+    }
+}
+
+fn send(state: &SharedState, socket: &UdpSocket, address: SocketAddr, message: &PeerMessage) {
+    let folders = lock(&state.folders);
+    let revision = folders.revision(FolderKind::Config);
+    let hosts_version = folders.revision(FolderKind::Hosts);
+    drop(folders);
+    let mut gossip = lock(&state.gossip);
+    let gossip = &mut *gossip;
+    let head = SignedHead {
+        from: state.settings.name.clone(),
+        incarnation: gossip.peers.incarnation(),
+        number: gossip.next_number(),
+        revision,
+    };
+    let left = gossip.budget.left(mono_now()).saturating_sub(FRAME_BYTES + DATAGRAM_HEAD_BYTES);
+    let mut room = left.min(MAX_DATAGRAM_BYTES - FRAME_BYTES - TAG_BYTES);
+    let (items, shed) = gossip.items.pick(|item| {
+        let bytes = datagram::item_bytes(item);
+        let fits = bytes <= room;
+        if fits {
+            room -= bytes;
+        }
+        fits
+    });
+    (0..shed).for_each(|_| gossip.budget.note_shed());
+    let Ok(bytes) = datagram::encode_datagram(&state.keys, &head, hosts_version, message, &items)
+    else {
+        return;
+    };
+    let cost = bytes.len() + DATAGRAM_HEAD_BYTES;
+    gossip.budget.spend(cost);
+    state.metrics.traffic(TrafficKind::Gossip).add_sent(cost);
+    // A datagram that cannot be sent is as good as one that is lost on its way.
+    let _ = socket.send_to(&bytes, address);
+}
+
+fn take_datagram(state: &SharedState, socket: &UdpSocket, bytes: &[u8]) {
+    let traffic = state.metrics.traffic(TrafficKind::Gossip);
+    traffic.add_received(bytes.len() + DATAGRAM_HEAD_BYTES);
+    let datagram = match datagram::decode_datagram(&state.keys, bytes) {
+        Ok(datagram) => datagram,
+        Err(e) => {
+            state.metrics.note_dropped(match e {
+                datagram::DatagramError::Foreign => "foreign",
+                datagram::DatagramError::Malformed => "malformed",
+                datagram::DatagramError::Version => "version",
+            });
+            return;
+        }
+    };
+    let mut gossip = lock(&state.gossip);
+    if !gossip.peers.admit(&datagram.head) {
+        drop(gossip);
+        state.metrics.note_dropped("replayed");
+        return;
+    }
+    let peer = gossip.peers.peer(&datagram.head.from).map(|peer| peer.address);
+    let message = datagram.message.as_ref();
+    let actions =
+        message.map(|message| gossip.peers.on_message(&datagram.head, message, mono_now()));
+    drop(gossip);
+    if let Some(peer) = peer {
+        note_revisions(state, &datagram, peer);
+    }
+    (0..datagram.skipped).for_each(|_| state.metrics.note_dropped("unknown-item"));
+    for item in &datagram.items {
+        take_item(state, socket, item);
+    }
+    perform(state, socket, actions.unwrap_or_default());
+}
+
+fn note_revisions(state: &SharedState, datagram: &PeerDatagram, peer: SocketAddr) {
+    let folders = lock(&state.folders);
+    let shown =
+        [(FolderKind::Config, datagram.head.revision), (FolderKind::Hosts, datagram.hosts_version)];
+    for (folder, revision) in shown {
+        if revision > folders.slot(folder).gate.wanted_above() {
+            // A full queue already holds work enough; the next datagram brings the hint again.
+            let _ = state.fetch_hints.try_send(FetchHint { folder, peer });
+        }
+    }
+}
+
+fn take_item(state: &SharedState, socket: &UdpSocket, item: &GossipItem) {
+    if !lock(&state.gossip).spread(*item) {
+        return;
+    }
+    match *item {
+        GossipItem::Leaving { target, incarnation } => {
+            let mut routing = lock(&state.routing);
+            let name = target_by_hash(&routing, target).map(|(_, name)| name);
+            if let Some(name) = name
+                && routing.note_leaving(&name, incarnation)
+            {
+                log::info!("event=target target={name} incarnation={incarnation} status=leaving");
+            }
+        }
+        GossipItem::Crash { print, death } => note_crash(state, print, death),
+        GossipItem::Peer { daemon, incarnation, status } => {
+            let mut gossip = lock(&state.gossip);
+            let actions = gossip.peers.on_peer_item(daemon, incarnation, status, mono_now());
+            drop(gossip);
+            perform(state, socket, actions);
+        }
+        GossipItem::Load { target, incarnation, report, is_down } => {
+            let mut routing = lock(&state.routing);
+            let Some((key, name)) = target_by_hash(&routing, target) else { return };
+            routing.take_report(key, incarnation, report);
+            let is_current =
+                routing.target(key).is_some_and(|entry| entry.host.incarnation == incarnation);
+            if let Some(config) = state.force()
+                && is_down
+                && is_current
+                && routing.note_down(key, &config.routing.hold, mono_now())
+            {
+                log::info!("event=target target={name} status=down cause=peer");
+            }
+        }
+    }
+}
+
+/// Records that a request was in flight when a target died.
+pub fn note_crash(state: &SharedState, print: ggt_core::blame::RequestPrint, death: DeathMark) {
+    let refusal = state.force().map_or(0, |config| config.accepted.model.routing.crash_refusal_ms);
+    lock(&state.blame).note_death(print, death, mono_now() + refusal);
+}
+
+fn target_by_hash(
+    routing: &ggt_core::routing::RoutingTable,
+    hash: u32,
+) -> Option<(TargetKey, TargetName)> {
+    routing
+        .iter()
+        .find(|(_, entry)| short_hash(entry.host.name.as_str()) == hash)
+        .map(|(key, entry)| (key, entry.host.name.clone()))
+}
--- /dev/null
+++ b/ggt-daemon/src/peers/links.rs
@@ -0,0 +1,165 @@
+//! Calls to other daemons over JSON-RPC on WebSocket connections.
+
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use jsonrpsee::core::client::ClientT;
+use jsonrpsee::core::client::Error as ClientError;
+use jsonrpsee::ws_client::WsClient;
+use jsonrpsee::ws_client::WsClientBuilder;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use snafu::Snafu;
+use tokio::net::TcpSocket;
+use tokio::sync::Mutex;
+use tokio::time::timeout;
+
+use ggt_wire::rpc::CallError;
+use ggt_wire::rpc::SignedAnswer;
+use ggt_wire::rpc::open_answer;
+use ggt_wire::rpc::sign_call;
+
+use crate::clock::wall_now;
+use crate::metrics::TrafficKind;
+use crate::peers::stream::CountedStream;
+use crate::state::SharedState;
+
+/// Largest message between daemons; a published file may have a megabyte.
+pub(super) const MAX_MESSAGE_BYTES: u32 = 16 * 1024 * 1024;
+
+/// Why a call to a peer failed.
+#[derive(Debug, Snafu)]
+pub enum LinkError {
+    /// The peer did not answer in time.
+    #[snafu(display("peer {peer}: no answer in time"))]
+    Late {
+        /// The peer.
+        peer: SocketAddr,
+    },
+    /// The peer cannot be reached or refused the call.
+    #[snafu(display("peer {peer}: {cause}"))]
+    Failed {
+        /// The peer.
+        peer: SocketAddr,
+        /// The cause.
+        cause: String,
+    },
+    /// The answer is not to be trusted.
+    #[snafu(display("{source}"), context(false))]
+    Answer {
+        /// The cause.
+        source: CallError,
+    },
+}
+
+/// Connections to other daemons, opened when they are needed.
+pub struct PeerLinks {
+    state: Arc<SharedState>,
+    clients: Mutex<BTreeMap<SocketAddr, Arc<WsClient>>>,
+}
+
+impl PeerLinks {
+    /// Links without connections.
+    pub fn new(state: Arc<SharedState>) -> Self {
+        Self { state, clients: Mutex::default() }
+    }
+
+    /// Calls a method of a peer.
+    ///
+    /// Calls may arrive twice, for a connection that turns out broken is replaced once.
+    ///
+    /// # Errors
+    /// [`LinkError`] when there is no trustworthy answer within `wait`.
+    pub async fn call<P, R>(
+        &self,
+        peer: SocketAddr,
+        method: &str,
+        params: &P,
+        wait: Duration,
+    ) -> Result<R, LinkError>
+    where
+        P: Serialize + Sync,
+        R: DeserializeOwned,
+    {
+        timeout(wait, self.call_now(peer, method, params))
+            .await
+            .unwrap_or(Err(LinkError::Late { peer }))
+    }
+
+    async fn call_now<P, R>(
+        &self,
+        peer: SocketAddr,
+        method: &str,
+        params: &P,
+    ) -> Result<R, LinkError>
+    where
+        P: Serialize + Sync,
+        R: DeserializeOwned,
+    {
+        let state = &self.state;
+        let call = sign_call(&state.keys, &state.settings.name, wall_now(), method, params)?;
+        let failed = |e: ClientError| LinkError::Failed { peer, cause: e.to_string() };
+        let (client, is_new) = self.client(peer).await?;
+        let answer: SignedAnswer = match client.request(method, [&call]).await {
+            Ok(answer) => answer,
+            Err(e @ ClientError::Call(_)) => return Err(failed(e)),
+            Err(e) => {
+                self.forget(peer, &client).await;
+                if is_new {
+                    return Err(failed(e));
+                }
+                let (client, _) = self.client(peer).await?;
+                client.request(method, [&call]).await.map_err(failed)?
+            }
+        };
+        Ok(open_answer(&state.keys, &call.tag, &answer)?)
+    }
+
+    async fn client(&self, peer: SocketAddr) -> Result<(Arc<WsClient>, bool), LinkError> {
+        if let Some(client) = self.clients.lock().await.get(&peer) {
+            if client.is_connected() {
+                return Ok((client.clone(), false));
+            }
+        }
+        let client = Arc::new(self.connect(peer).await?);
+        self.clients.lock().await.insert(peer, client.clone());
+        Ok((client, true))
+    }
+
+    async fn connect(&self, peer: SocketAddr) -> Result<WsClient, LinkError> {
+        let failed = |cause: String| LinkError::Failed { peer, cause };
+        let settings = &self.state.settings;
+        let wait = Duration::from_millis(settings.timing.connect_ms);
+        let stream = timeout(wait, connect_from(settings.peer.ip(), peer))
+            .await
+            .map_err(|_| LinkError::Late { peer })?
+            .map_err(|e| failed(e.to_string()))?;
+        let stream = CountedStream::new(stream, self.state.metrics.traffic(TrafficKind::Call));
+        WsClientBuilder::new()
+            .connection_timeout(wait)
+            .max_request_size(MAX_MESSAGE_BYTES)
+            .max_response_size(MAX_MESSAGE_BYTES)
+            .build_with_stream(format!("ws://{peer}"), stream)
+            .await
+            .map_err(|e| failed(e.to_string()))
+    }
+
+    async fn forget(&self, peer: SocketAddr, client: &Arc<WsClient>) {
+        let mut clients = self.clients.lock().await;
+        if clients.get(&peer).is_some_and(|known| Arc::ptr_eq(known, client)) {
+            clients.remove(&peer);
+        }
+    }
+}
+
+/// Connects from the daemon's own peer address, so that firewalls can tell daemons apart.
+async fn connect_from(source: IpAddr, peer: SocketAddr) -> std::io::Result<tokio::net::TcpStream> {
+    let socket = if peer.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.bind(SocketAddr::new(source, 0))?;
+    let stream = socket.connect(peer).await?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
--- /dev/null
+++ b/ggt-daemon/src/peers/mod.rs
@@ -0,0 +1,19 @@
+//! Talking with other daemons.
+
+mod gossip;
+mod links;
+mod server;
+mod stream;
+mod vouch;
+
+pub use gossip::announce_departure;
+pub use gossip::note_crash;
+pub use gossip::run_gossip;
+pub use links::LinkError;
+pub use links::PeerLinks;
+pub(crate) use server::answer_claim;
+pub(crate) use server::answer_seal;
+pub(crate) use server::answer_settle;
+pub use server::serve_peers;
+pub use vouch::peers_to_ask;
+pub use vouch::run_vouching;
--- /dev/null
+++ b/ggt-daemon/src/peers/server.rs
@@ -0,0 +1,188 @@
+//! Answers calls of other daemons.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use jsonrpsee::RpcModule;
+use jsonrpsee::core::RegisterMethodError;
+use jsonrpsee::server::Server;
+use jsonrpsee::server::ServerConfig;
+use jsonrpsee::server::serve_with_graceful_shutdown;
+use jsonrpsee::server::stop_channel;
+use jsonrpsee::types::ErrorObjectOwned;
+use jsonrpsee::types::Params;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpListener;
+
+use ggt_core::claims::AbstainReason;
+use ggt_core::claims::ClaimReply;
+use ggt_core::claims::ClaimRequest;
+use ggt_core::claims::SettleRequest;
+use ggt_wire::platform::FileDigest;
+use ggt_wire::platform::FolderKind;
+use ggt_wire::rpc;
+use ggt_wire::rpc::EpochResult;
+use ggt_wire::rpc::FetchParams;
+use ggt_wire::rpc::FetchResult;
+use ggt_wire::rpc::SignedAnswer;
+use ggt_wire::rpc::SignedCall;
+
+use crate::clock::wall_now;
+use crate::metrics::TrafficKind;
+use crate::peers::links::MAX_MESSAGE_BYTES;
+use crate::peers::stream::CountedStream;
+use crate::state::SharedState;
+use crate::state::lock;
+
+/// The JSON-RPC code of a call that is refused.
+const REFUSED_CODE: i32 = -32_001;
+/// Connections from other daemons at once.
+const MAX_CONNECTIONS: u32 = 2_048;
+
+/// Answers calls of other daemons on `listener` for as long as the runtime lives.
+///
+/// # Errors
+/// [`RegisterMethodError`] when two methods bear the same name.
+pub async fn serve_peers(
+    state: Arc<SharedState>,
+    listener: TcpListener,
+) -> Result<(), RegisterMethodError> {
+    let methods = build_methods(state.clone())?;
+    let config = ServerConfig::builder()
+        .max_connections(MAX_CONNECTIONS)
+        .max_request_body_size(MAX_MESSAGE_BYTES)
+        .max_response_body_size(MAX_MESSAGE_BYTES)
+        .build();
+    let builder = Server::builder().set_config(config).to_service_builder();
+    let (stop, _server) = stop_channel();
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        // Without it small answers wait for the peer's delayed acknowledgement.
+        let _ = stream.set_nodelay(true);
+        let stream = CountedStream::new(stream, state.metrics.traffic(TrafficKind::Call));
+        let service = builder.clone().build(methods.clone(), stop.clone());
+        tokio::spawn(serve_with_graceful_shutdown(stream, service, stop.clone().shutdown()));
+    }
+}
+
+fn build_methods(
+    state: Arc<SharedState>,
+) -> Result<RpcModule<Arc<SharedState>>, RegisterMethodError> {
+    let mut module = RpcModule::new(state);
+    module.register_method(rpc::CLAIM, |params, state, _| {
+        answer(state, rpc::CLAIM, &params, |request| answer_claim(state, &request))
+    })?;
+    module.register_method(rpc::SEAL, |params, state, _| {
+        answer(state, rpc::SEAL, &params, |request| answer_seal(state, &request))
+    })?;
+    module.register_method(rpc::SETTLE, |params, state, _| {
+        answer(state, rpc::SETTLE, &params, |request| answer_settle(state, request))
+    })?;
+    module.register_method(rpc::EPOCH, |params, state, _| {
+        answer(state, rpc::EPOCH, &params, |()| EpochResult {
+            epoch: state.force().map(|config| config.accepted.model.roster.epoch),
+        })
+    })?;
+    module.register_method(rpc::FETCH, |params, state, _| {
+        answer(state, rpc::FETCH, &params, |request| answer_fetch(state, &request))
+    })?;
+    Ok(module)
+}
+
+fn answer<P, R, F>(
+    state: &SharedState,
+    method: &str,
+    params: &Params<'_>,
+    handle: F,
+) -> Result<SignedAnswer, ErrorObjectOwned>
+where
+    P: DeserializeOwned,
+    R: Serialize,
+    F: FnOnce(P) -> R,
+{
+    let refused = |cause: String| ErrorObjectOwned::owned(REFUSED_CODE, cause, None::<()>);
+    let call: SignedCall = params.one()?;
+    let request = rpc::open_call(&state.keys, method, &call, wall_now()).map_err(|e| {
+        state.metrics.note_dropped("call");
+        log::warn!("event=call-refused method={method} from={} cause=\"{e}\"", call.from);
+        refused(e.to_string())
+    })?;
+    rpc::sign_answer(&state.keys, &call, &handle(request)).map_err(|e| refused(e.to_string()))
+}
+
+fn behind() -> ClaimReply {
+    ClaimReply::Abstain { reason: AbstainReason::Behind, epoch: 0 }
+}
+
+/// Answers a claim, also one of this daemon's own attempts.
+pub(crate) fn answer_claim(state: &SharedState, request: &ClaimRequest) -> ClaimReply {
+    let Some(config) = state.force() else { return behind() };
+    let roster = &config.accepted.model.roster;
+    let reply = lock(&state.holder).claim(request, roster, &config.holder, wall_now());
+    log::info!(
+        "event=claim key={} attempt={} epoch={} reply={}",
+        request.key.text,
+        request.attempt,
+        request.epoch,
+        reply_word(&reply),
+    );
+    reply
+}
+
+/// Answers a seal, also one of this daemon's own attempts.
+pub(crate) fn answer_seal(state: &SharedState, request: &ClaimRequest) -> ClaimReply {
+    let Some(config) = state.force() else { return behind() };
+    let roster = &config.accepted.model.roster;
+    let reply = lock(&state.holder).seal(request, roster, &config.holder, wall_now());
+    log::info!(
+        "event=seal key={} attempt={} epoch={} reply={}",
+        request.key.text,
+        request.attempt,
+        request.epoch,
+        reply_word(&reply),
+    );
+    reply
+}
+
+/// Takes the outcome of an attempt, also of this daemon's own.
+pub(crate) fn answer_settle(state: &SharedState, request: SettleRequest) -> bool {
+    let Some(config) = state.force() else { return false };
+    lock(&state.holder).settle(request, &config.holder);
+    true
+}
+
+fn reply_word(reply: &ClaimReply) -> &'static str {
+    match reply {
+        ClaimReply::Granted => "granted",
+        ClaimReply::Held { .. } => "held",
+        ClaimReply::Sealed => "sealed",
+        ClaimReply::Conflict => "conflict",
+        ClaimReply::Abstain { reason, .. } => match reason {
+            AbstainReason::Recovering => "abstain-recovering",
+            AbstainReason::Behind => "abstain-behind",
+            AbstainReason::OtherRoster => "abstain-other-roster",
+            AbstainReason::Expired => "abstain-expired",
+            AbstainReason::TableFull => "abstain-table-full",
+        },
+    }
+}
+
+fn answer_fetch(state: &SharedState, request: &FetchParams) -> FetchResult {
+    let leaving = match request.folder {
+        FolderKind::Config => Vec::new(),
+        FolderKind::Hosts => lock(&state.routing)
+            .leaving()
+            .map(|(name, incarnation)| (name.clone(), incarnation))
+            .collect(),
+    };
+    let folders = lock(&state.folders);
+    let slot = folders.slot(request.folder);
+    if slot.gate.in_force().is_none_or(|revision| revision <= request.above) {
+        return FetchResult { manifest: None, texts: BTreeMap::new(), leaving };
+    }
+    let is_missing = |digest: &FileDigest| !request.have.contains(digest);
+    let mut texts = slot.folder.by_digest();
+    texts.retain(|digest, _| is_missing(digest));
+    FetchResult { manifest: Some(slot.folder.manifest()), texts, leaving }
+}
--- /dev/null
+++ b/ggt-daemon/src/probes/mod.rs
@@ -0,0 +1,163 @@
+//! Probes targets, shared out among the daemons of a data centre.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use http::Method;
+use serde::Deserialize;
+
+use ggt_core::clock::MonoTime;
+use ggt_core::ident::TargetName;
+use ggt_core::membership::GossipItem;
+use ggt_core::membership::probers_of;
+use ggt_core::membership::short_hash;
+use ggt_core::routing::LoadReport;
+use ggt_core::routing::TargetKey;
+use ggt_core::routing::TargetStatus;
+
+use crate::clock::mono_now;
+use crate::metrics::TrafficKind;
+use crate::state::SharedState;
+use crate::state::lock;
+use crate::upstream::simple_call;
+
+/// Longest wait for a probe's answer.
+const ANSWER_WAIT: Duration = Duration::from_millis(500);
+/// How often due probes are looked for.
+const STEP: Duration = Duration::from_millis(100);
+
+/// What a target answers to a probe.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct ProbeAnswer {
+    /// The target's incarnation.
+    pub incarnation: u64,
+    /// Its load.
+    #[serde(flatten)]
+    pub report: LoadReport,
+    /// Whether it takes no new work.
+    #[serde(default)]
+    pub leaving: bool,
+}
+
+/// Asks a target for its load.
+///
+/// # Errors
+/// The cause, when there is no usable answer.
+pub fn probe(state: &SharedState, address: SocketAddr) -> Result<ProbeAnswer, String> {
+    let connect = Duration::from_millis(state.settings.timing.connect_ms).min(ANSWER_WAIT);
+    let counter = state.metrics.traffic(TrafficKind::Probe);
+    let call = simple_call(address, &Method::GET, "/load", connect, ANSWER_WAIT, Some(counter));
+    let (status, text) = call.map_err(|e| e.to_string())?;
+    if status != 200 {
+        return Err(format!("status {status}"));
+    }
+    serde_json::from_str(&text).map_err(|e| e.to_string())
+}
+
+struct DueProbe {
+    key: TargetKey,
+    name: TargetName,
+    address: SocketAddr,
+    incarnation: u64,
+    is_down: bool,
+}
+
+/// Probes this daemon's part of the targets for as long as the process lives.
+///
+/// A daemon also probes each target that it takes for down itself, however it came to that: nobody
+/// else can tell whether this daemon reaches it.
+pub fn run_probing(state: &Arc<SharedState>) {
+    let period = state.settings.timing.probe_ms;
+    let mut next_at = mono_now();
+    loop {
+        thread::sleep(STEP);
+        if mono_now() < next_at {
+            continue;
+        }
+        next_at = mono_now() + period;
+        let due = due_probes(state, next_at);
+        // Spreads the probes over the period.
+        let gap = Duration::from_millis(period / (due.len() as u64 + 1)).min(STEP);
+        for target in due {
+            take_answer(state, &target, probe(state, target.address));
+            thread::sleep(gap);
+        }
+    }
+}
+
+fn due_probes(state: &SharedState, now: MonoTime) -> Vec<DueProbe> {
+    let gossip = lock(&state.gossip);
+    let living: Vec<_> = gossip.peers.living_in_centre().cloned().collect();
+    drop(gossip);
+    let routing = lock(&state.routing);
+    routing
+        .iter()
+        .filter_map(|(key, entry)| {
+            let status = routing.status(entry, now);
+            let is_down = status == TargetStatus::Down || routing.is_down(key);
+            let is_mine = entry.host.data_centre == state.settings.data_centre
+                && probers_of(living.iter(), entry.hash()).contains(&state.settings.name);
+            (is_down || is_mine).then(|| DueProbe {
+                key,
+                name: entry.host.name.clone(),
+                address: entry.address(),
+                incarnation: entry.host.incarnation,
+                is_down,
+            })
+        })
+        .collect()
+}
+
+fn take_answer(state: &SharedState, target: &DueProbe, answer: Result<ProbeAnswer, String>) {
+    let Some(config) = state.force() else { return };
+    let hash = short_hash(target.name.as_str());
+    let mut routing = lock(&state.routing);
+    let item = match answer {
+        Ok(answer) if answer.incarnation < target.incarnation => return,
+        Ok(answer) => {
+            if routing.note_answer(target.key, mono_now()) {
+                log::info!("event=target target={} status=up", target.name);
+            }
+            routing.take_report(target.key, answer.incarnation, answer.report);
+            if answer.leaving {
+                drop(routing);
+                note_leaving(state, &target.name, answer.incarnation);
+                return;
+            }
+            GossipItem::Load {
+                target: hash,
+                incarnation: answer.incarnation,
+                report: answer.report,
+                is_down: false,
+            }
+        }
+        Err(cause) => {
+            let is_news = routing.note_failure(target.key, &config.routing.hold, mono_now());
+            if is_news {
+                log::info!("event=target target={} status=down cause={cause:?}", target.name);
+            }
+            if !is_news || target.is_down {
+                return;
+            }
+            let report = routing
+                .target(target.key)
+                .and_then(|entry| entry.load.report())
+                .unwrap_or_default();
+            let incarnation = target.incarnation;
+            GossipItem::Load { target: hash, incarnation, report, is_down: true }
+        }
+    };
+    drop(routing);
+    lock(&state.gossip).spread(item);
+}
+
+/// Records and spreads that an incarnation of a target is leaving.
+pub fn note_leaving(state: &SharedState, name: &TargetName, incarnation: u64) {
+    if lock(&state.routing).note_leaving(name, incarnation) {
+        log::info!("event=target target={name} incarnation={incarnation} status=leaving");
+    }
+    let target = short_hash(name.as_str());
+    lock(&state.gossip).spread(GossipItem::Leaving { target, incarnation });
+}
--- /dev/null
+++ b/ggt-daemon/src/sync/fetch.rs
@@ -0,0 +1,126 @@
+//! Fetches folders from peers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam::channel::Receiver;
+use tokio::runtime::Handle;
+
+use ggt_wire::platform::FileDigest;
+use ggt_wire::platform::FolderKind;
+use ggt_wire::platform::PublishedFolder;
+use ggt_wire::rpc;
+use ggt_wire::rpc::FetchParams;
+use ggt_wire::rpc::FetchResult;
+
+use crate::clock::mono_now;
+use crate::peers::LinkError;
+use crate::peers::PeerLinks;
+use crate::state::FetchHint;
+use crate::state::SharedState;
+use crate::state::lock;
+use crate::sync::offer_folder;
+
+/// Longest wait for a peer's answer.
+const ANSWER_WAIT: Duration = Duration::from_millis(2_000);
+/// Longest sleep while no hint comes.
+const HINT_WAIT: Duration = Duration::from_millis(100);
+/// Peers asked for fresh facts after a pause.
+const REFRESH_PEERS: usize = 3;
+
+/// Fetches folders that peers have shown, and refreshes what is known after a pause.
+pub fn run_fetching(
+    state: &Arc<SharedState>,
+    links: &PeerLinks,
+    runtime: &Handle,
+    hints: &Receiver<FetchHint>,
+) {
+    bootstrap(state, links, runtime);
+    let _ = state.bootstrapped.set(());
+    loop {
+        if let Ok(hint) = hints.recv_timeout(HINT_WAIT) {
+            fetch_logged(state, links, runtime, hint.folder, hint.peer);
+        }
+        if state.pace.awaits_refresh() {
+            refresh(state, links, runtime);
+        }
+    }
+}
+
+/// Asks the seeds, so that a daemon starts with the highest revision that it can learn of.
+fn bootstrap(state: &SharedState, links: &PeerLinks, runtime: &Handle) {
+    let deadline = mono_now() + state.settings.timing.bootstrap_ms;
+    let seeds = state.settings.seeds.iter().filter(|seed| **seed != state.settings.peer);
+    for seed in seeds {
+        for kind in FolderKind::ALL {
+            if mono_now() < deadline {
+                fetch_logged(state, links, runtime, kind, *seed);
+            }
+        }
+    }
+}
+
+fn refresh(state: &SharedState, links: &PeerLinks, runtime: &Handle) {
+    let gossip = lock(&state.gossip);
+    let peers: Vec<SocketAddr> = gossip
+        .peers
+        .iter()
+        .filter(|peer| peer.is_living())
+        .map(|peer| peer.address)
+        .take(REFRESH_PEERS)
+        .collect();
+    drop(gossip);
+    for peer in peers {
+        let is_fresh =
+            FolderKind::ALL.into_iter().all(|kind| fetch_logged(state, links, runtime, kind, peer));
+        if is_fresh {
+            log::info!("event=refreshed peer={peer}");
+            state.pace.note_refreshed();
+            return;
+        }
+    }
+}
+
+fn fetch_logged(
+    state: &SharedState,
+    links: &PeerLinks,
+    runtime: &Handle,
+    kind: FolderKind,
+    peer: SocketAddr,
+) -> bool {
+    match fetch(state, links, runtime, kind, peer) {
+        Ok(()) => true,
+        Err(e) => {
+            log::info!("event=fetch folder={} peer={peer} cause=\"{e}\"", kind.as_str());
+            false
+        }
+    }
+}
+
+fn fetch(
+    state: &SharedState,
+    links: &PeerLinks,
+    runtime: &Handle,
+    kind: FolderKind,
+    peer: SocketAddr,
+) -> Result<(), LinkError> {
+    let folders = lock(&state.folders);
+    let slot = folders.slot(kind);
+    let above = slot.gate.wanted_above();
+    let mut texts = slot.folder.by_digest();
+    drop(folders);
+    let have: Vec<FileDigest> = texts.keys().copied().collect();
+    let params = FetchParams { folder: kind, above, have };
+    let call = links.call::<_, FetchResult>(peer, rpc::FETCH, &params, ANSWER_WAIT);
+    let result = runtime.block_on(call)?;
+    for (name, incarnation) in &result.leaving {
+        lock(&state.routing).note_leaving(name, *incarnation);
+    }
+    let Some(manifest) = result.manifest else { return Ok(()) };
+    texts.extend(result.texts.into_iter().filter(|(digest, text)| FileDigest::of(text) == *digest));
+    if let Ok(folder) = PublishedFolder::assemble(&manifest, &texts) {
+        offer_folder(state, kind, folder, "peer");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/ggt-daemon/src/sync/mod.rs
@@ -0,0 +1,9 @@
+//! Keeps the published folders fresh, from the platform and from peers.
+
+mod fetch;
+mod offer;
+mod watch;
+
+pub use fetch::run_fetching;
+pub use offer::offer_folder;
+pub use watch::run_watching;
--- /dev/null
+++ b/ggt-daemon/src/sync/offer.rs
@@ -0,0 +1,120 @@
+//! Puts a folder in force, if it is acceptable and above the one in force.
+
+use std::sync::Arc;
+
+use ggt_core::config::AcceptedConfig;
+use ggt_core::config::OfferOutcome;
+use ggt_core::config::accept_files;
+use ggt_core::hosts::HostList;
+use ggt_core::hosts::accept_hosts;
+use ggt_core::membership::GossipItem;
+use ggt_core::membership::short_hash;
+use ggt_core::routing::HostChange;
+use ggt_core::routing::RoutingOptions;
+use ggt_wire::platform::FolderKind;
+use ggt_wire::platform::PublishedFolder;
+
+use crate::clock::mono_now;
+use crate::clock::wall_now;
+use crate::logging::quoted;
+use crate::state::ForceConfig;
+use crate::state::SharedState;
+use crate::state::lock;
+
+enum Content {
+    Config(Box<AcceptedConfig>),
+    Hosts(HostList),
+}
+
+/// Offers a folder that came from `source`.
+///
+/// All offers pass through one lock, so that revisions come into force one after the other and
+/// in rising order.
+pub fn offer_folder(
+    state: &SharedState,
+    kind: FolderKind,
+    folder: PublishedFolder,
+    source: &str,
+) -> OfferOutcome {
+    let revision = folder.revision;
+    let content = judge(kind, &folder);
+    let mut folders = lock(&state.folders);
+    let slot = folders.slot_mut(kind);
+    let outcome = slot.gate.offer(revision, content.is_ok());
+    let in_force = slot.gate.in_force().unwrap_or_default();
+    match (&outcome, content) {
+        (OfferOutcome::InForce, Ok(content)) => {
+            slot.folder = folder;
+            slot.rejection = None;
+            put_in_force(state, revision, content);
+            log::info!(
+                "event=revision folder={} revision={revision} outcome=in-force source={source}",
+                kind.as_str(),
+            );
+        }
+        (OfferOutcome::Rejected, Err(cause)) => {
+            log::warn!(
+                "event=revision folder={} revision={revision} outcome=rejected in_force={in_force} \
+                 source={source} cause={}",
+                kind.as_str(),
+                quoted(&cause),
+            );
+            slot.rejection = Some(format!("revision {revision}: {cause}"));
+        }
+        (_, _) if revision < in_force => log::info!(
+            "event=revision folder={} revision={revision} outcome=stale in_force={in_force} \
+             source={source}",
+            kind.as_str(),
+        ),
+        (_, _) => (),
+    }
+    outcome
+}
+
+fn judge(kind: FolderKind, folder: &PublishedFolder) -> Result<Content, String> {
+    match kind {
+        FolderKind::Config => accept_files(folder.texts())
+            .map(|accepted| Content::Config(Box::new(accepted)))
+            .map_err(|e| e.to_string()),
+        FolderKind::Hosts => accept_hosts(folder.revision, folder.texts())
+            .map(Content::Hosts)
+            .map_err(|e| e.to_string()),
+    }
+}
+
+fn put_in_force(state: &SharedState, revision: u64, content: Content) {
+    match content {
+        Content::Config(accepted) => {
+            let roster = &accepted.model.roster;
+            lock(&state.gossip).peers.set_roster(roster);
+            lock(&state.holder).note_epoch(&state.settings.name, roster.epoch, wall_now());
+            lock(&state.blame).set_limit(accepted.model.routing.crash_limit);
+            let config = ForceConfig::new(revision, *accepted, &state.settings.limits);
+            state.set_force(Arc::new(config));
+        }
+        Content::Hosts(list) => {
+            let options = state.force().map_or_else(RoutingOptions::default, |x| x.routing);
+            let changes = lock(&state.routing).apply_hosts(&list, &options, mono_now());
+            changes.iter().for_each(|change| note_change(state, &list, change));
+        }
+    }
+}
+
+fn note_change(state: &SharedState, list: &HostList, change: &HostChange) {
+    let (name, status) = match change {
+        HostChange::Joined(name) => (name, "joined"),
+        HostChange::Returned(name) => (name, "returned"),
+        HostChange::Leaving(name) => (name, "leaving"),
+        HostChange::Gone(name) => (name, "gone"),
+    };
+    log::info!("event=target target={name} status={status}");
+    if !matches!(change, HostChange::Leaving(_)) {
+        return;
+    }
+    // Tells peers whose host list lags behind this one.
+    let entry = list.targets.iter().find(|entry| entry.name == *name);
+    if let Some(incarnation) = entry.map(|entry| entry.incarnation) {
+        let target = short_hash(name.as_str());
+        lock(&state.gossip).spread(GossipItem::Leaving { target, incarnation });
+    }
+}
--- /dev/null
+++ b/ggt-daemon/src/upstream/watch.rs
@@ -0,0 +1,114 @@
+//! A transport that knows whether any byte has left, and lets none leave too late.
+
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use ureq::Error;
+use ureq::unversioned::transport::Buffers;
+use ureq::unversioned::transport::ConnectionDetails;
+use ureq::unversioned::transport::Connector;
+use ureq::unversioned::transport::NextTimeout;
+use ureq::unversioned::transport::Transport;
+
+use ggt_core::clock::MonoTime;
+
+use crate::clock::mono_now;
+use crate::metrics::ByteCounter;
+
+/// Follows one call: whether it has left, until when it may leave and how long it may be silent.
+#[derive(Debug)]
+pub struct CallWatch {
+    has_left: AtomicBool,
+    send_by: MonoTime,
+    idle: Duration,
+    counter: Option<Arc<ByteCounter>>,
+}
+
+impl CallWatch {
+    /// Watches a call whose first byte must leave before `send_by`.
+    ///
+    /// `idle` bounds each wait for bytes of the reply; `counter` counts bytes on the socket.
+    pub fn new(send_by: MonoTime, idle: Duration, counter: Option<Arc<ByteCounter>>) -> Arc<Self> {
+        Arc::new(Self { has_left: AtomicBool::new(false), send_by, idle, counter })
+    }
+
+    /// Whether any byte of the request may have left.
+    pub fn has_left(&self) -> bool {
+        self.has_left.load(Ordering::SeqCst)
+    }
+
+    /// Lets bytes leave, the first of them only before the deadline.
+    fn permit(&self) -> Result<(), Error> {
+        if !self.has_left() && mono_now() >= self.send_by {
+            let cause = "the time to send has passed";
+            return Err(Error::Io(io::Error::new(io::ErrorKind::TimedOut, cause)));
+        }
+        self.has_left.store(true, Ordering::SeqCst);
+        Ok(())
+    }
+}
+
+/// Puts a [`CallWatch`] on each connection.
+#[derive(Debug)]
+pub(super) struct WatchConnector {
+    pub(super) watch: Arc<CallWatch>,
+}
+
+impl<In> Connector<In> for WatchConnector
+where
+    In: Transport,
+{
+    type Out = WatchTransport<In>;
+
+    fn connect(
+        &self,
+        _details: &ConnectionDetails<'_>,
+        chained: Option<In>,
+    ) -> Result<Option<Self::Out>, Error> {
+        Ok(chained.map(|inner| WatchTransport { inner, watch: self.watch.clone() }))
+    }
+}
+
+/// A transport under watch.
+#[derive(Debug)]
+pub(super) struct WatchTransport<T> {
+    inner: T,
+    watch: Arc<CallWatch>,
+}
+
+impl<T> Transport for WatchTransport<T>
+where
+    T: Transport,
+{
+    fn buffers(&mut self) -> &mut dyn Buffers {
+        self.inner.buffers()
+    }
+
+    fn transmit_output(&mut self, amount: usize, timeout: NextTimeout) -> Result<(), Error> {
+        self.watch.permit()?;
+        if let Some(counter) = &self.watch.counter {
+            counter.add_sent(amount);
+        }
+        self.inner.transmit_output(amount, timeout)
+    }
+
+    fn await_input(&mut self, mut timeout: NextTimeout) -> Result<bool, Error> {
+        if *timeout.after > self.watch.idle {
+            timeout.after = self.watch.idle.into();
+        }
+        let before = self.inner.buffers().input().len();
+        let outcome = self.inner.await_input(timeout);
+        if let Some(counter) = &self.watch.counter {
+            let after = self.inner.buffers().input().len();
+            counter.add_received(after.saturating_sub(before));
+        }
+        outcome
+    }
+
+    fn is_open(&mut self) -> bool {
+        self.inner.is_open()
+    }
+}
