--- /dev/null
+++ b/ggt-cli/src/bin/greengageturn.rs
@@ -0,0 +1,260 @@
+//! The operators' command line of the greengageturn router fleet.
+
+#![forbid(unsafe_code)]
+#![deny(missing_docs, rust_2018_idioms)]
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use serde_json::Value;
+use serde_json::json;
+
+use ggt_cli::admin::call_admin;
+use ggt_cli::admin::encode_query;
+use ggt_cli::folder::check_folder;
+use ggt_cli::folder::effective_folder;
+use ggt_cli::show::effective_lines;
+use ggt_cli::show::status_screen;
+
+/// Exit code when a check fails or a daemon refuses.
+const EXIT_REFUSED: u8 = 1;
+/// Exit code when a daemon cannot be reached.
+const EXIT_UNREACHABLE: u8 = 3;
+/// Environment variable that holds the operators' key.
+const KEY_VARIABLE: &str = "GREENGAGETURN_KEY";
+
+/// Operators' command line of the greengageturn router fleet.
+///
+/// Exit codes: 0 done; 1 a folder, a call or a configuration was refused; 2 the command line is
+/// wrong; 3 a daemon could not be reached.
+#[derive(FromArgs)]
+struct ToolArgs {
+    #[argh(subcommand)]
+    command: ToolCommand,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum ToolCommand {
+    Check(CheckArgs),
+    Effective(EffectiveArgs),
+    Status(StatusArgs),
+    Explain(ExplainArgs),
+    Drain(DrainArgs),
+}
+
+/// check a configuration folder as the daemons would
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+struct CheckArgs {
+    /// the folder
+    #[argh(positional)]
+    folder: PathBuf,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// print a merged folder, each value with the file that set it
+#[derive(FromArgs)]
+#[argh(subcommand, name = "effective")]
+struct EffectiveArgs {
+    /// the folder
+    #[argh(positional)]
+    folder: PathBuf,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// show what is in force on the daemons
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+struct StatusArgs {
+    /// admin address of a daemon; may be given several times
+    #[argh(option)]
+    admin: Vec<SocketAddr>,
+    /// the operators' key; taken from GREENGAGETURN_KEY when absent
+    #[argh(option)]
+    key: Option<String>,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// tell where a chat would go, and why
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+struct ExplainArgs {
+    /// admin address of a daemon
+    #[argh(option)]
+    admin: SocketAddr,
+    /// the operators' key; taken from GREENGAGETURN_KEY when absent
+    #[argh(option)]
+    key: Option<String>,
+    /// the customer
+    #[argh(option)]
+    customer: String,
+    /// the request's method
+    #[argh(option, default = "String::from(\"POST\")")]
+    method: String,
+    /// the request's path
+    #[argh(option)]
+    path: String,
+    /// the chat's id
+    #[argh(option, default = "String::new()")]
+    chat: String,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// tell a daemon to stop gracefully
+#[derive(FromArgs)]
+#[argh(subcommand, name = "drain")]
+struct DrainArgs {
+    /// admin address of the daemon
+    #[argh(option)]
+    admin: SocketAddr,
+    /// the operators' key; taken from GREENGAGETURN_KEY when absent
+    #[argh(option)]
+    key: Option<String>,
+}
+
+fn main() -> ExitCode {
+    let args: ToolArgs = argh::from_env();
+    match args.command {
+        ToolCommand::Check(args) => check(&args),
+        ToolCommand::Effective(args) => effective(&args),
+        ToolCommand::Status(args) => status(&args),
+        ToolCommand::Explain(args) => explain(&args),
+        ToolCommand::Drain(args) => drain(&args),
+    }
+}
+
+fn fail(code: u8, cause: &str) -> ExitCode {
+    eprintln!("greengageturn: {cause}");
+    ExitCode::from(code)
+}
+
+fn key_of(given: Option<&String>) -> String {
+    given.cloned().or_else(|| std::env::var(KEY_VARIABLE).ok()).unwrap_or_default()
+}
+
+fn check(args: &CheckArgs) -> ExitCode {
+    match check_folder(&args.folder) {
+        Ok(outcome) if args.json => {
+            println!("{}", json!({ "accepted": true, "found": outcome }));
+            ExitCode::SUCCESS
+        }
+        Ok(outcome) => {
+            println!(
+                "accepted: {} files, {} daemons, {} customers, {} workloads, {} rules",
+                outcome.files, outcome.daemons, outcome.customers, outcome.workloads, outcome.rules
+            );
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            if args.json {
+                println!("{}", json!({ "accepted": false, "cause": e.to_string() }));
+            }
+            fail(EXIT_REFUSED, &e.to_string())
+        }
+    }
+}
+
+fn effective(args: &EffectiveArgs) -> ExitCode {
+    match effective_folder(&args.folder) {
+        Ok(folder) if args.json => {
+            println!("{}", json!({ "value": folder.value, "sources": folder.sources }));
+            ExitCode::SUCCESS
+        }
+        Ok(folder) => {
+            print!("{}", effective_lines(&folder));
+            ExitCode::SUCCESS
+        }
+        Err(e) => fail(EXIT_REFUSED, &e.to_string()),
+    }
+}
+
+fn status(args: &StatusArgs) -> ExitCode {
+    if args.admin.is_empty() {
+        return fail(EXIT_REFUSED, "status needs --admin with the address of a daemon");
+    }
+    let key = key_of(args.key.as_ref());
+    let reports: Vec<(String, Result<Value, String>)> = args
+        .admin
+        .iter()
+        .map(|admin| {
+            let report = call_admin(*admin, &key, "GET", "/status").map_err(|e| e.to_string());
+            (admin.to_string(), report)
+        })
+        .collect();
+    if args.json {
+        let by_admin: serde_json::Map<String, Value> = reports
+            .iter()
+            .map(|(admin, report)| {
+                let value = report.clone().unwrap_or_else(|cause| json!({ "error": cause }));
+                (admin.clone(), value)
+            })
+            .collect();
+        println!("{}", Value::Object(by_admin));
+    } else {
+        print!("{}", status_screen(&reports));
+    }
+    if reports.iter().all(|(_, report)| report.is_ok()) {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(EXIT_UNREACHABLE)
+    }
+}
+
+fn explain(args: &ExplainArgs) -> ExitCode {
+    let path = format!(
+        "/explain?customer={}&method={}&path={}&chat={}",
+        encode_query(&args.customer),
+        encode_query(&args.method),
+        encode_query(&args.path),
+        encode_query(&args.chat)
+    );
+    let report = match call_admin(args.admin, &key_of(args.key.as_ref()), "GET", &path) {
+        Ok(report) => report,
+        Err(e) => return fail(EXIT_UNREACHABLE, &e.to_string()),
+    };
+    if args.json {
+        println!("{report}");
+        return ExitCode::SUCCESS;
+    }
+    println!(
+        "rule {}, workload {}, non-idempotent {}",
+        report["rule"].as_str().unwrap_or("-"),
+        report["workload"].as_str().unwrap_or("-"),
+        report["non_idempotent"]
+    );
+    println!(
+        "chosen: {} ({})",
+        report["choice"].as_str().unwrap_or("-"),
+        report["reason"].as_str().unwrap_or("-")
+    );
+    for target in report["order"].as_array().into_iter().flatten() {
+        println!(
+            "  {:<24} {:<10} load {:.1}",
+            target["name"].as_str().unwrap_or("-"),
+            target["status"].as_str().unwrap_or("-"),
+            target["load"].as_f64().unwrap_or_default()
+        );
+    }
+    ExitCode::SUCCESS
+}
+
+fn drain(args: &DrainArgs) -> ExitCode {
+    match call_admin(args.admin, &key_of(args.key.as_ref()), "POST", "/drain") {
+        Ok(_) => {
+            println!("{}: draining", args.admin);
+            ExitCode::SUCCESS
+        }
+        Err(e) => fail(EXIT_UNREACHABLE, &e.to_string()),
+    }
+}
--- /dev/null
+++ b/ggt-measure/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/ggt-standin/src/engine/mod.rs
@@ -0,0 +1,215 @@
+//! A stand-in for a model engine: streams tokens and keeps a prefix cache.
+
+mod cache;
+mod stream;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use http::Response;
+use serde_json::json;
+use tokio::sync::mpsc;
+
+use ggt_core::routing::LoadReport;
+use ggt_wire::headers;
+
+use crate::engine::cache::PrefixCache;
+use crate::engine::stream::TokenStream;
+use crate::platform::pause;
+use crate::server::PlainBody;
+use crate::server::PlainRequest;
+use crate::server::PlainResponse;
+use crate::server::json;
+use crate::server::lock;
+use crate::server::serve;
+use crate::server::text;
+use crate::server::with_header;
+
+/// A body that holds this text crashes the engine.
+pub const CRASH_TEXT: &str = "CRASH-THE-ENGINE";
+/// Bytes of a prompt that make a token.
+const BYTES_FOR_EACH_TOKEN: usize = 4;
+/// Chunks that wait for a slow reader at most.
+const MAX_WAITING_CHUNKS: usize = 16;
+
+/// Settings of an engine.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineOptions {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// Tokens that its prefix cache holds.
+    pub cache_tokens: u64,
+    /// Milliseconds between tokens unless a request says otherwise.
+    pub gap_ms: u64,
+}
+
+struct EngineState {
+    options: EngineOptions,
+    cache: Mutex<PrefixCache>,
+    streams: Mutex<BTreeMap<String, Arc<TokenStream>>>,
+    started: AtomicU64,
+    finished: AtomicU64,
+    cancelled: AtomicU64,
+    resumed: AtomicU64,
+    wrong_echoes: AtomicU64,
+    is_leaving: AtomicBool,
+    hit_tokens: AtomicU64,
+    prompt_tokens: AtomicU64,
+}
+
+/// Runs an engine until the process ends.
+///
+/// # Errors
+/// The cause, when the address cannot be bound.
+pub async fn run_engine(options: EngineOptions) -> std::io::Result<()> {
+    let state = Arc::new(EngineState {
+        options,
+        cache: Mutex::new(PrefixCache::new(options.cache_tokens)),
+        streams: Mutex::default(),
+        started: AtomicU64::new(0),
+        finished: AtomicU64::new(0),
+        cancelled: AtomicU64::new(0),
+        resumed: AtomicU64::new(0),
+        wrong_echoes: AtomicU64::new(0),
+        is_leaving: AtomicBool::new(false),
+        hit_tokens: AtomicU64::new(0),
+        prompt_tokens: AtomicU64::new(0),
+    });
+    serve(options.address, move |request| {
+        let state = state.clone();
+        async move { answer(&state, request).await }
+    })
+    .await
+}
+
+async fn answer(state: &Arc<EngineState>, request: PlainRequest) -> PlainResponse {
+    let parts: Vec<&str> = request.path().trim_start_matches('/').split('/').collect();
+    match parts.as_slice() {
+        ["load"] => json(&json!({
+            "incarnation": state.options.incarnation,
+            "started_total": state.report().started_total,
+            "finished_total": state.report().finished_total,
+            "leaving": state.is_leaving.load(Ordering::SeqCst),
+        })),
+        ["resume", id] => {
+            state.resumed.fetch_add(1, Ordering::SeqCst);
+            let stream = lock(&state.streams).get(*id).cloned();
+            let from = usize::try_from(request.number("from", 0)).unwrap_or_default();
+            match stream {
+                Some(stream) => state.reply(&request, &stream, from, 0),
+                None => text(404, "no such request"),
+            }
+        }
+        ["cancel", id] => {
+            let stream = lock(&state.streams).get(*id).cloned();
+            if let Some(stream) = stream
+                && stream.cancel()
+            {
+                state.cancelled.fetch_add(1, Ordering::SeqCst);
+            }
+            text(200, "ok")
+        }
+        ["control", rest @ ..] => state.control(&request, rest),
+        _ => generate(state, request).await,
+    }
+}
+
+async fn generate(state: &Arc<EngineState>, request: PlainRequest) -> PlainResponse {
+    state.started.fetch_add(1, Ordering::SeqCst);
+    if String::from_utf8_lossy(&request.body).contains(CRASH_TEXT) {
+        std::process::exit(1);
+    }
+    let chat = request.header(headers::CHAT_ID).unwrap_or_default().to_owned();
+    let prompt = (request.body.len() / BYTES_FOR_EACH_TOKEN) as u64;
+    let cached = lock(&state.cache).take(&chat, prompt);
+    state.prompt_tokens.fetch_add(prompt, Ordering::SeqCst);
+    state.hit_tokens.fetch_add(cached, Ordering::SeqCst);
+    pause(request.number("first_ms", 0)).await;
+    let stream = TokenStream::new(&request.body);
+    let id = request.header(headers::REQUEST_ID).unwrap_or_default().to_owned();
+    lock(&state.streams).insert(id.clone(), stream.clone());
+    let tokens = request.number("tokens", 8);
+    let gap = request.number("gap_ms", state.options.gap_ms);
+    let holds_after = request.query("hold_after").and_then(|text| text.parse().ok());
+    let owner = state.clone();
+    let writer = stream.clone();
+    tokio::spawn(async move {
+        writer.write(tokens, gap, holds_after).await;
+        owner.finished.fetch_add(1, Ordering::SeqCst);
+    });
+    state.reply(&request, &stream, 0, cached)
+}
+
+impl EngineState {
+    fn report(&self) -> LoadReport {
+        let finished_total = self.finished.load(Ordering::SeqCst);
+        let started_total = self.started.load(Ordering::SeqCst).max(finished_total);
+        LoadReport { started_total, finished_total }
+    }
+
+    fn reply(
+        &self,
+        request: &PlainRequest,
+        stream: &Arc<TokenStream>,
+        from: usize,
+        cached: u64,
+    ) -> PlainResponse {
+        let (sender, receiver) = mpsc::channel(MAX_WAITING_CHUNKS);
+        tokio::spawn(stream.clone().read(from, sender));
+        let is_wrong = self
+            .wrong_echoes
+            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| left.checked_sub(1))
+            .is_ok();
+        let id = request.header(headers::REQUEST_ID).unwrap_or_default();
+        let echo = if is_wrong { "another-request" } else { id };
+        let mut response = Response::new(PlainBody::Streamed(receiver));
+        let pairs = [
+            ("content-type", "text/event-stream".to_owned()),
+            (headers::REQUEST_ID, echo.to_owned()),
+            (headers::INCARNATION, self.options.incarnation.to_string()),
+            (headers::LOAD, headers::format_load(&self.report())),
+            (headers::CACHED_TOKENS, cached.to_string()),
+        ];
+        for (name, value) in &pairs {
+            response = with_header(response, name, value);
+        }
+        if self.is_leaving.load(Ordering::SeqCst) {
+            response = with_header(response, headers::LEAVING, "1");
+        }
+        response
+    }
+
+    fn control(&self, request: &PlainRequest, rest: &[&str]) -> PlainResponse {
+        match rest {
+            ["die"] => std::process::exit(1),
+            ["leave"] => self.is_leaving.store(true, Ordering::SeqCst),
+            ["wrong-echo"] => self.wrong_echoes.store(request.number("count", 1), Ordering::SeqCst),
+            ["release", id] => {
+                let stream = lock(&self.streams).get(*id).cloned();
+                match stream {
+                    Some(stream) => stream.release(),
+                    None => return text(404, "no such request"),
+                }
+            }
+            ["stats"] => {
+                return json(&json!({
+                    "started": self.started.load(Ordering::SeqCst),
+                    "finished": self.finished.load(Ordering::SeqCst),
+                    "cancelled": self.cancelled.load(Ordering::SeqCst),
+                    "resumed": self.resumed.load(Ordering::SeqCst),
+                    "hit_tokens": self.hit_tokens.load(Ordering::SeqCst),
+                    "prompt_tokens": self.prompt_tokens.load(Ordering::SeqCst),
+                }));
+            }
+            _ => return text(404, "not found"),
+        }
+        text(200, "ok")
+    }
+}
--- /dev/null
+++ b/ggt-standin/src/platform/mod.rs
@@ -0,0 +1,234 @@
+//! A stand-in for the platform: publishes folders, and can be down, stalled or stale.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::future::pending;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout_at;
+
+use ggt_wire::platform::FolderKind;
+use ggt_wire::platform::PublishedFolder;
+
+use crate::server::PlainRequest;
+use crate::server::PlainResponse;
+use crate::server::json;
+use crate::server::lock;
+use crate::server::serve;
+use crate::server::text;
+
+/// Revisions kept, so that an old one can be served on order.
+const KEPT_REVISIONS: usize = 64;
+
+/// How the platform behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum PlatformMode {
+    /// It answers.
+    #[default]
+    Up,
+    /// It answers with errors.
+    Down,
+    /// It takes requests and never answers.
+    Stalled,
+    /// It serves what it had so many revisions ago.
+    Stale(usize),
+}
+
+#[derive(Debug, Default)]
+struct FolderHistory {
+    revisions: VecDeque<PublishedFolder>,
+}
+
+impl FolderHistory {
+    fn latest(&self) -> u64 {
+        self.revisions.back().map_or(0, |folder| folder.revision)
+    }
+
+    fn back(&self, steps: usize) -> PublishedFolder {
+        let newest = self.revisions.len().checked_sub(1 + steps);
+        newest.and_then(|at| self.revisions.get(at)).cloned().unwrap_or_default()
+    }
+}
+
+struct PlatformState {
+    folders: Mutex<BTreeMap<FolderKind, FolderHistory>>,
+    mode: Mutex<PlatformMode>,
+    calls: Mutex<BTreeMap<&'static str, u64>>,
+    changed: watch::Sender<u64>,
+}
+
+/// Reads the files of a folder.
+///
+/// # Errors
+/// The cause, when a file cannot be read.
+pub fn read_folder(folder: &Path) -> std::io::Result<BTreeMap<String, String>> {
+    let mut files = BTreeMap::new();
+    for entry in std::fs::read_dir(folder)? {
+        let path = entry?.path();
+        let is_json = path.extension().is_some_and(|extension| extension == "json");
+        if let Some(name) = path.file_name().and_then(|name| name.to_str()).filter(|_| is_json) {
+            files.insert(name.to_owned(), std::fs::read_to_string(&path)?);
+        }
+    }
+    Ok(files)
+}
+
+/// Runs the platform, publishing the two folders as revision 1 where they are given.
+///
+/// # Errors
+/// The cause, when the address cannot be bound or a folder cannot be read.
+pub async fn run_platform(
+    address: SocketAddr,
+    config: Option<&Path>,
+    hosts: Option<&Path>,
+) -> std::io::Result<()> {
+    let state = Arc::new(PlatformState {
+        folders: Mutex::default(),
+        mode: Mutex::default(),
+        calls: Mutex::default(),
+        changed: watch::Sender::new(0),
+    });
+    for (kind, folder) in [(FolderKind::Config, config), (FolderKind::Hosts, hosts)] {
+        if let Some(folder) = folder {
+            state.publish(kind, read_folder(folder)?, None);
+        }
+    }
+    serve(address, move |request| {
+        let state = state.clone();
+        async move { state.answer(&request).await }
+    })
+    .await
+}
+
+fn kind_of(name: &str) -> Option<FolderKind> {
+    FolderKind::ALL.into_iter().find(|kind| kind.as_str() == name)
+}
+
+impl PlatformState {
+    fn publish(
+        &self,
+        kind: FolderKind,
+        files: BTreeMap<String, String>,
+        revision: Option<u64>,
+    ) -> u64 {
+        let mut folders = lock(&self.folders);
+        let history = folders.entry(kind).or_default();
+        let revision = revision.unwrap_or(history.latest() + 1);
+        history.revisions.push_back(PublishedFolder { revision, files });
+        if history.revisions.len() > KEPT_REVISIONS {
+            history.revisions.pop_front();
+        }
+        drop(folders);
+        self.changed.send_modify(|count| *count += 1);
+        revision
+    }
+
+    async fn answer(&self, request: &PlainRequest) -> PlainResponse {
+        let parts: Vec<&str> = request.path().trim_start_matches('/').split('/').collect();
+        match parts.as_slice() {
+            ["control", rest @ ..] => self.control(request, rest),
+            ["v1", folder, rest @ ..] => {
+                let mode = *lock(&self.mode);
+                match mode {
+                    PlatformMode::Stalled => pending().await,
+                    PlatformMode::Down => text(503, "down"),
+                    PlatformMode::Up | PlatformMode::Stale(_) => match kind_of(folder) {
+                        Some(kind) => self.read(request, kind, rest).await,
+                        None => text(404, "no such folder"),
+                    },
+                }
+            }
+            _ => text(404, "not found"),
+        }
+    }
+
+    async fn read(&self, request: &PlainRequest, kind: FolderKind, rest: &[&str]) -> PlainResponse {
+        match rest {
+            ["manifest"] => {
+                let wait = request.number("wait_ms", 0);
+                self.count(if wait > 0 { "watch" } else { "look" });
+                let deadline = Instant::now() + Duration::from_millis(wait);
+                self.await_above(kind, request.number("after", 0), deadline).await;
+                json(&self.current(kind).manifest())
+            }
+            ["files", revision, name] => {
+                self.count("file");
+                let revision: u64 = revision.parse().unwrap_or_default();
+                let folders = lock(&self.folders);
+                let found = folders
+                    .get(&kind)
+                    .and_then(|history| history.revisions.iter().find(|x| x.revision == revision))
+                    .and_then(|folder| folder.files.get(*name));
+                found.map_or_else(|| text(404, "no such file"), |file| text(200, file.clone()))
+            }
+            _ => text(404, "not found"),
+        }
+    }
+
+    async fn await_above(&self, kind: FolderKind, after: u64, deadline: Instant) {
+        let mut changed = self.changed.subscribe();
+        while self.current(kind).revision <= after && Instant::now() < deadline {
+            if timeout_at(deadline, changed.changed()).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn current(&self, kind: FolderKind) -> PublishedFolder {
+        let steps = match *lock(&self.mode) {
+            PlatformMode::Stale(steps) => steps,
+            _ => 0,
+        };
+        lock(&self.folders).entry(kind).or_default().back(steps)
+    }
+
+    fn count(&self, call: &'static str) {
+        *lock(&self.calls).entry(call).or_default() += 1;
+    }
+
+    fn control(&self, request: &PlainRequest, rest: &[&str]) -> PlainResponse {
+        match rest {
+            ["publish", folder] => {
+                let files = serde_json::from_slice(&request.body);
+                match (kind_of(folder), files) {
+                    (Some(kind), Ok(files)) => {
+                        let given = request.query("revision").and_then(|text| text.parse().ok());
+                        json(&json!({ "revision": self.publish(kind, files, given) }))
+                    }
+                    _ => text(400, "needs a folder and a map of files"),
+                }
+            }
+            ["mode", mode] => {
+                let mode = match *mode {
+                    "up" => PlatformMode::Up,
+                    "down" => PlatformMode::Down,
+                    "stalled" => PlatformMode::Stalled,
+                    "stale" => PlatformMode::Stale(
+                        usize::try_from(request.number("steps", 1)).unwrap_or(1),
+                    ),
+                    _ => return text(400, "no such mode"),
+                };
+                *lock(&self.mode) = mode;
+                self.changed.send_modify(|count| *count += 1);
+                text(200, "ok")
+            }
+            ["counts"] => json(&*lock(&self.calls)),
+            _ => text(404, "not found"),
+        }
+    }
+}
+
+/// Waits for `millis`, for stand-ins that answer late.
+pub async fn pause(millis: u64) {
+    if millis > 0 {
+        sleep(Duration::from_millis(millis)).await;
+    }
+}
--- /dev/null
+++ b/ggt-standin/src/proxy/mod.rs
@@ -0,0 +1,201 @@
+//! A network that can refuse, cut, stall, delay and part: one process, any number of routes.
+//!
+//! Each route forwards TCP connections and UDP datagrams from one address to another. Datagrams
+//! keep no way back: daemons answer to the address that the roster names.
+
+mod pump;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+use crate::proxy::pump::pump;
+use crate::server::PlainRequest;
+use crate::server::PlainResponse;
+use crate::server::json;
+use crate::server::lock;
+use crate::server::serve;
+use crate::server::text;
+
+/// Largest datagram.
+const MAX_DATAGRAM_BYTES: usize = 65_536;
+
+/// What a route does to what passes.
+#[derive(Clone, Debug, Default)]
+pub struct FaultPlan {
+    /// New connections are closed at once and datagrams are lost.
+    pub refuse: bool,
+    /// Nothing moves, and connections stay open.
+    pub stall: bool,
+    /// Connections are cut after so many bytes towards the target.
+    pub cut_up: Option<u64>,
+    /// Connections are cut after so many bytes from the target.
+    pub cut_down: Option<u64>,
+    /// Each chunk and datagram is late by so many milliseconds.
+    pub delay_ms: u64,
+    /// Connections that the plan's cuts still apply to; all when absent.
+    pub cuts_left: Option<u64>,
+    /// Sources whose traffic is lost.
+    pub blocked: BTreeSet<IpAddr>,
+}
+
+/// One route.
+#[derive(Debug)]
+pub(crate) struct ProxyRoute {
+    to: SocketAddr,
+    plan: Mutex<FaultPlan>,
+    connections: Mutex<u64>,
+}
+
+impl ProxyRoute {
+    pub(crate) fn plan(&self) -> FaultPlan {
+        lock(&self.plan).clone()
+    }
+}
+
+type RouteTable = Arc<Mutex<BTreeMap<SocketAddr, Arc<ProxyRoute>>>>;
+
+/// Runs the proxy; routes are added by orders on `control`.
+///
+/// # Errors
+/// The cause, when the address cannot be bound.
+pub async fn run_proxy(control: SocketAddr) -> std::io::Result<()> {
+    let routes: RouteTable = Arc::default();
+    serve(control, move |request| {
+        let routes = routes.clone();
+        async move { answer(&routes, &request).await }
+    })
+    .await
+}
+
+async fn answer(routes: &RouteTable, request: &PlainRequest) -> PlainResponse {
+    let listen: Option<SocketAddr> = request.query("listen").and_then(|x| x.parse().ok());
+    let Some(listen) = listen else { return text(400, "listen is needed") };
+    let parts: Vec<&str> = request.path().trim_start_matches('/').split('/').collect();
+    if parts == ["control", "route"] {
+        let Some(to) = request.query("to").and_then(|x| x.parse().ok()) else {
+            return text(400, "to is needed");
+        };
+        return match add_route(routes, listen, to).await {
+            Ok(()) => text(200, "ok"),
+            Err(e) => text(500, e.to_string()),
+        };
+    }
+    let Some(route) = lock(routes).get(&listen).cloned() else {
+        return text(404, "no such route");
+    };
+    let mut plan = lock(&route.plan);
+    match parts.as_slice() {
+        ["control", "plan"] => {
+            let number = |name: &str| request.query(name).and_then(|x| x.parse().ok());
+            *plan = FaultPlan {
+                refuse: request.query("refuse").is_some(),
+                stall: request.query("stall").is_some(),
+                cut_up: number("cut_up"),
+                cut_down: number("cut_down"),
+                delay_ms: request.number("delay_ms", 0),
+                cuts_left: number("cuts"),
+                blocked: plan.blocked.clone(),
+            };
+        }
+        ["control", "block"] => {
+            let ip: Option<IpAddr> = request.query("ip").and_then(|x| x.parse().ok());
+            plan.blocked.extend(ip);
+        }
+        ["control", "unblock"] => plan.blocked.clear(),
+        ["control", "stats"] => {
+            return json(&json!({ "connections": *lock(&route.connections) }));
+        }
+        _ => return text(404, "not found"),
+    }
+    text(200, "ok")
+}
+
+async fn add_route(routes: &RouteTable, listen: SocketAddr, to: SocketAddr) -> std::io::Result<()> {
+    let listener = TcpListener::bind(listen).await?;
+    let socket = UdpSocket::bind(listen).await?;
+    let route = Arc::new(ProxyRoute { to, plan: Mutex::default(), connections: Mutex::default() });
+    lock(routes).insert(listen, route.clone());
+    tokio::spawn(forward_streams(route.clone(), listener));
+    tokio::spawn(forward_datagrams(route, socket));
+    Ok(())
+}
+
+async fn forward_streams(route: Arc<ProxyRoute>, listener: TcpListener) {
+    while let Ok((stream, peer)) = listener.accept().await {
+        let plan = route.plan();
+        if plan.refuse || plan.blocked.contains(&peer.ip()) {
+            continue;
+        }
+        *lock(&route.connections) += 1;
+        tokio::spawn(forward_stream(route.clone(), stream, peer));
+    }
+}
+
+async fn forward_stream(route: Arc<ProxyRoute>, near: TcpStream, peer: SocketAddr) {
+    let Ok(far) = connect_from(peer, route.to).await else { return };
+    // Small chunks must not wait for acknowledgements.
+    let _ = near.set_nodelay(true);
+    let _ = far.set_nodelay(true);
+    let is_cut = {
+        let mut plan = lock(&route.plan);
+        match &mut plan.cuts_left {
+            None => true,
+            Some(0) => false,
+            Some(left) => {
+                *left -= 1;
+                true
+            }
+        }
+    };
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    let up = pump(route.clone(), peer.ip(), near_read, far_write, is_cut, |plan| plan.cut_up);
+    let down = pump(route.clone(), peer.ip(), far_read, near_write, is_cut, |plan| plan.cut_down);
+    // Whichever side is cut first takes the other with it; a plain end lets the other finish.
+    let (mut up, mut down) = (tokio::spawn(up), tokio::spawn(down));
+    tokio::select! {
+        ended = &mut up => {
+            if matches!(ended, Ok(true)) { down.abort() } else { let _ = down.await; }
+        }
+        ended = &mut down => {
+            if matches!(ended, Ok(true)) { up.abort() } else { let _ = up.await; }
+        }
+    }
+}
+
+/// Connects with the peer's own IP address where that is possible, so that the far side sees who
+/// it is.
+async fn connect_from(peer: SocketAddr, to: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = if to.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.bind(SocketAddr::new(peer.ip(), 0))?;
+    socket.connect(to).await
+}
+
+async fn forward_datagrams(route: Arc<ProxyRoute>, socket: UdpSocket) {
+    let socket = Arc::new(socket);
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    while let Ok((length, peer)) = socket.recv_from(&mut buffer).await {
+        let plan = route.plan();
+        if plan.refuse || plan.stall || plan.blocked.contains(&peer.ip()) {
+            continue;
+        }
+        let (bytes, socket, to) = (buffer[..length].to_vec(), socket.clone(), route.to);
+        tokio::spawn(async move {
+            sleep(Duration::from_millis(plan.delay_ms)).await;
+            // A datagram that cannot be sent is lost, as on any network.
+            let _ = socket.send_to(&bytes, to).await;
+        });
+    }
+}
--- /dev/null
+++ b/ggt-standin/src/server/mod.rs
@@ -0,0 +1,149 @@
+//! A small HTTP server for stand-ins.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::request::Parts;
+use http_body_util::BodyExt;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+/// Locks a mutex whose data stays usable after a panic of another thread.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A request whose body has been read.
+pub struct PlainRequest {
+    /// The head.
+    pub parts: Parts,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl PlainRequest {
+    /// The path without its query.
+    pub fn path(&self) -> &str {
+        self.parts.uri.path()
+    }
+
+    /// A value of the query.
+    pub fn query(&self, name: &str) -> Option<&str> {
+        let pairs = self.parts.uri.query()?.split('&');
+        pairs.filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name).map(|x| x.1)
+    }
+
+    /// A number of the query, or `otherwise`.
+    pub fn number(&self, name: &str, otherwise: u64) -> u64 {
+        self.query(name).and_then(|text| text.parse().ok()).unwrap_or(otherwise)
+    }
+
+    /// A header's value as text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.parts.headers.get(name).and_then(|value| value.to_str().ok())
+    }
+}
+
+/// Body of a reply: whole or streamed.
+pub enum PlainBody {
+    /// The whole body.
+    Whole(Option<Bytes>),
+    /// Chunks as they come.
+    Streamed(mpsc::Receiver<Bytes>),
+}
+
+impl Body for PlainBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Streamed(chunks) => {
+                chunks.poll_recv(context).map(|chunk| chunk.map(|bytes| Ok(Frame::data(bytes))))
+            }
+        }
+    }
+}
+
+/// A reply.
+pub type PlainResponse = Response<PlainBody>;
+
+/// A reply with a text body.
+pub fn text(status: u16, body: impl Into<Bytes>) -> PlainResponse {
+    let bytes: Bytes = body.into();
+    let length = bytes.len().to_string();
+    let mut response = Response::new(PlainBody::Whole(Some(bytes)));
+    *response.status_mut() = http::StatusCode::from_u16(status).unwrap_or_default();
+    with_header(response, "content-length", &length)
+}
+
+/// A reply with a JSON body.
+pub fn json<T>(body: &T) -> PlainResponse
+where
+    T: Serialize,
+{
+    let text_body = serde_json::to_string(body).unwrap_or_default();
+    with_header(text(200, text_body), "content-type", "application/json")
+}
+
+/// Adds a header to a reply.
+pub fn with_header(mut response: PlainResponse, name: &str, value: &str) -> PlainResponse {
+    let name = HeaderName::from_bytes(name.as_bytes());
+    if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
+        response.headers_mut().insert(name, value);
+    }
+    response
+}
+
+/// Serves `handle` on `address` until the process ends, and says on standard output that it does.
+///
+/// # Errors
+/// The cause, when the address cannot be bound.
+pub async fn serve<H, F>(address: SocketAddr, handle: H) -> std::io::Result<()>
+where
+    H: Fn(PlainRequest) -> F + Send + Sync + 'static,
+    F: Future<Output = PlainResponse> + Send + 'static,
+{
+    let listener = TcpListener::bind(address).await?;
+    println!("listening {}", listener.local_addr()?);
+    let handle = Arc::new(handle);
+    loop {
+        let (stream, _) = listener.accept().await?;
+        stream.set_nodelay(true)?;
+        let handle = handle.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
+            let handle = handle.clone();
+            async move {
+                let (parts, body) = request.into_parts();
+                // A request that is cut before its end does not run.
+                let body = body.collect().await?.to_bytes();
+                Ok::<_, hyper::Error>(handle(PlainRequest { parts, body }).await)
+            }
+        });
+        tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+    }
+}
--- /dev/null
+++ b/ggt-standin/src/service/mod.rs
@@ -0,0 +1,124 @@
+//! A stand-in for a plain service: counts how often each key truly ran.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use serde_json::json;
+use tokio::sync::watch;
+
+use ggt_core::ident::stable_hash;
+use ggt_core::routing::LoadReport;
+use ggt_wire::headers;
+
+use crate::platform::pause;
+use crate::server::PlainRequest;
+use crate::server::PlainResponse;
+use crate::server::json;
+use crate::server::lock;
+use crate::server::serve;
+use crate::server::text;
+use crate::server::with_header;
+
+struct ServiceState {
+    incarnation: u64,
+    runs: Mutex<BTreeMap<String, u64>>,
+    started: AtomicU64,
+    finished: AtomicU64,
+    is_leaving: AtomicBool,
+    is_held: watch::Sender<bool>,
+    wrong_echoes: AtomicU64,
+}
+
+/// Runs a service until the process ends.
+///
+/// # Errors
+/// The cause, when the address cannot be bound.
+pub async fn run_service(address: SocketAddr, incarnation: u64) -> std::io::Result<()> {
+    let state = Arc::new(ServiceState {
+        incarnation,
+        runs: Mutex::default(),
+        started: AtomicU64::new(0),
+        finished: AtomicU64::new(0),
+        is_leaving: AtomicBool::new(false),
+        is_held: watch::Sender::new(false),
+        wrong_echoes: AtomicU64::new(0),
+    });
+    serve(address, move |request| {
+        let state = state.clone();
+        async move { state.answer(&request).await }
+    })
+    .await
+}
+
+impl ServiceState {
+    async fn answer(self: Arc<Self>, request: &PlainRequest) -> PlainResponse {
+        let parts: Vec<&str> = request.path().trim_start_matches('/').split('/').collect();
+        match parts.as_slice() {
+            ["load"] => json(&json!({
+                "incarnation": self.incarnation,
+                "started_total": self.report().started_total,
+                "finished_total": self.report().finished_total,
+                "leaving": self.is_leaving.load(Ordering::SeqCst),
+            })),
+            ["cancel", _] => text(200, "ok"),
+            ["control", rest @ ..] => self.control(request, rest),
+            _ => self.run(request).await,
+        }
+    }
+
+    async fn run(&self, request: &PlainRequest) -> PlainResponse {
+        self.started.fetch_add(1, Ordering::SeqCst);
+        pause(request.number("before_ms", 0)).await;
+        let key = request.header(headers::IDEMPOTENCY_KEY).unwrap_or("-").to_owned();
+        let run = {
+            let mut runs = lock(&self.runs);
+            let count = runs.entry(key.clone()).or_default();
+            *count += 1;
+            *count
+        };
+        let mut held = self.is_held.subscribe();
+        // The sender lives as long as the service.
+        let _ = held.wait_for(|is_held| !is_held).await;
+        pause(request.number("after_ms", 0)).await;
+        self.finished.fetch_add(1, Ordering::SeqCst);
+        let receipt = stable_hash(&request.body);
+        let answer = json(&json!({ "receipt": format!("{receipt:016x}"), "run": run, "key": key }));
+        let id = request.header(headers::REQUEST_ID).unwrap_or_default();
+        let is_wrong = self
+            .wrong_echoes
+            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| left.checked_sub(1))
+            .is_ok();
+        let answer =
+            with_header(answer, headers::REQUEST_ID, if is_wrong { "another" } else { id });
+        let answer = with_header(answer, headers::LOAD, &headers::format_load(&self.report()));
+        with_header(answer, headers::INCARNATION, &self.incarnation.to_string())
+    }
+
+    fn report(&self) -> LoadReport {
+        let finished_total = self.finished.load(Ordering::SeqCst);
+        let started_total = self.started.load(Ordering::SeqCst).max(finished_total);
+        LoadReport { started_total, finished_total }
+    }
+
+    fn control(&self, request: &PlainRequest, rest: &[&str]) -> PlainResponse {
+        match rest {
+            ["die"] => std::process::exit(1),
+            ["leave"] => self.is_leaving.store(true, Ordering::SeqCst),
+            ["hold"] => {
+                self.is_held.send_replace(true);
+            }
+            ["release"] => {
+                self.is_held.send_replace(false);
+            }
+            ["wrong-echo"] => self.wrong_echoes.store(request.number("count", 1), Ordering::SeqCst),
+            ["runs"] => return json(&*lock(&self.runs)),
+            _ => return text(404, "not found"),
+        }
+        text(200, "ok")
+    }
+}
--- /dev/null
+++ b/ggt-testkit/src/fleet.rs
@@ -0,0 +1,350 @@
+//! A fleet of real processes.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+use serde_json::Value;
+use uuid::Uuid;
+
+use crate::address::LoopbackNet;
+use crate::layout::DaemonPlace;
+use crate::layout::FleetOptions;
+use crate::layout::TargetPlace;
+use crate::layout::bearer_of;
+use crate::layout::config_files;
+use crate::layout::host_files;
+use crate::layout::settings_of;
+use crate::process::ChildProcess;
+use crate::process::arg;
+use crate::wait::wait_until;
+use crate::web::WebReply;
+use crate::web::WebRequest;
+
+const PLATFORM_HOST: u8 = 2;
+const PROXY_HOST: u8 = 3;
+const FIRST_DAEMON_HOST: u8 = 10;
+const FIRST_TARGET_HOST: u8 = 100;
+
+static NEXT_FOLDER: AtomicU32 = AtomicU32::new(0);
+
+/// A fleet of real processes; they all end when it is dropped.
+#[derive(Debug)]
+pub struct TestFleet {
+    /// What it consists of.
+    pub options: FleetOptions,
+    /// Its daemons.
+    pub daemons: Vec<DaemonPlace>,
+    /// Its targets.
+    pub targets: Vec<TargetPlace>,
+    /// The platform's address.
+    pub platform: SocketAddr,
+    /// The address that gives the faulty network its orders.
+    pub proxy: SocketAddr,
+    daemon_processes: Vec<Option<ChildProcess>>,
+    target_processes: Vec<Option<ChildProcess>>,
+    _infrastructure: Vec<ChildProcess>,
+    folder: PathBuf,
+}
+
+impl TestFleet {
+    /// Starts everything and waits until each daemon takes requests and may grant claims.
+    pub fn start(options: FleetOptions) -> Self {
+        let mut fleet = Self::prepare(options);
+        (0..fleet.targets.len()).for_each(|index| fleet.start_target(index));
+        fleet.publish_hosts();
+        fleet.publish_config();
+        (0..fleet.daemons.len()).for_each(|index| fleet.start_daemon(index));
+        (0..fleet.daemons.len()).for_each(|index| fleet.await_ready(index));
+        fleet
+    }
+
+    /// Starts the platform and the network only.
+    ///
+    /// # Panics
+    /// When the folder for its files cannot be made.
+    pub fn prepare(options: FleetOptions) -> Self {
+        let net = LoopbackNet::allocate();
+        let number = NEXT_FOLDER.fetch_add(1, Ordering::SeqCst);
+        let folder = std::env::temp_dir().join(format!("ggt-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder for the fleet's files");
+        let platform = net.port(PLATFORM_HOST);
+        let proxy = net.port(PROXY_HOST);
+        let infrastructure = vec![
+            ChildProcess::standin(&["platform", "--listen", &arg(platform)]),
+            ChildProcess::standin(&["proxy", "--control", &arg(proxy)]),
+        ];
+        let mut fleet = Self {
+            daemons: Vec::new(),
+            targets: Vec::new(),
+            platform,
+            proxy,
+            daemon_processes: Vec::new(),
+            target_processes: Vec::new(),
+            _infrastructure: infrastructure,
+            folder,
+            options,
+        };
+        fleet.place_daemons(net);
+        fleet.place_targets(net);
+        fleet
+    }
+
+    fn place_daemons(&mut self, net: LoopbackNet) {
+        let mut host = FIRST_DAEMON_HOST;
+        for (centre, count) in self.options.centres.clone() {
+            for number in 1..=count {
+                let peer = net.port(host);
+                let platform = self.platform;
+                let place = DaemonPlace {
+                    name: format!("{centre}-{number}"),
+                    centre: centre.to_owned(),
+                    callers: net.port(host),
+                    peer,
+                    public_peer: self.route_to(net, peer),
+                    admin: net.port(host),
+                    platform: self.route_to(net, platform),
+                };
+                self.daemons.push(place);
+                self.daemon_processes.push(None);
+                host += 1;
+            }
+        }
+    }
+
+    fn place_targets(&mut self, net: LoopbackNet) {
+        let mut host = FIRST_TARGET_HOST;
+        let kinds = [("engine", "intake"), ("service", "filings")];
+        for (centre, _) in self.options.centres.clone() {
+            for (kind, workload) in kinds {
+                let count =
+                    if kind == "engine" { self.options.engines } else { self.options.services };
+                for number in 1..=count {
+                    let address = net.port(host);
+                    self.targets.push(TargetPlace {
+                        name: format!("{centre}-{kind}-{number}"),
+                        centre: centre.to_owned(),
+                        workload,
+                        address,
+                        public_address: self.route_to(net, address),
+                        incarnation: 1,
+                        capacity: self.options.capacity,
+                        leaving: false,
+                    });
+                    self.target_processes.push(None);
+                    host += 1;
+                }
+            }
+        }
+    }
+
+    /// The address by which others reach `to`: a route of the faulty network, where there is one.
+    fn route_to(&self, net: LoopbackNet, to: SocketAddr) -> SocketAddr {
+        if !self.options.proxied {
+            return to;
+        }
+        let listen = net.port(PROXY_HOST);
+        self.order_proxy(&format!("/control/route?listen={listen}&to={to}"));
+        listen
+    }
+
+    /// Gives the faulty network an order.
+    ///
+    /// # Panics
+    /// When it does not take the order.
+    pub fn order_proxy(&self, path: &str) {
+        let reply = WebRequest::new("POST", self.proxy, path).send().expect("the network answers");
+        assert_eq!(reply.status, 200, "{path}: {}", reply.body);
+    }
+
+    /// Changes what the network does on the way to a public address; an empty plan heals it.
+    pub fn set_plan(&self, public: SocketAddr, plan: &str) {
+        self.order_proxy(&format!("/control/plan?listen={public}&{plan}"));
+    }
+
+    /// Parts two groups of daemons from each other, in both directions.
+    pub fn part(&self, left: &[usize], right: &[usize]) {
+        for (from, to) in
+            left.iter().flat_map(|a| right.iter().flat_map(move |b| [(*a, *b), (*b, *a)]))
+        {
+            let (ip, public) = (self.daemons[from].peer.ip(), self.daemons[to].public_peer);
+            self.order_proxy(&format!("/control/block?listen={public}&ip={ip}"));
+        }
+    }
+
+    /// Heals all parts between daemons.
+    pub fn heal(&self) {
+        for daemon in &self.daemons {
+            self.order_proxy(&format!("/control/unblock?listen={}", daemon.public_peer));
+        }
+    }
+
+    /// Publishes the configuration; returns its revision.
+    pub fn publish_config(&self) -> u64 {
+        self.publish("config", &config_files(&self.daemons, &self.options.config), None)
+    }
+
+    /// Publishes the host list; returns its version.
+    pub fn publish_hosts(&self) -> u64 {
+        self.publish("hosts", &host_files(&self.targets), None)
+    }
+
+    /// Publishes files, at a given revision or at the next one.
+    ///
+    /// # Panics
+    /// When the platform does not take them.
+    pub fn publish(
+        &self,
+        folder: &str,
+        files: &BTreeMap<String, String>,
+        revision: Option<u64>,
+    ) -> u64 {
+        let query = revision.map_or_else(String::new, |revision| format!("?revision={revision}"));
+        let path = format!("/control/publish/{folder}{query}");
+        let body = serde_json::to_string(files).expect("files as JSON");
+        let reply = WebRequest::new("POST", self.platform, &path).body(&body).send();
+        reply.and_then(|reply| reply.json()["revision"].as_u64()).expect("a revision")
+    }
+
+    /// Tells the platform how to behave.
+    pub fn set_platform(&self, mode: &str) {
+        let path = format!("/control/mode/{mode}");
+        WebRequest::new("POST", self.platform, &path).send();
+    }
+
+    /// Starts a target, or starts it anew.
+    pub fn start_target(&mut self, index: usize) {
+        let place = &self.targets[index];
+        let kind = if place.workload == "intake" { "engine" } else { "service" };
+        let (listen, incarnation) = (arg(place.address), place.incarnation.to_string());
+        let args = [kind, "--listen", &listen, "--incarnation", &incarnation];
+        self.target_processes[index] = Some(ChildProcess::standin(&args));
+    }
+
+    /// The process of a target.
+    ///
+    /// # Panics
+    /// When it has not been started.
+    pub fn target_process(&mut self, index: usize) -> &mut ChildProcess {
+        self.target_processes[index].as_mut().expect("a started target")
+    }
+
+    /// Starts a daemon, or starts it anew with an empty memory.
+    ///
+    /// # Panics
+    /// When its settings cannot be written.
+    pub fn start_daemon(&mut self, index: usize) {
+        let place = &self.daemons[index];
+        let seeds: Vec<SocketAddr> = self
+            .daemons
+            .iter()
+            .filter(|other| self.options.seeded && other.name != place.name)
+            .map(|other| other.public_peer)
+            .collect();
+        let log_file = self.folder.join(format!("{}.log", place.name));
+        let log_file = log_file.display().to_string();
+        let settings = settings_of(place, &seeds, &log_file, &self.options.settings);
+        let file = self.folder.join(format!("{}.json", place.name));
+        std::fs::write(&file, settings.to_string()).expect("a settings file");
+        self.daemon_processes[index] = Some(ChildProcess::daemon(&file));
+    }
+
+    /// The process of a daemon.
+    ///
+    /// # Panics
+    /// When it has not been started.
+    pub fn daemon_process(&mut self, index: usize) -> &mut ChildProcess {
+        self.daemon_processes[index].as_mut().expect("a started daemon")
+    }
+
+    /// Waits until a daemon takes requests and has heard the epochs of all others.
+    pub fn await_ready(&self, index: usize) {
+        let name = &self.daemons[index].name;
+        wait_until(&format!("{name} is ready"), || {
+            self.status(index).is_some_and(|status| {
+                status["ready"] == true && status["unheard_peers"].as_u64() == Some(0)
+            })
+        });
+        // Claims are granted to keys minted later than the readiness by twice the clock error.
+        std::thread::sleep(std::time::Duration::from_millis(50));
+    }
+
+    /// A daemon's status report, unless it does not answer.
+    pub fn status(&self, index: usize) -> Option<Value> {
+        let reply = WebRequest::new("GET", self.daemons[index].admin, "/status")
+            .bearer("operator-key")
+            .send()?;
+        (reply.status == 200).then(|| reply.json())
+    }
+
+    /// Waits until a daemon's status fulfils a condition.
+    pub fn await_status<F>(&self, what: &str, index: usize, condition: F)
+    where
+        F: Fn(&Value) -> bool,
+    {
+        let name = &self.daemons[index].name;
+        wait_until(&format!("{name}: {what}"), || {
+            self.status(index).is_some_and(|status| condition(&status))
+        });
+    }
+
+    /// A daemon's log.
+    pub fn log(&self, index: usize) -> String {
+        let file = self.folder.join(format!("{}.log", self.daemons[index].name));
+        std::fs::read_to_string(file).unwrap_or_default()
+    }
+
+    /// A request to a daemon as a customer.
+    pub fn request(&self, index: usize, method: &str, path: &str) -> WebRequest {
+        let address = self.daemons[index].callers;
+        WebRequest::new(method, address, path).bearer(&bearer_of("contabil"))
+    }
+
+    /// Submits a filing under a key.
+    pub fn submit(&self, index: usize, key: &str, body: &str) -> Option<WebReply> {
+        self.request(index, "POST", "/filings").header("idempotency-key", key).body(body).send()
+    }
+
+    /// How often each key truly ran, over all services.
+    pub fn runs(&self) -> BTreeMap<String, u64> {
+        let mut runs = BTreeMap::new();
+        for target in self.targets.iter().filter(|target| target.workload == "filings") {
+            let reply = WebRequest::new("GET", target.address, "/control/runs").send();
+            let counts: BTreeMap<String, u64> =
+                reply.and_then(|reply| serde_json::from_str(&reply.body).ok()).unwrap_or_default();
+            for (key, count) in counts {
+                *runs.entry(key).or_default() += count;
+            }
+        }
+        runs
+    }
+
+    /// Gives a target an order.
+    pub fn order_target(&self, index: usize, order: &str) -> Option<WebReply> {
+        let path = format!("/control/{order}");
+        WebRequest::new("POST", self.targets[index].address, &path).send()
+    }
+
+    /// Indices of the targets of a workload.
+    pub fn targets_of(&self, workload: &str) -> Vec<usize> {
+        (0..self.targets.len()).filter(|at| self.targets[*at].workload == workload).collect()
+    }
+}
+
+impl Drop for TestFleet {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("the fleet's logs are in {}", self.folder.display());
+            return;
+        }
+        // A folder that stays behind does no harm.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// A fresh idempotency key, minted now.
+pub fn mint_key() -> String {
+    Uuid::now_v7().to_string()
+}
--- /dev/null
+++ b/ggt-testkit/src/lib.rs
@@ -0,0 +1,11 @@
+//! Starts fleets of real processes on loopback, for tests and for the quick start.
+
+#![forbid(unsafe_code)]
+#![deny(missing_docs, rust_2018_idioms)]
+
+pub mod address;
+pub mod fleet;
+pub mod layout;
+pub mod process;
+pub mod wait;
+pub mod web;
--- /dev/null
+++ b/ggt-testkit/src/web.rs
@@ -0,0 +1,131 @@
+//! A small HTTP client for tests.
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde_json::Value;
+use ureq::Agent;
+use ureq::http::Request;
+
+/// A request hangs no longer than this; nothing is measured by it.
+const LONGEST_CALL: Duration = Duration::from_secs(120);
+
+/// A request under construction.
+#[derive(Clone, Debug)]
+pub struct WebRequest {
+    method: String,
+    address: SocketAddr,
+    path: String,
+    headers: Vec<(String, String)>,
+    body: String,
+}
+
+/// A reply.
+#[derive(Clone, Debug)]
+pub struct WebReply {
+    /// The status.
+    pub status: u16,
+    /// The headers, with names in lower case.
+    pub headers: Vec<(String, String)>,
+    /// The body as far as it came.
+    pub body: String,
+    /// Whether the body came whole.
+    pub is_whole: bool,
+}
+
+impl WebRequest {
+    /// A request to `address`.
+    pub fn new(method: &str, address: SocketAddr, path: &str) -> Self {
+        Self {
+            method: method.to_owned(),
+            address,
+            path: path.to_owned(),
+            headers: Vec::new(),
+            body: String::new(),
+        }
+    }
+
+    /// Adds a header.
+    pub fn header(mut self, name: &str, value: &str) -> Self {
+        self.headers.push((name.to_owned(), value.to_owned()));
+        self
+    }
+
+    /// Adds a bearer key.
+    pub fn bearer(self, key: &str) -> Self {
+        self.header("authorization", &format!("Bearer {key}"))
+    }
+
+    /// Sets the body.
+    pub fn body(mut self, body: &str) -> Self {
+        body.clone_into(&mut self.body);
+        self
+    }
+
+    /// Sends the request on a connection of its own; `None` when no reply's head came.
+    pub fn send(&self) -> Option<WebReply> {
+        self.send_on(&fresh_agent())
+    }
+
+    /// Sends the request with `agent`, which may keep connections open.
+    pub fn send_on(&self, agent: &Agent) -> Option<WebReply> {
+        let (reply, mut reader) = self.open_on(agent)?;
+        let mut bytes = Vec::new();
+        let is_whole = reader.read_to_end(&mut bytes).is_ok();
+        Some(WebReply { body: String::from_utf8_lossy(&bytes).into_owned(), is_whole, ..reply })
+    }
+
+    /// Sends the request and returns the head with a reader of the body.
+    pub fn open(&self) -> Option<(WebReply, impl Read + use<>)> {
+        self.open_on(&fresh_agent())
+    }
+
+    fn open_on(&self, agent: &Agent) -> Option<(WebReply, impl Read + use<>)> {
+        let uri = format!("http://{}{}", self.address, self.path);
+        let mut builder = Request::builder().method(self.method.as_str()).uri(uri);
+        for (name, value) in &self.headers {
+            builder = builder.header(name, value);
+        }
+        let response = agent.run(builder.body(self.body.as_bytes().to_vec()).ok()?).ok()?;
+        let (parts, body) = response.into_parts();
+        let headers = parts.headers.iter().map(|(name, value)| {
+            (name.as_str().to_owned(), value.to_str().unwrap_or_default().to_owned())
+        });
+        let reply = WebReply {
+            status: parts.status.as_u16(),
+            headers: headers.collect(),
+            body: String::new(),
+            is_whole: false,
+        };
+        Some((reply, body.into_reader()))
+    }
+}
+
+impl WebReply {
+    /// A header's value.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(key, _)| key == name).map(|(_, value)| value.as_str())
+    }
+
+    /// The verdict header.
+    pub fn verdict(&self) -> &str {
+        self.header("x-run-verdict").unwrap_or_default()
+    }
+
+    /// The body as JSON, `null` when it is not.
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).unwrap_or_default()
+    }
+}
+
+/// An agent without open connections.
+pub fn fresh_agent() -> Agent {
+    Agent::config_builder()
+        .http_status_as_error(false)
+        .max_redirects(0)
+        .proxy(None)
+        .timeout_global(Some(LONGEST_CALL))
+        .build()
+        .new_agent()
+}
