fix: a lightly loaded workload is never called full

Cause: the bound compared fractions, so with n targets at an equal load below 4 every one of them was over 1.25 x mean, and requests were refused although all targets were nearly idle. Seen by real processes: of 96 calm requests 10 were refused, and a shutdown test counted 1,011 refusals. Ruled out: fair shares (utilisation 0.1) and the retry budget (no retry in the log).

Change: load and bound are compared in whole requests, which always leaves one target within the bound; a retry whose remaining targets are all over it takes the least loaded.

--- a/ggt-core/src/routing/choice.rs
+++ b/ggt-core/src/routing/choice.rs
@@ -55,6 +55,15 @@
     pub bound: f64,
 }
 
+impl ChosenTarget {
+    /// Whether one more request keeps the target within its bound, both in whole requests.
+    ///
+    /// With fractions the bound would shut out every target of a lightly loaded workload.
+    pub(super) fn is_within_bound(&self) -> bool {
+        self.load.floor() + 1.0 <= self.bound.ceil()
+    }
+}
+
 /// Why no target was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 pub enum RouteRefusal {
--- a/ggt-core/src/routing/table.rs
+++ b/ggt-core/src/routing/table.rs
@@ -429,27 +429,32 @@
         }
         let mut home: Option<(f64, TargetKey)> = None;
         let mut best: Option<(f64, ChosenTarget)> = None;
+        let mut least: Option<(f64, ChosenTarget)> = None;
         for (key, entry) in self.ready(query.workload, now) {
             if query.tried.contains(&key) {
                 continue;
             }
-            let weight = f64::from(entry.host.capacity);
-            let score = rendezvous_score(query.chat_hash, entry.hash, weight);
+            let capacity = f64::from(entry.host.capacity);
+            let score = rendezvous_score(query.chat_hash, entry.hash, capacity);
             if home.is_none_or(|(top, _)| score > top) {
                 home = Some((score, key));
             }
-            if best.as_ref().is_some_and(|(top, _)| score <= *top) {
-                continue;
-            }
             let load = entry.load.value(options.peer_scale);
-            let bound = bound_of(entry);
-            if load + 1.0 <= bound {
-                let reason = ChoiceReason::Spill;
-                best = Some((score, ChosenTarget { key, reason, load, bound }));
+            let chosen =
+                ChosenTarget { key, reason: ChoiceReason::Spill, load, bound: bound_of(entry) };
+            if chosen.is_within_bound() {
+                if best.is_none_or(|(top, _)| score > top) {
+                    best = Some((score, chosen));
+                }
+            } else if load + 1.0 <= capacity * options.full_ratio
+                && least.is_none_or(|(bottom, _)| load / capacity < bottom)
+            {
+                least = Some((load / capacity, chosen));
             }
         }
         let Some((_, home)) = home else { return Err(RouteRefusal::NoTarget) };
-        let (_, mut chosen) = best.ok_or(RouteRefusal::Full)?;
+        // Some target is always within the bound unless it is full or has been tried before.
+        let (_, mut chosen) = best.or(least).ok_or(RouteRefusal::Full)?;
         if chosen.key == home {
             chosen.reason = ChoiceReason::Home;
         }
@@ -476,7 +481,7 @@
         let load = entry.load.value(options.peer_scale);
         let bound = bound_of(entry);
         let chosen = ChosenTarget { key, reason: ChoiceReason::Hint, load, bound };
-        (is_usable && load + 1.0 <= bound).then_some(chosen)
+        (is_usable && chosen.is_within_bound()).then_some(chosen)
     }
 
     fn ready(
