fix: a refusal at the edge does not say not-run for a key that may have run

Cause: a daemon without configuration answered 503 not-run to a resend, while the first attempt had run through another daemon. The verdict was true of the request and false of its key. Seen by the test that restarts daemons in the middle of an action: the key was answered not-run and had run once.

Change: a refusal before the holders were asked says unknown when the request bears an idempotency key, except where no accepted request can have borne it (401, 404, 413, malformed key).

--- a/ggt-daemon/src/edge/intake.rs
+++ b/ggt-daemon/src/edge/intake.rs
@@ -6,6 +6,12 @@
 use http::request::Parts;
 use snafu::Snafu;
 
+use crate::clock::mono_now;
+use crate::clock::wall_now;
+use crate::flow::Refusal;
+use crate::flow::RequestJob;
+use crate::state::ForceConfig;
+use crate::state::SharedState;
 use ggt_core::claims::KeyError;
 use ggt_core::claims::parse_key;
 use ggt_core::ident::CustomerName;
@@ -17,13 +23,6 @@
 use ggt_wire::hint::decode_hint;
 use ggt_wire::seal::key_digest;
 
-use crate::clock::mono_now;
-use crate::clock::wall_now;
-use crate::flow::Refusal;
-use crate::flow::RequestJob;
-use crate::state::ForceConfig;
-use crate::state::SharedState;
-
 /// Longest chat id or request id in bytes.
 const MAX_ID_BYTES: usize = 256;
 
--- a/ggt-daemon/src/edge/listen.rs
+++ b/ggt-daemon/src/edge/listen.rs
@@ -32,8 +32,6 @@
 use tokio::runtime::Handle;
 use tokio::sync::watch;
 
-use ggt_wire::headers;
-
 use crate::edge::IntakeError;
 use crate::edge::intake::caller_request_id;
 use crate::edge::intake::check_request;
@@ -47,6 +45,8 @@
 use crate::flow::reply_channel;
 use crate::logging::quoted;
 use crate::state::SharedState;
+use ggt_core::verdict::RunVerdict;
+use ggt_wire::headers;
 
 /// Longest time that a caller may take to send a request's head.
 const HEAD_WAIT: Duration = Duration::from_secs(30);
@@ -188,7 +188,23 @@
     let (parts, body) = request.into_parts();
     match begin(context, number, &request_id, &parts, body).await {
         Ok(response) => closing(state, response),
-        Err(refusal) => closing(state, refuse(state, &request_id, &parts, &refusal)),
+        Err(refusal) => {
+            let refusal = judge_refusal(&parts, refusal);
+            closing(state, refuse(state, &request_id, &parts, &refusal))
+        }
+    }
+}
+
+/// A refusal at the edge speaks of this request only; an earlier one with the same idempotency
+/// key may have run, which only the key's holders can rule out.
+fn judge_refusal(parts: &Parts, refusal: Refusal) -> Refusal {
+    let is_keyed = parts.headers.contains_key(headers::IDEMPOTENCY_KEY);
+    // A resend of what ran would have passed these checks.
+    let is_bad_input = matches!(refusal.status, 401 | 404 | 413)
+        || matches!(refusal.cause, "malformed-key" | "missing-key");
+    match is_keyed && !is_bad_input {
+        true => Refusal { verdict: RunVerdict::Unknown, ..refusal },
+        false => refusal,
     }
 }
 
