feat: deaths of targets are told to all daemons at once

Cause: news of a crashing request travelled with the ordinary gossip, so a resend through another daemon found it unaware: with a limit of 3 targets all 8 engines of a test fleet died of one request sent 8 times. Change: the daemon that sees the death sends a datagram to each peer of its data centre and to two of each other one before it answers its caller, and who hears it from abroad passes it on.

--- a/ggt-core/src/membership/peers.rs
+++ b/ggt-core/src/membership/peers.rs
@@ -22,6 +22,9 @@
 /// Every so many periods a dead peer is pinged again, so that a healed partition is noticed.
 const DEAD_PEER_EVERY: u64 = 4;
 
+/// Peers of each other data centre that hear of urgent news at once.
+const ANNOUNCED_ABROAD: usize = 2;
+
 new_key_type! {
     /// Identifies one peer in a [`PeerTable`].
     pub struct PeerKey;
@@ -305,6 +308,21 @@
         actions
     }
 
+    /// Pings two peers of each other data centre at once.
+    pub fn announce_abroad(&self) -> Vec<PeerAction> {
+        let mut actions = Vec::new();
+        let mut told: BTreeMap<CentreName, usize> = BTreeMap::new();
+        for key in self.candidates(false, false) {
+            let Some(peer) = self.peers.get(key) else { continue };
+            let count = told.entry(peer.centre.clone()).or_default();
+            *count += 1;
+            if *count <= ANNOUNCED_ABROAD {
+                self.send_to(key, PeerMessage::Ping { round: u64::MAX }, &mut actions);
+            }
+        }
+        actions
+    }
+
     /// Forgets open pings, as after a pause in which answers may have been missed.
     pub fn forgive_pings(&mut self, now: MonoTime) {
         self.open_ping = None;
@@ -422,9 +440,8 @@
     }
 
     fn pick_peer(&self, own_centre: bool, wants_dead: bool) -> Option<PeerKey> {
-        let dead = wants_dead.then(|| self.candidates(own_centre, true)).unwrap_or_default();
-        let first = dead.first().copied();
-        first.or_else(|| self.candidates(own_centre, false).first().copied())
+        let first = |dead: bool| self.candidates(own_centre, dead).first().copied();
+        if wants_dead { first(true).or_else(|| first(false)) } else { first(false) }
     }
 
     fn send(&self, to: &DaemonName, message: PeerMessage, actions: &mut Vec<PeerAction>) {
--- /dev/null
+++ b/ggt-core/tests/claim_world/mod.rs
@@ -0,0 +1,525 @@
+//! Daemons, a network and a service, driven step by step by a list of numbers.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use ggt_core::claims::ActionKey;
+use ggt_core::claims::ActionOutcome;
+use ggt_core::claims::AttemptId;
+use ggt_core::claims::ClaimDecision;
+use ggt_core::claims::ClaimHolder;
+use ggt_core::claims::ClaimReply;
+use ggt_core::claims::ClaimRequest;
+use ggt_core::claims::HolderOptions;
+use ggt_core::claims::HolderSet;
+use ggt_core::claims::SealDecision;
+use ggt_core::claims::SettleRequest;
+use ggt_core::claims::StoredReply;
+use ggt_core::claims::holders_of;
+use ggt_core::claims::tally_claims;
+use ggt_core::claims::tally_seals;
+use ggt_core::clock::WallTime;
+use ggt_core::config::DaemonSection;
+use ggt_core::config::RosterSection;
+use ggt_core::ident::CustomerName;
+use ggt_core::ident::DaemonName;
+
+const FIRST_DAEMONS: usize = 6;
+const MAX_DAEMONS: usize = 10;
+const CLOCK_ERROR_MS: u64 = 50;
+const RESEND_WINDOW_MS: u64 = 5_000;
+const START_MS: u64 = 1_000_000;
+const KEY_SLOTS: usize = 4;
+
+/// A rule that is broken on purpose, to see that the checks notice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BrokenRule {
+    /// None.
+    Nothing,
+    /// A restarted holder grants as if it had never forgotten anything.
+    ForgetfulHolder,
+    /// One grant is taken for a majority.
+    MajorityOfOne,
+    /// A new roster is used without waiting for the holders of the old one.
+    HastyRoster,
+    /// An attempt that gives up answers `not-run` without a majority of seals.
+    UnsealedNotRun,
+}
+
+#[derive(Clone, Debug)]
+enum Message {
+    Claim { attempt: usize, to: usize },
+    ClaimReply { attempt: usize, from: usize, reply: ClaimReply },
+    Seal { attempt: usize, to: usize },
+    SealReply { attempt: usize, from: usize, reply: ClaimReply },
+    Settle { request: SettleRequest, to: usize },
+    AskEpoch { from: usize, to: usize, life: u64 },
+    TellEpoch { from: usize, to: usize, life: u64, epoch: u64 },
+    Action { attempt: usize },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Claiming,
+    Won,
+    Sent,
+    Sealing,
+    Over,
+}
+
+#[derive(Clone, Debug)]
+struct Attempt {
+    daemon: usize,
+    life: u64,
+    request: ClaimRequest,
+    holders: HolderSet,
+    claims: BTreeMap<usize, ClaimReply>,
+    seals: BTreeMap<usize, ClaimReply>,
+    phase: Phase,
+}
+
+struct Daemon {
+    name: DaemonName,
+    holder: ClaimHolder,
+    life: u64,
+    epoch: u64,
+    clock_ahead: u64,
+}
+
+/// What happened over a run.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    /// Keys that ran more than once.
+    pub doubled: usize,
+    /// Keys that ran although they were answered `not-run`.
+    pub false_not_run: usize,
+    /// Actions that ran.
+    pub ran: usize,
+    /// Attempts made.
+    pub attempts: usize,
+    /// Keys answered `not-run`.
+    pub not_run: usize,
+}
+
+/// The world.
+pub struct ClaimWorld {
+    broken: BrokenRule,
+    now_ms: u64,
+    daemons: Vec<Daemon>,
+    rosters: Vec<RosterSection>,
+    network: Vec<Message>,
+    cut: BTreeSet<(usize, usize)>,
+    attempts: Vec<Attempt>,
+    keys: Vec<ActionKey>,
+    runs: BTreeMap<ActionKey, usize>,
+    not_run: BTreeSet<ActionKey>,
+}
+
+fn options() -> HolderOptions {
+    HolderOptions {
+        resend_window_ms: RESEND_WINDOW_MS,
+        max_clock_error_ms: CLOCK_ERROR_MS,
+        max_claims: 1_000,
+        max_reply_bytes: 10_000,
+    }
+}
+
+fn daemon_name(index: usize) -> DaemonName {
+    DaemonName::from(format!("d{index}").as_str())
+}
+
+impl ClaimWorld {
+    /// A world of six daemons in three data centres.
+    pub fn new(broken: BrokenRule) -> Self {
+        let mut world = Self {
+            broken,
+            now_ms: START_MS,
+            daemons: Vec::new(),
+            rosters: vec![RosterSection { epoch: 0, daemons: BTreeMap::new() }],
+            network: Vec::new(),
+            cut: BTreeSet::new(),
+            attempts: Vec::new(),
+            keys: Vec::new(),
+            runs: BTreeMap::new(),
+            not_run: BTreeSet::new(),
+        };
+        for index in 0..FIRST_DAEMONS {
+            world.add_daemon(index, 0);
+        }
+        for asker in 0..FIRST_DAEMONS {
+            for told in 0..FIRST_DAEMONS {
+                let (name, now) = (daemon_name(told), WallTime::from_millis(START_MS));
+                world.daemons[asker].holder.note_epoch(&name, 0, now);
+            }
+        }
+        world.now_ms += 3 * CLOCK_ERROR_MS;
+        world
+    }
+
+    /// Takes all steps, then lets all that was delayed arrive, and counts.
+    pub fn run(mut self, steps: &[u32]) -> Outcome {
+        steps.iter().for_each(|step| self.step(*step));
+        self.cut.clear();
+        while let Some(message) = self.network.pop() {
+            self.deliver(message);
+        }
+        Outcome {
+            doubled: self.runs.values().filter(|runs| **runs > 1).count(),
+            false_not_run: self.not_run.iter().filter(|key| self.runs.contains_key(key)).count(),
+            ran: self.runs.len(),
+            attempts: self.attempts.len(),
+            not_run: self.not_run.len(),
+        }
+    }
+
+    fn add_daemon(&mut self, index: usize, added: u64) {
+        let name = daemon_name(index);
+        let centre = ["a", "b", "c"][index % 3];
+        let section = DaemonSection {
+            data_centre: centre.into(),
+            peer: SocketAddr::from(([127, 0, 0, 1], 1_000 + u16::try_from(index).unwrap_or(0))),
+            added,
+            removed: None,
+        };
+        if let Some(roster) = self.rosters.last_mut() {
+            roster.daemons.insert(name.clone(), section);
+        }
+        self.daemons.push(Daemon {
+            holder: ClaimHolder::new(name.clone(), WallTime::from_millis(self.now_ms)),
+            name,
+            life: 0,
+            epoch: added,
+            clock_ahead: (index as u64 * 17) % CLOCK_ERROR_MS,
+        });
+    }
+
+    fn clock(&self, daemon: usize) -> WallTime {
+        WallTime::from_millis(self.now_ms + self.daemons[daemon].clock_ahead)
+    }
+
+    fn step(&mut self, word: u32) {
+        let pick = (word >> 8) as usize;
+        match word % 64 {
+            0..=31 => (0..4).for_each(|turn| self.deliver_one(pick.rotate_right(turn * 5))),
+            32..=37 => self.begin_attempt(pick),
+            38..=49 => self.decide(pick),
+            50..=51 => self.now_ms += 2 * CLOCK_ERROR_MS + (pick % 100) as u64,
+            52 => self.now_ms += (pick % 30) as u64,
+            53 => self.lose_one(pick),
+            54 => self.repeat_one(pick),
+            55 => self.restart(pick),
+            56 => self.change_roster(pick),
+            57..=58 => self.learn_roster(pick),
+            59 => self.cut_some(pick),
+            60..=62 => self.cut.clear(),
+            _ => self.ask_epochs(pick),
+        }
+    }
+
+    fn ends(&self, message: &Message) -> Option<(usize, usize)> {
+        match message {
+            Message::Claim { attempt, to } | Message::Seal { attempt, to } => {
+                Some((self.attempts[*attempt].daemon, *to))
+            }
+            Message::ClaimReply { attempt, from, .. }
+            | Message::SealReply { attempt, from, .. } => {
+                Some((*from, self.attempts[*attempt].daemon))
+            }
+            Message::AskEpoch { from, to, .. } | Message::TellEpoch { from, to, .. } => {
+                Some((*from, *to))
+            }
+            Message::Settle { .. } | Message::Action { .. } => None,
+        }
+    }
+
+    fn deliver_one(&mut self, pick: usize) {
+        if self.network.is_empty() {
+            return;
+        }
+        let at = pick % self.network.len();
+        let is_cut = self.ends(&self.network[at]).is_some_and(|ends| self.cut.contains(&ends));
+        if !is_cut {
+            let message = self.network.swap_remove(at);
+            self.deliver(message);
+        }
+    }
+
+    fn lose_one(&mut self, pick: usize) {
+        if !self.network.is_empty() {
+            self.network.swap_remove(pick % self.network.len());
+        }
+    }
+
+    fn repeat_one(&mut self, pick: usize) {
+        if self.network.is_empty() {
+            return;
+        }
+        let message = self.network[pick % self.network.len()].clone();
+        // A request to a target travels once: its connection is never used again.
+        if !matches!(message, Message::Action { .. }) {
+            self.network.push(message);
+        }
+    }
+
+    fn deliver(&mut self, message: Message) {
+        match message {
+            Message::Claim { attempt, to } => {
+                let reply = self.ask(attempt, to, false);
+                self.network.push(Message::ClaimReply { attempt, from: to, reply });
+            }
+            Message::Seal { attempt, to } => {
+                let reply = self.ask(attempt, to, true);
+                self.network.push(Message::SealReply { attempt, from: to, reply });
+            }
+            Message::ClaimReply { attempt, from, reply } => {
+                self.attempts[attempt].claims.insert(from, reply);
+            }
+            Message::SealReply { attempt, from, reply } => {
+                self.attempts[attempt].seals.insert(from, reply);
+            }
+            Message::Settle { request, to } => {
+                self.daemons[to].holder.settle(request, &options());
+            }
+            Message::AskEpoch { from, to, life } => {
+                let epoch = self.daemons[to].epoch;
+                self.network.push(Message::TellEpoch { from: to, to: from, life, epoch });
+            }
+            Message::TellEpoch { from, to, life, epoch } => {
+                let (name, now) = (self.daemons[from].name.clone(), self.clock(to));
+                let daemon = &mut self.daemons[to];
+                // An answer belongs to the connection of the life that asked.
+                if daemon.life == life {
+                    daemon.holder.note_epoch(&name, epoch, now);
+                }
+            }
+            Message::Action { attempt } => self.run_action(attempt),
+        }
+    }
+
+    fn ask(&mut self, attempt: usize, to: usize, is_seal: bool) -> ClaimReply {
+        let now = self.clock(to);
+        let request = self.attempts[attempt].request.clone();
+        let daemon = &mut self.daemons[to];
+        let roster = &self.rosters[usize::try_from(daemon.epoch).unwrap_or_default()];
+        match is_seal {
+            true => daemon.holder.seal(&request, roster, &options(), now),
+            false => daemon.holder.claim(&request, roster, &options(), now),
+        }
+    }
+
+    fn run_action(&mut self, attempt: usize) {
+        let made = &self.attempts[attempt];
+        let (request, holders) = (made.request.clone(), made.holders.clone());
+        *self.runs.entry(request.key.clone()).or_default() += 1;
+        let reply = StoredReply { status: 200, content_type: None, body: None };
+        for to in self.indices(&holders) {
+            let request = SettleRequest {
+                key: request.key.clone(),
+                attempt: request.attempt.clone(),
+                outcome: ActionOutcome::Ran(reply.clone()),
+            };
+            self.network.push(Message::Settle { request, to });
+        }
+    }
+
+    fn indices(&self, holders: &HolderSet) -> Vec<usize> {
+        let index = |name: &DaemonName| self.daemons.iter().position(|x| x.name == *name);
+        holders.names().iter().filter_map(index).collect()
+    }
+
+    fn key(&mut self, pick: usize) -> Option<ActionKey> {
+        let slot = pick % KEY_SLOTS;
+        if slot == 0 || self.keys.is_empty() {
+            // A caller's clock may be ahead or behind by the clock error.
+            let minted = self.now_ms + (pick as u64 / 7) % CLOCK_ERROR_MS;
+            let key = ActionKey {
+                customer: CustomerName::from("c"),
+                text: format!("k{}", self.keys.len()),
+                minted_at: Some(WallTime::from_millis(minted)),
+            };
+            self.keys.push(key);
+        }
+        let recent = self.keys.len().saturating_sub(slot.max(1));
+        self.keys.get(recent).cloned()
+    }
+
+    fn begin_attempt(&mut self, pick: usize) {
+        let daemon = pick % self.daemons.len();
+        let Some(key) = self.key(pick / 16) else { return };
+        let now = self.clock(daemon);
+        if key.minted_at.is_some_and(|at| at + RESEND_WINDOW_MS < now) {
+            return;
+        }
+        let maker = &self.daemons[daemon];
+        let roster = &self.rosters[usize::try_from(maker.epoch).unwrap_or_default()];
+        let holders = holders_of(roster, roster.epoch, key.hash());
+        let attempt = self.attempts.len();
+        let id = AttemptId {
+            daemon: maker.name.clone(),
+            incarnation: maker.life,
+            number: attempt as u64,
+        };
+        let request = ClaimRequest { key, content_hash: 1, attempt: id, epoch: maker.epoch };
+        for to in self.indices(&holders) {
+            self.network.push(Message::Claim { attempt, to });
+        }
+        self.attempts.push(Attempt {
+            daemon,
+            life: self.daemons[daemon].life,
+            request,
+            holders,
+            claims: BTreeMap::new(),
+            seals: BTreeMap::new(),
+            phase: Phase::Claiming,
+        });
+    }
+
+    /// Lets one attempt take its next decision, early or late.
+    fn decide(&mut self, pick: usize) {
+        if self.attempts.is_empty() {
+            return;
+        }
+        let recent = self.attempts.len().min(6);
+        let at = self.attempts.len() - 1 - pick % recent;
+        let attempt = self.attempts[at].clone();
+        if self.daemons[attempt.daemon].life != attempt.life {
+            return;
+        }
+        match attempt.phase {
+            Phase::Claiming => self.decide_claim(at, &attempt),
+            Phase::Won if pick.is_multiple_of(5) => {
+                self.not_run.insert(attempt.request.key);
+                self.attempts[at].phase = Phase::Over;
+            }
+            Phase::Won => {
+                self.attempts[at].phase = Phase::Sent;
+                self.network.push(Message::Action { attempt: at });
+            }
+            Phase::Sealing => {
+                let replies: Vec<ClaimReply> = attempt.seals.values().cloned().collect();
+                let is_not_run = tally_seals(&attempt.holders, &replies) == SealDecision::NotRun
+                    || self.broken == BrokenRule::UnsealedNotRun;
+                if is_not_run {
+                    self.not_run.insert(attempt.request.key);
+                    self.attempts[at].phase = Phase::Over;
+                }
+            }
+            Phase::Sent | Phase::Over => (),
+        }
+    }
+
+    fn decide_claim(&mut self, at: usize, attempt: &Attempt) {
+        let replies: Vec<ClaimReply> = attempt.claims.values().cloned().collect();
+        let is_won = match self.broken {
+            BrokenRule::MajorityOfOne => replies.contains(&ClaimReply::Granted),
+            _ => tally_claims(&attempt.holders, &replies) == ClaimDecision::Won,
+        };
+        if is_won {
+            self.attempts[at].phase = Phase::Won;
+        } else if !replies.is_empty() {
+            self.attempts[at].phase = Phase::Sealing;
+            for to in self.indices(&attempt.holders) {
+                self.network.push(Message::Seal { attempt: at, to });
+            }
+        }
+    }
+
+    fn restart(&mut self, pick: usize) {
+        let index = pick % self.daemons.len();
+        let now = self.clock(index);
+        let latest = self.rosters.len() as u64 - 1;
+        let name = self.daemons[index].name.clone();
+        // It may come back on any configuration that still lists it, be it older than before.
+        let epoch = match pick.is_multiple_of(3) {
+            true => latest,
+            false => self.daemons[index].epoch.saturating_sub((pick / 3) as u64 % 2),
+        };
+        let is_listed =
+            self.rosters[usize::try_from(epoch).unwrap_or_default()].daemons.contains_key(&name);
+        let forgets = self.broken == BrokenRule::ForgetfulHolder;
+        let started_at = if forgets { WallTime::default() } else { now };
+        let daemon = &mut self.daemons[index];
+        daemon.holder = ClaimHolder::new(name, started_at);
+        daemon.life += 1;
+        daemon.epoch = if is_listed { epoch } else { daemon.epoch };
+        if forgets {
+            for told in 0..self.daemons.len() {
+                self.daemons[index].holder.note_epoch(&daemon_name(told), 0, WallTime::default());
+            }
+        }
+        self.note_own_epoch(index);
+    }
+
+    fn note_own_epoch(&mut self, index: usize) {
+        self.ask_epochs(index);
+        let (now, epoch) = (self.clock(index), self.daemons[index].epoch);
+        let name = self.daemons[index].name.clone();
+        self.daemons[index].holder.note_epoch(&name, epoch, now);
+        if self.broken == BrokenRule::HastyRoster {
+            for told in 0..self.daemons.len() {
+                let name = daemon_name(told);
+                self.daemons[index].holder.note_epoch(&name, epoch, WallTime::default());
+            }
+        }
+    }
+
+    fn change_roster(&mut self, pick: usize) {
+        let Some(mut roster) = self.rosters.last().cloned() else { return };
+        if self.rosters.len() > 6 {
+            return;
+        }
+        roster.epoch += 1;
+        let epoch = roster.epoch;
+        if pick.is_multiple_of(2) && self.daemons.len() < MAX_DAEMONS {
+            self.rosters.push(roster);
+            let index = self.daemons.len();
+            self.add_daemon(index, epoch);
+            self.note_own_epoch(index);
+            return;
+        }
+        let living: Vec<DaemonName> = roster
+            .daemons
+            .iter()
+            .filter(|(_, daemon)| daemon.removed.is_none() && daemon.added < epoch)
+            .map(|(name, _)| name.clone())
+            .collect();
+        if living.len() <= 3 {
+            return;
+        }
+        if let Some(daemon) = roster.daemons.get_mut(&living[pick / 2 % living.len()]) {
+            daemon.removed = Some(epoch);
+        }
+        self.rosters.push(roster);
+    }
+
+    fn learn_roster(&mut self, pick: usize) {
+        let index = pick % self.daemons.len();
+        let latest = self.rosters.len() as u64 - 1;
+        if self.daemons[index].epoch < latest {
+            let missed = latest - self.daemons[index].epoch;
+            self.daemons[index].epoch += 1 + (pick / 16) as u64 % missed;
+            self.note_own_epoch(index);
+        }
+    }
+
+    fn cut_some(&mut self, pick: usize) {
+        let centre = pick % 3;
+        for inside in (0..self.daemons.len()).filter(|x| x % 3 == centre) {
+            for outside in (0..self.daemons.len()).filter(|x| x % 3 != centre) {
+                self.cut.insert((inside, outside));
+                if !pick.is_multiple_of(4) {
+                    self.cut.insert((outside, inside));
+                }
+            }
+        }
+    }
+
+    fn ask_epochs(&mut self, pick: usize) {
+        let from = pick % self.daemons.len();
+        let life = self.daemons[from].life;
+        for to in (0..self.daemons.len()).filter(|to| *to != from) {
+            self.network.push(Message::AskEpoch { from, to, life });
+        }
+    }
+}
--- a/ggt-daemon/src/admin/explain.rs
+++ b/ggt-daemon/src/admin/explain.rs
@@ -3,16 +3,15 @@
 use serde::Serialize;
 use snafu::Snafu;
 
+use crate::clock::mono_now;
+use crate::state::SharedState;
+use crate::state::lock;
 use ggt_core::ident::CustomerName;
 use ggt_core::ident::mix_hash;
 use ggt_core::ident::stable_hash;
 use ggt_core::routing::RouteQuery;
 use ggt_core::routing::rendezvous_score;
 
-use crate::clock::mono_now;
-use crate::state::SharedState;
-use crate::state::lock;
-
 /// Why there is nothing to explain.
 #[derive(Debug, Snafu)]
 pub enum ExplainError {
--- a/ggt-daemon/src/admin/report.rs
+++ b/ggt-daemon/src/admin/report.rs
@@ -4,14 +4,13 @@
 
 use serde::Serialize;
 
-use ggt_core::claims::HolderStats;
-use ggt_wire::platform::FolderKind;
-
 use crate::clock::mono_now;
 use crate::metrics::TrafficFigure;
 use crate::peers::peers_to_ask;
 use crate::state::SharedState;
 use crate::state::lock;
+use ggt_core::claims::HolderStats;
+use ggt_wire::platform::FolderKind;
 
 /// What is in force on one daemon and what it sees.
 #[derive(Clone, Debug, Serialize)]
--- a/ggt-daemon/src/daemon.rs
+++ b/ggt-daemon/src/daemon.rs
@@ -18,8 +18,6 @@
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
 
-use ggt_wire::platform::FolderKind;
-
 use crate::admin::serve_admin;
 use crate::clock::mono_now;
 use crate::edge::EdgeContext;
@@ -41,6 +39,7 @@
 use crate::sync::run_fetching;
 use crate::sync::run_watching;
 use crate::upstream::simple_call;
+use ggt_wire::platform::FolderKind;
 
 /// Threads of the runtime that carries connections.
 const RUNTIME_THREADS: usize = 2;
@@ -107,9 +106,8 @@
     let (fetch_hints, fetch_receiver) = bounded(MAX_FETCH_HINTS);
     let (drains, drain_receiver) = bounded(1);
     let (cancels, cancel_receiver) = bounded(MAX_CANCELS);
-    let state = Arc::new(SharedState::new(settings, DaemonMetrics::new()?, fetch_hints));
+    let state = Arc::new(SharedState::new(settings, DaemonMetrics::new()?, fetch_hints, socket));
     let links = Arc::new(PeerLinks::new(state.clone()));
-    let socket = Arc::new(socket);
     log::info!(
         "event=start data_centre={} incarnation={} callers={} peer={} admin={}",
         state.settings.data_centre,
@@ -118,7 +116,7 @@
         state.settings.peer,
         state.settings.admin,
     );
-    start_threads(&state, &links, &runtime, &socket, fetch_receiver, cancel_receiver);
+    start_threads(&state, &links, &runtime, fetch_receiver, cancel_receiver);
     runtime.spawn(serve_admin(state.clone(), admin, drains.clone()));
     start_signals(drains);
     let edge = start_edge(&state, &links, &runtime, cancels, callers);
@@ -130,7 +128,7 @@
     });
     // Without a sender left there is no way to stop but a signal, which ends the process.
     let _ = drain_receiver.recv();
-    let outcome = stop(&state, &edge, &socket);
+    let outcome = stop(&state, &edge);
     runtime.shutdown_timeout(DRAIN_STEP);
     Ok(outcome)
 }
@@ -147,12 +145,11 @@
     state: &Arc<SharedState>,
     links: &Arc<PeerLinks>,
     runtime: &Runtime,
-    socket: &Arc<UdpSocket>,
     fetch_hints: Receiver<crate::state::FetchHint>,
     cancels: Receiver<CancelTicket>,
 ) {
     let handle = runtime.handle().clone();
-    spawn("gossip", (state.clone(), socket.clone()), |(state, socket)| run_gossip(&state, &socket));
+    spawn("gossip", state.clone(), |state| run_gossip(&state));
     spawn(
         "fetch",
         (state.clone(), links.clone(), handle.clone()),
@@ -237,12 +234,12 @@
 ///
 /// First the daemon only announces that it leaves and still takes requests, since the balancer
 /// and the callers hear of it late. Then it closes its listener, and at last its idle connections.
-fn stop(state: &SharedState, edge: &EdgeHandle, socket: &UdpSocket) -> StopOutcome {
+fn stop(state: &SharedState, edge: &EdgeHandle) -> StopOutcome {
     let timing = &state.settings.timing;
     let announced_until = mono_now() + timing.drain_announce_ms;
     let deadline = mono_now() + timing.drain_ms;
     state.drain.start();
-    announce_departure(state, socket);
+    announce_departure(state);
     log::info!("event=draining in_flight={}", state.drain.count());
     while mono_now() < announced_until {
         thread::sleep(DRAIN_STEP);
--- a/ggt-daemon/src/flow/action.rs
+++ b/ggt-daemon/src/flow/action.rs
@@ -6,6 +6,23 @@
 
 use http::HeaderMap;
 
+use crate::clock::mono_now;
+use crate::flow::Refusal;
+use crate::flow::ReplyHead;
+use crate::flow::ReplySink;
+use crate::flow::RequestJob;
+use crate::flow::exchange;
+use crate::flow::exchange::AttemptTarget;
+use crate::flow::exchange::put;
+use crate::flow::worker::WorkContext;
+use crate::peers::LinkError;
+use crate::peers::answer_claim;
+use crate::peers::answer_seal;
+use crate::peers::answer_settle;
+use crate::state::ForceConfig;
+use crate::state::lock;
+use crate::upstream::CallFailure;
+use crate::upstream::TargetReply;
 use ggt_core::claims::ActionKey;
 use ggt_core::claims::ActionOutcome;
 use ggt_core::claims::ClaimDecision;
@@ -26,24 +43,6 @@
 use ggt_wire::headers;
 use ggt_wire::rpc;
 
-use crate::clock::mono_now;
-use crate::flow::Refusal;
-use crate::flow::ReplyHead;
-use crate::flow::ReplySink;
-use crate::flow::RequestJob;
-use crate::flow::exchange;
-use crate::flow::exchange::AttemptTarget;
-use crate::flow::exchange::put;
-use crate::flow::worker::WorkContext;
-use crate::peers::LinkError;
-use crate::peers::answer_claim;
-use crate::peers::answer_seal;
-use crate::peers::answer_settle;
-use crate::state::ForceConfig;
-use crate::state::lock;
-use crate::upstream::CallFailure;
-use crate::upstream::TargetReply;
-
 /// Targets that an action is offered to while no byte of it has left.
 const MAX_TARGETS: usize = 3;
 /// Largest reply body that is kept with the claim.
--- a/ggt-daemon/src/flow/exchange.rs
+++ b/ggt-daemon/src/flow/exchange.rs
@@ -8,17 +8,6 @@
 use http::HeaderValue;
 use http::header;
 
-use ggt_core::blame::DeathMark;
-use ggt_core::clock::MonoTime;
-use ggt_core::ident::TargetName;
-use ggt_core::routing::RouteQuery;
-use ggt_core::routing::RouteRefusal;
-use ggt_core::routing::TargetKey;
-use ggt_core::verdict::RunVerdict;
-use ggt_wire::headers;
-use ggt_wire::hint::ChatHint;
-use ggt_wire::hint::encode_hint;
-
 use crate::clock::mono_now;
 use crate::clock::until;
 use crate::flow::Refusal;
@@ -26,7 +15,7 @@
 use crate::flow::ReplySink;
 use crate::flow::RequestJob;
 use crate::logging::quoted;
-use crate::peers::note_crash;
+use crate::peers::spread_crash;
 use crate::probes::note_leaving;
 use crate::probes::probe;
 use crate::state::ForceConfig;
@@ -37,6 +26,16 @@
 use crate::upstream::CallOptions;
 use crate::upstream::TargetReply;
 use crate::upstream::call_target;
+use ggt_core::blame::DeathMark;
+use ggt_core::clock::MonoTime;
+use ggt_core::ident::TargetName;
+use ggt_core::routing::RouteQuery;
+use ggt_core::routing::RouteRefusal;
+use ggt_core::routing::TargetKey;
+use ggt_core::verdict::RunVerdict;
+use ggt_wire::headers;
+use ggt_wire::hint::ChatHint;
+use ggt_wire::hint::encode_hint;
 
 /// Milliseconds between looks at whether facts are fresh again after a pause.
 const REFRESH_STEP: Duration = Duration::from_millis(20);
@@ -216,9 +215,7 @@
     if was_sent && is_dead {
         let death = DeathMark::of(target.hash, target.incarnation);
         let print = job.print();
-        note_crash(state, print, death);
-        let item = ggt_core::membership::GossipItem::Crash { print, death };
-        lock(&state.gossip).spread(item);
+        spread_crash(state, print, death);
         log::warn!(
             "event=crash request_id={} target={} incarnation={} print={:016x}",
             job.request_id,
--- a/ggt-daemon/src/flow/repeatable.rs
+++ b/ggt-daemon/src/flow/repeatable.rs
@@ -6,10 +6,6 @@
 use http::HeaderMap;
 use http::Method;
 
-use ggt_core::retries::FailedAttempt;
-use ggt_core::routing::TargetKey;
-use ggt_core::verdict::RunVerdict;
-
 use crate::clock::mono_now;
 use crate::flow::Refusal;
 use crate::flow::ReplySink;
@@ -23,6 +19,9 @@
 use crate::state::lock;
 use crate::upstream::CallFailure;
 use crate::upstream::TargetReply;
+use ggt_core::retries::FailedAttempt;
+use ggt_core::routing::TargetKey;
+use ggt_core::verdict::RunVerdict;
 
 /// Bytes read from a target at once.
 const CHUNK_BYTES: usize = 16 * 1024;
--- a/ggt-daemon/src/flow/sink.rs
+++ b/ggt-daemon/src/flow/sink.rs
@@ -20,10 +20,9 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use ggt_core::clock::MonoTime;
-
 use crate::clock::until;
 use crate::state::lock;
+use ggt_core::clock::MonoTime;
 
 /// Chunks that wait for a slow caller at most.
 const MAX_WAITING_CHUNKS: usize = 16;
--- a/ggt-daemon/src/peers/gossip.rs
+++ b/ggt-daemon/src/peers/gossip.rs
@@ -1,11 +1,17 @@
 //! The thread that pings peers and spreads news by datagrams.
 
 use std::net::SocketAddr;
-use std::net::UdpSocket;
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::clock::mono_now;
+use crate::clock::wall_now;
+use crate::metrics::TrafficKind;
+use crate::state::FetchHint;
+use crate::state::SharedState;
+use crate::state::lock;
 use ggt_core::blame::DeathMark;
+use ggt_core::blame::RequestPrint;
 use ggt_core::ident::TargetName;
 use ggt_core::membership::GossipItem;
 use ggt_core::membership::PeerAction;
@@ -21,13 +27,6 @@
 use ggt_wire::platform::FolderKind;
 use ggt_wire::seal::TAG_BYTES;
 
-use crate::clock::mono_now;
-use crate::clock::wall_now;
-use crate::metrics::TrafficKind;
-use crate::state::FetchHint;
-use crate::state::SharedState;
-use crate::state::lock;
-
 /// Longest wait for a datagram between ticks.
 const TICK_WAIT: Duration = Duration::from_millis(50);
 /// Bytes of a datagram's head, message and tag at most.
@@ -36,28 +35,28 @@
 const ANNOUNCED_PEERS: usize = 2;
 
 /// Pings peers and spreads news for as long as the process lives.
-pub fn run_gossip(state: &Arc<SharedState>, socket: &UdpSocket) {
+pub fn run_gossip(state: &Arc<SharedState>) {
     // A socket without a timeout would only tick when a datagram comes.
-    let _ = socket.set_read_timeout(Some(TICK_WAIT));
+    let _ = state.socket.set_read_timeout(Some(TICK_WAIT));
     let mut buffer = [0_u8; 2 * MAX_DATAGRAM_BYTES];
     let mut announced = (0, 0);
     loop {
-        if let Ok((length, _)) = socket.recv_from(&mut buffer) {
-            take_datagram(state, socket, &buffer[..length]);
+        if let Ok((length, _)) = state.socket.recv_from(&mut buffer) {
+            take_datagram(state, &buffer[..length]);
         }
         note_pause(state);
-        tick(state, socket);
-        announce_revisions(state, socket, &mut announced);
+        tick(state);
+        announce_revisions(state, &mut announced);
     }
 }
 
 /// Announces this daemon's departure to some peers at once.
-pub fn announce_departure(state: &SharedState, socket: &UdpSocket) {
+pub fn announce_departure(state: &SharedState) {
     let mut gossip = lock(&state.gossip);
     let item = gossip.peers.leave();
     gossip.spread(item);
     drop(gossip);
-    announce(state, socket, 2 * ANNOUNCED_PEERS);
+    announce(state, 2 * ANNOUNCED_PEERS);
 }
 
 fn note_pause(state: &SharedState) {
@@ -68,7 +67,7 @@
     lock(&state.routing).forget_reports();
 }
 
-fn tick(state: &SharedState, socket: &UdpSocket) {
+fn tick(state: &SharedState) {
     let now = mono_now();
     let mut gossip = lock(&state.gossip);
     let centre = &state.settings.data_centre;
@@ -76,30 +75,30 @@
     let is_speaker = speakers.contains(&state.settings.name);
     let actions = gossip.peers.on_tick(now, is_speaker);
     drop(gossip);
-    perform(state, socket, actions);
+    perform(state, actions);
 }
 
-fn announce_revisions(state: &SharedState, socket: &UdpSocket, announced: &mut (u64, u64)) {
+fn announce_revisions(state: &SharedState, announced: &mut (u64, u64)) {
     let folders = lock(&state.folders);
     let current = (folders.revision(FolderKind::Config), folders.revision(FolderKind::Hosts));
     drop(folders);
     if current != *announced {
         *announced = current;
-        announce(state, socket, ANNOUNCED_PEERS);
+        announce(state, ANNOUNCED_PEERS);
     }
 }
 
-fn announce(state: &SharedState, socket: &UdpSocket, count: usize) {
+fn announce(state: &SharedState, count: usize) {
     let gossip = lock(&state.gossip);
     let actions = gossip.peers.announce(count);
     drop(gossip);
-    perform(state, socket, actions);
+    perform(state, actions);
 }
 
-fn perform(state: &SharedState, socket: &UdpSocket, actions: Vec<PeerAction>) {
+fn perform(state: &SharedState, actions: Vec<PeerAction>) {
     for action in actions {
         match action {
-            PeerAction::Send { address, message, .. } => send(state, socket, address, &message),
+            PeerAction::Send { address, message, .. } => send(state, address, &message, None),
             PeerAction::Spread(item) => {
                 lock(&state.gossip).spread(item);
             }
@@ -110,7 +109,13 @@
     }
 }
 
-fn send(state: &SharedState, socket: &UdpSocket, address: SocketAddr, message: &PeerMessage) {
+/// Sends a datagram; `urgent` news goes along whatever else there is.
+fn send(
+    state: &SharedState,
+    address: SocketAddr,
+    message: &PeerMessage,
+    urgent: Option<GossipItem>,
+) {
     let folders = lock(&state.folders);
     let revision = folders.revision(FolderKind::Config);
     let hosts_version = folders.revision(FolderKind::Hosts);
@@ -125,7 +130,8 @@
     };
     let left = gossip.budget.left(mono_now()).saturating_sub(FRAME_BYTES + DATAGRAM_HEAD_BYTES);
     let mut room = left.min(MAX_DATAGRAM_BYTES - FRAME_BYTES - TAG_BYTES);
-    let (items, shed) = gossip.items.pick(|item| {
+    room = room.saturating_sub(urgent.as_ref().map_or(0, datagram::item_bytes));
+    let (picked, shed) = gossip.items.pick(|item| {
         let bytes = datagram::item_bytes(item);
         let fits = bytes <= room;
         if fits {
@@ -134,6 +140,7 @@
         fits
     });
     (0..shed).for_each(|_| gossip.budget.note_shed());
+    let items: Vec<GossipItem> = urgent.into_iter().chain(picked).collect();
     let Ok(bytes) = datagram::encode_datagram(&state.keys, &head, hosts_version, message, &items)
     else {
         return;
@@ -142,10 +149,10 @@
     gossip.budget.spend(cost);
     state.metrics.traffic(TrafficKind::Gossip).add_sent(cost);
     // A datagram that cannot be sent is as good as one that is lost on its way.
-    let _ = socket.send_to(&bytes, address);
+    let _ = state.socket.send_to(&bytes, address);
 }
 
-fn take_datagram(state: &SharedState, socket: &UdpSocket, bytes: &[u8]) {
+fn take_datagram(state: &SharedState, bytes: &[u8]) {
     let traffic = state.metrics.traffic(TrafficKind::Gossip);
     traffic.add_received(bytes.len() + DATAGRAM_HEAD_BYTES);
     let datagram = match datagram::decode_datagram(&state.keys, bytes) {
@@ -165,7 +172,9 @@
         state.metrics.note_dropped("replayed");
         return;
     }
-    let peer = gossip.peers.peer(&datagram.head.from).map(|peer| peer.address);
+    let sender = gossip.peers.peer(&datagram.head.from);
+    let peer = sender.map(|peer| peer.address);
+    let is_own_centre = sender.is_some_and(|peer| peer.centre == state.settings.data_centre);
     let message = datagram.message.as_ref();
     let actions =
         message.map(|message| gossip.peers.on_message(&datagram.head, message, mono_now()));
@@ -175,9 +184,9 @@
     }
     (0..datagram.skipped).for_each(|_| state.metrics.note_dropped("unknown-item"));
     for item in &datagram.items {
-        take_item(state, socket, item);
+        take_item(state, item, is_own_centre);
     }
-    perform(state, socket, actions.unwrap_or_default());
+    perform(state, actions.unwrap_or_default());
 }
 
 fn note_revisions(state: &SharedState, datagram: &PeerDatagram, peer: SocketAddr) {
@@ -192,7 +201,7 @@
     }
 }
 
-fn take_item(state: &SharedState, socket: &UdpSocket, item: &GossipItem) {
+fn take_item(state: &SharedState, item: &GossipItem, is_own_centre: bool) {
     if !lock(&state.gossip).spread(*item) {
         return;
     }
@@ -206,12 +215,17 @@
                 log::info!("event=target target={name} incarnation={incarnation} status=leaving");
             }
         }
-        GossipItem::Crash { print, death } => note_crash(state, print, death),
+        GossipItem::Crash { print, death } => {
+            note_crash(state, print, death);
+            if !is_own_centre {
+                tell_own_centre(state, *item);
+            }
+        }
         GossipItem::Peer { daemon, incarnation, status } => {
             let mut gossip = lock(&state.gossip);
             let actions = gossip.peers.on_peer_item(daemon, incarnation, status, mono_now());
             drop(gossip);
-            perform(state, socket, actions);
+            perform(state, actions);
         }
         GossipItem::Load { target, incarnation, report, is_down } => {
             let mut routing = lock(&state.routing);
@@ -230,8 +244,41 @@
     }
 }
 
-/// Records that a request was in flight when a target died.
-pub fn note_crash(state: &SharedState, print: ggt_core::blame::RequestPrint, death: DeathMark) {
+/// Records that a request was in flight when a target died, and tells all daemons at once.
+///
+/// The caller may send the request again at any moment, through any daemon.
+pub fn spread_crash(state: &SharedState, print: RequestPrint, death: DeathMark) {
+    note_crash(state, print, death);
+    let item = GossipItem::Crash { print, death };
+    if lock(&state.gossip).spread(item) {
+        tell_own_centre(state, item);
+        tell_other_centres(state, item);
+    }
+}
+
+fn tell_own_centre(state: &SharedState, item: GossipItem) {
+    let gossip = lock(&state.gossip);
+    let actions = gossip.peers.announce(usize::MAX);
+    drop(gossip);
+    send_all(state, actions, item);
+}
+
+fn tell_other_centres(state: &SharedState, item: GossipItem) {
+    let gossip = lock(&state.gossip);
+    let actions = gossip.peers.announce_abroad();
+    drop(gossip);
+    send_all(state, actions, item);
+}
+
+fn send_all(state: &SharedState, actions: Vec<PeerAction>, item: GossipItem) {
+    for action in actions {
+        if let PeerAction::Send { address, message, .. } = action {
+            send(state, address, &message, Some(item));
+        }
+    }
+}
+
+fn note_crash(state: &SharedState, print: RequestPrint, death: DeathMark) {
     let refusal = state.force().map_or(0, |config| config.accepted.model.routing.crash_refusal_ms);
     lock(&state.blame).note_death(print, death, mono_now() + refusal);
 }
--- a/ggt-daemon/src/peers/links.rs
+++ b/ggt-daemon/src/peers/links.rs
@@ -17,15 +17,14 @@
 use tokio::sync::Mutex;
 use tokio::time::timeout;
 
-use ggt_wire::rpc::CallError;
-use ggt_wire::rpc::SignedAnswer;
-use ggt_wire::rpc::open_answer;
-use ggt_wire::rpc::sign_call;
-
 use crate::clock::wall_now;
 use crate::metrics::TrafficKind;
 use crate::peers::stream::CountedStream;
 use crate::state::SharedState;
+use ggt_wire::rpc::CallError;
+use ggt_wire::rpc::SignedAnswer;
+use ggt_wire::rpc::open_answer;
+use ggt_wire::rpc::sign_call;
 
 /// Largest message between daemons; a published file may have a megabyte.
 pub(super) const MAX_MESSAGE_BYTES: u32 = 16 * 1024 * 1024;
--- a/ggt-daemon/src/peers/mod.rs
+++ b/ggt-daemon/src/peers/mod.rs
@@ -7,8 +7,8 @@
 mod vouch;
 
 pub use gossip::announce_departure;
-pub use gossip::note_crash;
 pub use gossip::run_gossip;
+pub use gossip::spread_crash;
 pub use links::LinkError;
 pub use links::PeerLinks;
 pub(crate) use server::answer_claim;
--- a/ggt-daemon/src/peers/server.rs
+++ b/ggt-daemon/src/peers/server.rs
@@ -15,6 +15,12 @@
 use serde::de::DeserializeOwned;
 use tokio::net::TcpListener;
 
+use crate::clock::wall_now;
+use crate::metrics::TrafficKind;
+use crate::peers::links::MAX_MESSAGE_BYTES;
+use crate::peers::stream::CountedStream;
+use crate::state::SharedState;
+use crate::state::lock;
 use ggt_core::claims::AbstainReason;
 use ggt_core::claims::ClaimReply;
 use ggt_core::claims::ClaimRequest;
@@ -28,13 +34,6 @@
 use ggt_wire::rpc::SignedAnswer;
 use ggt_wire::rpc::SignedCall;
 
-use crate::clock::wall_now;
-use crate::metrics::TrafficKind;
-use crate::peers::links::MAX_MESSAGE_BYTES;
-use crate::peers::stream::CountedStream;
-use crate::state::SharedState;
-use crate::state::lock;
-
 /// The JSON-RPC code of a call that is refused.
 const REFUSED_CODE: i32 = -32_001;
 /// Connections from other daemons at once.
--- a/ggt-daemon/src/peers/vouch.rs
+++ b/ggt-daemon/src/peers/vouch.rs
@@ -7,15 +7,14 @@
 
 use tokio::runtime::Handle;
 
-use ggt_core::ident::DaemonName;
-use ggt_wire::rpc;
-use ggt_wire::rpc::EpochResult;
-
 use crate::clock::wall_now;
 use crate::peers::PeerLinks;
 use crate::state::FetchHint;
 use crate::state::SharedState;
 use crate::state::lock;
+use ggt_core::ident::DaemonName;
+use ggt_wire::rpc;
+use ggt_wire::rpc::EpochResult;
 
 /// Peers asked at once.
 const BATCH_PEERS: usize = 8;
--- a/ggt-daemon/src/probes/mod.rs
+++ b/ggt-daemon/src/probes/mod.rs
@@ -8,6 +8,11 @@
 use http::Method;
 use serde::Deserialize;
 
+use crate::clock::mono_now;
+use crate::metrics::TrafficKind;
+use crate::state::SharedState;
+use crate::state::lock;
+use crate::upstream::simple_call;
 use ggt_core::clock::MonoTime;
 use ggt_core::ident::TargetName;
 use ggt_core::membership::GossipItem;
@@ -17,12 +22,6 @@
 use ggt_core::routing::TargetKey;
 use ggt_core::routing::TargetStatus;
 
-use crate::clock::mono_now;
-use crate::metrics::TrafficKind;
-use crate::state::SharedState;
-use crate::state::lock;
-use crate::upstream::simple_call;
-
 /// Longest wait for a probe's answer.
 const ANSWER_WAIT: Duration = Duration::from_millis(500);
 /// How often due probes are looked for.
--- a/ggt-daemon/src/state/force.rs
+++ b/ggt-daemon/src/state/force.rs
@@ -1,13 +1,12 @@
 //! The configuration in force, with the options that follow from it.
 
+use crate::settings::EdgeLimits;
 use ggt_core::claims::HolderOptions;
 use ggt_core::claims::KeyPolicy;
 use ggt_core::config::AcceptedConfig;
 use ggt_core::routing::HoldOptions;
 use ggt_core::routing::RoutingOptions;
 
-use crate::settings::EdgeLimits;
-
 /// The configuration in force.
 #[derive(Clone, Debug)]
 pub struct ForceConfig {
--- a/ggt-daemon/src/state/mod.rs
+++ b/ggt-daemon/src/state/mod.rs
@@ -6,6 +6,7 @@
 mod pace;
 mod shares;
 
+use std::net::UdpSocket;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -85,6 +86,8 @@
     pub pace: PaceGuard,
     /// Whether the daemon is stopping, and what is in flight.
     pub drain: DrainState,
+    /// Carries datagrams to and from peers.
+    pub socket: UdpSocket,
     /// Wakes the thread that fetches folders from peers.
     pub fetch_hints: Sender<FetchHint>,
     /// Set once the seeds have been asked, so that an old platform is not believed before them.
@@ -99,6 +102,7 @@
         settings: DaemonSettings,
         metrics: DaemonMetrics,
         fetch_hints: Sender<FetchHint>,
+        socket: UdpSocket,
     ) -> Self {
         let started_at = wall_now();
         let incarnation = started_at.as_millis();
@@ -126,6 +130,7 @@
             folders: Mutex::default(),
             pace: PaceGuard::new(now, settings.timing.pause_ms),
             drain: DrainState::default(),
+            socket,
             fetch_hints,
             bootstrapped: OnceLock::new(),
             force: RwLock::default(),
--- a/ggt-daemon/src/sync/fetch.rs
+++ b/ggt-daemon/src/sync/fetch.rs
@@ -7,13 +7,6 @@
 use crossbeam::channel::Receiver;
 use tokio::runtime::Handle;
 
-use ggt_wire::platform::FileDigest;
-use ggt_wire::platform::FolderKind;
-use ggt_wire::platform::PublishedFolder;
-use ggt_wire::rpc;
-use ggt_wire::rpc::FetchParams;
-use ggt_wire::rpc::FetchResult;
-
 use crate::clock::mono_now;
 use crate::peers::LinkError;
 use crate::peers::PeerLinks;
@@ -21,6 +14,12 @@
 use crate::state::SharedState;
 use crate::state::lock;
 use crate::sync::offer_folder;
+use ggt_wire::platform::FileDigest;
+use ggt_wire::platform::FolderKind;
+use ggt_wire::platform::PublishedFolder;
+use ggt_wire::rpc;
+use ggt_wire::rpc::FetchParams;
+use ggt_wire::rpc::FetchResult;
 
 /// Longest wait for a peer's answer.
 const ANSWER_WAIT: Duration = Duration::from_millis(2_000);
--- a/ggt-daemon/src/sync/offer.rs
+++ b/ggt-daemon/src/sync/offer.rs
@@ -2,6 +2,12 @@
 
 use std::sync::Arc;
 
+use crate::clock::mono_now;
+use crate::clock::wall_now;
+use crate::logging::quoted;
+use crate::state::ForceConfig;
+use crate::state::SharedState;
+use crate::state::lock;
 use ggt_core::config::AcceptedConfig;
 use ggt_core::config::OfferOutcome;
 use ggt_core::config::accept_files;
@@ -14,13 +20,6 @@
 use ggt_wire::platform::FolderKind;
 use ggt_wire::platform::PublishedFolder;
 
-use crate::clock::mono_now;
-use crate::clock::wall_now;
-use crate::logging::quoted;
-use crate::state::ForceConfig;
-use crate::state::SharedState;
-use crate::state::lock;
-
 enum Content {
     Config(Box<AcceptedConfig>),
     Hosts(HostList),
--- a/ggt-daemon/src/sync/watch.rs
+++ b/ggt-daemon/src/sync/watch.rs
@@ -12,17 +12,16 @@
 use snafu::ResultExt;
 use snafu::Snafu;
 
-use ggt_core::membership::watchers_of;
-use ggt_wire::platform::FolderKind;
-use ggt_wire::platform::FolderManifest;
-use ggt_wire::platform::PublishedFolder;
-
 use crate::metrics::TrafficKind;
 use crate::state::SharedState;
 use crate::state::lock;
 use crate::sync::offer_folder;
 use crate::upstream::CallFailure;
 use crate::upstream::simple_call;
+use ggt_core::membership::watchers_of;
+use ggt_wire::platform::FolderKind;
+use ggt_wire::platform::FolderManifest;
+use ggt_wire::platform::PublishedFolder;
 
 /// Between the looks of all daemons of a data centre that hold no watch, taken together.
 const CENTRE_LOOK_MILLIS: u64 = 5_000;
--- a/ggt-daemon/src/upstream/call.rs
+++ b/ggt-daemon/src/upstream/call.rs
@@ -16,14 +16,13 @@
 use ureq::unversioned::transport::Connector;
 use ureq::unversioned::transport::TcpConnector;
 
-use ggt_core::clock::MonoTime;
-use ggt_core::verdict::RunVerdict;
-use ggt_wire::headers;
-
 use crate::clock::mono_now;
 use crate::metrics::ByteCounter;
 use crate::upstream::CallWatch;
 use crate::upstream::watch::WatchConnector;
+use ggt_core::clock::MonoTime;
+use ggt_core::verdict::RunVerdict;
+use ggt_wire::headers;
 
 /// Largest body of a short reply that is read whole.
 const MAX_SIMPLE_BODY_BYTES: u64 = 16 * 1024 * 1024;
--- a/ggt-daemon/src/upstream/watch.rs
+++ b/ggt-daemon/src/upstream/watch.rs
@@ -13,10 +13,9 @@
 use ureq::unversioned::transport::NextTimeout;
 use ureq::unversioned::transport::Transport;
 
-use ggt_core::clock::MonoTime;
-
 use crate::clock::mono_now;
 use crate::metrics::ByteCounter;
+use ggt_core::clock::MonoTime;
 
 /// Follows one call: whether it has left, until when it may leave and how long it may be silent.
 #[derive(Debug)]
