--- a/ggt-standin/src/engine/mod.rs
+++ b/ggt-standin/src/engine/mod.rs
@@ -15,9 +15,6 @@
 use serde_json::json;
 use tokio::sync::mpsc;
 
-use ggt_core::routing::LoadReport;
-use ggt_wire::headers;
-
 use crate::engine::cache::PrefixCache;
 use crate::engine::stream::TokenStream;
 use crate::platform::pause;
@@ -29,6 +26,8 @@
 use crate::server::serve;
 use crate::server::text;
 use crate::server::with_header;
+use ggt_core::routing::LoadReport;
+use ggt_wire::headers;
 
 /// A body that holds this text crashes the engine.
 pub const CRASH_TEXT: &str = "CRASH-THE-ENGINE";
--- a/ggt-standin/src/engine/stream.rs
+++ b/ggt-standin/src/engine/stream.rs
@@ -8,10 +8,9 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
-use ggt_core::ident::stable_hash;
-
 use crate::platform::pause;
 use crate::server::lock;
+use ggt_core::ident::stable_hash;
 
 #[derive(Debug, Default)]
 struct StreamText {
--- a/ggt-standin/src/platform/mod.rs
+++ b/ggt-standin/src/platform/mod.rs
@@ -15,15 +15,14 @@
 use tokio::time::sleep;
 use tokio::time::timeout_at;
 
-use ggt_wire::platform::FolderKind;
-use ggt_wire::platform::PublishedFolder;
-
 use crate::server::PlainRequest;
 use crate::server::PlainResponse;
 use crate::server::json;
 use crate::server::lock;
 use crate::server::serve;
 use crate::server::text;
+use ggt_wire::platform::FolderKind;
+use ggt_wire::platform::PublishedFolder;
 
 /// Revisions kept, so that an old one can be served on order.
 const KEPT_REVISIONS: usize = 64;
--- a/ggt-standin/src/service/mod.rs
+++ b/ggt-standin/src/service/mod.rs
@@ -11,10 +11,6 @@
 use serde_json::json;
 use tokio::sync::watch;
 
-use ggt_core::ident::stable_hash;
-use ggt_core::routing::LoadReport;
-use ggt_wire::headers;
-
 use crate::platform::pause;
 use crate::server::PlainRequest;
 use crate::server::PlainResponse;
@@ -23,6 +19,9 @@
 use crate::server::serve;
 use crate::server::text;
 use crate::server::with_header;
+use ggt_core::ident::stable_hash;
+use ggt_core::routing::LoadReport;
+use ggt_wire::headers;
 
 struct ServiceState {
     incarnation: u64,
--- a/ggt-testkit/src/fleet.rs
+++ b/ggt-testkit/src/fleet.rs
@@ -259,6 +259,14 @@
         self.daemon_processes[index].as_mut().expect("a started daemon")
     }
 
+    /// Orders a daemon to stop gracefully.
+    ///
+    /// # Panics
+    /// When it has not been started.
+    pub fn signal_daemon(&self, index: usize) {
+        self.daemon_processes[index].as_ref().expect("a started daemon").terminate();
+    }
+
     /// Waits until a daemon takes requests and has heard the epochs of all others.
     pub fn await_ready(&self, index: usize) {
         let name = &self.daemons[index].name;
--- /dev/null
+++ b/ggt-testkit/tests/configuration.rs
@@ -0,0 +1,181 @@
+//! An accepted configuration is in force everywhere and never reverts.
+
+use std::collections::BTreeMap;
+
+use serde_json::json;
+
+use ggt_testkit::fleet::TestFleet;
+use ggt_testkit::layout::FleetOptions;
+use ggt_testkit::layout::config_files;
+use ggt_testkit::web::WebRequest;
+
+fn fleet(daemons_each: usize) -> TestFleet {
+    TestFleet::start(FleetOptions {
+        centres: vec![("recife-a", daemons_each), ("fortaleza", daemons_each)],
+        engines: 0,
+        services: 1,
+        proxied: true,
+        ..FleetOptions::default()
+    })
+}
+
+fn await_revision(fleet: &TestFleet, revision: u64) {
+    for index in 0..fleet.daemons.len() {
+        fleet.await_status(&format!("revision {revision}"), index, |status| {
+            status["revision"].as_u64() == Some(revision)
+        });
+    }
+}
+
+/// Each life of each daemon put rising revisions in force; returns the last of each daemon.
+fn check_rising(fleet: &TestFleet) -> Vec<u64> {
+    (0..fleet.daemons.len())
+        .map(|index| {
+            let mut last = 0;
+            for line in fleet.log(index).lines() {
+                if line.contains("event=start ") {
+                    last = 0;
+                }
+                if !line.contains("event=revision folder=config") || !line.contains("in-force ") {
+                    continue;
+                }
+                let revision: u64 = line
+                    .split(' ')
+                    .find_map(|pair| pair.strip_prefix("revision="))
+                    .and_then(|text| text.parse().ok())
+                    .expect("a revision");
+                assert!(revision > last, "{}: {revision} after {last}", fleet.daemons[index].name);
+                last = revision;
+            }
+            last
+        })
+        .collect()
+}
+
+fn files(fleet: &TestFleet, ratio: f64) -> BTreeMap<String, String> {
+    config_files(&fleet.daemons, &json!({ "routing": { "max_load_ratio": ratio } }))
+}
+
+#[test]
+fn a_burst_of_fifty_changes_ends_in_the_last_one_everywhere() {
+    let fleet = fleet(3);
+    let mut last = 0;
+    for number in 0..50 {
+        let ratio = 1.5 + f64::from(number) / 100.0;
+        last = fleet.publish("config", &files(&fleet, ratio), None);
+    }
+    await_revision(&fleet, last);
+    assert!(check_rising(&fleet).iter().all(|revision| *revision == last));
+}
+
+#[test]
+fn an_older_folder_that_comes_late_changes_nothing() {
+    let fleet = fleet(2);
+    fleet.publish("config", &files(&fleet, 2.0), Some(9));
+    await_revision(&fleet, 9);
+    // The first of two operators' folders is delivered after the second.
+    fleet.publish("config", &files(&fleet, 3.0), Some(8));
+    fleet.publish("config", &files(&fleet, 4.0), Some(10));
+    await_revision(&fleet, 10);
+    check_rising(&fleet);
+}
+
+#[test]
+fn an_invalid_revision_is_rejected_everywhere_and_shown() {
+    let fleet = fleet(2);
+    let mut bad = files(&fleet, 2.0);
+    bad.insert("95-bad.json".to_owned(), json!({ "routing": { "max_load": 2 } }).to_string());
+    let rejected = fleet.publish("config", &bad, None);
+    for index in 0..fleet.daemons.len() {
+        fleet.await_status("the rejection is shown", index, |status| {
+            let cause = status["rejected"].as_str().unwrap_or_default();
+            status["revision"] == 1
+                && cause.contains(&format!("revision {rejected}"))
+                && cause.contains("95-bad.json: /routing/max_load: unknown field")
+        });
+    }
+    let mended = fleet.publish("config", &files(&fleet, 2.0), None);
+    await_revision(&fleet, mended);
+    check_rising(&fleet);
+}
+
+#[test]
+fn a_stale_or_stalled_or_dead_platform_reverts_nothing() {
+    let mut fleet = fleet(2);
+    let revision = fleet.publish("config", &files(&fleet, 2.0), None);
+    await_revision(&fleet, revision);
+    for mode in ["stale?steps=1", "stalled", "down"] {
+        fleet.set_platform(mode);
+        // Restarted daemons learn the highest revision from their peers.
+        for index in [0, 3] {
+            fleet.daemon_process(index).kill();
+            fleet.start_daemon(index);
+            fleet.await_ready(index);
+            fleet.await_status(mode, index, |status| status["revision"] == revision);
+        }
+        await_revision(&fleet, revision);
+    }
+    fleet.set_platform("up");
+    let next = fleet.publish("config", &files(&fleet, 3.0), None);
+    await_revision(&fleet, next);
+    check_rising(&fleet);
+}
+
+#[test]
+fn a_data_centre_cut_off_from_the_platform_hears_from_its_peers() {
+    let fleet = fleet(2);
+    for daemon in &fleet.daemons[2..] {
+        fleet.set_plan(daemon.platform, "stall=1");
+    }
+    let revision = fleet.publish("config", &files(&fleet, 2.0), None);
+    await_revision(&fleet, revision);
+    check_rising(&fleet);
+}
+
+#[test]
+fn a_fleet_starts_with_the_platform_down_and_one_living_peer() {
+    let mut fleet = fleet(2);
+    for index in 1..4 {
+        fleet.daemon_process(index).kill();
+    }
+    fleet.set_platform("down");
+    for index in 1..4 {
+        fleet.start_daemon(index);
+    }
+    (0..4).for_each(|index| fleet.await_ready(index));
+    await_revision(&fleet, 1);
+}
+
+#[test]
+fn a_daemon_without_configuration_refuses_as_not_run() {
+    let mut fleet = TestFleet::prepare(FleetOptions::default());
+    fleet.set_platform("down");
+    fleet.start_daemon(0);
+    fleet.await_status("it answers operators", 0, |status| status["ready"] == false);
+    let reply = fleet.request(0, "POST", "/chat").body("x").send().expect("a reply");
+    assert_eq!((reply.status, reply.verdict()), (503, "not-run"));
+    let health = WebRequest::new("GET", fleet.daemons[0].callers, "/healthz").send();
+    assert_eq!(health.expect("a reply").status, 503);
+}
+
+#[test]
+fn watches_at_the_platform_do_not_grow_with_the_daemons() {
+    let watches = |daemons_each: usize| {
+        let fleet = fleet(daemons_each);
+        let count = |fleet: &TestFleet| {
+            let reply = WebRequest::new("GET", fleet.platform, "/control/counts").send();
+            reply.expect("counts").json()["watch"].as_u64().unwrap_or_default()
+        };
+        // Each published revision ends every open watch, which then begins again.
+        let before = count(&fleet);
+        for number in 0..5 {
+            let ratio = 1.5 + f64::from(number) / 10.0;
+            let revision = fleet.publish("config", &files(&fleet, ratio), None);
+            await_revision(&fleet, revision);
+        }
+        count(&fleet) - before
+    };
+    let (few, many) = (watches(3), watches(6));
+    println!("watches for five changes: {few} with 6 daemons, {many} with 12");
+    assert!(many <= few + few / 2, "{few} watches with 6 daemons, {many} with 12");
+}
--- /dev/null
+++ b/ggt-testkit/tests/leaving.rs
@@ -0,0 +1,221 @@
+//! Leaving targets, graceful shutdown and pauses.
+
+use std::io::Read;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+
+use serde_json::Value;
+use serde_json::json;
+
+use ggt_testkit::fleet::TestFleet;
+use ggt_testkit::fleet::mint_key;
+use ggt_testkit::layout::FleetOptions;
+use ggt_testkit::wait::wait_until;
+use ggt_testkit::web::fresh_agent;
+
+fn fleet() -> TestFleet {
+    TestFleet::start(FleetOptions {
+        centres: vec![("attica-a", 2), ("attica-b", 1)],
+        engines: 2,
+        services: 1,
+        ..FleetOptions::default()
+    })
+}
+
+fn status_of<'a>(status: &'a Value, target: &str) -> &'a str {
+    let targets = status["targets"].as_array().map(Vec::as_slice).unwrap_or_default();
+    let found = targets.iter().find(|entry| entry["name"] == target);
+    found.and_then(|entry| entry["status"].as_str()).unwrap_or("absent")
+}
+
+fn started(fleet: &TestFleet, index: usize) -> u64 {
+    fleet.order_target(index, "stats").expect("stats").json()["started"].as_u64().unwrap_or(0)
+}
+
+fn chat_everywhere(fleet: &TestFleet, rounds: usize) {
+    for number in 0..rounds {
+        let daemon = number % fleet.daemons.len();
+        let request = fleet.request(daemon, "POST", "/chat?tokens=1");
+        let reply = request.header("x-chat-id", &format!("c{number}")).body("x").send();
+        assert_eq!(reply.expect("a reply").status, 200);
+    }
+}
+
+#[test]
+fn a_target_that_says_it_leaves_gets_nothing_new_though_the_list_lags() {
+    let mut fleet = fleet();
+    let index = fleet.targets_of("intake")[0];
+    let name = fleet.targets[index].name.clone();
+    // The host list still shows it as live; only the target itself tells.
+    fleet.order_target(index, "leave");
+    for daemon in 0..fleet.daemons.len() {
+        fleet.await_status("it knows", daemon, |status| status_of(status, &name) == "leaving");
+    }
+    // A lagging list, published anew, does not bring it back.
+    let version = fleet.publish_hosts();
+    for daemon in 0..fleet.daemons.len() {
+        fleet.await_status("the list", daemon, |status| status["hosts_version"] == version);
+    }
+    let before = started(&fleet, index);
+    chat_everywhere(&fleet, 40);
+    assert_eq!(started(&fleet, index), before, "the leaving target got new work");
+    // A new incarnation is taken up again.
+    fleet.targets[index].incarnation = 2;
+    fleet.target_process(index).kill();
+    fleet.start_target(index);
+    fleet.publish_hosts();
+    for daemon in 0..fleet.daemons.len() {
+        fleet.await_status("it is back", daemon, |status| status_of(status, &name) == "ready");
+    }
+    wait_until("it gets work again", || {
+        chat_everywhere(&fleet, 20);
+        started(&fleet, index) > 0
+    });
+}
+
+#[test]
+fn a_target_that_the_list_calls_leaving_gets_nothing_new() {
+    let mut fleet = fleet();
+    let index = fleet.targets_of("intake")[1];
+    let name = fleet.targets[index].name.clone();
+    fleet.targets[index].leaving = true;
+    fleet.publish_hosts();
+    for daemon in 0..fleet.daemons.len() {
+        fleet.await_status("it knows", daemon, |status| status_of(status, &name) == "leaving");
+    }
+    let before = started(&fleet, index);
+    chat_everywhere(&fleet, 40);
+    assert_eq!(started(&fleet, index), before);
+}
+
+#[test]
+fn a_graceful_shutdown_cuts_nothing() {
+    let mut fleet = fleet();
+    let is_over = AtomicBool::new(false);
+    let (answered, lost) = thread::scope(|scope| {
+        let (borrowed, is_over) = (&fleet, &is_over);
+        let keep_alive: Vec<_> = (0..4)
+            .map(|caller| scope.spawn(move || call_until(borrowed, is_over, caller)))
+            .collect();
+        let streams: Vec<_> = (0..6)
+            .map(|number| {
+                let path = "/chat?tokens=150&gap_ms=10";
+                let request = borrowed.request(0, "POST", path).body(&format!("stream {number}"));
+                scope.spawn(move || {
+                    let (head, mut reader) = request.open().expect("a reply");
+                    let mut text = String::new();
+                    let is_whole = reader.read_to_string(&mut text).is_ok();
+                    (head.status, is_whole, text.matches("data:").count())
+                })
+            })
+            .collect();
+        let submits: Vec<_> = (0..4)
+            .map(|_| {
+                let request = borrowed.request(0, "POST", "/filings?after_ms=900");
+                let request = request.header("idempotency-key", &mint_key()).body("filing");
+                scope.spawn(move || request.send().expect("a reply").verdict().to_owned())
+            })
+            .collect();
+        borrowed.await_status("it is under load", 0, |status| {
+            status["in_flight"].as_u64().is_some_and(|count| count >= 10)
+        });
+        borrowed.signal_daemon(0);
+        for stream in streams {
+            assert_eq!(stream.join().expect("no panic"), (200, true, 150));
+        }
+        for submit in submits {
+            assert_eq!(submit.join().expect("no panic"), "ran");
+        }
+        wait_until("it has stopped", || borrowed.status(0).is_none());
+        is_over.store(true, Ordering::SeqCst);
+        keep_alive
+            .into_iter()
+            .map(|caller| caller.join().expect("no panic"))
+            .fold((0, 0), |(answered, lost), (more, gone)| (answered + more, lost + gone))
+    });
+    assert_eq!(fleet.daemon_process(0).wait().code(), Some(0), "nothing was cut");
+    assert!(answered > 0);
+    assert_eq!(lost, 0, "requests were lost to a closing connection");
+}
+
+/// Calls on a connection that stays open, until told to stop. When a new connection is refused,
+/// the balancer's part is played and the next daemon is called. Returns answers and losses.
+fn call_until(fleet: &TestFleet, is_over: &AtomicBool, caller: usize) -> (usize, usize) {
+    let agent = fresh_agent();
+    let (mut answered, mut lost) = (0, 0);
+    while !is_over.load(Ordering::SeqCst) {
+        let path = "/chat?tokens=1&gap_ms=1";
+        let request = fleet.request(0, "POST", path).body(&format!("caller {caller}"));
+        match request.send_on(&agent) {
+            Some(reply) if reply.status == 200 && reply.is_whole => answered += 1,
+            Some(_) => lost += 1,
+            // Refused because the daemon listens no more: nothing was sent, so nothing is lost.
+            None if std::net::TcpStream::connect(fleet.daemons[0].callers).is_err() => {
+                return (answered, lost);
+            }
+            None => lost += 1,
+        }
+    }
+    (answered, lost)
+}
+
+#[test]
+fn what_outlasts_the_deadline_is_named() {
+    let mut fleet = TestFleet::start(FleetOptions {
+        settings: json!({ "timing": { "drain_ms": 800, "drain_announce_ms": 100 } }),
+        ..FleetOptions::default()
+    });
+    let request = fleet.request(0, "POST", "/chat?tokens=2&hold_after=1");
+    let (_, _reader) = request.header("x-request-id", "endless-1").body("x").open().expect("one");
+    fleet.signal_daemon(0);
+    assert_eq!(fleet.daemon_process(0).wait().code(), Some(3));
+    assert!(fleet.log(0).contains("event=cut-by-drain request_id=endless-1"));
+}
+
+#[test]
+fn a_draining_daemon_is_not_ready_and_its_peers_hear_of_it() {
+    let fleet = TestFleet::start(FleetOptions {
+        settings: json!({ "timing": { "drain_announce_ms": 3_000 } }),
+        ..FleetOptions::default()
+    });
+    let name = fleet.daemons[0].name.clone();
+    fleet.signal_daemon(0);
+    fleet.await_status("it drains", 0, |status| status["draining"] == true);
+    let reply = fleet.request(0, "GET", "/healthz").send().expect("a reply");
+    assert_eq!(reply.status, 503);
+    let late = fleet.request(0, "POST", "/chat?tokens=1").body("still").send().expect("a reply");
+    assert_eq!((late.status, late.header("connection")), (200, Some("close")));
+    fleet.await_status("peers know", 1, |status| {
+        let peers = status["peers"].as_array().map(Vec::as_slice).unwrap_or_default();
+        peers.iter().any(|peer| peer["name"] == name.as_str() && peer["status"] == "left")
+    });
+}
+
+#[test]
+fn a_woken_daemon_routes_nothing_by_what_it_knew_before() {
+    let mut fleet = fleet();
+    let index = fleet.targets_of("intake")[0];
+    let before = started(&fleet, index);
+    fleet.daemon_process(2).freeze();
+    fleet.targets[index].leaving = true;
+    let version = fleet.publish_hosts();
+    for daemon in 0..2 {
+        fleet.await_status("the others know", daemon, |status| status["hosts_version"] == version);
+    }
+    let requests: Vec<_> = (0..12)
+        .map(|number| {
+            let request = fleet.request(2, "POST", "/chat?tokens=1").body("x");
+            let request = request.header("x-chat-id", &format!("frozen-{number}"));
+            thread::spawn(move || request.send().map(|reply| reply.status))
+        })
+        .collect();
+    // Longer than the bound of 1.5 s from which a gap counts as a pause.
+    thread::sleep(std::time::Duration::from_millis(2_500));
+    fleet.daemon_process(2).wake();
+    for request in requests {
+        assert_eq!(request.join().expect("no panic"), Some(200));
+    }
+    assert!(fleet.log(2).contains("event=pause "));
+    assert_eq!(started(&fleet, index), before, "old facts were used");
+}
--- /dev/null
+++ b/ggt-testkit/tests/one_time_actions.rs
@@ -0,0 +1,352 @@
+//! One-time actions run at most once and `not-run` is true, with real processes under failure.
+
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread;
+
+use serde_json::json;
+
+use ggt_testkit::fleet::TestFleet;
+use ggt_testkit::fleet::mint_key;
+use ggt_testkit::layout::FleetOptions;
+use ggt_testkit::wait::wait_until;
+use ggt_testkit::web::WebReply;
+use ggt_testkit::web::WebRequest;
+
+fn fleet_of(centres: Vec<(&'static str, usize)>) -> TestFleet {
+    TestFleet::start(FleetOptions {
+        centres,
+        engines: 0,
+        proxied: true,
+        config: json!({
+            "claims": { "holder_timeout_ms": 400, "grant_ms": 1_500 },
+            "workloads": { "filings": { "first_byte_timeout_ms": 2_000, "idle_timeout_ms": 1_000 } },
+        }),
+        ..FleetOptions::default()
+    })
+}
+
+fn three_centres() -> TestFleet {
+    fleet_of(vec![("recife-a", 2), ("recife-b", 2), ("fortaleza", 1)])
+}
+
+/// No key ran twice, and no key that any reply called `not-run` ran at all.
+fn check_runs(fleet: &TestFleet, answers: &[(String, Option<WebReply>)]) {
+    let runs = fleet.runs();
+    for (key, count) in &runs {
+        assert!(*count <= 1, "key {key} ran {count} times");
+    }
+    for (key, reply) in answers {
+        let verdict = reply.as_ref().map_or("", WebReply::verdict);
+        let count = runs.get(key).copied().unwrap_or_default();
+        assert!(verdict != "not-run" || count == 0, "key {key} was answered not-run and ran");
+        assert!(verdict != "ran" || count == 1, "key {key} was answered ran and did not run");
+    }
+}
+
+#[test]
+fn a_resend_gets_the_first_answer() {
+    let fleet = three_centres();
+    let key = mint_key();
+    let first = fleet.submit(0, &key, "filing 1").expect("a reply");
+    assert_eq!((first.status, first.verdict()), (200, "ran"));
+    for daemon in 0..fleet.daemons.len() {
+        let again = fleet.submit(daemon, &key, "filing 1").expect("a reply");
+        assert_eq!((again.status, again.verdict()), (200, "ran"));
+        assert_eq!(again.body, first.body);
+    }
+    assert_eq!(fleet.runs().get(&key), Some(&1));
+}
+
+#[test]
+fn a_key_serves_one_request_of_one_customer() {
+    let fleet = three_centres();
+    let key = mint_key();
+    let first = fleet.submit(0, &key, "filing 1").expect("a reply");
+    let other_body = fleet.submit(1, &key, "filing 2").expect("a reply");
+    assert_eq!((other_body.status, other_body.verdict()), (422, "unknown"));
+    let other = WebRequest::new("POST", fleet.daemons[2].callers, "/filings")
+        .bearer("ekthetis-key")
+        .header("idempotency-key", &key)
+        .body("filing 9")
+        .send()
+        .expect("a reply");
+    assert_eq!((other.status, other.verdict()), (200, "ran"));
+    assert_ne!(other.body, first.body, "the answer of another customer");
+}
+
+#[test]
+fn resends_while_the_first_runs_do_not_run() {
+    let fleet = three_centres();
+    for target in fleet.targets_of("filings") {
+        fleet.order_target(target, "hold");
+    }
+    let key = mint_key();
+    thread::scope(|scope| {
+        let first = scope.spawn(|| fleet.submit(0, &key, "held"));
+        wait_until("the service runs it", || fleet.runs().contains_key(&key));
+        for daemon in 0..fleet.daemons.len() {
+            let again = fleet.submit(daemon, &key, "held").expect("a reply");
+            assert_eq!((again.status, again.verdict()), (409, "unknown"));
+            assert!(again.header("retry-after").is_some());
+        }
+        for target in fleet.targets_of("filings") {
+            fleet.order_target(target, "release");
+        }
+        let first = first.join().expect("no panic").expect("a reply");
+        assert_eq!((first.status, first.verdict()), (200, "ran"));
+    });
+    let again = fleet.submit(1, &key, "held").expect("a reply");
+    assert_eq!(again.verdict(), "ran");
+    assert_eq!(fleet.runs().get(&key), Some(&1));
+}
+
+#[test]
+fn a_caller_that_leaves_does_not_stop_the_action() {
+    let fleet = three_centres();
+    for target in fleet.targets_of("filings") {
+        fleet.order_target(target, "hold");
+    }
+    let key = mint_key();
+    let callers = fleet.daemons[0].callers;
+    let head = format!(
+        "POST /filings HTTP/1.1\r\nhost: x\r\nauthorization: Bearer contabil-key\r\n\
+         idempotency-key: {key}\r\ncontent-length: 4\r\n\r\nbody"
+    );
+    let mut stream = std::net::TcpStream::connect(callers).expect("a connection");
+    std::io::Write::write_all(&mut stream, head.as_bytes()).expect("a sent request");
+    wait_until("the service runs it", || fleet.runs().contains_key(&key));
+    drop(stream);
+    for target in fleet.targets_of("filings") {
+        fleet.order_target(target, "release");
+    }
+    wait_until("the resend gets the answer", || {
+        fleet.submit(1, &key, "body").is_some_and(|reply| reply.verdict() == "ran")
+    });
+    assert_eq!(fleet.runs().get(&key), Some(&1));
+}
+
+#[test]
+fn a_request_cut_before_its_end_never_runs() {
+    let fleet = three_centres();
+    let key = mint_key();
+    let head = format!(
+        "POST /filings HTTP/1.1\r\nhost: x\r\nauthorization: Bearer contabil-key\r\n\
+         idempotency-key: {key}\r\ncontent-length: 400\r\n\r\nonly the beginning"
+    );
+    let mut stream = std::net::TcpStream::connect(fleet.daemons[0].callers).expect("a connection");
+    std::io::Write::write_all(&mut stream, head.as_bytes()).expect("a sent request");
+    drop(stream);
+    let whole = fleet.submit(1, &key, "the whole of it").expect("a reply");
+    assert_eq!(whole.verdict(), "ran");
+    assert_eq!(fleet.runs().get(&key), Some(&1));
+}
+
+#[test]
+fn cuts_at_every_boundary_on_the_way_to_the_target() {
+    let fleet = three_centres();
+    let mut answers = Vec::new();
+    let plans: Vec<String> = [0, 1, 20, 100, 150, 200, 300, 400]
+        .iter()
+        .flat_map(|at| [format!("cut_up={at}"), format!("cut_down={at}")])
+        .chain(["refuse=1".to_owned()])
+        .collect();
+    for plan in &plans {
+        for target in fleet.targets_of("filings") {
+            fleet.set_plan(fleet.targets[target].public_address, plan);
+        }
+        let key = mint_key();
+        answers.push((key.clone(), fleet.submit(0, &key, plan)));
+        for target in fleet.targets_of("filings") {
+            fleet.set_plan(fleet.targets[target].public_address, "");
+        }
+        // A resend after the cut may not run it a second time either.
+        answers.push((key.clone(), fleet.submit(1, &key, plan)));
+        let verdicts: Vec<&str> = answers
+            .iter()
+            .rev()
+            .take(2)
+            .map(|x| x.1.as_ref().map_or("", |y| y.verdict()))
+            .collect();
+        println!("{plan}: resend {} first {}", verdicts[0], verdicts[1]);
+    }
+    assert!(answers.iter().all(|(_, reply)| reply.is_some()));
+    check_runs(&fleet, &answers);
+}
+
+#[test]
+fn a_late_answer_is_kept_for_the_resend_or_stays_unknown() {
+    let fleet = three_centres();
+    let late = mint_key();
+    let path = "/filings?after_ms=2600";
+    let request = |daemon: usize, key: &str| {
+        fleet.request(daemon, "POST", path).header("idempotency-key", key).body("late").send()
+    };
+    // The rule names the path only, so the query decides how late the service is.
+    let first = request(0, &late).expect("a reply");
+    assert_eq!((first.status, first.verdict()), (502, "unknown"));
+    let again = request(1, &late).expect("a reply");
+    assert_eq!((again.status, again.verdict()), (502, "unknown"));
+    assert_eq!(fleet.runs().get(&late), Some(&1));
+}
+
+#[test]
+fn a_wrong_echo_is_never_passed_on() {
+    let fleet = three_centres();
+    for target in fleet.targets_of("filings") {
+        fleet.order_target(target, "wrong-echo?count=1");
+    }
+    let key = mint_key();
+    let reply = fleet.submit(0, &key, "mine").expect("a reply");
+    assert_eq!((reply.status, reply.verdict()), (502, "unknown"));
+    assert!(!reply.body.contains("receipt"));
+    let again = fleet.submit(0, &key, "mine").expect("a reply");
+    assert_eq!(again.verdict(), "unknown");
+    check_runs(&fleet, &[(key, Some(reply))]);
+}
+
+#[test]
+fn both_sides_of_a_cut_are_asked() {
+    let fleet = three_centres();
+    let (left, right) = ([0, 1], [2, 3, 4]);
+    fleet.part(&left, &right);
+    let mut answers = Vec::new();
+    for number in 0..12 {
+        let key = mint_key();
+        let body = format!("filing {number}");
+        let sides = thread::scope(|scope| {
+            let tasks = [0, 2, 4].map(|daemon| {
+                let (fleet, key, body) = (&fleet, &key, &body);
+                scope.spawn(move || fleet.submit(daemon, key, body))
+            });
+            tasks.map(|task| task.join().expect("no panic"))
+        });
+        answers.extend(sides.into_iter().map(|reply| (key.clone(), reply)));
+    }
+    check_runs(&fleet, &answers);
+    let ran = answers.iter().filter(|x| x.1.as_ref().is_some_and(|y| y.verdict() == "ran")).count();
+    assert!(ran > 0, "the side with the majority of holders goes on");
+    fleet.heal();
+    // After the cut every key is decided the same way from everywhere.
+    let keys: Vec<String> = answers.iter().step_by(3).map(|(key, _)| key.clone()).collect();
+    for (number, key) in keys.iter().enumerate() {
+        for daemon in 0..fleet.daemons.len() {
+            let reply = fleet.submit(daemon, key, &format!("filing {number}"));
+            answers.push((key.clone(), reply));
+        }
+    }
+    check_runs(&fleet, &answers);
+}
+
+#[test]
+fn daemons_killed_and_restarted_empty_in_the_middle() {
+    let mut fleet = three_centres();
+    let mut answers = Vec::new();
+    for round in 0..8 {
+        let victim = round % fleet.daemons.len();
+        let key = mint_key();
+        let body = format!("round {round}");
+        for target in fleet.targets_of("filings") {
+            fleet.order_target(target, "hold");
+        }
+        let first = thread::scope(|scope| {
+            let (borrowed, key, body) = (&fleet, &key, &body);
+            let first = scope.spawn(move || borrowed.submit(victim, key, body));
+            wait_until("the service runs it", || borrowed.runs().contains_key(key));
+            // Meanwhile a resend reaches another daemon.
+            let other = (victim + 1) % borrowed.daemons.len();
+            let again = borrowed.submit(other, key, body).expect("a reply");
+            assert_eq!(again.verdict(), "unknown");
+            for target in borrowed.targets_of("filings") {
+                borrowed.order_target(target, "release");
+            }
+            first.join().expect("no panic")
+        });
+        answers.push((key.clone(), first));
+        fleet.daemon_process(victim).kill();
+        fleet.start_daemon(victim);
+        for daemon in 0..fleet.daemons.len() {
+            if let Some(reply) = fleet.submit(daemon, &key, &body) {
+                answers.push((key.clone(), Some(reply)));
+            }
+        }
+        fleet.await_ready(victim);
+    }
+    check_runs(&fleet, &answers);
+}
+
+#[test]
+fn a_daemon_killed_before_its_answer_leaves_the_key_undecided() {
+    let mut fleet = three_centres();
+    for target in fleet.targets_of("filings") {
+        fleet.order_target(target, "hold");
+    }
+    let key = mint_key();
+    let request = fleet.request(0, "POST", "/filings").header("idempotency-key", &key).body("x");
+    let caller = thread::spawn(move || request.send());
+    wait_until("the service runs it", || fleet.runs().contains_key(&key));
+    fleet.daemon_process(0).kill();
+    assert!(caller.join().expect("no panic").is_none());
+    for target in fleet.targets_of("filings") {
+        fleet.order_target(target, "release");
+    }
+    fleet.start_daemon(0);
+    fleet.await_ready(0);
+    for daemon in 0..fleet.daemons.len() {
+        let reply = fleet.submit(daemon, &key, "x").expect("a reply");
+        assert_eq!(reply.verdict(), "unknown", "daemon {daemon}: {}", reply.body);
+    }
+    assert_eq!(fleet.runs().get(&key), Some(&1));
+}
+
+#[test]
+fn a_daemon_frozen_past_its_grant_sends_nothing_when_it_wakes() {
+    let mut fleet = three_centres();
+    // The target's network is held up until the daemon is frozen with a granted attempt.
+    for target in fleet.targets_of("filings") {
+        fleet.set_plan(fleet.targets[target].public_address, "refuse=1");
+    }
+    let key = mint_key();
+    let request = fleet.request(0, "POST", "/filings").header("idempotency-key", &key).body("x");
+    for daemon in &fleet.daemons {
+        fleet.set_plan(daemon.public_peer, "delay_ms=150");
+    }
+    let caller = thread::spawn(move || request.send());
+    wait_until("a holder has granted it", || {
+        (1..fleet.daemons.len()).any(|x| fleet.log(x).contains(&format!("event=claim key={key}")))
+    });
+    fleet.daemon_process(0).freeze();
+    for target in fleet.targets_of("filings") {
+        fleet.set_plan(fleet.targets[target].public_address, "");
+    }
+    // Longer than the grant of 1.5 s; the condition is the clock that the grant is judged by.
+    thread::sleep(std::time::Duration::from_millis(2_500));
+    let meanwhile = fleet.submit(1, &key, "x").expect("a reply");
+    fleet.daemon_process(0).wake();
+    let woken = caller.join().expect("no panic").expect("a reply");
+    assert_ne!(woken.verdict(), "ran", "{}", woken.body);
+    let answers = [(key.clone(), Some(meanwhile)), (key.clone(), Some(woken))];
+    check_runs(&fleet, &answers);
+    assert_eq!(fleet.runs().get(&key), None);
+}
+
+#[test]
+fn a_storm_of_resends_runs_each_key_once() {
+    let fleet = three_centres();
+    let keys: Vec<String> = (0..20).map(|_| mint_key()).collect();
+    let ran = AtomicUsize::new(0);
+    thread::scope(|scope| {
+        for daemon in 0..fleet.daemons.len() {
+            let (fleet, keys, ran) = (&fleet, &keys, &ran);
+            scope.spawn(move || {
+                for key in keys {
+                    let reply = fleet.submit(daemon, key, "storm").expect("a reply");
+                    ran.fetch_add(usize::from(reply.verdict() == "ran"), Ordering::SeqCst);
+                }
+            });
+        }
+    });
+    let runs = fleet.runs();
+    assert!(runs.values().all(|count| *count == 1), "{runs:?}");
+    assert!(ran.load(Ordering::SeqCst) >= runs.len());
+}
--- /dev/null
+++ b/ggt-testkit/tests/whole_answers.rs
@@ -0,0 +1,222 @@
+//! Every caller gets the whole answer to its own request, and only that, under a faulty network.
+
+use std::thread;
+
+use serde_json::json;
+
+use ggt_testkit::fleet::TestFleet;
+use ggt_testkit::layout::FleetOptions;
+use ggt_testkit::web::WebReply;
+use ggt_testkit::web::WebRequest;
+
+const TOKENS: usize = 30;
+
+fn fleet() -> TestFleet {
+    TestFleet::start(FleetOptions {
+        centres: vec![("attica-a", 1), ("attica-b", 1)],
+        engines: 2,
+        services: 0,
+        proxied: true,
+        config: json!({ "workloads": {
+            "intake": { "first_byte_timeout_ms": 1_500, "idle_timeout_ms": 1_500 },
+        } }),
+        ..FleetOptions::default()
+    })
+}
+
+/// What the engine stand-in answers to a prompt.
+fn expected(prompt: &str) -> String {
+    let hash = ggt_core::ident::stable_hash(prompt.as_bytes());
+    (0..TOKENS).map(|number| format!("data: {hash:016x} {number}\n\n")).collect()
+}
+
+fn chat(fleet: &TestFleet, caller: usize, round: usize) -> (String, Option<WebReply>) {
+    let prompt = format!("caller {caller} asks question {round} of their own");
+    let daemon = caller % fleet.daemons.len();
+    let path = format!("/chat?tokens={TOKENS}&gap_ms=1");
+    let request = fleet.request(daemon, "POST", &path).header("x-chat-id", &format!("c{caller}"));
+    let reply = request.body(&prompt).send();
+    (prompt, reply)
+}
+
+/// Sends from many callers at once; returns how many got their whole answer.
+fn storm(fleet: &TestFleet, callers: usize, rounds: usize) -> (usize, usize) {
+    let outcomes: Vec<(String, Option<WebReply>)> = thread::scope(|scope| {
+        let tasks: Vec<_> = (0..callers)
+            .map(|caller| {
+                scope.spawn(move || {
+                    (0..rounds).map(|round| chat(fleet, caller, round)).collect::<Vec<_>>()
+                })
+            })
+            .collect();
+        tasks.into_iter().flat_map(|task| task.join().expect("no panic")).collect()
+    });
+    let mut whole = 0;
+    for (prompt, reply) in &outcomes {
+        let Some(reply) = reply else { continue };
+        if reply.status != 200 {
+            assert!(reply.json()["error"].is_string(), "a refusal says so: {}", reply.body);
+            continue;
+        }
+        let expected = expected(prompt);
+        if reply.is_whole {
+            assert_eq!(reply.body, expected, "a whole answer is the caller's own");
+            whole += 1;
+        } else {
+            assert!(
+                expected.starts_with(&reply.body),
+                "a cut answer is a part of the caller's own"
+            );
+        }
+    }
+    (whole, outcomes.len())
+}
+
+fn set_engine_plans(fleet: &TestFleet, plan: &str) {
+    for target in &fleet.targets {
+        fleet.set_plan(target.public_address, plan);
+    }
+}
+
+#[test]
+fn calm_callers_get_their_own_answers() {
+    let fleet = fleet();
+    let (whole, all) = storm(&fleet, 24, 4);
+    assert_eq!(whole, all);
+}
+
+#[test]
+fn a_reply_cut_in_the_middle_is_resumed_and_joined() {
+    let fleet = fleet();
+    // Each of the first connections is cut within the reply; those that resume it pass.
+    set_engine_plans(&fleet, "cut_down=700&cuts=6");
+    let (whole, all) = storm(&fleet, 8, 2);
+    assert_eq!(whole, all, "every answer was joined");
+    let resumed: u64 = (0..fleet.targets.len())
+        .filter_map(|index| fleet.order_target(index, "stats")?.json()["resumed"].as_u64())
+        .sum();
+    assert!(resumed > 0, "some replies were resumed");
+}
+
+#[test]
+fn a_reply_that_cannot_be_resumed_never_looks_whole() {
+    let fleet = fleet();
+    // The reply and three resumptions of it, about 270 bytes of each being its head, hold less
+    // than the 800 bytes of the whole.
+    set_engine_plans(&fleet, "cut_down=400");
+    for caller in 0..4 {
+        let (prompt, reply) = chat(&fleet, caller, 0);
+        let reply = reply.expect("a reply's head");
+        assert!(!reply.is_whole, "cut for good, but looks whole: {}", reply.body);
+        assert!(expected(&prompt).starts_with(&reply.body));
+    }
+}
+
+#[test]
+fn requests_move_to_another_target_before_the_first_byte() {
+    let fleet = fleet();
+    let (sick, healthy) = fleet.targets.split_at(2);
+    for plan in ["refuse=1", "cut_up=10", "cut_down=0", "cut_down=40"] {
+        for target in sick {
+            fleet.set_plan(target.public_address, plan);
+        }
+        let (whole, all) = storm(&fleet, 6, 2);
+        assert_eq!(whole, all, "{plan}");
+        for target in sick.iter().chain(healthy) {
+            fleet.set_plan(target.public_address, "");
+        }
+    }
+}
+
+#[test]
+fn a_stalled_target_gives_way_to_another() {
+    let fleet = fleet();
+    fleet.set_plan(fleet.targets[0].public_address, "stall=1");
+    fleet.set_plan(fleet.targets[2].public_address, "stall=1");
+    let (whole, all) = storm(&fleet, 8, 1);
+    assert_eq!(whole, all);
+}
+
+#[test]
+fn a_wrong_echo_is_dropped_and_asked_anew() {
+    let fleet = fleet();
+    for index in 0..fleet.targets.len() {
+        fleet.order_target(index, "wrong-echo?count=2");
+    }
+    let (whole, all) = storm(&fleet, 6, 3);
+    assert!(whole > 0 && whole <= all);
+}
+
+#[test]
+fn a_storm_over_a_network_that_cuts_and_delays() {
+    let fleet = fleet();
+    for (index, target) in fleet.targets.iter().enumerate() {
+        let plan = ["delay_ms=5", "cut_down=900&cuts=10", "cut_up=60&cuts=10", "delay_ms=1"];
+        fleet.set_plan(target.public_address, plan[index]);
+    }
+    let (whole, all) = storm(&fleet, 24, 3);
+    println!("{whole} of {all} whole");
+    assert!(whole * 10 >= all * 9, "{whole} of {all} answers were whole");
+}
+
+#[test]
+fn engines_that_die_under_load_cost_no_other_caller() {
+    let mut fleet = fleet();
+    thread::scope(|scope| {
+        let running = scope.spawn(|| storm(&fleet, 16, 6));
+        fleet.order_target(1, "die");
+        let (whole, all) = running.join().expect("no panic");
+        // Replies that had begun on the dead engine are cut, and say so.
+        assert!(whole + 16 >= all, "{whole} of {all}");
+    });
+    fleet.targets[1].incarnation = 2;
+    fleet.start_target(1);
+    fleet.publish_hosts();
+    fleet.await_status("the engine is back", 0, |status| status["hosts_version"] == 2);
+    let (whole, all) = storm(&fleet, 8, 2);
+    assert_eq!(whole, all);
+}
+
+#[test]
+fn a_crashing_request_stops_being_run_and_the_innocent_succeed() {
+    let mut fleet = TestFleet::start(FleetOptions {
+        centres: vec![("attica-a", 2), ("attica-b", 2)],
+        engines: 4,
+        services: 0,
+        config: json!({ "routing": { "crash_limit": 3, "hold_down_ms": 50, "slow_start_ms": 50 } }),
+        ..FleetOptions::default()
+    });
+    let body = "please CRASH-THE-ENGINE now";
+    let innocent = thread::scope(|scope| {
+        let innocent = scope.spawn(|| storm_of_short(&fleet));
+        let first = fleet.request(0, "POST", "/chat").body(body).send().expect("a reply");
+        assert_ne!(first.status, 200);
+        for daemon in 0..fleet.daemons.len() {
+            fleet.await_status("it has heard", daemon, |status| status["suspects"] != 0);
+        }
+        for resend in 0..8 {
+            let daemon = resend % fleet.daemons.len();
+            let last = fleet.request(daemon, "POST", "/chat").body(body).send().expect("a reply");
+            assert_eq!((last.status, last.verdict()), (422, "not-run"), "{}", last.body);
+            assert!(last.header("retry-after").is_some());
+        }
+        innocent.join().expect("no panic")
+    });
+    assert_eq!(innocent, 0, "innocent requests failed");
+    let dead: usize = (0..fleet.targets.len())
+        .map(|index| usize::from(!fleet.target_process(index).is_running()))
+        .sum();
+    assert!((1..=3).contains(&dead), "{dead} engines died");
+}
+
+/// Short requests from many callers; returns how many failed.
+fn storm_of_short(fleet: &TestFleet) -> usize {
+    (0..60)
+        .filter(|number| {
+            let path = "/chat?tokens=1&gap_ms=0&first_ms=20";
+            let request: WebRequest = fleet.request(number % fleet.daemons.len(), "POST", path);
+            let reply = request.body(&format!("innocent {number}")).send();
+            reply.is_none_or(|reply| reply.status != 200)
+        })
+        .count()
+}
--- /dev/null
+++ b/ggt-testkit/tests/whole_path.rs
@@ -0,0 +1,200 @@
+//! The whole path with real processes: chats, streams, bad callers and the operators' tools.
+
+use std::io::Read;
+
+use serde_json::json;
+
+use ggt_testkit::fleet::TestFleet;
+use ggt_testkit::fleet::mint_key;
+use ggt_testkit::layout::FleetOptions;
+use ggt_testkit::process::run_cli;
+use ggt_testkit::wait::wait_for;
+use ggt_testkit::wait::wait_until;
+use ggt_testkit::web::WebRequest;
+
+fn small_fleet() -> TestFleet {
+    TestFleet::start(FleetOptions {
+        settings: json!({ "limits": { "max_body_bytes": 20_000 } }),
+        ..FleetOptions::default()
+    })
+}
+
+#[test]
+fn first_bytes_reach_the_caller_before_the_last_are_made() {
+    let fleet = small_fleet();
+    let request = fleet
+        .request(0, "POST", "/chat?tokens=4&hold_after=2")
+        .header("x-request-id", "held-1")
+        .body("prompt");
+    let (head, mut reader) = request.open().expect("a reply");
+    assert_eq!(head.status, 200);
+    let mut text = String::new();
+    let mut buffer = [0; 256];
+    while text.matches("data:").count() < 2 {
+        let length = reader.read(&mut buffer).expect("the first tokens");
+        text.push_str(&String::from_utf8_lossy(&buffer[..length]));
+    }
+    // The engine holds the other two tokens back until it is told to go on.
+    let engine = head.header("x-served-by").expect("a target").to_owned();
+    let index = fleet.targets.iter().position(|x| x.name == engine).expect("a known target");
+    fleet.order_target(index, "release/held-1").expect("the engine answers");
+    reader.read_to_string(&mut text).expect("the last tokens");
+    assert_eq!(text.matches("data:").count(), 4);
+}
+
+#[test]
+fn a_returning_chat_finds_its_cache_through_any_daemon() {
+    let fleet = small_fleet();
+    for chat in 0..6 {
+        let id = format!("chat-{chat}");
+        let body = "the dossier ".repeat(40);
+        let mut served = Vec::new();
+        for daemon in 0..fleet.daemons.len() {
+            let request = fleet.request(daemon, "POST", "/chat").header("x-chat-id", &id);
+            let reply = request.body(&body).send().expect("a reply");
+            assert!(reply.is_whole);
+            served.push(reply.header("x-served-by").unwrap_or_default().to_owned());
+        }
+        served.dedup();
+        assert_eq!(served.len(), 1, "{id} wandered over {served:?}");
+    }
+}
+
+#[test]
+fn bad_callers_are_refused_before_any_target_is_touched() {
+    let fleet = small_fleet();
+    let large = "x".repeat(30_000);
+    let stranger = |key: &str| {
+        WebRequest::new("POST", fleet.daemons[0].callers, "/chat").bearer(key).body("x")
+    };
+    let submit = || fleet.request(0, "POST", "/filings").body("x");
+    let cases = [
+        (stranger("nobody"), 401, "unknown-key"),
+        (WebRequest::new("POST", fleet.daemons[0].callers, "/chat"), 401, "unknown-key"),
+        (fleet.request(0, "POST", "/nowhere"), 404, "no-workload"),
+        (fleet.request(0, "POST", "/chat").body(&large), 413, "too-large"),
+        (fleet.request(0, "POST", "/chat").header("x-chat-id", "a b"), 400, "malformed-header"),
+        (fleet.request(0, "POST", "/chat").header("x-chat-hint", "zz"), 400, "malformed-header"),
+        (fleet.request(0, "POST", "/chat").header("x-deadline-ms", "-1"), 400, "malformed-header"),
+        (submit(), 400, "missing-key"),
+        (submit().header("idempotency-key", "order 1"), 400, "malformed-key"),
+        (submit().header("idempotency-key", "order-1"), 400, "malformed-key"),
+    ];
+    for (request, status, cause) in cases {
+        let reply = request.send().expect("a reply");
+        assert_eq!(reply.status, status, "{}", reply.body);
+        assert_eq!(reply.verdict(), "not-run");
+        assert_eq!(reply.json()["error"], cause);
+        assert_eq!(reply.json()["verdict"], "not-run");
+    }
+    for index in 0..fleet.targets.len() {
+        let stats = WebRequest::new("GET", fleet.targets[index].address, "/load").send();
+        assert_eq!(stats.expect("an answer").json()["started_total"], 0);
+    }
+}
+
+#[test]
+fn an_expired_key_may_have_run() {
+    let fleet = small_fleet();
+    // Minted in 2020: bits of time, version 7, variant.
+    let reply = fleet.submit(0, "016f5e66-e800-7000-8000-000000000000", "x").expect("a reply");
+    assert_eq!((reply.status, reply.verdict()), (410, "unknown"));
+}
+
+#[test]
+fn a_forged_hint_costs_nothing_but_the_cache() {
+    let fleet = small_fleet();
+    let reply = fleet
+        .request(0, "POST", "/chat")
+        .header("x-chat-id", "c")
+        .header("x-chat-hint", &"ab".repeat(40))
+        .body("prompt")
+        .send()
+        .expect("a reply");
+    assert_eq!((reply.status, reply.is_whole), (200, true));
+}
+
+#[test]
+fn the_cap_on_concurrent_requests_refuses_clearly() {
+    let fleet = TestFleet::start(FleetOptions {
+        settings: json!({ "limits": { "max_concurrent": 2 } }),
+        ..FleetOptions::default()
+    });
+    let held: Vec<_> = (0..2)
+        .map(|number| {
+            let id = format!("held-{number}");
+            let request = fleet.request(0, "POST", "/chat?tokens=2&hold_after=1");
+            request.header("x-request-id", &id).body(&id).open().expect("a reply")
+        })
+        .collect();
+    let refused = fleet.request(0, "POST", "/chat").body("third").send().expect("a reply");
+    assert_eq!((refused.status, refused.verdict()), (503, "not-run"));
+    assert_eq!(refused.json()["error"], "too-many-requests");
+    assert_eq!(refused.header("retry-after"), Some("1"));
+    for index in fleet.targets_of("intake") {
+        (0..2).for_each(|number| {
+            fleet.order_target(index, &format!("release/held-{number}"));
+        });
+    }
+    for (_, mut reader) in held {
+        let mut text = String::new();
+        reader.read_to_string(&mut text).expect("the rest");
+        assert_eq!(text.matches("data:").count(), 2);
+    }
+}
+
+#[test]
+fn a_caller_that_leaves_cancels_its_request() {
+    let fleet = small_fleet();
+    let request = fleet.request(0, "POST", "/chat?tokens=1000000&gap_ms=5").body("long");
+    let (head, mut reader) = request.open().expect("a reply");
+    let engine = head.header("x-served-by").expect("a target").to_owned();
+    let index = fleet.targets.iter().position(|x| x.name == engine).expect("a known target");
+    reader.read_exact(&mut [0; 64]).expect("first bytes");
+    drop(reader);
+    wait_until("the engine hears of it", || {
+        let reply = fleet.order_target(index, "stats").expect("stats");
+        reply.json()["cancelled"] == 1 && reply.json()["finished"] == 1
+    });
+}
+
+#[test]
+fn operators_see_what_is_in_force() {
+    let mut fleet = small_fleet();
+    let admin = fleet.daemons[0].admin.to_string();
+    let (code, output, _) =
+        run_cli(&["status", "--json", "--key", "operator-key", "--admin", &admin]);
+    let status: serde_json::Value = serde_json::from_str(&output).expect("JSON");
+    assert_eq!((code, &status[&admin]["revision"]), (0, &json!(1)));
+    let (code, _, errors) = run_cli(&["status", "--key", "wrong", "--admin", &admin]);
+    assert_eq!((code, errors.as_str()), (3, ""));
+    let explain = ["explain", "--key", "operator-key", "--admin", &admin];
+    let asked = ["--customer", "contabil", "--path", "/chat", "--chat", "c 1"];
+    let (code, output, _) = run_cli(&[&explain[..], &asked[..]].concat());
+    assert_eq!(code, 0);
+    assert!(output.starts_with("rule chat, workload intake, non-idempotent false\n"), "{output}");
+    let metrics = WebRequest::new("GET", fleet.daemons[0].admin, "/metrics");
+    let reply = metrics.bearer("operator-key").send().expect("metrics");
+    assert!(reply.body.contains("ggt_control_traffic_bytes_total"), "{}", reply.body);
+    let (code, _, _) = run_cli(&["drain", "--key", "operator-key", "--admin", &admin]);
+    assert_eq!(code, 0);
+    assert_eq!(fleet.daemon_process(0).wait().code(), Some(0));
+}
+
+#[test]
+fn each_decision_is_one_log_line() {
+    let fleet = small_fleet();
+    let request = fleet.request(0, "POST", "/chat").header("x-request-id", "logged-1");
+    request.body("prompt").send().expect("a reply");
+    let line = wait_for("the line", || {
+        let log = fleet.log(0);
+        let mut lines = log.lines();
+        lines.find(|line| line.contains("event=route request_id=logged-1")).map(str::to_owned)
+    });
+    for part in ["customer=contabil", "workload=intake", "target=", "reason=home", "revision=1"] {
+        assert!(line.contains(part), "{line}");
+    }
+    let key = mint_key();
+    fleet.submit(0, &key, "x").expect("a reply");
+    wait_until("the outcome's line", || fleet.log(0).contains("status=200 verdict=ran"));
+}
--- a/ggt-wire/src/datagram/mod.rs
+++ b/ggt-wire/src/datagram/mod.rs
@@ -4,13 +4,12 @@
 use serde::Serialize;
 use snafu::Snafu;
 
+use crate::seal::FleetKeys;
+use crate::seal::TAG_BYTES;
 use ggt_core::membership::GossipItem;
 use ggt_core::membership::PeerMessage;
 use ggt_core::membership::SignedHead;
 
-use crate::seal::FleetKeys;
-use crate::seal::TAG_BYTES;
-
 /// Largest datagram: fits the usual MTU of 1,500 bytes with the IP and UDP heads.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
 /// Bytes of the IPv4 and UDP heads that each datagram costs besides.
--- a/ggt-wire/src/hint/mod.rs
+++ b/ggt-wire/src/hint/mod.rs
@@ -3,13 +3,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use ggt_core::ident::CustomerName;
-use ggt_core::ident::TargetName;
-
 use crate::seal::FleetKeys;
 use crate::seal::TAG_BYTES;
 use crate::seal::from_hex;
 use crate::seal::to_hex;
+use ggt_core::ident::CustomerName;
+use ggt_core::ident::TargetName;
 
 /// Longest hint in characters.
 const MAX_HINT_CHARS: usize = 512;
--- a/ggt-wire/src/rpc/mod.rs
+++ b/ggt-wire/src/rpc/mod.rs
@@ -8,16 +8,15 @@
 use serde_json::value::RawValue;
 use snafu::Snafu;
 
-use ggt_core::clock::WallTime;
-use ggt_core::ident::DaemonName;
-use ggt_core::ident::TargetName;
-
 use crate::platform::FileDigest;
 use crate::platform::FolderKind;
 use crate::platform::FolderManifest;
 use crate::seal::FleetKeys;
 use crate::seal::from_hex;
 use crate::seal::to_hex;
+use ggt_core::clock::WallTime;
+use ggt_core::ident::DaemonName;
+use ggt_core::ident::TargetName;
 
 /// Asks a holder for a key.
 pub const CLAIM: &str = "claim";
