fix: a reply whose serving thread fails never looks whole

Cause: the end of a reply was the closing of its channel, which a panicking thread closes too, so a broken reply ended as if it were whole. A slow caller brought it about: the timeout of a full channel was made outside the runtime's context and panicked. Ruled out: the target's end of the reply, which was whole.

Change: only an explicit end makes a reply whole, a dropped sink aborts the connection; the timeout is made within the runtime's context. Red before: a caller that reads 40 MB late got 'Peer disconnected' once the abort was in place and the timeout was not. After: all 1,500,000 tokens arrive.

--- a/ggt-daemon/src/flow/repeatable.rs
+++ b/ggt-daemon/src/flow/repeatable.rs
@@ -90,7 +90,7 @@
             AttemptEnd::CallerLeft => return,
             AttemptEnd::Broken => {
                 exchange::learn_failure(state, config, job, &target, true);
-                return sink.abort();
+                return;
             }
             AttemptEnd::Failed(failure) => failure,
         };
--- a/ggt-daemon/src/flow/sink.rs
+++ b/ggt-daemon/src/flow/sink.rs
@@ -61,6 +61,7 @@
 #[derive(Debug)]
 pub struct CallerLink {
     is_gone: AtomicBool,
+    is_finished: AtomicBool,
     ticket: Mutex<Option<CancelTicket>>,
     cancels: Sender<CancelTicket>,
 }
@@ -91,7 +92,7 @@
 pub struct ReplySink {
     link: Arc<CallerLink>,
     head: Option<oneshot::Sender<ReplyHead>>,
-    chunks: Option<mpsc::Sender<Result<Bytes, BrokenReply>>>,
+    chunks: mpsc::Sender<Bytes>,
     runtime: Handle,
 }
 
@@ -99,7 +100,7 @@
 #[derive(Debug)]
 pub struct ReplyBody {
     link: Arc<CallerLink>,
-    chunks: mpsc::Receiver<Result<Bytes, BrokenReply>>,
+    chunks: mpsc::Receiver<Bytes>,
     is_over: bool,
 }
 
@@ -108,11 +109,15 @@
     runtime: Handle,
     cancels: Sender<CancelTicket>,
 ) -> (ReplySink, oneshot::Receiver<ReplyHead>, ReplyBody) {
-    let link =
-        Arc::new(CallerLink { is_gone: AtomicBool::new(false), ticket: Mutex::default(), cancels });
+    let link = Arc::new(CallerLink {
+        is_gone: AtomicBool::new(false),
+        is_finished: AtomicBool::new(false),
+        ticket: Mutex::default(),
+        cancels,
+    });
     let (head, head_receiver) = oneshot::channel();
     let (chunks, chunk_receiver) = mpsc::channel(MAX_WAITING_CHUNKS);
-    let sink = ReplySink { link: link.clone(), head: Some(head), chunks: Some(chunks), runtime };
+    let sink = ReplySink { link: link.clone(), head: Some(head), chunks, runtime };
     let body = ReplyBody { link, chunks: chunk_receiver, is_over: false };
     (sink, head_receiver, body)
 }
@@ -138,27 +143,24 @@
 
     /// Passes a chunk on; `false` when the caller has left or took too long.
     pub fn push(&mut self, chunk: Bytes, deadline: MonoTime) -> bool {
-        let Some(chunks) = &self.chunks else { return false };
-        match chunks.try_send(Ok(chunk)) {
+        match self.chunks.try_send(chunk) {
             Ok(()) => true,
             Err(mpsc::error::TrySendError::Closed(_)) => false,
             Err(mpsc::error::TrySendError::Full(chunk)) => {
-                let send = timeout(until(deadline), chunks.send(chunk));
-                matches!(self.runtime.block_on(async { send.await }), Ok(Ok(())))
+                // The timeout needs the runtime's timer from its creation on.
+                let _context = self.runtime.enter();
+                let send = timeout(until(deadline), self.chunks.send(chunk));
+                matches!(self.runtime.block_on(send), Ok(Ok(())))
             }
         }
     }
 
     /// Ends the reply as whole.
-    pub fn finish(mut self) {
-        self.chunks = None;
-    }
-
-    /// Ends the reply as broken: the connection is aborted.
-    pub fn abort(mut self) {
-        if let Some(chunks) = self.chunks.take() {
-            let _ = self.runtime.block_on(chunks.send(Err(BrokenReply)));
-        }
+    ///
+    /// A sink that is dropped without it, be it by a panic, leaves a broken reply, and the
+    /// connection is aborted.
+    pub fn finish(self) {
+        self.link.is_finished.store(true, Ordering::SeqCst);
     }
 }
 
@@ -171,9 +173,13 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenReply>>> {
         let polled = self.chunks.poll_recv(context);
-        polled.map(|chunk| {
-            self.is_over = !matches!(chunk, Some(Ok(_)));
-            chunk.map(|chunk| chunk.map(Frame::data))
+        polled.map(|chunk| match chunk {
+            Some(chunk) => Some(Ok(Frame::data(chunk))),
+            None => {
+                self.is_over = true;
+                let is_whole = self.link.is_finished.load(Ordering::SeqCst);
+                (!is_whole).then_some(Err(BrokenReply))
+            }
         })
     }
 }
--- a/ggt-daemon/src/flow/worker.rs
+++ b/ggt-daemon/src/flow/worker.rs
@@ -85,6 +85,15 @@
     }
 }
 
+/// One of the requests that may be served at once; given back also when its thread panics.
+struct OpenPlace<'a>(&'a AtomicUsize);
+
+impl Drop for OpenPlace<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 fn serve(
     context: &WorkContext,
     receiver: &Receiver<WorkItem>,
@@ -103,8 +112,9 @@
             }
             continue;
         };
+        let place = OpenPlace(open);
         run_job(context, job, sink);
-        open.fetch_sub(1, Ordering::SeqCst);
+        drop(place);
         idle.fetch_add(1, Ordering::SeqCst);
     }
 }
--- a/ggt-daemon/src/peers/links.rs
+++ b/ggt-daemon/src/peers/links.rs
@@ -118,10 +118,9 @@
     }
 
     async fn client(&self, peer: SocketAddr) -> Result<(Arc<WsClient>, bool), LinkError> {
-        if let Some(client) = self.clients.lock().await.get(&peer) {
-            if client.is_connected() {
-                return Ok((client.clone(), false));
-            }
+        let known = self.clients.lock().await.get(&peer).cloned();
+        if let Some(client) = known.filter(|client| client.is_connected()) {
+            return Ok((client, false));
         }
         let client = Arc::new(self.connect(peer).await?);
         self.clients.lock().await.insert(peer, client.clone());
--- a/ggt-testkit/tests/whole_answers.rs
+++ b/ggt-testkit/tests/whole_answers.rs
@@ -1,11 +1,13 @@
 //! Every caller gets the whole answer to its own request, and only that, under a faulty network.
 
+use std::io::Read;
 use std::thread;
 
 use serde_json::json;
 
 use ggt_testkit::fleet::TestFleet;
 use ggt_testkit::layout::FleetOptions;
+use ggt_testkit::wait::wait_until;
 use ggt_testkit::web::WebReply;
 use ggt_testkit::web::WebRequest;
 
@@ -209,6 +211,24 @@
     assert!((1..=3).contains(&dead), "{dead} engines died");
 }
 
+#[test]
+fn a_slow_caller_gets_its_whole_answer() {
+    let fleet = fleet();
+    let path = "/chat?tokens=1500000&gap_ms=0";
+    let request = fleet.request(0, "POST", path).body("slow");
+    let (head, mut reader) = request.open().expect("a reply");
+    let engine = head.header("x-served-by").expect("a target").to_owned();
+    let index = fleet.targets.iter().position(|x| x.name == engine).expect("a known target");
+    // Nothing is read until the engine has long ended and every buffer on the way is full.
+    wait_until("the engine ends", || {
+        fleet.order_target(index, "stats").expect("stats").json()["finished"] == 1
+    });
+    thread::sleep(std::time::Duration::from_millis(500));
+    let mut text = String::new();
+    reader.read_to_string(&mut text).expect("the whole answer");
+    assert_eq!(text.matches("data:").count(), 1_500_000);
+}
+
 /// Short requests from many callers; returns how many failed.
 fn storm_of_short(fleet: &TestFleet) -> usize {
     (0..60)
