--- /dev/null
+++ b/ggt-measure/src/bin/ggt-measure.rs
@@ -0,0 +1,154 @@
+//! Measures the routing decisions against other ways and writes tables, JSON and plots.
+
+#![forbid(unsafe_code)]
+#![deny(missing_docs, rust_2018_idioms)]
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+use ggt_core::routing::RoutingOptions;
+use ggt_measure::replay::ChurnPlan;
+use ggt_measure::replay::Replay;
+use ggt_measure::replay::ReplayOptions;
+use ggt_measure::report::ScenarioFigures;
+use ggt_measure::report::plot;
+use ggt_measure::report::table;
+use ggt_measure::trace::TraceOptions;
+use ggt_measure::trace::generate;
+use ggt_measure::ways::RouteWay;
+
+/// Requests a second for each engine: 3,700 over 780.
+const RATE_FOR_EACH_ENGINE: f64 = 4.74;
+const CAPACITY: u32 = 80;
+const SURGING_CUSTOMER: usize = 3;
+
+/// Measures routing decisions on a generated trace.
+#[derive(FromArgs)]
+struct MeasureArgs {
+    /// seed of the trace
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// simulated minutes
+    #[argh(option, default = "60")]
+    minutes: u64,
+    /// engines
+    #[argh(option, default = "20")]
+    engines: usize,
+    /// daemons
+    #[argh(option, default = "8")]
+    daemons: usize,
+    /// data centres
+    #[argh(option, default = "4")]
+    centres: usize,
+    /// tokens that each engine's cache holds
+    #[argh(option, default = "12000000")]
+    cache_tokens: u64,
+    /// requests that each own request since a report stands for
+    #[argh(option, default = "1.0")]
+    peer_scale: f64,
+    /// bound on load over mean load
+    #[argh(option, default = "1.25")]
+    max_load_ratio: f64,
+    /// only this scenario
+    #[argh(option)]
+    scenario: Option<String>,
+    /// only this way, besides the oracle
+    #[argh(option)]
+    way: Option<String>,
+    /// folder for JSON and plots
+    #[argh(option)]
+    out: Option<PathBuf>,
+}
+
+struct Scenario {
+    name: &'static str,
+    is_churning: bool,
+    surges: bool,
+    cuts: bool,
+    lag_ms: u64,
+}
+
+const SCENARIOS: [Scenario; 7] = [
+    Scenario { name: "calm", is_churning: false, surges: false, cuts: false, lag_ms: 0 },
+    Scenario { name: "churn", is_churning: true, surges: false, cuts: false, lag_ms: 0 },
+    Scenario { name: "surge", is_churning: false, surges: true, cuts: false, lag_ms: 0 },
+    Scenario { name: "cut", is_churning: false, surges: false, cuts: true, lag_ms: 0 },
+    Scenario { name: "lag-1s", is_churning: false, surges: false, cuts: false, lag_ms: 1_000 },
+    Scenario { name: "lag-5s", is_churning: false, surges: false, cuts: false, lag_ms: 5_000 },
+    Scenario { name: "all", is_churning: true, surges: true, cuts: true, lag_ms: 5_000 },
+];
+
+fn main() -> ExitCode {
+    let args: MeasureArgs = argh::from_env();
+    let mut all: BTreeMap<&str, ScenarioFigures> = BTreeMap::new();
+    for scenario in &SCENARIOS {
+        if args.scenario.as_ref().is_some_and(|name| name != scenario.name) {
+            continue;
+        }
+        let figures = measure(&args, scenario);
+        print!("{}", table(scenario.name, &figures));
+        if let Some(folder) = &args.out {
+            let file = folder.join(format!("{}-{}.svg", args.engines, scenario.name));
+            let title = format!("{} engines, {}", args.engines, scenario.name);
+            if let Err(e) = plot(&file, &title, &figures) {
+                eprintln!("ggt-measure: {e}");
+                return ExitCode::FAILURE;
+            }
+        }
+        all.insert(scenario.name, figures);
+    }
+    if let Some(folder) = &args.out {
+        let file = folder.join(format!("{}.json", args.engines));
+        let text = serde_json::to_string_pretty(&all).unwrap_or_default();
+        if let Err(e) = std::fs::write(&file, text + "\n") {
+            eprintln!("ggt-measure: {}: {e}", file.display());
+            return ExitCode::FAILURE;
+        }
+    }
+    ExitCode::SUCCESS
+}
+
+fn measure(args: &MeasureArgs, scenario: &Scenario) -> ScenarioFigures {
+    let length_ms = args.minutes * 60_000;
+    // Surge and cut fall into the middle of what is counted.
+    let (from, until) = (length_ms * 5 / 10, length_ms * 8 / 10);
+    let customers = 10;
+    let trace = generate(&TraceOptions {
+        seed: args.seed,
+        length_ms,
+        rate: RATE_FOR_EACH_ENGINE * args.engines as f64,
+        customers,
+        surge: scenario.surges.then_some((SURGING_CUSTOMER, from, until)),
+    });
+    let options = ReplayOptions {
+        seed: args.seed + 1,
+        daemons: args.daemons,
+        engines: args.engines,
+        centres: args.centres,
+        capacity: CAPACITY,
+        cache_tokens: args.cache_tokens,
+        lag_ms: scenario.lag_ms,
+        loss: 0.01,
+        customers,
+        churn: ChurnPlan {
+            is_churning: scenario.is_churning,
+            cut: scenario.cuts.then_some((1, from, until)),
+        },
+        routing: RoutingOptions {
+            peer_scale: args.peer_scale,
+            max_load_ratio: args.max_load_ratio,
+            ..RoutingOptions::default()
+        },
+    };
+    RouteWay::ALL
+        .into_iter()
+        .filter(|way| {
+            let is_asked = args.way.as_ref().is_none_or(|name| name == way.as_str());
+            is_asked || *way == RouteWay::Oracle
+        })
+        .map(|way| (way.as_str().to_owned(), Replay::new(&options, way).run(&trace)))
+        .collect()
+}
--- /dev/null
+++ b/ggt-measure/src/report/mod.rs
@@ -0,0 +1,105 @@
+//! Tables and plots of the measurements.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::path::Path;
+
+use plotters::prelude::ChartBuilder;
+use plotters::prelude::Circle;
+use plotters::prelude::IntoDrawingArea;
+use plotters::prelude::Palette;
+use plotters::prelude::Palette99;
+use plotters::prelude::SVGBackend;
+use plotters::style::Color;
+use plotters::style::WHITE;
+use snafu::Snafu;
+
+use crate::replay::ReplayOutcome;
+
+/// Why a plot cannot be drawn.
+#[derive(Debug, Snafu)]
+#[snafu(display("plot {file}: {cause}"))]
+pub struct PlotError {
+    file: String,
+    cause: String,
+}
+
+/// Figures of all ways in one scenario.
+pub type ScenarioFigures = BTreeMap<String, ReplayOutcome>;
+
+/// A table in Markdown, a row for each way.
+pub fn table(title: &str, figures: &ScenarioFigures) -> String {
+    let mut text = String::new();
+    let oracle = figures.get("oracle").map_or(1.0, |outcome| outcome.reuse);
+    // Writing to a string cannot fail.
+    let _ = writeln!(text, "### {title}\n");
+    let _ = writeln!(
+        text,
+        "| way | reuse | of oracle | skew p99 | skew max | refused | refused, worst other | lost | \
+         control B/s | decision |"
+    );
+    let _ = writeln!(text, "|---|---|---|---|---|---|---|---|---|---|");
+    for (way, outcome) in figures {
+        let mut refused = outcome.refused_by_customer.clone();
+        refused.sort_by(f64::total_cmp);
+        let others = refused.len().saturating_sub(2);
+        let worst_other = refused.get(others).copied().unwrap_or_default();
+        let _ = writeln!(
+            text,
+            "| {way} | {:.3} | {:.1} % | {:.2} | {:.2} | {:.2} % | {:.2} % | {:.2} % | {:.0} | {} ns |",
+            outcome.reuse,
+            100.0 * outcome.reuse / oracle,
+            outcome.skew_p99,
+            outcome.skew_max,
+            100.0 * outcome.refused,
+            100.0 * worst_other,
+            100.0 * outcome.lost,
+            outcome.control_bytes,
+            outcome.decision_ns,
+        );
+    }
+    text.push('\n');
+    text
+}
+
+/// Draws cache reuse against skew, a dot for each way.
+///
+/// # Errors
+/// [`PlotError`] when the file cannot be written.
+pub fn plot(file: &Path, title: &str, figures: &ScenarioFigures) -> Result<(), PlotError> {
+    draw(file, title, figures)
+        .map_err(|e| PlotError { file: file.display().to_string(), cause: e.to_string() })
+}
+
+fn draw(
+    file: &Path,
+    title: &str,
+    figures: &ScenarioFigures,
+) -> Result<(), Box<dyn std::error::Error>> {
+    const SIZE: (u32, u32) = (760, 480);
+    let largest = figures.values().map(|x| x.skew_p99).fold(1.0, f64::max);
+    let area = SVGBackend::new(file, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .caption(title, ("sans-serif", 20))
+        .margin(12)
+        .x_label_area_size(40)
+        .y_label_area_size(50)
+        .build_cartesian_2d(0.9..largest * 1.1, 0.0..1.0)?;
+    chart
+        .configure_mesh()
+        .x_desc("load over mean load, 99th percentile")
+        .y_desc("prompt tokens reused")
+        .draw()?;
+    for (number, (way, outcome)) in figures.iter().enumerate() {
+        let colour = Palette99::pick(number).to_rgba();
+        let dot = Circle::new((outcome.skew_p99, outcome.reuse), 5, colour.filled());
+        chart
+            .draw_series(std::iter::once(dot))?
+            .label(way.clone())
+            .legend(move |(x, y)| Circle::new((x, y), 5, colour.filled()));
+    }
+    chart.configure_series_labels().background_style(WHITE).border_style(WHITE).draw()?;
+    area.present()?;
+    Ok(())
+}
--- /dev/null
+++ b/ggt-measure/src/ways/mod.rs
@@ -0,0 +1,176 @@
+//! Ways to choose a target.
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+use ggt_core::clock::MonoTime;
+use ggt_core::ident::TargetName;
+use ggt_core::ident::WorkloadName;
+use ggt_core::routing::RouteQuery;
+use ggt_core::routing::RoutingOptions;
+use ggt_core::routing::RoutingTable;
+use ggt_core::routing::TargetEntry;
+use ggt_core::routing::TargetKey;
+use ggt_core::routing::TargetStatus;
+use ggt_core::routing::rendezvous_score;
+
+use crate::engines::EngineModel;
+
+/// First targets of the rendezvous order among which two choices pick.
+const CHOICE_WIDTH: usize = 4;
+
+/// A way to choose a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouteWay {
+    /// Any ready target.
+    Random,
+    /// The least loaded by the last reports.
+    LeastLoad,
+    /// The first in rendezvous order.
+    Rendezvous,
+    /// The first in rendezvous order under the load bound.
+    BoundedRendezvous,
+    /// The less loaded of two among the first four in rendezvous order.
+    TwoChoices,
+    /// The caller's hint, else the first in rendezvous order; no bound.
+    HintOnly,
+    /// The fleet's own way: hint, rendezvous order, load bound.
+    Fleet,
+    /// Perfect knowledge of all caches, and no bound.
+    Oracle,
+}
+
+impl RouteWay {
+    /// All ways.
+    pub const ALL: [Self; 8] = [
+        Self::Random,
+        Self::LeastLoad,
+        Self::Rendezvous,
+        Self::BoundedRendezvous,
+        Self::TwoChoices,
+        Self::HintOnly,
+        Self::Fleet,
+        Self::Oracle,
+    ];
+
+    /// The name in reports.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Random => "random",
+            Self::LeastLoad => "least-load",
+            Self::Rendezvous => "rendezvous",
+            Self::BoundedRendezvous => "bounded",
+            Self::TwoChoices => "two-of-four",
+            Self::HintOnly => "hint-only",
+            Self::Fleet => "ours",
+            Self::Oracle => "oracle",
+        }
+    }
+
+    /// Whether the way needs load reports.
+    pub const fn needs_loads(self) -> bool {
+        matches!(self, Self::LeastLoad | Self::BoundedRendezvous | Self::TwoChoices | Self::Fleet)
+    }
+
+    /// Chooses a target for a chat; `None` when no target takes it.
+    pub fn choose(
+        self,
+        table: &RoutingTable,
+        engines: &[EngineModel],
+        query: &WayQuery<'_>,
+        generator: &mut SmallRng,
+    ) -> Option<TargetKey> {
+        let scale = query.options.peer_scale;
+        match self {
+            Self::Random => {
+                let ready: Vec<_> = ready(table, query).collect();
+                ready.get(generator.random_range(0..ready.len().max(1))).map(|(key, _)| *key)
+            }
+            Self::LeastLoad => ready(table, query)
+                .min_by(|a, b| a.1.load.value(scale).total_cmp(&b.1.load.value(scale)))
+                .map(|(key, _)| key),
+            Self::TwoChoices => {
+                let mut scored: Vec<_> =
+                    ready(table, query).map(|x| (score(query, x.1), x)).collect();
+                scored.sort_by(|a, b| b.0.total_cmp(&a.0));
+                scored.truncate(CHOICE_WIDTH);
+                let pick = |generator: &mut SmallRng| {
+                    scored.get(generator.random_range(0..scored.len().max(1))).map(|x| x.1)
+                };
+                let (first, second) = (pick(generator)?, pick(generator)?);
+                let is_second = second.1.load.value(scale) < first.1.load.value(scale);
+                Some(if is_second { second.0 } else { first.0 })
+            }
+            Self::Oracle => ready(table, query)
+                .max_by_key(|(_, entry)| {
+                    let engine = &engines[index_of(&entry.host.name)];
+                    let room = u64::MAX / 2 - engine.used_tokens();
+                    (engine.cached(query.chat), room)
+                })
+                .map(|(key, _)| key),
+            Self::Rendezvous | Self::BoundedRendezvous | Self::HintOnly | Self::Fleet => {
+                let options = RoutingOptions {
+                    use_hints: matches!(self, Self::HintOnly | Self::Fleet),
+                    max_load_ratio: match self {
+                        Self::Rendezvous | Self::HintOnly => f64::INFINITY,
+                        _ => query.options.max_load_ratio,
+                    },
+                    full_ratio: match self {
+                        Self::Rendezvous | Self::HintOnly => f64::INFINITY,
+                        _ => query.options.full_ratio,
+                    },
+                    ..*query.options
+                };
+                let question = RouteQuery {
+                    workload: query.workload,
+                    chat_hash: query.chat_hash,
+                    hint: query.hint,
+                    tried: query.tried,
+                };
+                table.choose(&question, &options, query.now).ok().map(|chosen| chosen.key)
+            }
+        }
+    }
+}
+
+/// A question to a way.
+#[derive(Clone, Copy, Debug)]
+pub struct WayQuery<'a> {
+    /// The workload.
+    pub workload: &'a WorkloadName,
+    /// The chat.
+    pub chat: u64,
+    /// The chat's hash.
+    pub chat_hash: u64,
+    /// The caller's hint.
+    pub hint: Option<(&'a TargetName, u64)>,
+    /// Targets tried before.
+    pub tried: &'a [TargetKey],
+    /// The fleet's options.
+    pub options: &'a RoutingOptions,
+    /// The time.
+    pub now: MonoTime,
+}
+
+/// The name of the engine with an index.
+pub fn name_of(index: usize) -> TargetName {
+    TargetName::from(format!("e{index}").as_str())
+}
+
+/// The index of the engine with a name.
+pub fn index_of(name: &TargetName) -> usize {
+    name.as_str()[1..].parse().unwrap_or_default()
+}
+
+fn score(query: &WayQuery<'_>, entry: &TargetEntry) -> f64 {
+    rendezvous_score(query.chat_hash, entry.hash(), f64::from(entry.host.capacity))
+}
+
+fn ready<'a>(
+    table: &'a RoutingTable,
+    query: &'a WayQuery<'_>,
+) -> impl Iterator<Item = (TargetKey, &'a TargetEntry)> {
+    table.iter().filter(|(key, entry)| {
+        table.status(entry, query.now) == TargetStatus::Ready && !query.tried.contains(key)
+    })
+}
