feat: new chats level the load, and bounds follow the age of load reports

Ruled out: counting own requests 2 or 4 times to stand for other daemons' (differences within 1 %).

Change: a caller marks the first request of a chat, which is placed only on targets below the mean; the bound in use is 1.125 x with fresh reports and widens to the promised 1.25 x as they age.

The largest load stays above 1.25 x mean in single seconds: arrivals and ends between two reports are not seen by other daemons.

--- a/ggt-core/src/config/model.rs
+++ b/ggt-core/src/config/model.rs
@@ -123,6 +123,8 @@
 pub struct RoutingSection {
     /// The most load a target may carry, as a multiple of the mean.
     pub max_load_ratio: f64,
+    /// How late the targets' load reports reach the daemons, in milliseconds.
+    pub load_lag_ms: u64,
     /// First hold-down of a flapping target, in milliseconds; doubles with each flap.
     pub hold_down_ms: u64,
     /// Longest hold-down, in milliseconds.
@@ -141,6 +143,7 @@
     fn default() -> Self {
         Self {
             max_load_ratio: 1.25,
+            load_lag_ms: 1_000,
             hold_down_ms: 5_000,
             hold_down_max_ms: 300_000,
             slow_start_ms: 10_000,
--- a/ggt-core/src/routing/choice.rs
+++ b/ggt-core/src/routing/choice.rs
@@ -17,6 +17,8 @@
     pub chat_hash: u64,
     /// The target that the caller's hint names, with its incarnation.
     pub hint: Option<(&'a TargetName, u64)>,
+    /// Whether the chat is known to be new, so that no target holds anything of it.
+    pub is_new: bool,
     /// Targets that this request has been tried on.
     pub tried: &'a [TargetKey],
 }
--- a/ggt-daemon/src/admin/explain.rs
+++ b/ggt-daemon/src/admin/explain.rs
@@ -91,7 +91,8 @@
         })
         .collect();
     order.sort_by(|a, b| b.0.total_cmp(&a.0));
-    let query = RouteQuery { workload: &rule.workload, chat_hash, hint: None, tried: &[] };
+    let query =
+        RouteQuery { workload: &rule.workload, chat_hash, hint: None, is_new: false, tried: &[] };
     let (choice, reason) = match routing.choose(&query, &config.routing, now) {
         Ok(chosen) => {
             let entry = routing.target(chosen.key);
--- a/ggt-daemon/src/edge/intake.rs
+++ b/ggt-daemon/src/edge/intake.rs
@@ -109,8 +109,11 @@
     let customer_section = model.customers.get(&customer).ok_or(IntakeError::UnknownKey)?;
     let workload_section = model.workloads.get(&rule.workload).ok_or_else(no_workload)?;
     let chat = id_header(&parts.headers, headers::CHAT_ID)?;
-    let hint = match text_header(&parts.headers, headers::CHAT_HINT)? {
+    let hint_text = text_header(&parts.headers, headers::CHAT_HINT)?;
+    let is_new_chat = hint_text == Some(headers::NEW_CHAT_HINT);
+    let hint = match hint_text {
         None => None,
+        Some(_) if is_new_chat => None,
         Some(text) => match decode_hint(&state.keys, &customer, text) {
             HintVerdict::Valid(hint) => Some(hint),
             HintVerdict::Forged => {
@@ -142,6 +145,7 @@
         body,
         chat_hash: mix_hash(customer_hash, stable_hash(place.as_bytes())),
         has_chat: chat.is_some(),
+        is_new_chat,
         hint,
         key,
         deadline: mono_now() + deadline_ms(state, &parts.headers)?,
--- a/ggt-daemon/src/flow/exchange.rs
+++ b/ggt-daemon/src/flow/exchange.rs
@@ -84,6 +84,7 @@
         workload: &job.workload,
         chat_hash: job.chat_hash,
         hint: job.hint.as_ref().map(|hint| (&hint.target, hint.incarnation)),
+        is_new: job.is_new_chat,
         tried,
     };
     let mut routing = lock(&state.routing);
--- a/ggt-daemon/src/flow/job.rs
+++ b/ggt-daemon/src/flow/job.rs
@@ -40,6 +40,8 @@
     pub chat_hash: u64,
     /// Whether the request belongs to a chat.
     pub has_chat: bool,
+    /// Whether the caller says that the chat begins with this request.
+    pub is_new_chat: bool,
     /// The hint that the caller brought.
     pub hint: Option<ChatHint>,
     /// The key of a one-time action.
--- a/ggt-daemon/src/state/force.rs
+++ b/ggt-daemon/src/state/force.rs
@@ -30,14 +30,14 @@
         Self {
             revision,
             routing: RoutingOptions {
-                max_load_ratio: routing.max_load_ratio,
                 hold: HoldOptions {
                     first_millis: routing.hold_down_ms,
                     longest_millis: routing.hold_down_max_ms,
                 },
                 slow_start_millis: routing.slow_start_ms,
                 ..RoutingOptions::default()
-            },
+            }
+            .with_bounds(routing.max_load_ratio, routing.load_lag_ms),
             holder: HolderOptions {
                 resend_window_ms: claims.resend_window_ms,
                 max_clock_error_ms: claims.max_clock_error_ms,
--- a/ggt-measure/src/replay/mod.rs
+++ b/ggt-measure/src/replay/mod.rs
@@ -389,6 +389,11 @@
             self.figures.prompt_tokens += request.prompt_tokens;
             self.figures.cached_tokens += cached;
         }
+        // The head of the reply carries the engine's load, too.
+        if self.way.needs_loads() && self.options.lag_ms == 0 {
+            let report = self.engines[engine].report();
+            self.daemons[daemon].table.take_report(key, incarnation, report);
+        }
         self.hints.insert(request.chat, (name_of(engine), incarnation));
         let event = Event::Finish { engine, incarnation, daemon, key, share };
         self.push(request.at_ms + takes, event);
--- a/ggt-wire/src/headers/mod.rs
+++ b/ggt-wire/src/headers/mod.rs
@@ -8,6 +8,8 @@
 pub const CHAT_ID: &str = "x-chat-id";
 /// Tells which target holds the chat's prefix cache.
 pub const CHAT_HINT: &str = "x-chat-hint";
+/// The hint of a chat that begins: no target holds anything of it.
+pub const NEW_CHAT_HINT: &str = "new";
 /// Says whether the request may have run: `ran`, `not-run` or `unknown`.
 pub const RUN_VERDICT: &str = "x-run-verdict";
 /// Identifies a one-time action.
