feat: measurements with real processes; claims end as soon as they are decided

Cause: an action waited for all three holders, so with a data centre cut off each one took the holders' timeout although two had granted; and a daemon that reached no majority asked a second time for seals that could not come. Ruled out: broken connections (a refused one fails at once).

Change: a round ends when its outcome is settled, and an attempt without a reachable majority answers unknown after the first round.

--- a/ggt-daemon/src/flow/action.rs
+++ b/ggt-daemon/src/flow/action.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use http::HeaderMap;
+use tokio::task::JoinSet;
 
 use crate::clock::mono_now;
 use crate::flow::Refusal;
@@ -101,8 +102,9 @@
     fn run(&self, sink: ReplySink) {
         // The grant runs from before the holders were asked, which is earlier than they granted.
         let send_by = mono_now() + self.config.accepted.model.claims.grant_ms;
-        let decision = tally_claims(&self.holders, &self.ask_holders(HolderCall::Claim));
-        match decision {
+        let replies = self.ask_holders(HolderCall::Claim);
+        let is_reachable = replies.len() >= self.holders.majority();
+        match tally_claims(&self.holders, &replies) {
             ClaimDecision::Won => {
                 log::info!(
                     "event=claimed request_id={} key={} attempt={}",
@@ -119,7 +121,11 @@
                 let limits = &self.config.accepted.model.limits;
                 let detail = "the key's holders cannot be reached or cannot tell";
                 let refusal = Refusal::not_run(503, "not-claimed", detail);
-                self.conclude_unsent(sink, refusal.retry_after(limits.retry_after_ms));
+                let refusal = refusal.retry_after(limits.retry_after_ms);
+                match is_reachable {
+                    true => self.conclude_unsent(sink, refusal),
+                    false => self.give_up(sink, refusal),
+                }
             }
         }
     }
@@ -240,6 +246,16 @@
         exchange::refuse(state, self.job, sink, &refusal);
     }
 
+    /// Ends an attempt whose holders are out of reach: a second round would only keep the caller
+    /// waiting. Those that granted the key are told all the same that it will not be used.
+    fn give_up(&self, sink: ReplySink, refusal: Refusal) {
+        let state = &self.context.state;
+        state.metrics.note_claim("unknown");
+        let refusal = Refusal { verdict: RunVerdict::Unknown, ..refusal };
+        exchange::refuse(state, self.job, sink, &refusal);
+        self.ask_holders(HolderCall::Seal);
+    }
+
     fn refuse_conflict(&self, sink: ReplySink) {
         let detail = "the idempotency key was used for another request";
         self.context.state.metrics.note_claim("conflict");
@@ -283,13 +299,16 @@
         exchange::answer(sink, head, body.clone().into(), self.job.deadline);
     }
 
-    /// Asks all holders at once; a holder without an answer is left out.
+    /// Asks all holders at once, until enough of them have answered to decide.
+    ///
+    /// A holder without an answer is left out. The others go on hearing of the call, so that the
+    /// key is known wherever it can be.
     fn ask_holders(&self, call: HolderCall) -> Vec<ClaimReply> {
         let state = &self.context.state;
         let model = &self.config.accepted.model;
         let wait = Duration::from_millis(model.claims.holder_timeout_ms);
         let mut replies = Vec::new();
-        let mut tasks = Vec::new();
+        let mut calls = JoinSet::new();
         for name in self.holders.names() {
             if *name == state.settings.name {
                 replies.push(match call {
@@ -302,24 +321,37 @@
             let (peer, links, request) =
                 (daemon.peer, self.context.links.clone(), self.request.clone());
             let method = if call == HolderCall::Claim { rpc::CLAIM } else { rpc::SEAL };
-            tasks.push(self.context.runtime.spawn(async move {
-                links.call::<_, ClaimReply>(peer, method, &request, wait).await
-            }));
+            let ask =
+                async move { links.call::<_, ClaimReply>(peer, method, &request, wait).await };
+            calls.spawn_on(ask, &self.context.runtime);
         }
-        for task in tasks {
-            match self.context.runtime.block_on(task) {
-                Ok(Ok(reply)) => replies.push(reply),
-                Ok(Err(e)) => log::info!(
+        while !self.is_decided(call, &replies) {
+            match self.context.runtime.block_on(calls.join_next()) {
+                None => break,
+                Some(Ok(Ok(reply))) => replies.push(reply),
+                Some(Ok(Err(e))) => log::info!(
                     "event=holder-silent request_id={} key={} cause=\"{e}\"",
                     self.job.request_id,
                     self.request.key.text,
                 ),
-                Err(e) => log::error!("event=task-failed cause=\"{e}\""),
+                Some(Err(e)) => log::error!("event=task-failed cause=\"{e}\""),
             }
         }
+        calls.detach_all();
         replies
     }
 
+    /// Whether further answers cannot change what follows from these.
+    fn is_decided(&self, call: HolderCall, replies: &[ClaimReply]) -> bool {
+        match tally_claims(&self.holders, replies) {
+            ClaimDecision::Won | ClaimDecision::Ran(_) | ClaimDecision::Conflict => true,
+            ClaimDecision::Lost | ClaimDecision::NotWon => {
+                call == HolderCall::Seal
+                    && tally_seals(&self.holders, replies) == SealDecision::NotRun
+            }
+        }
+    }
+
     /// Tells all holders what became of the attempt.
     fn settle(&self, outcome: ActionOutcome) {
         let state = &self.context.state;
--- a/ggt-standin/src/bin/ggt-standin.rs
+++ b/ggt-standin/src/bin/ggt-standin.rs
@@ -62,6 +62,9 @@
     /// milliseconds between tokens
     #[argh(option, default = "2")]
     gap_ms: u64,
+    /// engines on as many ports, from the given one on
+    #[argh(option, default = "1")]
+    count: u16,
 }
 
 /// counts how often each key runs
@@ -93,13 +96,18 @@
             run_platform(x.listen, x.config.as_deref(), x.hosts.as_deref()).await
         }
         StandinRole::Engine(x) => {
-            run_engine(EngineOptions {
+            let options = EngineOptions {
                 address: x.listen,
                 incarnation: x.incarnation,
                 cache_tokens: x.cache_tokens,
                 gap_ms: x.gap_ms,
-            })
-            .await
+            };
+            for number in 1..x.count {
+                let mut address = x.listen;
+                address.set_port(x.listen.port() + number);
+                tokio::spawn(run_engine(EngineOptions { address, ..options }));
+            }
+            run_engine(options).await
         }
         StandinRole::Service(x) => run_service(x.listen, x.incarnation).await,
         StandinRole::Proxy(x) => run_proxy(x.control).await,
--- a/ggt-testkit/src/address.rs
+++ b/ggt-testkit/src/address.rs
@@ -6,8 +6,13 @@
 use std::net::TcpListener;
 use std::net::UdpSocket;
 use std::sync::atomic::AtomicU8;
+use std::sync::atomic::AtomicU16;
 use std::sync::atomic::Ordering;
 
+/// Where the kernel's ports for outgoing connections begin on Linux.
+const FIRST_KERNEL_PORT: u16 = 32_768;
+
+static NEXT_PORT: AtomicU16 = AtomicU16::new(2_000);
 static NEXT_NET: AtomicU8 = AtomicU8::new(0);
 
 /// A block of loopback addresses that belongs to one fleet.
@@ -31,16 +36,29 @@
 
     /// An unused port on an address of the block, free for TCP and for UDP.
     ///
+    /// It lies below the range from which the kernel takes ports for outgoing connections, so that
+    /// none of these can take it before its owner binds it.
+    ///
     /// # Panics
     /// When the machine has no free port.
     pub fn port(self, last: u8) -> SocketAddr {
-        let ip = self.ip(last);
         loop {
-            let listener = TcpListener::bind((ip, 0)).expect("a free port");
-            let address = listener.local_addr().expect("a bound address");
-            if UdpSocket::bind(address).is_ok() {
+            let port = NEXT_PORT.fetch_add(1, Ordering::SeqCst);
+            assert!(port < FIRST_KERNEL_PORT, "all ports below {FIRST_KERNEL_PORT} were given out");
+            let address = SocketAddr::new(self.ip(last), port);
+            if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
                 return address;
             }
         }
     }
+
+    /// The first of `count` ports in a row that are given to nobody else.
+    ///
+    /// # Panics
+    /// When there are not so many ports left.
+    pub fn ports(self, last: u8, count: u16) -> SocketAddr {
+        let first = NEXT_PORT.fetch_add(count, Ordering::SeqCst);
+        assert!(first + count < FIRST_KERNEL_PORT, "not enough ports are left");
+        SocketAddr::new(self.ip(last), first)
+    }
 }
--- /dev/null
+++ b/ggt-testkit/src/bench/capacity.rs
@@ -0,0 +1,236 @@
+//! What a daemon spends on control, at several sizes of the fleet.
+
+use std::collections::BTreeMap;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Serialize;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::bench::design::design_files;
+use crate::bench::usage::ProcessUsage;
+use crate::bench::usage::traffic_of;
+use crate::bench::usage::usage_of;
+use crate::fleet::TestFleet;
+use crate::fleet::mint_key;
+use crate::layout::FleetOptions;
+use crate::wait::wait_until;
+use crate::web::WebRequest;
+
+const CENTRES: [&str; 6] = ["c1", "c2", "c3", "c4", "c5", "c6"];
+const WARM_UP: Duration = Duration::from_secs(8);
+
+/// What to run.
+#[derive(Clone, Copy, Debug)]
+pub struct CapacityOptions {
+    /// Daemons, spread over the data centres.
+    pub daemons: usize,
+    /// Data centres, six at most.
+    pub centres: usize,
+    /// Engines, spread over the data centres.
+    pub engines: usize,
+    /// Seconds to measure for.
+    pub seconds: u64,
+    /// Changes of the configuration while it is measured.
+    pub changes: usize,
+    /// One-time actions while it is measured.
+    pub actions: usize,
+    /// Chats with a reply of 64 tokens while it is measured.
+    pub chats: usize,
+}
+
+/// What the daemons spent.
+#[derive(Clone, Debug, Serialize)]
+pub struct CapacityOutcome {
+    /// Daemons.
+    pub daemons: usize,
+    /// Data centres.
+    pub centres: usize,
+    /// Engines.
+    pub engines: usize,
+    /// Percent of a core, mean over the daemons.
+    pub cpu_percent: f64,
+    /// Percent of a core of the busiest daemon.
+    pub cpu_percent_most: f64,
+    /// Resident megabytes, mean over the daemons.
+    pub resident_mb: f64,
+    /// Bytes of control traffic a second by kind, both directions, mean over the daemons.
+    pub bytes_per_second: BTreeMap<String, f64>,
+    /// All of them, for the daemon with most.
+    pub bytes_per_second_most: f64,
+    /// Calls to the platform a second, of all daemons.
+    pub platform_calls_per_second: f64,
+    /// Milliseconds until each change was in force on every daemon.
+    pub change_ms: Vec<u64>,
+    /// Answers by status and verdict.
+    pub answers: BTreeMap<String, usize>,
+}
+
+/// Starts a fleet with the timing of production and measures what its daemons spend.
+///
+/// # Panics
+/// When the fleet does not come up.
+pub fn measure_capacity(options: &CapacityOptions) -> CapacityOutcome {
+    let fleet = start(options);
+    thread::sleep(WARM_UP);
+    let before = Sample::take(&fleet);
+    let begun = Instant::now();
+    let ends_at = begun + Duration::from_secs(options.seconds);
+    let mut change_ms = Vec::new();
+    let mut answers = BTreeMap::new();
+    thread::scope(|scope| {
+        let changes = scope.spawn(|| run_changes(&fleet, options, ends_at));
+        let sent = scope.spawn(|| run_requests(&fleet, options, ends_at));
+        change_ms = changes.join().expect("the changes' thread");
+        answers = sent.join().expect("the requests' thread");
+    });
+    thread::sleep(ends_at.saturating_duration_since(Instant::now()));
+    let seconds = begun.elapsed().as_secs_f64();
+    let after = Sample::take(&fleet);
+    outcome(options, &before, &after, seconds, change_ms, answers)
+}
+
+fn start(options: &CapacityOptions) -> TestFleet {
+    let centres: Vec<(&'static str, usize)> = CENTRES
+        .into_iter()
+        .take(options.centres)
+        .map(|centre| (centre, options.daemons / options.centres))
+        .collect();
+    let farmed = u16::try_from(options.engines / options.centres).unwrap_or(u16::MAX);
+    let mut fleet = TestFleet::prepare(FleetOptions {
+        centres,
+        engines: 0,
+        farmed_engines: farmed,
+        services: 1,
+        settings: json!({ "log_level": "info", "timing": {
+            "gossip_ms": 1_000, "probe_ms": 2_000, "watch_ms": 30_000, "backoff_ms": 200,
+            "backoff_max_ms": 10_000, "drain_announce_ms": 300,
+        } }),
+        ..FleetOptions::default()
+    });
+    for index in 0..fleet.targets.len() {
+        if fleet.targets[index].workload == "filings" {
+            fleet.start_target(index);
+        }
+    }
+    fleet.publish_hosts();
+    fleet.publish("config", &design_files(&fleet, 0), None);
+    (0..fleet.daemons.len()).for_each(|index| fleet.start_daemon(index));
+    (0..fleet.daemons.len()).for_each(|index| fleet.await_ready(index));
+    fleet
+}
+
+struct Sample {
+    usage: Vec<ProcessUsage>,
+    traffic: Vec<BTreeMap<String, u64>>,
+    platform_calls: u64,
+}
+
+impl Sample {
+    fn take(fleet: &TestFleet) -> Self {
+        let daemons = 0..fleet.daemons.len();
+        let counts = WebRequest::new("GET", fleet.platform, "/control/counts").send();
+        let counts = counts.map(|reply| reply.json()).unwrap_or_default();
+        let calls = counts.as_object().into_iter().flatten();
+        Self {
+            usage: daemons
+                .clone()
+                .map(|index| fleet.daemon_pid(index).map(usage_of).unwrap_or_default())
+                .collect(),
+            traffic: daemons
+                .map(|index| traffic_of(&fleet.status(index).unwrap_or(Value::Null)))
+                .collect(),
+            platform_calls: calls.filter_map(|(_, count)| count.as_u64()).sum(),
+        }
+    }
+}
+
+fn run_changes(fleet: &TestFleet, options: &CapacityOptions, ends_at: Instant) -> Vec<u64> {
+    let mut took = Vec::new();
+    for change in 1..=options.changes {
+        let begun = Instant::now();
+        let revision = fleet.publish("config", &design_files(fleet, change), None);
+        wait_until("the change is in force everywhere", || {
+            (0..fleet.daemons.len())
+                .all(|index| fleet.status(index).is_some_and(|x| x["revision"] == revision))
+        });
+        took.push(u64::try_from(begun.elapsed().as_millis()).unwrap_or(u64::MAX));
+        let left = ends_at.saturating_duration_since(Instant::now());
+        let changes_left = u32::try_from(options.changes - change + 1).unwrap_or(1);
+        thread::sleep(left / changes_left / 2);
+    }
+    took
+}
+
+fn run_requests(
+    fleet: &TestFleet,
+    options: &CapacityOptions,
+    ends_at: Instant,
+) -> BTreeMap<String, usize> {
+    let mut answers: BTreeMap<String, usize> = BTreeMap::new();
+    let total = options.actions + options.chats;
+    let begun = Instant::now();
+    let length = ends_at.saturating_duration_since(begun).mul_f64(0.95);
+    for number in 0..total {
+        let due = begun + length.mul_f64(number as f64 / total as f64);
+        thread::sleep(due.saturating_duration_since(Instant::now()));
+        let daemon = number % fleet.daemons.len();
+        let reply = if number < options.actions {
+            fleet.submit(daemon, &mint_key(), "filing")
+        } else {
+            let request = fleet.request(daemon, "POST", "/chat?tokens=64&gap_ms=0");
+            request.header("x-chat-id", &format!("c{number}")).body("prompt").send()
+        };
+        let answer = reply.map_or_else(
+            || "none".to_owned(),
+            |reply| format!("{} {}", reply.status, reply.verdict()),
+        );
+        *answers.entry(answer).or_default() += 1;
+    }
+    answers
+}
+
+fn outcome(
+    options: &CapacityOptions,
+    before: &Sample,
+    after: &Sample,
+    seconds: f64,
+    change_ms: Vec<u64>,
+    answers: BTreeMap<String, usize>,
+) -> CapacityOutcome {
+    const MEGABYTE: f64 = 1_000_000.0;
+    let count = after.usage.len() as f64;
+    let cpu: Vec<f64> = before
+        .usage
+        .iter()
+        .zip(&after.usage)
+        .map(|(a, b)| 100.0 * (b.cpu_seconds - a.cpu_seconds) / seconds)
+        .collect();
+    let mut by_kind: BTreeMap<String, f64> = BTreeMap::new();
+    let mut most: f64 = 0.0;
+    for (a, b) in before.traffic.iter().zip(&after.traffic) {
+        let mut sum = 0.0;
+        for (kind, bytes) in b {
+            let spent = (bytes - a.get(kind).copied().unwrap_or_default()) as f64 / seconds;
+            *by_kind.entry(kind.clone()).or_default() += spent / count;
+            sum += spent;
+        }
+        most = most.max(sum);
+    }
+    let resident: u64 = after.usage.iter().map(|usage| usage.resident_bytes).sum();
+    CapacityOutcome {
+        daemons: options.daemons,
+        centres: options.centres,
+        engines: options.engines,
+        cpu_percent: cpu.iter().sum::<f64>() / count,
+        cpu_percent_most: cpu.iter().copied().fold(0.0, f64::max),
+        resident_mb: resident as f64 / count / MEGABYTE,
+        bytes_per_second: by_kind,
+        bytes_per_second_most: most,
+        platform_calls_per_second: (after.platform_calls - before.platform_calls) as f64 / seconds,
+        change_ms,
+        answers,
+    }
+}
--- /dev/null
+++ b/ggt-testkit/src/bench/usage.rs
@@ -0,0 +1,48 @@
+//! What a process uses, as the kernel accounts it.
+
+use std::collections::BTreeMap;
+use std::fs;
+
+use serde_json::Value;
+
+/// Ticks of processor time in a second, as Linux counts them.
+const TICKS_PER_SECOND: f64 = 100.0;
+const BYTES_PER_KIB: u64 = 1_024;
+
+/// Use of processor and memory by one process.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct ProcessUsage {
+    pub(super) cpu_seconds: f64,
+    pub(super) resident_bytes: u64,
+}
+
+/// Reads the use of a process, zero when it is gone.
+pub(super) fn usage_of(pid: u32) -> ProcessUsage {
+    let stat = fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    // The program's name may hold spaces, so fields are counted from its closing bracket.
+    let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split(' ').collect();
+    let ticks = |at: usize| fields.get(at).and_then(|x| x.parse::<f64>().ok()).unwrap_or(0.0);
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let resident = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))
+        .and_then(|text| text.split_ascii_whitespace().next())
+        .and_then(|text| text.parse::<u64>().ok());
+    ProcessUsage {
+        cpu_seconds: (ticks(12) + ticks(13)) / TICKS_PER_SECOND,
+        resident_bytes: resident.unwrap_or_default() * BYTES_PER_KIB,
+    }
+}
+
+/// Bytes of control traffic by kind, both directions, from a status report.
+pub(super) fn traffic_of(status: &Value) -> BTreeMap<String, u64> {
+    let kinds = status["traffic"].as_array().map(Vec::as_slice).unwrap_or_default();
+    kinds
+        .iter()
+        .map(|kind| {
+            let number = |name: &str| kind[name].as_u64().unwrap_or_default();
+            let bytes = number("sent_bytes") + number("received_bytes");
+            (kind["kind"].as_str().unwrap_or_default().to_owned(), bytes)
+        })
+        .collect()
+}
--- /dev/null
+++ b/ggt-testkit/src/bin/ggt-bench.rs
@@ -0,0 +1,90 @@
+//! Measures a fleet of real processes on this machine.
+
+#![forbid(unsafe_code)]
+#![deny(missing_docs, rust_2018_idioms)]
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use serde_json::json;
+
+use ggt_testkit::bench::CapacityOptions;
+use ggt_testkit::bench::measure_availability;
+use ggt_testkit::bench::measure_capacity;
+
+/// Measures a fleet of real processes; prints a JSON line for each run.
+#[derive(FromArgs)]
+struct BenchArgs {
+    #[argh(subcommand)]
+    bench: BenchKind,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum BenchKind {
+    Capacity(CapacityArgs),
+    Availability(AvailabilityArgs),
+}
+
+/// what a daemon spends on control
+#[derive(FromArgs)]
+#[argh(subcommand, name = "capacity")]
+struct CapacityArgs {
+    /// daemons
+    #[argh(option, default = "6")]
+    daemons: usize,
+    /// data centres
+    #[argh(option, default = "1")]
+    centres: usize,
+    /// engines
+    #[argh(option, default = "20")]
+    engines: usize,
+    /// seconds to measure for
+    #[argh(option, default = "20")]
+    seconds: u64,
+    /// changes of the configuration meanwhile
+    #[argh(option, default = "0")]
+    changes: usize,
+    /// one-time actions meanwhile
+    #[argh(option, default = "0")]
+    actions: usize,
+    /// chats meanwhile
+    #[argh(option, default = "0")]
+    chats: usize,
+}
+
+/// which share of one-time actions ends with a definite verdict
+#[derive(FromArgs)]
+#[argh(subcommand, name = "availability")]
+struct AvailabilityArgs {
+    /// seconds for each scenario but the rolling restart
+    #[argh(option, default = "6")]
+    seconds: u64,
+}
+
+fn main() -> ExitCode {
+    let args: BenchArgs = argh::from_env();
+    match args.bench {
+        BenchKind::Capacity(args) => {
+            let outcome = measure_capacity(&CapacityOptions {
+                daemons: args.daemons,
+                centres: args.centres,
+                engines: args.engines,
+                seconds: args.seconds,
+                changes: args.changes,
+                actions: args.actions,
+                chats: args.chats,
+            });
+            println!("{}", json!(outcome));
+        }
+        BenchKind::Availability(args) => {
+            for (scenario, outcome) in measure_availability(args.seconds) {
+                println!("{}", json!({ "scenario": scenario, "outcome": outcome }));
+                if outcome.violations > 0 {
+                    return ExitCode::FAILURE;
+                }
+            }
+        }
+    }
+    ExitCode::SUCCESS
+}
--- a/ggt-testkit/src/fleet.rs
+++ b/ggt-testkit/src/fleet.rs
@@ -3,6 +3,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 
@@ -27,6 +30,7 @@
 const PROXY_HOST: u8 = 3;
 const FIRST_DAEMON_HOST: u8 = 10;
 const FIRST_TARGET_HOST: u8 = 100;
+const FIRST_FARM_HOST: u8 = 220;
 
 static NEXT_FOLDER: AtomicU32 = AtomicU32::new(0);
 
@@ -43,9 +47,9 @@
     pub platform: SocketAddr,
     /// The address that gives the faulty network its orders.
     pub proxy: SocketAddr,
-    daemon_processes: Vec<Option<ChildProcess>>,
+    daemon_processes: Vec<Mutex<Option<ChildProcess>>>,
     target_processes: Vec<Option<ChildProcess>>,
-    _infrastructure: Vec<ChildProcess>,
+    infrastructure: Vec<ChildProcess>,
     folder: PathBuf,
 }
 
@@ -53,7 +57,11 @@
     /// Starts everything and waits until each daemon takes requests and may grant claims.
     pub fn start(options: FleetOptions) -> Self {
         let mut fleet = Self::prepare(options);
-        (0..fleet.targets.len()).for_each(|index| fleet.start_target(index));
+        for index in 0..fleet.targets.len() {
+            if !fleet.targets[index].name.contains("-farmed-") {
+                fleet.start_target(index);
+            }
+        }
         fleet.publish_hosts();
         fleet.publish_config();
         (0..fleet.daemons.len()).for_each(|index| fleet.start_daemon(index));
@@ -83,12 +91,13 @@
             proxy,
             daemon_processes: Vec::new(),
             target_processes: Vec::new(),
-            _infrastructure: infrastructure,
+            infrastructure,
             folder,
             options,
         };
         fleet.place_daemons(net);
         fleet.place_targets(net);
+        fleet.start_farms(net);
         fleet
     }
 
@@ -108,7 +117,7 @@
                     platform: self.route_to(net, platform),
                 };
                 self.daemons.push(place);
-                self.daemon_processes.push(None);
+                self.daemon_processes.push(Mutex::default());
                 host += 1;
             }
         }
@@ -140,6 +149,36 @@
         }
     }
 
+    /// Starts, for each data centre, one process that plays many engines.
+    fn start_farms(&mut self, net: LoopbackNet) {
+        let count = self.options.farmed_engines;
+        if count == 0 {
+            return;
+        }
+        let centres: Vec<&str> = self.options.centres.iter().map(|(centre, _)| *centre).collect();
+        for (host, centre) in (FIRST_FARM_HOST..).zip(centres) {
+            let first = net.ports(host, count);
+            let (listen, count_text) = (arg(first), count.to_string());
+            let args = ["engine", "--listen", &listen, "--count", &count_text];
+            self.infrastructure.push(ChildProcess::standin(&args));
+            for number in 0..count {
+                let mut address = first;
+                address.set_port(first.port() + number);
+                self.targets.push(TargetPlace {
+                    name: format!("{centre}-farmed-{number}"),
+                    centre: centre.to_owned(),
+                    workload: "intake",
+                    address,
+                    public_address: address,
+                    incarnation: 1,
+                    capacity: self.options.capacity,
+                    leaving: false,
+                });
+                self.target_processes.push(None);
+            }
+        }
+    }
+
     /// The address by which others reach `to`: a route of the faulty network, where there is one.
     fn route_to(&self, net: LoopbackNet, to: SocketAddr) -> SocketAddr {
         if !self.options.proxied {
@@ -231,11 +270,16 @@
         self.target_processes[index].as_mut().expect("a started target")
     }
 
+    /// Process id of a running daemon.
+    pub fn daemon_pid(&self, index: usize) -> Option<u32> {
+        self.daemon_slot(index).as_ref().map(ChildProcess::id)
+    }
+
     /// Starts a daemon, or starts it anew with an empty memory.
     ///
     /// # Panics
     /// When its settings cannot be written.
-    pub fn start_daemon(&mut self, index: usize) {
+    pub fn start_daemon(&self, index: usize) {
         let place = &self.daemons[index];
         let seeds: Vec<SocketAddr> = self
             .daemons
@@ -248,7 +292,7 @@
         let settings = settings_of(place, &seeds, &log_file, &self.options.settings);
         let file = self.folder.join(format!("{}.json", place.name));
         std::fs::write(&file, settings.to_string()).expect("a settings file");
-        self.daemon_processes[index] = Some(ChildProcess::daemon(&file));
+        *self.daemon_slot(index) = Some(ChildProcess::daemon(&file));
     }
 
     /// The process of a daemon.
@@ -256,7 +300,8 @@
     /// # Panics
     /// When it has not been started.
     pub fn daemon_process(&mut self, index: usize) -> &mut ChildProcess {
-        self.daemon_processes[index].as_mut().expect("a started daemon")
+        let slot = self.daemon_processes[index].get_mut().unwrap_or_else(PoisonError::into_inner);
+        slot.as_mut().expect("a started daemon")
     }
 
     /// Orders a daemon to stop gracefully.
@@ -264,7 +309,32 @@
     /// # Panics
     /// When it has not been started.
     pub fn signal_daemon(&self, index: usize) {
-        self.daemon_processes[index].as_ref().expect("a started daemon").terminate();
+        self.daemon_slot(index).as_ref().expect("a started daemon").terminate();
+    }
+
+    /// Kills a daemon.
+    ///
+    /// # Panics
+    /// When it has not been started.
+    pub fn signal_daemon_kill(&self, index: usize) {
+        self.daemon_slot(index).as_mut().expect("a started daemon").kill();
+    }
+
+    /// Stops a daemon gracefully, starts it anew and waits until it is ready.
+    ///
+    /// # Panics
+    /// When it has not been started.
+    pub fn restart_gracefully(&self, index: usize) {
+        let process = self.daemon_slot(index).take();
+        let mut process = process.expect("a started daemon");
+        process.terminate();
+        process.wait();
+        self.start_daemon(index);
+        self.await_ready(index);
+    }
+
+    fn daemon_slot(&self, index: usize) -> MutexGuard<'_, Option<ChildProcess>> {
+        self.daemon_processes[index].lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Waits until a daemon takes requests and has heard the epochs of all others.
--- a/ggt-testkit/src/layout.rs
+++ b/ggt-testkit/src/layout.rs
@@ -15,6 +15,8 @@
     pub centres: Vec<(&'static str, usize)>,
     /// Engines in each data centre.
     pub engines: usize,
+    /// Engines in each data centre that one process plays.
+    pub farmed_engines: u16,
     /// Services in each data centre.
     pub services: usize,
     /// Requests that each target can run at once.
@@ -34,6 +36,7 @@
         Self {
             centres: vec![("recife-a", 2), ("recife-b", 2)],
             engines: 1,
+            farmed_engines: 0,
             services: 1,
             capacity: 64,
             proxied: false,
--- a/ggt-testkit/src/lib.rs
+++ b/ggt-testkit/src/lib.rs
@@ -4,6 +4,7 @@
 #![deny(missing_docs, rust_2018_idioms)]
 
 pub mod address;
+pub mod bench;
 pub mod fleet;
 pub mod layout;
 pub mod process;
--- a/ggt-testkit/src/process.rs
+++ b/ggt-testkit/src/process.rs
@@ -70,6 +70,11 @@
         Self { child }
     }
 
+    /// The process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal.
     ///
     /// # Panics
--- a/ggt-testkit/tests/configuration.rs
+++ b/ggt-testkit/tests/configuration.rs
@@ -148,7 +148,7 @@
 
 #[test]
 fn a_daemon_without_configuration_refuses_as_not_run() {
-    let mut fleet = TestFleet::prepare(FleetOptions::default());
+    let fleet = TestFleet::prepare(FleetOptions::default());
     fleet.set_platform("down");
     fleet.start_daemon(0);
     fleet.await_status("it answers operators", 0, |status| status["ready"] == false);
