fix: news is not starved by pings, and a suspicion can always be refuted

Cause: pings and answers spent the gossip budget into a debt without bound, and news rode along only when the bucket held bytes. In a fleet of 24 that pings ten times as often as in production a daemon that woke was believed dead for good: it never heard of the suspicion. Ruled out: refutation itself, which the test of the membership core shows. Change: each datagram has 48 bytes for the most important news whatever is left, the debt is at most one burst, and the budget is a setting that goes with the ping period.

--- a/ggt-core/src/membership/budget.rs
+++ b/ggt-core/src/membership/budget.rs
@@ -28,9 +28,10 @@
         self.left.max(0.0) as usize
     }
 
-    /// Spends bytes, also beyond what is left: later sends then wait for the debt to be paid.
+    /// Spends bytes, also beyond what is left: later sends then wait for the debt to be paid,
+    /// which is never more than one burst.
     pub fn spend(&mut self, bytes: usize) {
-        self.left -= bytes as f64;
+        self.left = (self.left - bytes as f64).max(-self.burst);
     }
 
     /// Records an item that did not fit.
--- a/ggt-daemon/src/peers/gossip.rs
+++ b/ggt-daemon/src/peers/gossip.rs
@@ -31,6 +31,9 @@
 const TICK_WAIT: Duration = Duration::from_millis(50);
 /// Bytes of a datagram's head, message and tag at most.
 const FRAME_BYTES: usize = 160;
+/// Bytes that each datagram has for the most important news though the budget is spent, so that a
+/// suspicion can always be refuted.
+const RESERVED_BYTES: usize = 48;
 /// Peers that hear of a new revision at once.
 const ANNOUNCED_PEERS: usize = 2;
 
@@ -130,7 +133,7 @@
         revision,
     };
     let left = gossip.budget.left(mono_now()).saturating_sub(FRAME_BYTES + DATAGRAM_HEAD_BYTES);
-    let mut room = left.min(MAX_DATAGRAM_BYTES - FRAME_BYTES - TAG_BYTES);
+    let mut room = left.clamp(RESERVED_BYTES, MAX_DATAGRAM_BYTES - FRAME_BYTES - TAG_BYTES);
     room = room.saturating_sub(urgent.as_ref().map_or(0, datagram::item_bytes));
     let (picked, shed) = gossip.items.pick(|item| {
         let bytes = datagram::item_bytes(item);
--- a/ggt-daemon/src/settings/mod.rs
+++ b/ggt-daemon/src/settings/mod.rs
@@ -92,6 +92,8 @@
     pub max_claims: usize,
     /// Bytes of replies kept with the claims.
     pub max_claim_reply_bytes: usize,
+    /// Bytes of gossip that may be sent in a second; about as many come in.
+    pub gossip_bytes: u32,
 }
 
 impl Default for EdgeLimits {
@@ -103,6 +105,7 @@
             max_concurrent: 1_024,
             max_claims: 100_000,
             max_claim_reply_bytes: 32 * 1024 * 1024,
+            gossip_bytes: 1_000,
         }
     }
 }
--- a/ggt-daemon/src/state/gossip.rs
+++ b/ggt-daemon/src/state/gossip.rs
@@ -6,10 +6,8 @@
 use ggt_core::membership::ItemTable;
 use ggt_core::membership::PeerTable;
 
-/// Bytes a second that this daemon may send as gossip; as many come in on average.
-const GOSSIP_BYTES_PER_SECOND: f64 = 1_000.0;
-/// Bytes that may be sent at once after a calm.
-const GOSSIP_BURST_BYTES: f64 = 6_000.0;
+/// Seconds of the budget that may be spent at once after a calm.
+const BURST_SECONDS: f64 = 6.0;
 
 /// Peers, news and the byte budget for both.
 pub struct GossipState {
@@ -23,9 +21,10 @@
 }
 
 impl GossipState {
-    /// Gossip without news.
-    pub fn new(peers: PeerTable, now: MonoTime) -> Self {
-        let budget = ByteBudget::new(GOSSIP_BYTES_PER_SECOND, GOSSIP_BURST_BYTES, now);
+    /// Gossip without news, with a budget of `bytes` a second for what is sent.
+    pub fn new(peers: PeerTable, bytes: u32, now: MonoTime) -> Self {
+        let rate = f64::from(bytes);
+        let budget = ByteBudget::new(rate, rate * BURST_SECONDS, now);
         Self { peers, items: ItemTable::default(), budget, last_number: 0 }
     }
 
--- a/ggt-daemon/src/state/mod.rs
+++ b/ggt-daemon/src/state/mod.rs
@@ -126,7 +126,7 @@
             retries: Mutex::default(),
             blame: Mutex::new(BlameTable::new(u32::MAX, MAX_SUSPECTS)),
             holder: Mutex::new(ClaimHolder::new(settings.name.clone(), started_at)),
-            gossip: Mutex::new(GossipState::new(peers, now)),
+            gossip: Mutex::new(GossipState::new(peers, settings.limits.gossip_bytes, now)),
             folders: Mutex::default(),
             pace: PaceGuard::new(now, settings.timing.pause_ms),
             drain: DrainState::default(),
--- a/ggt-standin/src/server/mod.rs
+++ b/ggt-standin/src/server/mod.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -129,7 +130,8 @@
     F: Future<Output = PlainResponse> + Send + 'static,
 {
     let listener = TcpListener::bind(address).await?;
-    println!("listening {}", listener.local_addr()?);
+    // Whoever started this process may have stopped listening to it.
+    let _ = writeln!(std::io::stdout(), "listening {}", listener.local_addr()?);
     let handle = Arc::new(handle);
     loop {
         let (stream, _) = listener.accept().await?;
--- a/ggt-testkit/src/layout.rs
+++ b/ggt-testkit/src/layout.rs
@@ -168,6 +168,8 @@
         "seeds": seeds,
         "fleet_keys": ["a-fleet-key-for-tests"],
         "log_file": log_file,
+        // Ten times the pings of production need ten times its budget.
+        "limits": { "gossip_bytes": 10_000 },
         "timing": {
             "gossip_ms": 100, "probe_ms": 200, "watch_ms": 5_000, "backoff_ms": 50,
             "backoff_max_ms": 400, "drain_announce_ms": 300,
--- /dev/null
+++ b/ggt-testkit/tests/surge_and_flap.rs
@@ -0,0 +1,146 @@
+//! A surge of one customer and a flapping engine, with real processes and counts.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::io::Read;
+use std::sync::Barrier;
+use std::thread;
+
+use serde_json::json;
+
+use ggt_testkit::fleet::TestFleet;
+use ggt_testkit::layout::FleetOptions;
+use ggt_testkit::layout::bearer_of;
+use ggt_testkit::wait::wait_until;
+use ggt_testkit::web::WebReply;
+use ggt_testkit::web::WebRequest;
+
+fn status_of(fleet: &TestFleet, daemon: usize, target: &str) -> String {
+    let status = fleet.status(daemon).unwrap_or_default();
+    let targets = status["targets"].as_array().cloned().unwrap_or_default();
+    let found = targets.iter().find(|entry| entry["name"] == target).cloned().unwrap_or_default();
+    found["status"].as_str().unwrap_or("absent").to_owned()
+}
+
+#[test]
+fn a_surging_customer_is_refused_and_its_neighbour_is_not() {
+    // Two engines with room for ten requests each, on one daemon: its sliver is the whole.
+    let fleet = TestFleet::start(FleetOptions {
+        centres: vec![("attica-a", 1)],
+        engines: 2,
+        services: 0,
+        capacity: 10,
+        ..FleetOptions::default()
+    });
+    let held = |customer: &str, number: usize| {
+        WebRequest::new("POST", fleet.daemons[0].callers, "/chat?tokens=2&hold_after=1")
+            .bearer(&bearer_of(customer))
+            .header("x-request-id", &format!("{customer}-{number}"))
+            .body("held")
+            .open()
+            .expect("a reply")
+    };
+    let surge: Vec<_> = (0..30).map(|number| held("contabil", number)).collect();
+    let admitted = surge.iter().filter(|(head, _)| head.status == 200).count();
+    let refused: BTreeSet<u16> =
+        surge.iter().map(|(head, _)| head.status).filter(|status| *status != 200).collect();
+    assert!(admitted <= 20, "{admitted} requests on engines with room for 20");
+    assert!(admitted >= 16, "only {admitted} admitted");
+    assert_eq!(refused, BTreeSet::from([429]), "the surging customer is over its share");
+    for (head, _) in surge.iter().filter(|(head, _)| head.status == 429) {
+        assert_eq!(head.verdict(), "not-run");
+        assert!(head.header("retry-after").is_some());
+    }
+    // The quiet customer still gets through while there is any room left.
+    let quiet: Vec<_> = (0..2).map(|number| held("ekthetis", number)).collect();
+    for (head, _) in &quiet {
+        assert_eq!(head.status, 200, "a quiet customer was refused");
+    }
+    for index in fleet.targets_of("intake") {
+        for number in 0..30 {
+            fleet.order_target(index, &format!("release/contabil-{number}"));
+            fleet.order_target(index, &format!("release/ekthetis-{number}"));
+        }
+    }
+    for (head, mut reader) in surge.into_iter().chain(quiet) {
+        let mut text = String::new();
+        let is_whole = reader.read_to_string(&mut text).is_ok();
+        assert!(head.status != 200 || (is_whole && text.matches("data:").count() == 2));
+    }
+}
+
+#[test]
+fn load_stays_within_the_bound_when_all_requests_hit_one_chat() {
+    let fleet = TestFleet::start(FleetOptions {
+        centres: vec![("attica-a", 1)],
+        engines: 4,
+        services: 0,
+        ..FleetOptions::default()
+    });
+    let barrier = Barrier::new(40);
+    let served: Vec<String> = thread::scope(|scope| {
+        let tasks: Vec<_> = (0..40)
+            .map(|number| {
+                let (fleet, barrier) = (&fleet, &barrier);
+                scope.spawn(move || {
+                    let path = "/chat?tokens=2&hold_after=1";
+                    let request = fleet.request(0, "POST", path).header("x-chat-id", "one");
+                    let id = format!("r{number}");
+                    let (head, reader) =
+                        request.header("x-request-id", &id).body("x").open().expect("a reply");
+                    // All forty are in flight before the first of them ends.
+                    barrier.wait();
+                    drop(reader);
+                    head.header("x-served-by").unwrap_or_default().to_owned()
+                })
+            })
+            .collect();
+        tasks.into_iter().map(|task| task.join().expect("no panic")).collect()
+    });
+    let mut loads: BTreeMap<&str, usize> = BTreeMap::new();
+    for target in &served {
+        *loads.entry(target).or_default() += 1;
+    }
+    // 1.25 x the mean of 10, in whole requests.
+    assert!(loads.values().all(|load| *load <= 13), "{loads:?}");
+}
+
+#[test]
+fn a_flapping_engine_is_held_down_and_its_chats_stay_together() {
+    let mut fleet = TestFleet::start(FleetOptions {
+        centres: vec![("attica-a", 2), ("attica-b", 2)],
+        engines: 2,
+        services: 0,
+        config: json!({ "routing": { "hold_down_ms": 60_000, "slow_start_ms": 10 } }),
+        ..FleetOptions::default()
+    });
+    let flapping = 0;
+    let name = fleet.targets[flapping].name.clone();
+    for incarnation in 2..=4 {
+        fleet.targets[flapping].incarnation = incarnation;
+        fleet.target_process(flapping).kill();
+        fleet.start_target(flapping);
+        let version = fleet.publish_hosts();
+        for daemon in 0..4 {
+            fleet.await_status("the list", daemon, |status| status["hosts_version"] == version);
+        }
+    }
+    for daemon in 0..4 {
+        wait_until("it is held", || status_of(&fleet, daemon, &name) == "held");
+    }
+    // Meanwhile every chat has one place, the same through all daemons.
+    let mut places: BTreeMap<usize, BTreeSet<String>> = BTreeMap::new();
+    for chat in 0..12 {
+        for daemon in 0..4 {
+            let request = fleet.request(daemon, "POST", "/chat?tokens=1");
+            let reply: WebReply =
+                request.header("x-chat-id", &format!("c{chat}")).body("x").send().expect("a reply");
+            assert_eq!(reply.status, 200);
+            let served = reply.header("x-served-by").unwrap_or_default().to_owned();
+            assert_ne!(served, name, "a held target got work");
+            places.entry(chat).or_default().insert(served);
+        }
+    }
+    let scattered = places.values().filter(|served| served.len() > 1).count();
+    assert_eq!(scattered, 0, "{places:?}");
+}
