--- a/ggt-core/src/routing/mod.rs
+++ b/ggt-core/src/routing/mod.rs
@@ -1,8 +1,10 @@
 //! Chooses the target of a request: cache reuse first, bounded by load.
 
 mod choice;
+mod entry;
 mod hold;
 mod load;
+mod options;
 mod rendezvous;
 mod table;
 
@@ -10,14 +12,14 @@
 pub use choice::ChosenTarget;
 pub use choice::RouteQuery;
 pub use choice::RouteRefusal;
+pub use entry::TargetEntry;
+pub use entry::TargetStatus;
 pub use hold::HoldDown;
 pub use hold::HoldOptions;
 pub use load::LoadEstimate;
 pub use load::LoadReport;
+pub use options::RoutingOptions;
 pub use rendezvous::rendezvous_score;
 pub use table::HostChange;
-pub use table::RoutingOptions;
 pub use table::RoutingTable;
-pub use table::TargetEntry;
 pub use table::TargetKey;
-pub use table::TargetStatus;
--- a/ggt-core/src/routing/table.rs
+++ b/ggt-core/src/routing/table.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 
 use slotmap::SlotMap;
 use slotmap::new_key_type;
@@ -23,6 +22,9 @@
 use crate::routing::LoadReport;
 use crate::routing::RouteQuery;
 use crate::routing::RouteRefusal;
+use crate::routing::RoutingOptions;
+use crate::routing::TargetEntry;
+use crate::routing::TargetStatus;
 use crate::routing::rendezvous_score;
 
 /// Consecutive failures after which a target is down until a probe succeeds.
@@ -32,145 +34,12 @@
 const MIN_BOUND: f64 = 2.0;
 /// Targets of a data centre that must be down before it counts as cut off.
 const MIN_DOWN_TO_CUT_OFF: usize = 2;
-/// Share of its capacity that a target takes at the start of its slow start.
-const SLOW_START_SHARE: f64 = 0.2;
 
 new_key_type! {
     /// Identifies one target in a [`RoutingTable`].
     pub struct TargetKey;
 }
 
-/// Settings of a [`RoutingTable`].
-#[derive(Clone, Copy, Debug)]
-pub struct RoutingOptions {
-    /// The most load a target may carry, as a multiple of the mean.
-    pub max_load_ratio: f64,
-    /// The most load a target may carry and still get new chats, as a multiple of the mean.
-    ///
-    /// A new chat loses nothing wherever it goes, so new chats level the load and the bound on the
-    /// others, which costs cache reuse, comes into play less often.
-    pub new_chat_ratio: f64,
-    /// Load at which a target is full, as a multiple of its capacity.
-    pub full_ratio: f64,
-    /// How many requests each own request since a report stands for.
-    pub peer_scale: f64,
-    /// Whether callers' hints are used.
-    pub use_hints: bool,
-    /// Settings of the hold-down.
-    pub hold: HoldOptions,
-    /// Milliseconds over which a returning target takes up its full share.
-    pub slow_start_millis: u64,
-}
-
-impl RoutingOptions {
-    /// Sets the bounds that keep load under `max_load_ratio` x mean while reports are `lag_millis`
-    /// old.
-    ///
-    /// Requests that other daemons send and targets end between two reports are not seen, so the
-    /// bound in use leaves room for them. The older the reports, the more of what looks like load
-    /// above the mean is noise, and a tight bound only drives chats off their caches: it is
-    /// widened, up to the promised ratio, and new chats are held less strictly below the mean.
-    pub fn with_bounds(self, max_load_ratio: f64, lag_millis: u64) -> Self {
-        const FRESH_SHARE: f64 = 0.5;
-        const SHARE_FOR_EACH_SECOND: f64 = 0.3;
-        const FRESH_NEW_RATIO: f64 = 0.95;
-        const NEW_RATIO_FOR_EACH_SECOND: f64 = 0.05;
-        const MAX_NEW_RATIO: f64 = 1.1;
-        const MILLIS_PER_SECOND: f64 = 1_000.0;
-        let lag_seconds = lag_millis as f64 / MILLIS_PER_SECOND;
-        let share = (FRESH_SHARE + SHARE_FOR_EACH_SECOND * lag_seconds).min(1.0);
-        let new_ratio = FRESH_NEW_RATIO + NEW_RATIO_FOR_EACH_SECOND * lag_seconds;
-        Self {
-            max_load_ratio: 1.0 + (max_load_ratio - 1.0) * share,
-            new_chat_ratio: new_ratio.min(MAX_NEW_RATIO),
-            ..self
-        }
-    }
-}
-
-impl Default for RoutingOptions {
-    fn default() -> Self {
-        Self {
-            max_load_ratio: 1.25,
-            new_chat_ratio: 1.0,
-            full_ratio: 1.0,
-            peer_scale: 1.0,
-            use_hints: true,
-            hold: HoldOptions { first_millis: 5_000, longest_millis: 300_000 },
-            slow_start_millis: 10_000,
-        }
-    }
-}
-
-/// Whether a target takes new work, and why not.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TargetStatus {
-    /// It takes new work.
-    Ready,
-    /// It is leaving.
-    Leaving,
-    /// It is held down for flapping.
-    Held,
-    /// It does not answer.
-    Down,
-    /// Its data centre cannot be reached.
-    CutOff,
-}
-
-impl TargetStatus {
-    /// The status as it stands in logs and in the status report.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Ready => "ready",
-            Self::Leaving => "leaving",
-            Self::Held => "held",
-            Self::Down => "down",
-            Self::CutOff => "cut-off",
-        }
-    }
-}
-
-/// One target.
-#[derive(Clone, Debug)]
-pub struct TargetEntry {
-    /// The target's entry in the host list.
-    pub host: HostEntry,
-    /// Its estimated load.
-    pub load: LoadEstimate,
-    hash: u64,
-    hold: HoldDown,
-    failures: u32,
-    is_down: bool,
-    ramp_from: Option<MonoTime>,
-}
-
-impl TargetEntry {
-    /// Where the target is reached.
-    pub fn address(&self) -> SocketAddr {
-        self.host.address
-    }
-
-    /// Hash of the target's name.
-    pub fn hash(&self) -> u64 {
-        self.hash
-    }
-
-    /// The end of the target's hold-down.
-    pub fn held_until(&self) -> MonoTime {
-        self.hold.held_until()
-    }
-
-    fn ramped_capacity(&self, options: &RoutingOptions, now: MonoTime) -> f64 {
-        let capacity = f64::from(self.host.capacity);
-        let Some(from) = self.ramp_from else { return capacity };
-        if options.slow_start_millis == 0 {
-            return capacity;
-        }
-        let passed = now.millis_since(from) as f64 / options.slow_start_millis as f64;
-        capacity * (SLOW_START_SHARE + (1.0 - SLOW_START_SHARE) * passed.min(1.0))
-    }
-}
-
 /// What a host list or a peer's word changed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum HostChange {
--- a/ggt-testkit/src/bench/mod.rs
+++ b/ggt-testkit/src/bench/mod.rs
@@ -3,6 +3,7 @@
 mod availability;
 mod capacity;
 mod design;
+mod state;
 mod usage;
 
 pub use availability::AvailabilityOutcome;
@@ -10,3 +11,5 @@
 pub use capacity::CapacityOptions;
 pub use capacity::CapacityOutcome;
 pub use capacity::measure_capacity;
+pub use state::StateOutcome;
+pub use state::measure_state;
--- a/ggt-testkit/src/bin/ggt-bench.rs
+++ b/ggt-testkit/src/bin/ggt-bench.rs
@@ -11,6 +11,7 @@
 use ggt_testkit::bench::CapacityOptions;
 use ggt_testkit::bench::measure_availability;
 use ggt_testkit::bench::measure_capacity;
+use ggt_testkit::bench::measure_state;
 
 /// Measures a fleet of real processes; prints a JSON line for each run.
 #[derive(FromArgs)]
@@ -24,8 +25,14 @@
 enum BenchKind {
     Capacity(CapacityArgs),
     Availability(AvailabilityArgs),
+    State(StateArgs),
 }
 
+/// memory for each claim, target and suspicion
+#[derive(FromArgs)]
+#[argh(subcommand, name = "state")]
+struct StateArgs {}
+
 /// what a daemon spends on control
 #[derive(FromArgs)]
 #[argh(subcommand, name = "capacity")]
@@ -77,6 +84,7 @@
             });
             println!("{}", json!(outcome));
         }
+        BenchKind::State(_) => println!("{}", json!(measure_state())),
         BenchKind::Availability(args) => {
             for (scenario, outcome) in measure_availability(args.seconds) {
                 println!("{}", json!({ "scenario": scenario, "outcome": outcome }));
