fix: news that no longer matters is dropped and not passed round again

Cause: items of gossip were never removed, so blame of crashing requests and the loads of targets that are gone grew without bound, and an expired blame would have been taken as fresh from a peer that still had it. Change: blame carries its end, which is the same on every daemon; expired items and those of unknown targets and daemons are dropped each second. Test: dropped news is not sent again.

--- a/ggt-core/src/membership/item.rs
+++ b/ggt-core/src/membership/item.rs
@@ -7,6 +7,7 @@
 
 use crate::blame::DeathMark;
 use crate::blame::RequestPrint;
+use crate::clock::WallTime;
 use crate::ident::stable_hash;
 use crate::membership::PeerStatus;
 use crate::routing::LoadReport;
@@ -52,6 +53,8 @@
         print: RequestPrint,
         /// The death.
         death: DeathMark,
+        /// When the blame ends; the same on every daemon, so that old blame is not passed round.
+        expires_at: WallTime,
     },
     /// What is believed of a daemon.
     Peer {
@@ -80,7 +83,7 @@
     pub fn key(&self) -> ItemKey {
         match *self {
             Self::Leaving { target, .. } => ItemKey::Leaving(target),
-            Self::Crash { print, death } => ItemKey::Crash(print, death),
+            Self::Crash { print, death, .. } => ItemKey::Crash(print, death),
             Self::Peer { daemon, .. } => ItemKey::Peer(daemon),
             Self::Load { target, .. } => ItemKey::Load(target),
         }
@@ -90,7 +93,7 @@
     fn version(&self) -> (u64, u64) {
         match self {
             Self::Leaving { incarnation, .. } => (*incarnation, 0),
-            Self::Crash { .. } => (0, 0),
+            Self::Crash { expires_at, .. } => (expires_at.as_millis(), 0),
             Self::Peer { incarnation, status, .. } => (*incarnation, *status as u64),
             Self::Load { incarnation, report, is_down, .. } => {
                 (*incarnation, 2 * report.version() + u64::from(*is_down))
@@ -146,12 +149,12 @@
         }
     }
 
-    /// Drops items whose key `keep` refuses.
+    /// Drops items that `keep` refuses.
     pub fn retain<F>(&mut self, mut keep: F)
     where
-        F: FnMut(&ItemKey) -> bool,
+        F: FnMut(&GossipItem) -> bool,
     {
-        self.slots.retain(|key, _| keep(key));
+        self.slots.retain(|_, slot| keep(&slot.item));
     }
 
     /// Picks the items for one datagram, fresh ones by importance and then a few old ones.
--- a/ggt-core/src/routing/table.rs
+++ b/ggt-core/src/routing/table.rs
@@ -113,6 +113,21 @@
             }
             changes.push(HostChange::Gone(name));
         }
+        // What left under an incarnation that the list has passed need not be remembered.
+        let is_passed = |name: &TargetName, left: u64| {
+            let key = self.by_name.get(name);
+            let entry = key.and_then(|key| self.targets.get(*key));
+            entry.is_some_and(|entry| entry.host.incarnation > left)
+        };
+        let passed: Vec<TargetName> = self
+            .leaving
+            .iter()
+            .filter(|(name, left)| is_passed(name, **left))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in passed {
+            self.leaving.remove(&name);
+        }
         self.index_workloads();
         changes
     }
--- a/ggt-core/tests/membership.rs
+++ b/ggt-core/tests/membership.rs
@@ -6,7 +6,10 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use ggt_core::blame::DeathMark;
+use ggt_core::blame::RequestPrint;
 use ggt_core::clock::MonoTime;
+use ggt_core::clock::WallTime;
 use ggt_core::config::DaemonSection;
 use ggt_core::config::RosterSection;
 use ggt_core::ident::DaemonName;
@@ -283,3 +286,19 @@
         assert!(most <= mean + 1, "{daemons} daemons: {most} targets against a mean of {mean}");
     }
 }
+
+#[test]
+fn dropped_news_is_not_sent_again() {
+    let mut items = ItemTable::default();
+    let crash = |expires_at| GossipItem::Crash {
+        print: RequestPrint(1),
+        death: DeathMark(2),
+        expires_at: WallTime::from_millis(expires_at),
+    };
+    assert!(items.take(crash(100), 10));
+    assert!(!items.take(crash(100), 10), "known news");
+    assert!(items.take(crash(200), 10), "later blame");
+    items.retain(|item| !matches!(item, GossipItem::Crash { .. }));
+    assert!(items.is_empty());
+    assert!(items.pick(|_| true).0.is_empty());
+}
--- a/ggt-daemon/src/daemon.rs
+++ b/ggt-daemon/src/daemon.rs
@@ -32,6 +32,7 @@
 use crate::peers::run_gossip;
 use crate::peers::run_vouching;
 use crate::peers::serve_peers;
+use crate::peers::sweep_items;
 use crate::probes::run_probing;
 use crate::settings::DaemonSettings;
 use crate::state::SharedState;
@@ -215,6 +216,7 @@
         thread::sleep(SWEEP_PERIOD);
         lock(&state.holder).expire(crate::clock::wall_now());
         lock(&state.blame).expire(mono_now());
+        sweep_items(state);
     }
 }
 
--- a/ggt-daemon/src/peers/gossip.rs
+++ b/ggt-daemon/src/peers/gossip.rs
@@ -1,5 +1,6 @@
 //! The thread that pings peers and spreads news by datagrams.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use crate::state::lock;
 use ggt_core::blame::DeathMark;
 use ggt_core::blame::RequestPrint;
+use ggt_core::clock::WallTime;
 use ggt_core::ident::TargetName;
 use ggt_core::membership::GossipItem;
 use ggt_core::membership::PeerAction;
@@ -223,6 +225,9 @@
 }
 
 fn take_item(state: &SharedState, item: &GossipItem, is_own_centre: bool) {
+    if matches!(item, GossipItem::Crash { expires_at, .. } if wall_now() >= *expires_at) {
+        return;
+    }
     if !lock(&state.gossip).spread(*item) {
         return;
     }
@@ -236,8 +241,8 @@
                 log::info!("event=target target={name} incarnation={incarnation} status=leaving");
             }
         }
-        GossipItem::Crash { print, death } => {
-            note_crash(state, print, death);
+        GossipItem::Crash { print, death, expires_at } => {
+            note_crash(state, print, death, expires_at);
             if !is_own_centre {
                 tell_own_centre(state, *item);
             }
@@ -269,14 +274,37 @@
 ///
 /// The caller may send the request again at any moment, through any daemon.
 pub fn spread_crash(state: &SharedState, print: RequestPrint, death: DeathMark) {
-    note_crash(state, print, death);
-    let item = GossipItem::Crash { print, death };
+    let refusal = state.force().map_or(0, |config| config.accepted.model.routing.crash_refusal_ms);
+    let expires_at = wall_now() + refusal;
+    note_crash(state, print, death, expires_at);
+    let item = GossipItem::Crash { print, death, expires_at };
     if lock(&state.gossip).spread(item) {
         tell_own_centre(state, item);
         tell_other_centres(state, item);
     }
 }
 
+/// Drops news that no longer matters: blame that has ended, and targets and daemons that are gone.
+pub fn sweep_items(state: &SharedState) {
+    let now = wall_now();
+    let routing = lock(&state.routing);
+    let targets: BTreeSet<u32> =
+        routing.iter().map(|(_, entry)| short_hash(entry.host.name.as_str())).collect();
+    drop(routing);
+    let mut gossip = lock(&state.gossip);
+    let gossip = &mut *gossip;
+    let own = short_hash(state.settings.name.as_str());
+    let peers: BTreeSet<u32> =
+        gossip.peers.iter().map(|peer| short_hash(peer.name.as_str())).chain([own]).collect();
+    gossip.items.retain(|item| match item {
+        GossipItem::Crash { expires_at, .. } => now < *expires_at,
+        GossipItem::Leaving { target, .. } | GossipItem::Load { target, .. } => {
+            targets.contains(target)
+        }
+        GossipItem::Peer { daemon, .. } => peers.contains(daemon),
+    });
+}
+
 fn tell_own_centre(state: &SharedState, item: GossipItem) {
     let gossip = lock(&state.gossip);
     let actions = gossip.peers.announce(usize::MAX);
@@ -299,9 +327,9 @@
     }
 }
 
-fn note_crash(state: &SharedState, print: RequestPrint, death: DeathMark) {
-    let refusal = state.force().map_or(0, |config| config.accepted.model.routing.crash_refusal_ms);
-    lock(&state.blame).note_death(print, death, mono_now() + refusal);
+fn note_crash(state: &SharedState, print: RequestPrint, death: DeathMark, expires_at: WallTime) {
+    let left = expires_at.as_millis().saturating_sub(wall_now().as_millis());
+    lock(&state.blame).note_death(print, death, mono_now() + left);
 }
 
 fn target_by_hash(
--- a/ggt-daemon/src/peers/mod.rs
+++ b/ggt-daemon/src/peers/mod.rs
@@ -9,6 +9,7 @@
 pub use gossip::announce_departure;
 pub use gossip::run_gossip;
 pub use gossip::spread_crash;
+pub use gossip::sweep_items;
 pub use links::LinkError;
 pub use links::PeerLinks;
 pub(crate) use server::answer_claim;
