fix: loads leave room for news that a daemon may have missed

Cause: old news was repeated only when no fresh item was left, and in a busy fleet loads are always fresh, so a daemon that missed that a target leaves, or that a request crashes targets, would not have heard of it again. Change: fresh news, then two old items in turn, then loads, which are never repeated.

--- a/ggt-core/src/membership/item.rs
+++ b/ggt-core/src/membership/item.rs
@@ -1,6 +1,7 @@
 //! News that spreads among the daemons.
 
 use std::collections::BTreeMap;
+use std::ops::Bound;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -15,7 +16,9 @@
 /// Times that a fresh item is sent, for each doubling of the number of peers.
 const SENDS_FOR_EACH_DOUBLING: u32 = 2;
 /// Old items sent again with each datagram, so that those who missed them catch up.
-const REFRESHED_ITEMS: usize = 4;
+const REFRESHED_ITEMS: usize = 2;
+/// The least key of a load; all other kinds sort before it.
+const FIRST_LOAD: ItemKey = ItemKey::Load(0);
 
 /// Shortens a name to the 32 bits by which items refer to it.
 pub fn short_hash(name: &str) -> u32 {
@@ -157,25 +160,47 @@
         self.slots.retain(|_, slot| keep(&slot.item));
     }
 
-    /// Picks the items for one datagram, fresh ones by importance and then a few old ones.
+    /// Picks the items for one datagram: fresh ones by importance, and some old ones in turn for
+    /// those who missed them.
     ///
-    /// `fits` is asked for each item whether it still fits; once it says no to a fresh item, the
-    /// less important ones are left for later. Returns the items and how many fresh ones were left.
+    /// Loads come last and are never repeated: they change all the time, and would leave no room for
+    /// anything else. `fits` is asked for each item whether it still fits; once it says no to a
+    /// fresh item, the less important ones are left for later. Returns the items and how many fresh
+    /// ones were left.
     pub fn pick<F>(&mut self, mut fits: F) -> (Vec<GossipItem>, usize)
     where
         F: FnMut(&GossipItem) -> bool,
     {
         let mut picked = Vec::new();
-        let mut left = 0;
-        // Among items of one kind the least often sent go first.
+        let left = self.pick_fresh(false, &mut picked, &mut fits);
+        if left == 0 {
+            self.pick_old(&mut picked, &mut fits);
+        }
+        let left_loads = match left {
+            0 => self.pick_fresh(true, &mut picked, &mut fits),
+            _ => self.fresh(true).len(),
+        };
+        (picked, left + left_loads)
+    }
+
+    /// Fresh items, the most important and among these the least often sent first.
+    fn fresh(&self, loads: bool) -> Vec<ItemKey> {
         let mut fresh: Vec<(u8, u32, ItemKey)> = self
             .slots
             .iter()
-            .filter(|(_, slot)| slot.sends_left > 0)
+            .filter(|(key, slot)| slot.sends_left > 0 && is_load(key) == loads)
             .map(|(key, slot)| (rank_of(key), u32::MAX - slot.sends_left, *key))
             .collect();
         fresh.sort_unstable();
-        for (_, _, key) in fresh {
+        fresh.into_iter().map(|(_, _, key)| key).collect()
+    }
+
+    fn pick_fresh<F>(&mut self, loads: bool, picked: &mut Vec<GossipItem>, fits: &mut F) -> usize
+    where
+        F: FnMut(&GossipItem) -> bool,
+    {
+        let mut left = 0;
+        for key in self.fresh(loads) {
             let Some(slot) = self.slots.get_mut(&key) else { continue };
             if left == 0 && fits(&slot.item) {
                 slot.sends_left -= 1;
@@ -184,28 +209,32 @@
                 left += 1;
             }
         }
-        for _ in 0..REFRESHED_ITEMS.min(self.slots.len()) {
-            let next = match self.refreshed {
-                Some(last) => self
-                    .slots
-                    .range((std::ops::Bound::Excluded(last), std::ops::Bound::Unbounded))
-                    .next(),
-                None => None,
-            };
-            let Some((key, slot)) = next.or_else(|| self.slots.iter().next()) else { break };
+        left
+    }
+
+    fn pick_old<F>(&mut self, picked: &mut Vec<GossipItem>, fits: &mut F)
+    where
+        F: FnMut(&GossipItem) -> bool,
+    {
+        for _ in 0..REFRESHED_ITEMS {
+            let start = self.refreshed.map_or(Bound::Unbounded, Bound::Excluded);
+            let mut after = self.slots.range((start, Bound::Excluded(FIRST_LOAD)));
+            let next = after.next().or_else(|| self.slots.range(..FIRST_LOAD).next());
+            let Some((key, slot)) = next else { return };
             let (key, item) = (*key, slot.item);
-            if left > 0 || !fits(&item) {
-                break;
+            if picked.contains(&item) || !fits(&item) {
+                return;
             }
             self.refreshed = Some(key);
-            if !picked.contains(&item) {
-                picked.push(item);
-            }
+            picked.push(item);
         }
-        (picked, left)
     }
 }
 
+fn is_load(key: &ItemKey) -> bool {
+    matches!(key, ItemKey::Load(_))
+}
+
 fn rank_of(key: &ItemKey) -> u8 {
     match key {
         ItemKey::Leaving(_) => 0,
--- a/ggt-core/tests/membership.rs
+++ b/ggt-core/tests/membership.rs
@@ -23,6 +23,7 @@
 use ggt_core::membership::PeerTable;
 use ggt_core::membership::SignedHead;
 use ggt_core::membership::probed_by;
+use ggt_core::routing::LoadReport;
 
 const STEP_MS: u64 = 50;
 const ITEMS_IN_DATAGRAM: usize = 12;
@@ -302,3 +303,28 @@
     assert!(items.is_empty());
     assert!(items.pick(|_| true).0.is_empty());
 }
+
+#[test]
+fn loads_that_change_all_the_time_leave_room_for_old_news() {
+    let mut items = ItemTable::default();
+    let leaving = GossipItem::Leaving { target: 7, incarnation: 1 };
+    items.take(leaving, 10);
+    // Far more loads than fit, each new again and again, until the news is no longer fresh.
+    let mut sent_late = false;
+    for round in 1..200 {
+        for target in 0..50 {
+            let report = LoadReport { started_total: round, finished_total: 0 };
+            let load = GossipItem::Load { target, incarnation: 1, report, is_down: false };
+            items.take(load, 10);
+        }
+        let mut room = 5;
+        let (picked, left) = items.pick(|_| {
+            let fits = room > 0;
+            room -= i32::from(fits);
+            fits
+        });
+        assert!(left > 0, "the loads do not all fit");
+        sent_late |= round > 100 && picked.contains(&leaving);
+    }
+    assert!(sent_late, "a daemon that missed the news never hears of it");
+}
