feat: a data centre counts as cut off after four silent targets in a row

Cause: it took half of a data centre's targets, each failing twice. At the design size that is 130 failed attempts for each daemon, which at 10 requests a second takes over a minute with a connect timeout on each. Change: four targets failing with no answer from that data centre in between, and a probe of one of its targets each round, so that it comes back with the first answer.

--- a/ggt-core/src/routing/table.rs
+++ b/ggt-core/src/routing/table.rs
@@ -32,8 +32,10 @@
 /// Requests that a target may always carry: one that runs and one whose end has not been reported
 /// yet. A smaller bound would drive chats off an idle target.
 const MIN_BOUND: f64 = 2.0;
-/// Targets of a data centre that must be down before it counts as cut off.
-const MIN_DOWN_TO_CUT_OFF: usize = 2;
+/// Targets of a data centre that fail one after the other before it counts as cut off.
+const SILENT_TO_CUT_OFF: usize = 4;
+/// The same in a data centre that has fewer targets.
+const MIN_SILENT_TO_CUT_OFF: usize = 2;
 
 new_key_type! {
     /// Identifies one target in a [`RoutingTable`].
@@ -60,6 +62,7 @@
     by_name: BTreeMap<TargetName, TargetKey>,
     by_workload: BTreeMap<WorkloadName, Vec<TargetKey>>,
     cut_off: BTreeSet<CentreName>,
+    silent: BTreeMap<CentreName, BTreeSet<TargetKey>>,
     leaving: BTreeMap<TargetName, u64>,
     list_version: u64,
 }
@@ -216,13 +219,25 @@
         };
     }
 
-    /// A data centre counts as cut off once half of its targets, and two at least, are down.
-    fn judge_centre(&mut self, centre: &CentreName) {
-        let targets = self.targets.values().filter(|entry| entry.host.data_centre == *centre);
-        let (down, all) = targets.fold((0_usize, 0_usize), |(down, all), entry| {
-            (down + usize::from(entry.is_down), all + 1)
-        });
-        self.set_cut_off(centre, down >= MIN_DOWN_TO_CUT_OFF && 2 * down >= all);
+    /// Takes a failure or an answer of a target as a sign of whether its data centre is reached.
+    ///
+    /// A data centre counts as cut off once several of its targets failed with no answer from any
+    /// of them in between: waiting until each of many targets has failed would cost a request each.
+    fn judge_centre(&mut self, key: TargetKey, is_failure: bool) {
+        let Some(entry) = self.targets.get(key) else { return };
+        let centre = entry.host.data_centre.clone();
+        if !is_failure {
+            self.silent.remove(&centre);
+            self.set_cut_off(&centre, false);
+            return;
+        }
+        let all = self.targets.values().filter(|x| x.host.data_centre == centre).count();
+        let silent = self.silent.entry(centre.clone()).or_default();
+        silent.insert(key);
+        let needed = SILENT_TO_CUT_OFF.min(all).max(MIN_SILENT_TO_CUT_OFF);
+        if silent.len() >= needed {
+            self.set_cut_off(&centre, true);
+        }
     }
 
     /// Whether the target does not answer, whatever its status says first.
@@ -276,9 +291,8 @@
         entry.is_down = false;
         if was_down {
             entry.ramp_from = Some(now.max(entry.hold.held_until()));
-            let centre = entry.host.data_centre.clone();
-            self.judge_centre(&centre);
         }
+        self.judge_centre(key, false);
         was_down
     }
 
@@ -286,19 +300,24 @@
     pub fn note_failure(&mut self, key: TargetKey, options: &HoldOptions, now: MonoTime) -> bool {
         let Some(entry) = self.targets.get_mut(key) else { return false };
         entry.failures += 1;
-        if entry.is_down || entry.failures < FAILURES_TO_DOWN {
-            return false;
+        let is_news = !entry.is_down && entry.failures >= FAILURES_TO_DOWN;
+        if is_news {
+            entry.is_down = true;
+            entry.hold.note_flap(options, now);
         }
-        entry.is_down = true;
-        entry.hold.note_flap(options, now);
-        let centre = entry.host.data_centre.clone();
-        self.judge_centre(&centre);
-        true
+        self.judge_centre(key, true);
+        is_news
     }
 
     /// Takes the word of a prober that the target is down; returns whether that was news.
     pub fn note_down(&mut self, key: TargetKey, options: &HoldOptions, now: MonoTime) -> bool {
-        (0..FAILURES_TO_DOWN).any(|_| self.note_failure(key, options, now))
+        let Some(entry) = self.targets.get_mut(key) else { return false };
+        let is_news = !entry.is_down;
+        if is_news {
+            entry.is_down = true;
+            entry.hold.note_flap(options, now);
+        }
+        is_news
     }
 
     /// Forgets all load reports, as after a pause that made them old.
--- a/ggt-daemon/src/probes/mod.rs
+++ b/ggt-daemon/src/probes/mod.rs
@@ -1,5 +1,6 @@
 //! Probes targets, shared out among the daemons of a data centre.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
@@ -65,18 +66,21 @@
 
 /// Probes this daemon's part of the targets for as long as the process lives.
 ///
-/// A daemon also probes each target that it takes for down itself, however it came to that: nobody
-/// else can tell whether this daemon reaches it.
+/// A daemon also probes each target that it takes for down itself, however it came to that, and one
+/// target of each data centre that it takes for cut off, another one each time: nobody else can
+/// tell whether this daemon reaches them.
 pub fn run_probing(state: &Arc<SharedState>) {
     let period = state.settings.timing.probe_ms;
     let mut next_at = mono_now();
+    let mut round = 0;
     loop {
         thread::sleep(STEP);
         if mono_now() < next_at {
             continue;
         }
         next_at = mono_now() + period;
-        let due = due_probes(state, next_at);
+        round += 1;
+        let due = due_probes(state, next_at, round);
         // Spreads the probes over the period.
         let gap = Duration::from_millis(period / (due.len() as u64 + 1)).min(STEP);
         for target in due {
@@ -86,7 +90,7 @@
     }
 }
 
-fn due_probes(state: &SharedState, now: MonoTime) -> Vec<DueProbe> {
+fn due_probes(state: &SharedState, now: MonoTime, round: usize) -> Vec<DueProbe> {
     let gossip = lock(&state.gossip);
     let living: Vec<_> = gossip.peers.living_in_centre().cloned().collect();
     drop(gossip);
@@ -96,6 +100,14 @@
         .filter(|(_, entry)| entry.host.data_centre == state.settings.data_centre)
         .map(|(_, entry)| entry.hash())
         .collect();
+    let tried: BTreeSet<TargetKey> = routing
+        .cut_off()
+        .filter_map(|centre| {
+            let inside = routing.iter().filter(|(_, x)| x.host.data_centre == *centre);
+            let keys: Vec<TargetKey> = inside.map(|(key, _)| key).collect();
+            keys.get(round % keys.len().max(1)).copied()
+        })
+        .collect();
     let own_part = probed_by(&state.settings.name, &living, &in_centre);
     routing
         .iter()
@@ -103,7 +115,7 @@
             let status = routing.status(entry, now);
             let is_down = status == TargetStatus::Down || routing.is_down(key);
             let is_mine = own_part.contains(&entry.hash());
-            (is_down || is_mine).then(|| DueProbe {
+            (is_down || is_mine || tried.contains(&key)).then(|| DueProbe {
                 key,
                 name: entry.host.name.clone(),
                 address: entry.address(),
