--- a/ggt-daemon/src/settings/mod.rs
+++ b/ggt-daemon/src/settings/mod.rs
@@ -105,7 +105,7 @@
             max_concurrent: 1_024,
             max_claims: 100_000,
             max_claim_reply_bytes: 32 * 1024 * 1024,
-            gossip_bytes: 1_000,
+            gossip_bytes: 700,
         }
     }
 }
--- a/ggt-testkit/src/bench/capacity.rs
+++ b/ggt-testkit/src/bench/capacity.rs
@@ -104,7 +104,7 @@
         engines: 0,
         farmed_engines: farmed,
         services: 1,
-        settings: json!({ "limits": { "gossip_bytes": 1_000 }, "timing": {
+        settings: json!({ "limits": { "gossip_bytes": 700 }, "timing": {
             "gossip_ms": 1_000, "probe_ms": 3_000, "watch_ms": 30_000, "backoff_ms": 200,
             "backoff_max_ms": 10_000, "drain_announce_ms": 300,
         } }),
