--- /dev/null
+++ b/ggt-testkit/src/bench/latency.rs
@@ -0,0 +1,103 @@
+//! What a daemon adds to the first token and to the gaps between tokens.
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Instant;
+
+use serde::Serialize;
+
+use crate::fleet::TestFleet;
+use crate::layout::FleetOptions;
+use crate::layout::bearer_of;
+use crate::web::WebRequest;
+
+const TOKENS: usize = 40;
+const GAP_MS: u64 = 20;
+const MICROS_PER_MILLI: f64 = 1_000.0;
+
+/// Times of streams from many callers at once.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct StreamTimes {
+    /// Milliseconds to the first byte, median.
+    pub first_p50_ms: f64,
+    /// Milliseconds to the first byte, 95th percentile.
+    pub first_p95_ms: f64,
+    /// Milliseconds between reads of a stream, 95th percentile.
+    pub gap_p95_ms: f64,
+}
+
+/// Streams straight from the engine and through a daemon.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct LatencyOutcome {
+    /// Callers at once.
+    pub callers: usize,
+    /// Straight from the engine.
+    pub direct: StreamTimes,
+    /// Through a daemon.
+    pub through: StreamTimes,
+}
+
+/// Measures streams of `callers` callers at once, `rounds` for each.
+pub fn measure_latency(callers: usize, rounds: usize) -> LatencyOutcome {
+    let fleet = TestFleet::start(FleetOptions {
+        centres: vec![("recife-a", 1)],
+        engines: 1,
+        services: 0,
+        capacity: 10_000,
+        ..FleetOptions::default()
+    });
+    LatencyOutcome {
+        callers,
+        direct: stream_all(fleet.targets[0].address, callers, rounds),
+        through: stream_all(fleet.daemons[0].callers, callers, rounds),
+    }
+}
+
+fn stream_all(address: SocketAddr, callers: usize, rounds: usize) -> StreamTimes {
+    let measured: Vec<(Vec<f64>, Vec<f64>)> = thread::scope(|scope| {
+        let tasks: Vec<_> = (0..callers)
+            .map(|caller| scope.spawn(move || stream_some(address, caller, rounds)))
+            .collect();
+        tasks.into_iter().map(|task| task.join().expect("a caller")).collect()
+    });
+    let mut firsts: Vec<f64> = measured.iter().flat_map(|(first, _)| first.clone()).collect();
+    let mut gaps: Vec<f64> = measured.into_iter().flat_map(|(_, gaps)| gaps).collect();
+    StreamTimes {
+        first_p50_ms: quantile(&mut firsts, 0.5),
+        first_p95_ms: quantile(&mut firsts, 0.95),
+        gap_p95_ms: quantile(&mut gaps, 0.95),
+    }
+}
+
+fn stream_some(address: SocketAddr, caller: usize, rounds: usize) -> (Vec<f64>, Vec<f64>) {
+    let (mut firsts, mut gaps) = (Vec::new(), Vec::new());
+    let path = format!("/chat?tokens={TOKENS}&gap_ms={GAP_MS}");
+    for round in 0..rounds {
+        let request = WebRequest::new("POST", address, &path)
+            .bearer(&bearer_of("contabil"))
+            .header("x-request-id", &format!("{caller}-{round}"))
+            .body("a prompt");
+        let mut last = Instant::now();
+        let Some((_, mut reader)) = request.open() else { continue };
+        let mut buffer = [0; 4_096];
+        let mut is_first = true;
+        while reader.read(&mut buffer).is_ok_and(|length| length > 0) {
+            let passed = last.elapsed().as_micros() as f64 / MICROS_PER_MILLI;
+            last = Instant::now();
+            if is_first {
+                firsts.push(passed)
+            } else {
+                gaps.push(passed)
+            }
+            is_first = false;
+        }
+    }
+    (firsts, gaps)
+}
+
+fn quantile(times: &mut [f64], share: f64) -> f64 {
+    times.sort_by(f64::total_cmp);
+    let at = (times.len().saturating_sub(1) as f64 * share).round() as usize;
+    times.get(at).copied().unwrap_or_default()
+}
--- a/ggt-testkit/src/bench/mod.rs
+++ b/ggt-testkit/src/bench/mod.rs
@@ -3,6 +3,7 @@
 mod availability;
 mod capacity;
 mod design;
+mod latency;
 mod state;
 mod usage;
 
@@ -11,5 +12,7 @@
 pub use capacity::CapacityOptions;
 pub use capacity::CapacityOutcome;
 pub use capacity::measure_capacity;
+pub use latency::LatencyOutcome;
+pub use latency::measure_latency;
 pub use state::StateOutcome;
 pub use state::measure_state;
--- a/ggt-testkit/src/bin/ggt-bench.rs
+++ b/ggt-testkit/src/bin/ggt-bench.rs
@@ -11,6 +11,7 @@
 use ggt_testkit::bench::CapacityOptions;
 use ggt_testkit::bench::measure_availability;
 use ggt_testkit::bench::measure_capacity;
+use ggt_testkit::bench::measure_latency;
 use ggt_testkit::bench::measure_state;
 
 /// Measures a fleet of real processes; prints a JSON line for each run.
@@ -26,6 +27,19 @@
     Capacity(CapacityArgs),
     Availability(AvailabilityArgs),
     State(StateArgs),
+    Latency(LatencyArgs),
+}
+
+/// what a daemon adds to the first token and to the gaps between tokens
+#[derive(FromArgs)]
+#[argh(subcommand, name = "latency")]
+struct LatencyArgs {
+    /// callers at once
+    #[argh(option, default = "50")]
+    callers: usize,
+    /// streams of each caller
+    #[argh(option, default = "10")]
+    rounds: usize,
 }
 
 /// memory for each claim, target and suspicion
@@ -84,6 +98,9 @@
             });
             println!("{}", json!(outcome));
         }
+        BenchKind::Latency(args) => {
+            println!("{}", json!(measure_latency(args.callers, args.rounds)));
+        }
         BenchKind::State(_) => println!("{}", json!(measure_state())),
         BenchKind::Availability(args) => {
             for (scenario, outcome) in measure_availability(args.seconds) {
