fix: callers that choose the same request id cannot get each other's answers

Cause: the caller's X-Request-Id was passed on to targets, which are asked by it to resume and to cancel. Two callers with one id on one engine: the second request took the first one's place, and a resumed reply was another caller's, joined to the own beginning and looking whole. An id with slashes could also name another path on the target. Change: targets get the daemon's own id, which no other request has; the caller's is echoed and logged only. Red before: a caller of eight with id 1 got another's tokens behind its own; after: all eight get their own.

The daemon's route lines bear caller_id besides request_id.

--- a/ggt-daemon/src/edge/intake.rs
+++ b/ggt-daemon/src/edge/intake.rs
@@ -94,6 +94,7 @@
     config: &ForceConfig,
     number: u64,
     request_id: &str,
+    shown_id: &str,
     parts: &Parts,
     body: Bytes,
 ) -> Result<RequestJob, IntakeError> {
@@ -136,6 +137,7 @@
     Ok(RequestJob {
         number,
         request_id: request_id.to_owned(),
+        shown_id: shown_id.to_owned(),
         customer_section: customer_section.clone(),
         workload: rule.workload.clone(),
         workload_section: workload_section.clone(),
--- a/ggt-daemon/src/edge/listen.rs
+++ b/ggt-daemon/src/edge/listen.rs
@@ -197,14 +197,16 @@
         return readiness(state);
     }
     let number = state.next_number();
+    // Callers may choose the same id, so targets are never given theirs: a reply is resumed and a
+    // request cancelled by it.
     let own_id = format!("{}-{:x}-{number:x}", state.settings.name, state.incarnation);
-    let request_id = caller_request_id(request.headers()).map_or(own_id, str::to_owned);
+    let shown_id = caller_request_id(request.headers()).unwrap_or(&own_id).to_owned();
     let (parts, body) = request.into_parts();
-    match begin(context, number, &request_id, &parts, body).await {
+    match begin(context, number, [&own_id, &shown_id], &parts, body).await {
         Ok(response) => closing(state, response),
         Err(refusal) => {
             let refusal = judge_refusal(&parts, refusal);
-            closing(state, refuse(state, &request_id, &parts, &refusal))
+            closing(state, refuse(state, &shown_id, &parts, &refusal))
         }
     }
 }
@@ -225,7 +227,7 @@
 async fn begin(
     context: &EdgeContext,
     number: u64,
-    request_id: &str,
+    [own_id, shown_id]: [&str; 2],
     parts: &Parts,
     body: Incoming,
 ) -> Result<Response<EdgeBody>, Refusal> {
@@ -242,7 +244,7 @@
             None => Refusal::not_run(400, "cut-request", "the request's body ended early"),
         }
     })?;
-    let job = check_request(state, &config, number, request_id, parts, body.to_bytes())?;
+    let job = check_request(state, &config, number, own_id, shown_id, parts, body.to_bytes())?;
     let (sink, head, body) = reply_channel(context.runtime.clone(), context.cancels.clone());
     if !context.pool.submit(job, sink) {
         let detail = "the daemon serves as many requests as it may";
@@ -266,13 +268,13 @@
 
 fn refuse(
     state: &SharedState,
-    request_id: &str,
+    shown_id: &str,
     parts: &Parts,
     refusal: &Refusal,
 ) -> Response<EdgeBody> {
     log::info!(
-        "event=refuse request_id={} method={} path={} status={} cause={} verdict={} detail={}",
-        quoted(request_id),
+        "event=refuse caller_id={} method={} path={} status={} cause={} verdict={} detail={}",
+        quoted(shown_id),
         parts.method,
         quoted(parts.uri.path()),
         refusal.status,
@@ -281,9 +283,9 @@
         quoted(&refusal.detail),
     );
     state.metrics.note_refusal("-", refusal.cause);
-    let mut response = whole(refusal.status, "application/json", refusal.to_json(request_id));
+    let mut response = whole(refusal.status, "application/json", refusal.to_json(shown_id));
     let head = response.headers_mut();
-    put(head, headers::REQUEST_ID, request_id);
+    put(head, headers::REQUEST_ID, shown_id);
     put(head, headers::RUN_VERDICT, refusal.verdict.as_str());
     if let Some(seconds) = refusal.retry_after_seconds() {
         put(head, "retry-after", &seconds.to_string());
--- a/ggt-daemon/src/flow/action.rs
+++ b/ggt-daemon/src/flow/action.rs
@@ -281,7 +281,7 @@
             return exchange::refuse(state, self.job, sink, &refusal);
         };
         let mut head = HeaderMap::new();
-        put(&mut head, headers::REQUEST_ID, &self.job.request_id);
+        put(&mut head, headers::REQUEST_ID, &self.job.shown_id);
         put(&mut head, headers::RUN_VERDICT, RunVerdict::Ran.as_str());
         if let Some(content_type) = &stored.content_type {
             put(&mut head, "content-type", content_type);
--- a/ggt-daemon/src/flow/exchange.rs
+++ b/ggt-daemon/src/flow/exchange.rs
@@ -110,9 +110,10 @@
     routing.note_sent(chosen.key);
     drop(routing);
     log::info!(
-        "event=route request_id={} customer={} workload={} chat={:016x} target={} reason={} \
+        "event=route request_id={} caller_id={} customer={} workload={} chat={:016x} target={} reason={} \
          load={:.1} bound={:.1} attempt={} revision={}",
         job.request_id,
+        quoted(&job.shown_id),
         job.customer,
         job.workload,
         job.chat_hash,
@@ -242,7 +243,7 @@
             head.append(name.clone(), value.clone());
         }
     }
-    put(&mut head, headers::REQUEST_ID, &job.request_id);
+    put(&mut head, headers::REQUEST_ID, &job.shown_id);
     put(&mut head, headers::SERVED_BY, target.name.as_str());
     put(&mut head, headers::RUN_VERDICT, verdict.as_str());
     if job.has_chat {
@@ -283,9 +284,10 @@
 /// Gives the caller a final answer in a target's place.
 pub(super) fn refuse(state: &SharedState, job: &RequestJob, sink: ReplySink, refusal: &Refusal) {
     log::info!(
-        "event=refuse request_id={} customer={} workload={} status={} cause={} verdict={} \
+        "event=refuse request_id={} caller_id={} customer={} workload={} status={} cause={} verdict={} \
          detail={}",
         job.request_id,
+        quoted(&job.shown_id),
         job.customer,
         job.workload,
         refusal.status,
@@ -296,13 +298,13 @@
     state.metrics.note_refusal(job.customer.as_str(), refusal.cause);
     state.metrics.note_request(job.workload.as_str(), refusal.verdict.as_str());
     let mut head = HeaderMap::new();
-    put(&mut head, headers::REQUEST_ID, &job.request_id);
+    put(&mut head, headers::REQUEST_ID, &job.shown_id);
     put(&mut head, headers::RUN_VERDICT, refusal.verdict.as_str());
     put(&mut head, "content-type", "application/json");
     if let Some(seconds) = refusal.retry_after_seconds() {
         put(&mut head, "retry-after", &seconds.to_string());
     }
-    let body = refusal.to_json(&job.request_id);
+    let body = refusal.to_json(&job.shown_id);
     answer(sink, ReplyHead { status: refusal.status, headers: head }, body.into(), job.deadline);
 }
 
--- a/ggt-daemon/src/flow/job.rs
+++ b/ggt-daemon/src/flow/job.rs
@@ -18,8 +18,10 @@
 pub struct RequestJob {
     /// Counts the daemon's requests.
     pub number: u64,
-    /// Identifies the request towards callers, targets and logs.
+    /// Identifies the request towards targets and in logs; no other request of any daemon has it.
     pub request_id: String,
+    /// Identifies the request towards its caller, who may have chosen it.
+    pub shown_id: String,
     /// The customer.
     pub customer: CustomerName,
     /// The customer's settings.
--- a/ggt-daemon/src/flow/repeatable.rs
+++ b/ggt-daemon/src/flow/repeatable.rs
@@ -189,6 +189,7 @@
         head: HeaderMap::new(),
         body: Bytes::new(),
         request_id: job.request_id.clone(),
+        shown_id: job.shown_id.clone(),
         customer: job.customer.clone(),
         customer_section: job.customer_section.clone(),
         workload: job.workload.clone(),
--- a/ggt-standin/src/engine/mod.rs
+++ b/ggt-standin/src/engine/mod.rs
@@ -134,6 +134,10 @@
     let stream = TokenStream::new(&request.body);
     let id = request.header(headers::REQUEST_ID).unwrap_or_default().to_owned();
     lock(&state.streams).insert(id.clone(), stream.clone());
+    // Orders name a held stream as its caller chose.
+    if let Some(name) = request.query("hold_as") {
+        lock(&state.streams).insert(format!("held:{name}"), stream.clone());
+    }
     let tokens = request.number("tokens", 8);
     let gap = request.number("gap_ms", state.options.gap_ms);
     let holds_after = request.query("hold_after").and_then(|text| text.parse().ok());
@@ -190,8 +194,8 @@
             ["die"] => std::process::exit(1),
             ["leave"] => self.is_leaving.store(true, Ordering::SeqCst),
             ["wrong-echo"] => self.wrong_echoes.store(request.number("count", 1), Ordering::SeqCst),
-            ["release", id] => {
-                let stream = lock(&self.streams).get(*id).cloned();
+            ["release", name] => {
+                let stream = lock(&self.streams).get(&format!("held:{name}")).cloned();
                 match stream {
                     Some(stream) => stream.release(),
                     None => return text(404, "no such request"),
--- a/ggt-testkit/tests/leaving.rs
+++ b/ggt-testkit/tests/leaving.rs
@@ -200,7 +200,7 @@
     let (_, _reader) = request.header("x-request-id", "endless-1").body("x").open().expect("one");
     fleet.signal_daemon(0);
     assert_eq!(fleet.daemon_process(0).wait().code(), Some(3));
-    assert!(fleet.log(0).contains("event=cut-by-drain request_id=endless-1"));
+    assert!(fleet.log(0).contains("event=cut-by-drain request_id=recife-a-1-"));
 }
 
 #[test]
--- a/ggt-testkit/tests/surge_and_flap.rs
+++ b/ggt-testkit/tests/surge_and_flap.rs
@@ -33,9 +33,9 @@
         ..FleetOptions::default()
     });
     let held = |customer: &str, number: usize| {
-        WebRequest::new("POST", fleet.daemons[0].callers, "/chat?tokens=2&hold_after=1")
+        let path = format!("/chat?tokens=2&hold_after=1&hold_as={customer}-{number}");
+        WebRequest::new("POST", fleet.daemons[0].callers, &path)
             .bearer(&bearer_of(customer))
-            .header("x-request-id", &format!("{customer}-{number}"))
             .body("held")
             .open()
             .expect("a reply")
--- a/ggt-testkit/tests/whole_answers.rs
+++ b/ggt-testkit/tests/whole_answers.rs
@@ -100,6 +100,40 @@
     assert!(resumed > 0, "some replies were resumed");
 }
 
+#[test]
+fn callers_that_use_one_request_id_get_their_own_answers() {
+    let fleet = TestFleet::start(FleetOptions {
+        centres: vec![("attica-a", 2)],
+        engines: 1,
+        services: 0,
+        proxied: true,
+        ..FleetOptions::default()
+    });
+    // Replies that are cut are asked for again by an id, on the one engine that has them all.
+    set_engine_plans(&fleet, "cut_down=700&cuts=8");
+    let replies: Vec<(String, Option<WebReply>)> = thread::scope(|scope| {
+        let tasks: Vec<_> = (0..8)
+            .map(|caller| {
+                let fleet = &fleet;
+                scope.spawn(move || {
+                    let prompt = format!("caller {caller} asks under the same id");
+                    let path = format!("/chat?tokens={TOKENS}&gap_ms=5");
+                    let request = fleet.request(caller % 2, "POST", &path);
+                    let reply = request.header("x-request-id", "1").body(&prompt).send();
+                    (prompt, reply)
+                })
+            })
+            .collect();
+        tasks.into_iter().map(|task| task.join().expect("no panic")).collect()
+    });
+    for (prompt, reply) in replies {
+        let reply = reply.expect("a reply");
+        assert_eq!(reply.header("x-request-id"), Some("1"), "the caller's own id comes back");
+        assert!(reply.is_whole);
+        assert_eq!(reply.body, expected(&prompt), "another caller's answer");
+    }
+}
+
 #[test]
 fn a_reply_that_cannot_be_resumed_never_looks_whole() {
     let fleet = fleet();
--- a/ggt-testkit/tests/whole_path.rs
+++ b/ggt-testkit/tests/whole_path.rs
@@ -22,10 +22,8 @@
 #[test]
 fn first_bytes_reach_the_caller_before_the_last_are_made() {
     let fleet = small_fleet();
-    let request = fleet
-        .request(0, "POST", "/chat?tokens=4&hold_after=2")
-        .header("x-request-id", "held-1")
-        .body("prompt");
+    let request =
+        fleet.request(0, "POST", "/chat?tokens=4&hold_after=2&hold_as=held-1").body("prompt");
     let (head, mut reader) = request.open().expect("a reply");
     assert_eq!(head.status, 200);
     let mut text = String::new();
@@ -122,9 +120,8 @@
     });
     let held: Vec<_> = (0..2)
         .map(|number| {
-            let id = format!("held-{number}");
-            let request = fleet.request(0, "POST", "/chat?tokens=2&hold_after=1");
-            request.header("x-request-id", &id).body(&id).open().expect("a reply")
+            let path = format!("/chat?tokens=2&hold_after=1&hold_as=held-{number}");
+            fleet.request(0, "POST", &path).body("held").open().expect("a reply")
         })
         .collect();
     let refused = fleet.request(0, "POST", "/chat").body("third").send().expect("a reply");
@@ -189,7 +186,9 @@
     let line = wait_for("the line", || {
         let log = fleet.log(0);
         let mut lines = log.lines();
-        lines.find(|line| line.contains("event=route request_id=logged-1")).map(str::to_owned)
+        lines
+            .find(|line| line.contains("event=route ") && line.contains(" caller_id=logged-1 "))
+            .map(str::to_owned)
     });
     for part in ["customer=contabil", "workload=intake", "target=", "reason=home", "revision=1"] {
         assert!(line.contains(part), "{line}");
