fix: the verdict of a refused request counts all of its attempts

Cause: the verdict was that of the last attempt, so a request whose answer was lost on one target and that could not be sent to the next one was answered not-run, though it may have run. Found by reading. Change: the history of attempts decides. Test: a lost answer is not forgotten by a later refusal.

--- a/ggt-core/src/retries/mod.rs
+++ b/ggt-core/src/retries/mod.rs
@@ -54,3 +54,24 @@
         }
     }
 }
+
+/// What all attempts of one request so far amount to.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct AttemptHistory {
+    may_have_run: bool,
+}
+
+impl AttemptHistory {
+    /// Records an attempt that failed.
+    pub fn note(&mut self, verdict: RunVerdict) {
+        self.may_have_run |= verdict != RunVerdict::NotRun;
+    }
+
+    /// Whether the request may have run in any of the attempts.
+    ///
+    /// The last attempt alone does not tell: one that was never sent may follow one whose answer
+    /// was lost.
+    pub fn verdict(&self) -> RunVerdict {
+        if self.may_have_run { RunVerdict::Unknown } else { RunVerdict::NotRun }
+    }
+}
--- /dev/null
+++ b/ggt-core/tests/retries.rs
@@ -0,0 +1,44 @@
+//! Verdicts over several attempts, and the budget for further ones.
+
+use ggt_core::retries::AttemptHistory;
+use ggt_core::retries::FailedAttempt;
+use ggt_core::retries::RetryBudget;
+use ggt_core::verdict::RunVerdict;
+
+#[test]
+fn a_lost_answer_is_not_forgotten_by_a_later_refusal() {
+    let mut history = AttemptHistory::default();
+    assert_eq!(history.verdict(), RunVerdict::NotRun);
+    history.note(RunVerdict::NotRun);
+    assert_eq!(history.verdict(), RunVerdict::NotRun);
+    history.note(RunVerdict::Unknown);
+    history.note(RunVerdict::NotRun);
+    assert_eq!(history.verdict(), RunVerdict::Unknown);
+}
+
+#[test]
+fn what_may_have_run_is_repeated_only_if_it_may_be() {
+    let attempt = |verdict, non_idempotent, reply_begun| FailedAttempt {
+        verdict,
+        non_idempotent,
+        reply_begun,
+    };
+    assert!(attempt(RunVerdict::NotRun, true, false).may_retry());
+    assert!(attempt(RunVerdict::Unknown, false, false).may_retry());
+    assert!(!attempt(RunVerdict::Unknown, true, false).may_retry());
+    assert!(!attempt(RunVerdict::Unknown, false, true).may_retry());
+    assert!(!attempt(RunVerdict::Ran, false, false).may_retry());
+}
+
+#[test]
+fn retries_are_a_share_of_first_attempts() {
+    let mut budget = RetryBudget::default();
+    let saved = (0..1_000).filter(|_| budget.spend()).count();
+    assert_eq!(saved, 20, "what is saved in a calm");
+    let mut spent = 0;
+    for _ in 0..1_000 {
+        budget.earn(0.2);
+        spent += usize::from(budget.spend());
+    }
+    assert!((195..=200).contains(&spent), "{spent} retries for 1,000 requests");
+}
--- a/ggt-daemon/src/flow/repeatable.rs
+++ b/ggt-daemon/src/flow/repeatable.rs
@@ -19,6 +19,7 @@
 use crate::state::lock;
 use crate::upstream::CallFailure;
 use crate::upstream::TargetReply;
+use ggt_core::retries::AttemptHistory;
 use ggt_core::retries::FailedAttempt;
 use ggt_core::routing::TargetKey;
 use ggt_core::verdict::RunVerdict;
@@ -68,14 +69,12 @@
 
 fn attempt_all(state: &SharedState, config: &ForceConfig, job: &RequestJob, mut sink: ReplySink) {
     let mut tried: Vec<TargetKey> = Vec::new();
+    let mut history = AttemptHistory::default();
     loop {
         let target = match exchange::choose(state, config, job, &tried) {
             Ok(target) => target,
             Err(refusal) => {
-                let refusal = match tried.is_empty() {
-                    true => refusal,
-                    false => Refusal { verdict: RunVerdict::Unknown, ..refusal },
-                };
+                let refusal = Refusal { verdict: history.verdict(), ..refusal };
                 return exchange::refuse(state, job, sink, &refusal);
             }
         };
@@ -95,8 +94,10 @@
             AttemptEnd::Failed(failure) => failure,
         };
         let verdict = failure.verdict();
+        history.note(verdict);
         exchange::learn_failure(state, config, job, &target, verdict != RunVerdict::NotRun);
         if let Some(refusal) = may_not_retry(state, job, &failure) {
+            let refusal = Refusal { verdict: history.verdict(), ..refusal };
             return exchange::refuse(state, job, sink, &refusal);
         }
         state.metrics.note_retry(job.workload.as_str(), failure.as_str());
@@ -109,16 +110,16 @@
     }
 }
 
-/// Decides whether another target is tried; the refusal is final.
+/// Decides whether another target is tried; the refusal is final, but for its verdict, which all
+/// attempts decide.
 fn may_not_retry(state: &SharedState, job: &RequestJob, failure: &CallFailure) -> Option<Refusal> {
     let attempt =
         FailedAttempt { verdict: failure.verdict(), non_idempotent: false, reply_begun: false };
     let refusal = |status, cause, detail: String| {
-        let base = Refusal::not_run(status, cause, detail).retry_after(1_000);
-        Some(Refusal { verdict: failure.verdict(), ..base })
+        Some(Refusal::unknown(status, cause, detail).retry_after(1_000))
     };
     if let Some(refusal) = refuse_crashing(state, job) {
-        return Some(Refusal { verdict: RunVerdict::Unknown, ..refusal });
+        return Some(refusal);
     }
     if mono_now() >= job.deadline {
         return refusal(504, "deadline", failure.to_string());
