fix: a rejected revision does not hide an accepted one below it

Cause: a daemon asked its peers only for revisions above the highest it had rejected. One that missed revision 2, and saw the rejected 3 first, stayed at 1 while all others had 2. Found by reading. Change: peers are asked for anything above the revision in force, since they show accepted ones only; the platform is still not read again for a rejected one. Red before: the new test did not end in 40 s; after: 1 s.

--- a/ggt-core/src/config/force.rs
+++ b/ggt-core/src/config/force.rs
@@ -35,7 +35,7 @@
         self.stale_count
     }
 
-    /// The lowest revision worth fetching.
+    /// The platform's revision that need not be read again: in force, or rejected.
     pub fn wanted_above(&self) -> u64 {
         self.in_force.unwrap_or(0).max(self.rejected.unwrap_or(0))
     }
--- a/ggt-daemon/src/peers/gossip.rs
+++ b/ggt-daemon/src/peers/gossip.rs
@@ -217,7 +217,8 @@
     let shown =
         [(FolderKind::Config, datagram.head.revision), (FolderKind::Hosts, datagram.hosts_version)];
     for (folder, revision) in shown {
-        if revision > folders.slot(folder).gate.wanted_above() {
+        // Peers show what they have in force, which a rejected revision above must not hide.
+        if revision > folders.revision(folder) {
             // A full queue already holds work enough; the next datagram brings the hint again.
             let _ = state.fetch_hints.try_send(FetchHint { folder, peer });
         }
--- a/ggt-daemon/src/sync/fetch.rs
+++ b/ggt-daemon/src/sync/fetch.rs
@@ -105,9 +105,8 @@
     peer: SocketAddr,
 ) -> Result<(), LinkError> {
     let folders = lock(&state.folders);
-    let slot = folders.slot(kind);
-    let above = slot.gate.wanted_above();
-    let mut texts = slot.folder.by_digest();
+    let above = folders.revision(kind);
+    let mut texts = folders.slot(kind).folder.by_digest();
     drop(folders);
     let have: Vec<FileDigest> = texts.keys().copied().collect();
     let params = FetchParams { folder: kind, above, have };
--- a/ggt-testkit/tests/configuration.rs
+++ b/ggt-testkit/tests/configuration.rs
@@ -100,6 +100,26 @@
     check_rising(&fleet);
 }
 
+#[test]
+fn a_rejected_revision_does_not_hide_an_accepted_one_below_it() {
+    let fleet = fleet(2);
+    // One daemon misses an accepted revision and then sees only the rejected one after it.
+    fleet.part(&[3], &[0, 1, 2]);
+    fleet.set_plan(fleet.daemons[3].platform, "refuse=1&cut_down=0");
+    let accepted = fleet.publish("config", &files(&fleet, 2.0), None);
+    for index in 0..3 {
+        fleet.await_status("the accepted one", index, |status| status["revision"] == accepted);
+    }
+    let mut bad = files(&fleet, 2.0);
+    bad.insert("95-bad.json".to_owned(), "[]".to_owned());
+    fleet.publish("config", &bad, None);
+    fleet.set_plan(fleet.daemons[3].platform, "");
+    fleet.await_status("the rejection", 3, |status| status["rejected"].is_string());
+    fleet.heal();
+    await_revision(&fleet, accepted);
+    check_rising(&fleet);
+}
+
 #[test]
 fn a_stale_or_stalled_or_dead_platform_reverts_nothing() {
     let mut fleet = fleet(2);
