test: a frozen holder, a late host list; stand-ins that report late

A host list that was published while it was true and arrives after the target left does not bring it back. The engine stand-in reports its load late on order, the platform publishes late.

--- a/ggt-standin/src/bin/ggt-standin.rs
+++ b/ggt-standin/src/bin/ggt-standin.rs
@@ -62,6 +62,9 @@
     /// milliseconds between tokens
     #[argh(option, default = "2")]
     gap_ms: u64,
+    /// how old load reports are, in milliseconds
+    #[argh(option, default = "0")]
+    load_lag_ms: u64,
     /// engines on as many ports, from the given one on
     #[argh(option, default = "1")]
     count: u16,
@@ -101,6 +104,7 @@
                 incarnation: x.incarnation,
                 cache_tokens: x.cache_tokens,
                 gap_ms: x.gap_ms,
+                load_lag_ms: x.load_lag_ms,
             };
             for number in 1..x.count {
                 let mut address = x.listen;
--- a/ggt-standin/src/engine/mod.rs
+++ b/ggt-standin/src/engine/mod.rs
@@ -4,12 +4,15 @@
 mod stream;
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
 
 use http::Response;
 use serde_json::json;
@@ -47,6 +50,8 @@
     pub cache_tokens: u64,
     /// Milliseconds between tokens unless a request says otherwise.
     pub gap_ms: u64,
+    /// How old its load reports are, in milliseconds.
+    pub load_lag_ms: u64,
 }
 
 struct EngineState {
@@ -55,6 +60,7 @@
     streams: Mutex<BTreeMap<String, Arc<TokenStream>>>,
     started: AtomicU64,
     finished: AtomicU64,
+    reports: Mutex<VecDeque<(Instant, LoadReport)>>,
     cancelled: AtomicU64,
     resumed: AtomicU64,
     wrong_echoes: AtomicU64,
@@ -74,6 +80,7 @@
         streams: Mutex::default(),
         started: AtomicU64::new(0),
         finished: AtomicU64::new(0),
+        reports: Mutex::default(),
         cancelled: AtomicU64::new(0),
         resumed: AtomicU64::new(0),
         wrong_echoes: AtomicU64::new(0),
@@ -151,10 +158,22 @@
 }
 
 impl EngineState {
+    /// What it reports of its load: what held `load_lag_ms` ago.
     fn report(&self) -> LoadReport {
         let finished_total = self.finished.load(Ordering::SeqCst);
         let started_total = self.started.load(Ordering::SeqCst).max(finished_total);
-        LoadReport { started_total, finished_total }
+        let current = LoadReport { started_total, finished_total };
+        if self.options.load_lag_ms == 0 {
+            return current;
+        }
+        let lag = Duration::from_millis(self.options.load_lag_ms);
+        let mut reports = lock(&self.reports);
+        reports.push_back((Instant::now(), current));
+        while reports.get(1).is_some_and(|(at, _)| at.elapsed() >= lag) {
+            reports.pop_front();
+        }
+        let oldest = reports.front().filter(|(at, _)| at.elapsed() >= lag);
+        oldest.map_or_else(LoadReport::default, |(_, report)| *report)
     }
 
     fn reply(
--- a/ggt-standin/src/platform/mod.rs
+++ b/ggt-standin/src/platform/mod.rs
@@ -130,10 +130,23 @@
         revision
     }
 
-    async fn answer(&self, request: &PlainRequest) -> PlainResponse {
+    /// Publishes files later, as a list that lags behind what it describes.
+    fn publish_late(
+        self: Arc<Self>,
+        kind: FolderKind,
+        files: BTreeMap<String, String>,
+        millis: u64,
+    ) {
+        tokio::spawn(async move {
+            pause(millis).await;
+            self.publish(kind, files, None);
+        });
+    }
+
+    async fn answer(self: Arc<Self>, request: &PlainRequest) -> PlainResponse {
         let parts: Vec<&str> = request.path().trim_start_matches('/').split('/').collect();
         match parts.as_slice() {
-            ["control", rest @ ..] => self.control(request, rest),
+            ["control", rest @ ..] => self.clone().control(request, rest),
             ["v1", folder, rest @ ..] => {
                 let mode = *lock(&self.mode);
                 match mode {
@@ -193,11 +206,16 @@
         *lock(&self.calls).entry(call).or_default() += 1;
     }
 
-    fn control(&self, request: &PlainRequest, rest: &[&str]) -> PlainResponse {
+    fn control(self: Arc<Self>, request: &PlainRequest, rest: &[&str]) -> PlainResponse {
         match rest {
             ["publish", folder] => {
                 let files = serde_json::from_slice(&request.body);
+                let lag = request.number("lag_ms", 0);
                 match (kind_of(folder), files) {
+                    (Some(kind), Ok(files)) if lag > 0 => {
+                        self.publish_late(kind, files, lag);
+                        json(&json!({ "lag_ms": lag }))
+                    }
                     (Some(kind), Ok(files)) => {
                         let given = request.query("revision").and_then(|text| text.parse().ok());
                         json(&json!({ "revision": self.publish(kind, files, given) }))
--- a/ggt-testkit/src/fleet.rs
+++ b/ggt-testkit/src/fleet.rs
@@ -247,6 +247,13 @@
         reply.and_then(|reply| reply.json()["revision"].as_u64()).expect("a revision")
     }
 
+    /// Publishes the host list as it is now, but only after `lag_ms`.
+    pub fn publish_hosts_late(&self, lag_ms: u64) {
+        let path = format!("/control/publish/hosts?lag_ms={lag_ms}");
+        let body = serde_json::to_string(&host_files(&self.targets)).unwrap_or_default();
+        WebRequest::new("POST", self.platform, &path).body(&body).send();
+    }
+
     /// Tells the platform how to behave.
     pub fn set_platform(&self, mode: &str) {
         let path = format!("/control/mode/{mode}");
--- a/ggt-testkit/tests/leaving.rs
+++ b/ggt-testkit/tests/leaving.rs
@@ -75,6 +75,27 @@
     });
 }
 
+#[test]
+fn a_list_that_lags_behind_does_not_bring_a_leaving_target_back() {
+    let mut fleet = fleet();
+    let index = fleet.targets_of("intake")[0];
+    let name = fleet.targets[index].name.clone();
+    // A list that was true once is on its way while the target leaves.
+    fleet.publish_hosts_late(400);
+    fleet.targets[index].leaving = true;
+    let version = fleet.publish_hosts();
+    for daemon in 0..fleet.daemons.len() {
+        fleet.await_status("it knows", daemon, |status| status_of(status, &name) == "leaving");
+    }
+    for daemon in 0..fleet.daemons.len() {
+        fleet.await_status("the late list", daemon, |status| {
+            status["hosts_version"].as_u64() > Some(version)
+        });
+        let status = fleet.status(daemon).expect("a status");
+        assert_eq!(status_of(&status, &name), "leaving");
+    }
+}
+
 #[test]
 fn a_target_that_the_list_calls_leaving_gets_nothing_new() {
     let mut fleet = fleet();
--- a/ggt-testkit/tests/one_time_actions.rs
+++ b/ggt-testkit/tests/one_time_actions.rs
@@ -330,6 +330,31 @@
     assert_eq!(fleet.runs().get(&key), None);
 }
 
+#[test]
+fn a_frozen_holder_changes_nothing_when_it_wakes() {
+    let mut fleet = three_centres();
+    let mut answers = Vec::new();
+    for frozen in 0..fleet.daemons.len() {
+        let keys: Vec<String> = (0..4).map(|_| mint_key()).collect();
+        // Calls to it stay under way over the freeze, and are answered when it wakes.
+        fleet.daemon_process(frozen).freeze();
+        for (number, key) in keys.iter().enumerate() {
+            let daemon = (frozen + 1 + number) % fleet.daemons.len();
+            let daemon = if daemon == frozen { (frozen + 1) % fleet.daemons.len() } else { daemon };
+            answers.push((key.clone(), fleet.submit(daemon, key, "frozen")));
+        }
+        fleet.daemon_process(frozen).wake();
+        for key in &keys {
+            for daemon in 0..fleet.daemons.len() {
+                answers.push((key.clone(), fleet.submit(daemon, key, "frozen")));
+            }
+        }
+    }
+    check_runs(&fleet, &answers);
+    let ran = answers.iter().filter(|x| x.1.as_ref().is_some_and(|y| y.verdict() == "ran")).count();
+    assert!(ran > answers.len() / 2, "{ran} of {} answers said ran", answers.len());
+}
+
 #[test]
 fn a_storm_of_resends_runs_each_key_once() {
     let fleet = three_centres();
