test: deadlines, priorities, early answers and lists that lag differently

Lines of the promises that no test had: a caller's deadline ends its request, a customer's priority reaches the engine and the caller's own does not, an answer that comes before the request was read is whole or unknown, and a daemon without the platform hears of a leaving target from its peers. The test world of claims is split by job.

--- a/ggt-core/tests/claim_world/mod.rs
+++ b/ggt-core/tests/claim_world/mod.rs
@@ -1,5 +1,7 @@
 //! Daemons, a network and a service, driven step by step by a list of numbers.
 
+mod parts;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -25,6 +27,14 @@
 use ggt_core::ident::CustomerName;
 use ggt_core::ident::DaemonName;
 
+pub use parts::BrokenRule;
+pub use parts::Outcome;
+
+use parts::Attempt;
+use parts::Daemon;
+use parts::Message;
+use parts::Phase;
+
 const FIRST_DAEMONS: usize = 6;
 const MAX_DAEMONS: usize = 10;
 const CLOCK_ERROR_MS: u64 = 50;
@@ -32,76 +42,6 @@
 const START_MS: u64 = 1_000_000;
 const KEY_SLOTS: usize = 4;
 
-/// A rule that is broken on purpose, to see that the checks notice.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum BrokenRule {
-    /// None.
-    Nothing,
-    /// A restarted holder grants as if it had never forgotten anything.
-    ForgetfulHolder,
-    /// One grant is taken for a majority.
-    MajorityOfOne,
-    /// A new roster is used without waiting for the holders of the old one.
-    HastyRoster,
-    /// An attempt that gives up answers `not-run` without a majority of seals.
-    UnsealedNotRun,
-}
-
-#[derive(Clone, Debug)]
-enum Message {
-    Claim { attempt: usize, to: usize },
-    ClaimReply { attempt: usize, from: usize, reply: ClaimReply },
-    Seal { attempt: usize, to: usize },
-    SealReply { attempt: usize, from: usize, reply: ClaimReply },
-    Settle { request: SettleRequest, to: usize },
-    AskEpoch { from: usize, to: usize, life: u64 },
-    TellEpoch { from: usize, to: usize, life: u64, epoch: u64 },
-    Action { attempt: usize },
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Phase {
-    Claiming,
-    Won,
-    Sent,
-    Sealing,
-    Over,
-}
-
-#[derive(Clone, Debug)]
-struct Attempt {
-    daemon: usize,
-    life: u64,
-    request: ClaimRequest,
-    holders: HolderSet,
-    claims: BTreeMap<usize, ClaimReply>,
-    seals: BTreeMap<usize, ClaimReply>,
-    phase: Phase,
-}
-
-struct Daemon {
-    name: DaemonName,
-    holder: ClaimHolder,
-    life: u64,
-    epoch: u64,
-    clock_ahead: u64,
-}
-
-/// What happened over a run.
-#[derive(Clone, Debug, Default)]
-pub struct Outcome {
-    /// Keys that ran more than once.
-    pub doubled: usize,
-    /// Keys that ran although they were answered `not-run`.
-    pub false_not_run: usize,
-    /// Actions that ran.
-    pub ran: usize,
-    /// Attempts made.
-    pub attempts: usize,
-    /// Keys answered `not-run`.
-    pub not_run: usize,
-}
-
 /// The world.
 pub struct ClaimWorld {
     broken: BrokenRule,
--- a/ggt-daemon/tests/upstream.rs
+++ b/ggt-daemon/tests/upstream.rs
@@ -90,3 +90,20 @@
         assert_eq!(failure.verdict(), RunVerdict::Unknown);
     }
 }
+
+#[test]
+fn an_answer_that_comes_before_the_request_was_read_is_whole_or_unknown() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let served = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        stream.write_all(GOOD.as_bytes()).expect("an early answer");
+        let mut sent = [0; 4_096];
+        stream.read(&mut sent).unwrap_or_default()
+    });
+    match call(address, mono_now() + 10_000) {
+        Ok(status) => assert_eq!(status, 200),
+        Err(failure) => assert_eq!(failure.verdict(), RunVerdict::Unknown, "{failure}"),
+    }
+    assert!(served.join().expect("no panic") > 0);
+}
--- a/ggt-standin/src/engine/mod.rs
+++ b/ggt-standin/src/engine/mod.rs
@@ -198,6 +198,7 @@
             (headers::INCARNATION, self.options.incarnation.to_string()),
             (headers::LOAD, headers::format_load(&self.report())),
             (headers::CACHED_TOKENS, cached.to_string()),
+            ("x-seen-priority", request.header(headers::PRIORITY).unwrap_or_default().to_owned()),
         ];
         for (name, value) in &pairs {
             response = with_header(response, name, value);
--- a/ggt-testkit/tests/leaving.rs
+++ b/ggt-testkit/tests/leaving.rs
@@ -96,6 +96,31 @@
     }
 }
 
+#[test]
+fn a_daemon_whose_list_lags_hears_of_a_leaving_target_from_its_peers() {
+    let mut fleet = TestFleet::start(FleetOptions {
+        centres: vec![("attica-a", 2), ("attica-b", 1)],
+        engines: 2,
+        services: 0,
+        proxied: true,
+        ..FleetOptions::default()
+    });
+    let index = fleet.targets_of("intake")[0];
+    let name = fleet.targets[index].name.clone();
+    // Each daemon has another delay towards the platform, the last one none that ends.
+    for (daemon, plan) in ["", "delay_ms=700", "refuse=1&cut_down=0"].iter().enumerate() {
+        fleet.set_plan(fleet.daemons[daemon].platform, plan);
+    }
+    fleet.targets[index].leaving = true;
+    fleet.publish_hosts();
+    for daemon in 0..fleet.daemons.len() {
+        fleet.await_status("it knows", daemon, |status| status_of(status, &name) == "leaving");
+    }
+    let before = started(&fleet, index);
+    chat_everywhere(&fleet, 40);
+    assert_eq!(started(&fleet, index), before, "the leaving target got new work");
+}
+
 #[test]
 fn a_target_that_the_list_calls_leaving_gets_nothing_new() {
     let mut fleet = fleet();
--- a/ggt-testkit/tests/whole_path.rs
+++ b/ggt-testkit/tests/whole_path.rs
@@ -197,3 +197,27 @@
     fleet.submit(0, &key, "x").expect("a reply");
     wait_until("the outcome's line", || fleet.log(0).contains("status=200 verdict=ran"));
 }
+
+#[test]
+fn a_caller_s_deadline_ends_its_request() {
+    let fleet = small_fleet();
+    // The engine would take a minute to its first token.
+    let reply = fleet
+        .request(0, "POST", "/chat?tokens=1&first_ms=60000")
+        .header("x-deadline-ms", "400")
+        .body("slow")
+        .send()
+        .expect("a reply");
+    assert_eq!((reply.status, reply.verdict()), (504, "unknown"), "{}", reply.body);
+}
+
+#[test]
+fn a_customer_s_priority_reaches_the_engine_and_the_caller_s_own_does_not() {
+    let fleet = TestFleet::start(FleetOptions {
+        config: json!({ "customers": { "contabil": { "priority": 7 } } }),
+        ..FleetOptions::default()
+    });
+    let request = fleet.request(0, "POST", "/chat?tokens=1").header("x-priority", "99").body("x");
+    let reply = request.send().expect("a reply");
+    assert_eq!(reply.header("x-seen-priority"), Some("7"));
+}
