--- a/ggt-core/src/blame/mod.rs
+++ b/ggt-core/src/blame/mod.rs
@@ -98,6 +98,16 @@
         is_refused.then_some(entry.expires_at)
     }
 
+    /// Deaths of the requests under suspicion that expire last, at most `count`.
+    pub fn latest(&self, count: usize) -> Vec<(RequestPrint, DeathMark)> {
+        let mut entries: Vec<_> = self.entries.iter().collect();
+        entries.sort_by_key(|(_, entry)| std::cmp::Reverse((entry.deaths.len(), entry.expires_at)));
+        let deaths = entries
+            .into_iter()
+            .flat_map(|(print, entry)| entry.deaths.iter().map(|death| (*print, *death)));
+        deaths.take(count).collect()
+    }
+
     /// Drops what has expired.
     pub fn expire(&mut self, now: MonoTime) {
         self.entries.retain(|_, entry| now < entry.expires_at);
--- /dev/null
+++ b/ggt-core/src/targets/choice.rs
@@ -0,0 +1,182 @@
+//! Which target takes a request.
+
+use snafu::Snafu;
+
+use crate::clock::MonoTime;
+use crate::prompts::PromptChain;
+use crate::routing::rendezvous_score;
+use crate::targets::TargetKey;
+use crate::targets::TargetPool;
+use crate::targets::TargetState;
+
+/// What the choice of a target rests on.
+#[derive(Clone, Debug)]
+pub struct ChoiceQuery<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The prompt, when the service's targets cache prompts.
+    pub chain: Option<&'a PromptChain>,
+    /// Spreads requests without a prompt.
+    pub spread_hash: u64,
+    /// The daemon's own data centre.
+    pub data_centre: &'a str,
+    /// Targets that the request has been sent to.
+    pub tried: &'a [TargetKey],
+    /// Whether the request may run more than once, so that it may try a doubtful target.
+    pub is_idempotent: bool,
+}
+
+/// Why a target was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChoiceReason {
+    /// First in the prompt's order of targets.
+    Home,
+    /// First in the prompt's order that is below the bound on load.
+    Spill,
+    /// The least loaded.
+    Least,
+    /// One request shows whether the target is fit again.
+    Trial,
+}
+
+impl ChoiceReason {
+    /// The reason as it stands in logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Home => "home",
+            Self::Spill => "spill",
+            Self::Least => "least",
+            Self::Trial => "trial",
+        }
+    }
+}
+
+/// A chosen target and what the choice rested on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TargetChoice {
+    /// The target.
+    pub key: TargetKey,
+    /// Why it was chosen.
+    pub reason: ChoiceReason,
+    /// Its load before the request, in requests.
+    pub load: f64,
+    /// The bound on load that held.
+    pub bound: f64,
+}
+
+/// Why no target can take a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum ChoiceError {
+    /// The service has no target that may be used.
+    #[snafu(display("the service has no usable target"))]
+    NoTarget,
+}
+
+/// A target's load may exceed the mean of its service by this factor.
+const LOAD_FACTOR: f64 = 1.25;
+/// Requests by which a load may exceed the bound's factor, so that idle services are not tight.
+const LOAD_SLACK: f64 = 1.0;
+/// Prompt tokens still to be read that weigh as much as one running request.
+const TOKENS_PER_REQUEST: f64 = 4_000.0;
+/// Requests by which a target in another data centre must be less loaded to be preferred.
+const REMOTE_PENALTY: f64 = 0.5;
+
+impl TargetPool {
+    /// Chooses a target.
+    ///
+    /// Prompts have an order of targets that is the same on all daemons; a request goes to the first
+    /// one whose load is below the bound, so that a hot part spreads over as many targets as it
+    /// needs. Requests without a prompt go to the least loaded target.
+    ///
+    /// # Errors
+    /// [`ChoiceError`] when no target may be used.
+    pub fn choose(
+        &self,
+        query: &ChoiceQuery<'_>,
+        now: MonoTime,
+    ) -> Result<TargetChoice, ChoiceError> {
+        let keys = self.of_service(query.service).iter();
+        let listed: Vec<_> = keys
+            .filter_map(|key| self.target(*key).map(|state| (*key, state)))
+            .filter(|(key, state)| !state.record.is_leaving && !query.tried.contains(key))
+            .collect();
+        let fit = listed.iter().filter(|(_, state)| is_fit(state, now)).copied();
+        let fit: Vec<_> = fit.collect();
+        if query.is_idempotent
+            && let Some(choice) = trial(&listed, query.tried, now)
+        {
+            return Ok(choice);
+        }
+        // When most targets are held, the fault is more likely elsewhere, and those left must not be
+        // overrun.
+        let usable = if fit.len() * 2 < listed.len() { &listed } else { &fit };
+        if usable.is_empty() {
+            return Err(ChoiceError::NoTarget);
+        }
+        let mean = usable.iter().map(|(_, s)| load_of(s)).sum::<f64>() / usable.len() as f64;
+        let bound = LOAD_FACTOR * (mean + 1.0) + LOAD_SLACK;
+        match query.chain.and_then(PromptChain::anchor) {
+            Some(anchor) => Ok(in_order(usable, anchor.hash, bound)),
+            None => Ok(least_loaded(usable, query, bound)),
+        }
+    }
+}
+
+fn is_fit(state: &TargetState, now: MonoTime) -> bool {
+    !state.health.is_held(now) && !state.health.is_on_trial(now)
+}
+
+fn trial(
+    listed: &[(TargetKey, &TargetState)],
+    tried: &[TargetKey],
+    now: MonoTime,
+) -> Option<TargetChoice> {
+    if !tried.is_empty() {
+        return None;
+    }
+    let is_due = |state: &TargetState| state.health.is_on_trial(now) && state.own.requests == 0;
+    let (key, state) = listed.iter().find(|(_, state)| is_due(state))?;
+    let load = load_of(state);
+    Some(TargetChoice { key: *key, reason: ChoiceReason::Trial, load, bound: load })
+}
+
+fn in_order(usable: &[(TargetKey, &TargetState)], anchor: u64, bound: f64) -> TargetChoice {
+    let mut order: Vec<_> = usable
+        .iter()
+        .map(|(key, state)| (rendezvous_score(anchor, state.place_hash, 1.0), *key, load_of(state)))
+        .collect();
+    order.sort_by(|a, b| b.0.total_cmp(&a.0));
+    let below = order.iter().position(|(_, _, load)| load + 1.0 <= bound);
+    let (place, reason) = match below {
+        Some(0) => (0, ChoiceReason::Home),
+        Some(place) => (place, ChoiceReason::Spill),
+        None => {
+            let loads = order.iter().enumerate().min_by(|a, b| a.1.2.total_cmp(&b.1.2));
+            (loads.map_or(0, |(place, _)| place), ChoiceReason::Least)
+        }
+    };
+    let (_, key, load) = order[place];
+    TargetChoice { key, reason, load, bound }
+}
+
+fn least_loaded(
+    usable: &[(TargetKey, &TargetState)],
+    query: &ChoiceQuery<'_>,
+    bound: f64,
+) -> TargetChoice {
+    let cost = |state: &TargetState| {
+        let is_remote = state.record.data_centre != query.data_centre;
+        load_of(state) + if is_remote { REMOTE_PENALTY } else { 0.0 }
+    };
+    let spread = |state: &TargetState| rendezvous_score(query.spread_hash, state.place_hash, 1.0);
+    let least = usable.iter().min_by(|(_, a), (_, b)| {
+        cost(a).total_cmp(&cost(b)).then_with(|| spread(b).total_cmp(&spread(a)))
+    });
+    let (key, state) = least.unwrap_or(&usable[0]);
+    TargetChoice { key: *key, reason: ChoiceReason::Least, load: load_of(state), bound }
+}
+
+/// Load in requests, with the prompts that are still to be read.
+fn load_of(state: &TargetState) -> f64 {
+    f64::from(state.requests()) + f64::from(state.backlog_tokens()) / TOKENS_PER_REQUEST
+}
--- /dev/null
+++ b/ggt-core/src/targets/pool.rs
@@ -0,0 +1,247 @@
+//! The arena of targets.
+
+use std::collections::HashMap;
+
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+use crate::clock::MonoTime;
+use crate::ident::mix_hash;
+use crate::ident::stable_hash;
+use crate::prompts::PromptChain;
+use crate::targets::FlightLoad;
+use crate::targets::HealthState;
+use crate::targets::LoadReport;
+use crate::targets::SendOutcome;
+use crate::targets::TargetRecord;
+
+new_key_type! {
+    /// Identifies one incarnation of a target in a [`TargetPool`].
+    pub struct TargetKey;
+}
+
+/// Links of prompts that are remembered for each target at most.
+const MAX_LINKS: usize = 4_096;
+
+/// One incarnation of a target.
+#[derive(Clone, Debug)]
+pub struct TargetState {
+    /// Its registration.
+    pub record: TargetRecord,
+    /// Identifies the incarnation among daemons.
+    pub short_hash: u32,
+    /// Places prompts among targets; the same for all incarnations of one id.
+    pub place_hash: u64,
+    /// What this daemon has in flight.
+    pub own: FlightLoad,
+    /// What other daemons have in flight.
+    pub peers: FlightLoad,
+    /// Load that the target told last, and when.
+    pub report: Option<(LoadReport, MonoTime)>,
+    /// Outcomes of its requests.
+    pub health: HealthState,
+    /// When the target last sent a byte.
+    pub heard_at: MonoTime,
+    /// When it is to be taken as gone, if the platform no longer lists it.
+    pub gone_at: Option<MonoTime>,
+    links: HashMap<u64, MonoTime>,
+}
+
+impl TargetState {
+    fn new(record: TargetRecord) -> Self {
+        let place_hash = stable_hash(record.id.as_bytes());
+        Self {
+            short_hash: mix_hash(place_hash, record.incarnation) as u32,
+            place_hash,
+            own: FlightLoad::default(),
+            peers: FlightLoad::default(),
+            report: None,
+            health: HealthState::default(),
+            heard_at: MonoTime::default(),
+            gone_at: None,
+            links: HashMap::new(),
+            record,
+        }
+    }
+
+    /// Requests in flight, from all daemons.
+    pub fn requests(&self) -> u32 {
+        self.own.requests + self.peers.requests
+    }
+
+    /// Prompt tokens still to be read, from all daemons.
+    pub fn backlog_tokens(&self) -> u32 {
+        self.own.backlog_tokens + self.peers.backlog_tokens
+    }
+
+    /// Tokens of the prompt that this daemon did not see the target read.
+    pub fn missing_tokens(&self, chain: &PromptChain) -> u32 {
+        let links = chain.links().iter().skip_while(|link| self.links.contains_key(&link.hash));
+        links.map(|link| link.tokens).sum()
+    }
+
+    /// Records that the target holds the prompt's parts.
+    fn note_links(&mut self, chain: &PromptChain, now: MonoTime) {
+        self.links.extend(chain.links().iter().map(|link| (link.hash, now)));
+        if self.links.len() > MAX_LINKS {
+            let mut times: Vec<_> = self.links.values().copied().collect();
+            times.sort_unstable();
+            let median = times[times.len() / 2];
+            self.links.retain(|_, time| *time > median);
+        }
+    }
+}
+
+/// All targets that the platform lists.
+#[derive(Clone, Debug, Default)]
+pub struct TargetPool {
+    targets: SlotMap<TargetKey, TargetState>,
+    by_id: HashMap<String, TargetKey>,
+    by_hash: HashMap<u32, TargetKey>,
+    by_service: HashMap<String, Vec<TargetKey>>,
+}
+
+impl TargetPool {
+    /// Takes a registration; `true` when it is a new incarnation or its state changed.
+    pub fn put(&mut self, record: TargetRecord) -> bool {
+        if let Some(key) = self.by_id.get(&record.id).copied() {
+            let state = &mut self.targets[key];
+            let is_same_life = state.record.incarnation == record.incarnation
+                && state.record.address == record.address
+                && state.record.service == record.service;
+            if is_same_life {
+                let is_change = state.record.is_leaving != record.is_leaving;
+                // A target that said once that it leaves does not come back in the same life.
+                let is_leaving = state.record.is_leaving || record.is_leaving;
+                state.record = TargetRecord { is_leaving, ..record };
+                state.gone_at = None;
+                return is_change;
+            }
+            self.remove(key);
+        }
+        let (id, service) = (record.id.clone(), record.service.clone());
+        let state = TargetState::new(record);
+        let hash = state.short_hash;
+        let key = self.targets.insert(state);
+        self.by_id.insert(id, key);
+        self.by_hash.insert(hash, key);
+        self.by_service.entry(service).or_default().push(key);
+        true
+    }
+
+    /// Records that the platform no longer lists a target, which is gone from `gone_at` on.
+    pub fn note_unlisted(&mut self, id: &str, gone_at: MonoTime) {
+        if let Some(state) = self.by_id.get(id).and_then(|key| self.targets.get_mut(*key)) {
+            state.gone_at = Some(gone_at);
+        }
+    }
+
+    /// Removes the targets that are gone by now and returns their keys and ids.
+    pub fn expire(&mut self, now: MonoTime) -> Vec<(TargetKey, String)> {
+        let is_gone = |state: &TargetState| state.gone_at.is_some_and(|gone_at| gone_at <= now);
+        let gone = self.targets.iter().filter(|(_, state)| is_gone(state));
+        let gone: Vec<_> = gone.map(|(key, state)| (key, state.record.id.clone())).collect();
+        gone.iter().for_each(|(key, _)| self.remove(*key));
+        gone
+    }
+
+    /// A target by its key.
+    pub fn target(&self, key: TargetKey) -> Option<&TargetState> {
+        self.targets.get(key)
+    }
+
+    /// The keys of a service's targets.
+    pub fn of_service(&self, service: &str) -> &[TargetKey] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// All targets.
+    pub fn iter(&self) -> impl Iterator<Item = (TargetKey, &TargetState)> {
+        self.targets.iter()
+    }
+
+    /// The number of targets.
+    pub fn len(&self) -> usize {
+        self.targets.len()
+    }
+
+    /// Whether there is no target.
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+
+    /// Counts a request as in flight; returns the prompt tokens that it adds to the backlog.
+    pub fn note_sent(&mut self, key: TargetKey, chain: &PromptChain, now: MonoTime) -> u32 {
+        let Some(state) = self.targets.get_mut(key) else { return 0 };
+        let missing = state.missing_tokens(chain);
+        state.own.requests += 1;
+        state.own.backlog_tokens += missing;
+        state.note_links(chain, now);
+        missing
+    }
+
+    /// Records that the prompt of a request has been read.
+    pub fn note_read(&mut self, key: TargetKey, tokens: u32) {
+        if let Some(state) = self.targets.get_mut(key) {
+            state.own.backlog_tokens = state.own.backlog_tokens.saturating_sub(tokens);
+        }
+    }
+
+    /// Counts a request as ended.
+    pub fn note_ended(&mut self, key: TargetKey) {
+        if let Some(state) = self.targets.get_mut(key) {
+            state.own.requests = state.own.requests.saturating_sub(1);
+        }
+    }
+
+    /// Records that the target sent bytes, with the load that it told.
+    pub fn note_heard(&mut self, key: TargetKey, report: Option<LoadReport>, now: MonoTime) {
+        if let Some(state) = self.targets.get_mut(key) {
+            state.heard_at = now;
+            if let Some(report) = report {
+                state.report = Some((report, now));
+            }
+        }
+    }
+
+    /// Records a request's outcome; returns the end of a hold that begins with it.
+    pub fn note_outcome(
+        &mut self,
+        key: TargetKey,
+        outcome: SendOutcome,
+        now: MonoTime,
+    ) -> Option<MonoTime> {
+        let service = &self.targets.get(key)?.record.service;
+        let others = self.of_service(service).iter().filter(|other| **other != key);
+        let shares = others.filter_map(|other| self.targets.get(*other));
+        let shares: Vec<_> = shares.map(|state| state.health.bad_share()).collect();
+        let siblings = shares.iter().sum::<f64>() / shares.len().max(1) as f64;
+        self.targets.get_mut(key)?.health.note(outcome, siblings, now)
+    }
+
+    /// Marks a target as leaving; `true` when that was news.
+    pub fn note_leaving(&mut self, key: TargetKey) -> bool {
+        let Some(state) = self.targets.get_mut(key) else { return false };
+        !std::mem::replace(&mut state.record.is_leaving, true)
+    }
+
+    /// Replaces what one other daemon has in flight at a target.
+    pub fn change_peer_load(&mut self, hash: u32, before: FlightLoad, after: FlightLoad) {
+        let Some(key) = self.by_hash.get(&hash) else { return };
+        let Some(state) = self.targets.get_mut(*key) else { return };
+        let change = |sum: u32, before: u32, after: u32| (sum + after).saturating_sub(before);
+        let peers = &mut state.peers;
+        peers.requests = change(peers.requests, before.requests, after.requests);
+        peers.backlog_tokens =
+            change(peers.backlog_tokens, before.backlog_tokens, after.backlog_tokens);
+    }
+
+    fn remove(&mut self, key: TargetKey) {
+        let Some(state) = self.targets.remove(key) else { return };
+        self.by_id.remove(&state.record.id);
+        self.by_hash.remove(&state.short_hash);
+        if let Some(keys) = self.by_service.get_mut(&state.record.service) {
+            keys.retain(|other| *other != key);
+        }
+    }
+}
--- a/ggt-daemon/src/bin/greengageturnd.rs
+++ b/ggt-daemon/src/bin/greengageturnd.rs
@@ -3,14 +3,21 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms)]
 
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use argh::FromArgs;
 
 use ggt_daemon::daemon::run_daemon;
+use ggt_daemon::front::is_front_settings;
+use ggt_daemon::front::parse_front_settings;
+use ggt_daemon::front::run_front;
 use ggt_daemon::logging::start_logging;
-use ggt_daemon::settings::read_settings;
+use ggt_daemon::logging::start_output_logging;
+use ggt_daemon::settings::SettingsError;
+use ggt_daemon::settings::parse_settings;
+use ggt_platform::SETTINGS_VARIABLE;
 
 /// Exit code when settings or addresses are refused.
 const EXIT_REFUSED: u8 = 2;
@@ -23,9 +30,10 @@
 /// the deadline with requests still in flight, which the log names.
 #[derive(FromArgs)]
 struct DaemonArgs {
-    /// JSON file with the daemon's settings
+    /// JSON file with the daemon's settings; on the users' platform its path may stand in the
+    /// environment instead
     #[argh(option)]
-    settings: PathBuf,
+    settings: Option<PathBuf>,
     /// only check the settings
     #[argh(switch)]
     check: bool,
@@ -33,17 +41,54 @@
 
 fn main() -> ExitCode {
     let args: DaemonArgs = argh::from_env();
-    let settings = match read_settings(&args.settings) {
+    let named = std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from);
+    let Some(file) = args.settings.or(named) else {
+        eprintln!("greengageturnd: no settings file: give --settings FILE");
+        return ExitCode::from(EXIT_REFUSED);
+    };
+    let text = match std::fs::read_to_string(&file) {
+        Ok(text) => text,
+        Err(source) => return refuse(&SettingsError::Read { file, source }),
+    };
+    match is_front_settings(&text) {
+        true => main_front(&file, &text, args.check),
+        false => main_own(&file, &text, args.check),
+    }
+}
+
+/// Serves the users' platform.
+fn main_front(file: &Path, text: &str, is_check: bool) -> ExitCode {
+    let settings = match parse_front_settings(file, text) {
+        Ok(settings) => settings,
+        Err(e) => return refuse(&e),
+    };
+    if is_check {
+        println!("{}: ok", file.display());
+        return ExitCode::SUCCESS;
+    }
+    let level = settings.log_level.parse().unwrap_or(log::LevelFilter::Info);
+    if let Err(e) = start_output_logging(&settings.name, level) {
+        return refuse(&e);
+    }
+    match run_front(file, settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => refuse(&e),
+    }
+}
+
+/// Serves the product's own interface.
+fn main_own(file: &Path, text: &str, is_check: bool) -> ExitCode {
+    let settings = match parse_settings(file, text) {
         Ok(settings) => settings,
         Err(e) => return refuse(&e),
     };
-    if args.check {
-        println!("{}: ok", args.settings.display());
+    if is_check {
+        println!("{}: ok", file.display());
         return ExitCode::SUCCESS;
     }
     let level = settings.log_level.parse().unwrap_or(log::LevelFilter::Info);
-    let file = settings.log_file.clone();
-    if let Err(e) = start_logging(settings.name.as_str(), level, file.as_deref()) {
+    let log_file = settings.log_file.clone();
+    if let Err(e) = start_logging(settings.name.as_str(), level, log_file.as_deref()) {
         return refuse(&e);
     }
     match run_daemon(settings) {
--- /dev/null
+++ b/ggt-daemon/src/front/attempt.rs
@@ -0,0 +1,437 @@
+//! Choice of a target, one send, and what follows from how it ends.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::Request;
+use http::StatusCode;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::time::sleep;
+
+use crate::clock::mono_now;
+use crate::clock::until;
+use crate::front::answer::FrontRefusal;
+use crate::front::channels::TargetChannel;
+use crate::front::channels::open_channel;
+use crate::front::job::FrontJob;
+use crate::front::job::SendGuard;
+use crate::front::state::FrontState;
+use crate::logging::quoted;
+use ggt_core::blame::DeathMark;
+use ggt_core::clock::MonoTime;
+use ggt_core::prompts::PromptChain;
+use ggt_core::targets::ChoiceQuery;
+use ggt_core::targets::SendOutcome;
+use ggt_core::targets::TargetKey;
+use ggt_platform::ReplyFacts;
+use ggt_platform::SendFacts;
+use ggt_platform::read_reply;
+use ggt_platform::target_head;
+
+/// Connections that one request tries to open at most.
+const MAX_CONNECTS: u32 = 5;
+/// Milliseconds after which a caller should come back when no target can be used.
+const NO_TARGET_RETRY_MS: u64 = 400;
+/// Milliseconds after which a caller should come back when targets are full.
+const FULL_RETRY_MS: u64 = 150;
+/// Time past the deadline for which a target's own last word is awaited.
+const LAST_WORD_MS: u64 = 40;
+/// Shortest silence in milliseconds after which an idempotent request moves to another target.
+const MIN_SILENCE_MS: u64 = 250;
+/// Goals that a target may let pass in silence before the request moves.
+const SILENT_GOALS: u64 = 3;
+/// Urgency towards targets of the highest priority.
+const FIRST_URGENCY: u32 = 3;
+/// Least urgency towards targets.
+const LAST_URGENCY: u32 = 9;
+/// Milliseconds for which a request stays under suspicion of crashing its targets.
+const BLAME_MS: u64 = 60_000;
+
+/// A reply whose head has come.
+pub struct TargetReply {
+    /// The target.
+    pub key: TargetKey,
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub head: HeaderMap,
+    /// What the headers say.
+    pub facts: ReplyFacts,
+    /// The body, still to be read.
+    pub body: Incoming,
+    /// The connection.
+    pub channel: TargetChannel,
+    /// Counts the send as in flight.
+    pub guard: SendGuard,
+}
+
+/// Why one send brought no reply.
+enum SendError {
+    /// Nothing left this daemon.
+    NotSent { cause: String },
+    /// The target states that it did not run the request.
+    Refused { status: StatusCode, is_misdirected: bool },
+    /// The request left; it may have run.
+    Lost { cause: String, is_reset: bool },
+    /// The deadline came; the request may have run.
+    TimedOut,
+}
+
+/// The targets that one request has been sent to, and whether it may have run.
+pub struct AttemptRun {
+    state: Rc<FrontState>,
+    job: Rc<FrontJob>,
+    tried: Vec<TargetKey>,
+    sends: u32,
+    connects: u32,
+    may_have_run: bool,
+}
+
+impl AttemptRun {
+    /// The run of a request that has not been sent yet.
+    pub fn new(state: Rc<FrontState>, job: Rc<FrontJob>) -> Self {
+        Self { state, job, tried: Vec::new(), sends: 0, connects: 0, may_have_run: false }
+    }
+
+    /// Whether the request may be sent to another target after one that failed; counts the retry.
+    pub fn may_go_on(&self) -> bool {
+        let job = &self.job;
+        let is_allowed = !self.may_have_run || job.route.is_idempotent;
+        is_allowed
+            && self.sends < job.route.max_attempts
+            && mono_now() < job.deadline
+            && self.state.try_retry(&job.service)
+    }
+
+    /// Sends the request until a target's reply begins.
+    ///
+    /// # Errors
+    /// [`FrontRefusal`] is the final answer when none does.
+    pub async fn next_reply(
+        &mut self,
+        last_event: Option<u64>,
+    ) -> Result<TargetReply, FrontRefusal> {
+        loop {
+            if mono_now() >= self.job.deadline {
+                return Err(self.timed_out());
+            }
+            let key = self.choose()?;
+            match self.send(key, last_event).await {
+                Ok(reply) => return Ok(reply),
+                Err(error) => self.after_failure(key, error).await?,
+            }
+        }
+    }
+
+    /// Records that the reply of a target broke off or was of no use.
+    pub async fn note_broken(&mut self, key: TargetKey, cause: &str, is_reset: bool) {
+        self.may_have_run = true;
+        self.note_lost(key, cause, is_reset).await;
+    }
+
+    /// The final answer when no further send is allowed after a loss.
+    pub fn lost(&self) -> FrontRefusal {
+        if mono_now() >= self.job.deadline {
+            return self.timed_out();
+        }
+        match self.may_have_run {
+            true => FrontRefusal::new(StatusCode::BAD_GATEWAY, "target-lost"),
+            false => FrontRefusal::not_run("target-lost", FULL_RETRY_MS),
+        }
+    }
+
+    fn timed_out(&self) -> FrontRefusal {
+        match self.may_have_run {
+            true => FrontRefusal::new(StatusCode::GATEWAY_TIMEOUT, "deadline"),
+            false => FrontRefusal::not_run("deadline", FULL_RETRY_MS),
+        }
+    }
+
+    fn choose(&mut self) -> Result<TargetKey, FrontRefusal> {
+        let (state, job) = (&self.state, &self.job);
+        let settings = state.settings();
+        let now = mono_now();
+        let query = ChoiceQuery {
+            service: &job.service,
+            chain: job.chain.as_ref(),
+            spread_hash: ggt_core::routes::share_hash(&job.id),
+            data_centre: &settings.data_centre,
+            tried: &self.tried,
+            is_idempotent: job.route.is_idempotent,
+        };
+        let pool = state.pool.borrow();
+        let choice = pool.choose(&query, now).map_err(|_| match self.may_have_run {
+            true => FrontRefusal::new(StatusCode::BAD_GATEWAY, "no-target"),
+            false => FrontRefusal::not_run("no-target", NO_TARGET_RETRY_MS),
+        })?;
+        let Some(target) = pool.target(choice.key) else {
+            return Err(FrontRefusal::not_run("no-target", NO_TARGET_RETRY_MS));
+        };
+        let report = target.report.unwrap_or_default();
+        log::info!(
+            "event=route request_id={} route={} version={} customer={} service={} target={} \
+             incarnation={} reason={} load={:.1} bound={:.1} own={} peers={} told={} told_age_ms={} \
+             send={} left_ms={}",
+            quoted(&job.id),
+            job.route.name,
+            job.version,
+            job.customer.as_deref().unwrap_or("-"),
+            job.service,
+            target.record.id,
+            target.record.incarnation,
+            choice.reason.as_str(),
+            choice.load,
+            choice.bound,
+            target.own.requests,
+            target.peers.requests,
+            report.0.running + report.0.waiting,
+            now.millis_since(report.1),
+            self.sends + 1,
+            job.wait_ms(),
+        );
+        drop(pool);
+        state.metrics.note_choice(choice.reason.as_str());
+        self.tried.push(choice.key);
+        Ok(choice.key)
+    }
+
+    async fn send(
+        &mut self,
+        key: TargetKey,
+        last_event: Option<u64>,
+    ) -> Result<TargetReply, SendError> {
+        let none = PromptChain::default();
+        let guard =
+            SendGuard::new(self.state.clone(), key, self.job.chain.as_ref().unwrap_or(&none));
+        let mut channel = self.channel(key).await?;
+        let request = self.request(key, last_event)?;
+        let deadline = self.job.deadline + LAST_WORD_MS;
+        let was_kept = channel.is_kept;
+        self.sends += 1;
+        let sent = tokio::select! {
+            sent = channel.sender.send_request(request) => sent,
+            () = sleep(until(deadline)) => return Err(SendError::TimedOut),
+            () = self.silence(key) => {
+                return Err(SendError::Lost { cause: "silent".to_owned(), is_reset: false });
+            }
+        };
+        let response = sent.map_err(|e| match e.is_canceled() {
+            true => SendError::NotSent { cause: e.to_string() },
+            false => SendError::Lost { cause: e.to_string(), is_reset: !was_kept },
+        })?;
+        let (parts, body) = response.into_parts();
+        let facts = read_reply(parts.status, &parts.headers);
+        self.state.pool.borrow_mut().note_heard(key, facts.load, mono_now());
+        self.check(&parts.status, &facts)?;
+        Ok(TargetReply {
+            key,
+            status: parts.status,
+            head: parts.headers,
+            facts,
+            body,
+            channel,
+            guard,
+        })
+    }
+
+    /// A connection: a kept one only for requests that may run more than once, since a reset on it
+    /// does not tell whether the request has run.
+    async fn channel(&mut self, key: TargetKey) -> Result<TargetChannel, SendError> {
+        if self.job.route.is_idempotent
+            && let Some(channel) = self.state.channels.take(key)
+        {
+            return Ok(channel);
+        }
+        self.connects += 1;
+        let address = self.state.pool.borrow().target(key).map(|target| target.record.address);
+        let address = address.ok_or(SendError::NotSent { cause: "target gone".to_owned() })?;
+        open_channel(address).await.map_err(|e| SendError::NotSent { cause: e.to_string() })
+    }
+
+    fn request(
+        &self,
+        key: TargetKey,
+        last_event: Option<u64>,
+    ) -> Result<Request<Full<bytes::Bytes>>, SendError> {
+        let job = &self.job;
+        let pool = self.state.pool.borrow();
+        let target = pool.target(key).ok_or(SendError::NotSent { cause: "gone".to_owned() })?;
+        let urgency = job.chain.is_some().then(|| (FIRST_URGENCY + job.priority).min(LAST_URGENCY));
+        let facts = SendFacts {
+            target_id: &target.record.id,
+            customer: job.customer.as_deref(),
+            wait_ms: job.wait_ms().max(1),
+            urgency,
+            last_event,
+        };
+        let mut request = Request::new(Full::new(job.body.clone()));
+        *request.method_mut() = job.method.clone();
+        *request.uri_mut() = job
+            .path
+            .parse()
+            .map_err(|_| SendError::NotSent { cause: "malformed path".to_owned() })?;
+        *request.headers_mut() = target_head(&job.head, &facts);
+        Ok(request)
+    }
+
+    /// Ends when the target has been silent for so long that an idempotent request should move.
+    async fn silence(&self, key: TargetKey) {
+        let job = &self.job;
+        let may_move = job.route.is_idempotent && self.sends < job.route.max_attempts;
+        if !may_move {
+            return std::future::pending().await;
+        }
+        let sent_at = mono_now();
+        let silence_ms = (job.route.goal_ms * SILENT_GOALS).max(MIN_SILENCE_MS);
+        loop {
+            sleep(Duration::from_millis(silence_ms)).await;
+            // A target that answers others is busy, not silent.
+            let heard_at = self.state.pool.borrow().target(key).map(|target| target.heard_at);
+            if heard_at.is_none_or(|heard_at| heard_at < sent_at || !job.route.is_stream) {
+                return;
+            }
+        }
+    }
+
+    fn check(&self, status: &StatusCode, facts: &ReplyFacts) -> Result<(), SendError> {
+        let lost = |cause: &str| SendError::Lost { cause: cause.to_owned(), is_reset: false };
+        match &facts.attempt_id {
+            Some(id) if *id != self.job.id => return Err(lost("answer to another request")),
+            None if status.is_success() => return Err(lost("answer without the request's id")),
+            _ => {}
+        }
+        if facts.is_refusal && !facts.is_signed {
+            let is_misdirected = facts.is_misdirected;
+            return Err(SendError::Refused { status: *status, is_misdirected });
+        }
+        if !facts.is_signed {
+            return Err(lost("unsigned answer"));
+        }
+        if facts.is_encoded {
+            return Err(lost("encoded answer"));
+        }
+        Ok(())
+    }
+
+    /// Draws the conclusions of a failed send; goes on with another target when it returns.
+    async fn after_failure(
+        &mut self,
+        key: TargetKey,
+        error: SendError,
+    ) -> Result<(), FrontRefusal> {
+        match error {
+            SendError::NotSent { cause } => {
+                self.note_send(key, "not-sent", &cause);
+                self.note_outcome(key, SendOutcome::Unreachable);
+                if self.connects < MAX_CONNECTS { Ok(()) } else { Err(self.lost()) }
+            }
+            SendError::Refused { status, is_misdirected } => {
+                self.note_send(key, "refused", status.as_str());
+                self.note_refused(key, is_misdirected);
+                if self.may_go_on() { Ok(()) } else { Err(self.full()) }
+            }
+            SendError::Lost { cause, is_reset } => {
+                self.may_have_run = true;
+                self.note_lost(key, &cause, is_reset).await;
+                if self.may_go_on() { Ok(()) } else { Err(self.lost()) }
+            }
+            SendError::TimedOut => {
+                self.may_have_run = true;
+                self.note_send(key, "timed-out", "deadline");
+                Err(self.timed_out())
+            }
+        }
+    }
+
+    fn full(&self) -> FrontRefusal {
+        match self.may_have_run {
+            true => FrontRefusal::new(StatusCode::BAD_GATEWAY, "targets-full"),
+            false => FrontRefusal::not_run("targets-full", FULL_RETRY_MS),
+        }
+    }
+
+    fn note_refused(&self, key: TargetKey, is_misdirected: bool) {
+        if is_misdirected {
+            // Another target has the address now.
+            self.state.channels.forget(key);
+            self.note_outcome(key, SendOutcome::Unreachable);
+            return;
+        }
+        let is_idle = {
+            let pool = self.state.pool.borrow();
+            pool.target(key).is_some_and(|target| target.requests() < target.record.slots)
+        };
+        if is_idle {
+            self.note_outcome(key, SendOutcome::Bad);
+        }
+    }
+
+    async fn note_lost(&self, key: TargetKey, cause: &str, is_reset: bool) {
+        self.note_send(key, "lost", cause);
+        if cause == "silent" {
+            self.note_outcome(key, SendOutcome::Bad);
+            return;
+        }
+        self.note_outcome(key, SendOutcome::Bad);
+        if is_reset {
+            self.find_death(key).await;
+        }
+    }
+
+    /// Finds out by a new connection whether a target died with the request.
+    async fn find_death(&self, key: TargetKey) {
+        let target = {
+            let pool = self.state.pool.borrow();
+            pool.target(key).map(|t| (t.record.address, t.place_hash, t.record.incarnation))
+        };
+        let Some((address, hash, incarnation)) = target else { return };
+        let Err(e) = open_channel(address).await else { return };
+        self.note_outcome(key, SendOutcome::Unreachable);
+        self.state.channels.forget(key);
+        let print = self.job.print();
+        let death = DeathMark::of(hash, incarnation);
+        let expires_at = mono_now() + BLAME_MS;
+        let is_news = self.state.blame.borrow_mut().note_death(print, death, expires_at);
+        log::warn!(
+            "event=crash request_id={} print={:016x} death={:016x} is_news={is_news} cause={}",
+            quoted(&self.job.id),
+            print.0,
+            death.0,
+            quoted(&e.to_string()),
+        );
+    }
+
+    fn note_outcome(&self, key: TargetKey, outcome: SendOutcome) {
+        let until = self.state.pool.borrow_mut().note_outcome(key, outcome, mono_now());
+        if let Some(until) = until {
+            self.log_hold(key, until);
+        }
+    }
+
+    fn log_hold(&self, key: TargetKey, until: MonoTime) {
+        let pool = self.state.pool.borrow();
+        let Some(target) = pool.target(key) else { return };
+        log::warn!(
+            "event=hold target={} incarnation={} for_ms={} bad_share={:.2}",
+            target.record.id,
+            target.record.incarnation,
+            until.millis_since(mono_now()),
+            target.health.bad_share(),
+        );
+    }
+
+    fn note_send(&self, key: TargetKey, outcome: &'static str, cause: &str) {
+        self.state.metrics.note_send(outcome);
+        let pool = self.state.pool.borrow();
+        let id = pool.target(key).map_or("gone", |target| target.record.id.as_str());
+        log::info!(
+            "event=send request_id={} target={id} outcome={outcome} cause={} send={} after_ms={}",
+            quoted(&self.job.id),
+            quoted(cause),
+            self.sends,
+            mono_now().millis_since(self.job.received_at),
+        );
+    }
+}
--- /dev/null
+++ b/ggt-daemon/src/front/callers.rs
@@ -0,0 +1,145 @@
+//! Callers' connections.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use crate::clock::mono_now;
+use crate::front::answer::AnswerBody;
+use crate::front::answer::FrontRefusal;
+use crate::front::intake::check_request;
+use crate::front::job::JobGuard;
+use crate::front::plain::run_plain;
+use crate::front::state::FrontState;
+use crate::front::stream::run_stream;
+use crate::logging::quoted;
+use ggt_core::routes::CallerLimits;
+use ggt_platform::ATTEMPT_HEADER;
+use ggt_platform::read_request;
+
+/// Pause after the listener failed, as when no descriptor is free.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Idle timeouts that a connection may last without a request, so that a longer timeout that comes
+/// with a new configuration holds for it too.
+const IDLE_FACTOR: u64 = 4;
+/// Smallest buffer for a request's head that the HTTP layer accepts, in bytes.
+const MIN_BUFFER_BYTES: usize = 8 * 1024;
+/// Milliseconds after which a caller should come back with a request that crashed its targets.
+const CRASH_RETRY_MS: u64 = 5_000;
+
+/// Takes callers' connections until the task is dropped.
+pub async fn serve_callers(state: Rc<FrontState>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, caller)) => {
+                spawn_local(serve_connection(state.clone(), stream, caller));
+            }
+            Err(e) => {
+                log::warn!("event=accept cause={}", quoted(&e.to_string()));
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(state: Rc<FrontState>, stream: TcpStream, caller: SocketAddr) {
+    if let Err(e) = stream.set_nodelay(true) {
+        log::debug!("event=caller address={caller} cause=\"{e}\"");
+    }
+    let limits = state.book().map_or_else(CallerLimits::default, |book| *book.limits());
+    let service = service_fn(|request| {
+        let state = state.clone();
+        async move { Ok::<_, Infallible>(serve_request(state, request).await) }
+    });
+    let idle =
+        Duration::from_millis(limits.idle_timeout_ms.max(limits.head_timeout_ms) * IDLE_FACTOR);
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES) * 2)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = state.closing.notified() => {
+            connection.as_mut().graceful_shutdown();
+            connection.as_mut().await
+        }
+    };
+    if let Err(e) = ended {
+        log::debug!("event=caller address={caller} cause=\"{e}\"");
+    }
+}
+
+async fn serve_request(state: Rc<FrontState>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let mut response = answer_request(state.clone(), request).await;
+    if state.is_draining() {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn answer_request(state: Rc<FrontState>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let received_at = mono_now();
+    let (parts, body) = request.into_parts();
+    let attempt_id = parts.headers.get(ATTEMPT_HEADER).and_then(|value| value.to_str().ok());
+    let id = attempt_id.unwrap_or("-").to_owned();
+    let guard = JobGuard::new(state.clone(), &id, received_at);
+    let limits = state.book().map_or_else(CallerLimits::default, |book| *book.limits());
+    let checked = match read_body(body, limits.max_body_bytes).await {
+        Ok(body) => read_request(&parts.headers)
+            .map_err(|_| FrontRefusal::new(StatusCode::BAD_REQUEST, "malformed-header"))
+            .and_then(|facts| check_request(&state, &parts, facts, body, received_at)),
+        Err(refusal) => Err(refusal),
+    };
+    let checked = checked.and_then(|job| {
+        match state.blame.borrow().refused_until(job.print(), received_at) {
+            Some(_) => Err(FrontRefusal::not_run("crashes-targets", CRASH_RETRY_MS)),
+            None => Ok(job),
+        }
+    });
+    let job = match checked {
+        Ok(job) => Rc::new(job),
+        Err(refusal) => {
+            guard.end("refused", refusal.status.as_u16(), refusal.cause);
+            return refusal.into_response(attempt_id);
+        }
+    };
+    state.note_request(&job.service);
+    if job.route.is_stream {
+        run_stream(&state, job, guard).await
+    } else {
+        run_plain(&state, job, &guard).await
+    }
+}
+
+async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, FrontRefusal> {
+    match Limited::new(body, max_bytes).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(e) if e.is::<LengthLimitError>() => {
+            Err(FrontRefusal::new(StatusCode::PAYLOAD_TOO_LARGE, "body-too-long"))
+        }
+        Err(_) => Err(FrontRefusal::new(StatusCode::BAD_REQUEST, "body-broke-off")),
+    }
+}
--- /dev/null
+++ b/ggt-daemon/src/front/intake.rs
@@ -0,0 +1,87 @@
+//! From a caller's request to a job, or to a refusal.
+
+use bytes::Bytes;
+use http::StatusCode;
+use http::header;
+use http::request::Parts;
+
+use crate::front::answer::FrontRefusal;
+use crate::front::job::FrontJob;
+use crate::front::state::FrontState;
+use ggt_core::clock::MonoTime;
+use ggt_core::ident::stable_hash;
+use ggt_core::prompts::PromptChain;
+use ggt_core::routes::CustomerGrant;
+use ggt_core::routes::RouteBook;
+use ggt_core::routes::RouteEntry;
+use ggt_core::routes::share_hash;
+use ggt_platform::RequestFacts;
+
+/// Milliseconds after which a caller should come back to a daemon that knows no configuration yet.
+const STARTING_RETRY_MS: u64 = 500;
+/// Milliseconds after which a caller should come back when its route has no service.
+const NO_SERVICE_RETRY_MS: u64 = 1_000;
+
+/// Builds the job of a request whose head has been decoded and whose body has been read.
+///
+/// # Errors
+/// [`FrontRefusal`] tells the caller what is wrong.
+pub fn check_request(
+    state: &FrontState,
+    parts: &Parts,
+    facts: RequestFacts,
+    body: Bytes,
+    received_at: MonoTime,
+) -> Result<FrontJob, FrontRefusal> {
+    let Some(book) = state.book() else {
+        return Err(FrontRefusal::not_run("no-configuration", STARTING_RETRY_MS));
+    };
+    let host = parts.headers.get(header::HOST).and_then(|value| value.to_str().ok());
+    let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
+    let path = parts.uri.path();
+    let route =
+        book.find(host, path).ok_or(FrontRefusal::new(StatusCode::NOT_FOUND, "no-route"))?;
+    let grant = find_customer(&book, route, &facts)?;
+    let Some(attempt_id) = facts.attempt_id.clone() else {
+        return Err(FrontRefusal::new(StatusCode::BAD_REQUEST, "no-attempt-id"));
+    };
+    let service = route
+        .service_for(share_hash(&attempt_id))
+        .ok_or(FrontRefusal::not_run("no-service", NO_SERVICE_RETRY_MS))?;
+    let wait_ms = facts.wait_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
+    let chain = route.is_sticky.then(|| chain_of(&facts));
+    let target_path = parts.uri.path_and_query().map_or(path, |whole| whole.as_str());
+    Ok(FrontJob {
+        id: attempt_id,
+        route: route.clone(),
+        version: book.version(),
+        service: service.to_owned(),
+        priority: grant.and_then(|grant| grant.priority).unwrap_or(route.priority),
+        customer: grant.map(|grant| grant.name.clone()),
+        chain,
+        method: parts.method.clone(),
+        path: target_path.to_owned(),
+        head: parts.headers.clone(),
+        body,
+        received_at,
+        deadline: received_at + wait_ms,
+        facts,
+    })
+}
+
+fn find_customer<'a>(
+    book: &'a RouteBook,
+    route: &RouteEntry,
+    facts: &RequestFacts,
+) -> Result<Option<&'a CustomerGrant>, FrontRefusal> {
+    let grant = facts.key.as_deref().and_then(|key| book.customer(key));
+    if grant.is_none() && book.asks_key() && !route.is_public {
+        return Err(FrontRefusal::new(StatusCode::UNAUTHORIZED, "unknown-key"));
+    }
+    Ok(grant)
+}
+
+fn chain_of(facts: &RequestFacts) -> PromptChain {
+    let model = facts.model.as_deref().unwrap_or_default();
+    PromptChain::new(stable_hash(model.as_bytes()), &facts.parts)
+}
--- /dev/null
+++ b/ggt-daemon/src/front/metrics.rs
@@ -0,0 +1,104 @@
+//! What a daemon on the platform measures of itself, by OpenTelemetry.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Encoder;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+use crate::metrics::MetricsError;
+
+/// Upper bounds of the latency histograms' buckets in milliseconds.
+const LATENCY_BOUNDS_MS: [f64; 12] =
+    [5.0, 10.0, 25.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1_500.0, 3_000.0, 6_000.0, 12_000.0];
+
+/// All instruments of the daemon.
+pub struct FrontMetrics {
+    registry: Registry,
+    // Kept so that the instruments stay registered.
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    sends: Counter<u64>,
+    choices: Counter<u64>,
+    store_calls: Counter<u64>,
+    digests: Counter<u64>,
+    reply_ms: Histogram<f64>,
+    first_event_ms: Histogram<f64>,
+}
+
+impl FrontMetrics {
+    /// Registers the instruments.
+    ///
+    /// # Errors
+    /// [`MetricsError`] when the exporter cannot be built.
+    pub fn new() -> Result<Self, MetricsError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|e| MetricsError::new(e.to_string()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("greengageturn");
+        let bounds = LATENCY_BOUNDS_MS.to_vec();
+        let histogram = |name| {
+            meter.f64_histogram(name).with_unit("ms").with_boundaries(bounds.clone()).build()
+        };
+        Ok(Self {
+            registry,
+            requests: meter.u64_counter("front_requests").build(),
+            sends: meter.u64_counter("front_sends").build(),
+            choices: meter.u64_counter("front_choices").build(),
+            store_calls: meter.u64_counter("front_store_calls").build(),
+            digests: meter.u64_counter("front_digests").build(),
+            reply_ms: histogram("front_reply"),
+            first_event_ms: histogram("front_first_event"),
+            _provider: provider,
+        })
+    }
+
+    /// Counts a request that ended and the time that it took.
+    pub fn note_end(&self, outcome: &'static str, millis: u64) {
+        let labels = [KeyValue::new("outcome", outcome)];
+        self.requests.add(1, &labels);
+        self.reply_ms.record(millis as f64, &labels);
+    }
+
+    /// Records the time to the first event of a stream.
+    pub fn note_first_event(&self, millis: u64) {
+        self.first_event_ms.record(millis as f64, &[]);
+    }
+
+    /// Counts one send to a target by its outcome.
+    pub fn note_send(&self, outcome: &'static str) {
+        self.sends.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts a choice of target by its reason.
+    pub fn note_choice(&self, reason: &'static str) {
+        self.choices.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts a call to the platform's store.
+    pub fn note_store_call(&self, folder: &'static str, is_answered: bool) {
+        let outcome = if is_answered { "answered" } else { "failed" };
+        self.store_calls
+            .add(1, &[KeyValue::new("folder", folder), KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts digests sent to other daemons.
+    pub fn note_digests(&self, count: u64) {
+        self.digests.add(count, &[]);
+    }
+
+    /// The figures as text in the Prometheus format.
+    pub fn text(&self) -> String {
+        let mut bytes = Vec::new();
+        if let Err(e) = TextEncoder::new().encode(&self.registry.gather(), &mut bytes) {
+            log::warn!("event=metrics cause=\"{e}\"");
+        }
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+}
--- /dev/null
+++ b/ggt-daemon/src/front/peers.rs
@@ -0,0 +1,233 @@
+//! What daemons tell each other: digests by datagram, facts by call.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::Rng;
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::clock::mono_now;
+use crate::front::channels::ConnectError;
+use crate::front::channels::open_channel;
+use crate::front::state::FactKind;
+use crate::front::state::FrontState;
+use crate::front::store::CallError;
+use crate::front::store::get;
+use crate::logging::quoted;
+use ggt_core::clock::MonoTime;
+use ggt_core::facts::FactBatch;
+use ggt_core::fleet::PeerDigest;
+
+/// Longest datagram in bytes, so that none is split on the way.
+const MAX_DATAGRAM_BYTES: usize = 1_400;
+/// Targets whose load a digest tells at most.
+const MAX_LOADS: usize = 100;
+/// Deaths that a digest tells at most.
+const MAX_DEATHS: usize = 8;
+/// Time that the platform's own news has before facts are asked of a peer, in milliseconds.
+const PLATFORM_FIRST_MS: u64 = 120;
+/// Time between looks at whether a peer knows more.
+const FETCH_STEP: Duration = Duration::from_millis(60);
+/// Longest time for one call to a peer.
+const FETCH_WAIT: Duration = Duration::from_millis(800);
+/// Milliseconds for which a request told by a peer stays under suspicion.
+const BLAME_MS: u64 = 60_000;
+
+/// Why facts could not be had from a peer.
+#[derive(Debug, Snafu)]
+enum FetchError {
+    /// There is no connection.
+    #[snafu(display("{source}"), context(false))]
+    Connect {
+        /// The cause.
+        source: ConnectError,
+    },
+    /// The call failed.
+    #[snafu(display("{source}"), context(false))]
+    Call {
+        /// The cause.
+        source: CallError,
+    },
+    /// The answer cannot be read.
+    #[snafu(display("facts: {source}"))]
+    Body {
+        /// The cause.
+        source: postcard::Error,
+    },
+    /// The peer did not answer.
+    #[snafu(display("no answer in time"))]
+    Silent,
+    /// The peer refused.
+    #[snafu(display("status {status}"))]
+    Status {
+        /// The status.
+        status: u16,
+    },
+}
+
+/// Sends digests to the other daemons until the task is dropped.
+pub async fn run_digests(state: Rc<FrontState>, socket: Rc<UdpSocket>) {
+    let mut number = 0;
+    loop {
+        state.expire();
+        state.channels.sweep();
+        number += 1;
+        send_digests(&state, &socket, number).await;
+        let period_ms = state.fleet.borrow().period_ms();
+        // Jitter keeps daemons that started together from sending at the same moment.
+        let jitter_ms = rand::rng().random_range(0..=period_ms / 5);
+        sleep(Duration::from_millis(period_ms + jitter_ms)).await;
+    }
+}
+
+async fn send_digests(state: &FrontState, socket: &UdpSocket, number: u64) {
+    let settings = state.settings();
+    let audience = state.fleet.borrow().audience(&settings.seed_peers());
+    let digest = own_digest(state, settings.peer, number);
+    let bytes = match postcard::to_stdvec(&digest) {
+        Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => bytes,
+        Ok(bytes) => {
+            log::warn!("event=digest outcome=dropped bytes={}", bytes.len());
+            return;
+        }
+        Err(e) => return log::error!("event=digest cause=\"{e}\""),
+    };
+    for address in &audience {
+        if let Err(e) = socket.send_to(&bytes, address).await {
+            log::debug!("event=digest peer={address} cause=\"{e}\"");
+        }
+    }
+    state.metrics.note_digests(audience.len() as u64);
+}
+
+fn own_digest(state: &FrontState, address: SocketAddr, number: u64) -> PeerDigest {
+    let pool = state.pool.borrow();
+    let busy = pool.iter().filter(|(_, target)| target.own.requests > 0);
+    let platform_age_ms = mono_now().millis_since(state.platform_seen_at.get());
+    PeerDigest {
+        address,
+        incarnation: state.incarnation,
+        number,
+        is_leaving: state.is_draining(),
+        target_revision: state.facts(FactKind::Targets).borrow().last_change(),
+        config_revision: state.facts(FactKind::Config).borrow().last_change(),
+        platform_age_ms: u32::try_from(platform_age_ms).unwrap_or(u32::MAX),
+        loads: busy.map(|(_, target)| (target.short_hash, target.own)).take(MAX_LOADS).collect(),
+        deaths: state.blame.borrow().latest(MAX_DEATHS),
+        named: state.fleet.borrow().named(number),
+    }
+}
+
+/// Takes digests of other daemons until the task is dropped.
+pub async fn run_receiving(state: Rc<FrontState>, socket: Rc<UdpSocket>) {
+    let mut buffer = [0; 2 * MAX_DATAGRAM_BYTES];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, _)) => take_digest(&state, &buffer[..length]),
+            Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {}
+            Err(e) => {
+                log::warn!("event=digest cause={}", quoted(&e.to_string()));
+                sleep(FETCH_STEP).await;
+            }
+        }
+    }
+}
+
+fn take_digest(state: &FrontState, bytes: &[u8]) {
+    let digest: PeerDigest = match postcard::from_bytes(bytes) {
+        Ok(digest) => digest,
+        Err(e) => return log::warn!("event=digest outcome=unreadable cause=\"{e}\""),
+    };
+    let now = mono_now();
+    let expires_at = now + BLAME_MS;
+    for (print, death) in &digest.deaths {
+        if state.blame.borrow_mut().note_death(*print, *death, expires_at) {
+            log::info!("event=crash-told print={:016x} death={:016x}", print.0, death.0);
+        }
+    }
+    let changes = state.fleet.borrow_mut().take(digest, now);
+    let mut pool = state.pool.borrow_mut();
+    changes
+        .iter()
+        .for_each(|change| pool.change_peer_load(change.hash, change.before, change.after));
+}
+
+/// Asks peers for facts that they know and this daemon does not, until the task is dropped.
+pub async fn run_fetching(state: Rc<FrontState>) {
+    let mut behind_since: [Option<MonoTime>; 2] = [None; 2];
+    loop {
+        sleep(FETCH_STEP).await;
+        for (kind, since) in FactKind::ALL.into_iter().zip(&mut behind_since) {
+            let ahead = peers_ahead(&state, kind);
+            if ahead.is_empty() {
+                *since = None;
+                continue;
+            }
+            let now = mono_now();
+            let is_due = now.millis_since(*since.get_or_insert(now)) >= PLATFORM_FIRST_MS;
+            if is_due {
+                let peer = ahead[rand::rng().random_range(0..ahead.len())];
+                fetch(&state, kind, peer).await;
+            }
+        }
+    }
+}
+
+fn peers_ahead(state: &FrontState, kind: FactKind) -> Vec<SocketAddr> {
+    let known = state.facts(kind).borrow().last_change();
+    let fleet = state.fleet.borrow();
+    let told = |digest: &PeerDigest| match kind {
+        FactKind::Targets => digest.target_revision,
+        FactKind::Config => digest.config_revision,
+    };
+    let ahead = fleet.living(mono_now()).filter(|peer| told(&peer.digest) > known);
+    ahead.map(|peer| peer.digest.address).collect()
+}
+
+async fn fetch(state: &FrontState, kind: FactKind, peer: SocketAddr) {
+    let fetched = timeout(FETCH_WAIT, fetch_unbounded(state, kind, peer)).await;
+    match fetched.unwrap_or(Err(FetchError::Silent)) {
+        Ok(batch) => state.take_facts(kind, batch, "peer"),
+        Err(e) => log::info!(
+            "event=fetch folder={} peer={peer} cause={}",
+            kind.as_str(),
+            quoted(&e.to_string())
+        ),
+    }
+}
+
+async fn fetch_unbounded(
+    state: &FrontState,
+    kind: FactKind,
+    peer: SocketAddr,
+) -> Result<FactBatch, FetchError> {
+    let revision = state.facts(kind).borrow().revision();
+    let mut channel = open_channel(peer).await?;
+    let path = format!("/facts/{}/{revision}", kind.as_str());
+    let (status, body) = get(&mut channel, peer, &path).await?;
+    if status != 200 {
+        return Err(FetchError::Status { status });
+    }
+    postcard::from_bytes(&body).context(BodySnafu)
+}
+
+/// The answer to a peer that asks for the facts of a folder after a revision.
+pub fn facts_answer(state: &FrontState, path: &str) -> Option<Bytes> {
+    let (folder, revision) = path.strip_prefix("/facts/")?.split_once('/')?;
+    let kind = FactKind::ALL.into_iter().find(|kind| kind.as_str() == folder)?;
+    let batch = state.facts(kind).borrow().since(revision.parse().ok()?);
+    match postcard::to_stdvec(&batch) {
+        Ok(bytes) => Some(bytes.into()),
+        Err(e) => {
+            log::error!("event=facts cause=\"{e}\"");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/ggt-daemon/src/front/ready.rs
@@ -0,0 +1,69 @@
+//! What the platform and operators ask a daemon: whether it takes connections, and its metrics.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use crate::front::peers::facts_answer;
+use crate::front::state::FrontState;
+use crate::logging::quoted;
+use ggt_platform::READY_PATH;
+
+/// Path of the metrics in the Prometheus format.
+const METRICS_PATH: &str = "/metrics";
+/// Pause after the listener failed.
+const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
+
+/// Answers short questions until the task is dropped.
+pub async fn serve_questions(state: Rc<FrontState>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                spawn_local(serve_connection(state.clone(), stream));
+            }
+            Err(e) => {
+                log::warn!("event=accept cause={}", quoted(&e.to_string()));
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(state: Rc<FrontState>, stream: TcpStream) {
+    let service = service_fn(|request| {
+        let response = answer(&state, &request);
+        async move { Ok::<_, Infallible>(response) }
+    });
+    if let Err(e) = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await {
+        log::debug!("event=question cause=\"{e}\"");
+    }
+}
+
+fn answer(state: &FrontState, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let path = request.uri().path();
+    let (status, body) = match path {
+        READY_PATH if state.is_ready() => (StatusCode::OK, Bytes::from_static(b"ready\n")),
+        READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"not ready\n")),
+        METRICS_PATH => (StatusCode::OK, state.metrics.text().into()),
+        _ => match facts_answer(state, path) {
+            Some(body) => (StatusCode::OK, body),
+            None => (StatusCode::NOT_FOUND, Bytes::new()),
+        },
+    };
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/ggt-daemon/src/front/run.rs
@@ -0,0 +1,182 @@
+//! Puts the tasks of one daemon together, runs them and stops them.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
+use tokio::signal::unix::Signal;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::task::LocalSet;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use crate::clock::mono_now;
+use crate::front::callers::serve_callers;
+use crate::front::metrics::FrontMetrics;
+use crate::front::peers::run_digests;
+use crate::front::peers::run_fetching;
+use crate::front::peers::run_receiving;
+use crate::front::ready::serve_questions;
+use crate::front::settings::FrontSettings;
+use crate::front::settings::parse_front_settings;
+use crate::front::state::FactKind;
+use crate::front::state::FrontState;
+use crate::front::store::run_watching;
+use crate::logging::quoted;
+use crate::metrics::MetricsError;
+
+/// Time from the order to stop for which new connections are still taken: the platform hears of it
+/// by its questions, once a second.
+const ANNOUNCE_MS: u64 = 2_800;
+/// Time before the process would be killed at which it ends, in milliseconds.
+const GRACE_MARGIN_MS: u64 = 150;
+/// How often a stopping daemon looks at what is in flight.
+const DRAIN_STEP: Duration = Duration::from_millis(25);
+/// How often the settings file is compared with what is in force.
+const RELOAD_STEP: Duration = Duration::from_secs(2);
+
+/// Why the daemon cannot run.
+#[derive(Debug, Snafu)]
+pub enum FrontError {
+    /// The runtime cannot start.
+    #[snafu(display("runtime: {source}"))]
+    Runtime {
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// An address cannot be bound.
+    #[snafu(display("{role} address {address}: {source}"))]
+    Bind {
+        /// What the address is for.
+        role: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// Signals cannot be taken.
+    #[snafu(display("signals: {source}"))]
+    Signals {
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The metrics cannot be set up.
+    #[snafu(display("{source}"), context(false))]
+    Metrics {
+        /// The cause.
+        source: MetricsError,
+    },
+}
+
+/// Runs a daemon on the platform until it is told to stop.
+///
+/// # Errors
+/// [`FrontError`] when it cannot start.
+pub fn run_front(file: &Path, settings: FrontSettings) -> Result<(), FrontError> {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().context(RuntimeSnafu)?;
+    let local = LocalSet::new();
+    let file = file.to_owned();
+    local.block_on(&runtime, serve(file, settings))
+}
+
+async fn serve(file: PathBuf, settings: FrontSettings) -> Result<(), FrontError> {
+    let mut stops = signal(SignalKind::terminate()).context(SignalsSnafu)?;
+    let reloads = signal(SignalKind::hangup()).context(SignalsSnafu)?;
+    let state = Rc::new(FrontState::new(settings, FrontMetrics::new()?));
+    let settings = state.settings();
+    let callers = bind_tcp("callers", settings.callers).await?;
+    let ready = bind_tcp("ready", settings.ready).await?;
+    let admin = bind_tcp("admin", settings.admin).await?;
+    let peers = bind_tcp("peer", settings.peer).await?;
+    let context = BindSnafu { role: "peer", address: settings.peer };
+    let socket = Rc::new(UdpSocket::bind(settings.peer).await.context(context)?);
+    log::info!(
+        "event=start name={} data_centre={} incarnation={} callers={} peer={}",
+        quoted(&settings.name),
+        quoted(&settings.data_centre),
+        state.incarnation,
+        settings.callers,
+        settings.peer,
+    );
+    for listener in [ready, admin, peers] {
+        spawn_local(serve_questions(state.clone(), listener));
+    }
+    for kind in FactKind::ALL {
+        spawn_local(run_watching(state.clone(), kind));
+    }
+    spawn_local(run_digests(state.clone(), socket.clone()));
+    spawn_local(run_receiving(state.clone(), socket));
+    spawn_local(run_fetching(state.clone()));
+    spawn_local(run_reloading(state.clone(), file, reloads));
+    let listening = spawn_local(serve_callers(state.clone(), callers));
+    stops.recv().await;
+    stop(&state, || listening.abort()).await;
+    Ok(())
+}
+
+async fn bind_tcp(role: &'static str, address: SocketAddr) -> Result<TcpListener, FrontError> {
+    TcpListener::bind(address).await.context(BindSnafu { role, address })
+}
+
+/// Stops without cutting anything that ends within the grace.
+///
+/// First the daemon only says that it is not ready and still serves, since the platform and the
+/// callers hear of it late. Then it closes its listener and idle connections, and waits for what is
+/// in flight.
+async fn stop<F>(state: &FrontState, close_listener: F)
+where
+    F: FnOnce(),
+{
+    let grace_ms = state.settings().grace_ms();
+    let stopped_at = mono_now();
+    let deadline = stopped_at + grace_ms.saturating_sub(GRACE_MARGIN_MS);
+    let announced_until = stopped_at + ANNOUNCE_MS.min(grace_ms / 2);
+    state.start_draining();
+    log::info!("event=stop in_flight={}", state.in_flight.get());
+    while mono_now() < announced_until {
+        sleep(DRAIN_STEP).await;
+    }
+    close_listener();
+    state.closing.notify_waiters();
+    while mono_now() < deadline && state.in_flight.get() > 0 {
+        sleep(DRAIN_STEP).await;
+    }
+    // The last answers' bytes leave with the turn of their connections' tasks.
+    sleep(DRAIN_STEP).await;
+    log::info!("event=stopped in_flight={}", state.in_flight.get());
+}
+
+/// Reads the settings file anew at a signal, and now and then without one.
+async fn run_reloading(state: Rc<FrontState>, file: PathBuf, mut reloads: Signal) {
+    loop {
+        tokio::select! {
+            _ = reloads.recv() => {}
+            () = sleep(RELOAD_STEP) => {}
+        }
+        let text = match std::fs::read_to_string(&file) {
+            Ok(text) => text,
+            Err(e) => {
+                log::warn!("event=reload file={} cause=\"{e}\" outcome=kept", file.display());
+                continue;
+            }
+        };
+        match parse_front_settings(&file, &text) {
+            Ok(settings) if settings == *state.settings() => {}
+            Ok(settings) => {
+                log::info!("event=reload file={} outcome=in-force", file.display());
+                *state.settings.borrow_mut() = Rc::new(settings);
+            }
+            Err(e) => {
+                log::warn!("event=reload cause={} outcome=kept", quoted(&e.to_string()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/ggt-daemon/src/front/settings.rs
@@ -0,0 +1,125 @@
+//! Settings of a daemon that serves the users' platform.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::settings::SettingsError;
+use ggt_core::spend::SpendLimit;
+
+/// Milliseconds in a second.
+const MILLIS_PER_SECOND: f64 = 1_000.0;
+
+/// What one daemon on the platform is told of itself and its surroundings.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FrontSettings {
+    /// The daemon's name in logs.
+    pub name: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where the platform asks whether it takes new connections.
+    pub ready: SocketAddr,
+    /// Where operators read metrics.
+    pub admin: SocketAddr,
+    /// Where other daemons reach it, by TCP and by UDP.
+    pub peer: SocketAddr,
+    /// Addresses of some daemons; only the host part is used, with the port of `peer`.
+    pub seeds: Vec<SocketAddr>,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// The fleet's allowance of retries for each service.
+    pub retries: RetrySettings,
+    /// Seconds from the order to stop until the process is killed.
+    pub grace_s: f64,
+    /// Least severe level that is logged: `error`, `warn`, `info`, `debug` or `trace`.
+    #[serde(default = "default_log_level")]
+    pub log_level: String,
+}
+
+/// The fleet's allowance of retries for each service.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RetrySettings {
+    /// Retries for each request.
+    pub ratio: f64,
+    /// Retries beyond the ratio.
+    pub slack: f64,
+    /// Seconds over which requests and retries are counted.
+    pub window_s: f64,
+}
+
+impl FrontSettings {
+    /// Where the seeds take digests.
+    pub fn seed_peers(&self) -> Vec<SocketAddr> {
+        let hosts = self.seeds.iter().map(SocketAddr::ip);
+        hosts.map(|host: IpAddr| SocketAddr::new(host, self.peer.port())).collect()
+    }
+
+    /// The fleet's allowance of retries for each service.
+    pub fn spend_limit(&self) -> SpendLimit {
+        SpendLimit {
+            ratio: self.retries.ratio,
+            slack: self.retries.slack,
+            window_ms: (self.retries.window_s * MILLIS_PER_SECOND) as u64,
+        }
+    }
+
+    /// Milliseconds from the order to stop until the process is killed.
+    pub fn grace_ms(&self) -> u64 {
+        (self.grace_s * MILLIS_PER_SECOND) as u64
+    }
+}
+
+fn default_log_level() -> String {
+    "info".to_owned()
+}
+
+/// Whether a settings file is one for the users' platform: it names a `store`.
+pub fn is_front_settings(text: &str) -> bool {
+    let value: serde_json::Value = serde_json::from_str(text).unwrap_or_default();
+    value.get("store").is_some()
+}
+
+/// Parses and checks the text of a settings file.
+///
+/// # Errors
+/// [`SettingsError::Value`] names the path in the JSON and the cause.
+pub fn parse_front_settings(file: &Path, text: &str) -> Result<FrontSettings, SettingsError> {
+    let mut reader = serde_json::Deserializer::from_str(text);
+    let settings: FrontSettings =
+        serde_path_to_error::deserialize(&mut reader).map_err(|e| SettingsError::Value {
+            file: file.to_owned(),
+            path: e.path().to_string(),
+            cause: e.inner().to_string(),
+        })?;
+    match find_fault(&settings) {
+        Some((path, cause)) => Err(SettingsError::Value {
+            file: file.to_owned(),
+            path: path.to_owned(),
+            cause: cause.to_owned(),
+        }),
+        None => Ok(settings),
+    }
+}
+
+fn find_fault(settings: &FrontSettings) -> Option<(&'static str, &'static str)> {
+    let retries = &settings.retries;
+    let level = settings.log_level.parse::<log::LevelFilter>();
+    let checks = [
+        ("name", settings.name.is_empty(), "must not be empty"),
+        ("data_centre", settings.data_centre.is_empty(), "must not be empty"),
+        ("peer", settings.peer.ip().is_unspecified(), "must be an address that peers can reach"),
+        ("retries.ratio", !(0.0..=1.0).contains(&retries.ratio), "must lie between 0 and 1"),
+        ("retries.slack", retries.slack < 0.0, "must not be negative"),
+        ("retries.window_s", retries.window_s <= 0.0, "must be more than 0"),
+        ("grace_s", settings.grace_s <= 0.0, "must be more than 0"),
+        ("log_level", level.is_err(), "must be error, warn, info, debug or trace"),
+    ];
+    checks.into_iter().find(|(_, is_wrong, _)| *is_wrong).map(|(path, _, cause)| (path, cause))
+}
--- /dev/null
+++ b/ggt-daemon/src/front/state.rs
@@ -0,0 +1,288 @@
+//! What the tasks of one daemon share.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use tokio::sync::Notify;
+
+use crate::clock::mono_now;
+use crate::clock::wall_now;
+use crate::front::channels::TargetChannels;
+use crate::front::metrics::FrontMetrics;
+use crate::front::settings::FrontSettings;
+use crate::logging::quoted;
+use ggt_core::blame::BlameTable;
+use ggt_core::clock::MonoTime;
+use ggt_core::facts::FactBatch;
+use ggt_core::facts::FactChange;
+use ggt_core::facts::FactTable;
+use ggt_core::fleet::FleetTable;
+use ggt_core::routes::RouteBook;
+use ggt_core::spend::SpendWindow;
+use ggt_core::targets::TargetPool;
+use ggt_platform::CONFIG_KEY;
+use ggt_platform::TARGET_PREFIX;
+use ggt_platform::parse_config;
+use ggt_platform::parse_entry;
+use ggt_platform::target_id;
+
+/// Deaths of targets after which a request that was there at each is refused.
+const CRASH_LIMIT: u32 = 3;
+/// Requests under suspicion of crashing their targets, at most.
+const MAX_SUSPECTS: usize = 4_096;
+/// Time in which targets that lapsed while the platform was away register again.
+const LAPSE_RETURN_MS: u64 = 2_200;
+
+/// One folder of what the platform publishes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FactKind {
+    /// The targets.
+    Targets,
+    /// The configuration.
+    Config,
+}
+
+impl FactKind {
+    /// Both folders.
+    pub const ALL: [Self; 2] = [Self::Targets, Self::Config];
+
+    /// The folder's name in logs and towards peers.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Targets => "targets",
+            Self::Config => "config",
+        }
+    }
+
+    /// The prefix of the folder's keys at the platform.
+    pub const fn prefix(self) -> &'static str {
+        match self {
+            Self::Targets => TARGET_PREFIX,
+            Self::Config => CONFIG_KEY,
+        }
+    }
+}
+
+/// What the tasks of one daemon share.
+pub struct FrontState {
+    /// The settings, which may be read anew.
+    pub settings: RefCell<Rc<FrontSettings>>,
+    /// The instruments.
+    pub metrics: FrontMetrics,
+    /// This life of the daemon, later than any former one.
+    pub incarnation: u64,
+    /// The targets.
+    pub pool: RefCell<TargetPool>,
+    /// Connections to targets that wait for a request.
+    pub channels: TargetChannels,
+    /// The other daemons.
+    pub fleet: RefCell<FleetTable>,
+    /// Requests that crash targets.
+    pub blame: RefCell<BlameTable>,
+    /// Requests in flight.
+    pub in_flight: Cell<usize>,
+    /// Told when the daemon starts to close callers' connections.
+    pub closing: Notify,
+    /// When the platform last answered.
+    pub platform_seen_at: Cell<MonoTime>,
+    targets: RefCell<FactTable>,
+    config: RefCell<FactTable>,
+    book: RefCell<Option<Rc<RouteBook>>>,
+    spends: RefCell<HashMap<String, SpendWindow>>,
+    is_draining: Cell<bool>,
+    platform_back_at: Cell<Option<MonoTime>>,
+    is_platform_away: Cell<bool>,
+}
+
+impl FrontState {
+    /// State of a daemon that starts now.
+    pub fn new(settings: FrontSettings, metrics: FrontMetrics) -> Self {
+        let fleet = FleetTable::new(settings.peer);
+        Self {
+            settings: RefCell::new(Rc::new(settings)),
+            metrics,
+            incarnation: wall_now().as_millis(),
+            pool: RefCell::default(),
+            channels: TargetChannels::default(),
+            fleet: RefCell::new(fleet),
+            blame: RefCell::new(BlameTable::new(CRASH_LIMIT, MAX_SUSPECTS)),
+            in_flight: Cell::new(0),
+            closing: Notify::new(),
+            platform_seen_at: Cell::new(mono_now()),
+            targets: RefCell::default(),
+            config: RefCell::default(),
+            book: RefCell::default(),
+            spends: RefCell::default(),
+            is_draining: Cell::new(false),
+            platform_back_at: Cell::new(None),
+            is_platform_away: Cell::new(false),
+        }
+    }
+
+    /// The settings in force.
+    pub fn settings(&self) -> Rc<FrontSettings> {
+        self.settings.borrow().clone()
+    }
+
+    /// The configuration in force, if there is one.
+    pub fn book(&self) -> Option<Rc<RouteBook>> {
+        self.book.borrow().clone()
+    }
+
+    /// The facts of one folder.
+    pub fn facts(&self, kind: FactKind) -> &RefCell<FactTable> {
+        match kind {
+            FactKind::Targets => &self.targets,
+            FactKind::Config => &self.config,
+        }
+    }
+
+    /// Whether the daemon takes new connections.
+    pub fn is_ready(&self) -> bool {
+        self.book.borrow().is_some() && !self.pool.borrow().is_empty() && !self.is_draining()
+    }
+
+    /// Whether the daemon is stopping.
+    pub fn is_draining(&self) -> bool {
+        self.is_draining.get()
+    }
+
+    /// Starts to stop.
+    pub fn start_draining(&self) {
+        self.is_draining.set(true);
+    }
+
+    /// Records that the platform answered.
+    pub fn note_platform_answer(&self) {
+        let now = mono_now();
+        self.platform_seen_at.set(now);
+        if self.is_platform_away.replace(false) {
+            self.platform_back_at.set(Some(now));
+            log::info!("event=regained dependency=platform");
+        }
+    }
+
+    /// Records that the platform did not answer.
+    pub fn note_platform_failure(&self, cause: &str) {
+        if !self.is_platform_away.replace(true) {
+            log::warn!("event=lost dependency=platform cause={}", quoted(cause));
+        }
+    }
+
+    /// Takes facts of one folder from the platform or from a peer.
+    pub fn take_facts(&self, kind: FactKind, batch: FactBatch, source: &str) {
+        let news = self.facts(kind).borrow_mut().take(batch);
+        for change in &news {
+            match kind {
+                FactKind::Targets => self.take_target(change, source),
+                FactKind::Config => self.take_config(change, source),
+            }
+        }
+    }
+
+    /// Counts a request for a service.
+    pub fn note_request(&self, service: &str) {
+        let limit = self.settings.borrow().spend_limit();
+        let mut spends = self.spends.borrow_mut();
+        match spends.get_mut(service) {
+            Some(spend) => spend.note_request(&limit, mono_now()),
+            None => spends.entry(service.to_owned()).or_default().note_request(&limit, mono_now()),
+        }
+    }
+
+    /// Counts a retry at a service if this daemon's part of the allowance covers it.
+    pub fn try_retry(&self, service: &str) -> bool {
+        let now = mono_now();
+        let limit = self.settings.borrow().spend_limit();
+        let daemons = self.fleet.borrow().living(now).count() + 1;
+        let mut spends = self.spends.borrow_mut();
+        let spend = spends.entry(service.to_owned()).or_default();
+        spend.try_spend(&limit, daemons.max(self.fewest_daemons()), now)
+    }
+
+    /// Drops what has expired.
+    pub fn expire(&self) {
+        let now = mono_now();
+        for (key, id) in self.pool.borrow_mut().expire(now) {
+            self.channels.forget(key);
+            log::info!("event=target target={id} status=gone");
+        }
+        let changes = self.fleet.borrow_mut().expire(now);
+        let mut pool = self.pool.borrow_mut();
+        changes.iter().for_each(|c| pool.change_peer_load(c.hash, c.before, c.after));
+        self.blame.borrow_mut().expire(now);
+    }
+
+    /// Daemons that there are at least, also when none has been heard of.
+    fn fewest_daemons(&self) -> usize {
+        self.settings.borrow().seeds.len().max(1)
+    }
+
+    fn take_target(&self, change: &FactChange, source: &str) {
+        let Some(id) = target_id(&change.key) else { return };
+        let revision = change.revision;
+        let record = change.value.as_ref().map(|value| parse_entry(id, value));
+        match record {
+            Some(Ok(record)) => {
+                let is_leaving = record.is_leaving;
+                if self.pool.borrow_mut().put(record) {
+                    let status = if is_leaving { "leaving" } else { "ready" };
+                    log::info!(
+                        "event=target target={id} status={status} revision={revision} source={source}"
+                    );
+                }
+            }
+            Some(Err(e)) => {
+                log::warn!(
+                    "event=target-refused target={id} revision={revision} cause={}",
+                    quoted(&e.to_string())
+                );
+                self.pool.borrow_mut().note_unlisted(id, mono_now());
+            }
+            None => {
+                // Targets that lapsed while the platform was away register again after its return.
+                let now = mono_now();
+                let back_at = self.platform_back_at.get().map(|at| at + LAPSE_RETURN_MS);
+                let gone_at = back_at.unwrap_or(now).max(now);
+                let wait_ms = gone_at.millis_since(now);
+                log::info!(
+                    "event=target target={id} status=unlisted revision={revision} \
+                     source={source} gone_in_ms={wait_ms}"
+                );
+                self.pool.borrow_mut().note_unlisted(id, gone_at);
+            }
+        }
+    }
+
+    fn take_config(&self, change: &FactChange, source: &str) {
+        let Some(value) = &change.value else {
+            log::warn!("event=config-removed revision={} outcome=kept", change.revision);
+            return;
+        };
+        match parse_config(value) {
+            Ok(book) => self.set_book(book, change.revision, source),
+            Err(e) => log::error!(
+                "event=config-refused revision={} cause={}",
+                change.revision,
+                quoted(&e.to_string())
+            ),
+        }
+    }
+
+    fn set_book(&self, book: RouteBook, revision: u64, source: &str) {
+        let in_force = self.book().map_or(0, |book| book.version());
+        let version = book.version();
+        if version <= in_force {
+            log::info!("event=config version={version} in_force={in_force} outcome=ignored");
+            return;
+        }
+        let routes = book.route_count();
+        log::info!(
+            "event=config version={version} before={in_force} revision={revision} routes={routes} \
+             source={source} outcome=in-force"
+        );
+        *self.book.borrow_mut() = Some(Rc::new(book));
+    }
+}
--- /dev/null
+++ b/ggt-daemon/src/front/store.rs
@@ -0,0 +1,238 @@
+//! Reads and watches the platform's store.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use rand::Rng;
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::clock::mono_now;
+use crate::front::channels::ConnectError;
+use crate::front::channels::TargetChannel;
+use crate::front::channels::open_channel;
+use crate::front::state::FactKind;
+use crate::front::state::FrontState;
+use ggt_core::facts::FactBatch;
+use ggt_core::facts::FactChange;
+use ggt_core::ident::mix_hash;
+use ggt_core::ident::stable_hash;
+use ggt_platform::StoreAnswer;
+use ggt_platform::StoreError;
+use ggt_platform::parse_range;
+use ggt_platform::parse_watch;
+use ggt_platform::range_path;
+use ggt_platform::watch_path;
+
+/// Longest time that a watch waits at the store.
+const WATCH_MS: u64 = 10_000;
+/// Time beyond a watch's own wait after which its connection is taken as dead.
+const ANSWER_WAIT: Duration = Duration::from_millis(2_500);
+/// First pause after a failed call, in milliseconds; it doubles, with jitter.
+const FIRST_PAUSE_MS: u64 = 100;
+/// Longest pause after failed calls, in milliseconds.
+const MAX_PAUSE_MS: u64 = 1_000;
+/// Largest answer of the store in bytes.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+/// Daemons that watch the store in a fleet so large that the others learn from them.
+const WATCHER_COUNT: usize = 6;
+/// Fleets up to this size watch the store all by themselves.
+const SMALL_FLEET: usize = 12;
+/// Silence of all watchers in milliseconds after which any daemon watches itself.
+const WATCHERS_SILENT_MS: u64 = 1_500;
+/// Pause before a daemon that does not watch asks itself again whether it should.
+const IDLE_PAUSE: Duration = Duration::from_millis(250);
+
+/// Why a call to the store failed.
+#[derive(Debug, Snafu)]
+pub enum CallError {
+    /// There is no connection.
+    #[snafu(display("{source}"), context(false))]
+    Connect {
+        /// The cause.
+        source: ConnectError,
+    },
+    /// The connection broke.
+    #[snafu(display("store call: {source}"))]
+    Broken {
+        /// The cause.
+        source: hyper::Error,
+    },
+    /// The answer is too long, or broke off.
+    #[snafu(display("store answer: {cause}"))]
+    Body {
+        /// The cause.
+        cause: String,
+    },
+    /// There was no answer in time.
+    #[snafu(display("store call: no answer in time"))]
+    Silent,
+    /// The store refused.
+    #[snafu(display("store call: status {status}"))]
+    Status {
+        /// The status.
+        status: u16,
+    },
+    /// The answer cannot be read.
+    #[snafu(display("{source}"), context(false))]
+    Answer {
+        /// The cause.
+        source: StoreError,
+    },
+}
+
+/// Keeps one folder of facts up to date, as long as the daemon runs.
+pub async fn run_watching(state: Rc<FrontState>, kind: FactKind) {
+    let mut link = StoreLink { address: state.settings().store, channel: None, is_stale: false };
+    let mut failures = 0;
+    loop {
+        if !should_watch(&state, kind) {
+            sleep(IDLE_PAUSE).await;
+            continue;
+        }
+        let watched = watch_once(&state, kind, &mut link).await;
+        state.metrics.note_store_call(kind.as_str(), watched.is_ok());
+        match watched {
+            Ok(batch) => {
+                failures = 0;
+                state.note_platform_answer();
+                state.take_facts(kind, batch, "platform");
+            }
+            Err(CallError::Status { status: 410 }) => {
+                log::info!("event=history-lost folder={} outcome=read-anew", kind.as_str());
+                link.is_stale = true;
+            }
+            Err(e) => {
+                link.channel = None;
+                failures += 1;
+                state.note_platform_failure(&e.to_string());
+                sleep(pause(failures)).await;
+            }
+        }
+    }
+}
+
+/// Whether this daemon asks the store itself: always in a small fleet, else as one of a few that
+/// all agree on, or when those are silent.
+fn should_watch(state: &FrontState, kind: FactKind) -> bool {
+    if state.facts(kind).borrow().revision() == 0 {
+        return true;
+    }
+    let now = mono_now();
+    let own = state.settings().peer;
+    let fleet = state.fleet.borrow();
+    let living: Vec<_> = fleet.living(now).collect();
+    if living.len() < SMALL_FLEET {
+        return true;
+    }
+    let rank = |address: SocketAddr| mix_hash(stable_hash(address.to_string().as_bytes()), 0);
+    let before = living.iter().filter(|peer| rank(peer.digest.address) < rank(own)).count();
+    let is_fresh = |age_ms: u32| u64::from(age_ms) < WATCHERS_SILENT_MS + WATCH_MS;
+    before < WATCHER_COUNT || !living.iter().any(|peer| is_fresh(peer.digest.platform_age_ms))
+}
+
+fn pause(failures: u32) -> Duration {
+    let longest = (FIRST_PAUSE_MS << failures.min(5)).min(MAX_PAUSE_MS);
+    Duration::from_millis(rand::rng().random_range(longest / 2..=longest))
+}
+
+/// A connection to the store, and whether the folder must be read anew.
+struct StoreLink {
+    address: SocketAddr,
+    channel: Option<TargetChannel>,
+    is_stale: bool,
+}
+
+async fn watch_once(
+    state: &FrontState,
+    kind: FactKind,
+    link: &mut StoreLink,
+) -> Result<FactBatch, CallError> {
+    let revision = state.facts(kind).borrow().revision();
+    if revision == 0 || link.is_stale {
+        let batch = read_whole(link, kind).await?;
+        link.is_stale = false;
+        return Ok(batch);
+    }
+    let path = watch_path(kind.prefix(), revision, WATCH_MS);
+    let body = link.call(&path, Duration::from_millis(WATCH_MS) + ANSWER_WAIT).await?;
+    Ok(batch_of(parse_watch(&body)?, false))
+}
+
+async fn read_whole(link: &mut StoreLink, kind: FactKind) -> Result<FactBatch, CallError> {
+    let mut whole = StoreAnswer::default();
+    let mut after: Option<String> = None;
+    loop {
+        let path = range_path(kind.prefix(), after.as_deref());
+        let page = parse_range(&link.call(&path, ANSWER_WAIT).await?)?;
+        // Pages are no snapshot: the facts hold at the revision of the first one, and changes after
+        // it come with the watch.
+        if after.is_none() {
+            whole.revision = page.revision;
+        }
+        after = page.changes.last().map(|change| change.key.clone());
+        whole.changes.extend(page.changes);
+        if !page.has_more || after.is_none() {
+            return Ok(batch_of(whole, true));
+        }
+    }
+}
+
+fn batch_of(answer: StoreAnswer, is_whole: bool) -> FactBatch {
+    let changes = answer.changes.into_iter().map(|change| FactChange {
+        key: change.key,
+        revision: change.revision,
+        value: change.value.map(std::sync::Arc::new),
+    });
+    FactBatch { revision: answer.revision, is_whole, changes: changes.collect() }
+}
+
+impl StoreLink {
+    async fn call(&mut self, path: &str, wait: Duration) -> Result<Bytes, CallError> {
+        match timeout(wait, self.call_unbounded(path)).await {
+            Ok(answer) => answer,
+            Err(_) => {
+                self.channel = None;
+                Err(CallError::Silent)
+            }
+        }
+    }
+
+    async fn call_unbounded(&mut self, path: &str) -> Result<Bytes, CallError> {
+        let mut channel = match self.channel.take() {
+            Some(channel) if !channel.sender.is_closed() => channel,
+            _ => open_channel(self.address).await?,
+        };
+        let (status, body) = get(&mut channel, self.address, path).await?;
+        self.channel = Some(channel);
+        if status == 200 { Ok(body) } else { Err(CallError::Status { status }) }
+    }
+}
+
+/// Sends a `GET` on a connection and reads the whole answer.
+///
+/// # Errors
+/// [`CallError`] when the connection broke or the answer is too long.
+pub async fn get(
+    channel: &mut TargetChannel,
+    address: SocketAddr,
+    path: &str,
+) -> Result<(u16, Bytes), CallError> {
+    let request = Request::get(path).header(http::header::HOST, address.to_string());
+    let request =
+        request.body(Full::default()).map_err(|e| CallError::Body { cause: e.to_string() })?;
+    channel.sender.ready().await.context(BrokenSnafu)?;
+    let response = channel.sender.send_request(request).await.context(BrokenSnafu)?;
+    let status = response.status().as_u16();
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
+    let body = body.map_err(|e| CallError::Body { cause: e.to_string() })?;
+    Ok((status, body.to_bytes()))
+}
--- a/ggt-daemon/src/lib.rs
+++ b/ggt-daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod daemon;
 pub mod edge;
 pub mod flow;
+pub mod front;
 pub mod lifecycle;
 pub mod logging;
 pub mod metrics;
--- a/ggt-daemon/src/logging/mod.rs
+++ b/ggt-daemon/src/logging/mod.rs
@@ -1,5 +1,7 @@
 //! One line of key=value pairs for each event.
 
+mod queue;
+
 use std::path::Path;
 
 use log::LevelFilter;
@@ -58,6 +60,26 @@
     dispatch.apply().context(InstallSnafu)
 }
 
+/// Starts logging to standard output through a bounded queue, so that a slow reader of the output
+/// never holds up the daemon; lines that do not fit are counted and the count is logged.
+///
+/// # Errors
+/// [`LoggingError::Install`] when another logger is installed.
+pub fn start_output_logging(name: &str, level: LevelFilter) -> Result<(), LoggingError> {
+    let name = name.to_owned();
+    let queue = queue::start_line_queue();
+    let dispatch = fern::Dispatch::new()
+        .format(move |out, message, record| {
+            let at = wall_now().as_millis();
+            let level = record.level().as_str().to_ascii_lowercase();
+            out.finish(format_args!("at_ms={at} level={level} daemon={name} {message}"));
+        })
+        .level(LevelFilter::Warn)
+        .level_for("ggt_daemon", level)
+        .chain(fern::Output::call(move |record| queue.push(format!("{}\n", record.args()))));
+    dispatch.apply().context(InstallSnafu)
+}
+
 /// Quotes a value that holds spaces or quotes, so that a line stays a list of key=value pairs.
 pub fn quoted(value: &str) -> String {
     let is_plain =
--- a/ggt-daemon/src/metrics/mod.rs
+++ b/ggt-daemon/src/metrics/mod.rs
@@ -78,6 +78,13 @@
     cause: String,
 }
 
+impl MetricsError {
+    /// The error of an exporter that cannot be built.
+    pub fn new(cause: String) -> Self {
+        Self { cause }
+    }
+}
+
 /// All instruments of the daemon.
 pub struct DaemonMetrics {
     registry: Registry,
@@ -102,7 +109,7 @@
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
             .build()
-            .map_err(|e| MetricsError { cause: e.to_string() })?;
+            .map_err(|e| MetricsError::new(e.to_string()))?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("greengageturn");
         let counter = |name: &'static str, text: &'static str| {
--- a/ggt-daemon/src/settings/mod.rs
+++ b/ggt-daemon/src/settings/mod.rs
@@ -7,7 +7,6 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use snafu::ResultExt;
 use snafu::Snafu;
 
 use ggt_core::ident::CentreName;
@@ -166,15 +165,6 @@
     "info".to_owned()
 }
 
-/// Reads and checks a settings file.
-///
-/// # Errors
-/// [`SettingsError`] names the file, the path in the JSON and the cause.
-pub fn read_settings(file: &Path) -> Result<DaemonSettings, SettingsError> {
-    let text = std::fs::read_to_string(file).context(ReadSnafu { file })?;
-    parse_settings(file, &text)
-}
-
 /// Parses and checks the text of a settings file.
 ///
 /// # Errors
