feat: a target that has read the prompt's shared part goes before the prompt's home

Cause: each daemon knew only what it had sent itself and went on in the prompt's order as soon as the home was above 1.25 x mean.

--- a/ggt-core/src/facts/mod.rs
+++ b/ggt-core/src/facts/mod.rs
@@ -3,6 +3,10 @@
 //! Facts carry the platform's revision. Of two accounts of one key the later revision holds, so
 //! accounts may be taken from the platform and from peers, in any order and more than once.
 
+mod outage;
+
+pub use outage::OutageRecord;
+
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::sync::Arc;
--- a/ggt-core/src/fleet/mod.rs
+++ b/ggt-core/src/fleet/mod.rs
@@ -47,6 +47,9 @@
     pub platform_age_ms: u32,
     /// What the daemon has in flight, by the targets' short hashes.
     pub loads: Vec<(u32, FlightLoad)>,
+    /// Prompts that targets read lately for the daemon: the short hash of a chain's link, and the
+    /// target's.
+    pub reads: Vec<(u32, u32)>,
     /// Requests that were in flight when a target died.
     pub deaths: Vec<(RequestPrint, DeathMark)>,
     /// Other daemons that it knows.
--- a/ggt-core/src/targets/choice.rs
+++ b/ggt-core/src/targets/choice.rs
@@ -18,6 +18,8 @@
     pub chain: Option<&'a PromptChain>,
     /// Spreads requests without a prompt.
     pub spread_hash: u64,
+    /// Milliseconds within which the first event is due.
+    pub goal_ms: u64,
     /// The daemon's own data centre.
     pub data_centre: &'a str,
     /// Targets that the request has been sent to.
@@ -29,6 +31,8 @@
 /// Why a target was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ChoiceReason {
+    /// It has read the prompt's shared part.
+    Cached,
     /// First in the prompt's order of targets.
     Home,
     /// First in the prompt's order that is below the bound on load.
@@ -43,6 +47,7 @@
     /// The reason as it stands in logs and metrics.
     pub const fn as_str(self) -> &'static str {
         match self {
+            Self::Cached => "cached",
             Self::Home => "home",
             Self::Spill => "spill",
             Self::Least => "least",
@@ -72,12 +77,22 @@
     NoTarget,
 }
 
-/// A target's load may exceed the mean of its service by this factor.
+/// The load of a target that takes a prompt which no target has read may exceed the mean of its
+/// service by this factor.
 const LOAD_FACTOR: f64 = 1.25;
-/// Requests by which a load may exceed the bound's factor, so that idle services are not tight.
+/// Requests by which such a load may exceed the bound's factor, so that idle services are not tight.
 const LOAD_SLACK: f64 = 1.0;
+/// The load of a target that has read the prompt may exceed the mean by this factor.
+const CACHED_LOAD_FACTOR: f64 = 1.5;
+/// Requests by which such a load may exceed the bound's factor.
+const CACHED_LOAD_SLACK: f64 = 2.0;
 /// Prompt tokens still to be read that weigh as much as one running request.
 const TOKENS_PER_REQUEST: f64 = 4_000.0;
+/// Prompt tokens that an engine reads in a millisecond.
+const TOKENS_PER_MS: f64 = 100.0;
+/// Part of the goal that a prompt may wait for others to be read before it goes to a target that
+/// must read it anew.
+const WAIT_PART: f64 = 0.4;
 /// Requests by which a target in another data centre must be less loaded to be preferred.
 const REMOTE_PENALTY: f64 = 0.5;
 
@@ -115,10 +130,13 @@
         }
         let mean = usable.iter().map(|(_, s)| load_of(s)).sum::<f64>() / usable.len() as f64;
         let bound = LOAD_FACTOR * (mean + 1.0) + LOAD_SLACK;
-        match query.chain.and_then(PromptChain::anchor) {
-            Some(anchor) => Ok(in_order(usable, anchor.hash, bound)),
-            None => Ok(least_loaded(usable, query, bound)),
-        }
+        let Some(anchor) = query.chain.and_then(PromptChain::anchor) else {
+            return Ok(least_loaded(usable, query, bound));
+        };
+        let wall = CACHED_LOAD_FACTOR * mean + CACHED_LOAD_SLACK;
+        let wait = WAIT_PART * query.goal_ms as f64;
+        let cached = least_cached(usable, anchor.hash, wall, wait);
+        Ok(cached.unwrap_or_else(|| in_order(usable, anchor.hash, bound)))
     }
 }
 
@@ -140,6 +158,25 @@
     Some(TargetChoice { key: *key, reason: ChoiceReason::Trial, load, bound: load })
 }
 
+/// The least loaded target that has read the prompt and will soon be free to go on with it.
+fn least_cached(
+    usable: &[(TargetKey, &TargetState)],
+    anchor: u64,
+    wall: f64,
+    wait_ms: f64,
+) -> Option<TargetChoice> {
+    let is_near = |state: &TargetState| {
+        f64::from(state.requests()) + 1.0 <= wall
+            && f64::from(state.backlog_tokens()) / TOKENS_PER_MS <= wait_ms
+    };
+    let holders = usable.iter().filter(|(_, state)| state.holds(anchor) && is_near(state));
+    let least = holders.min_by(|(_, a), (_, b)| load_of(a).total_cmp(&load_of(b)));
+    least.map(|(key, state)| {
+        let load = load_of(state);
+        TargetChoice { key: *key, reason: ChoiceReason::Cached, load, bound: wall }
+    })
+}
+
 fn in_order(usable: &[(TargetKey, &TargetState)], anchor: u64, bound: f64) -> TargetChoice {
     let mut order: Vec<_> = usable
         .iter()
--- a/ggt-core/src/targets/pool.rs
+++ b/ggt-core/src/targets/pool.rs
@@ -1,6 +1,7 @@
 //! The arena of targets.
 
 use std::collections::HashMap;
+use std::collections::VecDeque;
 
 use slotmap::SlotMap;
 use slotmap::new_key_type;
@@ -22,6 +23,10 @@
 
 /// Links of prompts that are remembered for each target at most.
 const MAX_LINKS: usize = 4_096;
+/// Digests in which one reading of a prompt is told, so that a lost datagram does no harm.
+const READ_TELLINGS: u8 = 2;
+/// Readings that wait to be told at most.
+const MAX_UNTOLD: usize = 1_024;
 
 /// One incarnation of a target.
 #[derive(Clone, Debug)]
@@ -44,7 +49,7 @@
     pub heard_at: MonoTime,
     /// When it is to be taken as gone, if the platform no longer lists it.
     pub gone_at: Option<MonoTime>,
-    links: HashMap<u64, MonoTime>,
+    links: HashMap<u32, MonoTime>,
 }
 
 impl TargetState {
@@ -74,15 +79,22 @@
         self.own.backlog_tokens + self.peers.backlog_tokens
     }
 
-    /// Tokens of the prompt that this daemon did not see the target read.
+    /// Tokens of the prompt that no daemon is known to have had the target read.
     pub fn missing_tokens(&self, chain: &PromptChain) -> u32 {
-        let links = chain.links().iter().skip_while(|link| self.links.contains_key(&link.hash));
-        links.map(|link| link.tokens).sum()
+        let links = chain.links().iter().rev();
+        links
+            .take_while(|link| !self.links.contains_key(&short_link(link.hash)))
+            .map(|link| link.tokens)
+            .sum()
     }
 
-    /// Records that the target holds the prompt's parts.
-    fn note_links(&mut self, chain: &PromptChain, now: MonoTime) {
-        self.links.extend(chain.links().iter().map(|link| (link.hash, now)));
+    /// Whether the target is known to have read the prompt up to this link.
+    pub fn holds(&self, link: u64) -> bool {
+        self.links.contains_key(&short_link(link))
+    }
+
+    fn note_link(&mut self, link: u32, now: MonoTime) {
+        self.links.insert(link, now);
         if self.links.len() > MAX_LINKS {
             let mut times: Vec<_> = self.links.values().copied().collect();
             times.sort_unstable();
@@ -92,6 +104,11 @@
     }
 }
 
+/// A link's hash as daemons tell it each other.
+fn short_link(hash: u64) -> u32 {
+    hash as u32
+}
+
 /// All targets that the platform lists.
 #[derive(Clone, Debug, Default)]
 pub struct TargetPool {
@@ -99,6 +116,7 @@
     by_id: HashMap<String, TargetKey>,
     by_hash: HashMap<u32, TargetKey>,
     by_service: HashMap<String, Vec<TargetKey>>,
+    untold: VecDeque<(u32, u32, u8)>,
 }
 
 impl TargetPool {
@@ -176,10 +194,37 @@
         let missing = state.missing_tokens(chain);
         state.own.requests += 1;
         state.own.backlog_tokens += missing;
-        state.note_links(chain, now);
+        for link in chain.links() {
+            state.note_link(short_link(link.hash), now);
+        }
+        // A link stands for all before it; the last one is of use only to its session.
+        for link in chain.links().iter().rev().take(2) {
+            self.untold.push_back((short_link(link.hash), state.short_hash, READ_TELLINGS));
+        }
+        while self.untold.len() > MAX_UNTOLD {
+            self.untold.pop_front();
+        }
         missing
     }
 
+    /// Readings to be told to other daemons: the short hash of a chain's link, and the target's.
+    pub fn recent_reads(&mut self, count: usize) -> Vec<(u32, u32)> {
+        let due = count.min(self.untold.len());
+        let told: Vec<_> = self.untold.drain(..due).collect();
+        let again = told.iter().filter(|(_, _, times)| *times > 1);
+        let again: Vec<_> = again.map(|(link, hash, times)| (*link, *hash, times - 1)).collect();
+        self.untold.extend(again);
+        told.into_iter().map(|(link, hash, _)| (link, hash)).collect()
+    }
+
+    /// Records a reading that another daemon told.
+    pub fn note_peer_read(&mut self, hash: u32, link: u32, now: MonoTime) {
+        let Some(key) = self.by_hash.get(&hash) else { return };
+        if let Some(state) = self.targets.get_mut(*key) {
+            state.note_link(link, now);
+        }
+    }
+
     /// Records that the prompt of a request has been read.
     pub fn note_read(&mut self, key: TargetKey, tokens: u32) {
         if let Some(state) = self.targets.get_mut(key) {
--- a/ggt-daemon/src/front/attempt.rs
+++ b/ggt-daemon/src/front/attempt.rs
@@ -17,6 +17,7 @@
 use crate::front::channels::open_channel;
 use crate::front::job::FrontJob;
 use crate::front::job::SendGuard;
+use crate::front::state::BLAME_MS;
 use crate::front::state::FrontState;
 use crate::logging::quoted;
 use ggt_core::blame::DeathMark;
@@ -46,8 +47,6 @@
 const FIRST_URGENCY: u32 = 3;
 /// Least urgency towards targets.
 const LAST_URGENCY: u32 = 9;
-/// Milliseconds for which a request stays under suspicion of crashing its targets.
-const BLAME_MS: u64 = 60_000;
 
 /// A reply whose head has come.
 pub struct TargetReply {
@@ -157,6 +156,7 @@
             service: &job.service,
             chain: job.chain.as_ref(),
             spread_hash: ggt_core::routes::share_hash(&job.id),
+            goal_ms: job.route.goal_ms,
             data_centre: &settings.data_centre,
             tried: &self.tried,
             is_idempotent: job.route.is_idempotent,
--- a/ggt-daemon/src/front/peers.rs
+++ b/ggt-daemon/src/front/peers.rs
@@ -29,6 +29,8 @@
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 /// Targets whose load a digest tells at most.
 const MAX_LOADS: usize = 100;
+/// Prompts whose reading a digest tells at most.
+const MAX_READS: usize = 48;
 /// Deaths that a digest tells at most.
 const MAX_DEATHS: usize = 8;
 /// Time that the platform's own news has before facts are asked of a peer, in milliseconds.
@@ -37,8 +39,6 @@
 const FETCH_STEP: Duration = Duration::from_millis(60);
 /// Longest time for one call to a peer.
 const FETCH_WAIT: Duration = Duration::from_millis(800);
-/// Milliseconds for which a request told by a peer stays under suspicion.
-const BLAME_MS: u64 = 60_000;
 
 /// Why facts could not be had from a peer.
 #[derive(Debug, Snafu)]
@@ -108,6 +108,7 @@
 }
 
 fn own_digest(state: &FrontState, address: SocketAddr, number: u64) -> PeerDigest {
+    let reads = state.pool.borrow_mut().recent_reads(MAX_READS);
     let pool = state.pool.borrow();
     let busy = pool.iter().filter(|(_, target)| target.own.requests > 0);
     let platform_age_ms = mono_now().millis_since(state.platform_seen_at.get());
@@ -120,6 +121,7 @@
         config_revision: state.facts(FactKind::Config).borrow().last_change(),
         platform_age_ms: u32::try_from(platform_age_ms).unwrap_or(u32::MAX),
         loads: busy.map(|(_, target)| (target.short_hash, target.own)).take(MAX_LOADS).collect(),
+        reads,
         deaths: state.blame.borrow().latest(MAX_DEATHS),
         named: state.fleet.borrow().named(number),
     }
@@ -145,18 +147,7 @@
         Ok(digest) => digest,
         Err(e) => return log::warn!("event=digest outcome=unreadable cause=\"{e}\""),
     };
-    let now = mono_now();
-    let expires_at = now + BLAME_MS;
-    for (print, death) in &digest.deaths {
-        if state.blame.borrow_mut().note_death(*print, *death, expires_at) {
-            log::info!("event=crash-told print={:016x} death={:016x}", print.0, death.0);
-        }
-    }
-    let changes = state.fleet.borrow_mut().take(digest, now);
-    let mut pool = state.pool.borrow_mut();
-    changes
-        .iter()
-        .for_each(|change| pool.change_peer_load(change.hash, change.before, change.after));
+    state.take_digest(digest);
 }
 
 /// Asks peers for facts that they know and this daemon does not, until the task is dropped.
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -18,7 +18,9 @@
 use ggt_core::facts::FactBatch;
 use ggt_core::facts::FactChange;
 use ggt_core::facts::FactTable;
+use ggt_core::facts::OutageRecord;
 use ggt_core::fleet::FleetTable;
+use ggt_core::fleet::PeerDigest;
 use ggt_core::routes::RouteBook;
 use ggt_core::spend::SpendWindow;
 use ggt_core::targets::TargetPool;
@@ -32,8 +34,9 @@
 const CRASH_LIMIT: u32 = 3;
 /// Requests under suspicion of crashing their targets, at most.
 const MAX_SUSPECTS: usize = 4_096;
-/// Time in which targets that lapsed while the platform was away register again.
-const LAPSE_RETURN_MS: u64 = 2_200;
+
+/// Milliseconds for which a request stays under suspicion of crashing its targets.
+pub const BLAME_MS: u64 = 60_000;
 
 /// One folder of what the platform publishes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -92,8 +95,7 @@
     book: RefCell<Option<Rc<RouteBook>>>,
     spends: RefCell<HashMap<String, SpendWindow>>,
     is_draining: Cell<bool>,
-    platform_back_at: Cell<Option<MonoTime>>,
-    is_platform_away: Cell<bool>,
+    outage: Cell<OutageRecord>,
 }
 
 impl FrontState {
@@ -116,8 +118,7 @@
             book: RefCell::default(),
             spends: RefCell::default(),
             is_draining: Cell::new(false),
-            platform_back_at: Cell::new(None),
-            is_platform_away: Cell::new(false),
+            outage: Cell::default(),
         }
     }
 
@@ -158,17 +159,40 @@
     pub fn note_platform_answer(&self) {
         let now = mono_now();
         self.platform_seen_at.set(now);
-        if self.is_platform_away.replace(false) {
-            self.platform_back_at.set(Some(now));
+        let mut outage = self.outage.get();
+        if outage.note_answer(now) {
             log::info!("event=regained dependency=platform");
         }
+        self.outage.set(outage);
     }
 
     /// Records that the platform did not answer.
     pub fn note_platform_failure(&self, cause: &str) {
-        if !self.is_platform_away.replace(true) {
+        let mut outage = self.outage.get();
+        if outage.note_lost(mono_now()) {
             log::warn!("event=lost dependency=platform cause={}", quoted(cause));
         }
+        self.outage.set(outage);
+    }
+
+    /// Takes the digest of another daemon.
+    pub fn take_digest(&self, digest: PeerDigest) {
+        let now = mono_now();
+        for (print, death) in &digest.deaths {
+            if self.blame.borrow_mut().note_death(*print, *death, now + BLAME_MS) {
+                log::info!("event=crash-told print={:016x} death={:016x}", print.0, death.0);
+            }
+        }
+        let mut outage = self.outage.get();
+        let age_ms = u64::from(digest.platform_age_ms);
+        outage.note_proof(MonoTime::from_millis(now.as_millis().saturating_sub(age_ms)));
+        self.outage.set(outage);
+        let mut pool = self.pool.borrow_mut();
+        for (link, target) in &digest.reads {
+            pool.note_peer_read(*target, *link, now);
+        }
+        let changes = self.fleet.borrow_mut().take(digest, now);
+        changes.iter().for_each(|c| pool.change_peer_load(c.hash, c.before, c.after));
     }
 
     /// Takes facts of one folder from the platform or from a peer.
@@ -244,8 +268,7 @@
             None => {
                 // Targets that lapsed while the platform was away register again after its return.
                 let now = mono_now();
-                let back_at = self.platform_back_at.get().map(|at| at + LAPSE_RETURN_MS);
-                let gone_at = back_at.unwrap_or(now).max(now);
+                let gone_at = self.outage.get().gone_at(now);
                 let wait_ms = gone_at.millis_since(now);
                 log::info!(
                     "event=target target={id} status=unlisted revision={revision} \
