--- a/ggt-core/src/targets/choice.rs
+++ b/ggt-core/src/targets/choice.rs
@@ -4,6 +4,7 @@
 
 use crate::clock::MonoTime;
 use crate::prompts::PromptChain;
+use crate::prompts::PromptPart;
 use crate::routing::rendezvous_score;
 use crate::targets::TargetKey;
 use crate::targets::TargetPool;
@@ -67,6 +68,8 @@
     pub load: f64,
     /// The bound on load that held.
     pub bound: f64,
+    /// Another target that has read the prompt, from which the chosen one may copy it.
+    pub source: Option<TargetKey>,
 }
 
 /// Why no target can take a request.
@@ -90,6 +93,8 @@
 const TOKENS_PER_REQUEST: f64 = 4_000.0;
 /// Prompt tokens that an engine reads in a millisecond.
 const TOKENS_PER_MS: f64 = 100.0;
+/// Prompt tokens from which on a copy from another target is faster than reading them.
+const MIN_COPY_TOKENS: u32 = 512;
 /// Part of the goal that a prompt may wait for others to be read before it goes to a target that
 /// must read it anew.
 const WAIT_PART: f64 = 0.4;
@@ -136,7 +141,34 @@
         let wall = CACHED_LOAD_FACTOR * mean + CACHED_LOAD_SLACK;
         let wait = WAIT_PART * query.goal_ms as f64;
         let cached = least_cached(usable, anchor.hash, wall, wait);
-        Ok(cached.unwrap_or_else(|| in_order(usable, anchor.hash, bound)))
+        if let Some(choice) = cached {
+            return Ok(choice);
+        }
+        let choice = in_order(usable, anchor.hash, bound);
+        Ok(TargetChoice { source: self.source_of(query, anchor, choice.key, now), ..choice })
+    }
+}
+
+impl TargetPool {
+    /// A target that the chosen one may copy the prompt from, when that is worth its while.
+    ///
+    /// Targets that are leaving still serve as sources.
+    fn source_of(
+        &self,
+        query: &ChoiceQuery<'_>,
+        anchor: PromptPart,
+        chosen: TargetKey,
+        now: MonoTime,
+    ) -> Option<TargetKey> {
+        let missing = self.target(chosen)?.missing_tokens(query.chain?);
+        if anchor.tokens.min(missing) < MIN_COPY_TOKENS {
+            return None;
+        }
+        let others = self.of_service(query.service).iter().filter(|key| **key != chosen);
+        let holders = others
+            .filter_map(|key| self.target(*key).map(|state| (*key, state)))
+            .filter(|(_, state)| state.holds(anchor.hash) && is_fit(state, now));
+        holders.max_by_key(|(_, state)| state.heard_at).map(|(key, _)| key)
     }
 }
 
@@ -155,7 +187,7 @@
     let is_due = |state: &TargetState| state.health.is_on_trial(now) && state.own.requests == 0;
     let (key, state) = listed.iter().find(|(_, state)| is_due(state))?;
     let load = load_of(state);
-    Some(TargetChoice { key: *key, reason: ChoiceReason::Trial, load, bound: load })
+    Some(TargetChoice { key: *key, reason: ChoiceReason::Trial, load, bound: load, source: None })
 }
 
 /// The least loaded target that has read the prompt and will soon be free to go on with it.
@@ -173,7 +205,7 @@
     let least = holders.min_by(|(_, a), (_, b)| load_of(a).total_cmp(&load_of(b)));
     least.map(|(key, state)| {
         let load = load_of(state);
-        TargetChoice { key: *key, reason: ChoiceReason::Cached, load, bound: wall }
+        TargetChoice { key: *key, reason: ChoiceReason::Cached, load, bound: wall, source: None }
     })
 }
 
@@ -193,7 +225,7 @@
         }
     };
     let (_, key, load) = order[place];
-    TargetChoice { key, reason, load, bound }
+    TargetChoice { key, reason, load, bound, source: None }
 }
 
 fn least_loaded(
@@ -210,7 +242,13 @@
         cost(a).total_cmp(&cost(b)).then_with(|| spread(b).total_cmp(&spread(a)))
     });
     let (key, state) = least.unwrap_or(&usable[0]);
-    TargetChoice { key: *key, reason: ChoiceReason::Least, load: load_of(state), bound }
+    TargetChoice {
+        key: *key,
+        reason: ChoiceReason::Least,
+        load: load_of(state),
+        bound,
+        source: None,
+    }
 }
 
 /// Load in requests, with the prompts that are still to be read.
--- a/ggt-core/src/targets/pool.rs
+++ b/ggt-core/src/targets/pool.rs
@@ -189,9 +189,19 @@
     }
 
     /// Counts a request as in flight; returns the prompt tokens that it adds to the backlog.
-    pub fn note_sent(&mut self, key: TargetKey, chain: &PromptChain, now: MonoTime) -> u32 {
+    ///
+    /// With `is_copied` all but the chain's last link comes from another target.
+    pub fn note_sent(
+        &mut self,
+        key: TargetKey,
+        chain: &PromptChain,
+        is_copied: bool,
+        now: MonoTime,
+    ) -> u32 {
         let Some(state) = self.targets.get_mut(key) else { return 0 };
+        let last = chain.links().last().map_or(0, |link| link.tokens);
         let missing = state.missing_tokens(chain);
+        let missing = if is_copied { missing.min(last) } else { missing };
         state.own.requests += 1;
         state.own.backlog_tokens += missing;
         for link in chain.links() {
--- a/ggt-daemon/src/front/attempt.rs
+++ b/ggt-daemon/src/front/attempt.rs
@@ -25,6 +25,7 @@
 use ggt_core::prompts::PromptChain;
 use ggt_core::targets::ChoiceQuery;
 use ggt_core::targets::SendOutcome;
+use ggt_core::targets::TargetChoice;
 use ggt_core::targets::TargetKey;
 use ggt_platform::ReplyFacts;
 use ggt_platform::SendFacts;
@@ -116,10 +117,10 @@
             if mono_now() >= self.job.deadline {
                 return Err(self.timed_out());
             }
-            let key = self.choose()?;
-            match self.send(key, last_event).await {
+            let choice = self.choose()?;
+            match self.send(&choice, last_event).await {
                 Ok(reply) => return Ok(reply),
-                Err(error) => self.after_failure(key, error).await?,
+                Err(error) => self.after_failure(choice.key, error).await?,
             }
         }
     }
@@ -148,7 +149,7 @@
         }
     }
 
-    fn choose(&mut self) -> Result<TargetKey, FrontRefusal> {
+    fn choose(&mut self) -> Result<TargetChoice, FrontRefusal> {
         let (state, job) = (&self.state, &self.job);
         let settings = state.settings();
         let now = mono_now();
@@ -170,10 +171,11 @@
             return Err(FrontRefusal::not_run("no-target", NO_TARGET_RETRY_MS));
         };
         let report = target.report.unwrap_or_default();
+        let source = choice.source.and_then(|source| pool.target(source));
         log::info!(
             "event=route request_id={} route={} version={} customer={} service={} target={} \
              incarnation={} reason={} load={:.1} bound={:.1} own={} peers={} told={} told_age_ms={} \
-             send={} left_ms={}",
+             copy_from={} send={} left_ms={}",
             quoted(&job.id),
             job.route.name,
             job.version,
@@ -188,25 +190,27 @@
             target.peers.requests,
             report.0.running + report.0.waiting,
             now.millis_since(report.1),
+            source.map_or("-", |source| source.record.id.as_str()),
             self.sends + 1,
             job.wait_ms(),
         );
         drop(pool);
         state.metrics.note_choice(choice.reason.as_str());
         self.tried.push(choice.key);
-        Ok(choice.key)
+        Ok(choice)
     }
 
     async fn send(
         &mut self,
-        key: TargetKey,
+        choice: &TargetChoice,
         last_event: Option<u64>,
     ) -> Result<TargetReply, SendError> {
+        let key = choice.key;
         let none = PromptChain::default();
-        let guard =
-            SendGuard::new(self.state.clone(), key, self.job.chain.as_ref().unwrap_or(&none));
+        let chain = self.job.chain.as_ref().unwrap_or(&none);
+        let guard = SendGuard::new(self.state.clone(), key, chain, choice.source.is_some());
         let mut channel = self.channel(key).await?;
-        let request = self.request(key, last_event)?;
+        let request = self.request(choice, last_event)?;
         let deadline = self.job.deadline + LAST_WORD_MS;
         let was_kept = channel.is_kept;
         self.sends += 1;
@@ -252,12 +256,14 @@
 
     fn request(
         &self,
-        key: TargetKey,
+        choice: &TargetChoice,
         last_event: Option<u64>,
     ) -> Result<Request<Full<bytes::Bytes>>, SendError> {
         let job = &self.job;
         let pool = self.state.pool.borrow();
-        let target = pool.target(key).ok_or(SendError::NotSent { cause: "gone".to_owned() })?;
+        let source = choice.source.and_then(|source| pool.target(source));
+        let target =
+            pool.target(choice.key).ok_or(SendError::NotSent { cause: "gone".to_owned() })?;
         let urgency = job.chain.is_some().then(|| (FIRST_URGENCY + job.priority).min(LAST_URGENCY));
         let facts = SendFacts {
             target_id: &target.record.id,
@@ -265,6 +271,7 @@
             wait_ms: job.wait_ms().max(1),
             urgency,
             last_event,
+            copy_from: source.map(|source| source.record.address),
         };
         let mut request = Request::new(Full::new(job.body.clone()));
         *request.method_mut() = job.method.clone();
--- a/ggt-daemon/src/front/job.rs
+++ b/ggt-daemon/src/front/job.rs
@@ -108,8 +108,13 @@
 
 impl SendGuard {
     /// Counts a send.
-    pub fn new(state: Rc<FrontState>, key: TargetKey, chain: &PromptChain) -> Self {
-        let tokens = state.pool.borrow_mut().note_sent(key, chain, mono_now());
+    pub fn new(
+        state: Rc<FrontState>,
+        key: TargetKey,
+        chain: &PromptChain,
+        is_copied: bool,
+    ) -> Self {
+        let tokens = state.pool.borrow_mut().note_sent(key, chain, is_copied, mono_now());
         Self { state, key, backlog_tokens: Cell::new(tokens) }
     }
 
