--- a/ggt-core/src/fleet/mod.rs
+++ b/ggt-core/src/fleet/mod.rs
@@ -37,6 +37,8 @@
     pub incarnation: u64,
     /// Rises with each digest of one life.
     pub number: u64,
+    /// Milliseconds since the daemon started.
+    pub age_ms: u64,
     /// Whether the daemon is stopping.
     pub is_leaving: bool,
     /// Revision of the latest change of a target that the daemon knows.
--- a/ggt-core/src/prompts/mod.rs
+++ b/ggt-core/src/prompts/mod.rs
@@ -1,6 +1,7 @@
 //! The parts of a prompt, by which requests find the cache that holds them.
 
 use crate::ident::mix_hash;
+use crate::ident::stable_hash;
 
 /// One part of a prompt; requests share parts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -11,6 +12,11 @@
     pub tokens: u32,
 }
 
+/// Identifies a part of a prompt for one model.
+pub fn link_hash(model: &str, part: u64) -> u64 {
+    mix_hash(stable_hash(model.as_bytes()), part)
+}
+
 /// A prompt's parts as they are cached: each only together with all parts before it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PromptChain {
@@ -19,16 +25,14 @@
 
 impl PromptChain {
     /// The chain of `parts` for `model`.
-    pub fn new(model: u64, parts: &[PromptPart]) -> Self {
-        let mut hash = model;
-        let links = parts.iter().map(|part| {
-            hash = mix_hash(hash, part.hash);
-            PromptPart { hash, tokens: part.tokens }
-        });
+    pub fn new(model: &str, parts: &[PromptPart]) -> Self {
+        let links = parts
+            .iter()
+            .map(|part| PromptPart { hash: link_hash(model, part.hash), tokens: part.tokens });
         Self { links: links.collect() }
     }
 
-    /// The links, each identified together with all before it.
+    /// The links, each identified for its model.
     pub fn links(&self) -> &[PromptPart] {
         &self.links
     }
--- a/ggt-core/src/targets/choice.rs
+++ b/ggt-core/src/targets/choice.rs
@@ -99,7 +99,11 @@
 /// must read it anew.
 const WAIT_PART: f64 = 0.4;
 /// Requests by which a target in another data centre must be less loaded to be preferred.
-const REMOTE_PENALTY: f64 = 0.5;
+const REMOTE_PENALTY: f64 = 2.0;
+/// Part of all targets that cannot be reached from which on a daemon counts as cut off.
+const CUT_OFF_PART: f64 = 0.85;
+/// Unreachable targets in one data centre from which on the whole data centre is avoided.
+const MIN_CENTRE_LOSSES: usize = 2;
 
 impl TargetPool {
     /// Chooses a target.
@@ -120,36 +124,63 @@
             .filter_map(|key| self.target(*key).map(|state| (*key, state)))
             .filter(|(key, state)| !state.record.is_leaving && !query.tried.contains(key))
             .collect();
-        let fit = listed.iter().filter(|(_, state)| is_fit(state, now)).copied();
-        let fit: Vec<_> = fit.collect();
-        if query.is_idempotent
-            && let Some(choice) = trial(&listed, query.tried, now)
-        {
+        if let Some(choice) = trial(&listed, query, now) {
             return Ok(choice);
         }
-        // When most targets are held, the fault is more likely elsewhere, and those left must not be
-        // overrun.
-        let usable = if fit.len() * 2 < listed.len() { &listed } else { &fit };
+        let reachable = listed.iter().filter(|(_, state)| !state.health.is_unreachable()).copied();
+        let reachable: Vec<_> = reachable.collect();
+        let fit: Vec<_> = reachable.iter().filter(|(_, s)| is_fit(s, now)).copied().collect();
+        // When most targets answer with errors, the fault is more likely elsewhere, and those left
+        // must not be overrun.
+        let usable = if fit.len() * 2 < reachable.len() { reachable } else { fit };
+        let usable = self.outside_lost_centres(usable, query.data_centre);
         if usable.is_empty() {
             return Err(ChoiceError::NoTarget);
         }
         let mean = usable.iter().map(|(_, s)| load_of(s)).sum::<f64>() / usable.len() as f64;
         let bound = LOAD_FACTOR * (mean + 1.0) + LOAD_SLACK;
         let Some(anchor) = query.chain.and_then(PromptChain::anchor) else {
-            return Ok(least_loaded(usable, query, bound));
+            return Ok(least_loaded(&usable, query, bound));
         };
         let wall = CACHED_LOAD_FACTOR * mean + CACHED_LOAD_SLACK;
         let wait = WAIT_PART * query.goal_ms as f64;
-        let cached = least_cached(usable, anchor.hash, wall, wait);
+        let cached = least_cached(&usable, anchor.hash, wall, wait);
         if let Some(choice) = cached {
             return Ok(choice);
         }
-        let choice = in_order(usable, anchor.hash, bound);
+        let choice = in_order(&usable, anchor.hash, bound);
         Ok(TargetChoice { source: self.source_of(query, anchor, choice.key, now), ..choice })
     }
 }
 
 impl TargetPool {
+    /// The targets outside data centres in which several targets cannot be reached, or all of them when
+    /// none would be left: a cut between data centres shows at a few targets first.
+    fn outside_lost_centres<'a>(
+        &self,
+        usable: Vec<(TargetKey, &'a TargetState)>,
+        own_centre: &str,
+    ) -> Vec<(TargetKey, &'a TargetState)> {
+        let lost = self.iter().filter(|(_, state)| state.health.is_unreachable());
+        let lost: Vec<_> = lost.map(|(_, state)| state.record.data_centre.as_str()).collect();
+        if lost.len() < MIN_CENTRE_LOSSES {
+            return usable;
+        }
+        let is_lost = |state: &TargetState| {
+            let centre = state.record.data_centre.as_str();
+            centre != own_centre
+                && lost.iter().filter(|other| **other == centre).count() >= MIN_CENTRE_LOSSES
+        };
+        let outside: Vec<_> = usable.iter().filter(|(_, s)| !is_lost(s)).copied().collect();
+        if outside.is_empty() { usable } else { outside }
+    }
+
+    /// Whether hardly any target can be reached, so that the fault is this daemon's own place.
+    pub fn is_cut_off(&self) -> bool {
+        let lost = self.iter().filter(|(_, state)| state.health.is_unreachable()).count();
+        lost as f64 > CUT_OFF_PART * self.len() as f64
+    }
+
     /// A target that the chosen one may copy the prompt from, when that is worth its while.
     ///
     /// Targets that are leaving still serve as sources.
@@ -176,15 +207,23 @@
     !state.health.is_held(now) && !state.health.is_on_trial(now)
 }
 
+/// A target whose hold is over and that one request is to show to be fit again.
+///
+/// A request that may run only once goes to a target that could not be reached, since it either does
+/// not get there or finds it well, but not to one that answered with errors.
 fn trial(
     listed: &[(TargetKey, &TargetState)],
-    tried: &[TargetKey],
+    query: &ChoiceQuery<'_>,
     now: MonoTime,
 ) -> Option<TargetChoice> {
-    if !tried.is_empty() {
+    if !query.tried.is_empty() {
         return None;
     }
-    let is_due = |state: &TargetState| state.health.is_on_trial(now) && state.own.requests == 0;
+    let is_due = |state: &TargetState| {
+        state.health.is_on_trial(now)
+            && state.own.requests == 0
+            && (query.is_idempotent || state.health.is_unreachable())
+    };
     let (key, state) = listed.iter().find(|(_, state)| is_due(state))?;
     let load = load_of(state);
     Some(TargetChoice { key: *key, reason: ChoiceReason::Trial, load, bound: load, source: None })
--- a/ggt-core/src/targets/health.rs
+++ b/ggt-core/src/targets/health.rs
@@ -34,31 +34,30 @@
     weighed_at: MonoTime,
     holds: u32,
     held_until: Option<MonoTime>,
-    last_good_at: MonoTime,
+    is_unreachable: bool,
 }
 
 impl HealthState {
     /// Records an outcome; `siblings` is the share of bad outcomes at the service's other targets.
     ///
-    /// Returns the end of a hold that begins with it.
+    /// Returns the end of a hold that begins with it. A target that is on trial is fit again after one
+    /// good outcome.
     pub fn note(&mut self, outcome: SendOutcome, siblings: f64, now: MonoTime) -> Option<MonoTime> {
         self.decay(now);
         match outcome {
             SendOutcome::Good => {
                 self.good += 1.0;
-                self.last_good_at = now;
-                if self.held_until.is_some_and(|until| now >= until) {
-                    *self =
-                        Self { good: 1.0, weighed_at: now, last_good_at: now, ..Self::default() };
+                if self.is_on_trial(now) {
+                    *self = Self { good: 1.0, weighed_at: now, ..Self::default() };
                 }
                 None
             }
             SendOutcome::Bad => {
                 self.bad += 1.0;
-                let is_trial = self.held_until.is_some_and(|until| now >= until);
-                (is_trial || self.is_worse(siblings)).then(|| self.hold(now)).flatten()
+                let is_due = self.is_on_trial(now) || self.is_worse(siblings);
+                if is_due { self.hold(false, now) } else { None }
             }
-            SendOutcome::Unreachable => self.hold(now),
+            SendOutcome::Unreachable => self.hold(true, now),
         }
     }
 
@@ -68,11 +67,6 @@
         if total > 0.0 { self.bad / total } else { 0.0 }
     }
 
-    /// When the target last answered as it should.
-    pub fn last_good_at(&self) -> MonoTime {
-        self.last_good_at
-    }
-
     /// Whether the target is kept out of the choice.
     pub fn is_held(&self, now: MonoTime) -> bool {
         self.held_until.is_some_and(|until| now < until)
@@ -83,12 +77,18 @@
         self.held_until.is_some_and(|until| now >= until)
     }
 
+    /// Whether the target could not be reached when it was last tried.
+    pub fn is_unreachable(&self) -> bool {
+        self.is_unreachable
+    }
+
     fn is_worse(&self, siblings: f64) -> bool {
         let limit = MIN_BAD_SHARE.max(SIBLING_RATIO * siblings);
         self.bad >= MIN_BAD_WEIGHT && self.bad_share() > limit
     }
 
-    fn hold(&mut self, now: MonoTime) -> Option<MonoTime> {
+    fn hold(&mut self, is_unreachable: bool, now: MonoTime) -> Option<MonoTime> {
+        self.is_unreachable |= is_unreachable;
         if self.is_held(now) {
             return None;
         }
--- a/ggt-core/src/targets/pool.rs
+++ b/ggt-core/src/targets/pool.rs
@@ -227,6 +227,21 @@
         told.into_iter().map(|(link, hash, _)| (link, hash)).collect()
     }
 
+    /// Records that a target holds a part, from its own list; it is told to other daemons.
+    pub fn note_listed_part(&mut self, key: TargetKey, link: u64, now: MonoTime) {
+        let Some(state) = self.targets.get_mut(key) else { return };
+        let link = short_link(link);
+        state.note_link(link, now);
+        self.untold.push_back((link, state.short_hash, READ_TELLINGS));
+    }
+
+    /// All known readings: the short hash of a chain's link, and the target's.
+    pub fn all_reads(&self) -> Vec<(u32, u32)> {
+        let targets = self.targets.values();
+        let reads = targets.flat_map(|s| s.links.keys().map(|link| (*link, s.short_hash)));
+        reads.collect()
+    }
+
     /// Records a reading that another daemon told.
     pub fn note_peer_read(&mut self, hash: u32, link: u32, now: MonoTime) {
         let Some(key) = self.by_hash.get(&hash) else { return };
--- /dev/null
+++ b/ggt-core/tests/events.rs
@@ -0,0 +1,59 @@
+//! Streams are cut into whole events, each passed on once.
+
+use quickcheck::QuickCheck;
+
+use ggt_core::events::EventOrder;
+use ggt_core::events::EventSplitter;
+use ggt_core::events::EventVerdict;
+
+fn stream_of(count: u64) -> Vec<u8> {
+    let events = (1..=count).map(|id| format!("id: {id}\ndata: part {id}\n\n"));
+    events.collect::<String>().into_bytes()
+}
+
+#[test]
+fn events_come_out_whole_however_the_bytes_arrive() {
+    fn whole_events(cuts: Vec<u8>) -> bool {
+        let bytes = stream_of(20);
+        let mut splitter = EventSplitter::default();
+        let (mut at, mut ids, mut out) = (0, Vec::new(), Vec::new());
+        for cut in cuts.iter().copied().chain(std::iter::repeat(7)) {
+            if at == bytes.len() {
+                break;
+            }
+            let end = (at + usize::from(cut)).min(bytes.len());
+            for event in splitter.push(&bytes[at..end]).expect("short events") {
+                ids.extend(event.id);
+                out.extend(event.bytes);
+            }
+            at = end;
+        }
+        ids == (1..=20).collect::<Vec<_>>() && out == bytes && !splitter.is_torn()
+    }
+    QuickCheck::new().tests(500).quickcheck(whole_events as fn(Vec<u8>) -> bool);
+}
+
+#[test]
+fn a_stream_that_ends_within_an_event_is_torn() {
+    let mut splitter = EventSplitter::default();
+    let events = splitter.push(b"id: 1\ndata: a\n\nid: 2\nda").expect("short events");
+    assert_eq!(events.len(), 1);
+    assert!(splitter.is_torn());
+}
+
+#[test]
+fn lines_may_end_with_carriage_returns_and_bear_other_fields_first() {
+    let mut splitter = EventSplitter::default();
+    let events = splitter.push(b"version: 4\r\nid: 9\r\ndata: a\r\n\r\n").expect("short events");
+    assert_eq!(events[0].id, Some(9));
+}
+
+#[test]
+fn a_resumed_stream_goes_on_with_the_next_event() {
+    let mut order = EventOrder::after(Some(4));
+    assert_eq!(order.judge(Some(4)), EventVerdict::Skip);
+    assert_eq!(order.judge(Some(5)), EventVerdict::Pass);
+    assert_eq!(order.judge(Some(5)), EventVerdict::Skip);
+    assert_eq!(order.judge(Some(7)), EventVerdict::Gap);
+    assert_eq!(order.last(), Some(5));
+}
--- /dev/null
+++ b/ggt-core/tests/facts.rs
@@ -0,0 +1,121 @@
+//! Facts from the platform and from peers end in the same state, whatever their order.
+
+use std::sync::Arc;
+
+use quickcheck::QuickCheck;
+
+use ggt_core::clock::MonoTime;
+use ggt_core::facts::FactBatch;
+use ggt_core::facts::FactChange;
+use ggt_core::facts::FactTable;
+use ggt_core::facts::OutageRecord;
+
+fn change(key: u8, revision: u64, is_removal: bool) -> FactChange {
+    let value = (!is_removal).then(|| Arc::new(revision.to_string().into_bytes()));
+    FactChange { key: format!("servers/{key}"), revision, value }
+}
+
+fn part(changes: Vec<FactChange>) -> FactBatch {
+    let revision = changes.iter().map(|change| change.revision).max().unwrap_or_default();
+    FactBatch { revision, is_whole: false, changes }
+}
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(millis)
+}
+
+#[test]
+fn the_order_in_which_changes_arrive_does_not_matter() {
+    fn same_end(history: Vec<(u8, bool)>, order: Vec<u16>) -> bool {
+        let changes: Vec<_> = (1..)
+            .zip(&history)
+            .map(|(revision, (key, is_removal))| change(key % 8, revision, *is_removal))
+            .collect();
+        let mut shuffled = changes.clone();
+        for (at, swap) in order.iter().enumerate().take(shuffled.len()) {
+            let other = usize::from(*swap) % shuffled.len();
+            shuffled.swap(at, other);
+        }
+        let (mut first, mut second) = (FactTable::default(), FactTable::default());
+        changes.into_iter().for_each(|change| drop(first.take(part(vec![change]))));
+        for change in shuffled {
+            second.take(part(vec![change.clone()]));
+            second.take(part(vec![change]));
+        }
+        (0..8).all(|key| {
+            let key = format!("servers/{key}");
+            first.value(&key) == second.value(&key)
+        })
+    }
+    let check = same_end as fn(Vec<(u8, bool)>, Vec<u16>) -> bool;
+    QuickCheck::new().tests(500).quickcheck(check);
+}
+
+#[test]
+fn an_older_account_does_not_bring_a_removed_key_back() {
+    let mut table = FactTable::default();
+    table.take(part(vec![change(1, 3, false)]));
+    table.take(part(vec![change(1, 5, true)]));
+    assert!(table.take(part(vec![change(1, 4, false)])).is_empty());
+    assert_eq!(table.value("servers/1"), None);
+}
+
+#[test]
+fn a_whole_account_removes_what_it_does_not_hold() {
+    let mut table = FactTable::default();
+    table.take(part(vec![change(1, 3, false), change(2, 4, false)]));
+    let whole = FactBatch { revision: 9, is_whole: true, changes: vec![change(2, 4, false)] };
+    let news = table.take(whole);
+    assert_eq!(news.len(), 1);
+    assert_eq!(table.value("servers/1"), None);
+    assert!(table.value("servers/2").is_some());
+}
+
+#[test]
+fn a_peer_gets_only_what_it_lacks_or_everything() {
+    let mut table = FactTable::default();
+    let whole = FactBatch { revision: 10, is_whole: true, changes: vec![change(1, 7, false)] };
+    table.take(whole);
+    table.take(part(vec![change(2, 12, false)]));
+    table.take(part(vec![change(1, 13, true)]));
+    let since = table.since(10);
+    assert!(!since.is_whole);
+    assert_eq!(since.changes.len(), 2);
+    // What happened before the whole account is not known change by change.
+    assert!(table.since(8).is_whole);
+    assert!(table.since(0).is_whole);
+    let mut peer = FactTable::default();
+    peer.take(table.since(0));
+    assert_eq!(peer.value("servers/1"), None);
+    assert!(peer.value("servers/2").is_some());
+}
+
+#[test]
+fn targets_that_lapsed_while_the_platform_was_away_have_time_to_return() {
+    let mut outage = OutageRecord::default();
+    outage.note_proof(at(900));
+    assert!(outage.note_lost(at(1_000)));
+    assert!(!outage.note_lost(at(2_000)));
+    assert!(outage.note_answer(at(6_000)));
+    assert_eq!(outage.gone_at(at(6_100)), at(8_200));
+    assert_eq!(outage.gone_at(at(9_000)), at(9_000));
+}
+
+#[test]
+fn targets_that_left_while_one_daemon_was_turned_away_are_gone_at_once() {
+    let mut outage = OutageRecord::default();
+    outage.note_lost(at(1_000));
+    // Another daemon had an answer in the middle of the outage.
+    outage.note_proof(at(3_000));
+    outage.note_answer(at(6_000));
+    assert_eq!(outage.gone_at(at(6_100)), at(6_100));
+}
+
+#[test]
+fn a_daemon_that_notices_the_return_first_is_no_proof() {
+    let mut outage = OutageRecord::default();
+    outage.note_lost(at(1_000));
+    outage.note_proof(at(5_500));
+    outage.note_answer(at(6_000));
+    assert_eq!(outage.gone_at(at(6_100)), at(8_200));
+}
--- /dev/null
+++ b/ggt-core/tests/fleet.rs
@@ -0,0 +1,92 @@
+//! Daemons find each other from seeds and account for each other's loads.
+
+use std::net::SocketAddr;
+
+use ggt_core::clock::MonoTime;
+use ggt_core::fleet::FleetTable;
+use ggt_core::fleet::PeerDigest;
+use ggt_core::targets::FlightLoad;
+
+fn address(number: u8) -> SocketAddr {
+    ([10, 0, 0, number], 7_000).into()
+}
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(millis)
+}
+
+fn digest(from: u8, incarnation: u64, number: u64) -> PeerDigest {
+    PeerDigest {
+        address: address(from),
+        incarnation,
+        number,
+        age_ms: 0,
+        is_leaving: false,
+        target_revision: 0,
+        config_revision: 0,
+        platform_age_ms: 0,
+        loads: Vec::new(),
+        reads: Vec::new(),
+        deaths: Vec::new(),
+        named: Vec::new(),
+    }
+}
+
+fn load(requests: u32) -> FlightLoad {
+    FlightLoad { requests, backlog_tokens: 0 }
+}
+
+#[test]
+fn one_living_seed_is_enough_to_find_all() {
+    const DAEMONS: u8 = 12;
+    let mut tables: Vec<_> = (1..=DAEMONS).map(|n| FleetTable::new(address(n))).collect();
+    let seeds = [address(1), address(200)];
+    for round in 1..=6_u64 {
+        for from in 1..=DAEMONS {
+            let table = &tables[usize::from(from) - 1];
+            let told = PeerDigest { named: table.named(round), ..digest(from, 1, round) };
+            for to in table.audience(&seeds) {
+                if let Some(other) = (1..=DAEMONS).find(|n| address(*n) == to) {
+                    tables[usize::from(other) - 1].take(told.clone(), at(round * 100));
+                }
+            }
+        }
+    }
+    for table in &tables {
+        assert_eq!(table.living(at(600)).count(), usize::from(DAEMONS) - 1);
+    }
+}
+
+#[test]
+fn loads_follow_the_latest_digest_and_end_with_silence() {
+    let mut table = FleetTable::new(address(1));
+    let first = PeerDigest { loads: vec![(7, load(3))], ..digest(2, 1, 1) };
+    let changes = table.take(first.clone(), at(0));
+    assert_eq!((changes[0].before, changes[0].after), (load(0), load(3)));
+    let second = PeerDigest { loads: vec![(7, load(1)), (8, load(2))], ..digest(2, 1, 2) };
+    assert_eq!(table.take(second, at(100)).len(), 2);
+    assert!(table.take(first, at(150)).is_empty(), "an old digest changes nothing");
+    let ended = table.expire(at(5_000));
+    assert!(ended.iter().all(|change| change.after == load(0)));
+    assert_eq!(ended.len(), 2);
+    assert_eq!(table.living(at(5_000)).count(), 0);
+}
+
+#[test]
+fn a_daemon_that_started_again_is_believed_from_its_first_digest() {
+    let mut table = FleetTable::new(address(1));
+    table.take(digest(2, 5, 900), at(0));
+    let again = PeerDigest { loads: vec![(7, load(1))], ..digest(2, 6, 1) };
+    assert_eq!(table.take(again, at(100)).len(), 1);
+}
+
+#[test]
+fn digests_of_a_large_fleet_are_sent_at_a_lower_pace() {
+    let mut table = FleetTable::new(address(1));
+    let small = table.period_ms();
+    for number in 2..=80 {
+        table.take(digest(number, 1, 1), at(0));
+    }
+    let sends_per_second = 79 * 1_000 / table.period_ms();
+    assert!(table.period_ms() > small && sends_per_second <= 90, "{sends_per_second} a second");
+}
--- /dev/null
+++ b/ggt-core/tests/routes.rs
@@ -0,0 +1,74 @@
+//! Routes by host and longest prefix, split services and customers' keys.
+
+use std::collections::HashMap;
+
+use ggt_core::routes::CallerLimits;
+use ggt_core::routes::CustomerGrant;
+use ggt_core::routes::RouteBook;
+use ggt_core::routes::RouteEntry;
+use ggt_core::routes::ServiceShare;
+use ggt_core::routes::share_hash;
+
+fn route(name: &str, path_prefix: &str, shares: &[(&str, f64)]) -> RouteEntry {
+    let share = |(service, weight): &(&str, f64)| ServiceShare {
+        service: (*service).to_owned(),
+        weight: *weight,
+    };
+    RouteEntry {
+        name: name.to_owned(),
+        host: "Chat.example".to_owned(),
+        path_prefix: path_prefix.to_owned(),
+        is_stream: false,
+        is_idempotent: true,
+        timeout_ms: 1_000,
+        goal_ms: 100,
+        max_gap_ms: 0,
+        priority: 1,
+        max_attempts: 2,
+        is_public: false,
+        is_sticky: false,
+        shares: shares.iter().map(share).collect(),
+    }
+}
+
+fn book(routes: Vec<RouteEntry>) -> RouteBook {
+    RouteBook::new(3, routes, Vec::new(), None, CallerLimits::default())
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_takes_a_request() {
+    let book =
+        book(vec![route("short", "/a/", &[("s", 1.0)]), route("long", "/a/b/", &[("s", 1.0)])]);
+    let name = |host: &str, path: &str| book.find(host, path).map(|route| route.name.clone());
+    assert_eq!(name("chat.example", "/a/b/c").as_deref(), Some("long"));
+    assert_eq!(name("chat.example", "/a/b").as_deref(), Some("short"));
+    assert_eq!(name("CHAT.example", "/a/").as_deref(), Some("short"));
+    assert_eq!(name("chat.example", "/ab/c"), None);
+    assert_eq!(name("other.example", "/a/b/c"), None);
+}
+
+#[test]
+fn a_split_route_follows_its_weights() {
+    let split = route("split", "/a/", &[("most", 90.0), ("few", 10.0)]);
+    let hashes = (0..10_000).map(|number: u32| share_hash(&number.to_string()));
+    let few = hashes.filter(|hash| split.service_for(*hash) == Some("few")).count();
+    assert!((800..1_200).contains(&few), "{few} of 10000 requests");
+}
+
+#[test]
+fn a_service_with_no_weight_gets_nothing() {
+    let split = route("split", "/a/", &[("all", 1.0), ("none", 0.0)]);
+    let hashes = (0..1_000).map(|number: u32| share_hash(&number.to_string()));
+    assert!(hashes.map(|hash| split.service_for(hash)).all(|service| service == Some("all")));
+}
+
+#[test]
+fn keys_are_asked_for_only_when_the_configuration_names_customers() {
+    assert!(!book(Vec::new()).asks_key());
+    let grant = CustomerGrant { name: "c".to_owned(), priority: Some(2) };
+    let customers = HashMap::from([("key".to_owned(), grant.clone())]);
+    let book = RouteBook::new(1, Vec::new(), Vec::new(), Some(customers), CallerLimits::default());
+    assert!(book.asks_key());
+    assert_eq!(book.customer("key"), Some(&grant));
+    assert_eq!(book.customer("removed"), None);
+}
--- /dev/null
+++ b/ggt-core/tests/targets.rs
@@ -0,0 +1,256 @@
+//! Choice of targets under the load patterns that it answers, and health by outcomes.
+
+use ggt_core::clock::MonoTime;
+use ggt_core::ident::mix_hash;
+use ggt_core::prompts::PromptChain;
+use ggt_core::prompts::PromptPart;
+use ggt_core::targets::ChoiceQuery;
+use ggt_core::targets::ChoiceReason;
+use ggt_core::targets::FlightLoad;
+use ggt_core::targets::SendOutcome;
+use ggt_core::targets::TargetChoice;
+use ggt_core::targets::TargetKey;
+use ggt_core::targets::TargetPool;
+use ggt_core::targets::TargetRecord;
+
+const ENGINES: usize = 18;
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(1_000 + millis)
+}
+
+fn record(number: usize, incarnation: u64) -> TargetRecord {
+    TargetRecord {
+        id: format!("t{number}"),
+        incarnation,
+        service: "engines".to_owned(),
+        address: ([10, 0, 1, number as u8], 8_000).into(),
+        data_centre: ["a", "b", "c"][number % 3].to_owned(),
+        slots: 48,
+        is_leaving: false,
+    }
+}
+
+fn pool_of(count: usize) -> TargetPool {
+    let mut pool = TargetPool::default();
+    for number in 0..count {
+        pool.put(record(number, 1));
+    }
+    pool
+}
+
+/// A prompt whose shared part is `subject`, with a part of its own.
+fn chain(subject: u64, own: u64) -> PromptChain {
+    let part = |hash, tokens| PromptPart { hash, tokens };
+    PromptChain::new(
+        "m",
+        &[part(1, 500), part(1_000 + subject, 10_000), part(1_000_000 + own, 1_300)],
+    )
+}
+
+fn query<'a>(chain: Option<&'a PromptChain>, tried: &'a [TargetKey]) -> ChoiceQuery<'a> {
+    ChoiceQuery {
+        service: "engines",
+        chain,
+        spread_hash: 7,
+        goal_ms: 600,
+        data_centre: "a",
+        tried,
+        is_idempotent: true,
+    }
+}
+
+fn choose(pool: &TargetPool, chain: &PromptChain) -> TargetChoice {
+    pool.choose(&query(Some(chain), &[]), at(0)).expect("a target")
+}
+
+fn send(pool: &mut TargetPool, subject: u64, own: u64) -> TargetChoice {
+    let chain = chain(subject, own);
+    let choice = choose(pool, &chain);
+    let read = pool.note_sent(choice.key, &chain, choice.source.is_some(), at(0));
+    pool.note_read(choice.key, read);
+    choice
+}
+
+fn key_of(pool: &TargetPool, number: usize) -> TargetKey {
+    let id = format!("t{number}");
+    pool.iter().find(|(_, state)| state.record.id == id).map(|(key, _)| key).expect("listed")
+}
+
+#[test]
+fn pattern_returning_chats_go_where_their_prompt_was_read() {
+    let mut pool = pool_of(ENGINES);
+    let first: Vec<_> = (0..40).map(|subject| send(&mut pool, subject, subject).key).collect();
+    for (subject, key) in first.iter().enumerate() {
+        pool.note_ended(*key);
+        let again = send(&mut pool, subject as u64, 500 + subject as u64);
+        assert_eq!((again.key, again.reason), (*key, ChoiceReason::Cached));
+    }
+}
+
+#[test]
+fn pattern_one_hot_subject_spreads_before_a_target_drowns() {
+    let mut pool = pool_of(ENGINES);
+    // A quarter of all requests are about one subject; none ends.
+    for number in 0..180 {
+        let subject = if number % 4 == 0 { 9_999 } else { number };
+        send(&mut pool, subject, number);
+    }
+    let loads: Vec<_> = pool.iter().map(|(_, state)| state.requests()).collect();
+    let mean = 180.0 / ENGINES as f64;
+    let most = loads.iter().copied().max().unwrap_or_default();
+    assert!(f64::from(most) <= 1.5 * mean + 3.0, "{most} of a mean of {mean}");
+}
+
+#[test]
+fn pattern_a_replaced_holder_is_copied_from_instead_of_read_again() {
+    let mut pool = pool_of(ENGINES);
+    let holder = send(&mut pool, 1, 1).key;
+    pool.note_leaving(holder);
+    let next = send(&mut pool, 1, 2);
+    assert_ne!(next.key, holder);
+    assert_eq!(next.source, Some(holder));
+    assert_eq!(send(&mut pool, 1, 3).source, None, "the copy is a holder itself");
+}
+
+#[test]
+fn what_other_daemons_had_read_counts_too() {
+    let mut teller = pool_of(ENGINES);
+    let holder = send(&mut teller, 1, 1).key;
+    let holder_id = teller.target(holder).map(|state| state.record.id.clone());
+    let mut pool = pool_of(ENGINES);
+    for (link, target) in teller.recent_reads(64) {
+        pool.note_peer_read(target, link, at(0));
+    }
+    let choice = choose(&pool, &chain(1, 2));
+    assert_eq!(choice.reason, ChoiceReason::Cached);
+    assert_eq!(pool.target(choice.key).map(|state| state.record.id.clone()), holder_id);
+}
+
+#[test]
+fn pattern_other_daemons_load_keeps_new_prompts_away() {
+    let mut pool = pool_of(ENGINES);
+    let home = choose(&pool, &chain(5, 5)).key;
+    let hash = pool.target(home).map(|state| state.short_hash).expect("listed");
+    let load = FlightLoad { requests: 20, backlog_tokens: 0 };
+    pool.change_peer_load(hash, FlightLoad::default(), load);
+    assert_ne!(choose(&pool, &chain(5, 5)).key, home);
+    pool.change_peer_load(hash, load, FlightLoad::default());
+    assert_eq!(choose(&pool, &chain(5, 5)).key, home);
+}
+
+#[test]
+fn pattern_a_queue_of_unread_prompts_counts_as_load() {
+    let mut pool = pool_of(ENGINES);
+    let home = choose(&pool, &chain(5, 5)).key;
+    let hash = pool.target(home).map(|state| state.short_hash).expect("listed");
+    let load = FlightLoad { requests: 1, backlog_tokens: 60_000 };
+    pool.change_peer_load(hash, FlightLoad::default(), load);
+    assert_ne!(choose(&pool, &chain(5, 5)).key, home);
+}
+
+#[test]
+fn plain_requests_stay_in_their_data_centre_until_it_is_busier() {
+    let mut pool = pool_of(3);
+    let none = PromptChain::default();
+    for _ in 0..2 {
+        let choice = pool.choose(&query(None, &[]), at(0)).expect("a target");
+        assert_eq!(choice.key, key_of(&pool, 0));
+        pool.note_sent(choice.key, &none, false, at(0));
+    }
+    pool.note_sent(key_of(&pool, 0), &none, false, at(0));
+    let choice = pool.choose(&query(None, &[]), at(0)).expect("a target");
+    assert_ne!(choice.key, key_of(&pool, 0));
+}
+
+#[test]
+fn leaving_gone_and_tried_targets_get_nothing() {
+    let mut pool = pool_of(3);
+    pool.note_leaving(key_of(&pool, 0));
+    pool.note_unlisted("t1", at(0));
+    assert_eq!(pool.expire(at(0)).len(), 1);
+    let left = key_of(&pool, 2);
+    assert_eq!(choose(&pool, &chain(1, 1)).key, left);
+    assert!(pool.choose(&query(None, &[left]), at(0)).is_err());
+}
+
+#[test]
+fn a_target_that_said_it_leaves_does_not_come_back_in_the_same_life() {
+    let mut pool = pool_of(1);
+    pool.put(TargetRecord { is_leaving: true, ..record(0, 1) });
+    pool.put(record(0, 1));
+    assert!(pool.choose(&query(None, &[]), at(0)).is_err());
+    pool.put(record(0, 2));
+    assert!(pool.choose(&query(None, &[]), at(0)).is_ok());
+}
+
+#[test]
+fn a_new_incarnation_holds_and_knows_nothing_of_before() {
+    let mut pool = pool_of(1);
+    send(&mut pool, 1, 1);
+    pool.note_outcome(key_of(&pool, 0), SendOutcome::Unreachable, at(0));
+    pool.put(record(0, 2));
+    let state = pool.target(key_of(&pool, 0)).expect("listed");
+    assert_eq!(state.requests(), 0);
+    assert_eq!(state.missing_tokens(&chain(1, 1)), 11_800);
+    assert!(!state.health.is_unreachable());
+}
+
+#[test]
+fn pattern_a_failing_target_among_well_ones_is_set_aside_and_tried_again() {
+    let mut pool = pool_of(4);
+    let bad = key_of(&pool, 0);
+    for round in 0..20 {
+        for number in 1..4 {
+            pool.note_outcome(key_of(&pool, number), SendOutcome::Good, at(round * 20));
+        }
+        pool.note_outcome(bad, SendOutcome::Bad, at(round * 20));
+    }
+    let is_chosen = |pool: &TargetPool, millis| {
+        let spread =
+            (0..50).map(|hash| ChoiceQuery { spread_hash: mix_hash(hash, 1), ..query(None, &[]) });
+        let chosen = spread.filter_map(|query| pool.choose(&query, at(millis)).ok());
+        chosen.filter(|choice| choice.key == bad).map(|choice| choice.reason).next()
+    };
+    assert_eq!(is_chosen(&pool, 450), None);
+    assert_eq!(is_chosen(&pool, 3_000), Some(ChoiceReason::Trial));
+    pool.note_outcome(bad, SendOutcome::Good, at(3_000));
+    assert!(pool.target(bad).is_some_and(|state| !state.health.is_on_trial(at(3_000))));
+}
+
+#[test]
+fn errors_that_all_targets_make_alike_set_none_aside() {
+    let mut pool = pool_of(4);
+    let keys: Vec<_> = pool.iter().map(|(key, _)| key).collect();
+    for round in 0..100 {
+        let outcome = if round % 3 == 0 { SendOutcome::Bad } else { SendOutcome::Good };
+        for key in &keys {
+            pool.note_outcome(*key, outcome, at(round * 20));
+        }
+    }
+    let held = pool.iter().filter(|(_, state)| state.health.is_held(at(2_000))).count();
+    assert_eq!(held, 0);
+}
+
+#[test]
+fn a_cut_between_data_centres_shows_at_two_targets() {
+    let mut pool = pool_of(ENGINES);
+    pool.note_outcome(key_of(&pool, 1), SendOutcome::Unreachable, at(0));
+    pool.note_outcome(key_of(&pool, 4), SendOutcome::Unreachable, at(0));
+    for subject in 0..60 {
+        let choice = choose(&pool, &chain(subject, subject));
+        let centre = pool.target(choice.key).map(|state| state.record.data_centre.clone());
+        assert_ne!(centre.as_deref(), Some("b"));
+    }
+}
+
+#[test]
+fn a_daemon_that_reaches_no_target_counts_as_cut_off() {
+    let mut pool = pool_of(ENGINES);
+    assert!(!pool.is_cut_off());
+    for number in 0..ENGINES {
+        pool.note_outcome(key_of(&pool, number), SendOutcome::Unreachable, at(0));
+    }
+    assert!(pool.is_cut_off());
+    assert!(pool.choose(&query(None, &[]), at(100)).is_err(), "refused at once, not held");
+}
--- a/ggt-daemon/src/front/attempt.rs
+++ b/ggt-daemon/src/front/attempt.rs
@@ -44,6 +44,11 @@
 const MIN_SILENCE_MS: u64 = 250;
 /// Goals that a target may let pass in silence before the request moves.
 const SILENT_GOALS: u64 = 3;
+/// Silence in milliseconds after which an idempotent request moves when its target cannot be reached
+/// by new connections.
+const LOST_SILENCE_MS: u64 = 300;
+/// Time between looks at whether a silent target should be left.
+const SILENCE_STEP: Duration = Duration::from_millis(50);
 /// Urgency towards targets of the highest priority.
 const FIRST_URGENCY: u32 = 3;
 /// Least urgency towards targets.
@@ -291,12 +296,15 @@
             return std::future::pending().await;
         }
         let sent_at = mono_now();
-        let silence_ms = (job.route.goal_ms * SILENT_GOALS).max(MIN_SILENCE_MS);
+        let limit_ms = (job.route.goal_ms * SILENT_GOALS).max(MIN_SILENCE_MS);
         loop {
-            sleep(Duration::from_millis(silence_ms)).await;
+            sleep(SILENCE_STEP).await;
+            let silent_ms = mono_now().millis_since(sent_at);
+            let is_lost = self.state.is_unreachable(key) && silent_ms >= LOST_SILENCE_MS;
             // A target that answers others is busy, not silent.
             let heard_at = self.state.pool.borrow().target(key).map(|target| target.heard_at);
-            if heard_at.is_none_or(|heard_at| heard_at < sent_at || !job.route.is_stream) {
+            let is_busy = job.route.is_stream && heard_at.is_some_and(|at| at > sent_at);
+            if is_lost || (silent_ms >= limit_ms && !is_busy) {
                 return;
             }
         }
--- a/ggt-daemon/src/front/channels.rs
+++ b/ggt-daemon/src/front/channels.rs
@@ -23,7 +23,7 @@
 use ggt_core::targets::TargetKey;
 
 /// Longest time to connect to a target, a peer or the platform.
-const CONNECT_WAIT: Duration = Duration::from_millis(300);
+const CONNECT_WAIT: Duration = Duration::from_millis(200);
 /// Silence of a connection after which the kernel asks whether the other side is there.
 const KEEPALIVE_WAIT: Duration = Duration::from_secs(1);
 /// Questions that go unanswered before the kernel gives a connection up.
--- a/ggt-daemon/src/front/intake.rs
+++ b/ggt-daemon/src/front/intake.rs
@@ -9,7 +9,6 @@
 use crate::front::job::FrontJob;
 use crate::front::state::FrontState;
 use ggt_core::clock::MonoTime;
-use ggt_core::ident::stable_hash;
 use ggt_core::prompts::PromptChain;
 use ggt_core::routes::CustomerGrant;
 use ggt_core::routes::RouteBook;
@@ -82,6 +81,5 @@
 }
 
 fn chain_of(facts: &RequestFacts) -> PromptChain {
-    let model = facts.model.as_deref().unwrap_or_default();
-    PromptChain::new(stable_hash(model.as_bytes()), &facts.parts)
+    PromptChain::new(facts.model.as_deref().unwrap_or_default(), &facts.parts)
 }
--- a/ggt-daemon/src/front/mod.rs
+++ b/ggt-daemon/src/front/mod.rs
@@ -19,6 +19,7 @@
 mod state;
 mod store;
 mod stream;
+mod warmup;
 
 pub use run::FrontError;
 pub use run::run_front;
--- a/ggt-daemon/src/front/peers.rs
+++ b/ggt-daemon/src/front/peers.rs
@@ -28,9 +28,11 @@
 /// Longest datagram in bytes, so that none is split on the way.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 /// Targets whose load a digest tells at most.
-const MAX_LOADS: usize = 100;
+const MAX_LOADS: usize = 50;
 /// Prompts whose reading a digest tells at most.
-const MAX_READS: usize = 48;
+const MAX_READS: usize = 64;
+/// Path at which peers ask for readings of prompts.
+const READS_PATH: &str = "/reads";
 /// Deaths that a digest tells at most.
 const MAX_DEATHS: usize = 8;
 /// Time that the platform's own news has before facts are asked of a peer, in milliseconds.
@@ -40,9 +42,9 @@
 /// Longest time for one call to a peer.
 const FETCH_WAIT: Duration = Duration::from_millis(800);
 
-/// Why facts could not be had from a peer.
+/// Why something could not be had from a peer.
 #[derive(Debug, Snafu)]
-enum FetchError {
+pub enum FetchError {
     /// There is no connection.
     #[snafu(display("{source}"), context(false))]
     Connect {
@@ -56,7 +58,7 @@
         source: CallError,
     },
     /// The answer cannot be read.
-    #[snafu(display("facts: {source}"))]
+    #[snafu(display("answer: {source}"))]
     Body {
         /// The cause.
         source: postcard::Error,
@@ -91,14 +93,7 @@
     let settings = state.settings();
     let audience = state.fleet.borrow().audience(&settings.seed_peers());
     let digest = own_digest(state, settings.peer, number);
-    let bytes = match postcard::to_stdvec(&digest) {
-        Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => bytes,
-        Ok(bytes) => {
-            log::warn!("event=digest outcome=dropped bytes={}", bytes.len());
-            return;
-        }
-        Err(e) => return log::error!("event=digest cause=\"{e}\""),
-    };
+    let Some(bytes) = encode(digest) else { return };
     for address in &audience {
         if let Err(e) = socket.send_to(&bytes, address).await {
             log::debug!("event=digest peer={address} cause=\"{e}\"");
@@ -107,6 +102,24 @@
     state.metrics.note_digests(audience.len() as u64);
 }
 
+/// The datagram of a digest, with as many readings as fit.
+fn encode(mut digest: PeerDigest) -> Option<Vec<u8>> {
+    loop {
+        match postcard::to_stdvec(&digest) {
+            Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => return Some(bytes),
+            Ok(_) if !digest.reads.is_empty() => digest.reads.truncate(digest.reads.len() / 2),
+            Ok(bytes) => {
+                log::warn!("event=digest outcome=dropped bytes={}", bytes.len());
+                return None;
+            }
+            Err(e) => {
+                log::error!("event=digest outcome=dropped cause=\"{e}\"");
+                return None;
+            }
+        }
+    }
+}
+
 fn own_digest(state: &FrontState, address: SocketAddr, number: u64) -> PeerDigest {
     let reads = state.pool.borrow_mut().recent_reads(MAX_READS);
     let pool = state.pool.borrow();
@@ -116,6 +129,7 @@
         address,
         incarnation: state.incarnation,
         number,
+        age_ms: mono_now().millis_since(state.started_at),
         is_leaving: state.is_draining(),
         target_revision: state.facts(FactKind::Targets).borrow().last_change(),
         config_revision: state.facts(FactKind::Config).borrow().last_change(),
@@ -209,15 +223,35 @@
     postcard::from_bytes(&body).context(BodySnafu)
 }
 
-/// The answer to a peer that asks for the facts of a folder after a revision.
-pub fn facts_answer(state: &FrontState, path: &str) -> Option<Bytes> {
-    let (folder, revision) = path.strip_prefix("/facts/")?.split_once('/')?;
-    let kind = FactKind::ALL.into_iter().find(|kind| kind.as_str() == folder)?;
-    let batch = state.facts(kind).borrow().since(revision.parse().ok()?);
-    match postcard::to_stdvec(&batch) {
+/// Asks a peer for all readings of prompts that it knows.
+///
+/// # Errors
+/// [`FetchError`] when it does not tell them.
+pub async fn fetch_reads(peer: SocketAddr) -> Result<Vec<(u32, u32)>, FetchError> {
+    let call = async {
+        let mut channel = open_channel(peer).await?;
+        let (status, body) = get(&mut channel, peer, READS_PATH).await?;
+        if status != 200 {
+            return Err(FetchError::Status { status });
+        }
+        postcard::from_bytes(&body).context(BodySnafu)
+    };
+    timeout(FETCH_WAIT, call).await.unwrap_or(Err(FetchError::Silent))
+}
+
+/// The answer to a peer that asks for facts after a revision, or for readings of prompts.
+pub fn peer_answer(state: &FrontState, path: &str) -> Option<Bytes> {
+    let encoded = if path == READS_PATH {
+        postcard::to_stdvec(&state.pool.borrow().all_reads())
+    } else {
+        let (folder, revision) = path.strip_prefix("/facts/")?.split_once('/')?;
+        let kind = FactKind::ALL.into_iter().find(|kind| kind.as_str() == folder)?;
+        postcard::to_stdvec(&state.facts(kind).borrow().since(revision.parse().ok()?))
+    };
+    match encoded {
         Ok(bytes) => Some(bytes.into()),
         Err(e) => {
-            log::error!("event=facts cause=\"{e}\"");
+            log::error!("event=peer-answer path={path} cause=\"{e}\"");
             None
         }
     }
--- a/ggt-daemon/src/front/ready.rs
+++ b/ggt-daemon/src/front/ready.rs
@@ -17,7 +17,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use crate::front::peers::facts_answer;
+use crate::front::peers::peer_answer;
 use crate::front::state::FrontState;
 use crate::logging::quoted;
 use ggt_platform::READY_PATH;
@@ -58,7 +58,7 @@
         READY_PATH if state.is_ready() => (StatusCode::OK, Bytes::from_static(b"ready\n")),
         READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"not ready\n")),
         METRICS_PATH => (StatusCode::OK, state.metrics.text().into()),
-        _ => match facts_answer(state, path) {
+        _ => match peer_answer(state, path) {
             Some(body) => (StatusCode::OK, body),
             None => (StatusCode::NOT_FOUND, Bytes::new()),
         },
--- a/ggt-daemon/src/front/run.rs
+++ b/ggt-daemon/src/front/run.rs
@@ -29,6 +29,7 @@
 use crate::front::state::FactKind;
 use crate::front::state::FrontState;
 use crate::front::store::run_watching;
+use crate::front::warmup::run_warmup;
 use crate::logging::quoted;
 use crate::metrics::MetricsError;
 
@@ -115,6 +116,7 @@
     spawn_local(run_digests(state.clone(), socket.clone()));
     spawn_local(run_receiving(state.clone(), socket));
     spawn_local(run_fetching(state.clone()));
+    spawn_local(run_warmup(state.clone()));
     spawn_local(run_reloading(state.clone(), file, reloads));
     let listening = spawn_local(serve_callers(state.clone(), callers));
     stops.recv().await;
--- a/ggt-daemon/src/front/settings.rs
+++ b/ggt-daemon/src/front/settings.rs
@@ -35,6 +35,9 @@
     pub store: SocketAddr,
     /// The fleet's allowance of retries for each service.
     pub retries: RetrySettings,
+    /// Whether the whole fleet starts for the first time, so that no target holds anything yet.
+    #[serde(default)]
+    pub first_start: bool,
     /// Seconds from the order to stop until the process is killed.
     pub grace_s: f64,
     /// Least severe level that is logged: `error`, `warn`, `info`, `debug` or `trace`.
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -23,6 +23,7 @@
 use ggt_core::fleet::PeerDigest;
 use ggt_core::routes::RouteBook;
 use ggt_core::spend::SpendWindow;
+use ggt_core::targets::TargetKey;
 use ggt_core::targets::TargetPool;
 use ggt_platform::CONFIG_KEY;
 use ggt_platform::TARGET_PREFIX;
@@ -76,6 +77,8 @@
     pub metrics: FrontMetrics,
     /// This life of the daemon, later than any former one.
     pub incarnation: u64,
+    /// When this life began.
+    pub started_at: MonoTime,
     /// The targets.
     pub pool: RefCell<TargetPool>,
     /// Connections to targets that wait for a request.
@@ -106,6 +109,7 @@
             settings: RefCell::new(Rc::new(settings)),
             metrics,
             incarnation: wall_now().as_millis(),
+            started_at: mono_now(),
             pool: RefCell::default(),
             channels: TargetChannels::default(),
             fleet: RefCell::new(fleet),
@@ -140,9 +144,14 @@
         }
     }
 
-    /// Whether the daemon takes new connections.
+    /// Whether the daemon takes new connections: it knows a configuration and targets, can reach
+    /// some of these, and is not stopping.
     pub fn is_ready(&self) -> bool {
-        self.book.borrow().is_some() && !self.pool.borrow().is_empty() && !self.is_draining()
+        let pool = self.pool.borrow();
+        self.book.borrow().is_some()
+            && !pool.is_empty()
+            && !pool.is_cut_off()
+            && !self.is_draining()
     }
 
     /// Whether the daemon is stopping.
@@ -206,6 +215,11 @@
         }
     }
 
+    /// Whether a target could not be reached when it was last tried, or is gone.
+    pub fn is_unreachable(&self, key: TargetKey) -> bool {
+        self.pool.borrow().target(key).is_none_or(|target| target.health.is_unreachable())
+    }
+
     /// Counts a request for a service.
     pub fn note_request(&self, service: &str) {
         let limit = self.settings.borrow().spend_limit();
--- a/ggt-daemon/src/front/stream.rs
+++ b/ggt-daemon/src/front/stream.rs
@@ -35,6 +35,12 @@
 /// Allowed pauses that a stream may be silent before it is resumed elsewhere.
 const SILENT_PAUSES: u64 = 4;
 
+/// Silence in milliseconds after which a stream is resumed elsewhere when its target cannot be
+/// reached by new connections.
+const LOST_PAUSE_MS: u64 = 400;
+/// Time between looks at whether a silent target should be left.
+const SILENCE_STEP: Duration = Duration::from_millis(200);
+
 /// How reading from one target ended.
 enum ReadEnd {
     /// Events came, to be passed on.
@@ -245,7 +251,7 @@
             let frame = tokio::select! {
                 frame = body.frame() => frame,
                 () = sleep(until(self.job.deadline)) => return ReadEnd::Deadline,
-                () = self.silence() => return ReadEnd::Silent,
+                () = self.silence(key) => return ReadEnd::Silent,
             };
             let bytes = match frame {
                 None if self.splitter.is_torn() => {
@@ -278,12 +284,22 @@
         Ok(passed.into())
     }
 
-    async fn silence(&self) {
+    /// Ends when the target has been silent for so long that the stream should move, or for a while
+    /// when it can no longer be reached.
+    async fn silence(&self, key: TargetKey) {
         let route = &self.job.route;
         if !route.is_idempotent {
             return std::future::pending().await;
         }
-        let pause_ms = (route.max_gap_ms * SILENT_PAUSES).max(MIN_PAUSE_MS);
-        sleep(Duration::from_millis(pause_ms)).await;
+        let began_at = mono_now();
+        let limit_ms = (route.max_gap_ms * SILENT_PAUSES).max(MIN_PAUSE_MS);
+        loop {
+            sleep(SILENCE_STEP).await;
+            let is_lost = self.state.is_unreachable(key);
+            let pause_ms = if is_lost { LOST_PAUSE_MS } else { limit_ms };
+            if mono_now().millis_since(began_at) >= pause_ms {
+                return;
+            }
+        }
     }
 }
--- /dev/null
+++ b/ggt-daemon/src/front/warmup.rs
@@ -0,0 +1,118 @@
+//! What a daemon that starts learns of the prompts that targets hold.
+//!
+//! A daemon that starts among others asks one of them. When all start again at once, each asks some of
+//! the engines for their lists and tells the others, so that no engine is asked twice.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::clock::mono_now;
+use crate::front::channels::open_channel;
+use crate::front::peers::fetch_reads;
+use crate::front::state::FrontState;
+use crate::front::store::CallError;
+use crate::front::store::get;
+use crate::logging::quoted;
+use ggt_core::ident::stable_hash;
+use ggt_core::prompts::link_hash;
+use ggt_core::routing::rendezvous_score;
+use ggt_core::targets::TargetKey;
+use ggt_platform::CACHE_LIST_PATH;
+use ggt_platform::parse_cache_list;
+
+/// Pause between looks at whether a configuration and targets are known.
+const WAIT_STEP: Duration = Duration::from_millis(50);
+/// Time in which the digests of living daemons arrive.
+const DIGEST_WAIT: Duration = Duration::from_millis(300);
+/// Age in milliseconds from which on a daemon has learned from its own traffic.
+const LEARNED_AGE_MS: u64 = 5_000;
+/// Daemons that are asked at most.
+const MAX_ASKED: usize = 3;
+/// Longest time for an engine to tell its list.
+const LIST_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Learns which target holds which prompt, once.
+pub async fn run_warmup(state: Rc<FrontState>) {
+    while state.book().is_none() || state.pool.borrow().is_empty() {
+        sleep(WAIT_STEP).await;
+    }
+    sleep(DIGEST_WAIT).await;
+    for peer in learned_peers(&state) {
+        match fetch_reads(peer).await {
+            Ok(reads) => {
+                let now = mono_now();
+                let mut pool = state.pool.borrow_mut();
+                reads.iter().for_each(|(link, target)| pool.note_peer_read(*target, *link, now));
+                log::info!("event=warmup source=peer peer={peer} reads={}", reads.len());
+                return;
+            }
+            Err(e) => {
+                log::info!("event=warmup source=peer peer={peer} cause={}", quoted(&e.to_string()));
+            }
+        }
+    }
+    if !state.settings().first_start {
+        for (key, address) in own_part(&state) {
+            list_one(&state, key, address).await;
+        }
+    }
+}
+
+fn learned_peers(state: &FrontState) -> Vec<SocketAddr> {
+    let fleet = state.fleet.borrow();
+    let living = fleet.living(mono_now()).map(|peer| &peer.digest);
+    let learned = living.filter(|digest| digest.age_ms >= LEARNED_AGE_MS);
+    learned.map(|digest| digest.address).take(MAX_ASKED).collect()
+}
+
+/// The engines that this daemon asks, so that each is asked by one of the living daemons.
+fn own_part(state: &FrontState) -> Vec<(TargetKey, SocketAddr)> {
+    let Some(book) = state.book() else { return Vec::new() };
+    let own = state.settings().peer;
+    let fleet = state.fleet.borrow();
+    let others: Vec<_> = fleet.living(mono_now()).map(|peer| peer.digest.address).collect();
+    let score = |daemon: &SocketAddr, place: u64| {
+        rendezvous_score(place, stable_hash(daemon.to_string().as_bytes()), 1.0)
+    };
+    let pool = state.pool.borrow();
+    let engines = pool.iter().filter(|(_, target)| {
+        book.service(&target.record.service).is_some_and(|service| service.engine.is_some())
+    });
+    engines
+        .filter(|(_, target)| {
+            let place = target.place_hash;
+            others.iter().all(|other| score(other, place) < score(&own, place))
+        })
+        .map(|(key, target)| (key, target.record.address))
+        .collect()
+}
+
+async fn list_one(state: &FrontState, key: TargetKey, address: SocketAddr) {
+    let call = async {
+        let mut channel = open_channel(address).await?;
+        get(&mut channel, address, CACHE_LIST_PATH).await
+    };
+    let answer = timeout(LIST_WAIT, call).await.unwrap_or(Err(CallError::Silent));
+    let parts = match answer {
+        Ok((200, body)) => parse_cache_list(&body).map_err(|e| e.to_string()),
+        Ok((status, _)) => Err(format!("status {status}")),
+        Err(e) => Err(e.to_string()),
+    };
+    match parts {
+        Ok(parts) => {
+            let now = mono_now();
+            let mut pool = state.pool.borrow_mut();
+            for part in &parts {
+                pool.note_listed_part(key, link_hash(&part.model, part.hash), now);
+            }
+            log::info!("event=warmup source=engine address={address} parts={}", parts.len());
+        }
+        Err(cause) => {
+            log::info!("event=warmup source=engine address={address} cause={}", quoted(&cause));
+        }
+    }
+}
--- /dev/null
+++ b/ggt-standin/src/published/server.rs
@@ -0,0 +1,158 @@
+//! A server of the users' platform whose answers a test scripts.
+
+use std::io::BufReader;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+
+use crate::published::request::WireRequest;
+use crate::published::request::read_request;
+use crate::server::lock;
+
+/// What becomes of a connection after an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AfterAnswer {
+    /// It takes the next request.
+    Keep,
+    /// It is closed, with a reset when bytes are left unread.
+    Close,
+}
+
+type AnswerScript = Arc<dyn Fn(&WireRequest, &mut TcpStream) -> AfterAnswer + Send + Sync>;
+
+/// A server that records all requests and answers them by a script.
+pub struct ServerStandin {
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// The id under which it registers.
+    pub id: String,
+    seen: Arc<Mutex<Vec<WireRequest>>>,
+    ended: Arc<Mutex<usize>>,
+    script: Arc<Mutex<AnswerScript>>,
+}
+
+impl ServerStandin {
+    /// Starts a server that answers everything with success.
+    ///
+    /// # Errors
+    /// The cause, when the address cannot be bound.
+    pub fn start(address: SocketAddr, id: &str) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
+        let script: AnswerScript =
+            Arc::new(|request, stream| answer(request, stream, 200, "whole"));
+        let server = Self {
+            address,
+            id: id.to_owned(),
+            seen: Arc::default(),
+            ended: Arc::default(),
+            script: Arc::new(Mutex::new(script)),
+        };
+        let (seen, ended) = (server.seen.clone(), server.ended.clone());
+        let (script, id) = (server.script.clone(), server.id.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (seen, ended) = (seen.clone(), ended.clone());
+                let (script, id) = (script.clone(), id.clone());
+                thread::spawn(move || {
+                    serve(stream, &id, &seen, &script);
+                    *lock(&ended) += 1;
+                });
+            }
+        });
+        Ok(server)
+    }
+
+    /// Sets how requests are answered from now on.
+    pub fn set_script<F>(&self, script: F)
+    where
+        F: Fn(&WireRequest, &mut TcpStream) -> AfterAnswer + Send + Sync + 'static,
+    {
+        *lock(&self.script) = Arc::new(script);
+    }
+
+    /// The requests that arrived and were meant for this server.
+    pub fn seen(&self) -> Vec<WireRequest> {
+        lock(&self.seen).clone()
+    }
+
+    /// Connections that have ended.
+    pub fn ended(&self) -> usize {
+        *lock(&self.ended)
+    }
+
+    /// The value under which the server registers.
+    pub fn entry(&self, service: &str, zone: &str, state: &str) -> String {
+        format!(
+            r#"{{"Service":"{service}","Address":"{}","Zone":"{zone}","Version":"v1","Slots":8,"State":"{state}","ColdLeftMs":0,"Seq":1,"born":1}}"#,
+            self.address
+        )
+    }
+}
+
+fn serve(
+    stream: TcpStream,
+    id: &str,
+    seen: &Mutex<Vec<WireRequest>>,
+    script: &Mutex<AnswerScript>,
+) {
+    let Ok(mut writer) = stream.try_clone() else { return };
+    let mut reader = BufReader::new(stream);
+    while let Some(request) = read_request(&mut reader) {
+        let expected = request.header("x-expect-instance");
+        if expected.is_some_and(|expected| expected != id) {
+            let head = format!(
+                "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+            );
+            if writer.write_all(head.as_bytes()).is_err() {
+                return;
+            }
+            continue;
+        }
+        lock(seen).push(request.clone());
+        let script = lock(script).clone();
+        if script(&request, &mut writer) == AfterAnswer::Close {
+            // The other side may have closed it already.
+            let _ = writer.shutdown(Shutdown::Both);
+            return;
+        }
+    }
+}
+
+/// Answers with a whole signed body.
+pub fn answer(
+    request: &WireRequest,
+    stream: &mut TcpStream,
+    status: u16,
+    body: &str,
+) -> AfterAnswer {
+    let id = request.header("x-attempt-id").unwrap_or("-");
+    let text = format!(
+        "HTTP/1.1 {status} Scripted\r\nX-Attempt-Id: {id}\r\nX-Server-Stamp: stamp-{id}\r\n\
+         X-Server-Load: 1,0,8\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    match stream.write_all(text.as_bytes()) {
+        Ok(()) => AfterAnswer::Keep,
+        Err(_) => AfterAnswer::Close,
+    }
+}
+
+/// The head of a stream of events.
+pub fn stream_head(request: &WireRequest) -> String {
+    let id = request.header("x-attempt-id").unwrap_or("-");
+    format!(
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: {id}\r\n\
+         X-Server-Stamp: stamp-{id}\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+}
+
+/// One event as a chunk.
+pub fn event(id: u64) -> String {
+    let text = format!("id: {id}\ndata: piece {id}\n\n");
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
--- /dev/null
+++ b/ggt-standin/src/published/store.rs
@@ -0,0 +1,171 @@
+//! The users' store, as far as it can be read.
+
+use std::collections::BTreeMap;
+use std::io::BufReader;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::thread;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::published::request::WireRequest;
+use crate::published::request::read_request;
+use crate::server::lock;
+
+#[derive(Default)]
+struct StoreItems {
+    items: BTreeMap<String, (u64, Vec<u8>)>,
+    log: Vec<(u64, String, Option<Vec<u8>>)>,
+    revision: u64,
+    dropped_up_to: u64,
+    refused: Option<u16>,
+    calls: u64,
+}
+
+/// A store that a test writes to and daemons read.
+#[derive(Clone)]
+pub struct StoreStandin {
+    /// Where it takes calls.
+    pub address: SocketAddr,
+    items: Arc<Mutex<StoreItems>>,
+    changed: Arc<Condvar>,
+}
+
+impl StoreStandin {
+    /// Starts an empty store.
+    ///
+    /// # Errors
+    /// The cause, when the address cannot be bound.
+    pub fn start(address: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
+        let store = Self { address, items: Arc::default(), changed: Arc::default() };
+        let serving = store.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let store = serving.clone();
+                thread::spawn(move || store.serve(stream));
+            }
+        });
+        Ok(store)
+    }
+
+    /// Writes an item.
+    pub fn put(&self, key: &str, value: &str) {
+        self.change(key, Some(value.as_bytes().to_vec()));
+    }
+
+    /// Removes an item.
+    pub fn remove(&self, key: &str) {
+        self.change(key, None);
+    }
+
+    /// Answers all calls with this status, or serves again.
+    pub fn refuse(&self, status: Option<u16>) {
+        lock(&self.items).refused = status;
+        self.changed.notify_all();
+    }
+
+    /// Forgets the changes up to now.
+    pub fn drop_history(&self) {
+        let mut items = lock(&self.items);
+        items.dropped_up_to = items.revision;
+        items.log.clear();
+    }
+
+    /// Calls that were made.
+    pub fn calls(&self) -> u64 {
+        lock(&self.items).calls
+    }
+
+    fn change(&self, key: &str, value: Option<Vec<u8>>) {
+        let mut items = lock(&self.items);
+        items.revision += 1;
+        let revision = items.revision;
+        match &value {
+            Some(value) => items.items.insert(key.to_owned(), (revision, value.clone())),
+            None => items.items.remove(key),
+        };
+        items.log.push((revision, key.to_owned(), value));
+        self.changed.notify_all();
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let Ok(mut writer) = stream.try_clone() else { return };
+        let mut reader = BufReader::new(stream);
+        while let Some(request) = read_request(&mut reader) {
+            let (status, body) = self.answer(&request);
+            let body = body.to_string();
+            let text =
+                format!("HTTP/1.1 {status} Store\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            if writer.write_all(text.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, request: &WireRequest) -> (u16, Value) {
+        lock(&self.items).calls += 1;
+        if let Some(status) = lock(&self.items).refused {
+            return (status, json!({}));
+        }
+        let prefix = request.query("PathPrefix").unwrap_or_default();
+        match request.path.split('?').next().unwrap_or_default() {
+            "/v1/kv-range" => (200, self.range(prefix)),
+            "/v1/kv-watch" => self.watch(prefix, request.number("After"), request.number("WaitMs")),
+            _ => (404, json!({})),
+        }
+    }
+
+    fn range(&self, prefix: &str) -> Value {
+        let items = lock(&self.items);
+        let under = items.items.iter().filter(|(key, _)| key.starts_with(prefix));
+        let list: Vec<_> =
+            under.map(|(key, (revision, value))| item(key, *revision, Some(value))).collect();
+        json!({ "Items": list, "HasMore": false, "StoreRevision": items.revision })
+    }
+
+    fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> (u16, Value) {
+        let is_idle = |items: &mut StoreItems| {
+            let is_new = |(revision, key, _): &(u64, String, Option<Vec<u8>>)| {
+                *revision > after && key.starts_with(prefix)
+            };
+            items.refused.is_none() && !items.log.iter().any(is_new)
+        };
+        let wait = Duration::from_millis(wait_ms);
+        let waited = self.changed.wait_timeout_while(lock(&self.items), wait, is_idle);
+        let (items, _) = waited.unwrap_or_else(PoisonError::into_inner);
+        if let Some(status) = items.refused {
+            return (status, json!({}));
+        }
+        if after < items.dropped_up_to {
+            return (410, json!({}));
+        }
+        let news = items
+            .log
+            .iter()
+            .filter(|(revision, key, _)| *revision > after && key.starts_with(prefix));
+        let events: Vec<_> =
+            news.map(|(revision, key, value)| item(key, *revision, value.as_ref())).collect();
+        (200, json!({ "events": events, "StoreRevision": items.revision }))
+    }
+}
+
+fn item(key: &str, revision: u64, value: Option<&Vec<u8>>) -> Value {
+    match value {
+        Some(value) => json!({
+            "Key": key, "Value": STANDARD.encode(value), "Rev": revision, "Created": revision,
+            "Lease": 0,
+        }),
+        None => json!({ "Key": key, "Rev": revision, "Deleted": true }),
+    }
+}
--- /dev/null
+++ b/ggt-testkit/src/front.rs
@@ -0,0 +1,182 @@
+//! A small deployment on the users' platform: a store, servers and daemons.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use serde_json::Value;
+use serde_json::json;
+
+use ggt_standin::published::ServerStandin;
+use ggt_standin::published::StoreStandin;
+
+use crate::address::LoopbackNet;
+use crate::process::ChildProcess;
+use crate::wait::wait_until;
+use crate::web::WebRequest;
+
+/// Host that all routes of the test configuration name.
+pub const HOST: &str = "chat.example";
+/// Key of the customer in the test configuration.
+pub const KEY: &str = "key-of-c1";
+/// Port on which daemons talk to each other.
+const PEER_PORT: u16 = 1_990;
+
+/// A daemon on the platform.
+pub struct FrontDaemon {
+    /// Its process.
+    pub process: ChildProcess,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where the platform asks whether it is ready.
+    pub ready: SocketAddr,
+    /// Where operators read metrics.
+    pub admin: SocketAddr,
+    settings: PathBuf,
+}
+
+/// A store, servers and daemons.
+pub struct FrontFleet {
+    /// The store.
+    pub store: StoreStandin,
+    /// The servers.
+    pub servers: Vec<ServerStandin>,
+    /// The daemons.
+    pub daemons: Vec<FrontDaemon>,
+    net: LoopbackNet,
+    folder: PathBuf,
+}
+
+impl FrontFleet {
+    /// Starts a store with the test configuration, `servers` servers of the service `s` and `daemons`
+    /// daemons, and waits until these are ready.
+    ///
+    /// # Panics
+    /// When something does not start.
+    pub fn start(servers: usize, daemons: usize) -> Self {
+        let net = LoopbackNet::allocate();
+        let folder = std::env::temp_dir().join(format!("ggt-front-{}", net.ip(0)));
+        std::fs::create_dir_all(&folder).expect("a folder for settings");
+        let store = StoreStandin::start(net.port(1)).expect("a store");
+        let mut fleet = Self { store, servers: Vec::new(), daemons: Vec::new(), net, folder };
+        fleet.publish(&config(1));
+        (0..servers).for_each(|number| fleet.add_server(&format!("i-{number}")));
+        (0..daemons).for_each(|number| fleet.add_daemon(number, None));
+        fleet.daemons.iter().for_each(await_ready);
+        fleet
+    }
+
+    /// Publishes a configuration.
+    pub fn publish(&self, config: &Value) {
+        self.store.put("op/config", &config.to_string());
+    }
+
+    /// Starts a server and registers it.
+    ///
+    /// # Panics
+    /// When it does not start.
+    pub fn add_server(&mut self, id: &str) {
+        let server = ServerStandin::start(self.net.port(2), id).expect("a server");
+        self.store.put(&format!("servers/{id}"), &server.entry("s", "a", "ready"));
+        self.servers.push(server);
+    }
+
+    /// Starts a daemon; it reads `store` in place of the fleet's.
+    ///
+    /// # Panics
+    /// When it does not start.
+    pub fn add_daemon(&mut self, number: usize, store: Option<SocketAddr>) {
+        let last = u8::try_from(100 + number).expect("few daemons");
+        let (callers, ready, admin) =
+            (self.net.port(last), self.net.port(last), self.net.port(last));
+        let settings = json!({
+            "name": format!("d-{number}"),
+            "data_centre": "a",
+            "callers": callers,
+            "ready": ready,
+            "admin": admin,
+            "peer": SocketAddr::new(self.net.ip(last), PEER_PORT),
+            "seeds": [SocketAddr::new(self.net.ip(100), 1)],
+            "store": store.unwrap_or(self.store.address),
+            "retries": { "ratio": 0.2, "slack": 50.0, "window_s": 10.0 },
+            "grace_s": 8.0,
+        });
+        let file = self.folder.join(format!("d-{number}.json"));
+        std::fs::write(&file, settings.to_string()).expect("a settings file");
+        let process = ChildProcess::daemon(&file);
+        self.daemons.push(FrontDaemon { process, callers, ready, admin, settings: file });
+    }
+
+    /// An unused address of the deployment, at which nobody listens.
+    pub fn unused_address(&self) -> SocketAddr {
+        self.net.port(3)
+    }
+
+    /// Kills a daemon and starts it again.
+    pub fn restart(&mut self, number: usize) {
+        let daemon = &mut self.daemons[number];
+        daemon.process.kill();
+        daemon.process = ChildProcess::daemon(&daemon.settings);
+        await_ready(daemon);
+    }
+
+    /// A request to a daemon with the customer's key.
+    pub fn request(&self, daemon: usize, method: &str, path: &str, id: &str) -> WebRequest {
+        WebRequest::new(method, self.daemons[daemon].callers, path)
+            .header("host", HOST)
+            .header("x-attempt-id", id)
+            .header("x-deadline-ms", "20000")
+            .header("authorization", &format!("Token {KEY}"))
+    }
+
+    /// Requests with this id that all servers got.
+    pub fn arrivals(&self, id: &str) -> usize {
+        let seen = self.servers.iter().flat_map(ServerStandin::seen);
+        seen.filter(|request| request.header("x-attempt-id") == Some(id)).count()
+    }
+}
+
+impl Drop for FrontFleet {
+    fn drop(&mut self) {
+        self.daemons.clear();
+        // A folder that stays behind harms nobody.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Waits until a daemon says that it is ready.
+pub fn await_ready(daemon: &FrontDaemon) {
+    wait_until("the daemon is ready", || ready_status(daemon) == Some(200));
+}
+
+/// What a daemon answers to the platform's question.
+pub fn ready_status(daemon: &FrontDaemon) -> Option<u16> {
+    WebRequest::new("GET", daemon.ready, "/v1/ready").send().map(|reply| reply.status)
+}
+
+/// The test configuration: idempotent requests under `/read/`, one-time ones under `/once/`, streams
+/// that may be resumed under `/chat/` and that may not under `/talk/`, all at the service `s`.
+pub fn config(version: u64) -> Value {
+    let route = |name: &str, kind: &str, can_resume: bool, attempts: u32| {
+        json!({
+            "Name": name, "Host": HOST, "PathPrefix": format!("/{name}/"), "Kind": kind,
+            "TimeoutMs": 20_000, "GoalMs": 300, "Priority": 1, "Service": "s",
+            "Attempts": attempts, "Public": false, "Sticky": can_resume, "CanResume": can_resume,
+            "GapTargetMs": 300,
+        })
+    };
+    json!({
+        "Version": version,
+        "Routes": [
+            route("read", "idempotent", false, 3),
+            route("once", "non_idempotent", false, 1),
+            route("chat", "streaming", true, 3),
+            route("talk", "streaming", false, 1),
+        ],
+        "Services": [{ "Name": "s", "HealthPath": "/health", "MaxConns": 100, "Protocol": "h1" }],
+        "Limits": {
+            "MaxHeaderBytes": 16_384, "MaxBodyBytes": 65_536,
+            "HeaderTimeoutMs": 3_000, "IdleTimeoutMs": 15_000,
+        },
+        "Tenants": [{ "Name": "c1", "ApiKeys": [KEY], "Priority": 1 }],
+    })
+}
--- a/ggt-testkit/src/lib.rs
+++ b/ggt-testkit/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod address;
 pub mod bench;
 pub mod fleet;
+pub mod front;
 pub mod layout;
 pub mod process;
 pub mod wait;
--- /dev/null
+++ b/ggt-testkit/tests/platform_requests.rs
@@ -0,0 +1,222 @@
+//! Requests with one reply on the users' platform: forwarded as they are, run as often as they may.
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
+use ggt_standin::published::AfterAnswer;
+use ggt_standin::published::WireRequest;
+use ggt_standin::published::answer;
+use ggt_testkit::front::FrontFleet;
+use ggt_testkit::wait::wait_until;
+
+fn refuse(_: &WireRequest, stream: &mut TcpStream) -> AfterAnswer {
+    let head = "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    match stream.write_all(head.as_bytes()) {
+        Ok(()) => AfterAnswer::Keep,
+        Err(_) => AfterAnswer::Close,
+    }
+}
+
+fn close(_: &WireRequest, _: &mut TcpStream) -> AfterAnswer {
+    AfterAnswer::Close
+}
+
+#[test]
+fn a_request_reaches_a_server_unchanged_with_what_the_system_says() {
+    let fleet = FrontFleet::start(1, 1);
+    let request = fleet
+        .request(0, "POST", "/once/a/b?x=1&y=%20z", "id-1")
+        .header("x-tenant", "somebody-else")
+        .header("x-hold", "forged")
+        .header("kv-from", "forged")
+        .header("x-custom", "kept")
+        .body("the body");
+    let reply = request.send().expect("a reply");
+    assert_eq!((reply.status, reply.body.as_str()), (200, "whole"));
+    assert_eq!(reply.header("x-server-stamp"), Some("stamp-id-1"));
+    let seen = fleet.servers[0].seen();
+    let [seen] = seen.as_slice() else { panic!("{} arrivals", seen.len()) };
+    assert_eq!((seen.method.as_str(), seen.path.as_str()), ("POST", "/once/a/b?x=1&y=%20z"));
+    assert_eq!(seen.body, b"the body");
+    assert_eq!(seen.header("x-attempt-id"), Some("id-1"));
+    assert_eq!(seen.header("x-tenant"), Some("c1"));
+    assert_eq!(seen.header("x-expect-instance"), Some("i-0"));
+    assert_eq!(seen.header("x-custom"), Some("kept"));
+    for name in ["authorization", "x-hold", "kv-from"] {
+        assert_eq!(seen.header(name), None, "{name} is passed on");
+    }
+    let left: u64 = seen.header("x-deadline-ms").and_then(|x| x.parse().ok()).expect("a deadline");
+    assert!((1..=20_000).contains(&left), "{left} ms");
+}
+
+#[test]
+fn unknown_keys_and_paths_are_refused() {
+    let fleet = FrontFleet::start(1, 1);
+    let unknown = fleet.request(0, "GET", "/elsewhere/", "id-1").send().expect("a reply");
+    assert_eq!(unknown.status, 404);
+    let request = ggt_testkit::web::WebRequest::new("GET", fleet.daemons[0].callers, "/read/");
+    let request = request.header("host", "chat.example").header("x-attempt-id", "id-2");
+    assert_eq!(request.clone().send().expect("a reply").status, 401);
+    let wrong = request.header("authorization", "Token wrong").send().expect("a reply");
+    assert_eq!(wrong.status, 401);
+    assert!(fleet.servers[0].seen().is_empty());
+}
+
+#[test]
+fn a_one_time_request_whose_answer_is_lost_is_not_sent_again() {
+    let fleet = FrontFleet::start(2, 1);
+    fleet.servers.iter().for_each(|server| server.set_script(close));
+    let reply = fleet.request(0, "POST", "/once/", "id-1").body("x").send().expect("a reply");
+    assert_eq!(reply.status, 502, "nothing is promised");
+    assert_eq!(fleet.arrivals("id-1"), 1);
+}
+
+#[test]
+fn a_one_time_request_that_a_server_refused_is_told_to_come_back() {
+    let fleet = FrontFleet::start(2, 1);
+    fleet.servers.iter().for_each(|server| server.set_script(refuse));
+    let reply = fleet.request(0, "POST", "/once/", "id-1").body("x").send().expect("a reply");
+    assert_eq!(reply.status, 503);
+    let after: f64 = reply.header("retry-after").and_then(|x| x.parse().ok()).expect("a time");
+    assert!(after > 0.0 && after < 2.0, "{after} s");
+}
+
+#[test]
+fn an_idempotent_request_goes_on_to_another_server() {
+    let fleet = FrontFleet::start(3, 1);
+    fleet.servers[0].set_script(close);
+    fleet.servers[1].set_script(refuse);
+    for number in 0..12 {
+        let id = format!("id-{number}");
+        let reply = fleet.request(0, "GET", "/read/", &id).send().expect("a reply");
+        assert_eq!((reply.status, reply.body.as_str()), (200, "whole"));
+        assert!(fleet.arrivals(&id) <= 3, "more servers than the route allows");
+    }
+    assert!(!fleet.servers[0].seen().is_empty() && !fleet.servers[1].seen().is_empty());
+}
+
+#[test]
+fn a_server_that_cannot_be_reached_costs_a_one_time_request_nothing() {
+    let fleet = FrontFleet::start(1, 1);
+    let nobody = fleet.unused_address();
+    let entry = fleet.servers[0].entry("s", "a", "ready");
+    let entry = entry.replace(&fleet.servers[0].address.to_string(), &nobody.to_string());
+    fleet.store.put("servers/i-dead", &entry);
+    for number in 0..20 {
+        let id = format!("id-{number}");
+        let reply = fleet.request(0, "POST", "/once/", &id).body("x").send().expect("a reply");
+        assert_eq!(reply.status, 200);
+        assert_eq!(fleet.arrivals(&id), 1);
+    }
+}
+
+#[test]
+fn an_answer_to_another_request_reaches_nobody() {
+    let fleet = FrontFleet::start(1, 1);
+    fleet.servers[0].set_script(|request, stream| {
+        let other = WireRequest {
+            headers: vec![("x-attempt-id".to_owned(), "id-other".to_owned())],
+            ..request.clone()
+        };
+        answer(&other, stream, 200, "another's")
+    });
+    let reply = fleet.request(0, "POST", "/once/", "id-1").body("x").send().expect("a reply");
+    assert_eq!(reply.status, 502);
+    assert!(!reply.body.contains("another's"));
+}
+
+#[test]
+fn a_second_answer_on_a_kept_connection_reaches_nobody() {
+    let fleet = FrontFleet::start(1, 1);
+    fleet.servers[0].set_script(|request, stream| {
+        answer(request, stream, 200, "first");
+        thread::sleep(Duration::from_millis(20));
+        answer(request, stream, 200, "second")
+    });
+    for number in 0..30 {
+        let id = format!("id-{number}");
+        let reply = fleet.request(0, "GET", "/read/", &id).send().expect("a reply");
+        if reply.status == 200 {
+            assert_eq!(reply.header("x-attempt-id"), Some(id.as_str()));
+            assert_eq!(reply.body, "first");
+        }
+    }
+}
+
+#[test]
+fn an_answer_that_breaks_off_never_looks_whole() {
+    let fleet = FrontFleet::start(1, 1);
+    fleet.servers[0].set_script(|request, stream| {
+        let id = request.header("x-attempt-id").unwrap_or_default();
+        let text = format!(
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Stamp: s\r\n\
+             Content-Length: 100\r\n\r\nonly this"
+        );
+        // The daemon may have closed the connection.
+        let _ = stream.write_all(text.as_bytes());
+        AfterAnswer::Close
+    });
+    let once = fleet.request(0, "POST", "/once/", "id-1").body("x").send().expect("a reply");
+    assert_eq!(once.status, 502);
+    let read = fleet.request(0, "GET", "/read/", "id-2").send().expect("a reply");
+    assert_eq!(read.status, 502);
+}
+
+#[test]
+fn an_unsigned_success_is_no_success() {
+    let fleet = FrontFleet::start(1, 1);
+    fleet.servers[0].set_script(|request, stream| {
+        let id = request.header("x-attempt-id").unwrap_or_default();
+        let text = format!("HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nContent-Length: 2\r\n\r\nno");
+        // The daemon may have closed the connection.
+        let _ = stream.write_all(text.as_bytes());
+        AfterAnswer::Keep
+    });
+    let reply = fleet.request(0, "POST", "/once/", "id-1").body("x").send().expect("a reply");
+    assert_eq!(reply.status, 502);
+}
+
+#[test]
+fn a_servers_own_failure_is_passed_on_as_it_is() {
+    let fleet = FrontFleet::start(1, 1);
+    fleet.servers[0].set_script(|request, stream| answer(request, stream, 500, "its own words"));
+    let reply = fleet.request(0, "POST", "/once/", "id-1").body("x").send().expect("a reply");
+    assert_eq!((reply.status, reply.body.as_str()), (500, "its own words"));
+    assert_eq!(reply.header("x-server-stamp"), Some("stamp-id-1"));
+}
+
+#[test]
+fn the_server_hears_that_a_caller_left() {
+    let fleet = FrontFleet::start(1, 1);
+    fleet.servers[0].set_script(|_, stream| {
+        // Blocks until the daemon closes the connection.
+        let _ = std::io::Read::read(stream, &mut [0; 1]);
+        AfterAnswer::Close
+    });
+    let mut caller = TcpStream::connect(fleet.daemons[0].callers).expect("a connection");
+    let head = "GET /read/ HTTP/1.1\r\nHost: chat.example\r\nX-Attempt-Id: id-1\r\n\
+                X-Deadline-Ms: 20000\r\nAuthorization: Token key-of-c1\r\n\r\n";
+    caller.write_all(head.as_bytes()).expect("a request");
+    wait_until("the request arrives", || fleet.arrivals("id-1") == 1);
+    drop(caller);
+    wait_until("the server's connection ends", || fleet.servers[0].ended() == 1);
+}
+
+#[test]
+fn a_request_is_answered_at_its_deadline() {
+    let fleet = FrontFleet::start(1, 1);
+    fleet.servers[0].set_script(|_, stream| {
+        // Blocks until the daemon closes the connection.
+        let _ = std::io::Read::read(stream, &mut [0; 1]);
+        AfterAnswer::Close
+    });
+    let request = ggt_testkit::web::WebRequest::new("POST", fleet.daemons[0].callers, "/once/");
+    let request = request
+        .header("host", "chat.example")
+        .header("x-attempt-id", "id-1")
+        .header("x-deadline-ms", "300")
+        .header("authorization", "Token key-of-c1");
+    assert_eq!(request.body("x").send().expect("a reply").status, 504);
+}
--- /dev/null
+++ b/ggt-testkit/tests/platform_state.rs
@@ -0,0 +1,206 @@
+//! What daemons on the users' platform believe, and how they start and stop.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
+use rustix::process::Signal;
+
+use ggt_standin::published::AfterAnswer;
+use ggt_standin::published::answer;
+use ggt_testkit::front::FrontFleet;
+use ggt_testkit::front::await_ready;
+use ggt_testkit::front::config;
+use ggt_testkit::front::ready_status;
+use ggt_testkit::wait::wait_until;
+use ggt_testkit::web::WebRequest;
+
+fn status(fleet: &FrontFleet, daemon: usize, path: &str) -> Option<u16> {
+    fleet.request(daemon, "GET", path, "id-status").send().map(|reply| reply.status)
+}
+
+#[test]
+fn a_new_configuration_is_in_force_and_an_older_one_never_again() {
+    let fleet = FrontFleet::start(1, 2);
+    let mut newer = config(5);
+    newer["Routes"][0]["PathPrefix"] = "/moved/".into();
+    fleet.publish(&newer);
+    for daemon in 0..2 {
+        wait_until("the new route is there", || status(&fleet, daemon, "/moved/") == Some(200));
+    }
+    fleet.publish(&config(4));
+    fleet.add_marker_and_await();
+    for daemon in 0..2 {
+        assert_eq!(status(&fleet, daemon, "/read/"), Some(404));
+        assert_eq!(status(&fleet, daemon, "/moved/"), Some(200));
+    }
+}
+
+trait MarkerFleet {
+    /// Publishes a target and waits until all daemons know of it, so that they know all before it.
+    fn add_marker_and_await(&self);
+}
+
+impl MarkerFleet for FrontFleet {
+    fn add_marker_and_await(&self) {
+        let entry = self.servers[0].entry("marker", "a", "ready");
+        self.store.put("servers/i-marker", &entry);
+        // A configuration of its own follows, so that both folders have been read up to here.
+        let mut newest = config(9);
+        newest["Routes"][0]["PathPrefix"] = "/moved/".into();
+        newest["Routes"][1]["PathPrefix"] = "/marker/".into();
+        self.publish(&newest);
+        for daemon in 0..self.daemons.len() {
+            wait_until("the marker is there", || {
+                let request = self.request(daemon, "POST", "/marker/", "id-marker").body("x");
+                request.send().is_some_and(|reply| reply.status == 200)
+            });
+        }
+    }
+}
+
+#[test]
+fn a_daemon_that_the_store_turns_away_learns_from_its_peers() {
+    let mut fleet = FrontFleet::start(1, 1);
+    let nobody = fleet.unused_address();
+    fleet.add_daemon(1, Some(nobody));
+    await_ready(&fleet.daemons[1]);
+    assert_eq!(status(&fleet, 1, "/read/"), Some(200));
+    let mut newer = config(2);
+    newer["Tenants"][0]["ApiKeys"] = serde_json::json!(["another-key"]);
+    fleet.publish(&newer);
+    wait_until("the removed key is refused", || status(&fleet, 1, "/read/") == Some(401));
+}
+
+#[test]
+fn a_daemon_without_a_configuration_is_not_ready_and_promises_that_nothing_ran() {
+    let mut fleet = FrontFleet::start(1, 0);
+    let nobody = fleet.unused_address();
+    fleet.add_daemon(0, Some(nobody));
+    wait_until("it answers", || ready_status(&fleet.daemons[0]) == Some(503));
+    assert_eq!(status(&fleet, 0, "/read/"), Some(503));
+    assert_eq!(fleet.arrivals("id-status"), 0);
+}
+
+#[test]
+fn a_leaving_or_removed_server_gets_nothing_new() {
+    let fleet = FrontFleet::start(3, 1);
+    fleet.store.put("servers/i-0", &fleet.servers[0].entry("s", "a", "draining"));
+    fleet.store.remove("servers/i-1");
+    wait_until("only the third is used", || {
+        let before: Vec<_> = fleet.servers.iter().map(|server| server.seen().len()).collect();
+        (0..10).for_each(|_| assert_eq!(status(&fleet, 0, "/read/"), Some(200)));
+        let after: Vec<_> = fleet.servers.iter().map(|server| server.seen().len()).collect();
+        before[0] == after[0] && before[1] == after[1] && after[2] == before[2] + 10
+    });
+}
+
+#[test]
+fn entries_that_cannot_be_read_name_no_server_and_the_others_hold() {
+    let fleet = FrontFleet::start(1, 1);
+    fleet.store.put("servers/i-odd", "{\"Service\": 7}");
+    fleet.store.put("servers/i-odder", "\u{0}not json");
+    fleet.store.put("servers/i-state", &fleet.servers[0].entry("s", "a", "sleeping"));
+    fleet.store.put("op/other", "not a configuration");
+    fleet.publish(&config(3));
+    for _ in 0..10 {
+        assert_eq!(status(&fleet, 0, "/read/"), Some(200));
+    }
+}
+
+#[test]
+fn a_configuration_that_cannot_be_read_leaves_the_one_in_force() {
+    let fleet = FrontFleet::start(1, 1);
+    fleet.store.put("op/config", "{\"Version\": 8, \"Routes\": 3}");
+    fleet.store.put("op/config", "no json");
+    assert_eq!(status(&fleet, 0, "/read/"), Some(200));
+}
+
+#[test]
+fn history_that_the_store_dropped_is_read_anew() {
+    let mut fleet = FrontFleet::start(1, 1);
+    fleet.store.refuse(Some(503));
+    thread::sleep(Duration::from_millis(300));
+    fleet.add_server("i-late");
+    fleet.store.drop_history();
+    fleet.store.refuse(None);
+    let mut number = 0;
+    wait_until("the late server is used", || {
+        number += 1;
+        let reply = fleet.request(0, "GET", "/read/", &format!("id-{number}")).send();
+        assert_eq!(reply.map(|reply| reply.status), Some(200));
+        !fleet.servers[1].seen().is_empty()
+    });
+}
+
+#[test]
+fn a_stopping_daemon_ends_what_it_has_read_and_takes_no_more_after_it() {
+    let mut fleet = FrontFleet::start(1, 1);
+    fleet.servers[0].set_script(|request, stream| {
+        thread::sleep(Duration::from_millis(4_500));
+        answer(request, stream, 200, "whole")
+    });
+    let request = fleet.request(0, "POST", "/once/", "id-1").body("x");
+    let caller = thread::spawn(move || request.send());
+    wait_until("the request arrives", || fleet.arrivals("id-1") == 1);
+    let mut idle = TcpStream::connect(fleet.daemons[0].callers).expect("a connection");
+    fleet.daemons[0].process.signal(Signal::TERM);
+    wait_until("it is not ready", || ready_status(&fleet.daemons[0]) != Some(200));
+    // It still serves while the platform hears of it.
+    assert_eq!(status(&fleet, 0, "/elsewhere/"), Some(404));
+    let reply = caller.join().expect("the caller").expect("a reply");
+    assert_eq!((reply.status, reply.body.as_str()), (200, "whole"));
+    assert!(fleet.daemons[0].process.wait().success());
+    let mut byte = [0; 1];
+    assert!(matches!(idle.read(&mut byte), Ok(0) | Err(_)));
+}
+
+#[test]
+fn answers_of_a_stopping_daemon_close_their_connections() {
+    let fleet = FrontFleet::start(1, 1);
+    fleet.daemons[0].process.signal(Signal::TERM);
+    wait_until("it is not ready", || ready_status(&fleet.daemons[0]) == Some(503));
+    let reply = fleet.request(0, "GET", "/read/", "id-1").send().expect("a reply");
+    assert_eq!((reply.status, reply.header("connection")), (200, Some("close")));
+}
+
+#[test]
+fn a_restarted_daemon_serves_while_the_store_is_away() {
+    let mut fleet = FrontFleet::start(1, 2);
+    fleet.store.refuse(Some(503));
+    fleet.restart(1);
+    assert_eq!(status(&fleet, 1, "/read/"), Some(200));
+}
+
+#[test]
+fn metrics_count_requests_by_outcome() {
+    let fleet = FrontFleet::start(1, 1);
+    assert_eq!(status(&fleet, 0, "/read/"), Some(200));
+    let metrics = WebRequest::new("GET", fleet.daemons[0].admin, "/metrics").send();
+    let text = metrics.expect("metrics").body;
+    assert!(text.contains("front_requests_total"), "{text}");
+    assert!(text.contains("outcome=\"answered\""), "{text}");
+    assert!(text.contains("front_reply_milliseconds_bucket"), "{text}");
+}
+
+#[test]
+fn a_caller_that_sends_nonsense_harms_nobody() {
+    let fleet = FrontFleet::start(1, 1);
+    for bytes in ["\u{0}\u{1}\r\n\r\n", "GET\r\n\r\n", "GET / HTTP/1.1\r\nHost : x\r\n\r\n"] {
+        let mut caller = TcpStream::connect(fleet.daemons[0].callers).expect("a connection");
+        // The daemon may close before all has been written.
+        let _ = caller.write_all(bytes.as_bytes());
+        let mut answer = Vec::new();
+        let _ = caller.read_to_end(&mut answer);
+    }
+    fleet.servers[0].set_script(|_, stream| {
+        // The daemon may have closed the connection.
+        let _ = stream.write_all(b"\x00\x01 this is no answer \r\n\r\n");
+        AfterAnswer::Close
+    });
+    let reply = fleet.request(0, "POST", "/once/", "id-1").body("x").send().expect("a reply");
+    assert_eq!(reply.status, 502);
+    assert_eq!(ready_status(&fleet.daemons[0]), Some(200));
+}
