fix: each data centre of a large fleet keeps daemons that watch the platform

Two of each data centre watch now, all of it when these do not hear the platform, and news is told at once instead of with the next digest.

--- a/ggt-core/src/fleet/mod.rs
+++ b/ggt-core/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 use crate::blame::DeathMark;
 use crate::blame::RequestPrint;
 use crate::clock::MonoTime;
+use crate::ident::stable_hash;
 use crate::targets::FlightLoad;
 
 /// Datagrams that a daemon sends in a second at most.
@@ -25,6 +26,10 @@
 const MIN_SILENCE_MS: u64 = 1_000;
 /// A daemon that was silent for this many milliseconds is forgotten.
 const FORGET_MS: u64 = 30_000;
+/// Fleets up to this size watch the platform all by themselves.
+const SMALL_FLEET: usize = 12;
+/// Daemons of each data centre that watch the platform in a larger fleet.
+const CENTRE_WATCHERS: usize = 2;
 /// Daemons that a digest names at most.
 const MAX_NAMED: usize = 12;
 
@@ -37,6 +42,10 @@
     pub incarnation: u64,
     /// Rises with each digest of one life.
     pub number: u64,
+    /// The daemon's data centre, by a short hash.
+    pub centre: u32,
+    /// Whether the daemon hears of the platform's changes itself.
+    pub is_watching: bool,
     /// Milliseconds since the daemon started.
     pub age_ms: u64,
     /// Whether the daemon is stopping.
@@ -136,6 +145,22 @@
             .filter(move |peer| peer.heard_at + silence_ms >= now && !peer.digest.is_leaving)
     }
 
+    /// Whether this daemon is to watch the platform itself.
+    ///
+    /// In a small fleet all do. In a large one the first few of each data centre do, in an order that all
+    /// daemons agree on, and the others learn from them; when none of a data centre does, all of it do.
+    pub fn should_watch(&self, centre: u32, now: MonoTime) -> bool {
+        let living: Vec<_> = self.living(now).map(|peer| &peer.digest).collect();
+        if living.len() < SMALL_FLEET {
+            return true;
+        }
+        let rank = |address: SocketAddr| stable_hash(address.to_string().as_bytes());
+        let own = rank(self.own);
+        let near = || living.iter().filter(|digest| digest.centre == centre);
+        near().filter(|digest| rank(digest.address) < own).count() < CENTRE_WATCHERS
+            || !near().any(|digest| digest.is_watching)
+    }
+
     /// Where the next digest goes: all known daemons, those that were only named, and the seeds.
     pub fn audience(&self, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
         let known = self.peers.keys().chain(self.candidates.keys()).chain(seeds);
--- a/ggt-core/tests/fleet.rs
+++ b/ggt-core/tests/fleet.rs
@@ -20,6 +20,8 @@
         address: address(from),
         incarnation,
         number,
+        centre: u32::from(from % 3),
+        is_watching: true,
         age_ms: 0,
         is_leaving: false,
         target_revision: 0,
@@ -90,3 +92,36 @@
     let sends_per_second = 79 * 1_000 / table.period_ms();
     assert!(table.period_ms() > small && sends_per_second <= 90, "{sends_per_second} a second");
 }
+
+#[test]
+fn in_a_large_fleet_a_few_of_each_data_centre_watch_and_others_take_over() {
+    const DAEMONS: u8 = 60;
+    let watchers = |silent_centre: Option<u32>| {
+        let mut watchers = Vec::new();
+        for own in 1..=DAEMONS {
+            let mut table = FleetTable::new(address(own));
+            for other in (1..=DAEMONS).filter(|other| *other != own) {
+                let told = digest(other, 1, 1);
+                let is_watching = silent_centre != Some(told.centre);
+                table.take(PeerDigest { is_watching, ..told }, at(0));
+            }
+            if table.should_watch(u32::from(own % 3), at(0)) {
+                watchers.push(u32::from(own % 3));
+            }
+        }
+        watchers
+    };
+    let calm = watchers(None);
+    for centre in 0..3 {
+        assert_eq!(calm.iter().filter(|other| **other == centre).count(), 2);
+    }
+    let cut = watchers(Some(1));
+    assert_eq!(cut.iter().filter(|other| **other == 1).count(), 20, "all of the data centre");
+}
+
+#[test]
+fn in_a_small_fleet_all_watch() {
+    let mut table = FleetTable::new(address(1));
+    (2..=9).for_each(|other| drop(table.take(digest(other, 1, 1), at(0))));
+    assert!(table.should_watch(1, at(0)));
+}
--- a/ggt-daemon/src/front/peers.rs
+++ b/ggt-daemon/src/front/peers.rs
@@ -39,6 +39,8 @@
 const PLATFORM_FIRST_MS: u64 = 120;
 /// Time between looks at whether a peer knows more.
 const FETCH_STEP: Duration = Duration::from_millis(60);
+/// Pause before news is told, so that changes in quick succession are told together.
+const NEWS_PAUSE: Duration = Duration::from_millis(20);
 /// Longest time for one call to a peer.
 const FETCH_WAIT: Duration = Duration::from_millis(800);
 
@@ -85,7 +87,10 @@
         let period_ms = state.fleet.borrow().period_ms();
         // Jitter keeps daemons that started together from sending at the same moment.
         let jitter_ms = rand::rng().random_range(0..=period_ms / 5);
-        sleep(Duration::from_millis(period_ms + jitter_ms)).await;
+        tokio::select! {
+            () = sleep(Duration::from_millis(period_ms + jitter_ms)) => {}
+            () = state.news.notified() => sleep(NEWS_PAUSE).await,
+        }
     }
 }
 
@@ -129,6 +134,8 @@
         address,
         incarnation: state.incarnation,
         number,
+        centre: state.centre,
+        is_watching: state.is_watching(),
         age_ms: mono_now().millis_since(state.started_at),
         is_leaving: state.is_draining(),
         target_revision: state.facts(FactKind::Targets).borrow().last_change(),
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -21,6 +21,7 @@
 use ggt_core::facts::OutageRecord;
 use ggt_core::fleet::FleetTable;
 use ggt_core::fleet::PeerDigest;
+use ggt_core::ident::stable_hash;
 use ggt_core::routes::RouteBook;
 use ggt_core::spend::SpendWindow;
 use ggt_core::targets::TargetKey;
@@ -77,6 +78,10 @@
     pub metrics: FrontMetrics,
     /// This life of the daemon, later than any former one.
     pub incarnation: u64,
+    /// The daemon's data centre, by a short hash.
+    pub centre: u32,
+    /// Told when the other daemons should hear from this one at once.
+    pub news: Notify,
     /// When this life began.
     pub started_at: MonoTime,
     /// The targets.
@@ -99,13 +104,17 @@
     spends: RefCell<HashMap<String, SpendWindow>>,
     is_draining: Cell<bool>,
     outage: Cell<OutageRecord>,
+    watching: Cell<[bool; 2]>,
 }
 
 impl FrontState {
     /// State of a daemon that starts now.
     pub fn new(settings: FrontSettings, metrics: FrontMetrics) -> Self {
         let fleet = FleetTable::new(settings.peer);
+        let centre = stable_hash(settings.data_centre.as_bytes()) as u32;
         Self {
+            centre,
+            news: Notify::new(),
             settings: RefCell::new(Rc::new(settings)),
             metrics,
             incarnation: wall_now().as_millis(),
@@ -123,6 +132,7 @@
             spends: RefCell::default(),
             is_draining: Cell::new(false),
             outage: Cell::default(),
+            watching: Cell::default(),
         }
     }
 
@@ -164,6 +174,18 @@
         self.is_draining.set(true);
     }
 
+    /// Records whether this daemon hears of a folder's changes from the platform itself.
+    pub fn set_watching(&self, kind: FactKind, is_watching: bool) {
+        let mut watching = self.watching.get();
+        watching[kind as usize] = is_watching;
+        self.watching.set(watching);
+    }
+
+    /// Whether this daemon hears of all changes from the platform itself.
+    pub fn is_watching(&self) -> bool {
+        self.watching.get() == [true; 2]
+    }
+
     /// Records that the platform answered.
     pub fn note_platform_answer(&self) {
         let now = mono_now();
@@ -207,6 +229,9 @@
     /// Takes facts of one folder from the platform or from a peer.
     pub fn take_facts(&self, kind: FactKind, batch: FactBatch, source: &str) {
         let news = self.facts(kind).borrow_mut().take(batch);
+        if !news.is_empty() && self.is_watching() {
+            self.news.notify_one();
+        }
         for change in &news {
             match kind {
                 FactKind::Targets => self.take_target(change, source),
--- a/ggt-daemon/src/front/store.rs
+++ b/ggt-daemon/src/front/store.rs
@@ -23,8 +23,6 @@
 use crate::front::state::FrontState;
 use ggt_core::facts::FactBatch;
 use ggt_core::facts::FactChange;
-use ggt_core::ident::mix_hash;
-use ggt_core::ident::stable_hash;
 use ggt_platform::StoreAnswer;
 use ggt_platform::StoreError;
 use ggt_platform::parse_range;
@@ -42,14 +40,8 @@
 const MAX_PAUSE_MS: u64 = 1_000;
 /// Largest answer of the store in bytes.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
-/// Daemons that watch the store in a fleet so large that the others learn from them.
-const WATCHER_COUNT: usize = 6;
-/// Fleets up to this size watch the store all by themselves.
-const SMALL_FLEET: usize = 12;
-/// Silence of all watchers in milliseconds after which any daemon watches itself.
-const WATCHERS_SILENT_MS: u64 = 1_500;
 /// Pause before a daemon that does not watch asks itself again whether it should.
-const IDLE_PAUSE: Duration = Duration::from_millis(250);
+const IDLE_PAUSE_MS: u64 = 250;
 
 /// Why a call to the store failed.
 #[derive(Debug, Snafu)]
@@ -95,7 +87,8 @@
     let mut failures = 0;
     loop {
         if !should_watch(&state, kind) {
-            sleep(IDLE_PAUSE).await;
+            state.set_watching(kind, false);
+            sleep(jittered(IDLE_PAUSE_MS)).await;
             continue;
         }
         let watched = watch_once(&state, kind, &mut link).await;
@@ -103,6 +96,7 @@
         match watched {
             Ok(batch) => {
                 failures = 0;
+                state.set_watching(kind, true);
                 state.note_platform_answer();
                 state.take_facts(kind, batch, "platform");
             }
@@ -113,6 +107,7 @@
             Err(e) => {
                 link.channel = None;
                 failures += 1;
+                state.set_watching(kind, false);
                 state.note_platform_failure(&e.to_string());
                 sleep(pause(failures)).await;
             }
@@ -120,28 +115,19 @@
     }
 }
 
-/// Whether this daemon asks the store itself: always in a small fleet, else as one of a few that
-/// all agree on, or when those are silent.
+/// Whether this daemon asks the store itself.
 fn should_watch(state: &FrontState, kind: FactKind) -> bool {
-    if state.facts(kind).borrow().revision() == 0 {
-        return true;
-    }
-    let now = mono_now();
-    let own = state.settings().peer;
-    let fleet = state.fleet.borrow();
-    let living: Vec<_> = fleet.living(now).collect();
-    if living.len() < SMALL_FLEET {
-        return true;
-    }
-    let rank = |address: SocketAddr| mix_hash(stable_hash(address.to_string().as_bytes()), 0);
-    let before = living.iter().filter(|peer| rank(peer.digest.address) < rank(own)).count();
-    let is_fresh = |age_ms: u32| u64::from(age_ms) < WATCHERS_SILENT_MS + WATCH_MS;
-    before < WATCHER_COUNT || !living.iter().any(|peer| is_fresh(peer.digest.platform_age_ms))
+    let is_empty = state.facts(kind).borrow().revision() == 0;
+    is_empty || state.fleet.borrow().should_watch(state.centre, mono_now())
 }
 
 fn pause(failures: u32) -> Duration {
-    let longest = (FIRST_PAUSE_MS << failures.min(5)).min(MAX_PAUSE_MS);
-    Duration::from_millis(rand::rng().random_range(longest / 2..=longest))
+    jittered((FIRST_PAUSE_MS << failures.min(5)).min(MAX_PAUSE_MS))
+}
+
+/// A pause of at most `longest_ms`, so that daemons do not call at the same moment.
+fn jittered(longest_ms: u64) -> Duration {
+    Duration::from_millis(rand::rng().random_range(longest_ms / 2..=longest_ms))
 }
 
 /// A connection to the store, and whether the folder must be read anew.
