fix: a stopping daemon serves its listener's backlog; plain requests are spread by free places

Now in proportion to the square of free places, own data centre first. A request that ran to its end is no longer blamed for deaths that peers go on telling. Only the latest change of a key is kept for peers.

--- a/ggt-core/src/blame/mod.rs
+++ b/ggt-core/src/blame/mod.rs
@@ -36,6 +36,8 @@
 #[derive(Clone, Debug)]
 struct BlameEntry {
     deaths: BTreeSet<DeathMark>,
+    /// Deaths before the request ran to its end, which others may go on telling.
+    forgiven: BTreeSet<DeathMark>,
     expires_at: MonoTime,
 }
 
@@ -73,17 +75,25 @@
         if !self.entries.contains_key(&print) && self.entries.len() >= self.capacity {
             self.drop_earliest();
         }
-        let entry = self
-            .entries
-            .entry(print)
-            .or_insert_with(|| BlameEntry { deaths: BTreeSet::new(), expires_at });
+        let entry = self.entries.entry(print).or_insert_with(|| BlameEntry {
+            deaths: BTreeSet::new(),
+            forgiven: BTreeSet::new(),
+            expires_at,
+        });
+        if entry.forgiven.contains(&death) {
+            return false;
+        }
         entry.expires_at = entry.expires_at.max(expires_at);
         entry.deaths.insert(death)
     }
 
-    /// Clears a request that ran to its end.
+    /// Clears a request that ran to its end; `true` when it was under suspicion.
     pub fn clear(&mut self, print: RequestPrint) -> bool {
-        self.entries.remove(&print).is_some()
+        let Some(entry) = self.entries.get_mut(&print) else { return false };
+        let deaths = std::mem::take(&mut entry.deaths);
+        let was_suspect = !deaths.is_empty();
+        entry.forgiven.extend(deaths);
+        was_suspect
     }
 
     /// The deaths on which the request was in flight.
--- a/ggt-core/src/facts/mod.rs
+++ b/ggt-core/src/facts/mod.rs
@@ -130,6 +130,8 @@
         self.removal_count += usize::from(change.value.is_none());
         let fact = FactState { revision: change.revision, value: change.value.clone() };
         self.facts.insert(change.key.clone(), fact);
+        // A peer needs only the latest change of a key.
+        self.log.retain(|logged| logged.key != change.key);
         self.log.push_back(change.clone());
         if self.log.len() > MAX_LOGGED_CHANGES {
             let dropped = self.log.pop_front().map_or(0, |change| change.revision);
--- a/ggt-core/src/targets/choice.rs
+++ b/ggt-core/src/targets/choice.rs
@@ -38,8 +38,10 @@
     Home,
     /// First in the prompt's order that is below the bound on load.
     Spill,
-    /// The least loaded.
+    /// The least loaded, since all are above the bound.
     Least,
+    /// By its free places.
+    Free,
     /// One request shows whether the target is fit again.
     Trial,
 }
@@ -52,6 +54,7 @@
             Self::Home => "home",
             Self::Spill => "spill",
             Self::Least => "least",
+            Self::Free => "free",
             Self::Trial => "trial",
         }
     }
@@ -98,8 +101,11 @@
 /// Part of the goal that a prompt may wait for others to be read before it goes to a target that
 /// must read it anew.
 const WAIT_PART: f64 = 0.4;
-/// Requests by which a target in another data centre must be less loaded to be preferred.
-const REMOTE_PENALTY: f64 = 2.0;
+/// Times as many requests that a target of the daemon's own data centre gets as an equally free one
+/// elsewhere.
+const OWN_CENTRE_WEIGHT: f64 = 8.0;
+/// Part of its places that a target counts as free at least, so that it is never forgotten.
+const MIN_FREE_PART: f64 = 0.02;
 /// Part of all targets that cannot be reached from which on a daemon counts as cut off.
 const CUT_OFF_PART: f64 = 0.85;
 /// Unreachable targets in one data centre from which on the whole data centre is avoided.
@@ -110,7 +116,7 @@
     ///
     /// Prompts have an order of targets that is the same on all daemons; a request goes to the first
     /// one whose load is below the bound, so that a hot part spreads over as many targets as it
-    /// needs. Requests without a prompt go to the least loaded target.
+    /// needs. Requests without a prompt are spread by free places.
     ///
     /// # Errors
     /// [`ChoiceError`] when no target may be used.
@@ -140,7 +146,7 @@
         let mean = usable.iter().map(|(_, s)| load_of(s)).sum::<f64>() / usable.len() as f64;
         let bound = LOAD_FACTOR * (mean + 1.0) + LOAD_SLACK;
         let Some(anchor) = query.chain.and_then(PromptChain::anchor) else {
-            return Ok(least_loaded(&usable, query, bound));
+            return Ok(by_free_places(&usable, query, bound));
         };
         let wall = CACHED_LOAD_FACTOR * mean + CACHED_LOAD_SLACK;
         let wait = WAIT_PART * query.goal_ms as f64;
@@ -267,27 +273,27 @@
     TargetChoice { key, reason, load, bound, source: None }
 }
 
-fn least_loaded(
+/// A target at random, in proportion to the square of its free places.
+///
+/// Daemons that all took the least loaded target by the same, somewhat old account would overrun it
+/// together until the next account.
+fn by_free_places(
     usable: &[(TargetKey, &TargetState)],
     query: &ChoiceQuery<'_>,
     bound: f64,
 ) -> TargetChoice {
-    let cost = |state: &TargetState| {
-        let is_remote = state.record.data_centre != query.data_centre;
-        load_of(state) + if is_remote { REMOTE_PENALTY } else { 0.0 }
+    let weight = |state: &TargetState| {
+        let slots = f64::from(state.record.slots.max(1));
+        let free = ((slots - load_of(state)) / slots).max(MIN_FREE_PART);
+        let is_near = state.record.data_centre == query.data_centre;
+        free * free * if is_near { OWN_CENTRE_WEIGHT } else { 1.0 }
     };
-    let spread = |state: &TargetState| rendezvous_score(query.spread_hash, state.place_hash, 1.0);
-    let least = usable.iter().min_by(|(_, a), (_, b)| {
-        cost(a).total_cmp(&cost(b)).then_with(|| spread(b).total_cmp(&spread(a)))
-    });
-    let (key, state) = least.unwrap_or(&usable[0]);
-    TargetChoice {
-        key: *key,
-        reason: ChoiceReason::Least,
-        load: load_of(state),
-        bound,
-        source: None,
-    }
+    let score =
+        |state: &TargetState| rendezvous_score(query.spread_hash, state.place_hash, weight(state));
+    let chosen = usable.iter().max_by(|(_, a), (_, b)| score(a).total_cmp(&score(b)));
+    let (key, state) = chosen.unwrap_or(&usable[0]);
+    let load = load_of(state);
+    TargetChoice { key: *key, reason: ChoiceReason::Free, load, bound, source: None }
 }
 
 /// Load in requests, with the prompts that are still to be read.
--- a/ggt-core/tests/facts.rs
+++ b/ggt-core/tests/facts.rs
@@ -119,3 +119,14 @@
     outage.note_answer(at(6_000));
     assert_eq!(outage.gone_at(at(6_100)), at(8_200));
 }
+
+#[test]
+fn many_versions_of_one_key_are_kept_and_told_once() {
+    let mut table = FactTable::default();
+    let whole = FactBatch { revision: 1, is_whole: true, changes: vec![change(1, 1, false)] };
+    table.take(whole);
+    (2..500).for_each(|revision| drop(table.take(part(vec![change(1, revision, false)]))));
+    let told = table.since(1);
+    assert!(!told.is_whole);
+    assert_eq!(told.changes, vec![change(1, 499, false)]);
+}
--- a/ggt-daemon/src/edge/listen.rs
+++ b/ggt-daemon/src/edge/listen.rs
@@ -4,8 +4,6 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
@@ -29,9 +27,10 @@
 use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::sync::watch;
 
+use crate::edge::EdgeHandle;
 use crate::edge::IntakeError;
+use crate::edge::accept_callers;
 use crate::edge::intake::caller_request_id;
 use crate::edge::intake::check_request;
 use crate::edge::intake::find_customer;
@@ -64,47 +63,6 @@
     pub handle: EdgeHandle,
 }
 
-/// Tells the edge to stop, and counts its connections.
-#[derive(Clone)]
-pub struct EdgeHandle {
-    phase: watch::Sender<EdgePhase>,
-    open: Arc<AtomicUsize>,
-}
-
-/// How far the edge has stopped.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum EdgePhase {
-    /// Connections are accepted.
-    Open,
-    /// No connection is accepted any more.
-    Closed,
-    /// Idle connections are closed.
-    Ending,
-}
-
-impl Default for EdgeHandle {
-    fn default() -> Self {
-        Self { phase: watch::Sender::new(EdgePhase::Open), open: Arc::default() }
-    }
-}
-
-impl EdgeHandle {
-    /// Stops accepting connections.
-    pub fn close(&self) {
-        self.phase.send_replace(EdgePhase::Closed);
-    }
-
-    /// Closes idle connections, and each other one after its request.
-    pub fn end(&self) {
-        self.phase.send_replace(EdgePhase::Ending);
-    }
-
-    /// Open connections.
-    pub fn open(&self) -> usize {
-        self.open.load(Ordering::SeqCst)
-    }
-}
-
 /// Body of a reply: short and whole, or streamed.
 enum EdgeBody {
     Whole(Option<Bytes>),
@@ -128,43 +86,17 @@
 
 /// Accepts callers until the edge is closed.
 pub async fn serve_callers(context: Arc<EdgeContext>, listener: TcpListener) {
-    let mut phase = context.handle.phase.subscribe();
-    loop {
-        tokio::select! {
-            accepted = listener.accept() => {
-                if let Ok((stream, peer)) = accepted {
-                    tokio::spawn(serve_connection(context.clone(), stream, peer));
-                }
-            }
-            () = reach(&mut phase, EdgePhase::Closed) => break,
-        }
-    }
-    serve_backlog(&context, listener);
-}
-
-/// Takes the connections that the kernel has already accepted; closing the listener at once would
-/// reset them with their requests.
-fn serve_backlog(context: &Arc<EdgeContext>, listener: TcpListener) {
-    let Ok(listener) = listener.into_std() else { return };
-    // The listener does not block, so this ends with the last waiting connection.
-    while let Ok((stream, peer)) = listener.accept() {
-        let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
-        if let Ok(stream) = stream {
-            tokio::spawn(serve_connection(context.clone(), stream, peer));
-        }
-    }
-}
-
-async fn reach(receiver: &mut watch::Receiver<EdgePhase>, phase: EdgePhase) {
-    // Without a sender the edge is gone, which is as good as any phase.
-    let _ = receiver.wait_for(|current| *current >= phase).await;
+    let handle = context.handle.clone();
+    let serve = |stream, peer| {
+        tokio::spawn(serve_connection(context.clone(), stream, peer));
+    };
+    accept_callers(&handle, listener, serve).await;
 }
 
 async fn serve_connection(context: Arc<EdgeContext>, stream: TcpStream, peer: SocketAddr) {
-    context.handle.open.fetch_add(1, Ordering::SeqCst);
+    let _open = context.handle.note_open();
     // Small chunks of a stream must leave at once.
     let _ = stream.set_nodelay(true);
-    let mut phase = context.handle.phase.subscribe();
     let service = service_fn(|request| {
         let context = context.clone();
         async move { Ok::<_, Infallible>(serve_request(&context, request).await) }
@@ -177,7 +109,7 @@
     let mut connection = std::pin::pin!(connection);
     let outcome = tokio::select! {
         outcome = connection.as_mut() => outcome,
-        () = reach(&mut phase, EdgePhase::Ending) => {
+        () = context.handle.ending() => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -185,7 +117,6 @@
     if let Err(e) = outcome {
         log::debug!("event=connection peer={peer} cause={}", quoted(&e.to_string()));
     }
-    context.handle.open.fetch_sub(1, Ordering::SeqCst);
 }
 
 async fn serve_request(context: &EdgeContext, request: Request<Incoming>) -> Response<EdgeBody> {
--- a/ggt-daemon/src/front/callers.rs
+++ b/ggt-daemon/src/front/callers.rs
@@ -23,9 +23,9 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
 
 use crate::clock::mono_now;
+use crate::edge::accept_callers;
 use crate::front::answer::AnswerBody;
 use crate::front::answer::FrontRefusal;
 use crate::front::intake::check_request;
@@ -33,13 +33,10 @@
 use crate::front::plain::run_plain;
 use crate::front::state::FrontState;
 use crate::front::stream::run_stream;
-use crate::logging::quoted;
 use ggt_core::routes::CallerLimits;
 use ggt_platform::ATTEMPT_HEADER;
 use ggt_platform::read_request;
 
-/// Pause after the listener failed, as when no descriptor is free.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Idle timeouts that a connection may last without a request, so that a longer timeout that comes
 /// with a new configuration holds for it too.
 const IDLE_FACTOR: u64 = 4;
@@ -48,22 +45,16 @@
 /// Milliseconds after which a caller should come back with a request that crashed its targets.
 const CRASH_RETRY_MS: u64 = 5_000;
 
-/// Takes callers' connections until the task is dropped.
+/// Takes callers' connections until the edge is closed.
 pub async fn serve_callers(state: Rc<FrontState>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, caller)) => {
-                spawn_local(serve_connection(state.clone(), stream, caller));
-            }
-            Err(e) => {
-                log::warn!("event=accept cause={}", quoted(&e.to_string()));
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    let serve = |stream, caller| {
+        spawn_local(serve_connection(state.clone(), stream, caller));
+    };
+    accept_callers(&state.edge, listener, serve).await;
 }
 
 async fn serve_connection(state: Rc<FrontState>, stream: TcpStream, caller: SocketAddr) {
+    let _open = state.edge.note_open();
     if let Err(e) = stream.set_nodelay(true) {
         log::debug!("event=caller address={caller} cause=\"{e}\"");
     }
@@ -82,7 +73,7 @@
     let mut connection = pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = state.closing.notified() => {
+        () = state.edge.ending() => {
             connection.as_mut().graceful_shutdown();
             connection.as_mut().await
         }
--- a/ggt-daemon/src/front/ready.rs
+++ b/ggt-daemon/src/front/ready.rs
@@ -15,31 +15,22 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
 
+use crate::edge::EdgeHandle;
+use crate::edge::accept_callers;
 use crate::front::peers::peer_answer;
 use crate::front::state::FrontState;
-use crate::logging::quoted;
 use ggt_platform::READY_PATH;
 
 /// Path of the metrics in the Prometheus format.
 const METRICS_PATH: &str = "/metrics";
-/// Pause after the listener failed.
-const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
 
 /// Answers short questions until the task is dropped.
 pub async fn serve_questions(state: Rc<FrontState>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                spawn_local(serve_connection(state.clone(), stream));
-            }
-            Err(e) => {
-                log::warn!("event=accept cause={}", quoted(&e.to_string()));
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    let serve = |stream, _| {
+        spawn_local(serve_connection(state.clone(), stream));
+    };
+    accept_callers(&EdgeHandle::default(), listener, serve).await;
 }
 
 async fn serve_connection(state: Rc<FrontState>, stream: TcpStream) {
--- a/ggt-daemon/src/front/run.rs
+++ b/ggt-daemon/src/front/run.rs
@@ -118,9 +118,9 @@
     spawn_local(run_fetching(state.clone()));
     spawn_local(run_warmup(state.clone()));
     spawn_local(run_reloading(state.clone(), file, reloads));
-    let listening = spawn_local(serve_callers(state.clone(), callers));
+    spawn_local(serve_callers(state.clone(), callers));
     stops.recv().await;
-    stop(&state, || listening.abort()).await;
+    stop(&state).await;
     Ok(())
 }
 
@@ -133,26 +133,23 @@
 /// First the daemon only says that it is not ready and still serves, since the platform and the
 /// callers hear of it late. Then it closes its listener and idle connections, and waits for what is
 /// in flight.
-async fn stop<F>(state: &FrontState, close_listener: F)
-where
-    F: FnOnce(),
-{
+async fn stop(state: &FrontState) {
     let grace_ms = state.settings().grace_ms();
     let stopped_at = mono_now();
     let deadline = stopped_at + grace_ms.saturating_sub(GRACE_MARGIN_MS);
     let announced_until = stopped_at + ANNOUNCE_MS.min(grace_ms / 2);
     state.start_draining();
-    log::info!("event=stop in_flight={}", state.in_flight.get());
+    log::info!("event=stop in_flight={} connections={}", state.in_flight.get(), state.edge.open());
     while mono_now() < announced_until {
         sleep(DRAIN_STEP).await;
     }
-    close_listener();
-    state.closing.notify_waiters();
-    while mono_now() < deadline && state.in_flight.get() > 0 {
+    state.edge.close();
+    // The backlog's connections are served before idle ones are closed.
+    sleep(DRAIN_STEP).await;
+    state.edge.end();
+    while mono_now() < deadline && state.edge.open() > 0 {
         sleep(DRAIN_STEP).await;
     }
-    // The last answers' bytes leave with the turn of their connections' tasks.
-    sleep(DRAIN_STEP).await;
     log::info!("event=stopped in_flight={}", state.in_flight.get());
 }
 
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -9,6 +9,7 @@
 
 use crate::clock::mono_now;
 use crate::clock::wall_now;
+use crate::edge::EdgeHandle;
 use crate::front::channels::TargetChannels;
 use crate::front::metrics::FrontMetrics;
 use crate::front::settings::FrontSettings;
@@ -94,8 +95,8 @@
     pub blame: RefCell<BlameTable>,
     /// Requests in flight.
     pub in_flight: Cell<usize>,
-    /// Told when the daemon starts to close callers' connections.
-    pub closing: Notify,
+    /// Callers' connections, and how far the daemon has stopped taking them.
+    pub edge: EdgeHandle,
     /// When the platform last answered.
     pub platform_seen_at: Cell<MonoTime>,
     targets: RefCell<FactTable>,
@@ -124,7 +125,7 @@
             fleet: RefCell::new(fleet),
             blame: RefCell::new(BlameTable::new(CRASH_LIMIT, MAX_SUSPECTS)),
             in_flight: Cell::new(0),
-            closing: Notify::new(),
+            edge: EdgeHandle::default(),
             platform_seen_at: Cell::new(mono_now()),
             targets: RefCell::default(),
             config: RefCell::default(),
