feat: fault soak of real daemons; answers between daemons are packed

Answers are compressed now, the watchers are those with the fastest links, and a daemon that stays behind for 1 s asks the store.

--- a/ggt-core/src/fleet/mod.rs
+++ b/ggt-core/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 //! Each daemon sends a digest of its own state to every daemon that it knows, at a pace that falls as
 //! the fleet grows. Digests name other daemons, so that one living seed is enough to find all.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -44,6 +45,8 @@
     pub number: u64,
     /// The daemon's data centre, by a short hash.
     pub centre: u32,
+    /// Megabits a second of its host's link.
+    pub link_mbps: u32,
     /// Whether the daemon hears of the platform's changes itself.
     pub is_watching: bool,
     /// Milliseconds since the daemon started.
@@ -147,18 +150,21 @@
 
     /// Whether this daemon is to watch the platform itself.
     ///
-    /// In a small fleet all do. In a large one the first few of each data centre do, in an order that all
-    /// daemons agree on, and the others learn from them; when none of a data centre does, all of it do.
-    pub fn should_watch(&self, centre: u32, now: MonoTime) -> bool {
+    /// In a small fleet all do. In a large one a few of each data centre do, those with the fastest links,
+    /// in an order that all daemons agree on, and the others learn from them; when none of a data centre
+    /// does, all of it do.
+    pub fn should_watch(&self, centre: u32, link_mbps: u32, now: MonoTime) -> bool {
         let living: Vec<_> = self.living(now).map(|peer| &peer.digest).collect();
         if living.len() < SMALL_FLEET {
             return true;
         }
-        let rank = |address: SocketAddr| stable_hash(address.to_string().as_bytes());
-        let own = rank(self.own);
+        let rank = |address: SocketAddr, mbps: u32| {
+            (Reverse(mbps), stable_hash(address.to_string().as_bytes()))
+        };
+        let own = rank(self.own, link_mbps);
         let near = || living.iter().filter(|digest| digest.centre == centre);
-        near().filter(|digest| rank(digest.address) < own).count() < CENTRE_WATCHERS
-            || !near().any(|digest| digest.is_watching)
+        let before = near().filter(|digest| rank(digest.address, digest.link_mbps) < own);
+        before.count() < CENTRE_WATCHERS || !near().any(|digest| digest.is_watching)
     }
 
     /// Where the next digest goes: all known daemons, those that were only named, and the seeds.
--- a/ggt-core/tests/fleet.rs
+++ b/ggt-core/tests/fleet.rs
@@ -15,12 +15,18 @@
     MonoTime::from_millis(millis)
 }
 
+/// Every fifth host has a fast link.
+fn link_of(number: u8) -> u32 {
+    if number.is_multiple_of(5) { 200 } else { 10 }
+}
+
 fn digest(from: u8, incarnation: u64, number: u64) -> PeerDigest {
     PeerDigest {
         address: address(from),
         incarnation,
         number,
         centre: u32::from(from % 3),
+        link_mbps: link_of(from),
         is_watching: true,
         age_ms: 0,
         is_leaving: false,
@@ -105,23 +111,24 @@
                 let is_watching = silent_centre != Some(told.centre);
                 table.take(PeerDigest { is_watching, ..told }, at(0));
             }
-            if table.should_watch(u32::from(own % 3), at(0)) {
-                watchers.push(u32::from(own % 3));
+            if table.should_watch(u32::from(own % 3), link_of(own), at(0)) {
+                watchers.push((u32::from(own % 3), link_of(own)));
             }
         }
         watchers
     };
     let calm = watchers(None);
     for centre in 0..3 {
-        assert_eq!(calm.iter().filter(|other| **other == centre).count(), 2);
+        assert_eq!(calm.iter().filter(|other| **other == (centre, 200)).count(), 2);
     }
     let cut = watchers(Some(1));
-    assert_eq!(cut.iter().filter(|other| **other == 1).count(), 20, "all of the data centre");
+    let near = cut.iter().filter(|(centre, _)| *centre == 1);
+    assert_eq!(near.count(), 20, "all of the data centre");
 }
 
 #[test]
 fn in_a_small_fleet_all_watch() {
     let mut table = FleetTable::new(address(1));
     (2..=9).for_each(|other| drop(table.take(digest(other, 1, 1), at(0))));
-    assert!(table.should_watch(1, at(0)));
+    assert!(table.should_watch(1, 10, at(0)));
 }
--- a/ggt-daemon/src/front/mod.rs
+++ b/ggt-daemon/src/front/mod.rs
@@ -11,6 +11,7 @@
 mod intake;
 mod job;
 mod metrics;
+mod pack;
 mod peers;
 mod plain;
 mod ready;
--- a/ggt-daemon/src/front/peers.rs
+++ b/ggt-daemon/src/front/peers.rs
@@ -7,7 +7,6 @@
 
 use bytes::Bytes;
 use rand::Rng;
-use snafu::ResultExt;
 use snafu::Snafu;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
@@ -15,6 +14,9 @@
 
 use crate::clock::mono_now;
 use crate::front::channels::open_channel;
+use crate::front::pack::PackError;
+use crate::front::pack::pack;
+use crate::front::pack::unpack;
 use crate::front::state::FactKind;
 use crate::front::state::FrontState;
 use crate::front::store::CallError;
@@ -42,7 +44,9 @@
 /// Pause before news is told, so that changes in quick succession are told together.
 const NEWS_PAUSE: Duration = Duration::from_millis(20);
 /// Longest time for one call to a peer.
-const FETCH_WAIT: Duration = Duration::from_millis(800);
+const FETCH_WAIT: Duration = Duration::from_millis(1_200);
+/// Time in milliseconds that a daemon may know less than its peers before it asks the platform itself.
+const MAX_BEHIND_MS: u64 = 1_000;
 
 /// Why something could not be had from a peer.
 #[derive(Debug, Snafu)]
@@ -60,10 +64,10 @@
         source: CallError,
     },
     /// The answer cannot be read.
-    #[snafu(display("answer: {source}"))]
+    #[snafu(display("answer: {source}"), context(false))]
     Body {
         /// The cause.
-        source: postcard::Error,
+        source: PackError,
     },
     /// The peer did not answer.
     #[snafu(display("no answer in time"))]
@@ -135,6 +139,7 @@
         incarnation: state.incarnation,
         number,
         centre: state.centre,
+        link_mbps: state.settings().link_mbps as u32,
         is_watching: state.is_watching(),
         age_ms: mono_now().millis_since(state.started_at),
         is_leaving: state.is_draining(),
@@ -183,8 +188,11 @@
                 continue;
             }
             let now = mono_now();
-            let is_due = now.millis_since(*since.get_or_insert(now)) >= PLATFORM_FIRST_MS;
-            if is_due {
+            let behind_ms = now.millis_since(*since.get_or_insert(now));
+            if behind_ms >= MAX_BEHIND_MS {
+                state.set_behind(kind, true);
+            }
+            if behind_ms >= PLATFORM_FIRST_MS {
                 let peer = ahead[rand::rng().random_range(0..ahead.len())];
                 fetch(&state, kind, peer).await;
             }
@@ -227,7 +235,7 @@
     if status != 200 {
         return Err(FetchError::Status { status });
     }
-    postcard::from_bytes(&body).context(BodySnafu)
+    Ok(unpack(&body)?)
 }
 
 /// Asks a peer for all readings of prompts that it knows.
@@ -241,21 +249,38 @@
         if status != 200 {
             return Err(FetchError::Status { status });
         }
-        postcard::from_bytes(&body).context(BodySnafu)
+        Ok(unpack(&body)?)
     };
     timeout(FETCH_WAIT, call).await.unwrap_or(Err(FetchError::Silent))
 }
 
+/// The last packed answer with facts, which many peers ask for at once.
+#[derive(Clone, Debug, Default)]
+pub struct PackedFacts {
+    /// The path that was asked and the revision of the facts.
+    question: (String, u64),
+    answer: Bytes,
+}
+
 /// The answer to a peer that asks for facts after a revision, or for readings of prompts.
 pub fn peer_answer(state: &FrontState, path: &str) -> Option<Bytes> {
-    let encoded = if path == READS_PATH {
-        postcard::to_stdvec(&state.pool.borrow().all_reads())
-    } else {
-        let (folder, revision) = path.strip_prefix("/facts/")?.split_once('/')?;
-        let kind = FactKind::ALL.into_iter().find(|kind| kind.as_str() == folder)?;
-        postcard::to_stdvec(&state.facts(kind).borrow().since(revision.parse().ok()?))
-    };
-    match encoded {
+    if path == READS_PATH {
+        return packed(path, pack(&state.pool.borrow().all_reads()));
+    }
+    let (folder, after) = path.strip_prefix("/facts/")?.split_once('/')?;
+    let kind = FactKind::ALL.into_iter().find(|kind| kind.as_str() == folder)?;
+    let facts = state.facts(kind).borrow();
+    let question = (path.to_owned(), facts.revision());
+    let mut kept = state.packed.borrow_mut();
+    if kept.question != question {
+        let answer = packed(path, pack(&facts.since(after.parse().ok()?)))?;
+        *kept = PackedFacts { question, answer };
+    }
+    Some(kept.answer.clone())
+}
+
+fn packed(path: &str, bytes: Result<Vec<u8>, PackError>) -> Option<Bytes> {
+    match bytes {
         Ok(bytes) => Some(bytes.into()),
         Err(e) => {
             log::error!("event=peer-answer path={path} cause=\"{e}\"");
--- a/ggt-daemon/src/front/settings.rs
+++ b/ggt-daemon/src/front/settings.rs
@@ -35,6 +35,9 @@
     pub store: SocketAddr,
     /// The fleet's allowance of retries for each service.
     pub retries: RetrySettings,
+    /// Megabits a second of the host's link.
+    #[serde(default = "default_link_mbps")]
+    pub link_mbps: f64,
     /// Whether the whole fleet starts for the first time, so that no target holds anything yet.
     #[serde(default)]
     pub first_start: bool,
@@ -79,6 +82,10 @@
     }
 }
 
+fn default_link_mbps() -> f64 {
+    1_000.0
+}
+
 fn default_log_level() -> String {
     "info".to_owned()
 }
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -12,6 +12,7 @@
 use crate::edge::EdgeHandle;
 use crate::front::channels::TargetChannels;
 use crate::front::metrics::FrontMetrics;
+use crate::front::peers::PackedFacts;
 use crate::front::settings::FrontSettings;
 use crate::logging::quoted;
 use ggt_core::blame::BlameTable;
@@ -106,6 +107,9 @@
     is_draining: Cell<bool>,
     outage: Cell<OutageRecord>,
     watching: Cell<[bool; 2]>,
+    behind: Cell<[bool; 2]>,
+    /// The last packed answer to peers.
+    pub packed: RefCell<PackedFacts>,
 }
 
 impl FrontState {
@@ -134,6 +138,8 @@
             is_draining: Cell::new(false),
             outage: Cell::default(),
             watching: Cell::default(),
+            behind: Cell::default(),
+            packed: RefCell::default(),
         }
     }
 
@@ -182,6 +188,18 @@
         self.watching.set(watching);
     }
 
+    /// Records whether peers know more of a folder and could not be asked.
+    pub fn set_behind(&self, kind: FactKind, is_behind: bool) {
+        let mut behind = self.behind.get();
+        behind[kind as usize] = is_behind;
+        self.behind.set(behind);
+    }
+
+    /// Whether the platform itself must be asked for a folder.
+    pub fn is_behind(&self, kind: FactKind) -> bool {
+        self.behind.get()[kind as usize]
+    }
+
     /// Whether this daemon hears of all changes from the platform itself.
     pub fn is_watching(&self) -> bool {
         self.watching.get() == [true; 2]
--- a/ggt-daemon/src/front/store.rs
+++ b/ggt-daemon/src/front/store.rs
@@ -97,6 +97,7 @@
             Ok(batch) => {
                 failures = 0;
                 state.set_watching(kind, true);
+                state.set_behind(kind, false);
                 state.note_platform_answer();
                 state.take_facts(kind, batch, "platform");
             }
@@ -117,8 +118,11 @@
 
 /// Whether this daemon asks the store itself.
 fn should_watch(state: &FrontState, kind: FactKind) -> bool {
+    let link_mbps = state.settings().link_mbps as u32;
     let is_empty = state.facts(kind).borrow().revision() == 0;
-    is_empty || state.fleet.borrow().should_watch(state.centre, mono_now())
+    is_empty
+        || state.is_behind(kind)
+        || state.fleet.borrow().should_watch(state.centre, link_mbps, mono_now())
 }
 
 fn pause(failures: u32) -> Duration {
--- a/ggt-standin/src/proxy/pump.rs
+++ b/ggt-standin/src/proxy/pump.rs
@@ -44,7 +44,9 @@
         }
         let plan = route.plan();
         sleep(Duration::from_millis(plan.delay_ms)).await;
-        let left = limit_of(&plan).filter(|_| is_cut).map_or(u64::MAX, |limit| limit - moved);
+        let left = limit_of(&plan)
+            .filter(|_| is_cut)
+            .map_or(u64::MAX, |limit| limit.saturating_sub(moved));
         let passed = usize::try_from(left).unwrap_or(usize::MAX).min(length);
         if to.write_all(&buffer[..passed]).await.is_err() {
             break;
--- /dev/null
+++ b/ggt-testkit/src/bin/ggt-soak.rs
@@ -0,0 +1,62 @@
+//! Runs soaks by hand, one seed after the other.
+
+#![forbid(unsafe_code)]
+#![deny(missing_docs, rust_2018_idioms)]
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use argh::FromArgs;
+
+use ggt_testkit::soak::SoakOptions;
+use ggt_testkit::soak::run_soak;
+
+/// Soaks real daemons under faults from outside them; exit code 1 when a promise was broken.
+#[derive(FromArgs)]
+struct SoakArgs {
+    /// first seed
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// number of seeds, each one higher than the last
+    #[argh(option, default = "1")]
+    seeds: u64,
+    /// seconds of faults for each seed
+    #[argh(option, default = "8")]
+    seconds: u64,
+    /// daemons
+    #[argh(option, default = "4")]
+    daemons: usize,
+    /// servers
+    #[argh(option, default = "6")]
+    servers: usize,
+    /// callers
+    #[argh(option, default = "12")]
+    callers: usize,
+}
+
+fn main() -> ExitCode {
+    let args: SoakArgs = argh::from_env();
+    let mut is_broken = false;
+    for seed in args.seed..args.seed + args.seeds {
+        let outcome = run_soak(&SoakOptions {
+            seed,
+            faults_for: Duration::from_secs(args.seconds),
+            daemons: args.daemons,
+            servers: args.servers,
+            callers: args.callers,
+        });
+        println!(
+            "seed {seed}: {} requests, {} answered, {} faults, {} broken",
+            outcome.requests,
+            outcome.answered,
+            outcome.faults.len(),
+            outcome.broken.len()
+        );
+        if !outcome.broken.is_empty() {
+            is_broken = true;
+            outcome.faults.iter().for_each(|fault| println!("  fault: {fault}"));
+            outcome.broken.iter().for_each(|what| println!("  BROKEN: {what}"));
+        }
+    }
+    if is_broken { ExitCode::FAILURE } else { ExitCode::SUCCESS }
+}
--- a/ggt-testkit/src/front.rs
+++ b/ggt-testkit/src/front.rs
@@ -70,14 +70,22 @@
         self.store.put("op/config", &config.to_string());
     }
 
+    /// Starts a server that does not register.
+    ///
+    /// # Panics
+    /// When it does not start.
+    pub fn add_server_apart(&mut self, id: &str) {
+        self.servers.push(ServerStandin::start(self.net.port(2), id).expect("a server"));
+    }
+
     /// Starts a server and registers it.
     ///
     /// # Panics
     /// When it does not start.
     pub fn add_server(&mut self, id: &str) {
-        let server = ServerStandin::start(self.net.port(2), id).expect("a server");
-        self.store.put(&format!("servers/{id}"), &server.entry("s", "a", "ready"));
-        self.servers.push(server);
+        self.add_server_apart(id);
+        let entry = self.servers.last().map(|server| server.entry("s", "a", "ready"));
+        self.store.put(&format!("servers/{id}"), &entry.unwrap_or_default());
     }
 
     /// Starts a daemon; it reads `store` in place of the fleet's.
@@ -111,12 +119,17 @@
         self.net.port(3)
     }
 
-    /// Kills a daemon and starts it again.
+    /// Kills a daemon, starts it again and waits until it is ready.
     pub fn restart(&mut self, number: usize) {
+        self.restart_quietly(number);
+        await_ready(&self.daemons[number]);
+    }
+
+    /// Kills a daemon and starts it again.
+    pub fn restart_quietly(&mut self, number: usize) {
         let daemon = &mut self.daemons[number];
         daemon.process.kill();
         daemon.process = ChildProcess::daemon(&daemon.settings);
-        await_ready(daemon);
     }
 
     /// A request to a daemon with the customer's key.
--- a/ggt-testkit/src/lib.rs
+++ b/ggt-testkit/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod front;
 pub mod layout;
 pub mod process;
+pub mod soak;
 pub mod wait;
 pub mod web;
--- a/ggt-testkit/src/process.rs
+++ b/ggt-testkit/src/process.rs
@@ -36,6 +36,11 @@
         .unwrap_or_else(|| panic!("{name} is not built: run `cargo build --workspace` first"))
 }
 
+/// Where log lines on standard output go: nowhere, unless `GGT_SHOW_LOGS` is set.
+fn log_output() -> Stdio {
+    if std::env::var_os("GGT_SHOW_LOGS").is_some() { Stdio::inherit() } else { Stdio::null() }
+}
+
 impl ChildProcess {
     /// Starts a stand-in and waits until it listens.
     ///
@@ -65,6 +70,7 @@
             .arg("--settings")
             .arg(settings)
             .stdin(Stdio::null())
+            .stdout(log_output())
             .spawn()
             .expect("the daemon starts");
         Self { child }
--- /dev/null
+++ b/ggt-testkit/src/soak/caller.rs
@@ -0,0 +1,161 @@
+//! A caller that keeps its connection open until its daemon is gone.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::front::HOST;
+use crate::front::KEY;
+use crate::soak::ledger::RunLedger;
+use crate::soak::world::EVENTS;
+use crate::soak::world::body_of;
+use crate::soak::world::events_of;
+
+/// Longest time that a caller waits for bytes.
+const READ_WAIT: Duration = Duration::from_secs(4);
+/// Milliseconds that callers give each request.
+const WAIT_MS: u64 = 3_000;
+/// Pause between requests.
+const PAUSE: Duration = Duration::from_millis(8);
+
+/// One answer as far as it came.
+struct SoakAnswer {
+    status: u16,
+    id: Option<String>,
+    closes: bool,
+    body: Vec<u8>,
+    is_whole: bool,
+}
+
+/// Sends requests of all kinds until the soak is over.
+pub(super) fn run_caller(
+    number: usize,
+    seed: u64,
+    daemons: &[SocketAddr],
+    ledger: &RunLedger,
+    is_over: &AtomicBool,
+) {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut connection: Option<BufReader<TcpStream>> = None;
+    let mut count = 0;
+    while !is_over.load(Ordering::SeqCst) {
+        thread::sleep(PAUSE);
+        if connection.is_none() {
+            connection = connect(daemons[random.random_range(0..daemons.len())]);
+        }
+        let Some(open) = &mut connection else { continue };
+        count += 1;
+        let kind = ["read", "once", "chat", "talk"][random.random_range(0..4)];
+        let id = format!("c{number}-{count}-{kind}");
+        ledger.note_request();
+        let answer = ask(open, kind, &id);
+        let is_kept = answer.as_ref().is_some_and(|answer| answer.is_whole && !answer.closes);
+        if let Some(answer) = answer {
+            check(&answer, kind, &id, ledger);
+        }
+        if !is_kept {
+            connection = None;
+        }
+    }
+}
+
+fn connect(address: SocketAddr) -> Option<BufReader<TcpStream>> {
+    let stream = TcpStream::connect_timeout(&address, READ_WAIT).ok()?;
+    stream.set_read_timeout(Some(READ_WAIT)).ok()?;
+    Some(BufReader::new(stream))
+}
+
+fn ask(connection: &mut BufReader<TcpStream>, kind: &str, id: &str) -> Option<SoakAnswer> {
+    let (method, body) = if kind == "read" { ("GET", "") } else { ("POST", "prompt") };
+    let text = format!(
+        "{method} /{kind}/ HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id}\r\n\
+         X-Deadline-Ms: {WAIT_MS}\r\nAuthorization: Token {KEY}\r\n\
+         X-Prompt-Prefix: a1:600,b2:700,c3:50\r\nX-Token-Count: 1350,50\r\nX-Model: m\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    connection.get_mut().write_all(text.as_bytes()).ok()?;
+    read_answer(connection)
+}
+
+fn read_answer(reader: &mut BufReader<TcpStream>) -> Option<SoakAnswer> {
+    let first = read_line(reader)?;
+    let status = first.split(' ').nth(1)?.parse().ok()?;
+    let mut answer = SoakAnswer { status, id: None, closes: false, body: vec![], is_whole: false };
+    let (mut length, mut is_chunked) = (0, false);
+    loop {
+        let line = read_line(reader)?.to_ascii_lowercase();
+        let Some((name, value)) = line.split_once(':') else { break };
+        match (name, value.trim()) {
+            ("x-attempt-id", id) => answer.id = Some(id.to_owned()),
+            ("connection", value) => answer.closes = value == "close",
+            ("content-length", value) => length = value.parse().ok()?,
+            ("transfer-encoding", value) => is_chunked = value == "chunked",
+            _ => {}
+        }
+    }
+    answer.is_whole = if is_chunked {
+        read_chunks(reader, &mut answer.body).is_some()
+    } else {
+        answer.body.resize(length, 0);
+        reader.read_exact(&mut answer.body).is_ok()
+    };
+    Some(answer)
+}
+
+fn read_chunks(reader: &mut BufReader<TcpStream>, body: &mut Vec<u8>) -> Option<()> {
+    loop {
+        let length = usize::from_str_radix(&read_line(reader)?, 16).ok()?;
+        let mut chunk = vec![0; length + 2];
+        reader.read_exact(&mut chunk).ok()?;
+        if length == 0 {
+            return Some(());
+        }
+        body.extend_from_slice(&chunk[..length]);
+    }
+}
+
+fn read_line(reader: &mut BufReader<TcpStream>) -> Option<String> {
+    let mut line = String::new();
+    let length = reader.read_line(&mut line).ok()?;
+    (length > 0).then(|| line.trim_end().to_owned())
+}
+
+/// What must hold of an answer by itself.
+fn check(answer: &SoakAnswer, kind: &str, id: &str, ledger: &RunLedger) {
+    if answer.id.as_deref().is_some_and(|other| other != id) {
+        ledger.note_broken(format!("{id} got the answer of {:?}", answer.id));
+    }
+    if matches!(answer.status, 408 | 421 | 429 | 503) && matches!(kind, "once" | "talk") {
+        ledger.note_promise(id, answer.status);
+    }
+    if matches!(answer.status, 401 | 403 | 404) {
+        ledger.note_broken(format!("{id} was refused with {}", answer.status));
+    }
+    if answer.status != 200 {
+        return;
+    }
+    let is_stream = matches!(kind, "chat" | "talk");
+    let expected = if is_stream { events_of(id, EVENTS) } else { body_of(id) };
+    let body = String::from_utf8_lossy(&answer.body);
+    if !expected.starts_with(body.as_ref()) {
+        ledger.note_broken(format!("{id} got other bytes: {body:?}"));
+    }
+    if answer.is_whole && body != expected {
+        ledger.note_broken(format!("{id} got {} of {} bytes as whole", body.len(), expected.len()));
+    }
+    if answer.is_whole {
+        ledger.note_answered();
+    }
+}
--- /dev/null
+++ b/ggt-testkit/src/soak/ledger.rs
@@ -0,0 +1,62 @@
+//! What callers asked for, what servers ran, and what must hold between the two.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+
+use ggt_standin::server::lock;
+
+use crate::soak::SoakOutcome;
+
+/// Runs and answers by attempt id.
+#[derive(Default)]
+pub(super) struct RunLedger {
+    runs: Mutex<BTreeMap<String, usize>>,
+    promised: Mutex<BTreeMap<String, u16>>,
+    outcome: Mutex<SoakOutcome>,
+}
+
+impl RunLedger {
+    /// Records that a server began to run a request; `once` when it may run once only.
+    pub(super) fn note_run(&self, id: &str, once: bool) {
+        let count = {
+            let mut runs = lock(&self.runs);
+            let count = runs.entry(id.to_owned()).or_default();
+            *count += 1;
+            *count
+        };
+        if once && count > 1 {
+            self.note_broken(format!("{id} ran {count} times"));
+        }
+        if once && let Some(status) = lock(&self.promised).get(id) {
+            self.note_broken(format!("{id} ran after it was answered {status}"));
+        }
+    }
+
+    /// Records an answer that promises that the request has not run and will not run.
+    pub(super) fn note_promise(&self, id: &str, status: u16) {
+        lock(&self.promised).insert(id.to_owned(), status);
+        if lock(&self.runs).contains_key(id) {
+            self.note_broken(format!("{id} was answered {status} and had run"));
+        }
+    }
+
+    pub(super) fn note_request(&self) {
+        lock(&self.outcome).requests += 1;
+    }
+
+    pub(super) fn note_answered(&self) {
+        lock(&self.outcome).answered += 1;
+    }
+
+    pub(super) fn note_fault(&self, fault: String) {
+        lock(&self.outcome).faults.push(fault);
+    }
+
+    pub(super) fn note_broken(&self, what: String) {
+        lock(&self.outcome).broken.push(what);
+    }
+
+    pub(super) fn outcome(&self) -> SoakOutcome {
+        lock(&self.outcome).clone()
+    }
+}
--- /dev/null
+++ b/ggt-testkit/src/soak/world.rs
@@ -0,0 +1,202 @@
+//! The deployment under soak: a store, servers behind a faulty network, daemons.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use ggt_standin::published::AfterAnswer;
+use ggt_standin::published::ServerStandin;
+use ggt_standin::published::WireRequest;
+use ggt_standin::published::answer;
+use ggt_standin::published::stream_head;
+
+use crate::front::FrontFleet;
+use crate::front::await_ready;
+use crate::front::config;
+use crate::process::ChildProcess;
+use crate::soak::SoakOptions;
+use crate::soak::ledger::RunLedger;
+use crate::wait::wait_until;
+use crate::web::WebRequest;
+
+/// Events of each stream.
+pub(super) const EVENTS: u64 = 12;
+/// Pause between events.
+const EVENT_GAP: Duration = Duration::from_millis(6);
+
+/// The whole reply to a request.
+pub(super) fn body_of(id: &str) -> String {
+    format!("the whole reply to {id}")
+}
+
+/// The first events of the stream for a request.
+pub(super) fn events_of(id: &str, count: u64) -> String {
+    (1..=count).map(|number| event_of(id, number)).collect()
+}
+
+fn event_of(id: &str, number: u64) -> String {
+    format!("id: {number}\ndata: {number} of {id}\n\n")
+}
+
+/// The deployment.
+pub(super) struct SoakWorld {
+    pub(super) fleet: FrontFleet,
+    pub(super) leavers: Vec<usize>,
+    proxy_control: SocketAddr,
+    proxied: Vec<SocketAddr>,
+    version: u64,
+    _proxy: ChildProcess,
+}
+
+impl SoakWorld {
+    /// Starts everything, with each server behind a route of the faulty network.
+    pub(super) fn start(options: &SoakOptions, ledger: &Arc<RunLedger>) -> Self {
+        let mut fleet = FrontFleet::start(0, 0);
+        let proxy_control = fleet.unused_address();
+        let control = proxy_control.to_string();
+        let proxy = ChildProcess::standin(&["proxy", "--control", &control]);
+        let mut world = Self {
+            proxied: Vec::new(),
+            leavers: Vec::new(),
+            proxy_control,
+            version: 1,
+            _proxy: proxy,
+            fleet: {
+                (0..options.servers).for_each(|n| fleet.add_server_apart(&format!("i-{n}")));
+                fleet
+            },
+        };
+        for number in 0..options.servers {
+            let listen = world.fleet.unused_address();
+            let to = world.fleet.servers[number].address;
+            world.order(&format!("/control/route?listen={listen}&to={to}"));
+            world.proxied.push(listen);
+            script(&world.fleet.servers[number], ledger);
+            world.register(number, "ready");
+        }
+        (0..options.daemons).for_each(|number| world.fleet.add_daemon(number, None));
+        world.fleet.daemons.iter().for_each(await_ready);
+        world
+    }
+
+    /// Where callers reach the daemons.
+    pub(super) fn callers(&self) -> Vec<SocketAddr> {
+        self.fleet.daemons.iter().map(|daemon| daemon.callers).collect()
+    }
+
+    /// Registers a server under the address of its route.
+    pub(super) fn register(&self, number: usize, state: &str) {
+        let server = &self.fleet.servers[number];
+        let entry = server.entry("s", "a", state);
+        let entry = entry.replace(&server.address.to_string(), &self.proxied[number].to_string());
+        self.fleet.store.put(&format!("servers/{}", server.id), &entry);
+    }
+
+    /// Sets what the network does on the way to a server.
+    pub(super) fn plan(&self, number: usize, plan: &str) {
+        self.order(&format!("/control/plan?listen={}&{plan}", self.proxied[number]));
+    }
+
+    /// Publishes the next version of the configuration.
+    pub(super) fn publish_next(&mut self) {
+        self.version += 3;
+        self.fleet.publish(&config(self.version));
+    }
+
+    /// Ends all faults.
+    pub(super) fn heal(&mut self) {
+        (0..self.proxied.len()).for_each(|number| self.plan(number, "delay_ms=0"));
+        self.fleet.store.refuse(None);
+        for daemon in 0..self.fleet.daemons.len() {
+            self.fleet.daemons[daemon].process.wake();
+            if !self.fleet.daemons[daemon].process.is_running() {
+                self.fleet.restart(daemon);
+            }
+        }
+    }
+
+    /// Waits until each daemon serves again.
+    pub(super) fn await_served(&self, ledger: &RunLedger) {
+        let mut count = 0;
+        for daemon in 0..self.fleet.daemons.len() {
+            wait_until("the daemon serves again", || {
+                count += 1;
+                let id = format!("after-{daemon}-{count}");
+                let reply = self.fleet.request(daemon, "GET", "/read/", &id).send();
+                reply.is_some_and(|reply| reply.status == 200)
+            });
+        }
+        ledger.note_fault("healed".to_owned());
+    }
+
+    /// Checks that servers that leave get nothing new once all daemons know of it.
+    pub(super) fn check_leavers(&mut self, ledger: &RunLedger) {
+        self.publish_next();
+        for number in &self.leavers {
+            let id = self.fleet.servers[*number].id.clone();
+            let before = self.arrivals(*number);
+            let sent = AtomicUsize::new(0);
+            for daemon in 0..self.fleet.daemons.len() {
+                (0..20).for_each(|_| self.ask_once(daemon, &sent));
+            }
+            let after = self.arrivals(*number);
+            if after > before {
+                ledger.note_broken(format!("{id} leaves and got {} requests", after - before));
+            }
+        }
+    }
+
+    fn ask_once(&self, daemon: usize, sent: &AtomicUsize) {
+        let id = format!("leave-{daemon}-{}", sent.fetch_add(1, Ordering::SeqCst));
+        // Only what servers see counts here.
+        let _ = self.fleet.request(daemon, "GET", "/read/", &id).send();
+    }
+
+    fn arrivals(&self, number: usize) -> usize {
+        self.fleet.servers[number].seen().len()
+    }
+
+    fn order(&self, path: &str) {
+        let reply = WebRequest::new("POST", self.proxy_control, path).send();
+        assert_eq!(reply.map(|reply| reply.status), Some(200), "the network refuses {path}");
+    }
+}
+
+/// Answers by the request's kind, and records each run before its first byte.
+fn script(server: &ServerStandin, ledger: &Arc<RunLedger>) {
+    let ledger = ledger.clone();
+    server.set_script(move |request, stream| {
+        let id = request.header("x-attempt-id").unwrap_or("-").to_owned();
+        let kind = request.path.trim_matches('/').to_owned();
+        ledger.note_run(&id, matches!(kind.as_str(), "once" | "talk"));
+        match kind.as_str() {
+            "chat" | "talk" => send_events(request, stream, &id),
+            _ => answer(request, stream, 200, &body_of(&id)),
+        }
+    });
+}
+
+fn send_events(request: &WireRequest, stream: &mut TcpStream, id: &str) -> AfterAnswer {
+    let last = request.header("last-event-id").and_then(|text| text.parse().ok());
+    let first = last.unwrap_or(0_u64) + 1;
+    if stream.write_all(stream_head(request).as_bytes()).is_err() {
+        return AfterAnswer::Close;
+    }
+    for number in first..=EVENTS {
+        let event = event_of(id, number);
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        if stream.write_all(chunk.as_bytes()).is_err() {
+            return AfterAnswer::Close;
+        }
+        thread::sleep(EVENT_GAP);
+    }
+    match stream.write_all(b"0\r\n\r\n") {
+        Ok(()) => AfterAnswer::Keep,
+        Err(_) => AfterAnswer::Close,
+    }
+}
