--- a/ggt-core/src/targets/choice.rs
+++ b/ggt-core/src/targets/choice.rs
@@ -130,6 +130,7 @@
             .filter_map(|key| self.target(*key).map(|state| (*key, state)))
             .filter(|(key, state)| !state.record.is_leaving && !query.tried.contains(key))
             .collect();
+        let listed = without_doubtful(listed);
         if let Some(choice) = trial(&listed, query, now) {
             return Ok(choice);
         }
@@ -209,6 +210,16 @@
     }
 }
 
+/// The targets that the platform lists, or all when most are no longer listed: a few that are missing
+/// after the platform was away have left, but when most are missing they could not renew.
+fn without_doubtful(targets: Vec<(TargetKey, &TargetState)>) -> Vec<(TargetKey, &TargetState)> {
+    let doubtful = targets.iter().filter(|(_, state)| state.gone_at.is_some()).count();
+    if doubtful * 2 > targets.len() {
+        return targets;
+    }
+    targets.into_iter().filter(|(_, state)| state.gone_at.is_none()).collect()
+}
+
 fn is_fit(state: &TargetState, now: MonoTime) -> bool {
     !state.health.is_held(now) && !state.health.is_on_trial(now)
 }
--- a/ggt-core/tests/targets.rs
+++ b/ggt-core/tests/targets.rs
@@ -211,6 +211,20 @@
     assert!(pool.choose(&query(None, &[left]), at(0)).is_err());
 }
 
+#[test]
+fn one_target_that_is_missing_after_an_outage_gets_nothing_and_most_of_them_do() {
+    let mut pool = pool_of(6);
+    pool.note_unlisted("t0", at(2_200));
+    let missing = key_of(&pool, 0);
+    assert!((0..60).all(|subject| choose(&pool, &chain(subject, subject)).key != missing));
+    (1..6).for_each(|number| pool.note_unlisted(&format!("t{number}"), at(2_200)));
+    assert!(pool.choose(&query(None, &[]), at(0)).is_ok());
+    for number in 0..6 {
+        pool.put(record(number, 1));
+    }
+    assert!((0..60).any(|subject| choose(&pool, &chain(subject, subject)).key == missing));
+}
+
 #[test]
 fn a_target_that_said_it_leaves_does_not_come_back_in_the_same_life() {
     let mut pool = pool_of(1);
