--- a/ggt-standin/src/published/mod.rs
+++ b/ggt-standin/src/published/mod.rs
@@ -3,10 +3,16 @@
 //! They run on threads of the test that starts them, so that a test can script each answer down to its
 //! bytes and look at everything that was received.
 
+mod caller;
 mod request;
 mod server;
 mod store;
 
+pub use caller::HOST;
+pub use caller::KEY;
+pub use caller::caller_head;
+pub use caller::config;
+pub use caller::prompt_head;
 pub use request::WireRequest;
 pub use request::read_request;
 pub use server::AfterAnswer;
--- a/ggt-standin/src/published/request.rs
+++ b/ggt-standin/src/published/request.rs
@@ -27,6 +27,16 @@
         self.headers.iter().find(|(key, _)| key == name).map(|(_, value)| value.as_str())
     }
 
+    /// The id of the caller's attempt.
+    pub fn attempt_id(&self) -> &str {
+        self.header("x-attempt-id").unwrap_or_default()
+    }
+
+    /// The last event that the caller has.
+    pub fn last_event(&self) -> Option<u64> {
+        self.header("last-event-id").and_then(|text| text.parse().ok())
+    }
+
     /// A value of the query.
     pub fn query(&self, name: &str) -> Option<&str> {
         let (_, query) = self.path.split_once('?')?;
--- a/ggt-testkit/src/front.rs
+++ b/ggt-testkit/src/front.rs
@@ -6,18 +6,21 @@
 use serde_json::Value;
 use serde_json::json;
 
+use ggt_platform::CONFIG_KEY;
+use ggt_platform::READY_PATH;
+use ggt_platform::TARGET_PREFIX;
 use ggt_standin::published::ServerStandin;
 use ggt_standin::published::StoreStandin;
+use ggt_standin::published::caller_head;
+use ggt_standin::published::config;
 
 use crate::address::LoopbackNet;
 use crate::process::ChildProcess;
 use crate::wait::wait_until;
 use crate::web::WebRequest;
 
-/// Host that all routes of the test configuration name.
-pub const HOST: &str = "chat.example";
-/// Key of the customer in the test configuration.
-pub const KEY: &str = "key-of-c1";
+/// Milliseconds that callers give each request.
+const WAIT_MS: u64 = 20_000;
 /// Port on which daemons talk to each other.
 const PEER_PORT: u16 = 1_990;
 
@@ -67,7 +70,7 @@
 
     /// Publishes a configuration.
     pub fn publish(&self, config: &Value) {
-        self.store.put("op/config", &config.to_string());
+        self.store.put(CONFIG_KEY, &config.to_string());
     }
 
     /// Starts a server that does not register.
@@ -85,7 +88,7 @@
     pub fn add_server(&mut self, id: &str) {
         self.add_server_apart(id);
         let entry = self.servers.last().map(|server| server.entry("s", "a", "ready"));
-        self.store.put(&format!("servers/{id}"), &entry.unwrap_or_default());
+        self.store.put(&format!("{TARGET_PREFIX}{id}"), &entry.unwrap_or_default());
     }
 
     /// Starts a daemon; it reads `store` in place of the fleet's.
@@ -134,17 +137,15 @@
 
     /// A request to a daemon with the customer's key.
     pub fn request(&self, daemon: usize, method: &str, path: &str, id: &str) -> WebRequest {
-        WebRequest::new(method, self.daemons[daemon].callers, path)
-            .header("host", HOST)
-            .header("x-attempt-id", id)
-            .header("x-deadline-ms", "20000")
-            .header("authorization", &format!("Token {KEY}"))
+        let request = WebRequest::new(method, self.daemons[daemon].callers, path);
+        let head = caller_head(id, WAIT_MS);
+        head.iter().fold(request, |request, (name, value)| request.header(name, value))
     }
 
     /// Requests with this id that all servers got.
     pub fn arrivals(&self, id: &str) -> usize {
         let seen = self.servers.iter().flat_map(ServerStandin::seen);
-        seen.filter(|request| request.header("x-attempt-id") == Some(id)).count()
+        seen.filter(|request| request.attempt_id() == id).count()
     }
 }
 
@@ -163,33 +164,5 @@
 
 /// What a daemon answers to the platform's question.
 pub fn ready_status(daemon: &FrontDaemon) -> Option<u16> {
-    WebRequest::new("GET", daemon.ready, "/v1/ready").send().map(|reply| reply.status)
-}
-
-/// The test configuration: idempotent requests under `/read/`, one-time ones under `/once/`, streams
-/// that may be resumed under `/chat/` and that may not under `/talk/`, all at the service `s`.
-pub fn config(version: u64) -> Value {
-    let route = |name: &str, kind: &str, can_resume: bool, attempts: u32| {
-        json!({
-            "Name": name, "Host": HOST, "PathPrefix": format!("/{name}/"), "Kind": kind,
-            "TimeoutMs": 20_000, "GoalMs": 300, "Priority": 1, "Service": "s",
-            "Attempts": attempts, "Public": false, "Sticky": can_resume, "CanResume": can_resume,
-            "GapTargetMs": 300,
-        })
-    };
-    json!({
-        "Version": version,
-        "Routes": [
-            route("read", "idempotent", false, 3),
-            route("once", "non_idempotent", false, 1),
-            route("chat", "streaming", true, 3),
-            route("talk", "streaming", false, 1),
-        ],
-        "Services": [{ "Name": "s", "HealthPath": "/health", "MaxConns": 100, "Protocol": "h1" }],
-        "Limits": {
-            "MaxHeaderBytes": 16_384, "MaxBodyBytes": 65_536,
-            "HeaderTimeoutMs": 3_000, "IdleTimeoutMs": 15_000,
-        },
-        "Tenants": [{ "Name": "c1", "ApiKeys": [KEY], "Priority": 1 }],
-    })
+    WebRequest::new("GET", daemon.ready, READY_PATH).send().map(|reply| reply.status)
 }
--- a/ggt-testkit/src/soak/caller.rs
+++ b/ggt-testkit/src/soak/caller.rs
@@ -15,8 +15,10 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use crate::front::HOST;
-use crate::front::KEY;
+use ggt_platform::ATTEMPT_HEADER;
+use ggt_standin::published::caller_head;
+use ggt_standin::published::prompt_head;
+
 use crate::soak::ledger::RunLedger;
 use crate::soak::world::EVENTS;
 use crate::soak::world::body_of;
@@ -78,13 +80,11 @@
 
 fn ask(connection: &mut BufReader<TcpStream>, kind: &str, id: &str) -> Option<SoakAnswer> {
     let (method, body) = if kind == "read" { ("GET", "") } else { ("POST", "prompt") };
-    let text = format!(
-        "{method} /{kind}/ HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id}\r\n\
-         X-Deadline-Ms: {WAIT_MS}\r\nAuthorization: Token {KEY}\r\n\
-         X-Prompt-Prefix: a1:600,b2:700,c3:50\r\nX-Token-Count: 1350,50\r\nX-Model: m\r\n\
-         Content-Length: {}\r\n\r\n{body}",
-        body.len()
-    );
+    let mut text = format!("{method} /{kind}/ HTTP/1.1\r\n");
+    for (name, value) in caller_head(id, WAIT_MS).into_iter().chain(prompt_head()) {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    text.push_str(&format!("content-length: {}\r\n\r\n{body}", body.len()));
     connection.get_mut().write_all(text.as_bytes()).ok()?;
     read_answer(connection)
 }
@@ -98,7 +98,7 @@
         let line = read_line(reader)?.to_ascii_lowercase();
         let Some((name, value)) = line.split_once(':') else { break };
         match (name, value.trim()) {
-            ("x-attempt-id", id) => answer.id = Some(id.to_owned()),
+            (ATTEMPT_HEADER, id) => answer.id = Some(id.to_owned()),
             ("connection", value) => answer.closes = value == "close",
             ("content-length", value) => length = value.parse().ok()?,
             ("transfer-encoding", value) => is_chunked = value == "chunked",
--- a/ggt-testkit/src/soak/world.rs
+++ b/ggt-testkit/src/soak/world.rs
@@ -9,15 +9,16 @@
 use std::thread;
 use std::time::Duration;
 
+use ggt_platform::TARGET_PREFIX;
 use ggt_standin::published::AfterAnswer;
 use ggt_standin::published::ServerStandin;
 use ggt_standin::published::WireRequest;
 use ggt_standin::published::answer;
+use ggt_standin::published::config;
 use ggt_standin::published::stream_head;
 
 use crate::front::FrontFleet;
 use crate::front::await_ready;
-use crate::front::config;
 use crate::process::ChildProcess;
 use crate::soak::SoakOptions;
 use crate::soak::ledger::RunLedger;
@@ -94,7 +95,7 @@
         let server = &self.fleet.servers[number];
         let entry = server.entry("s", "a", state);
         let entry = entry.replace(&server.address.to_string(), &self.proxied[number].to_string());
-        self.fleet.store.put(&format!("servers/{}", server.id), &entry);
+        self.fleet.store.put(&format!("{TARGET_PREFIX}{}", server.id), &entry);
     }
 
     /// Sets what the network does on the way to a server.
@@ -171,7 +172,7 @@
 fn script(server: &ServerStandin, ledger: &Arc<RunLedger>) {
     let ledger = ledger.clone();
     server.set_script(move |request, stream| {
-        let id = request.header("x-attempt-id").unwrap_or("-").to_owned();
+        let id = request.attempt_id().to_owned();
         let kind = request.path.trim_matches('/').to_owned();
         ledger.note_run(&id, matches!(kind.as_str(), "once" | "talk"));
         match kind.as_str() {
@@ -182,8 +183,7 @@
 }
 
 fn send_events(request: &WireRequest, stream: &mut TcpStream, id: &str) -> AfterAnswer {
-    let last = request.header("last-event-id").and_then(|text| text.parse().ok());
-    let first = last.unwrap_or(0_u64) + 1;
+    let first = request.last_event().unwrap_or(0) + 1;
     if stream.write_all(stream_head(request).as_bytes()).is_err() {
         return AfterAnswer::Close;
     }
--- a/ggt-testkit/tests/platform_state.rs
+++ b/ggt-testkit/tests/platform_state.rs
@@ -10,9 +10,9 @@
 
 use ggt_standin::published::AfterAnswer;
 use ggt_standin::published::answer;
+use ggt_standin::published::config;
 use ggt_testkit::front::FrontFleet;
 use ggt_testkit::front::await_ready;
-use ggt_testkit::front::config;
 use ggt_testkit::front::ready_status;
 use ggt_testkit::wait::wait_until;
 use ggt_testkit::web::WebRequest;
