--- a/ggt-daemon/src/front/mod.rs
+++ b/ggt-daemon/src/front/mod.rs
@@ -28,3 +28,4 @@
 pub use settings::RetrySettings;
 pub use settings::is_front_settings;
 pub use settings::parse_front_settings;
+pub use store::LONGEST_SILENCE_MS;
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -98,6 +98,8 @@
     pub in_flight: Cell<usize>,
     /// Callers' connections, and how far the daemon has stopped taking them.
     pub edge: EdgeHandle,
+    /// Told when the platform stops answering and when it answers again.
+    pub platform_turned: Notify,
     /// When the platform last answered.
     pub platform_seen_at: Cell<MonoTime>,
     targets: RefCell<FactTable>,
@@ -130,6 +132,7 @@
             blame: RefCell::new(BlameTable::new(CRASH_LIMIT, MAX_SUSPECTS)),
             in_flight: Cell::new(0),
             edge: EdgeHandle::default(),
+            platform_turned: Notify::new(),
             platform_seen_at: Cell::new(mono_now()),
             targets: RefCell::default(),
             config: RefCell::default(),
@@ -212,6 +215,7 @@
         let mut outage = self.outage.get();
         if outage.note_answer(now) {
             log::info!("event=regained dependency=platform");
+            self.platform_turned.notify_waiters();
         }
         self.outage.set(outage);
     }
@@ -221,6 +225,7 @@
         let mut outage = self.outage.get();
         if outage.note_lost(mono_now()) {
             log::warn!("event=lost dependency=platform cause={}", quoted(cause));
+            self.platform_turned.notify_waiters();
         }
         self.outage.set(outage);
     }
--- a/ggt-daemon/src/front/store.rs
+++ b/ggt-daemon/src/front/store.rs
@@ -30,10 +30,15 @@
 use ggt_platform::range_path;
 use ggt_platform::watch_path;
 
-/// Longest time that a watch waits at the store.
-const WATCH_MS: u64 = 10_000;
-/// Time beyond a watch's own wait after which its connection is taken as dead.
-const ANSWER_WAIT: Duration = Duration::from_millis(2_500);
+/// Longest time in milliseconds that a watch waits at the store.
+const WATCH_MS: u64 = 2_500;
+/// Time in milliseconds beyond a watch's own wait after which its connection is taken as dead.
+const ANSWER_MS: u64 = 1_000;
+/// Longest time in milliseconds for which a store that fell silent on an open connection, and serves
+/// others, goes unnoticed.
+pub const LONGEST_SILENCE_MS: u64 = WATCH_MS + ANSWER_MS;
+/// Longest time for one page of a folder.
+const READ_WAIT: Duration = Duration::from_millis(2_500);
 /// First pause after a failed call, in milliseconds; it doubles, with jitter.
 const FIRST_PAUSE_MS: u64 = 100;
 /// Longest pause after failed calls, in milliseconds.
@@ -91,7 +96,14 @@
             sleep(jittered(IDLE_PAUSE_MS)).await;
             continue;
         }
-        let watched = watch_once(&state, kind, &mut link).await;
+        // What the other folder's watch sees of the store holds for this one's connection, too.
+        let watched = tokio::select! {
+            watched = watch_once(&state, kind, &mut link) => watched,
+            () = state.platform_turned.notified() => {
+                link.channel = None;
+                continue;
+            }
+        };
         state.metrics.note_store_call(kind.as_str(), watched.is_ok());
         match watched {
             Ok(batch) => {
@@ -153,7 +165,7 @@
         return Ok(batch);
     }
     let path = watch_path(kind.prefix(), revision, WATCH_MS);
-    let body = link.call(&path, Duration::from_millis(WATCH_MS) + ANSWER_WAIT).await?;
+    let body = link.call(&path, Duration::from_millis(LONGEST_SILENCE_MS)).await?;
     Ok(batch_of(parse_watch(&body)?, false))
 }
 
@@ -162,7 +174,7 @@
     let mut after: Option<String> = None;
     loop {
         let path = range_path(kind.prefix(), after.as_deref());
-        let page = parse_range(&link.call(&path, ANSWER_WAIT).await?)?;
+        let page = parse_range(&link.call(&path, READ_WAIT).await?)?;
         // Pages are no snapshot: the facts hold at the revision of the first one, and changes after
         // it come with the watch.
         if after.is_none() {
--- /dev/null
+++ b/ggt-daemon/tests/front.rs
@@ -0,0 +1,53 @@
+//! Bounds of the platform's side that follow from what the users ask.
+
+use std::path::Path;
+
+use ggt_daemon::front::LONGEST_SILENCE_MS;
+use ggt_daemon::front::is_front_settings;
+use ggt_daemon::front::parse_front_settings;
+
+/// The users' smallest time from the end of a disruption until their bounds hold, in milliseconds.
+const STABLE_MS: u64 = 3_000;
+/// The users' smallest time from an acknowledged change until it must be in force, in milliseconds.
+const APPLY_MS: u64 = 2_000;
+
+#[test]
+fn a_watch_that_fell_silent_is_given_up_before_a_change_is_due() {
+    const { assert!(LONGEST_SILENCE_MS < STABLE_MS + APPLY_MS) };
+}
+
+const SETTINGS: &str = r#"{
+  "name": "edge-1", "data_centre": "a", "callers": "10.0.0.1:80", "ready": "10.0.0.1:81",
+  "admin": "10.0.0.1:82", "peer": "10.0.0.1:83", "seeds": ["10.0.0.2:9"], "store": "10.0.9.1:80",
+  "retries": { "ratio": 0.2, "slack": 58, "window_s": 10 }, "grace_s": 8
+}"#;
+
+#[test]
+fn settings_for_the_platform_are_told_from_the_product_s_own() {
+    assert!(is_front_settings(SETTINGS));
+    assert!(!is_front_settings("{}"));
+    assert!(!is_front_settings("no json"));
+}
+
+#[test]
+fn seeds_are_reached_at_the_peers_port() {
+    let settings = parse_front_settings(Path::new("s.json"), SETTINGS).expect("good settings");
+    assert_eq!(settings.seed_peers(), vec!["10.0.0.2:83".parse().expect("an address")]);
+    assert_eq!(settings.grace_ms(), 8_000);
+}
+
+#[test]
+fn wrong_settings_name_file_place_and_cause() {
+    for (from, to, told) in [
+        ("\"ratio\": 0.2", "\"ratio\": 7", "retries.ratio"),
+        ("\"grace_s\": 8", "\"grace_s\": 0", "grace_s"),
+        ("\"name\": \"edge-1\"", "\"name\": \"\"", "name"),
+        ("10.0.9.1:80", "nowhere", "store"),
+        ("\"grace_s\"", "\"grace\"", "grace"),
+    ] {
+        let text = SETTINGS.replace(from, to);
+        let error = parse_front_settings(Path::new("s.json"), &text).expect_err("wrong settings");
+        let error = error.to_string();
+        assert!(error.contains("s.json") && error.contains(told), "{error}");
+    }
+}
--- a/ggt-standin/src/published/store.rs
+++ b/ggt-standin/src/published/store.rs
@@ -29,6 +29,7 @@
     revision: u64,
     dropped_up_to: u64,
     refused: Option<u16>,
+    silenced: u64,
     calls: u64,
 }
 
@@ -75,6 +76,11 @@
         self.changed.notify_all();
     }
 
+    /// Never answers on the connections that are open now.
+    pub fn fall_silent(&self) {
+        lock(&self.items).silenced += 1;
+    }
+
     /// Forgets the changes up to now.
     pub fn drop_history(&self) {
         let mut items = lock(&self.items);
@@ -102,8 +108,12 @@
     fn serve(&self, stream: TcpStream) {
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
+        let opened = lock(&self.items).silenced;
         while let Some(request) = read_request(&mut reader) {
             let (status, body) = self.answer(&request);
+            if lock(&self.items).silenced > opened {
+                continue;
+            }
             let body = body.to_string();
             let text =
                 format!("HTTP/1.1 {status} Store\r\nContent-Length: {}\r\n\r\n{body}", body.len());
--- a/ggt-testkit/tests/platform_state.rs
+++ b/ggt-testkit/tests/platform_state.rs
@@ -135,6 +135,16 @@
     });
 }
 
+#[test]
+fn a_store_that_fell_silent_on_open_connections_is_asked_on_new_ones() {
+    let fleet = FrontFleet::start(1, 1);
+    fleet.store.fall_silent();
+    let mut newer = config(5);
+    newer["Routes"][0]["PathPrefix"] = "/moved/".into();
+    fleet.publish(&newer);
+    wait_until("the new route is there", || status(&fleet, 0, "/moved/") == Some(200));
+}
+
 #[test]
 fn a_stopping_daemon_ends_what_it_has_read_and_takes_no_more_after_it() {
     let mut fleet = FrontFleet::start(1, 1);
