--- a/ggt-daemon/src/front/attempt.rs
+++ b/ggt-daemon/src/front/attempt.rs
@@ -234,6 +234,8 @@
         let facts = read_reply(parts.status, &parts.headers);
         self.state.pool.borrow_mut().note_heard(key, facts.load, mono_now());
         self.check(&parts.status, &facts)?;
+        // Whatever it says, the target has begun to run the request.
+        self.may_have_run = true;
         Ok(TargetReply {
             key,
             status: parts.status,
--- a/ggt-daemon/src/front/plain.rs
+++ b/ggt-daemon/src/front/plain.rs
@@ -3,7 +3,9 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use http::HeaderMap;
 use http::Response;
+use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use tokio::time::timeout;
@@ -11,6 +13,7 @@
 use crate::clock::mono_now;
 use crate::clock::until;
 use crate::front::answer::AnswerBody;
+use crate::front::answer::FrontRefusal;
 use crate::front::answer::passed_on;
 use crate::front::attempt::AttemptRun;
 use crate::front::attempt::TargetReply;
@@ -29,18 +32,18 @@
     guard: &JobGuard,
 ) -> Response<AnswerBody> {
     let mut run = AttemptRun::new(state.clone(), job.clone());
+    // A target's own failure, passed on when no other target does better.
+    let mut failure = None;
     loop {
         let reply = match run.next_reply(None).await {
             Ok(reply) => reply,
-            Err(refusal) => {
-                guard.end("refused", refusal.status.as_u16(), refusal.cause);
-                return refusal.into_response(Some(&job.id));
-            }
+            Err(refusal) => return give_up(&job, failure, refusal, guard),
         };
         let key = reply.key;
         let status = reply.status;
         match read_whole(state, &job, reply).await {
-            Ok((_, _)) if status.is_server_error() && may_repeat(&job) && run.may_go_on() => {
+            Ok((head, body)) if may_repeat(&job, status) && run.may_go_on() => {
+                failure = Some(TargetFailure { status, head, body });
                 continue;
             }
             Ok((head, body)) => {
@@ -53,15 +56,39 @@
             Err(cause) => run.note_broken(key, &cause, true).await,
         }
         if !run.may_go_on() {
-            let refusal = run.lost();
-            guard.end("failed", refusal.status.as_u16(), refusal.cause);
-            return refusal.into_response(Some(&job.id));
+            return give_up(&job, failure, run.lost(), guard);
+        }
+    }
+}
+
+/// A target's own failure.
+struct TargetFailure {
+    status: StatusCode,
+    head: HeaderMap,
+    body: Bytes,
+}
+
+/// The final answer when no target answered with success: a target's failure, or the daemon's own.
+fn give_up(
+    job: &FrontJob,
+    failure: Option<TargetFailure>,
+    refusal: FrontRefusal,
+    guard: &JobGuard,
+) -> Response<AnswerBody> {
+    match failure {
+        Some(TargetFailure { status, head, body }) => {
+            guard.end("answered", status.as_u16(), refusal.cause);
+            passed_on(status, &head, AnswerBody::Whole(Some(body)))
+        }
+        None => {
+            guard.end("refused", refusal.status.as_u16(), refusal.cause);
+            refusal.into_response(Some(&job.id))
         }
     }
 }
 
-fn may_repeat(job: &FrontJob) -> bool {
-    job.route.is_idempotent
+fn may_repeat(job: &FrontJob, status: StatusCode) -> bool {
+    status.is_server_error() && job.route.is_idempotent
 }
 
 /// Reads a reply to its end and keeps its connection.
@@ -69,7 +96,7 @@
     state: &FrontState,
     job: &FrontJob,
     reply: TargetReply,
-) -> Result<(http::HeaderMap, Bytes), String> {
+) -> Result<(HeaderMap, Bytes), String> {
     let TargetReply { key, status, head, facts, body, channel, guard } = reply;
     let body = timeout(until(job.deadline), Limited::new(body, MAX_REPLY_BYTES).collect()).await;
     let body = match body {
--- a/ggt-daemon/src/front/stream.rs
+++ b/ggt-daemon/src/front/stream.rs
@@ -110,10 +110,15 @@
 
     /// Sends the request until a target's first events have come.
     async fn first_events(&mut self) -> Result<(TargetReply, ReadEnd), FirstError> {
+        // A target's own failure, passed on when no other target does better.
+        let mut failure = None;
         loop {
-            let mut reply = self.next_reply().await.map_err(FirstError::Refused)?;
+            let mut reply = match self.next_reply().await {
+                Ok(reply) => reply,
+                Err(refusal) => return Err(failure.unwrap_or(FirstError::Refused(refusal))),
+            };
             if !reply.status.is_success() {
-                self.after_error_reply(reply).await?;
+                failure = self.after_error_reply(reply).await?;
                 continue;
             }
             match self.read(reply.key, &mut reply.body).await {
@@ -126,8 +131,12 @@
         }
     }
 
-    /// Passes on a target's own failure, unless the request may be sent to another one.
-    async fn after_error_reply(&mut self, reply: TargetReply) -> Result<(), FirstError> {
+    /// Ends with a target's own failure, unless the request may be sent to another one; then the failure
+    /// is returned, if it came whole.
+    async fn after_error_reply(
+        &mut self,
+        reply: TargetReply,
+    ) -> Result<Option<FirstError>, FirstError> {
         let TargetReply { key, status, head, body, .. } = reply;
         let outcome = if status.is_server_error() { SendOutcome::Bad } else { SendOutcome::Good };
         self.state.pool.borrow_mut().note_outcome(key, outcome, mono_now());
@@ -135,14 +144,15 @@
         let whole = tokio::time::timeout(limit, body.collect()).await;
         let may_repeat = status.is_server_error() && self.job.route.is_idempotent;
         match whole {
-            Ok(Ok(_)) if may_repeat && self.run.may_go_on() => Ok(()),
-            Ok(Ok(body)) => Err(FirstError::Answered((status, head), body.to_bytes())),
+            Ok(Ok(body)) => {
+                let failure = FirstError::Answered((status, head), body.to_bytes());
+                if may_repeat && self.run.may_go_on() { Ok(Some(failure)) } else { Err(failure) }
+            }
             _ => {
                 self.run.note_broken(key, "failure broke off", false).await;
-                if self.run.may_go_on() {
-                    Ok(())
-                } else {
-                    Err(FirstError::Refused(self.run.lost()))
+                match self.run.may_go_on() {
+                    true => Ok(None),
+                    false => Err(FirstError::Refused(self.run.lost())),
                 }
             }
         }
--- a/ggt-testkit/tests/platform_requests.rs
+++ b/ggt-testkit/tests/platform_requests.rs
@@ -220,3 +220,13 @@
         .header("authorization", "Token key-of-c1");
     assert_eq!(request.body("x").send().expect("a reply").status, 504);
 }
+
+#[test]
+fn a_failure_that_no_other_server_can_mend_is_passed_on_and_never_called_not_run() {
+    let fleet = FrontFleet::start(1, 1);
+    fleet.servers[0].set_script(|request, stream| answer(request, stream, 500, "its own words"));
+    for path in ["/read/", "/chat/"] {
+        let reply = fleet.request(0, "GET", path, "id-1").send().expect("a reply");
+        assert_eq!((reply.status, reply.body.as_str()), (500, "its own words"), "{path}");
+    }
+}
