--- a/ggt-daemon/src/front/attempt.rs
+++ b/ggt-daemon/src/front/attempt.rs
@@ -431,10 +431,13 @@
         let pool = self.state.pool.borrow();
         let Some(target) = pool.target(key) else { return };
         log::warn!(
-            "event=hold target={} incarnation={} for_ms={} bad_share={:.2}",
+            "event=hold target={} data_centre={} incarnation={} for_ms={} unreachable={} \
+             bad_share={:.2}",
             target.record.id,
+            target.record.data_centre,
             target.record.incarnation,
             until.millis_since(mono_now()),
+            target.health.is_unreachable(),
             target.health.bad_share(),
         );
     }
