--- a/ggt-daemon/src/bin/greengageturnd.rs
+++ b/ggt-daemon/src/bin/greengageturnd.rs
@@ -63,10 +63,9 @@
         Err(e) => return refuse(&e),
     };
     if is_check {
-        println!("{}: ok", file.display());
-        return ExitCode::SUCCESS;
+        return note_checked(file);
     }
-    let level = settings.log_level.parse().unwrap_or(log::LevelFilter::Info);
+    let level = level_of(&settings.log_level);
     if let Err(e) = start_output_logging(&settings.name, level) {
         return refuse(&e);
     }
@@ -83,10 +82,9 @@
         Err(e) => return refuse(&e),
     };
     if is_check {
-        println!("{}: ok", file.display());
-        return ExitCode::SUCCESS;
+        return note_checked(file);
     }
-    let level = settings.log_level.parse().unwrap_or(log::LevelFilter::Info);
+    let level = level_of(&settings.log_level);
     let log_file = settings.log_file.clone();
     if let Err(e) = start_logging(settings.name.as_str(), level, log_file.as_deref()) {
         return refuse(&e);
@@ -98,6 +96,16 @@
     }
 }
 
+fn note_checked(file: &Path) -> ExitCode {
+    println!("{}: ok", file.display());
+    ExitCode::SUCCESS
+}
+
+/// The level of that name; settings were refused if there is none.
+fn level_of(name: &str) -> log::LevelFilter {
+    name.parse().unwrap_or(log::LevelFilter::Info)
+}
+
 fn refuse(error: &dyn std::error::Error) -> ExitCode {
     eprintln!("greengageturnd: {error}");
     ExitCode::from(EXIT_REFUSED)
--- /dev/null
+++ b/ggt-daemon/src/front/attempt/lessons.rs
@@ -0,0 +1,99 @@
+//! What a send teaches about its target, and the log lines that tell it.
+
+use crate::clock::mono_now;
+use crate::front::attempt::AttemptRun;
+use crate::front::channels::open_channel;
+use crate::front::state::BLAME_MS;
+use crate::logging::quoted;
+use ggt_core::blame::DeathMark;
+use ggt_core::clock::MonoTime;
+use ggt_core::targets::SendOutcome;
+use ggt_core::targets::TargetKey;
+
+impl AttemptRun {
+    pub(super) fn note_refused(&self, key: TargetKey, is_misdirected: bool) {
+        if is_misdirected {
+            // Another target has the address now.
+            self.state.channels.forget(key);
+            self.note_outcome(key, SendOutcome::Unreachable);
+            return;
+        }
+        let is_idle = {
+            let pool = self.state.pool.borrow();
+            pool.target(key).is_some_and(|target| target.requests() < target.record.slots)
+        };
+        if is_idle {
+            self.note_outcome(key, SendOutcome::Bad);
+        }
+    }
+
+    pub(super) async fn note_lost(&self, key: TargetKey, cause: &str, is_reset: bool) {
+        self.note_send(key, "lost", cause);
+        if cause == "silent" {
+            self.note_outcome(key, SendOutcome::Bad);
+            return;
+        }
+        self.note_outcome(key, SendOutcome::Bad);
+        if is_reset {
+            self.find_death(key).await;
+        }
+    }
+
+    /// Finds out by a new connection whether a target died with the request.
+    async fn find_death(&self, key: TargetKey) {
+        let target = {
+            let pool = self.state.pool.borrow();
+            pool.target(key).map(|t| (t.record.address, t.place_hash, t.record.incarnation))
+        };
+        let Some((address, hash, incarnation)) = target else { return };
+        let Err(e) = open_channel(address).await else { return };
+        self.note_outcome(key, SendOutcome::Unreachable);
+        self.state.channels.forget(key);
+        let print = self.job.print();
+        let death = DeathMark::of(hash, incarnation);
+        let expires_at = mono_now() + BLAME_MS;
+        let is_news = self.state.blame.borrow_mut().note_death(print, death, expires_at);
+        log::warn!(
+            "event=crash request_id={} print={:016x} death={:016x} is_news={is_news} cause={}",
+            quoted(&self.job.id),
+            print.0,
+            death.0,
+            quoted(&e.to_string()),
+        );
+    }
+
+    pub(super) fn note_outcome(&self, key: TargetKey, outcome: SendOutcome) {
+        let until = self.state.pool.borrow_mut().note_outcome(key, outcome, mono_now());
+        if let Some(until) = until {
+            self.log_hold(key, until);
+        }
+    }
+
+    fn log_hold(&self, key: TargetKey, until: MonoTime) {
+        let pool = self.state.pool.borrow();
+        let Some(target) = pool.target(key) else { return };
+        log::warn!(
+            "event=hold target={} data_centre={} incarnation={} for_ms={} unreachable={} \
+             bad_share={:.2}",
+            target.record.id,
+            target.record.data_centre,
+            target.record.incarnation,
+            until.millis_since(mono_now()),
+            target.health.is_unreachable(),
+            target.health.bad_share(),
+        );
+    }
+
+    pub(super) fn note_send(&self, key: TargetKey, outcome: &'static str, cause: &str) {
+        self.state.metrics.note_send(outcome);
+        let pool = self.state.pool.borrow();
+        let id = pool.target(key).map_or("gone", |target| target.record.id.as_str());
+        log::info!(
+            "event=send request_id={} target={id} outcome={outcome} cause={} send={} after_ms={}",
+            quoted(&self.job.id),
+            quoted(cause),
+            self.sends,
+            mono_now().millis_since(self.job.received_at),
+        );
+    }
+}
--- a/ggt-daemon/src/front/metrics.rs
+++ b/ggt-daemon/src/front/metrics.rs
@@ -5,11 +5,11 @@
 use opentelemetry::metrics::Histogram;
 use opentelemetry::metrics::MeterProvider;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::Encoder;
 use prometheus::Registry;
-use prometheus::TextEncoder;
 
 use crate::metrics::MetricsError;
+use crate::metrics::new_provider;
+use crate::metrics::registry_text;
 
 /// Upper bounds of the latency histograms' buckets in milliseconds.
 const LATENCY_BOUNDS_MS: [f64; 12] =
@@ -35,12 +35,7 @@
     /// # Errors
     /// [`MetricsError`] when the exporter cannot be built.
     pub fn new() -> Result<Self, MetricsError> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .map_err(|e| MetricsError::new(e.to_string()))?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let (registry, provider) = new_provider()?;
         let meter = provider.meter("greengageturn");
         let bounds = LATENCY_BOUNDS_MS.to_vec();
         let histogram = |name| {
@@ -95,10 +90,6 @@
 
     /// The figures as text in the Prometheus format.
     pub fn text(&self) -> String {
-        let mut bytes = Vec::new();
-        if let Err(e) = TextEncoder::new().encode(&self.registry.gather(), &mut bytes) {
-            log::warn!("event=metrics cause=\"{e}\"");
-        }
-        String::from_utf8_lossy(&bytes).into_owned()
+        registry_text(&self.registry)
     }
 }
--- a/ggt-daemon/src/front/settings.rs
+++ b/ggt-daemon/src/front/settings.rs
@@ -8,6 +8,8 @@
 use serde::Serialize;
 
 use crate::settings::SettingsError;
+use crate::settings::SettingsFault;
+use crate::settings::parse_checked;
 use ggt_core::spend::SpendLimit;
 
 /// Milliseconds in a second.
@@ -101,24 +103,10 @@
 /// # Errors
 /// [`SettingsError::Value`] names the path in the JSON and the cause.
 pub fn parse_front_settings(file: &Path, text: &str) -> Result<FrontSettings, SettingsError> {
-    let mut reader = serde_json::Deserializer::from_str(text);
-    let settings: FrontSettings =
-        serde_path_to_error::deserialize(&mut reader).map_err(|e| SettingsError::Value {
-            file: file.to_owned(),
-            path: e.path().to_string(),
-            cause: e.inner().to_string(),
-        })?;
-    match find_fault(&settings) {
-        Some((path, cause)) => Err(SettingsError::Value {
-            file: file.to_owned(),
-            path: path.to_owned(),
-            cause: cause.to_owned(),
-        }),
-        None => Ok(settings),
-    }
+    parse_checked(file, text, find_fault)
 }
 
-fn find_fault(settings: &FrontSettings) -> Option<(&'static str, &'static str)> {
+fn find_fault(settings: &FrontSettings) -> Option<SettingsFault> {
     let retries = &settings.retries;
     let level = settings.log_level.parse::<log::LevelFilter>();
     let checks = [
--- a/ggt-daemon/src/logging/mod.rs
+++ b/ggt-daemon/src/logging/mod.rs
@@ -38,15 +38,7 @@
     level: LevelFilter,
     file: Option<&Path>,
 ) -> Result<(), LoggingError> {
-    let name = name.to_owned();
-    let dispatch = fern::Dispatch::new()
-        .format(move |out, message, record| {
-            let at = wall_now().as_millis();
-            let level = record.level().as_str().to_ascii_lowercase();
-            out.finish(format_args!("at_ms={at} level={level} daemon={name} {message}"));
-        })
-        .level(LevelFilter::Warn)
-        .level_for("ggt_daemon", level)
+    let dispatch = new_dispatch(name, level)
         .level_for("jsonrpsee_server", LevelFilter::Error)
         .level_for("jsonrpsee_client", LevelFilter::Error)
         .level_for("ureq", LevelFilter::Error);
@@ -60,15 +52,10 @@
     dispatch.apply().context(InstallSnafu)
 }
 
-/// Starts logging to standard output through a bounded queue, so that a slow reader of the output
-/// never holds up the daemon; lines that do not fit are counted and the count is logged.
-///
-/// # Errors
-/// [`LoggingError::Install`] when another logger is installed.
-pub fn start_output_logging(name: &str, level: LevelFilter) -> Result<(), LoggingError> {
+/// The form of a line, and which lines are logged.
+fn new_dispatch(name: &str, level: LevelFilter) -> fern::Dispatch {
     let name = name.to_owned();
-    let queue = queue::start_line_queue();
-    let dispatch = fern::Dispatch::new()
+    fern::Dispatch::new()
         .format(move |out, message, record| {
             let at = wall_now().as_millis();
             let level = record.level().as_str().to_ascii_lowercase();
@@ -76,7 +63,17 @@
         })
         .level(LevelFilter::Warn)
         .level_for("ggt_daemon", level)
-        .chain(fern::Output::call(move |record| queue.push(format!("{}\n", record.args()))));
+}
+
+/// Starts logging to standard output through a bounded queue, so that a slow reader of the output
+/// never holds up the daemon; lines that do not fit are counted and the count is logged.
+///
+/// # Errors
+/// [`LoggingError::Install`] when another logger is installed.
+pub fn start_output_logging(name: &str, level: LevelFilter) -> Result<(), LoggingError> {
+    let queue = queue::start_line_queue();
+    let output = fern::Output::call(move |record| queue.push(format!("{}\n", record.args())));
+    let dispatch = new_dispatch(name, level).chain(output);
     dispatch.apply().context(InstallSnafu)
 }
 
--- a/ggt-daemon/src/metrics/mod.rs
+++ b/ggt-daemon/src/metrics/mod.rs
@@ -78,11 +78,26 @@
     cause: String,
 }
 
-impl MetricsError {
-    /// The error of an exporter that cannot be built.
-    pub fn new(cause: String) -> Self {
-        Self { cause }
+/// A registry, and the provider whose instruments it shows.
+///
+/// # Errors
+/// [`MetricsError`] when the exporter cannot be built.
+pub fn new_provider() -> Result<(Registry, SdkMeterProvider), MetricsError> {
+    let registry = Registry::new();
+    let exporter = opentelemetry_prometheus::exporter()
+        .with_registry(registry.clone())
+        .build()
+        .map_err(|e| MetricsError { cause: e.to_string() })?;
+    Ok((registry, SdkMeterProvider::builder().with_reader(exporter).build()))
+}
+
+/// The figures of a registry as text in the Prometheus format.
+pub fn registry_text(registry: &Registry) -> String {
+    let mut bytes = Vec::new();
+    if let Err(e) = TextEncoder::new().encode(&registry.gather(), &mut bytes) {
+        log::warn!("event=metrics cause=\"{e}\"");
     }
+    String::from_utf8_lossy(&bytes).into_owned()
 }
 
 /// All instruments of the daemon.
@@ -105,12 +120,7 @@
     /// # Errors
     /// [`MetricsError`] when the exporter cannot be built.
     pub fn new() -> Result<Self, MetricsError> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .map_err(|e| MetricsError::new(e.to_string()))?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let (registry, provider) = new_provider()?;
         let meter = provider.meter("greengageturn");
         let counter = |name: &'static str, text: &'static str| {
             meter.u64_counter(name).with_description(text).build()
--- a/ggt-daemon/src/settings/mod.rs
+++ b/ggt-daemon/src/settings/mod.rs
@@ -7,6 +7,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 use snafu::Snafu;
 
 use ggt_core::ident::CentreName;
@@ -165,29 +166,38 @@
     "info".to_owned()
 }
 
+/// What is wrong with settings that could be read: the path in the JSON and the cause.
+pub type SettingsFault = (&'static str, &'static str);
+
 /// Parses and checks the text of a settings file.
 ///
 /// # Errors
 /// [`SettingsError::Value`] names the path in the JSON and the cause.
 pub fn parse_settings(file: &Path, text: &str) -> Result<DaemonSettings, SettingsError> {
+    parse_checked(file, text, find_fault)
+}
+
+/// Parses settings of any kind and checks them by `find_fault`.
+///
+/// # Errors
+/// [`SettingsError::Value`] names the path in the JSON and the cause.
+pub fn parse_checked<T, F>(file: &Path, text: &str, find_fault: F) -> Result<T, SettingsError>
+where
+    T: DeserializeOwned,
+    F: Fn(&T) -> Option<SettingsFault>,
+{
+    let refused =
+        |path: String, cause: String| SettingsError::Value { file: file.to_owned(), path, cause };
     let mut reader = serde_json::Deserializer::from_str(text);
-    let settings: DaemonSettings =
-        serde_path_to_error::deserialize(&mut reader).map_err(|e| SettingsError::Value {
-            file: file.to_owned(),
-            path: e.path().to_string(),
-            cause: e.inner().to_string(),
-        })?;
+    let settings: T = serde_path_to_error::deserialize(&mut reader)
+        .map_err(|e| refused(e.path().to_string(), e.inner().to_string()))?;
     match find_fault(&settings) {
-        Some((path, cause)) => Err(SettingsError::Value {
-            file: file.to_owned(),
-            path: path.to_owned(),
-            cause: cause.to_owned(),
-        }),
+        Some((path, cause)) => Err(refused(path.to_owned(), cause.to_owned())),
         None => Ok(settings),
     }
 }
 
-fn find_fault(settings: &DaemonSettings) -> Option<(&'static str, &'static str)> {
+fn find_fault(settings: &DaemonSettings) -> Option<SettingsFault> {
     let limits = &settings.limits;
     let timing = &settings.timing;
     let addresses = BTreeSet::from([settings.callers, settings.peer, settings.admin]);
