--- a/ggt-testkit/src/soak/faults.rs
+++ b/ggt-testkit/src/soak/faults.rs
@@ -61,7 +61,7 @@
         2 => network(world, format!("delay_ms={}", random.random_range(5..120))),
         3 => network(world, format!("cut_down={}", random.random_range(1..900))),
         4 => network(world, format!("cut_up={}", random.random_range(1..400))),
-        5 => {
+        5 if world.fleet.daemons[daemon].process.is_running() => {
             world.fleet.daemons[daemon].process.freeze();
             Some((format!("daemon {daemon} frozen"), Some(FaultEnd::Wake(daemon))))
         }
--- a/ggt-testkit/src/soak/world.rs
+++ b/ggt-testkit/src/soak/world.rs
@@ -114,8 +114,9 @@
         (0..self.proxied.len()).for_each(|number| self.plan(number, "delay_ms=0"));
         self.fleet.store.refuse(None);
         for daemon in 0..self.fleet.daemons.len() {
-            self.fleet.daemons[daemon].process.wake();
-            if !self.fleet.daemons[daemon].process.is_running() {
+            if self.fleet.daemons[daemon].process.is_running() {
+                self.fleet.daemons[daemon].process.wake();
+            } else {
                 self.fleet.restart(daemon);
             }
         }
