fix: a kept connection that its target dropped costs an idempotent request nothing

It is now sent once more to the same target on a new connection, within the retry allowance. How a request was lost is an enum in place of a text.

--- a/ggt-daemon/src/front/attempt/lessons.rs
+++ b/ggt-daemon/src/front/attempt/lessons.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::mono_now;
 use crate::front::attempt::AttemptRun;
+use crate::front::attempt::LossKind;
 use crate::front::channels::open_channel;
 use crate::front::state::BLAME_MS;
 use crate::logging::quoted;
@@ -27,14 +28,10 @@
         }
     }
 
-    pub(super) async fn note_lost(&self, key: TargetKey, cause: &str, is_reset: bool) {
+    pub(super) async fn note_lost(&self, key: TargetKey, cause: &str, kind: LossKind) {
         self.note_send(key, "lost", cause);
-        if cause == "silent" {
-            self.note_outcome(key, SendOutcome::Bad);
-            return;
-        }
         self.note_outcome(key, SendOutcome::Bad);
-        if is_reset {
+        if kind == LossKind::Reset {
             self.find_death(key).await;
         }
     }
--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -7,6 +7,7 @@
 
 use http::HeaderMap;
 use http::Request;
+use http::Response;
 use http::StatusCode;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -71,6 +72,19 @@
     pub guard: SendGuard,
 }
 
+/// How a request was lost at a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LossKind {
+    /// The target said nothing for too long.
+    Silent,
+    /// A kept connection broke: the target may have closed it while it was idle.
+    Stale,
+    /// A new connection broke, so that the target may have died.
+    Reset,
+    /// The target answered with what cannot be passed on.
+    Unusable,
+}
+
 /// Why one send brought no reply.
 enum SendError {
     /// Nothing left this daemon.
@@ -78,7 +92,7 @@
     /// The target states that it did not run the request.
     Refused { status: StatusCode, is_misdirected: bool },
     /// The request left; it may have run.
-    Lost { cause: String, is_reset: bool },
+    Lost { cause: String, kind: LossKind },
     /// The deadline came; the request may have run.
     TimedOut,
 }
@@ -130,9 +144,9 @@
     }
 
     /// Records that the reply of a target broke off or was of no use.
-    pub async fn note_broken(&mut self, key: TargetKey, cause: &str, is_reset: bool) {
+    pub async fn note_broken(&mut self, key: TargetKey, cause: &str, kind: LossKind) {
         self.may_have_run = true;
-        self.note_lost(key, cause, is_reset).await;
+        self.note_lost(key, cause, kind).await;
     }
 
     /// The final answer when no further send is allowed after a loss.
@@ -213,22 +227,7 @@
         let none = PromptChain::default();
         let chain = self.job.chain.as_ref().unwrap_or(&none);
         let guard = SendGuard::new(self.state.clone(), key, chain, choice.source.is_some());
-        let mut channel = self.channel(key).await?;
-        let request = self.request(choice, last_event)?;
-        let deadline = self.job.deadline + LAST_WORD_MS;
-        let was_kept = channel.is_kept;
-        self.sends += 1;
-        let sent = tokio::select! {
-            sent = channel.sender.send_request(request) => sent,
-            () = sleep(until(deadline)) => return Err(SendError::TimedOut),
-            () = self.silence(key) => {
-                return Err(SendError::Lost { cause: "silent".to_owned(), is_reset: false });
-            }
-        };
-        let response = sent.map_err(|e| match e.is_canceled() {
-            true => SendError::NotSent { cause: e.to_string() },
-            false => SendError::Lost { cause: e.to_string(), is_reset: !was_kept },
-        })?;
+        let (response, channel) = self.send_on_any(choice, last_event).await?;
         let (parts, body) = response.into_parts();
         let facts = read_reply(parts.status, &parts.headers);
         self.state.pool.borrow_mut().note_heard(key, facts.load, mono_now());
@@ -246,18 +245,61 @@
         })
     }
 
-    /// A connection: a kept one only for requests that may run more than once, since a reset on it
-    /// does not tell whether the request has run.
-    async fn channel(&mut self, key: TargetKey) -> Result<TargetChannel, SendError> {
+    /// Sends on a kept connection if the request may run more than once, since a reset on it does not
+    /// tell whether it has run, and else, or when that one breaks, on a new connection.
+    async fn send_on_any(
+        &mut self,
+        choice: &TargetChoice,
+        last_event: Option<u64>,
+    ) -> Result<(Response<Incoming>, TargetChannel), SendError> {
+        let key = choice.key;
         if self.job.route.is_idempotent
             && let Some(channel) = self.state.channels.take(key)
         {
-            return Ok(channel);
+            match self.send_on(choice, last_event, channel).await {
+                Err(SendError::Lost { cause, kind: LossKind::Stale })
+                    if self.state.try_retry(&self.job.service) =>
+                {
+                    // The second send goes to the same target.
+                    self.sends -= 1;
+                    self.note_send(key, "stale-connection", &cause);
+                }
+                sent => return sent,
+            }
         }
         self.connects += 1;
         let address = self.state.pool.borrow().target(key).map(|target| target.record.address);
         let address = address.ok_or(SendError::NotSent { cause: "target gone".to_owned() })?;
-        open_channel(address).await.map_err(|e| SendError::NotSent { cause: e.to_string() })
+        let channel = open_channel(address).await;
+        let channel = channel.map_err(|e| SendError::NotSent { cause: e.to_string() })?;
+        self.send_on(choice, last_event, channel).await
+    }
+
+    async fn send_on(
+        &mut self,
+        choice: &TargetChoice,
+        last_event: Option<u64>,
+        mut channel: TargetChannel,
+    ) -> Result<(Response<Incoming>, TargetChannel), SendError> {
+        let request = self.request(choice, last_event)?;
+        let deadline = self.job.deadline + LAST_WORD_MS;
+        self.sends += 1;
+        let sent = tokio::select! {
+            sent = channel.sender.send_request(request) => sent,
+            () = sleep(until(deadline)) => return Err(SendError::TimedOut),
+            () = self.silence(choice.key) => {
+                let cause = "silent".to_owned();
+                return Err(SendError::Lost { cause, kind: LossKind::Silent });
+            }
+        };
+        match sent {
+            Ok(response) => Ok((response, channel)),
+            Err(e) if channel.is_kept => {
+                Err(SendError::Lost { cause: e.to_string(), kind: LossKind::Stale })
+            }
+            Err(e) if e.is_canceled() => Err(SendError::NotSent { cause: e.to_string() }),
+            Err(e) => Err(SendError::Lost { cause: e.to_string(), kind: LossKind::Reset }),
+        }
     }
 
     fn request(
@@ -312,7 +354,8 @@
     }
 
     fn check(&self, status: &StatusCode, facts: &ReplyFacts) -> Result<(), SendError> {
-        let lost = |cause: &str| SendError::Lost { cause: cause.to_owned(), is_reset: false };
+        let lost =
+            |cause: &str| SendError::Lost { cause: cause.to_owned(), kind: LossKind::Unusable };
         match &facts.attempt_id {
             Some(id) if *id != self.job.id => return Err(lost("answer to another request")),
             None if status.is_success() => return Err(lost("answer without the request's id")),
@@ -348,9 +391,9 @@
                 self.note_refused(key, is_misdirected);
                 if self.may_go_on() { Ok(()) } else { Err(self.full()) }
             }
-            SendError::Lost { cause, is_reset } => {
+            SendError::Lost { cause, kind } => {
                 self.may_have_run = true;
-                self.note_lost(key, &cause, is_reset).await;
+                self.note_lost(key, &cause, kind).await;
                 if self.may_go_on() { Ok(()) } else { Err(self.lost()) }
             }
             SendError::TimedOut => {
--- a/ggt-daemon/src/front/plain.rs
+++ b/ggt-daemon/src/front/plain.rs
@@ -16,6 +16,7 @@
 use crate::front::answer::FrontRefusal;
 use crate::front::answer::passed_on;
 use crate::front::attempt::AttemptRun;
+use crate::front::attempt::LossKind;
 use crate::front::attempt::TargetReply;
 use crate::front::job::FrontJob;
 use crate::front::job::JobGuard;
@@ -53,7 +54,7 @@
                 guard.end("answered", status.as_u16(), "whole");
                 return passed_on(status, &head, AnswerBody::Whole(Some(body)));
             }
-            Err(cause) => run.note_broken(key, &cause, true).await,
+            Err(cause) => run.note_broken(key, &cause, LossKind::Reset).await,
         }
         if !run.may_go_on() {
             return give_up(&job, failure, run.lost(), guard);
--- a/ggt-daemon/src/front/stream.rs
+++ b/ggt-daemon/src/front/stream.rs
@@ -18,6 +18,7 @@
 use crate::front::answer::StreamBroken;
 use crate::front::answer::passed_on;
 use crate::front::attempt::AttemptRun;
+use crate::front::attempt::LossKind;
 use crate::front::attempt::TargetReply;
 use crate::front::job::FrontJob;
 use crate::front::job::JobGuard;
@@ -149,7 +150,7 @@
                 if may_repeat && self.run.may_go_on() { Ok(Some(failure)) } else { Err(failure) }
             }
             _ => {
-                self.run.note_broken(key, "failure broke off", false).await;
+                self.run.note_broken(key, "failure broke off", LossKind::Unusable).await;
                 match self.run.may_go_on() {
                     true => Ok(None),
                     false => Err(FirstError::Refused(self.run.lost())),
@@ -218,7 +219,7 @@
             }
             let key = reply.key;
             drop(reply);
-            self.run.note_broken(key, "failure on resumption", false).await;
+            self.run.note_broken(key, "failure on resumption", LossKind::Unusable).await;
             if !self.run.may_go_on() {
                 return Err("resumption-failed");
             }
@@ -235,11 +236,11 @@
         drop(reply);
         match end {
             ReadEnd::Deadline => {
-                self.run.note_broken(key, "silent", false).await;
+                self.run.note_broken(key, "silent", LossKind::Silent).await;
                 return Err(self.run.lost());
             }
-            ReadEnd::Silent => self.run.note_broken(key, "silent", false).await,
-            ReadEnd::Broken(cause) => self.run.note_broken(key, cause, true).await,
+            ReadEnd::Silent => self.run.note_broken(key, "silent", LossKind::Silent).await,
+            ReadEnd::Broken(cause) => self.run.note_broken(key, cause, LossKind::Reset).await,
             ReadEnd::Events(_) | ReadEnd::Complete => {}
         }
         if self.run.may_go_on() { Ok(()) } else { Err(self.run.lost()) }
--- a/ggt-testkit/tests/platform_requests.rs
+++ b/ggt-testkit/tests/platform_requests.rs
@@ -230,3 +230,21 @@
         assert_eq!((reply.status, reply.body.as_str()), (500, "its own words"), "{path}");
     }
 }
+
+#[test]
+fn a_server_that_drops_idle_connections_without_notice_still_serves() {
+    let fleet = FrontFleet::start(1, 1);
+    // Each connection takes one request; the next one on it is reset.
+    fleet.servers[0].set_script(|request, stream| {
+        answer(request, stream, 200, "whole");
+        let mut next = [0; 1];
+        // Blocks until the daemon sends the next request, or closes.
+        let _ = std::io::Read::read(stream, &mut next);
+        AfterAnswer::Close
+    });
+    for number in 0..20 {
+        let id = format!("id-{number}");
+        let reply = fleet.request(0, "GET", "/read/", &id).send().expect("a reply");
+        assert_eq!((reply.status, reply.body.as_str()), (200, "whole"));
+    }
+}
