feat: a daemon that starts reads relaxed pages, and a large folder from a seed

Cause: on 300 hosts with 3,000 targets (trial, all killed at once) each daemon drew six exact pages of the folder from the store; the store's link was full and targets were known 2.7 to 3.0 s after the start, when the configuration had been there after 0.2 s. Processor time was ruled out (0.015 of a core at most).

Now a folder is read by relaxed pages, which are not counted against the store's rate, and one watch that ends at once brings it up to date; from the second page on the seeds are asked first. What a whole batch lacks is found with a set, and the log of changes by its key, in place of scans.

--- a/ggt-core/src/facts/mod.rs
+++ b/ggt-core/src/facts/mod.rs
@@ -8,7 +8,7 @@
 pub use outage::OutageRecord;
 
 use std::collections::BTreeMap;
-use std::collections::VecDeque;
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use serde::Deserialize;
@@ -52,7 +52,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct FactTable {
     facts: BTreeMap<String, FactState>,
-    log: VecDeque<FactChange>,
+    /// The latest change of each key, by revision; the oldest are dropped.
+    log: BTreeMap<(u64, String), Option<Arc<Vec<u8>>>>,
     revision: u64,
     last_change: u64,
     log_start: u64,
@@ -96,7 +97,12 @@
     /// What a peer that knows all changes up to `revision` lacks.
     pub fn since(&self, revision: u64) -> FactBatch {
         if revision >= self.log_start && revision > 0 {
-            let changes = self.log.iter().filter(|change| change.revision > revision).cloned();
+            let later = self.log.range((revision + 1, String::new())..);
+            let changes = later.map(|((revision, key), value)| FactChange {
+                key: key.clone(),
+                revision: *revision,
+                value: value.clone(),
+            });
             return FactBatch {
                 revision: self.revision,
                 is_whole: false,
@@ -113,7 +119,8 @@
     }
 
     fn missing(&self, changes: &[FactChange], revision: u64) -> Vec<FactChange> {
-        let is_gone = |key: &str| !changes.iter().any(|change| change.key == key);
+        let told: HashSet<_> = changes.iter().map(|change| change.key.as_str()).collect();
+        let is_gone = |key: &str| !told.contains(key);
         let facts = self.facts.iter();
         facts
             .filter(|(key, fact)| fact.value.is_some() && fact.revision < revision && is_gone(key))
@@ -131,10 +138,10 @@
         let fact = FactState { revision: change.revision, value: change.value.clone() };
         self.facts.insert(change.key.clone(), fact);
         // A peer needs only the latest change of a key.
-        self.log.retain(|logged| logged.key != change.key);
-        self.log.push_back(change.clone());
+        self.log.remove(&(known, change.key.clone()));
+        self.log.insert((change.revision, change.key.clone()), change.value.clone());
         if self.log.len() > MAX_LOGGED_CHANGES {
-            let dropped = self.log.pop_front().map_or(0, |change| change.revision);
+            let dropped = self.log.pop_first().map_or(0, |((revision, _), _)| revision);
             self.log_start = self.log_start.max(dropped);
         }
         if self.removal_count > MAX_REMOVALS {
--- a/ggt-daemon/src/front/peers.rs
+++ b/ggt-daemon/src/front/peers.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use crate::clock::mono_now;
+use crate::clock::until;
 use crate::front::pack::PackError;
 use crate::front::pack::pack;
 use crate::front::pack::unpack;
@@ -46,6 +47,10 @@
 const NEWS_PAUSE: Duration = Duration::from_millis(20);
 /// Longest time for one call to a peer.
 const FETCH_WAIT: Duration = Duration::from_millis(1_200);
+/// Longest time in milliseconds for which a daemon that starts asks seeds for a large folder.
+const WHOLE_WAIT_MS: u64 = 1_000;
+/// Longest pause in milliseconds between its questions.
+const WHOLE_STEP_MS: u64 = 150;
 /// Time in milliseconds that a daemon may know less than its peers before it asks the platform itself.
 const MAX_BEHIND_MS: u64 = 1_000;
 
@@ -216,11 +221,7 @@
     let fetched = timeout(FETCH_WAIT, fetch_unbounded(state, kind, peer)).await;
     match fetched.unwrap_or(Err(FetchError::Silent)) {
         Ok(batch) => state.take_facts(kind, batch, "peer"),
-        Err(e) => log::info!(
-            "event=fetch folder={} peer={peer} cause={}",
-            kind.as_str(),
-            quoted(&e.to_string())
-        ),
+        Err(e) => log_failure(kind, peer, &e),
     }
 }
 
@@ -239,6 +240,42 @@
     Ok(unpack(&body)?)
 }
 
+/// Asks seeds for all facts of a folder until one tells them, for a short time; nothing when none does,
+/// or when this daemon is itself a seed, so that some daemon reads them from the platform.
+pub async fn fetch_whole(state: &FrontState, kind: FactKind) -> Option<FactBatch> {
+    let settings = state.settings();
+    let seeds = settings.seed_peers();
+    if seeds.is_empty() || seeds.contains(&settings.peer) {
+        return None;
+    }
+    let give_up_at = mono_now() + WHOLE_WAIT_MS;
+    while mono_now() < give_up_at {
+        let seed = seeds[rand::rng().random_range(0..seeds.len())];
+        let fetched = timeout(until(give_up_at), fetch_unbounded(state, kind, seed)).await;
+        match fetched.unwrap_or(Err(FetchError::Silent)) {
+            Ok(batch) if batch.is_whole && batch.revision > 0 => {
+                log::info!(
+                    "event=fetch folder={} peer={seed} revision={} facts={} outcome=whole",
+                    kind.as_str(),
+                    batch.revision,
+                    batch.changes.len(),
+                );
+                return Some(batch);
+            }
+            Ok(_) => log::debug!("event=fetch folder={} peer={seed} cause=unknown", kind.as_str()),
+            Err(e) => log_failure(kind, seed, &e),
+        }
+        let step_ms = WHOLE_STEP_MS;
+        sleep(Duration::from_millis(rand::rng().random_range(step_ms / 2..=step_ms))).await;
+    }
+    None
+}
+
+fn log_failure(kind: FactKind, peer: SocketAddr, error: &FetchError) {
+    let cause = quoted(&error.to_string());
+    log::info!("event=fetch folder={} peer={peer} cause={cause}", kind.as_str());
+}
+
 /// Asks a peer for all readings of prompts that it knows.
 ///
 /// # Errors
--- a/ggt-daemon/src/front/store.rs
+++ b/ggt-daemon/src/front/store.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,6 +17,7 @@
 use tokio::time::timeout;
 
 use crate::clock::mono_now;
+use crate::front::peers::fetch_whole;
 use crate::front::state::CONNECT_WAIT;
 use crate::front::state::FactKind;
 use crate::front::state::FrontState;
@@ -24,7 +26,8 @@
 use crate::upstream::TargetChannel;
 use ggt_core::facts::FactBatch;
 use ggt_core::facts::FactChange;
-use ggt_platform::StoreAnswer;
+use ggt_platform::ReadMode;
+use ggt_platform::StoreChange;
 use ggt_platform::StoreError;
 use ggt_platform::parse_range;
 use ggt_platform::parse_watch;
@@ -42,6 +45,8 @@
 const READ_WAIT: Duration = Duration::from_millis(2_500);
 /// Longest time in milliseconds until a call's first byte leaves.
 const SEND_WAIT_MS: u64 = 1_000;
+/// Time in milliseconds for which the watch that ends a read waits at the store for a change.
+const CATCH_UP_MS: u64 = 1;
 /// First pause after a failed call, in milliseconds; it doubles, with jitter.
 const FIRST_PAUSE_MS: u64 = 100;
 /// Longest pause after failed calls, in milliseconds.
@@ -162,42 +167,68 @@
     link: &mut StoreLink,
 ) -> Result<FactBatch, CallError> {
     let revision = state.facts(kind).borrow().revision();
-    if revision == 0 || link.is_stale {
-        let batch = read_whole(link, kind).await?;
+    if link.is_stale {
+        let whole = read_pages(state, link, kind, ReadMode::Exact).await?;
         link.is_stale = false;
-        return Ok(batch);
+        return Ok(whole);
+    }
+    if revision == 0 {
+        return read_whole(state, link, kind).await;
     }
     let path = watch_path(kind.prefix(), revision, WATCH_MS);
-    let body = link.call(&path, Duration::from_millis(LONGEST_SILENCE_MS)).await?;
-    Ok(batch_of(parse_watch(&body)?, false))
+    let answer = parse_watch(&link.call(&path, Duration::from_millis(LONGEST_SILENCE_MS)).await?)?;
+    let changes = answer.changes.into_iter().map(fact_of).collect();
+    Ok(FactBatch { revision: answer.revision, is_whole: false, changes })
 }
 
-async fn read_whole(link: &mut StoreLink, kind: FactKind) -> Result<FactBatch, CallError> {
-    let mut whole = StoreAnswer::default();
-    let mut after: Option<String> = None;
+/// Reads a folder by pages that may be old, which cost the store little, and then what changed since.
+async fn read_whole(
+    state: &FrontState,
+    link: &mut StoreLink,
+    kind: FactKind,
+) -> Result<FactBatch, CallError> {
+    let mut whole = read_pages(state, link, kind, ReadMode::Relaxed).await?;
+    let path = watch_path(kind.prefix(), whole.revision, CATCH_UP_MS);
+    let later = parse_watch(&link.call(&path, READ_WAIT).await?)?;
+    whole.revision = whole.revision.max(later.revision);
+    whole.changes.extend(later.changes.into_iter().map(fact_of));
+    Ok(whole)
+}
+
+/// Reads a folder page by page; when it has more than one, first asks the peers for all of it, so that
+/// hosts that start at the same moment do not all draw it from the store.
+async fn read_pages(
+    state: &FrontState,
+    link: &mut StoreLink,
+    kind: FactKind,
+    mode: ReadMode,
+) -> Result<FactBatch, CallError> {
+    let mut whole = FactBatch { revision: u64::MAX, is_whole: true, changes: Vec::new() };
     loop {
-        let path = range_path(kind.prefix(), after.as_deref());
+        let after = whole.changes.last().map(|last| last.key.as_str());
+        let is_first = after.is_none();
+        let path = range_path(kind.prefix(), after, mode);
         let page = parse_range(&link.call(&path, READ_WAIT).await?)?;
-        // Pages are no snapshot: the facts hold at the revision of the first one, and changes after
-        // it come with the watch.
-        if after.is_none() {
-            whole.revision = page.revision;
+        let is_last = !page.has_more || page.changes.is_empty();
+        // Pages are no snapshot: the facts hold at the revision of the oldest one, and changes after it
+        // come with the watch.
+        whole.revision = whole.revision.min(page.revision);
+        whole.changes.extend(page.changes.into_iter().map(fact_of));
+        if is_last {
+            return Ok(whole);
         }
-        after = page.changes.last().map(|change| change.key.clone());
-        whole.changes.extend(page.changes);
-        if !page.has_more || after.is_none() {
-            return Ok(batch_of(whole, true));
+        if is_first
+            && mode == ReadMode::Relaxed
+            && let Some(told) = fetch_whole(state, kind).await
+        {
+            return Ok(told);
         }
     }
 }
 
-fn batch_of(answer: StoreAnswer, is_whole: bool) -> FactBatch {
-    let changes = answer.changes.into_iter().map(|change| FactChange {
-        key: change.key,
-        revision: change.revision,
-        value: change.value.map(std::sync::Arc::new),
-    });
-    FactBatch { revision: answer.revision, is_whole, changes: changes.collect() }
+fn fact_of(change: StoreChange) -> FactChange {
+    let value = change.value.map(Arc::new);
+    FactChange { key: change.key, revision: change.revision, value }
 }
 
 impl StoreLink {
--- a/ggt-standin/src/published/store.rs
+++ b/ggt-standin/src/published/store.rs
@@ -31,8 +31,13 @@
     refused: Option<u16>,
     silenced: u64,
     calls: u64,
+    later_pages: u64,
+    exact_pages: u64,
 }
 
+/// Items on one page at most.
+const PAGE_ITEMS: usize = 500;
+
 /// A store that a test writes to and daemons read.
 #[derive(Clone)]
 pub struct StoreStandin {
@@ -93,6 +98,16 @@
         lock(&self.items).calls
     }
 
+    /// Pages beyond a folder's first one that were read.
+    pub fn later_pages(&self) -> u64 {
+        lock(&self.items).later_pages
+    }
+
+    /// Pages that were read with all changes up to the call.
+    pub fn exact_pages(&self) -> u64 {
+        lock(&self.items).exact_pages
+    }
+
     fn change(&self, key: &str, value: Option<Vec<u8>>) {
         let mut items = lock(&self.items);
         items.revision += 1;
@@ -130,18 +145,26 @@
         }
         let prefix = request.query("PathPrefix").unwrap_or_default();
         match request.path.split('?').next().unwrap_or_default() {
-            "/v1/kv-range" => (200, self.range(prefix)),
+            "/v1/kv-range" => (200, self.range(prefix, request)),
             "/v1/kv-watch" => self.watch(prefix, request.number("After"), request.number("WaitMs")),
             _ => (404, json!({})),
         }
     }
 
-    fn range(&self, prefix: &str) -> Value {
-        let items = lock(&self.items);
+    fn range(&self, prefix: &str, request: &WireRequest) -> Value {
+        let mut items = lock(&self.items);
+        let after = request.query("After").unwrap_or_default();
+        items.later_pages += u64::from(!after.is_empty());
+        items.exact_pages += u64::from(request.query("Serializable").is_none());
         let under = items.items.iter().filter(|(key, _)| key.starts_with(prefix));
-        let list: Vec<_> =
-            under.map(|(key, (revision, value))| item(key, *revision, Some(value))).collect();
-        json!({ "Items": list, "HasMore": false, "StoreRevision": items.revision })
+        let mut rest = under.filter(|(key, _)| key.as_str() > after);
+        let page: Vec<_> = rest
+            .by_ref()
+            .take(PAGE_ITEMS)
+            .map(|(key, (revision, value))| item(key, *revision, Some(value)))
+            .collect();
+        let has_more = rest.next().is_some();
+        json!({ "Items": page, "HasMore": has_more, "StoreRevision": items.revision })
     }
 
     fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> (u16, Value) {
--- a/ggt-testkit/tests/platform_state.rs
+++ b/ggt-testkit/tests/platform_state.rs
@@ -118,6 +118,38 @@
     assert_eq!(status(&fleet, 0, "/read/"), Some(200));
 }
 
+/// Pages beyond the first that a folder of this many targets has.
+const LATER_PAGES: u64 = 2;
+
+#[test]
+fn daemons_that_start_draw_a_large_folder_from_a_seed_and_not_from_the_store() {
+    let mut fleet = FrontFleet::start(1, 0);
+    let entry = fleet.servers[0].entry("crowd", "a", "ready");
+    (0..1_200).for_each(|number| fleet.store.put(&format!("servers/c-{number}"), &entry));
+    fleet.add_daemon(0, None);
+    await_ready(&fleet.daemons[0]);
+    assert_eq!(fleet.store.later_pages(), LATER_PAGES);
+    (1..4).for_each(|number| fleet.add_daemon(number, None));
+    fleet.daemons.iter().for_each(await_ready);
+    for daemon in 0..4 {
+        assert_eq!(status(&fleet, daemon, "/read/"), Some(200));
+    }
+    assert_eq!(fleet.store.later_pages(), LATER_PAGES, "a daemon read the whole folder itself");
+    assert_eq!(fleet.store.exact_pages(), 0, "a start needs no exact page");
+}
+
+#[test]
+fn daemons_draw_a_large_folder_from_the_store_when_the_seed_is_gone() {
+    let mut fleet = FrontFleet::start(1, 1);
+    let entry = fleet.servers[0].entry("crowd", "a", "ready");
+    (0..1_200).for_each(|number| fleet.store.put(&format!("servers/c-{number}"), &entry));
+    fleet.daemons[0].process.kill();
+    fleet.add_daemon(1, None);
+    await_ready(&fleet.daemons[1]);
+    assert_eq!(status(&fleet, 1, "/read/"), Some(200));
+    assert_eq!(fleet.store.later_pages(), LATER_PAGES);
+}
+
 #[test]
 fn history_that_the_store_dropped_is_read_anew() {
     let mut fleet = FrontFleet::start(1, 1);
