refactor: no circular uses between modules of the daemon; a prompt that was refused is not held

- lock stands in a module of its own (state and lifecycle, state and upstream used each other), what serving tasks share in flow/context, datagrams in peers/datagrams, short calls in front/call, packed answers in front/pack.
- Cause of the second: a send added the prompt's links to its target before it was known whether the target took it, and a refusal left them, so later requests went to a target that had read nothing.
A refused or unsent request takes back what no later request had read.

--- a/ggt-core/src/targets/mod.rs
+++ b/ggt-core/src/targets/mod.rs
@@ -13,6 +13,7 @@
 pub use choice::TargetChoice;
 pub use health::HealthState;
 pub use health::SendOutcome;
+pub use pool::SentNote;
 pub use pool::TargetKey;
 pub use pool::TargetPool;
 pub use pool::TargetState;
--- a/ggt-core/src/targets/pool.rs
+++ b/ggt-core/src/targets/pool.rs
@@ -28,6 +28,17 @@
 /// Readings that wait to be told at most.
 const MAX_UNTOLD: usize = 1_024;
 
+/// What a request that was sent adds to its target's account.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SentNote {
+    /// Prompt tokens that the target still has to read for it.
+    pub backlog_tokens: u32,
+    /// Links of its prompt, by their short hashes, that the target was not known to have read.
+    pub new_links: Vec<u32>,
+    /// When it was sent.
+    pub sent_at: MonoTime,
+}
+
 /// One incarnation of a target.
 #[derive(Clone, Debug)]
 pub struct TargetState {
@@ -188,7 +199,7 @@
         self.targets.is_empty()
     }
 
-    /// Counts a request as in flight; returns the prompt tokens that it adds to the backlog.
+    /// Counts a request as in flight, and its prompt as read by the target.
     ///
     /// With `is_copied` all but the chain's last link comes from another target.
     pub fn note_sent(
@@ -197,16 +208,16 @@
         chain: &PromptChain,
         is_copied: bool,
         now: MonoTime,
-    ) -> u32 {
-        let Some(state) = self.targets.get_mut(key) else { return 0 };
+    ) -> SentNote {
+        let Some(state) = self.targets.get_mut(key) else { return SentNote::default() };
         let last = chain.links().last().map_or(0, |link| link.tokens);
         let missing = state.missing_tokens(chain);
         let missing = if is_copied { missing.min(last) } else { missing };
         state.own.requests += 1;
         state.own.backlog_tokens += missing;
-        for link in chain.links() {
-            state.note_link(short_link(link.hash), now);
-        }
+        let links = chain.links().iter().map(|link| short_link(link.hash));
+        let new_links = links.clone().filter(|link| !state.links.contains_key(link)).collect();
+        links.for_each(|link| state.note_link(link, now));
         // A link stands for all before it; the last one is of use only to its session.
         for link in chain.links().iter().rev().take(2) {
             self.untold.push_back((short_link(link.hash), state.short_hash, READ_TELLINGS));
@@ -214,7 +225,21 @@
         while self.untold.len() > MAX_UNTOLD {
             self.untold.pop_front();
         }
-        missing
+        SentNote { backlog_tokens: missing, new_links, sent_at: now }
+    }
+
+    /// Takes back that a target read the prompt of a request that did not run there, as far as no later
+    /// request had it read the same.
+    pub fn take_back(&mut self, key: TargetKey, note: &SentNote) {
+        let Some(state) = self.targets.get_mut(key) else { return };
+        let links = &mut state.links;
+        let is_own = |link: &&u32| links.get(*link).is_some_and(|time| *time == note.sent_at);
+        let unread: Vec<_> = note.new_links.iter().filter(is_own).copied().collect();
+        for link in &unread {
+            links.remove(link);
+        }
+        let hash = state.short_hash;
+        self.untold.retain(|(link, target, _)| *target != hash || !unread.contains(link));
     }
 
     /// Readings to be told to other daemons: the short hash of a chain's link, and the target's.
--- a/ggt-core/tests/targets.rs
+++ b/ggt-core/tests/targets.rs
@@ -67,8 +67,8 @@
 fn send(pool: &mut TargetPool, subject: u64, own: u64) -> TargetChoice {
     let chain = chain(subject, own);
     let choice = choose(pool, &chain);
-    let read = pool.note_sent(choice.key, &chain, choice.source.is_some(), at(0));
-    pool.note_read(choice.key, read);
+    let note = pool.note_sent(choice.key, &chain, choice.source.is_some(), at(0));
+    pool.note_read(choice.key, note.backlog_tokens);
     choice
 }
 
@@ -113,6 +113,24 @@
     assert_eq!(send(&mut pool, 1, 3).source, None, "the copy is a holder itself");
 }
 
+#[test]
+fn a_target_that_refused_a_prompt_does_not_hold_it() {
+    let mut pool = pool_of(ENGINES);
+    let chain = chain(3, 1);
+    let anchor = chain.anchor().expect("a shared part").hash;
+    let key = choose(&pool, &chain).key;
+    let holds = |pool: &TargetPool| pool.target(key).is_some_and(|state| state.holds(anchor));
+    let refused = pool.note_sent(key, &chain, false, at(0));
+    assert!(holds(&pool), "requests that follow at once go to the same target");
+    pool.take_back(key, &refused);
+    assert!(!holds(&pool));
+    assert!(pool.recent_reads(9).is_empty(), "other daemons would be told of a reading");
+    let refused = pool.note_sent(key, &chain, false, at(1));
+    pool.note_sent(key, &chain, false, at(2));
+    pool.take_back(key, &refused);
+    assert!(holds(&pool), "a later request had it read the same");
+}
+
 #[test]
 fn what_other_daemons_had_read_counts_too() {
     let mut teller = pool_of(ENGINES);
--- a/ggt-daemon/src/admin/explain.rs
+++ b/ggt-daemon/src/admin/explain.rs
@@ -4,8 +4,8 @@
 use snafu::Snafu;
 
 use crate::clock::mono_now;
+use crate::lock::lock;
 use crate::state::SharedState;
-use crate::state::lock;
 use ggt_core::ident::CustomerName;
 use ggt_core::ident::mix_hash;
 use ggt_core::ident::stable_hash;
--- a/ggt-daemon/src/admin/report.rs
+++ b/ggt-daemon/src/admin/report.rs
@@ -5,10 +5,10 @@
 use serde::Serialize;
 
 use crate::clock::mono_now;
+use crate::lock::lock;
 use crate::metrics::TrafficFigure;
 use crate::peers::peers_to_ask;
 use crate::state::SharedState;
-use crate::state::lock;
 use ggt_core::claims::HolderStats;
 use ggt_wire::platform::FolderKind;
 
--- a/ggt-daemon/src/flow/mod.rs
+++ b/ggt-daemon/src/flow/mod.rs
@@ -1,6 +1,7 @@
 //! What happens to a request between its admission and its answer.
 
 mod action;
+mod context;
 mod exchange;
 mod job;
 mod refusal;
@@ -8,6 +9,7 @@
 mod sink;
 mod worker;
 
+pub use context::WorkContext;
 pub(crate) use exchange::is_hop_by_hop;
 pub(crate) use exchange::put;
 pub use job::RequestJob;
--- a/ggt-daemon/src/flow/sink.rs
+++ b/ggt-daemon/src/flow/sink.rs
@@ -20,7 +20,7 @@
 use tokio::time::timeout;
 
 use crate::clock::until;
-use crate::state::lock;
+use crate::lock::lock;
 use ggt_core::clock::MonoTime;
 
 /// Chunks that wait for a slow caller at most.
--- a/ggt-daemon/src/flow/worker.rs
+++ b/ggt-daemon/src/flow/worker.rs
@@ -6,20 +6,12 @@
 
 use crate::flow::ReplySink;
 use crate::flow::RequestJob;
+use crate::flow::WorkContext;
 use crate::flow::action::run_action;
 use crate::flow::repeatable::run_repeatable;
 use crate::peers::PeerLinks;
 use crate::state::SharedState;
 
-/// What a serving task works with.
-#[derive(Clone)]
-pub struct WorkContext {
-    /// The daemon's state.
-    pub state: Arc<SharedState>,
-    /// Links to other daemons.
-    pub links: Arc<PeerLinks>,
-}
-
 /// Starts a task for each request, up to a bound.
 pub struct WorkerPool {
     context: WorkContext,
--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -9,6 +9,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::response::Parts;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::sleep;
@@ -228,11 +229,14 @@
         let none = PromptChain::default();
         let chain = self.job.chain.as_ref().unwrap_or(&none);
         let guard = SendGuard::new(self.state.clone(), key, chain, choice.source.is_some());
-        let (response, channel) = self.send_on_any(choice, last_event).await?;
-        let (parts, body) = response.into_parts();
-        let facts = read_reply(parts.status, &parts.headers);
-        self.state.pool.borrow_mut().note_heard(key, facts.load, mono_now());
-        self.check(&parts.status, &facts)?;
+        let answered = match self.send_on_any(choice, last_event).await {
+            Ok((response, channel)) => self.judge(key, response).map(|reply| (reply, channel)),
+            Err(error) => Err(error),
+        };
+        if let Err(SendError::NotSent { .. } | SendError::Refused { .. }) = &answered {
+            guard.take_back();
+        }
+        let ((parts, facts, body), channel) = answered?;
         // Whatever it says, the target has begun to run the request.
         self.may_have_run = true;
         Ok(TargetReply {
@@ -246,6 +250,19 @@
         })
     }
 
+    /// Takes what a reply's head says of its target, and whether the reply is this request's.
+    fn judge(
+        &self,
+        key: TargetKey,
+        response: Response<Incoming>,
+    ) -> Result<(Parts, ReplyFacts, Incoming), SendError> {
+        let (parts, body) = response.into_parts();
+        let facts = read_reply(parts.status, &parts.headers);
+        self.state.pool.borrow_mut().note_heard(key, facts.load, mono_now());
+        self.check(&parts.status, &facts)?;
+        Ok((parts, facts, body))
+    }
+
     /// Sends on a kept connection if the request may run more than once, since a reset on it does not
     /// tell whether it has run, and else, or when that one breaks, on a new connection.
     async fn send_on_any(
--- a/ggt-daemon/src/front/job.rs
+++ b/ggt-daemon/src/front/job.rs
@@ -14,6 +14,7 @@
 use ggt_core::clock::MonoTime;
 use ggt_core::prompts::PromptChain;
 use ggt_core::routes::RouteEntry;
+use ggt_core::targets::SentNote;
 use ggt_core::targets::TargetKey;
 use ggt_platform::RequestFacts;
 
@@ -104,6 +105,7 @@
     state: Rc<FrontState>,
     key: TargetKey,
     backlog_tokens: Cell<u32>,
+    note: SentNote,
 }
 
 impl SendGuard {
@@ -114,8 +116,13 @@
         chain: &PromptChain,
         is_copied: bool,
     ) -> Self {
-        let tokens = state.pool.borrow_mut().note_sent(key, chain, is_copied, mono_now());
-        Self { state, key, backlog_tokens: Cell::new(tokens) }
+        let note = state.pool.borrow_mut().note_sent(key, chain, is_copied, mono_now());
+        Self { state, key, backlog_tokens: Cell::new(note.backlog_tokens), note }
+    }
+
+    /// Records that the target did not run the request, and so has not read its prompt.
+    pub fn take_back(&self) {
+        self.state.pool.borrow_mut().take_back(self.key, &self.note);
     }
 
     /// Records that the target has read the prompt.
--- a/ggt-daemon/src/front/mod.rs
+++ b/ggt-daemon/src/front/mod.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod attempt;
+mod call;
 mod callers;
 mod intake;
 mod job;
--- a/ggt-daemon/src/front/pack.rs
+++ b/ggt-daemon/src/front/pack.rs
@@ -5,6 +5,7 @@
 use std::io::Read;
 use std::io::Write;
 
+use bytes::Bytes;
 use flate2::Compression;
 use flate2::read::ZlibDecoder;
 use flate2::write::ZlibEncoder;
@@ -60,3 +61,12 @@
     decoder.read_to_end(&mut whole).context(CompressionSnafu)?;
     postcard::from_bytes(&whole).context(CodecSnafu)
 }
+
+/// The last packed answer with facts, which many peers ask for at once.
+#[derive(Clone, Debug, Default)]
+pub struct PackedFacts {
+    /// The path that was asked and the revision of the facts.
+    pub question: (String, u64),
+    /// The packed answer.
+    pub answer: Bytes,
+}
--- a/ggt-daemon/src/front/peers.rs
+++ b/ggt-daemon/src/front/peers.rs
@@ -14,14 +14,15 @@
 
 use crate::clock::mono_now;
 use crate::clock::until;
+use crate::front::call::CallError;
+use crate::front::call::get;
 use crate::front::pack::PackError;
+use crate::front::pack::PackedFacts;
 use crate::front::pack::pack;
 use crate::front::pack::unpack;
 use crate::front::state::CONNECT_WAIT;
 use crate::front::state::FactKind;
 use crate::front::state::FrontState;
-use crate::front::store::CallError;
-use crate::front::store::get;
 use crate::logging::quoted;
 use crate::upstream::ConnectError;
 use crate::upstream::TargetChannel;
@@ -292,14 +293,6 @@
     timeout(FETCH_WAIT, call).await.unwrap_or(Err(FetchError::Silent))
 }
 
-/// The last packed answer with facts, which many peers ask for at once.
-#[derive(Clone, Debug, Default)]
-pub struct PackedFacts {
-    /// The path that was asked and the revision of the facts.
-    question: (String, u64),
-    answer: Bytes,
-}
-
 /// The answer to a peer that asks for facts after a revision, or for readings of prompts.
 pub fn peer_answer(state: &FrontState, path: &str) -> Option<Bytes> {
     if path == READS_PATH {
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -12,7 +12,7 @@
 use crate::clock::wall_now;
 use crate::edge::EdgeHandle;
 use crate::front::metrics::FrontMetrics;
-use crate::front::peers::PackedFacts;
+use crate::front::pack::PackedFacts;
 use crate::front::settings::FrontSettings;
 use crate::logging::quoted;
 use crate::upstream::KeptChannels;
--- a/ggt-daemon/src/front/store.rs
+++ b/ggt-daemon/src/front/store.rs
@@ -6,29 +6,22 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Request;
-use http_body_util::BodyExt;
-use http_body_util::Full;
-use http_body_util::Limited;
 use rand::Rng;
-use snafu::ResultExt;
-use snafu::Snafu;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::clock::mono_now;
+use crate::front::call::CallError;
+use crate::front::call::get;
 use crate::front::peers::fetch_whole;
 use crate::front::state::CONNECT_WAIT;
 use crate::front::state::FactKind;
 use crate::front::state::FrontState;
-use crate::upstream::ConnectError;
-use crate::upstream::SendFailure;
 use crate::upstream::TargetChannel;
 use ggt_core::facts::FactBatch;
 use ggt_core::facts::FactChange;
 use ggt_platform::ReadMode;
 use ggt_platform::StoreChange;
-use ggt_platform::StoreError;
 use ggt_platform::parse_range;
 use ggt_platform::parse_watch;
 use ggt_platform::range_path;
@@ -43,57 +36,15 @@
 pub const LONGEST_SILENCE_MS: u64 = WATCH_MS + ANSWER_MS;
 /// Longest time for one page of a folder.
 const READ_WAIT: Duration = Duration::from_millis(2_500);
-/// Longest time in milliseconds until a call's first byte leaves.
-const SEND_WAIT_MS: u64 = 1_000;
 /// Time in milliseconds for which the watch that ends a read waits at the store for a change.
 const CATCH_UP_MS: u64 = 1;
 /// First pause after a failed call, in milliseconds; it doubles, with jitter.
 const FIRST_PAUSE_MS: u64 = 100;
 /// Longest pause after failed calls, in milliseconds.
 const MAX_PAUSE_MS: u64 = 1_000;
-/// Largest answer of the store in bytes.
-const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 /// Pause before a daemon that does not watch asks itself again whether it should.
 const IDLE_PAUSE_MS: u64 = 250;
 
-/// Why a call to the store failed.
-#[derive(Debug, Snafu)]
-pub enum CallError {
-    /// There is no connection.
-    #[snafu(display("{source}"), context(false))]
-    Connect {
-        /// The cause.
-        source: ConnectError,
-    },
-    /// The connection broke.
-    #[snafu(display("store call: {source}"))]
-    Broken {
-        /// The cause.
-        source: SendFailure,
-    },
-    /// The answer is too long, or broke off.
-    #[snafu(display("store answer: {cause}"))]
-    Body {
-        /// The cause.
-        cause: String,
-    },
-    /// There was no answer in time.
-    #[snafu(display("store call: no answer in time"))]
-    Silent,
-    /// The store refused.
-    #[snafu(display("store call: status {status}"))]
-    Status {
-        /// The status.
-        status: u16,
-    },
-    /// The answer cannot be read.
-    #[snafu(display("{source}"), context(false))]
-    Answer {
-        /// The cause.
-        source: StoreError,
-    },
-}
-
 /// Keeps one folder of facts up to date, as long as the daemon runs.
 pub async fn run_watching(state: Rc<FrontState>, kind: FactKind) {
     let mut link = StoreLink { address: state.settings().store, channel: None, is_stale: false };
@@ -252,24 +203,3 @@
         if status == 200 { Ok(body) } else { Err(CallError::Status { status }) }
     }
 }
-
-/// Sends a `GET` on a connection and reads the whole answer.
-///
-/// # Errors
-/// [`CallError`] when the connection broke or the answer is too long.
-pub async fn get(
-    channel: &mut TargetChannel,
-    address: SocketAddr,
-    path: &str,
-) -> Result<(u16, Bytes), CallError> {
-    let request = Request::get(path).header(http::header::HOST, address.to_string());
-    let request =
-        request.body(Full::default()).map_err(|e| CallError::Body { cause: e.to_string() })?;
-    channel.ready().await.context(BrokenSnafu)?;
-    let send_by = mono_now() + SEND_WAIT_MS;
-    let response = channel.send(request, send_by).await.context(BrokenSnafu)?;
-    let status = response.status().as_u16();
-    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
-    let body = body.map_err(|e| CallError::Body { cause: e.to_string() })?;
-    Ok((status, body.to_bytes()))
-}
--- a/ggt-daemon/src/front/warmup.rs
+++ b/ggt-daemon/src/front/warmup.rs
@@ -11,11 +11,11 @@
 use tokio::time::timeout;
 
 use crate::clock::mono_now;
+use crate::front::call::CallError;
+use crate::front::call::get;
 use crate::front::peers::fetch_reads;
 use crate::front::state::CONNECT_WAIT;
 use crate::front::state::FrontState;
-use crate::front::store::CallError;
-use crate::front::store::get;
 use crate::logging::quoted;
 use crate::upstream::TargetChannel;
 use ggt_core::ident::stable_hash;
--- a/ggt-daemon/src/lib.rs
+++ b/ggt-daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod flow;
 pub mod front;
 pub mod lifecycle;
+pub mod lock;
 pub mod logging;
 pub mod metrics;
 pub mod peers;
--- a/ggt-daemon/src/lifecycle/mod.rs
+++ b/ggt-daemon/src/lifecycle/mod.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
-use crate::state::lock;
+use crate::lock::lock;
 
 /// Whether the daemon is stopping, and which requests are in flight.
 #[derive(Debug, Default)]
--- /dev/null
+++ b/ggt-daemon/src/peers/datagrams.rs
@@ -0,0 +1,42 @@
+//! Datagrams to peers.
+
+use std::net::SocketAddr;
+
+use crate::lock::lock;
+use crate::metrics::TrafficKind;
+use crate::state::SharedState;
+use ggt_core::membership::GossipItem;
+use ggt_core::membership::PeerMessage;
+use ggt_core::membership::SignedHead;
+use ggt_wire::datagram;
+use ggt_wire::datagram::DATAGRAM_HEAD_BYTES;
+use ggt_wire::platform::FolderKind;
+
+/// Sends a datagram with just these items.
+pub(super) fn send_with(
+    state: &SharedState,
+    address: SocketAddr,
+    message: &PeerMessage,
+    items: &[GossipItem],
+) {
+    let folders = lock(&state.folders);
+    let revision = folders.revision(FolderKind::Config);
+    let hosts_version = folders.revision(FolderKind::Hosts);
+    drop(folders);
+    let mut gossip = lock(&state.gossip);
+    let head = SignedHead {
+        from: state.settings.name.clone(),
+        incarnation: gossip.peers.incarnation(),
+        number: gossip.next_number(),
+        revision,
+    };
+    let Ok(bytes) = datagram::encode_datagram(&state.keys, &head, hosts_version, message, items)
+    else {
+        return;
+    };
+    let cost = bytes.len() + DATAGRAM_HEAD_BYTES;
+    gossip.budget.spend(cost);
+    state.metrics.traffic(TrafficKind::Gossip).add_sent(cost);
+    // A datagram that cannot be sent is as good as one that is lost on its way.
+    let _ = state.socket.send_to(&bytes, address);
+}
--- a/ggt-daemon/src/peers/gossip.rs
+++ b/ggt-daemon/src/peers/gossip.rs
@@ -7,11 +7,12 @@
 
 use crate::clock::mono_now;
 use crate::clock::wall_now;
+use crate::lock::lock;
 use crate::metrics::TrafficKind;
+use crate::peers::datagrams::send_with;
 use crate::peers::vouch;
 use crate::state::FetchHint;
 use crate::state::SharedState;
-use crate::state::lock;
 use ggt_core::blame::DeathMark;
 use ggt_core::blame::RequestPrint;
 use ggt_core::clock::WallTime;
@@ -19,7 +20,6 @@
 use ggt_core::membership::GossipItem;
 use ggt_core::membership::PeerAction;
 use ggt_core::membership::PeerMessage;
-use ggt_core::membership::SignedHead;
 use ggt_core::membership::short_hash;
 use ggt_core::membership::speakers_of;
 use ggt_core::routing::TargetKey;
@@ -141,35 +141,6 @@
     send_with(state, address, message, &items);
 }
 
-/// Sends a datagram with just these items.
-pub(super) fn send_with(
-    state: &SharedState,
-    address: SocketAddr,
-    message: &PeerMessage,
-    items: &[GossipItem],
-) {
-    let folders = lock(&state.folders);
-    let revision = folders.revision(FolderKind::Config);
-    let hosts_version = folders.revision(FolderKind::Hosts);
-    drop(folders);
-    let mut gossip = lock(&state.gossip);
-    let head = SignedHead {
-        from: state.settings.name.clone(),
-        incarnation: gossip.peers.incarnation(),
-        number: gossip.next_number(),
-        revision,
-    };
-    let Ok(bytes) = datagram::encode_datagram(&state.keys, &head, hosts_version, message, items)
-    else {
-        return;
-    };
-    let cost = bytes.len() + DATAGRAM_HEAD_BYTES;
-    gossip.budget.spend(cost);
-    state.metrics.traffic(TrafficKind::Gossip).add_sent(cost);
-    // A datagram that cannot be sent is as good as one that is lost on its way.
-    let _ = state.socket.send_to(&bytes, address);
-}
-
 fn take_datagram(state: &SharedState, bytes: &[u8], source: SocketAddr) {
     let traffic = state.metrics.traffic(TrafficKind::Gossip);
     traffic.add_received(bytes.len() + DATAGRAM_HEAD_BYTES);
--- a/ggt-daemon/src/peers/mod.rs
+++ b/ggt-daemon/src/peers/mod.rs
@@ -1,5 +1,6 @@
 //! Talking with other daemons.
 
+mod datagrams;
 mod gossip;
 mod links;
 mod server;
@@ -16,6 +17,5 @@
 pub(crate) use server::answer_seal;
 pub(crate) use server::answer_settle;
 pub use server::serve_peers;
-pub use vouch::OpenQuestions;
 pub use vouch::peers_to_ask;
 pub use vouch::run_vouching;
--- a/ggt-daemon/src/peers/server.rs
+++ b/ggt-daemon/src/peers/server.rs
@@ -16,11 +16,11 @@
 use tokio::net::TcpListener;
 
 use crate::clock::wall_now;
+use crate::lock::lock;
 use crate::metrics::TrafficKind;
 use crate::peers::links::MAX_MESSAGE_BYTES;
 use crate::peers::stream::CountedStream;
 use crate::state::SharedState;
-use crate::state::lock;
 use ggt_core::claims::AbstainReason;
 use ggt_core::claims::ClaimReply;
 use ggt_core::claims::ClaimRequest;
--- a/ggt-daemon/src/peers/vouch.rs
+++ b/ggt-daemon/src/peers/vouch.rs
@@ -1,6 +1,5 @@
 //! Asks peers for their roster epoch, so that this daemon may grant claims.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
@@ -9,10 +8,10 @@
 use rand::Rng;
 
 use crate::clock::wall_now;
-use crate::peers::gossip::send_with;
+use crate::lock::lock;
+use crate::peers::datagrams::send_with;
 use crate::state::FetchHint;
 use crate::state::SharedState;
-use crate::state::lock;
 use ggt_core::ident::DaemonName;
 use ggt_core::membership::PeerMessage;
 use ggt_core::membership::SignedHead;
@@ -26,9 +25,6 @@
 /// Pause when every peer has told, or has been asked and may still answer.
 const IDLE_PAUSE: Duration = Duration::from_millis(500);
 
-/// Questions of this life that have not been answered, by their nonces.
-pub type OpenQuestions = BTreeMap<u64, DaemonName>;
-
 /// Asks each peer for its epoch until it has told the one in force or a later one.
 pub fn run_vouching(state: &Arc<SharedState>) {
     loop {
--- a/ggt-daemon/src/probes/mod.rs
+++ b/ggt-daemon/src/probes/mod.rs
@@ -10,9 +10,9 @@
 use serde::Deserialize;
 
 use crate::clock::mono_now;
+use crate::lock::lock;
 use crate::metrics::TrafficKind;
 use crate::state::SharedState;
-use crate::state::lock;
 use crate::upstream::simple_call;
 use ggt_core::clock::MonoTime;
 use ggt_core::ident::TargetName;
--- a/ggt-daemon/src/state/mod.rs
+++ b/ggt-daemon/src/state/mod.rs
@@ -6,10 +6,10 @@
 mod pace;
 mod shares;
 
+use std::collections::BTreeMap;
 use std::net::UdpSocket;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::MutexGuard;
 use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::RwLock;
@@ -21,6 +21,7 @@
 use ggt_core::blame::BlameTable;
 use ggt_core::claims::AttemptId;
 use ggt_core::claims::ClaimHolder;
+use ggt_core::ident::DaemonName;
 use ggt_core::membership::PeerOptions;
 use ggt_core::membership::PeerTable;
 use ggt_core::retries::RetryBudget;
@@ -39,18 +40,16 @@
 use crate::clock::mono_now;
 use crate::clock::wall_now;
 use crate::lifecycle::DrainState;
+use crate::lock::lock;
 use crate::metrics::DaemonMetrics;
-use crate::peers::OpenQuestions;
 use crate::settings::DaemonSettings;
 use crate::upstream::KeptChannels;
 
 /// Requests under suspicion of crashing their targets, at most.
 const MAX_SUSPECTS: usize = 4_096;
 
-/// Locks a mutex whose data stays usable after a panic of another thread.
-pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
+/// Questions for epochs that have not been answered, by their nonces.
+pub type OpenQuestions = BTreeMap<u64, DaemonName>;
 
 /// Asks to fetch a folder that a peer has shown.
 #[derive(Clone, Debug)]
--- a/ggt-daemon/src/sync/fetch.rs
+++ b/ggt-daemon/src/sync/fetch.rs
@@ -8,11 +8,11 @@
 use tokio::runtime::Handle;
 
 use crate::clock::mono_now;
+use crate::lock::lock;
 use crate::peers::LinkError;
 use crate::peers::PeerLinks;
 use crate::state::FetchHint;
 use crate::state::SharedState;
-use crate::state::lock;
 use crate::sync::offer_folder;
 use ggt_wire::platform::FileDigest;
 use ggt_wire::platform::FolderKind;
--- a/ggt-daemon/src/sync/offer.rs
+++ b/ggt-daemon/src/sync/offer.rs
@@ -4,10 +4,10 @@
 
 use crate::clock::mono_now;
 use crate::clock::wall_now;
+use crate::lock::lock;
 use crate::logging::quoted;
 use crate::state::ForceConfig;
 use crate::state::SharedState;
-use crate::state::lock;
 use ggt_core::config::AcceptedConfig;
 use ggt_core::config::OfferOutcome;
 use ggt_core::config::accept_files;
--- a/ggt-daemon/src/sync/watch.rs
+++ b/ggt-daemon/src/sync/watch.rs
@@ -12,9 +12,9 @@
 use snafu::ResultExt;
 use snafu::Snafu;
 
+use crate::lock::lock;
 use crate::metrics::TrafficKind;
 use crate::state::SharedState;
-use crate::state::lock;
 use crate::sync::offer_folder;
 use crate::upstream::CallFailure;
 use crate::upstream::simple_call;
--- a/ggt-daemon/src/upstream/channel.rs
+++ b/ggt-daemon/src/upstream/channel.rs
@@ -19,7 +19,7 @@
 use tokio::task::AbortHandle;
 
 use crate::clock::mono_now;
-use crate::state::lock;
+use crate::lock::lock;
 use crate::upstream::CallWatch;
 use crate::upstream::ConnectError;
 use crate::upstream::connect_tcp;
