feat: fewer calls to the store when a large fleet starts, and when changes come in quick succession

A daemon now knows a role: undecided for its first second, then watcher or listener; and a watch that brought changes is followed by a pause of 100 ms, so that the next ones come together.

The core test of the start was shown red by mutation.

--- a/ggt-core/src/fleet/mod.rs
+++ b/ggt-core/src/fleet/mod.rs
@@ -31,6 +31,8 @@
 const SMALL_FLEET: usize = 12;
 /// Daemons of each data centre that watch the platform in a larger fleet.
 const CENTRE_WATCHERS: usize = 2;
+/// Time from the start of a daemon in which it learns of the others before it watches, in milliseconds.
+const SETTLE_MS: u64 = 1_000;
 /// Daemons that a digest names at most.
 const MAX_NAMED: usize = 12;
 
@@ -90,6 +92,17 @@
     pub after: FlightLoad,
 }
 
+/// Where a daemon that has read the platform's facts learns of changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatchRole {
+    /// From its peers, until it knows how many there are.
+    Undecided,
+    /// From the platform itself.
+    Watcher,
+    /// From its peers.
+    Listener,
+}
+
 /// All daemons that one daemon knows.
 #[derive(Clone, Debug)]
 pub struct FleetTable {
@@ -148,12 +161,29 @@
             .filter(move |peer| peer.heard_at + silence_ms >= now && !peer.digest.is_leaving)
     }
 
-    /// Whether this daemon is to watch the platform itself.
+    /// Whether this daemon, which started at `started_at`, is to watch the platform itself.
     ///
+    /// Until it can know how many others there are it does not: when a large fleet starts, all would.
     /// In a small fleet all do. In a large one a few of each data centre do, those with the fastest links,
     /// in an order that all daemons agree on, and the others learn from them; when none of a data centre
     /// does, all of it do.
-    pub fn should_watch(&self, centre: u32, link_mbps: u32, now: MonoTime) -> bool {
+    pub fn watch_role(
+        &self,
+        centre: u32,
+        link_mbps: u32,
+        started_at: MonoTime,
+        now: MonoTime,
+    ) -> WatchRole {
+        if now < started_at + SETTLE_MS {
+            return WatchRole::Undecided;
+        }
+        match self.should_watch(centre, link_mbps, now) {
+            true => WatchRole::Watcher,
+            false => WatchRole::Listener,
+        }
+    }
+
+    fn should_watch(&self, centre: u32, link_mbps: u32, now: MonoTime) -> bool {
         let living: Vec<_> = self.living(now).map(|peer| &peer.digest).collect();
         if living.len() < SMALL_FLEET {
             return true;
--- a/ggt-core/tests/fleet.rs
+++ b/ggt-core/tests/fleet.rs
@@ -5,6 +5,7 @@
 use ggt_core::clock::MonoTime;
 use ggt_core::fleet::FleetTable;
 use ggt_core::fleet::PeerDigest;
+use ggt_core::fleet::WatchRole;
 use ggt_core::targets::FlightLoad;
 
 fn address(number: u8) -> SocketAddr {
@@ -111,7 +112,8 @@
                 let is_watching = silent_centre != Some(told.centre);
                 table.take(PeerDigest { is_watching, ..told }, at(0));
             }
-            if table.should_watch(u32::from(own % 3), link_of(own), at(0)) {
+            let role = table.watch_role(u32::from(own % 3), link_of(own), at(0), at(1_000));
+            if role == WatchRole::Watcher {
                 watchers.push((u32::from(own % 3), link_of(own)));
             }
         }
@@ -130,5 +132,14 @@
 fn in_a_small_fleet_all_watch() {
     let mut table = FleetTable::new(address(1));
     (2..=9).for_each(|other| drop(table.take(digest(other, 1, 1), at(0))));
-    assert!(table.should_watch(1, 10, at(0)));
+    assert_eq!(table.watch_role(1, 10, at(0), at(1_000)), WatchRole::Watcher);
+}
+
+#[test]
+fn pattern_a_large_fleet_that_starts_at_once_does_not_watch_as_one() {
+    let table = FleetTable::new(address(1));
+    assert_eq!(table.watch_role(1, 10, at(0), at(999)), WatchRole::Undecided);
+    let mut table = FleetTable::new(address(1));
+    (2..=60).for_each(|other| drop(table.take(digest(other, 1, 1), at(900))));
+    assert_eq!(table.watch_role(1, 0, at(0), at(1_000)), WatchRole::Listener);
 }
--- a/ggt-daemon/src/front/store.rs
+++ b/ggt-daemon/src/front/store.rs
@@ -20,6 +20,7 @@
 use crate::upstream::TargetChannel;
 use ggt_core::facts::FactBatch;
 use ggt_core::facts::FactChange;
+use ggt_core::fleet::WatchRole;
 use ggt_platform::ReadMode;
 use ggt_platform::StoreChange;
 use ggt_platform::parse_range;
@@ -42,6 +43,8 @@
 const FIRST_PAUSE_MS: u64 = 100;
 /// Longest pause after failed calls, in milliseconds.
 const MAX_PAUSE_MS: u64 = 1_000;
+/// Pause after changes, so that those that follow at once come with one call.
+const CHANGE_PAUSE: Duration = Duration::from_millis(100);
 /// Pause before a daemon that does not watch asks itself again whether it should.
 const IDLE_PAUSE_MS: u64 = 250;
 
@@ -50,8 +53,11 @@
     let mut link = StoreLink { address: state.settings().store, channel: None, is_stale: false };
     let mut failures = 0;
     loop {
-        if !should_watch(&state, kind) {
-            state.set_watching(kind, false);
+        let role = watch_role(&state, kind);
+        if role != WatchRole::Watcher {
+            if role == WatchRole::Listener {
+                state.set_watching(kind, false);
+            }
             sleep(jittered(IDLE_PAUSE_MS)).await;
             continue;
         }
@@ -70,7 +76,11 @@
                 state.set_watching(kind, true);
                 state.set_behind(kind, false);
                 state.note_platform_answer();
+                let has_news = !batch.changes.is_empty();
                 state.take_facts(kind, batch, "platform");
+                if has_news {
+                    sleep(CHANGE_PAUSE).await;
+                }
             }
             Err(CallError::Status { status: 410 }) => {
                 log::info!("event=history-lost folder={} outcome=read-anew", kind.as_str());
@@ -87,13 +97,14 @@
     }
 }
 
-/// Whether this daemon asks the store itself.
-fn should_watch(state: &FrontState, kind: FactKind) -> bool {
+/// Whether this daemon asks the store itself; it always does for a folder that it does not know.
+fn watch_role(state: &FrontState, kind: FactKind) -> WatchRole {
     let link_mbps = state.settings().link_mbps as u32;
-    let is_empty = state.facts(kind).borrow().revision() == 0;
-    is_empty
-        || state.is_behind(kind)
-        || state.fleet.borrow().should_watch(state.centre, link_mbps, mono_now())
+    if state.facts(kind).borrow().revision() == 0 || state.is_behind(kind) {
+        return WatchRole::Watcher;
+    }
+    let fleet = state.fleet.borrow();
+    fleet.watch_role(state.centre, link_mbps, state.started_at, mono_now())
 }
 
 fn pause(failures: u32) -> Duration {
