feat: a full service refuses by priority and by customers' shares, and says when to return

A target now has room for as many requests as get a place within 0.4 of the goal, by the mean time for which requests of its service hold their places; its unread prompts may take the goal, less for each step of priority; 8 in 100 of the places are left to each more urgent priority. From 0.9 on customers of one priority are held to their max-min shares (429). A refused caller returns after as long as the service has been full, up to 10 s, the more urgent first. Requests that have begun to run are not refused. The share book is the one of the own interface, now in the core.

--- a/ggt-core/src/limits/mod.rs
+++ b/ggt-core/src/limits/mod.rs
@@ -1,5 +1,10 @@
 //! Fair shares of a full workload, enforced by each daemon on its own sliver of the traffic.
 
+mod book;
+
+pub use book::ShareBook;
+pub use book::ShareTicket;
+
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
--- /dev/null
+++ b/ggt-core/src/targets/admission.rs
@@ -0,0 +1,114 @@
+//! Whether a service has room for one more request, and when a caller that was refused should return.
+//!
+//! A request that would wait behind others for most of its goal is refused at once, so that those
+//! which are taken are answered in time. Less urgent requests find a service full before more urgent
+//! ones do.
+
+use crate::clock::MonoTime;
+use crate::ident::mix_hash;
+use crate::targets::ChoiceQuery;
+use crate::targets::TargetKey;
+use crate::targets::TargetPool;
+use crate::targets::TargetState;
+use crate::targets::choice::TOKENS_PER_MS;
+
+/// Part of the goal that a request may wait for a place at its target.
+const WAIT_PART: f64 = 0.4;
+/// Part of the places that a request of one priority leaves to those of the priority before.
+const PRIORITY_RESERVE: f64 = 0.08;
+/// Part of the places that are left to more urgent requests at most.
+const MAX_RESERVE: f64 = 0.24;
+/// Factor by which the unread prompts that a request may find before it shrink with each priority: targets
+/// read more urgent prompts first.
+const BACKLOG_FACTOR: f64 = 0.4;
+/// Part of its places that must be taken before a target counts as full for its unread prompts.
+const MIN_TAKEN_PART: f64 = 0.5;
+/// Weight of one request in the mean time for which requests hold their places.
+const HOLD_WEIGHT: f64 = 0.05;
+/// Milliseconds without a refusal after which a service counts as having room again.
+const SPELL_END_MS: u64 = 1_000;
+/// Shortest time in milliseconds after which a refused caller should return.
+const MIN_RETURN_MS: u64 = 150;
+/// Longest time in milliseconds after which a refused caller should return.
+const MAX_RETURN_MS: u64 = 10_000;
+/// Steps of priority by which the time to return grows at most.
+const MAX_PRIORITY_STEPS: u64 = 3;
+
+/// What one daemon knows of the room at a service.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(super) struct ServiceRoom {
+    /// Mean time in milliseconds for which requests hold their places.
+    hold_ms: Option<f64>,
+    /// When the service became full.
+    full_from: MonoTime,
+    /// When a request was last refused because it was full.
+    full_at: Option<MonoTime>,
+}
+
+impl TargetPool {
+    /// Records how long a request held its place.
+    pub fn note_held(&mut self, key: TargetKey, held_ms: u64) {
+        let Some(service) = self.target(key).map(|state| state.record.service.clone()) else {
+            return;
+        };
+        let room = self.room_mut(&service);
+        let held = held_ms as f64;
+        let mean = room.hold_ms.map_or(held, |mean| mean + HOLD_WEIGHT * (held - mean));
+        room.hold_ms = Some(mean);
+    }
+
+    /// Records that a request was refused because its service is full, and returns the milliseconds
+    /// after which its caller should return.
+    ///
+    /// A service that has been full for some time is expected to stay so for as long again. More urgent
+    /// callers return first, and those of one priority spread over time.
+    pub fn note_full(&mut self, query: &ChoiceQuery<'_>, now: MonoTime) -> u64 {
+        let room = self.room_mut(query.service);
+        let goes_on = room.full_at.is_some_and(|full_at| full_at + SPELL_END_MS >= now);
+        if !goes_on {
+            room.full_from = now;
+        }
+        room.full_at = Some(now);
+        let full_ms = now.millis_since(room.full_from).clamp(MIN_RETURN_MS, MAX_RETURN_MS);
+        let steps = u64::from(query.priority).min(MAX_PRIORITY_STEPS);
+        let spread_ms = mix_hash(query.spread_hash, now.as_millis()) % (full_ms / 2).max(1);
+        (full_ms + full_ms * steps / 2 + spread_ms).min(MAX_RETURN_MS)
+    }
+
+    /// Load of a service's targets over what they may carry for requests of this priority.
+    pub fn utilisation(&self, query: &ChoiceQuery<'_>) -> f64 {
+        let keys = self.of_service(query.service).iter();
+        let targets = keys.filter_map(|key| self.target(*key));
+        let fit =
+            targets.filter(|state| !state.record.is_leaving && !state.health.is_unreachable());
+        let (load, limit) = fit.fold((0.0, 0.0), |(load, limit), state| {
+            (load + f64::from(state.requests()), limit + self.limit_of(state, query))
+        });
+        if limit > 0.0 { load / limit } else { 0.0 }
+    }
+
+    /// Whether a target can take one more request and still begin its answer within the goal.
+    pub(super) fn has_room(&self, state: &TargetState, query: &ChoiceQuery<'_>) -> bool {
+        let load = f64::from(state.requests());
+        let priority = i32::try_from(query.priority).unwrap_or(i32::MAX);
+        let may_find_ms = query.goal_ms as f64 * BACKLOG_FACTOR.powi(priority);
+        let is_behind = f64::from(state.backlog_tokens()) / TOKENS_PER_MS > may_find_ms
+            && load >= MIN_TAKEN_PART * f64::from(state.record.slots);
+        load + 1.0 <= self.limit_of(state, query) && !is_behind
+    }
+
+    /// Requests that a target may have in flight so that the next one gets a place in time.
+    fn limit_of(&self, state: &TargetState, query: &ChoiceQuery<'_>) -> f64 {
+        let Some(hold_ms) = self.rooms.get(query.service).and_then(|room| room.hold_ms) else {
+            return f64::INFINITY;
+        };
+        let slots = f64::from(state.record.slots.max(1));
+        let waiting = slots * WAIT_PART * query.goal_ms as f64 / hold_ms.max(1.0);
+        let reserve = (PRIORITY_RESERVE * f64::from(query.priority)).min(MAX_RESERVE);
+        ((slots + waiting) * (1.0 - reserve)).max(1.0)
+    }
+
+    fn room_mut(&mut self, service: &str) -> &mut ServiceRoom {
+        self.rooms.entry(service.to_owned()).or_default()
+    }
+}
--- a/ggt-core/src/targets/choice.rs
+++ b/ggt-core/src/targets/choice.rs
@@ -21,10 +21,14 @@
     pub spread_hash: u64,
     /// Milliseconds within which the first event is due.
     pub goal_ms: u64,
+    /// Rank, 0 is the highest.
+    pub priority: u32,
     /// The daemon's own data centre.
     pub data_centre: &'a str,
     /// Targets that the request has been sent to.
     pub tried: &'a [TargetKey],
+    /// Whether it has begun to run, so that it is not refused for want of room.
+    pub has_begun: bool,
     /// Whether the request may run more than once, so that it may try a doubtful target.
     pub is_idempotent: bool,
 }
@@ -81,6 +85,9 @@
     /// The service has no target that may be used.
     #[snafu(display("the service has no usable target"))]
     NoTarget,
+    /// All that may be used are full.
+    #[snafu(display("the service's targets are full"))]
+    Full,
 }
 
 /// The load of a target that takes a prompt which no target has read may exceed the mean of its
@@ -95,7 +102,7 @@
 /// Prompt tokens still to be read that weigh as much as one running request.
 const TOKENS_PER_REQUEST: f64 = 4_000.0;
 /// Prompt tokens that an engine reads in a millisecond.
-const TOKENS_PER_MS: f64 = 100.0;
+pub(super) const TOKENS_PER_MS: f64 = 100.0;
 /// Prompt tokens from which on a copy from another target is faster than reading them.
 const MIN_COPY_TOKENS: u32 = 512;
 /// Part of the goal that a prompt may wait for others to be read before it goes to a target that
@@ -119,7 +126,7 @@
     /// needs. Requests without a prompt are spread by free places.
     ///
     /// # Errors
-    /// [`ChoiceError`] when no target may be used.
+    /// [`ChoiceError`] when no target may be used, or none has room.
     pub fn choose(
         &self,
         query: &ChoiceQuery<'_>,
@@ -144,18 +151,24 @@
         if usable.is_empty() {
             return Err(ChoiceError::NoTarget);
         }
+        let has_room = |state| query.has_begun || self.has_room(state, query);
+        let roomy = usable.iter().filter(|(_, state)| has_room(state)).copied();
+        let roomy: Vec<_> = roomy.collect();
+        if roomy.is_empty() {
+            return Err(ChoiceError::Full);
+        }
         let mean = usable.iter().map(|(_, s)| load_of(s)).sum::<f64>() / usable.len() as f64;
         let bound = LOAD_FACTOR * (mean + 1.0) + LOAD_SLACK;
         let Some(anchor) = query.chain.and_then(PromptChain::anchor) else {
-            return Ok(by_free_places(&usable, query, bound));
+            return Ok(by_free_places(&roomy, query, bound));
         };
         let wall = CACHED_LOAD_FACTOR * mean + CACHED_LOAD_SLACK;
         let wait = WAIT_PART * query.goal_ms as f64;
-        let cached = least_cached(&usable, anchor.hash, wall, wait);
+        let cached = least_cached(&roomy, anchor.hash, wall, wait);
         if let Some(choice) = cached {
             return Ok(choice);
         }
-        let choice = in_order(&usable, anchor.hash, bound);
+        let choice = in_order(&roomy, anchor.hash, bound);
         Ok(TargetChoice { source: self.source_of(query, anchor, choice.key, now), ..choice })
     }
 }
--- a/ggt-core/src/targets/mod.rs
+++ b/ggt-core/src/targets/mod.rs
@@ -3,6 +3,7 @@
 //! Load is what this daemon has in flight itself, exactly, and what its peers last told of theirs.
 //! Health follows the outcomes of requests, not the targets' own word.
 
+mod admission;
 mod choice;
 mod health;
 mod pool;
--- a/ggt-core/src/targets/pool.rs
+++ b/ggt-core/src/targets/pool.rs
@@ -15,6 +15,7 @@
 use crate::targets::LoadReport;
 use crate::targets::SendOutcome;
 use crate::targets::TargetRecord;
+use crate::targets::admission::ServiceRoom;
 
 new_key_type! {
     /// Identifies one incarnation of a target in a [`TargetPool`].
@@ -128,6 +129,7 @@
     by_hash: HashMap<u32, TargetKey>,
     by_service: HashMap<String, Vec<TargetKey>>,
     untold: VecDeque<(u32, u32, u8)>,
+    pub(super) rooms: HashMap<String, ServiceRoom>,
 }
 
 impl TargetPool {
--- a/ggt-core/tests/targets.rs
+++ b/ggt-core/tests/targets.rs
@@ -54,6 +54,8 @@
         chain,
         spread_hash: 7,
         goal_ms: 600,
+        priority: 0,
+        has_begun: false,
         data_centre: "a",
         tried,
         is_idempotent: true,
--- a/ggt-daemon/src/flow/exchange.rs
+++ b/ggt-daemon/src/flow/exchange.rs
@@ -23,7 +23,6 @@
 use crate::probes::note_leaving;
 use crate::probes::probe;
 use crate::state::ForceConfig;
-use crate::state::ShareTicket;
 use crate::state::SharedState;
 use crate::upstream::CallFailure;
 use crate::upstream::CallOptions;
@@ -34,6 +33,8 @@
 use ggt_core::blame::DeathMark;
 use ggt_core::clock::MonoTime;
 use ggt_core::ident::TargetName;
+use ggt_core::ident::WorkloadName;
+use ggt_core::limits::ShareTicket;
 use ggt_core::routing::RouteQuery;
 use ggt_core::routing::RouteRefusal;
 use ggt_core::routing::TargetKey;
@@ -61,7 +62,7 @@
     state: &SharedState,
     config: &ForceConfig,
     job: &RequestJob,
-) -> Result<ShareTicket, Refusal> {
+) -> Result<ShareTicket<WorkloadName>, Refusal> {
     let limits = &config.accepted.model.limits;
     let utilisation = lock(&state.routing).utilisation(&job.workload, &config.routing, mono_now());
     let weight = job.customer_section.weight;
--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -19,12 +19,15 @@
 use crate::front::answer::FrontRefusal;
 use crate::front::job::FrontJob;
 use crate::front::job::SendGuard;
+use crate::front::settings::FrontSettings;
 use crate::front::state::CONNECT_WAIT;
 use crate::front::state::FrontState;
 use crate::logging::quoted;
 use crate::upstream::SendFailure;
 use crate::upstream::TargetChannel;
+use ggt_core::limits::ShareTicket;
 use ggt_core::prompts::PromptChain;
+use ggt_core::targets::ChoiceError;
 use ggt_core::targets::ChoiceQuery;
 use ggt_core::targets::SendOutcome;
 use ggt_core::targets::TargetChoice;
@@ -38,8 +41,10 @@
 const MAX_CONNECTS: u32 = 5;
 /// Milliseconds after which a caller should come back when no target can be used.
 const NO_TARGET_RETRY_MS: u64 = 400;
-/// Milliseconds after which a caller should come back when targets are full.
-const FULL_RETRY_MS: u64 = 150;
+/// Milliseconds after which a caller should come back when its request did not get to a target.
+const LOST_RETRY_MS: u64 = 150;
+/// Part of its targets' places from which on a service's customers are held to their shares.
+const SHARE_FROM: f64 = 0.9;
 /// Time past the deadline for which a target's own last word is awaited.
 const LAST_WORD_MS: u64 = 40;
 /// Shortest silence in milliseconds after which an idempotent request moves to another target.
@@ -107,12 +112,29 @@
     sends: u32,
     connects: u32,
     may_have_run: bool,
+    ticket: Option<ShareTicket<(String, u32)>>,
+}
+
+impl Drop for AttemptRun {
+    fn drop(&mut self) {
+        if let Some(ticket) = &self.ticket {
+            self.state.shares.borrow_mut().release(ticket);
+        }
+    }
 }
 
 impl AttemptRun {
     /// The run of a request that has not been sent yet.
     pub fn new(state: Rc<FrontState>, job: Rc<FrontJob>) -> Self {
-        Self { state, job, tried: Vec::new(), sends: 0, connects: 0, may_have_run: false }
+        Self {
+            state,
+            job,
+            tried: Vec::new(),
+            sends: 0,
+            connects: 0,
+            may_have_run: false,
+            ticket: None,
+        }
     }
 
     /// Whether the request may be sent to another target after one that failed; counts the retry.
@@ -158,35 +180,91 @@
         }
         match self.may_have_run {
             true => FrontRefusal::new(StatusCode::BAD_GATEWAY, "target-lost"),
-            false => FrontRefusal::not_run("target-lost", FULL_RETRY_MS),
+            false => FrontRefusal::not_run("target-lost", LOST_RETRY_MS),
+        }
+    }
+
+    fn query<'a>(&'a self, settings: &'a FrontSettings) -> ChoiceQuery<'a> {
+        let job = &self.job;
+        ChoiceQuery {
+            service: &job.service,
+            chain: job.chain.as_ref(),
+            spread_hash: ggt_core::routes::share_hash(&job.id),
+            goal_ms: job.route.goal_ms,
+            priority: job.priority,
+            data_centre: &settings.data_centre,
+            tried: &self.tried,
+            has_begun: self.may_have_run,
+            is_idempotent: job.route.is_idempotent,
+        }
+    }
+
+    /// Counts the request against its customer's share of the service, once; while the service is nearly
+    /// full, customers over their fair share are refused.
+    fn admit(&mut self) -> Result<(), FrontRefusal> {
+        if self.ticket.is_some() || self.may_have_run {
+            return Ok(());
+        }
+        let settings = self.state.settings();
+        let utilisation = self.state.pool.borrow().utilisation(&self.query(&settings));
+        let customer = self.job.customer.clone().unwrap_or_default();
+        let mut shares = self.state.shares.borrow_mut();
+        let pool = (self.job.service.clone(), self.job.priority);
+        let admitted = shares.admit(&pool, &customer, 1.0, utilisation, SHARE_FROM);
+        drop(shares);
+        match admitted {
+            Ok(ticket) => {
+                self.ticket = Some(ticket);
+                Ok(())
+            }
+            Err(share) => {
+                log::info!(
+                    "event=over-share request_id={} customer={} service={} share={share:.1} \
+                     utilisation={utilisation:.2}",
+                    quoted(&self.job.id),
+                    quoted(&customer),
+                    self.job.service,
+                );
+                let status = StatusCode::TOO_MANY_REQUESTS;
+                Err(FrontRefusal { status, ..self.not_run_full("over-share") })
+            }
+        }
+    }
+
+    /// A refusal for want of room, with the time after which there may be some.
+    fn not_run_full(&self, cause: &'static str) -> FrontRefusal {
+        let settings = self.state.settings();
+        let mut pool = self.state.pool.borrow_mut();
+        FrontRefusal::not_run(cause, pool.note_full(&self.query(&settings), mono_now()))
+    }
+
+    /// The final answer when there is no target to send to.
+    fn no_choice(&self, error: ChoiceError) -> FrontRefusal {
+        match (self.may_have_run, error) {
+            (true, _) => FrontRefusal::new(StatusCode::BAD_GATEWAY, "no-target"),
+            (false, ChoiceError::NoTarget) => {
+                FrontRefusal::not_run("no-target", NO_TARGET_RETRY_MS)
+            }
+            (false, ChoiceError::Full) => self.not_run_full("no-room"),
         }
     }
 
     fn timed_out(&self) -> FrontRefusal {
         match self.may_have_run {
             true => FrontRefusal::new(StatusCode::GATEWAY_TIMEOUT, "deadline"),
-            false => FrontRefusal::not_run("deadline", FULL_RETRY_MS),
+            false => FrontRefusal::not_run("deadline", LOST_RETRY_MS),
         }
     }
 
     fn choose(&mut self) -> Result<TargetChoice, FrontRefusal> {
+        self.admit()?;
         let (state, job) = (&self.state, &self.job);
         let settings = state.settings();
         let now = mono_now();
-        let query = ChoiceQuery {
-            service: &job.service,
-            chain: job.chain.as_ref(),
-            spread_hash: ggt_core::routes::share_hash(&job.id),
-            goal_ms: job.route.goal_ms,
-            data_centre: &settings.data_centre,
-            tried: &self.tried,
-            is_idempotent: job.route.is_idempotent,
-        };
+        let query = self.query(&settings);
+        let chosen = state.pool.borrow().choose(&query, now);
+        let choice = chosen.map_err(|e| self.no_choice(e))?;
         let pool = state.pool.borrow();
-        let choice = pool.choose(&query, now).map_err(|_| match self.may_have_run {
-            true => FrontRefusal::new(StatusCode::BAD_GATEWAY, "no-target"),
-            false => FrontRefusal::not_run("no-target", NO_TARGET_RETRY_MS),
-        })?;
         let Some(target) = pool.target(choice.key) else {
             return Err(FrontRefusal::not_run("no-target", NO_TARGET_RETRY_MS));
         };
@@ -239,6 +317,7 @@
         let ((parts, facts, body), channel) = answered?;
         // Whatever it says, the target has begun to run the request.
         self.may_have_run = true;
+        guard.note_run();
         Ok(TargetReply {
             key,
             status: parts.status,
@@ -428,7 +507,7 @@
     fn full(&self) -> FrontRefusal {
         match self.may_have_run {
             true => FrontRefusal::new(StatusCode::BAD_GATEWAY, "targets-full"),
-            false => FrontRefusal::not_run("targets-full", FULL_RETRY_MS),
+            false => self.not_run_full("targets-full"),
         }
     }
 }
--- a/ggt-daemon/src/front/job.rs
+++ b/ggt-daemon/src/front/job.rs
@@ -106,6 +106,8 @@
     key: TargetKey,
     backlog_tokens: Cell<u32>,
     note: SentNote,
+    sent_at: MonoTime,
+    has_run: Cell<bool>,
 }
 
 impl SendGuard {
@@ -116,8 +118,15 @@
         chain: &PromptChain,
         is_copied: bool,
     ) -> Self {
-        let note = state.pool.borrow_mut().note_sent(key, chain, is_copied, mono_now());
-        Self { state, key, backlog_tokens: Cell::new(note.backlog_tokens), note }
+        let sent_at = mono_now();
+        let note = state.pool.borrow_mut().note_sent(key, chain, is_copied, sent_at);
+        let backlog_tokens = Cell::new(note.backlog_tokens);
+        Self { state, key, backlog_tokens, note, sent_at, has_run: Cell::new(false) }
+    }
+
+    /// Records that the target began to answer.
+    pub fn note_run(&self) {
+        self.has_run.set(true);
     }
 
     /// Records that the target did not run the request, and so has not read its prompt.
@@ -137,6 +146,10 @@
 impl Drop for SendGuard {
     fn drop(&mut self) {
         self.note_read();
-        self.state.pool.borrow_mut().note_ended(self.key);
+        let mut pool = self.state.pool.borrow_mut();
+        pool.note_ended(self.key);
+        if self.has_run.get() {
+            pool.note_held(self.key, mono_now().millis_since(self.sent_at));
+        }
     }
 }
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -25,6 +25,7 @@
 use ggt_core::fleet::FleetTable;
 use ggt_core::fleet::PeerDigest;
 use ggt_core::ident::stable_hash;
+use ggt_core::limits::ShareBook;
 use ggt_core::routes::RouteBook;
 use ggt_core::spend::SpendWindow;
 use ggt_core::targets::TargetKey;
@@ -97,6 +98,8 @@
     pub fleet: RefCell<FleetTable>,
     /// Requests that crash targets.
     pub blame: RefCell<BlameTable>,
+    /// Customers' shares of each service, by priority.
+    pub shares: RefCell<ShareBook<(String, u32), String>>,
     /// Requests in flight.
     pub in_flight: Cell<usize>,
     /// Callers' connections, and how far the daemon has stopped taking them.
@@ -133,6 +136,7 @@
             channels: KeptChannels::default(),
             fleet: RefCell::new(fleet),
             blame: RefCell::new(BlameTable::new(CRASH_LIMIT, MAX_SUSPECTS)),
+            shares: RefCell::default(),
             in_flight: Cell::new(0),
             edge: EdgeHandle::default(),
             platform_turned: Notify::new(),
--- a/ggt-daemon/src/state/mod.rs
+++ b/ggt-daemon/src/state/mod.rs
@@ -4,7 +4,6 @@
 mod force;
 mod gossip;
 mod pace;
-mod shares;
 
 use std::collections::BTreeMap;
 use std::net::UdpSocket;
@@ -21,7 +20,10 @@
 use ggt_core::blame::BlameTable;
 use ggt_core::claims::AttemptId;
 use ggt_core::claims::ClaimHolder;
+use ggt_core::ident::CustomerName;
 use ggt_core::ident::DaemonName;
+use ggt_core::ident::WorkloadName;
+use ggt_core::limits::ShareBook;
 use ggt_core::membership::PeerOptions;
 use ggt_core::membership::PeerTable;
 use ggt_core::retries::RetryBudget;
@@ -34,8 +36,6 @@
 pub use force::ForceConfig;
 pub use gossip::GossipState;
 pub use pace::PaceGuard;
-pub use shares::ShareBook;
-pub use shares::ShareTicket;
 
 use crate::clock::mono_now;
 use crate::clock::wall_now;
@@ -75,7 +75,7 @@
     /// Connections to targets that wait for a request.
     pub channels: KeptChannels<TargetKey>,
     /// Customers' shares.
-    pub shares: Mutex<ShareBook>,
+    pub shares: Mutex<ShareBook<WorkloadName, CustomerName>>,
     /// The retry budget.
     pub retries: Mutex<RetryBudget>,
     /// Requests that crash targets.
