--- /dev/null
+++ b/ggt-core/tests/admission.rs
@@ -0,0 +1,193 @@
+//! What a full service takes, what it refuses, and when callers are told to return.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use ggt_core::clock::MonoTime;
+use ggt_core::limits::ShareBook;
+use ggt_core::prompts::PromptChain;
+use ggt_core::prompts::PromptPart;
+use ggt_core::targets::ChoiceError;
+use ggt_core::targets::ChoiceQuery;
+use ggt_core::targets::TargetKey;
+use ggt_core::targets::TargetPool;
+use ggt_core::targets::TargetRecord;
+
+const TARGETS: usize = 3;
+const SLOTS: u32 = 8;
+const HOLD_MS: u64 = 1_000;
+const GOAL_MS: u64 = 300;
+/// Longest wait for a place that keeps an answer within the goal.
+const MAX_WAIT_MS: u64 = GOAL_MS / 2;
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(millis)
+}
+
+fn pool_of(count: usize) -> TargetPool {
+    let mut pool = TargetPool::default();
+    for number in 0..count {
+        pool.put(TargetRecord {
+            id: format!("t{number}"),
+            incarnation: 1,
+            service: "s".to_owned(),
+            address: ([10, 0, 1, number as u8], 8_000).into(),
+            data_centre: "a".to_owned(),
+            slots: SLOTS,
+            is_leaving: false,
+        });
+    }
+    pool
+}
+
+fn query(priority: u32, spread_hash: u64) -> ChoiceQuery<'static> {
+    ChoiceQuery {
+        service: "s",
+        chain: None,
+        spread_hash,
+        goal_ms: GOAL_MS,
+        priority,
+        data_centre: "a",
+        tried: &[],
+        has_begun: false,
+        is_idempotent: true,
+    }
+}
+
+/// A pool whose requests have been seen to hold their places for [`HOLD_MS`].
+fn seasoned_pool(count: usize) -> TargetPool {
+    let mut pool = pool_of(count);
+    let key = pool.iter().next().map(|(key, _)| key).expect("a target");
+    pool.note_held(key, HOLD_MS);
+    pool
+}
+
+fn fill(pool: &mut TargetPool, requests: u32) {
+    let keys: Vec<_> = pool.iter().map(|(key, _)| key).collect();
+    for key in keys {
+        (0..requests)
+            .for_each(|_| drop(pool.note_sent(key, &PromptChain::default(), false, at(0))));
+    }
+}
+
+/// What became of a service under more load than it can carry.
+#[derive(Debug, Default)]
+struct OverloadOutcome {
+    taken: u64,
+    refused: u64,
+    longest_wait_ms: u64,
+}
+
+/// Offers requests at a steady pace to targets that run [`SLOTS`] at once and queue the rest.
+fn overload(pace_ms: u64, for_ms: u64) -> OverloadOutcome {
+    let mut pool = seasoned_pool(TARGETS);
+    let mut outcome = OverloadOutcome::default();
+    let mut running: BinaryHeap<Reverse<(u64, TargetKey, u64)>> = BinaryHeap::new();
+    let mut places: Vec<(TargetKey, Vec<u64>)> =
+        pool.iter().map(|(key, _)| (key, vec![0; SLOTS as usize])).collect();
+    for now in (0..for_ms).step_by(pace_ms as usize) {
+        while running.peek().is_some_and(|Reverse((ends, ..))| *ends <= now) {
+            let Some(Reverse((ends, key, sent))) = running.pop() else { break };
+            pool.note_ended(key);
+            pool.note_held(key, ends - sent);
+        }
+        let query = query(0, now.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        let Ok(choice) = pool.choose(&query, at(now)) else {
+            outcome.refused += 1;
+            continue;
+        };
+        pool.note_sent(choice.key, &PromptChain::default(), false, at(now));
+        let free = places.iter_mut().find(|(key, _)| *key == choice.key);
+        let place = free.and_then(|(_, free_at)| free_at.iter_mut().min()).expect("a place");
+        let begins = now.max(*place);
+        *place = begins + HOLD_MS;
+        outcome.taken += 1;
+        outcome.longest_wait_ms = outcome.longest_wait_ms.max(begins - now);
+        running.push(Reverse((begins + HOLD_MS, choice.key, now)));
+    }
+    outcome
+}
+
+#[test]
+fn pattern_twice_the_load_that_fits_is_served_to_capacity_and_in_time() {
+    const FOR_MS: u64 = 20_000;
+    let capacity = TARGETS as u64 * u64::from(SLOTS) * FOR_MS / HOLD_MS;
+    let outcome = overload(20, FOR_MS);
+    assert!(outcome.longest_wait_ms <= MAX_WAIT_MS, "{outcome:?}");
+    assert!(outcome.taken * 100 >= capacity * 95, "{outcome:?}, capacity {capacity}");
+    assert!(outcome.refused > 0);
+}
+
+#[test]
+fn pattern_a_load_that_fits_is_never_refused() {
+    let outcome = overload(50, 20_000);
+    assert_eq!(outcome.refused, 0, "{outcome:?}");
+}
+
+#[test]
+fn pattern_urgent_requests_find_the_room_that_others_leave() {
+    let mut pool = seasoned_pool(TARGETS);
+    fill(&mut pool, SLOTS - 1);
+    assert_eq!(pool.choose(&query(2, 1), at(0)).map(|_| ()), Err(ChoiceError::Full));
+    assert!(pool.choose(&query(1, 1), at(0)).is_ok());
+    assert!(pool.choose(&query(0, 1), at(0)).is_ok());
+    fill(&mut pool, 1);
+    assert_eq!(pool.choose(&query(0, 1), at(0)).map(|_| ()), Err(ChoiceError::Full));
+}
+
+#[test]
+fn what_has_begun_to_run_is_not_refused_for_want_of_room() {
+    let mut pool = seasoned_pool(TARGETS);
+    fill(&mut pool, 3 * SLOTS);
+    let resumed = ChoiceQuery { has_begun: true, ..query(2, 1) };
+    assert!(pool.choose(&resumed, at(0)).is_ok());
+}
+
+#[test]
+fn a_service_whose_requests_are_not_known_yet_refuses_none() {
+    let mut pool = pool_of(TARGETS);
+    fill(&mut pool, 3 * SLOTS);
+    assert!(pool.choose(&query(2, 1), at(0)).is_ok());
+}
+
+#[test]
+fn pattern_unread_prompts_close_a_busy_target_and_not_an_idle_one() {
+    let part = PromptPart { hash: 9, tokens: 40_000 };
+    let chain = PromptChain::new("m", &[part, PromptPart { hash: 10, tokens: 100 }]);
+    for (busy, is_full) in [(0, false), (SLOTS / 2, true)] {
+        let mut pool = seasoned_pool(1);
+        fill(&mut pool, busy);
+        let key = pool.iter().next().map(|(key, _)| key).expect("a target");
+        pool.note_sent(key, &chain, false, at(0));
+        assert_eq!(pool.choose(&query(0, 1), at(0)).is_err(), is_full, "{busy} in flight");
+    }
+}
+
+#[test]
+fn pattern_callers_return_later_the_longer_a_service_is_full_and_urgent_ones_first() {
+    let mut pool = seasoned_pool(1);
+    let first = pool.note_full(&query(0, 1), at(0));
+    for step in 0..8 {
+        pool.note_full(&query(0, 1), at(step * 500));
+    }
+    let later = pool.note_full(&query(0, 1), at(4_000));
+    let less_urgent = pool.note_full(&query(2, 1), at(4_000));
+    assert!(first < 300 && later >= 4_000 && less_urgent > later, "{first} {later} {less_urgent}");
+    let long = (8..200).map(|step| pool.note_full(&query(2, 1), at(step * 500))).max();
+    assert_eq!(long, Some(10_000), "never later than this");
+    assert!(pool.note_full(&query(0, 1), at(200_000)) < 300, "there was room in between");
+}
+
+#[test]
+fn pattern_one_customer_s_surge_leaves_the_others_their_shares() {
+    let mut book: ShareBook<(&str, u32), &str> = ShareBook::default();
+    let (full, from) = (0.95, 0.9);
+    for _ in 0..20 {
+        book.admit(&("s", 1), &"large", 1.0, 0.5, from).expect("room for all");
+    }
+    let small = book.admit(&("s", 1), &"small", 1.0, full, from);
+    assert!(small.is_ok(), "below its share");
+    assert!(book.admit(&("s", 1), &"large", 1.0, full, from).is_err(), "over its share");
+    assert!(book.admit(&("s", 0), &"large", 1.0, full, from).is_ok(), "another priority");
+    book.release(&small.expect("admitted"));
+}
