test: the soak cuts one way, and sees a shutdown that cuts

The proxy stalls either direction alone. A daemon that is told to stop gets 7.5 s to end by itself, and a plain request that a daemon has read and nobody harmed it meanwhile must be answered whole.

--- a/ggt-standin/src/proxy/mod.rs
+++ b/ggt-standin/src/proxy/mod.rs
@@ -36,8 +36,10 @@
 pub struct FaultPlan {
     /// New connections are closed at once and datagrams are lost.
     pub refuse: bool,
-    /// Nothing moves, and connections stay open.
-    pub stall: bool,
+    /// Nothing moves towards the target, and connections stay open.
+    pub stall_up: bool,
+    /// Nothing moves from the target, and connections stay open.
+    pub stall_down: bool,
     /// Connections are cut after so many bytes towards the target.
     pub cut_up: Option<u64>,
     /// Connections are cut after so many bytes from the target.
@@ -50,6 +52,33 @@
     pub blocked: BTreeSet<IpAddr>,
 }
 
+/// The direction in which bytes go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum FlowWay {
+    /// Towards the target.
+    Up,
+    /// From the target.
+    Down,
+}
+
+impl FaultPlan {
+    /// Bytes in one direction after which a connection is cut.
+    pub(crate) fn cut_after(&self, way: FlowWay) -> Option<u64> {
+        match way {
+            FlowWay::Up => self.cut_up,
+            FlowWay::Down => self.cut_down,
+        }
+    }
+
+    /// Whether nothing moves in one direction.
+    pub(crate) fn stalls(&self, way: FlowWay) -> bool {
+        match way {
+            FlowWay::Up => self.stall_up,
+            FlowWay::Down => self.stall_down,
+        }
+    }
+}
+
 /// One route.
 #[derive(Debug)]
 pub(crate) struct ProxyRoute {
@@ -99,9 +128,11 @@
     match parts.as_slice() {
         ["control", "plan"] => {
             let number = |name: &str| request.query(name).and_then(|x| x.parse().ok());
+            let is_set = |name: &str| request.query(name).is_some();
             *plan = FaultPlan {
-                refuse: request.query("refuse").is_some(),
-                stall: request.query("stall").is_some(),
+                refuse: is_set("refuse"),
+                stall_up: is_set("stall") || is_set("stall_up"),
+                stall_down: is_set("stall") || is_set("stall_down"),
                 cut_up: number("cut_up"),
                 cut_down: number("cut_down"),
                 delay_ms: request.number("delay_ms", 0),
@@ -161,8 +192,8 @@
     };
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
-    let up = pump(route.clone(), peer.ip(), near_read, far_write, is_cut, |plan| plan.cut_up);
-    let down = pump(route.clone(), peer.ip(), far_read, near_write, is_cut, |plan| plan.cut_down);
+    let up = pump(route.clone(), peer.ip(), near_read, far_write, is_cut, FlowWay::Up);
+    let down = pump(route.clone(), peer.ip(), far_read, near_write, is_cut, FlowWay::Down);
     // Whichever side is cut first takes the other with it; a plain end lets the other finish.
     let (mut up, mut down) = (tokio::spawn(up), tokio::spawn(down));
     tokio::select! {
@@ -188,7 +219,7 @@
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     while let Ok((length, peer)) = socket.recv_from(&mut buffer).await {
         let plan = route.plan();
-        if plan.refuse || plan.stall || plan.blocked.contains(&peer.ip()) {
+        if plan.refuse || plan.stall_up || plan.blocked.contains(&peer.ip()) {
             continue;
         }
         let (bytes, socket, to) = (buffer[..length].to_vec(), socket.clone(), route.to);
--- a/ggt-standin/src/proxy/pump.rs
+++ b/ggt-standin/src/proxy/pump.rs
@@ -10,7 +10,7 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::time::sleep;
 
-use crate::proxy::FaultPlan;
+use crate::proxy::FlowWay;
 use crate::proxy::ProxyRoute;
 
 /// How often a stalled direction looks whether it may go on.
@@ -18,33 +18,31 @@
 const CHUNK_BYTES: usize = 16 * 1024;
 
 /// Moves bytes until they end; returns whether the connection was cut by the plan.
-pub(super) async fn pump<F>(
+pub(super) async fn pump(
     route: Arc<ProxyRoute>,
     source: IpAddr,
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     is_cut: bool,
-    limit_of: F,
-) -> bool
-where
-    F: Fn(&FaultPlan) -> Option<u64> + Send,
-{
+    way: FlowWay,
+) -> bool {
     let mut moved = 0_u64;
     let mut buffer = vec![0; CHUNK_BYTES];
     loop {
-        if is_cut && limit_of(&route.plan()).is_some_and(|limit| moved >= limit) {
+        if is_cut && route.plan().cut_after(way).is_some_and(|limit| moved >= limit) {
             return true;
         }
         let length = match from.read(&mut buffer).await {
             Ok(0) | Err(_) => break,
             Ok(length) => length,
         };
-        while route.plan().stall || route.plan().blocked.contains(&source) {
+        while route.plan().stalls(way) || route.plan().blocked.contains(&source) {
             sleep(STALL_STEP).await;
         }
         let plan = route.plan();
         sleep(Duration::from_millis(plan.delay_ms)).await;
-        let left = limit_of(&plan)
+        let left = plan
+            .cut_after(way)
             .filter(|_| is_cut)
             .map_or(u64::MAX, |limit| limit.saturating_sub(moved));
         let passed = usize::try_from(left).unwrap_or(usize::MAX).min(length);
--- a/ggt-testkit/src/soak/caller.rs
+++ b/ggt-testkit/src/soak/caller.rs
@@ -6,6 +6,7 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -20,6 +21,7 @@
 use ggt_standin::published::prompt_head;
 
 use crate::soak::ledger::RunLedger;
+use crate::soak::world::DaemonHealth;
 use crate::soak::world::EVENTS;
 use crate::soak::world::body_of;
 use crate::soak::world::events_of;
@@ -44,24 +46,33 @@
 pub(super) fn run_caller(
     number: usize,
     seed: u64,
-    daemons: &[SocketAddr],
+    daemons: &[(SocketAddr, Arc<DaemonHealth>)],
     ledger: &RunLedger,
     is_over: &AtomicBool,
 ) {
     let mut random = SmallRng::seed_from_u64(seed);
     let mut connection: Option<BufReader<TcpStream>> = None;
+    let mut daemon = 0;
     let mut count = 0;
     while !is_over.load(Ordering::SeqCst) {
         thread::sleep(PAUSE);
         if connection.is_none() {
-            connection = connect(daemons[random.random_range(0..daemons.len())]);
+            daemon = random.random_range(0..daemons.len());
+            connection = connect(daemons[daemon].0);
         }
+        let health = &daemons[daemon].1;
+        let mark = health.mark();
         let Some(open) = &mut connection else { continue };
         count += 1;
         let kind = ["read", "once", "chat", "talk"][random.random_range(0..4)];
         let id = format!("c{number}-{count}-{kind}");
         ledger.note_request();
         let answer = ask(open, kind, &id);
+        // Streams may break with their targets; for all else there is an answer.
+        let is_cut = answer.as_ref().is_none_or(|answer| !answer.is_whole);
+        if is_cut && matches!(kind, "read" | "once") && mark.is_some() && mark == health.mark() {
+            ledger.note_broken(format!("{id} was cut by daemon {daemon}, which nobody harmed"));
+        }
         let is_kept = answer.as_ref().is_some_and(|answer| answer.is_whole && !answer.closes);
         if let Some(answer) = answer {
             check(&answer, kind, &id, ledger);
--- a/ggt-testkit/src/soak/faults.rs
+++ b/ggt-testkit/src/soak/faults.rs
@@ -16,12 +16,17 @@
 /// Longest time that a fault lasts, in milliseconds.
 const MAX_LENGTH_MS: u64 = 2_500;
 
+/// Time that a daemon has to stop by itself.
+const STOP_WAIT: Duration = Duration::from_millis(7_500);
+
 /// What ends a fault.
 #[derive(Clone, Copy, Debug)]
 enum FaultEnd {
     Network(usize),
     Wake(usize),
     Restart(usize),
+    /// The daemon starts again once it has stopped by itself.
+    Start(usize),
     Store,
 }
 
@@ -41,6 +46,7 @@
         due.into_iter().for_each(|(_, end)| end_fault(world, end));
         let length = Duration::from_millis(random.random_range(200..MAX_LENGTH_MS));
         if let Some((name, end)) = begin_fault(world, random) {
+            let length = if matches!(end, Some(FaultEnd::Start(_))) { STOP_WAIT } else { length };
             ledger.note_fault(format!("{name} for {} ms", length.as_millis()));
             ends.extend(end.map(|end| (now + length, end)));
         }
@@ -57,21 +63,26 @@
     };
     match random.random_range(0..12) {
         0 => network(world, "refuse=1".to_owned()),
-        1 => network(world, "stall=1".to_owned()),
+        1 => {
+            let ways = ["stall", "stall_up", "stall_down"];
+            network(world, format!("{}=1", ways[random.random_range(0..ways.len())]))
+        }
         2 => network(world, format!("delay_ms={}", random.random_range(5..120))),
         3 => network(world, format!("cut_down={}", random.random_range(1..900))),
         4 => network(world, format!("cut_up={}", random.random_range(1..400))),
         5 if world.fleet.daemons[daemon].process.is_running() => {
+            world.health[daemon].set_ill(true);
             world.fleet.daemons[daemon].process.freeze();
             Some((format!("daemon {daemon} frozen"), Some(FaultEnd::Wake(daemon))))
         }
         6 => {
+            world.health[daemon].set_ill(true);
             world.fleet.daemons[daemon].process.kill();
             Some((format!("daemon {daemon} killed"), Some(FaultEnd::Restart(daemon))))
         }
         7 if world.fleet.daemons[daemon].process.is_running() => {
             world.fleet.daemons[daemon].process.signal(Signal::TERM);
-            Some((format!("daemon {daemon} stopped"), Some(FaultEnd::Restart(daemon))))
+            Some((format!("daemon {daemon} stopped"), Some(FaultEnd::Start(daemon))))
         }
         8 if world.fleet.daemons[daemon].process.is_running() => {
             world.fleet.daemons[daemon].process.signal(Signal::HUP);
@@ -106,8 +117,9 @@
             if world.fleet.daemons[daemon].process.is_running() {
                 world.fleet.daemons[daemon].process.wake();
             }
+            world.health[daemon].set_ill(false);
         }
-        FaultEnd::Restart(daemon) => world.fleet.restart_quietly(daemon),
+        FaultEnd::Restart(daemon) | FaultEnd::Start(daemon) => world.restart(daemon),
         FaultEnd::Store => world.fleet.store.refuse(None),
     }
 }
--- a/ggt-testkit/src/soak/world.rs
+++ b/ggt-testkit/src/soak/world.rs
@@ -44,10 +44,34 @@
     format!("id: {number}\ndata: {number} of {id}\n\n")
 }
 
+/// Whether a daemon is killed or paused, so that it may cut what it has read.
+#[derive(Debug, Default)]
+pub(super) struct DaemonHealth {
+    /// Odd while something is done to the daemon; it changes at each beginning and end.
+    changes: AtomicUsize,
+}
+
+impl DaemonHealth {
+    /// Records that something is done to the daemon, or no more.
+    pub(super) fn set_ill(&self, is_ill: bool) {
+        let is_change = |changes: usize| (changes % 2 == 1) != is_ill;
+        let change = |changes| is_change(changes).then_some(changes + 1);
+        // Without a change it stays as it is.
+        let _ = self.changes.fetch_update(Ordering::SeqCst, Ordering::SeqCst, change);
+    }
+
+    /// A mark to compare with a later one; `None` while something is done to the daemon.
+    pub(super) fn mark(&self) -> Option<usize> {
+        let changes = self.changes.load(Ordering::SeqCst);
+        changes.is_multiple_of(2).then_some(changes)
+    }
+}
+
 /// The deployment.
 pub(super) struct SoakWorld {
     pub(super) fleet: FrontFleet,
     pub(super) leavers: Vec<usize>,
+    pub(super) health: Vec<Arc<DaemonHealth>>,
     proxy_control: SocketAddr,
     proxied: Vec<SocketAddr>,
     version: u64,
@@ -64,6 +88,7 @@
         let mut world = Self {
             proxied: Vec::new(),
             leavers: Vec::new(),
+            health: (0..options.daemons).map(|_| Arc::default()).collect(),
             proxy_control,
             version: 1,
             _proxy: proxy,
@@ -85,9 +110,17 @@
         world
     }
 
-    /// Where callers reach the daemons.
-    pub(super) fn callers(&self) -> Vec<SocketAddr> {
-        self.fleet.daemons.iter().map(|daemon| daemon.callers).collect()
+    /// Where callers reach the daemons, and what is done to these.
+    pub(super) fn callers(&self) -> Vec<(SocketAddr, Arc<DaemonHealth>)> {
+        let addresses = self.fleet.daemons.iter().map(|daemon| daemon.callers);
+        addresses.zip(self.health.iter().cloned()).collect()
+    }
+
+    /// Kills a daemon if it still runs, and starts it again.
+    pub(super) fn restart(&mut self, daemon: usize) {
+        self.health[daemon].set_ill(true);
+        self.fleet.restart_quietly(daemon);
+        self.health[daemon].set_ill(false);
     }
 
     /// Registers a server under the address of its route.
@@ -116,8 +149,10 @@
         for daemon in 0..self.fleet.daemons.len() {
             if self.fleet.daemons[daemon].process.is_running() {
                 self.fleet.daemons[daemon].process.wake();
+                self.health[daemon].set_ill(false);
             } else {
-                self.fleet.restart(daemon);
+                self.restart(daemon);
+                await_ready(&self.fleet.daemons[daemon]);
             }
         }
     }
