refactor: an attempt's admission and its sends in files of their own; a full service is logged and counted

event=full tells the request, its customer and priority, the utilisation, how long requests hold their places, how long the service has been full and when the caller is told to return; front_refusals_total counts by cause.

--- a/ggt-core/src/targets/admission.rs
+++ b/ggt-core/src/targets/admission.rs
@@ -34,6 +34,17 @@
 /// Steps of priority by which the time to return grows at most.
 const MAX_PRIORITY_STEPS: u64 = 3;
 
+/// What is known of a full service when it refuses a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FullNote {
+    /// Milliseconds after which the caller should return.
+    pub retry_after_ms: u64,
+    /// Milliseconds for which the service has been full.
+    pub full_ms: u64,
+    /// Mean time in milliseconds for which its requests hold their places.
+    pub hold_ms: Option<f64>,
+}
+
 /// What one daemon knows of the room at a service.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) struct ServiceRoom {
@@ -57,22 +68,24 @@
         room.hold_ms = Some(mean);
     }
 
-    /// Records that a request was refused because its service is full, and returns the milliseconds
-    /// after which its caller should return.
+    /// Records that a request was refused because its service is full, and tells when its caller should
+    /// return.
     ///
     /// A service that has been full for some time is expected to stay so for as long again. More urgent
     /// callers return first, and those of one priority spread over time.
-    pub fn note_full(&mut self, query: &ChoiceQuery<'_>, now: MonoTime) -> u64 {
+    pub fn note_full(&mut self, query: &ChoiceQuery<'_>, now: MonoTime) -> FullNote {
         let room = self.room_mut(query.service);
         let goes_on = room.full_at.is_some_and(|full_at| full_at + SPELL_END_MS >= now);
         if !goes_on {
             room.full_from = now;
         }
         room.full_at = Some(now);
-        let full_ms = now.millis_since(room.full_from).clamp(MIN_RETURN_MS, MAX_RETURN_MS);
+        let full_ms = now.millis_since(room.full_from);
+        let expected_ms = full_ms.clamp(MIN_RETURN_MS, MAX_RETURN_MS);
         let steps = u64::from(query.priority).min(MAX_PRIORITY_STEPS);
-        let spread_ms = mix_hash(query.spread_hash, now.as_millis()) % (full_ms / 2).max(1);
-        (full_ms + full_ms * steps / 2 + spread_ms).min(MAX_RETURN_MS)
+        let spread_ms = mix_hash(query.spread_hash, now.as_millis()) % (expected_ms / 2).max(1);
+        let retry_after_ms = (expected_ms + expected_ms * steps / 2 + spread_ms).min(MAX_RETURN_MS);
+        FullNote { retry_after_ms, full_ms, hold_ms: room.hold_ms }
     }
 
     /// Load of a service's targets over what they may carry for requests of this priority.
--- a/ggt-core/src/targets/mod.rs
+++ b/ggt-core/src/targets/mod.rs
@@ -8,6 +8,7 @@
 mod health;
 mod pool;
 
+pub use admission::FullNote;
 pub use choice::ChoiceError;
 pub use choice::ChoiceQuery;
 pub use choice::ChoiceReason;
--- a/ggt-core/tests/admission.rs
+++ b/ggt-core/tests/admission.rs
@@ -166,16 +166,20 @@
 #[test]
 fn pattern_callers_return_later_the_longer_a_service_is_full_and_urgent_ones_first() {
     let mut pool = seasoned_pool(1);
-    let first = pool.note_full(&query(0, 1), at(0));
+    let first = pool.note_full(&query(0, 1), at(0)).retry_after_ms;
     for step in 0..8 {
         pool.note_full(&query(0, 1), at(step * 500));
     }
-    let later = pool.note_full(&query(0, 1), at(4_000));
-    let less_urgent = pool.note_full(&query(2, 1), at(4_000));
+    let later = pool.note_full(&query(0, 1), at(4_000)).retry_after_ms;
+    let less_urgent = pool.note_full(&query(2, 1), at(4_000)).retry_after_ms;
     assert!(first < 300 && later >= 4_000 && less_urgent > later, "{first} {later} {less_urgent}");
-    let long = (8..200).map(|step| pool.note_full(&query(2, 1), at(step * 500))).max();
+    let long =
+        (8..200).map(|step| pool.note_full(&query(2, 1), at(step * 500)).retry_after_ms).max();
     assert_eq!(long, Some(10_000), "never later than this");
-    assert!(pool.note_full(&query(0, 1), at(200_000)) < 300, "there was room in between");
+    assert!(
+        pool.note_full(&query(0, 1), at(200_000)).retry_after_ms < 300,
+        "there was room in between"
+    );
 }
 
 #[test]
--- /dev/null
+++ b/ggt-daemon/src/front/attempt/admission.rs
@@ -0,0 +1,90 @@
+//! Whether a request finds room at its service, and the refusal when it does not.
+
+use http::StatusCode;
+
+use crate::clock::mono_now;
+use crate::front::answer::FrontRefusal;
+use crate::front::attempt::AttemptRun;
+use crate::front::settings::FrontSettings;
+use crate::logging::quoted;
+use ggt_core::targets::ChoiceError;
+use ggt_core::targets::ChoiceQuery;
+use ggt_core::targets::FullNote;
+
+/// Milliseconds after which a caller should come back when no target can be used.
+const NO_TARGET_RETRY_MS: u64 = 400;
+/// Part of its targets' places from which on a service's customers are held to their shares.
+const SHARE_FROM: f64 = 0.9;
+
+impl AttemptRun {
+    pub(super) fn query<'a>(&'a self, settings: &'a FrontSettings) -> ChoiceQuery<'a> {
+        let job = &self.job;
+        ChoiceQuery {
+            service: &job.service,
+            chain: job.chain.as_ref(),
+            spread_hash: ggt_core::routes::share_hash(&job.id),
+            goal_ms: job.route.goal_ms,
+            priority: job.priority,
+            data_centre: &settings.data_centre,
+            tried: &self.tried,
+            has_begun: self.may_have_run,
+            is_idempotent: job.route.is_idempotent,
+        }
+    }
+
+    /// Counts the request against its customer's share of the service, once; while the service is nearly
+    /// full, customers over their fair share are refused.
+    pub(super) fn admit(&mut self) -> Result<(), FrontRefusal> {
+        if self.ticket.is_some() || self.may_have_run {
+            return Ok(());
+        }
+        let settings = self.state.settings();
+        let utilisation = self.state.pool.borrow().utilisation(&self.query(&settings));
+        let customer = self.job.customer.clone().unwrap_or_default();
+        let mut shares = self.state.shares.borrow_mut();
+        let pool = (self.job.service.clone(), self.job.priority);
+        let admitted = shares.admit(&pool, &customer, 1.0, utilisation, SHARE_FROM);
+        drop(shares);
+        match admitted {
+            Ok(ticket) => {
+                self.ticket = Some(ticket);
+                Ok(())
+            }
+            Err(_) => {
+                let status = StatusCode::TOO_MANY_REQUESTS;
+                Err(FrontRefusal { status, ..self.not_run_full("over-share") })
+            }
+        }
+    }
+
+    /// A refusal for want of room, with the time after which there may be some.
+    pub(super) fn not_run_full(&self, cause: &'static str) -> FrontRefusal {
+        let settings = self.state.settings();
+        let (job, query) = (&self.job, self.query(&settings));
+        let mut pool = self.state.pool.borrow_mut();
+        let utilisation = pool.utilisation(&query);
+        let FullNote { retry_after_ms, full_ms, hold_ms } = pool.note_full(&query, mono_now());
+        log::info!(
+            "event=full request_id={} customer={} service={} priority={} cause={cause} \
+             utilisation={utilisation:.2} hold_ms={:.0} full_ms={full_ms} \
+             retry_after_ms={retry_after_ms}",
+            quoted(&job.id),
+            job.customer.as_deref().unwrap_or("-"),
+            job.service,
+            job.priority,
+            hold_ms.unwrap_or_default(),
+        );
+        FrontRefusal::not_run(cause, retry_after_ms)
+    }
+
+    /// The final answer when there is no target to send to.
+    pub(super) fn no_choice(&self, error: ChoiceError) -> FrontRefusal {
+        match (self.may_have_run, error) {
+            (true, _) => FrontRefusal::new(StatusCode::BAD_GATEWAY, "no-target"),
+            (false, ChoiceError::NoTarget) => {
+                FrontRefusal::not_run("no-target", NO_TARGET_RETRY_MS)
+            }
+            (false, ChoiceError::Full) => self.not_run_full("no-room"),
+        }
+    }
+}
--- /dev/null
+++ b/ggt-daemon/src/front/attempt/sending.rs
@@ -0,0 +1,223 @@
+//! One send to one target.
+
+use std::time::Duration;
+
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::response::Parts;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::time::sleep;
+
+use crate::clock::mono_now;
+use crate::clock::until;
+use crate::front::attempt::AttemptRun;
+use crate::front::attempt::LossKind;
+use crate::front::attempt::SendError;
+use crate::front::attempt::TargetReply;
+use crate::front::job::SendGuard;
+use crate::front::state::CONNECT_WAIT;
+use crate::upstream::SendFailure;
+use crate::upstream::TargetChannel;
+use ggt_core::prompts::PromptChain;
+use ggt_core::targets::TargetChoice;
+use ggt_core::targets::TargetKey;
+use ggt_platform::ReplyFacts;
+use ggt_platform::SendFacts;
+use ggt_platform::read_reply;
+use ggt_platform::target_head;
+
+/// Time past the deadline for which a target's own last word is awaited.
+const LAST_WORD_MS: u64 = 40;
+/// Shortest silence in milliseconds after which an idempotent request moves to another target.
+const MIN_SILENCE_MS: u64 = 250;
+/// Goals that a target may let pass in silence before the request moves.
+const SILENT_GOALS: u64 = 3;
+/// Silence in milliseconds after which an idempotent request moves when its target cannot be reached
+/// by new connections.
+const LOST_SILENCE_MS: u64 = 300;
+/// Time between looks at whether a silent target should be left.
+const SILENCE_STEP: Duration = Duration::from_millis(50);
+/// Urgency towards targets of the highest priority.
+const FIRST_URGENCY: u32 = 3;
+/// Least urgency towards targets.
+const LAST_URGENCY: u32 = 9;
+
+impl AttemptRun {
+    pub(super) async fn send(
+        &mut self,
+        choice: &TargetChoice,
+        last_event: Option<u64>,
+    ) -> Result<TargetReply, SendError> {
+        let key = choice.key;
+        let none = PromptChain::default();
+        let chain = self.job.chain.as_ref().unwrap_or(&none);
+        let guard = SendGuard::new(self.state.clone(), key, chain, choice.source.is_some());
+        let answered = match self.send_on_any(choice, last_event).await {
+            Ok((response, channel)) => self.judge(key, response).map(|reply| (reply, channel)),
+            Err(error) => Err(error),
+        };
+        if let Err(SendError::NotSent { .. } | SendError::Refused { .. }) = &answered {
+            guard.take_back();
+        }
+        let ((parts, facts, body), channel) = answered?;
+        // Whatever it says, the target has begun to run the request.
+        self.may_have_run = true;
+        guard.note_run();
+        Ok(TargetReply {
+            key,
+            status: parts.status,
+            head: parts.headers,
+            facts,
+            body,
+            channel,
+            guard,
+        })
+    }
+
+    /// Takes what a reply's head says of its target, and whether the reply is this request's.
+    fn judge(
+        &self,
+        key: TargetKey,
+        response: Response<Incoming>,
+    ) -> Result<(Parts, ReplyFacts, Incoming), SendError> {
+        let (parts, body) = response.into_parts();
+        let facts = read_reply(parts.status, &parts.headers);
+        self.state.pool.borrow_mut().note_heard(key, facts.load, mono_now());
+        self.check(&parts.status, &facts)?;
+        Ok((parts, facts, body))
+    }
+
+    /// Sends on a kept connection if the request may run more than once, since a reset on it does not
+    /// tell whether it has run, and else, or when that one breaks, on a new connection.
+    async fn send_on_any(
+        &mut self,
+        choice: &TargetChoice,
+        last_event: Option<u64>,
+    ) -> Result<(Response<Incoming>, TargetChannel), SendError> {
+        let key = choice.key;
+        if self.job.route.is_idempotent
+            && let Some(channel) = self.state.channels.take(key)
+        {
+            match self.send_on(choice, last_event, channel).await {
+                // The target closed the connection while it was idle.
+                Err(SendError::NotSent { .. }) => {}
+                Err(SendError::Lost { cause, kind: LossKind::Stale })
+                    if self.state.try_retry(&self.job.service) =>
+                {
+                    self.note_send(key, "stale-connection", &cause);
+                }
+                sent => return sent,
+            }
+            // The second send goes to the same target.
+            self.sends -= 1;
+        }
+        self.connects += 1;
+        let address = self.state.pool.borrow().target(key).map(|target| target.record.address);
+        let address = address.ok_or(SendError::NotSent { cause: "target gone".to_owned() })?;
+        let channel = TargetChannel::open(address, CONNECT_WAIT)
+            .await
+            .map_err(|e| SendError::NotSent { cause: e.to_string() })?;
+        self.send_on(choice, last_event, channel).await
+    }
+
+    async fn send_on(
+        &mut self,
+        choice: &TargetChoice,
+        last_event: Option<u64>,
+        mut channel: TargetChannel,
+    ) -> Result<(Response<Incoming>, TargetChannel), SendError> {
+        let request = self.request(choice, last_event)?;
+        let deadline = self.job.deadline + LAST_WORD_MS;
+        self.sends += 1;
+        let sent = tokio::select! {
+            sent = channel.send(request, self.job.deadline) => sent,
+            () = sleep(until(deadline)) => return Err(SendError::TimedOut),
+            () = self.silence(choice.key) => {
+                let cause = "silent".to_owned();
+                return Err(SendError::Lost { cause, kind: LossKind::Silent });
+            }
+        };
+        match sent {
+            Ok(response) => Ok((response, channel)),
+            Err(SendFailure::NotSent { cause }) => Err(SendError::NotSent { cause }),
+            Err(SendFailure::Lost { cause }) => {
+                let kind = if channel.is_kept() { LossKind::Stale } else { LossKind::Reset };
+                Err(SendError::Lost { cause, kind })
+            }
+        }
+    }
+
+    fn request(
+        &self,
+        choice: &TargetChoice,
+        last_event: Option<u64>,
+    ) -> Result<Request<Full<bytes::Bytes>>, SendError> {
+        let job = &self.job;
+        let pool = self.state.pool.borrow();
+        let source = choice.source.and_then(|source| pool.target(source));
+        let target =
+            pool.target(choice.key).ok_or(SendError::NotSent { cause: "gone".to_owned() })?;
+        let urgency = job.chain.is_some().then(|| (FIRST_URGENCY + job.priority).min(LAST_URGENCY));
+        let facts = SendFacts {
+            target_id: &target.record.id,
+            customer: job.customer.as_deref(),
+            wait_ms: job.wait_ms().max(1),
+            urgency,
+            last_event,
+            copy_from: source.map(|source| source.record.address),
+        };
+        let mut request = Request::new(Full::new(job.body.clone()));
+        *request.method_mut() = job.method.clone();
+        *request.uri_mut() = job
+            .path
+            .parse()
+            .map_err(|_| SendError::NotSent { cause: "malformed path".to_owned() })?;
+        *request.headers_mut() = target_head(&job.head, &facts);
+        Ok(request)
+    }
+
+    /// Ends when the target has been silent for so long that an idempotent request should move.
+    async fn silence(&self, key: TargetKey) {
+        let job = &self.job;
+        let may_move = job.route.is_idempotent && self.sends < job.route.max_attempts;
+        if !may_move {
+            return std::future::pending().await;
+        }
+        let sent_at = mono_now();
+        let limit_ms = (job.route.goal_ms * SILENT_GOALS).max(MIN_SILENCE_MS);
+        loop {
+            sleep(SILENCE_STEP).await;
+            let silent_ms = mono_now().millis_since(sent_at);
+            let is_lost = self.state.is_unreachable(key) && silent_ms >= LOST_SILENCE_MS;
+            // A target that answers others is busy, not silent.
+            let heard_at = self.state.pool.borrow().target(key).map(|target| target.heard_at);
+            let is_busy = job.route.is_stream && heard_at.is_some_and(|at| at > sent_at);
+            if is_lost || (silent_ms >= limit_ms && !is_busy) {
+                return;
+            }
+        }
+    }
+
+    fn check(&self, status: &StatusCode, facts: &ReplyFacts) -> Result<(), SendError> {
+        let lost =
+            |cause: &str| SendError::Lost { cause: cause.to_owned(), kind: LossKind::Unusable };
+        match &facts.attempt_id {
+            Some(id) if *id != self.job.id => return Err(lost("answer to another request")),
+            None if status.is_success() => return Err(lost("answer without the request's id")),
+            _ => {}
+        }
+        if facts.is_refusal && !facts.is_signed {
+            let is_misdirected = facts.is_misdirected;
+            return Err(SendError::Refused { status: *status, is_misdirected });
+        }
+        if !facts.is_signed {
+            return Err(lost("unsigned answer"));
+        }
+        if facts.is_encoded {
+            return Err(lost("encoded answer"));
+        }
+        Ok(())
+    }
+}
--- a/ggt-daemon/src/front/job.rs
+++ b/ggt-daemon/src/front/job.rs
@@ -85,6 +85,9 @@
         }
         let millis = mono_now().millis_since(self.began_at);
         self.state.metrics.note_end(outcome, millis);
+        if outcome == "refused" {
+            self.state.metrics.note_refusal(cause);
+        }
         log::info!(
             "event=end request_id={} outcome={outcome} status={status} cause={} after_ms={millis}",
             quoted(&self.id),
--- a/ggt-daemon/src/front/metrics.rs
+++ b/ggt-daemon/src/front/metrics.rs
@@ -21,6 +21,7 @@
     // Kept so that the instruments stay registered.
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
+    refusals: Counter<u64>,
     sends: Counter<u64>,
     choices: Counter<u64>,
     store_calls: Counter<u64>,
@@ -44,6 +45,7 @@
         Ok(Self {
             registry,
             requests: meter.u64_counter("front_requests").build(),
+            refusals: meter.u64_counter("front_refusals").build(),
             sends: meter.u64_counter("front_sends").build(),
             choices: meter.u64_counter("front_choices").build(),
             store_calls: meter.u64_counter("front_store_calls").build(),
@@ -61,6 +63,11 @@
         self.reply_ms.record(millis as f64, &labels);
     }
 
+    /// Counts a request that the daemon itself refused.
+    pub fn note_refusal(&self, cause: &str) {
+        self.refusals.add(1, &[KeyValue::new("cause", cause.to_owned())]);
+    }
+
     /// Records the time to the first event of a stream.
     pub fn note_first_event(&self, millis: u64) {
         self.first_event_ms.record(millis as f64, &[]);
