--- a/ggt-core/src/targets/admission.rs
+++ b/ggt-core/src/targets/admission.rs
@@ -14,12 +14,14 @@
 
 /// Part of the goal that a request may wait for a place at its target.
 const WAIT_PART: f64 = 0.4;
-/// Part of the places that a request of one priority leaves to those of the priority before.
-const PRIORITY_RESERVE: f64 = 0.08;
-/// Part of the places that are left to more urgent requests at most.
-const MAX_RESERVE: f64 = 0.24;
-/// Factor by which the unread prompts that a request may find before it shrink with each priority: targets
-/// read more urgent prompts first.
+/// Part of the places that a request leaves to each more urgent priority that the service is asked for.
+const PRIORITY_RESERVE: f64 = 0.1;
+/// Priorities that are told apart; less urgent ones count as the last.
+const PRIORITIES: usize = 4;
+/// Milliseconds after its last request for which a priority has places left to it.
+const PRIORITY_MEMORY_MS: u64 = 5_000;
+/// Factor by which the unread prompts that a request may find before it shrink with each more urgent
+/// priority that the service is asked for: targets read more urgent prompts first.
 const BACKLOG_FACTOR: f64 = 0.4;
 /// Part of its places that must be taken before a target counts as full for its unread prompts.
 const MIN_TAKEN_PART: f64 = 0.5;
@@ -54,9 +56,30 @@
     full_from: MonoTime,
     /// When a request was last refused because it was full.
     full_at: Option<MonoTime>,
+    /// When a request of each priority was last made.
+    asked_at: [Option<MonoTime>; PRIORITIES],
+}
+
+impl ServiceRoom {
+    /// More urgent priorities that the service has lately been asked for.
+    fn priorities_ahead(&self, priority: u32, now: MonoTime) -> i32 {
+        let is_lately = |asked_at: &&Option<MonoTime>| {
+            asked_at.is_some_and(|asked_at| asked_at + PRIORITY_MEMORY_MS >= now)
+        };
+        self.asked_at[..place_of(priority)].iter().filter(is_lately).count() as i32
+    }
+}
+
+fn place_of(priority: u32) -> usize {
+    usize::try_from(priority).unwrap_or(usize::MAX).min(PRIORITIES - 1)
 }
 
 impl TargetPool {
+    /// Records that a service was asked for a request of some priority.
+    pub fn note_asked(&mut self, service: &str, priority: u32, now: MonoTime) {
+        self.room_mut(service).asked_at[place_of(priority)] = Some(now);
+    }
+
     /// Records how long a request held its place.
     pub fn note_held(&mut self, key: TargetKey, held_ms: u64) {
         let Some(service) = self.target(key).map(|state| state.record.service.clone()) else {
@@ -89,38 +112,47 @@
     }
 
     /// Load of a service's targets over what they may carry for requests of this priority.
-    pub fn utilisation(&self, query: &ChoiceQuery<'_>) -> f64 {
+    pub fn utilisation(&self, query: &ChoiceQuery<'_>, now: MonoTime) -> f64 {
         let keys = self.of_service(query.service).iter();
         let targets = keys.filter_map(|key| self.target(*key));
         let fit =
             targets.filter(|state| !state.record.is_leaving && !state.health.is_unreachable());
         let (load, limit) = fit.fold((0.0, 0.0), |(load, limit), state| {
-            (load + f64::from(state.requests()), limit + self.limit_of(state, query))
+            (load + f64::from(state.requests()), limit + self.limit_of(state, query, now))
         });
         if limit > 0.0 { load / limit } else { 0.0 }
     }
 
     /// Whether a target can take one more request and still begin its answer within the goal.
-    pub(super) fn has_room(&self, state: &TargetState, query: &ChoiceQuery<'_>) -> bool {
+    pub(super) fn has_room(
+        &self,
+        state: &TargetState,
+        query: &ChoiceQuery<'_>,
+        now: MonoTime,
+    ) -> bool {
         let load = f64::from(state.requests());
-        let priority = i32::try_from(query.priority).unwrap_or(i32::MAX);
-        let may_find_ms = query.goal_ms as f64 * BACKLOG_FACTOR.powi(priority);
+        let room = self.room_of(query.service);
+        let ahead = room.priorities_ahead(query.priority, now);
+        let may_find_ms = query.goal_ms as f64 * BACKLOG_FACTOR.powi(ahead);
         let is_behind = f64::from(state.backlog_tokens()) / TOKENS_PER_MS > may_find_ms
             && load >= MIN_TAKEN_PART * f64::from(state.record.slots);
-        load + 1.0 <= self.limit_of(state, query) && !is_behind
+        load + 1.0 <= self.limit_of(state, query, now) && !is_behind
     }
 
     /// Requests that a target may have in flight so that the next one gets a place in time.
-    fn limit_of(&self, state: &TargetState, query: &ChoiceQuery<'_>) -> f64 {
-        let Some(hold_ms) = self.rooms.get(query.service).and_then(|room| room.hold_ms) else {
-            return f64::INFINITY;
-        };
+    fn limit_of(&self, state: &TargetState, query: &ChoiceQuery<'_>, now: MonoTime) -> f64 {
+        let room = self.room_of(query.service);
+        let Some(hold_ms) = room.hold_ms else { return f64::INFINITY };
         let slots = f64::from(state.record.slots.max(1));
         let waiting = slots * WAIT_PART * query.goal_ms as f64 / hold_ms.max(1.0);
-        let reserve = (PRIORITY_RESERVE * f64::from(query.priority)).min(MAX_RESERVE);
+        let reserve = PRIORITY_RESERVE * f64::from(room.priorities_ahead(query.priority, now));
         ((slots + waiting) * (1.0 - reserve)).max(1.0)
     }
 
+    fn room_of(&self, service: &str) -> ServiceRoom {
+        self.rooms.get(service).copied().unwrap_or_default()
+    }
+
     fn room_mut(&mut self, service: &str) -> &mut ServiceRoom {
         self.rooms.entry(service.to_owned()).or_default()
     }
--- a/ggt-core/src/targets/choice.rs
+++ b/ggt-core/src/targets/choice.rs
@@ -151,7 +151,7 @@
         if usable.is_empty() {
             return Err(ChoiceError::NoTarget);
         }
-        let has_room = |state| query.has_begun || self.has_room(state, query);
+        let has_room = |state| query.has_begun || self.has_room(state, query, now);
         let roomy = usable.iter().filter(|(_, state)| has_room(state)).copied();
         let roomy: Vec<_> = roomy.collect();
         if roomy.is_empty() {
--- a/ggt-core/tests/admission.rs
+++ b/ggt-core/tests/admission.rs
@@ -127,6 +127,7 @@
 #[test]
 fn pattern_urgent_requests_find_the_room_that_others_leave() {
     let mut pool = seasoned_pool(TARGETS);
+    (0..3).for_each(|priority| pool.note_asked("s", priority, at(0)));
     fill(&mut pool, SLOTS - 1);
     assert_eq!(pool.choose(&query(2, 1), at(0)).map(|_| ()), Err(ChoiceError::Full));
     assert!(pool.choose(&query(1, 1), at(0)).is_ok());
@@ -135,6 +136,16 @@
     assert_eq!(pool.choose(&query(0, 1), at(0)).map(|_| ()), Err(ChoiceError::Full));
 }
 
+#[test]
+fn nothing_is_left_to_priorities_that_nobody_asks_for() {
+    let mut pool = seasoned_pool(TARGETS);
+    fill(&mut pool, SLOTS - 1);
+    pool.note_asked("s", 0, at(0));
+    pool.note_asked("s", 1, at(0));
+    assert_eq!(pool.choose(&query(2, 1), at(5_000)).map(|_| ()), Err(ChoiceError::Full));
+    assert!(pool.choose(&query(2, 1), at(5_001)).is_ok());
+}
+
 #[test]
 fn what_has_begun_to_run_is_not_refused_for_want_of_room() {
     let mut pool = seasoned_pool(TARGETS);
--- a/ggt-daemon/src/front/attempt/admission.rs
+++ b/ggt-daemon/src/front/attempt/admission.rs
@@ -39,7 +39,9 @@
             return Ok(());
         }
         let settings = self.state.settings();
-        let utilisation = self.state.pool.borrow().utilisation(&self.query(&settings));
+        let now = mono_now();
+        self.state.pool.borrow_mut().note_asked(&self.job.service, self.job.priority, now);
+        let utilisation = self.state.pool.borrow().utilisation(&self.query(&settings), now);
         let customer = self.job.customer.clone().unwrap_or_default();
         let mut shares = self.state.shares.borrow_mut();
         let pool = (self.job.service.clone(), self.job.priority);
@@ -62,8 +64,9 @@
         let settings = self.state.settings();
         let (job, query) = (&self.job, self.query(&settings));
         let mut pool = self.state.pool.borrow_mut();
-        let utilisation = pool.utilisation(&query);
-        let FullNote { retry_after_ms, full_ms, hold_ms } = pool.note_full(&query, mono_now());
+        let now = mono_now();
+        let utilisation = pool.utilisation(&query, now);
+        let FullNote { retry_after_ms, full_ms, hold_ms } = pool.note_full(&query, now);
         log::info!(
             "event=full request_id={} customer={} service={} priority={} cause={cause} \
              utilisation={utilisation:.2} hold_ms={:.0} full_ms={full_ms} \
