fix: a pause does not use up the time in which a stopping daemon announces it; a soak check made exact

Cause: in the check. A caller's connection had died with the killed daemon, and the caller noticed only after the restart, when the daemon counted as well again (cut after 0 ms, no status).

Found on the way by reading: a daemon that is paused while it announces its stop closed idle connections at once when it woke, though no caller had been told.

--- a/ggt-daemon/src/daemon.rs
+++ b/ggt-daemon/src/daemon.rs
@@ -25,6 +25,7 @@
 use crate::edge::serve_callers;
 use crate::flow::CancelTicket;
 use crate::flow::WorkerPool;
+use crate::lifecycle::AwakeTime;
 use crate::lock::lock;
 use crate::metrics::DaemonMetrics;
 use crate::metrics::MetricsError;
@@ -230,19 +231,19 @@
 /// and the callers hear of it late. Then it closes its listener, and at last its idle connections.
 fn stop(state: &SharedState, edge: &EdgeHandle) -> StopOutcome {
     let timing = &state.settings.timing;
-    let announced_until = mono_now() + timing.drain_announce_ms;
+    let mut announced = AwakeTime::new(timing.drain_announce_ms, mono_now());
     let deadline = mono_now() + timing.drain_ms;
     state.drain.start();
     announce_departure(state);
     log::info!("event=draining in_flight={}", state.drain.count());
-    while mono_now() < announced_until {
+    while !announced.is_over(mono_now()) && mono_now() < deadline {
         thread::sleep(DRAIN_STEP);
     }
     edge.close();
     // Callers that keep a connection open are told to close it by the answer to their next
     // request; those that stay silent for as long again are taken to be idle.
-    let linger_until = mono_now() + timing.drain_announce_ms;
-    while mono_now() < linger_until.min(deadline) && edge.open() > 0 {
+    let mut lingered = AwakeTime::new(timing.drain_announce_ms, mono_now());
+    while !lingered.is_over(mono_now()) && mono_now() < deadline && edge.open() > 0 {
         thread::sleep(DRAIN_STEP);
     }
     edge.end();
--- a/ggt-daemon/src/edge/listen.rs
+++ b/ggt-daemon/src/edge/listen.rs
@@ -108,6 +108,8 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let outcome = tokio::select! {
+        // A request that has arrived is read before the connection can count as idle.
+        biased;
         outcome = connection.as_mut() => outcome,
         () = context.handle.ending() => {
             connection.as_mut().graceful_shutdown();
--- a/ggt-daemon/src/front/callers.rs
+++ b/ggt-daemon/src/front/callers.rs
@@ -72,6 +72,8 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let ended = tokio::select! {
+        // A request that has arrived is read before the connection can count as idle.
+        biased;
         ended = connection.as_mut() => ended,
         () = state.edge.ending() => {
             connection.as_mut().graceful_shutdown();
--- a/ggt-daemon/src/front/run.rs
+++ b/ggt-daemon/src/front/run.rs
@@ -30,6 +30,7 @@
 use crate::front::state::FrontState;
 use crate::front::store::run_watching;
 use crate::front::warmup::run_warmup;
+use crate::lifecycle::AwakeTime;
 use crate::logging::quoted;
 use crate::metrics::MetricsError;
 
@@ -137,10 +138,10 @@
     let grace_ms = state.settings().grace_ms();
     let stopped_at = mono_now();
     let deadline = stopped_at + grace_ms.saturating_sub(GRACE_MARGIN_MS);
-    let announced_until = stopped_at + ANNOUNCE_MS.min(grace_ms / 2);
+    let mut announced = AwakeTime::new(ANNOUNCE_MS.min(grace_ms / 2), stopped_at);
     state.start_draining();
     log::info!("event=stop in_flight={} connections={}", state.in_flight.get(), state.edge.open());
-    while mono_now() < announced_until {
+    while !announced.is_over(mono_now()) && mono_now() < deadline {
         sleep(DRAIN_STEP).await;
     }
     state.edge.close();
--- a/ggt-daemon/src/lifecycle/mod.rs
+++ b/ggt-daemon/src/lifecycle/mod.rs
@@ -6,6 +6,10 @@
 use std::sync::atomic::Ordering;
 
 use crate::lock::lock;
+use ggt_core::clock::MonoTime;
+
+/// Longest time between two looks that counts as one in which the process ran, in milliseconds.
+const MAX_LOOK_MS: u64 = 100;
 
 /// Whether the daemon is stopping, and which requests are in flight.
 #[derive(Debug, Default)]
@@ -54,3 +58,26 @@
         lock(&self.state.in_flight).remove(&self.number);
     }
 }
+
+/// A time that must pass while the process runs: one in which it is paused, and can tell its callers
+/// nothing, does not count.
+#[derive(Clone, Copy, Debug)]
+pub struct AwakeTime {
+    left_ms: u64,
+    looked_at: MonoTime,
+}
+
+impl AwakeTime {
+    /// Begins with `millis` left.
+    pub fn new(millis: u64, now: MonoTime) -> Self {
+        Self { left_ms: millis, looked_at: now }
+    }
+
+    /// Whether the time has passed; to be asked again and again, at short intervals.
+    pub fn is_over(&mut self, now: MonoTime) -> bool {
+        let passed_ms = now.millis_since(self.looked_at).min(MAX_LOOK_MS);
+        self.left_ms = self.left_ms.saturating_sub(passed_ms);
+        self.looked_at = now;
+        self.left_ms == 0
+    }
+}
--- a/ggt-testkit/src/soak/caller.rs
+++ b/ggt-testkit/src/soak/caller.rs
@@ -11,6 +11,7 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use rand::Rng;
 use rand::SeedableRng;
@@ -52,12 +53,13 @@
 ) {
     let mut random = SmallRng::seed_from_u64(seed);
     let mut connection: Option<BufReader<TcpStream>> = None;
-    let mut daemon = 0;
+    let (mut daemon, mut life) = (0, 0);
     let mut count = 0;
     while !is_over.load(Ordering::SeqCst) {
         thread::sleep(PAUSE);
         if connection.is_none() {
             daemon = random.random_range(0..daemons.len());
+            life = daemons[daemon].1.life();
             connection = connect(daemons[daemon].0);
         }
         let health = &daemons[daemon].1;
@@ -67,11 +69,18 @@
         let kind = ["read", "once", "chat", "talk"][random.random_range(0..4)];
         let id = format!("c{number}-{count}-{kind}");
         ledger.note_request();
+        let asked_at = Instant::now();
         let answer = ask(open, kind, &id);
         // Streams may break with their targets; for all else there is an answer.
         let is_cut = answer.as_ref().is_none_or(|answer| !answer.is_whole);
-        if is_cut && matches!(kind, "read" | "once") && mark.is_some() && mark == health.mark() {
-            ledger.note_broken(format!("{id} was cut by daemon {daemon}, which nobody harmed"));
+        let is_unharmed = mark.is_some() && mark == health.mark() && life == health.life();
+        if is_cut && matches!(kind, "read" | "once") && is_unharmed {
+            let status = answer.as_ref().map(|answer| answer.status);
+            let millis = asked_at.elapsed().as_millis();
+            ledger.note_broken(format!(
+                "{id} was cut by daemon {daemon}, which nobody harmed, after {millis} ms, with status \
+                 {status:?}"
+            ));
         }
         let is_kept = answer.as_ref().is_some_and(|answer| answer.is_whole && !answer.closes);
         if let Some(answer) = answer {
--- a/ggt-testkit/src/soak/faults.rs
+++ b/ggt-testkit/src/soak/faults.rs
@@ -76,7 +76,7 @@
             Some((format!("daemon {daemon} frozen"), Some(FaultEnd::Wake(daemon))))
         }
         6 => {
-            world.health[daemon].set_ill(true);
+            world.health[daemon].note_death();
             world.fleet.daemons[daemon].process.kill();
             Some((format!("daemon {daemon} killed"), Some(FaultEnd::Restart(daemon))))
         }
--- a/ggt-testkit/src/soak/world.rs
+++ b/ggt-testkit/src/soak/world.rs
@@ -49,6 +49,8 @@
 pub(super) struct DaemonHealth {
     /// Odd while something is done to the daemon; it changes at each beginning and end.
     changes: AtomicUsize,
+    /// Times that the daemon was killed.
+    lives: AtomicUsize,
 }
 
 impl DaemonHealth {
@@ -60,6 +62,17 @@
         let _ = self.changes.fetch_update(Ordering::SeqCst, Ordering::SeqCst, change);
     }
 
+    /// Records that the daemon is killed, and with it all its connections.
+    pub(super) fn note_death(&self) {
+        self.set_ill(true);
+        self.lives.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// The daemon's life, to compare with a later one.
+    pub(super) fn life(&self) -> usize {
+        self.lives.load(Ordering::SeqCst)
+    }
+
     /// A mark to compare with a later one; `None` while something is done to the daemon.
     pub(super) fn mark(&self) -> Option<usize> {
         let changes = self.changes.load(Ordering::SeqCst);
@@ -118,7 +131,7 @@
 
     /// Kills a daemon if it still runs, and starts it again.
     pub(super) fn restart(&mut self, daemon: usize) {
-        self.health[daemon].set_ill(true);
+        self.health[daemon].note_death();
         self.fleet.restart_quietly(daemon);
         self.health[daemon].set_ill(false);
     }
