--- a/ggt-testkit/tests/platform_requests.rs
+++ b/ggt-testkit/tests/platform_requests.rs
@@ -248,3 +248,44 @@
         assert_eq!((reply.status, reply.body.as_str()), (200, "whole"));
     }
 }
+
+/// Requests that come at once.
+const CROWD: usize = 30;
+/// Places of the one server.
+const PLACES: usize = 8;
+
+#[test]
+fn a_full_service_refuses_at_once_and_its_server_never_sees_it() {
+    let fleet = FrontFleet::start(1, 1);
+    // The daemon learns that requests hold their places for much longer than the goal of 300 ms.
+    fleet.servers[0].set_script(|request, stream| {
+        thread::sleep(Duration::from_millis(1_500));
+        answer(request, stream, 200, "whole")
+    });
+    let first = fleet.request(0, "POST", "/once/", "id-first").body("x").send();
+    assert_eq!(first.map(|reply| reply.status), Some(200));
+    let (open, gate) = crossbeam::channel::bounded::<()>(0);
+    fleet.servers[0].set_script(move |request, stream| {
+        // The gate opens for all when its sender is dropped.
+        let _ = gate.recv();
+        answer(request, stream, 200, "whole")
+    });
+    let (told, replies) = crossbeam::channel::unbounded();
+    for number in 0..CROWD {
+        let request = fleet.request(0, "POST", "/once/", &format!("id-{number}")).body("x");
+        let told = told.clone();
+        thread::spawn(move || told.send((number, request.send())));
+    }
+    // While the gate is shut only refusals can come.
+    let refused: Vec<_> = replies.iter().take(CROWD - PLACES).collect();
+    for (number, reply) in &refused {
+        let reply = reply.as_ref().expect("a reply");
+        assert!(matches!(reply.status, 429 | 503), "{number}: {}", reply.status);
+        assert!(reply.header("retry-after").is_some(), "{number}: no time to return");
+        assert_eq!(fleet.arrivals(&format!("id-{number}")), 0, "it was refused as not run");
+    }
+    drop(open);
+    let taken: Vec<_> = replies.iter().take(PLACES).collect();
+    let statuses = taken.iter().filter_map(|(_, reply)| reply.as_ref().map(|r| r.status));
+    assert!(statuses.filter(|status| *status == 200).count() > PLACES / 2, "most places are used");
+}
