--- a/ggt-testkit/tests/platform_requests.rs
+++ b/ggt-testkit/tests/platform_requests.rs
@@ -10,6 +10,7 @@
 use ggt_standin::published::answer;
 use ggt_testkit::front::FrontFleet;
 use ggt_testkit::wait::wait_until;
+use ggt_testkit::web::WebRequest;
 
 fn refuse(_: &WireRequest, stream: &mut TcpStream) -> AfterAnswer {
     let head = "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
@@ -56,7 +57,7 @@
     let fleet = FrontFleet::start(1, 1);
     let unknown = fleet.request(0, "GET", "/elsewhere/", "id-1").send().expect("a reply");
     assert_eq!(unknown.status, 404);
-    let request = ggt_testkit::web::WebRequest::new("GET", fleet.daemons[0].callers, "/read/");
+    let request = WebRequest::new("GET", fleet.daemons[0].callers, "/read/");
     let request = request.header("host", "chat.example").header("x-attempt-id", "id-2");
     assert_eq!(request.clone().send().expect("a reply").status, 401);
     let wrong = request.header("authorization", "Token wrong").send().expect("a reply");
@@ -104,12 +105,17 @@
     let entry = fleet.servers[0].entry("s", "a", "ready");
     let entry = entry.replace(&fleet.servers[0].address.to_string(), &nobody.to_string());
     fleet.store.put("servers/i-dead", &entry);
-    for number in 0..20 {
+    let mut number = 0;
+    wait_until("the dead server was tried", || {
+        number += 1;
         let id = format!("id-{number}");
         let reply = fleet.request(0, "POST", "/once/", &id).body("x").send().expect("a reply");
         assert_eq!(reply.status, 200);
         assert_eq!(fleet.arrivals(&id), 1);
-    }
+        let metrics = WebRequest::new("GET", fleet.daemons[0].admin, "/metrics").send();
+        let metrics = metrics.map(|reply| reply.body).unwrap_or_default();
+        metrics.lines().any(|line| line.contains("sends_total") && line.contains("not-sent"))
+    });
 }
 
 #[test]
