--- a/ggt-standin/src/published/store.rs
+++ b/ggt-standin/src/published/store.rs
@@ -33,6 +33,7 @@
     calls: u64,
     later_pages: u64,
     exact_pages: u64,
+    watches: Vec<(String, u64)>,
 }
 
 /// Items on one page at most.
@@ -108,6 +109,18 @@
         lock(&self.items).exact_pages
     }
 
+    /// The store's revision.
+    pub fn revision(&self) -> u64 {
+        lock(&self.items).revision
+    }
+
+    /// Watches of a prefix by callers that knew all changes up to a revision.
+    pub fn watches_after(&self, prefix: &str, revision: u64) -> usize {
+        let items = lock(&self.items);
+        let known = items.watches.iter().filter(|(of, after)| of == prefix && *after >= revision);
+        known.count()
+    }
+
     fn change(&self, key: &str, value: Option<Vec<u8>>) {
         let mut items = lock(&self.items);
         items.revision += 1;
@@ -168,6 +181,7 @@
     }
 
     fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> (u16, Value) {
+        lock(&self.items).watches.push((prefix.to_owned(), after));
         let is_idle = |items: &mut StoreItems| {
             let is_new = |(revision, key, _): &(u64, String, Option<Vec<u8>>)| {
                 *revision > after && key.starts_with(prefix)
--- a/ggt-testkit/tests/platform_state.rs
+++ b/ggt-testkit/tests/platform_state.rs
@@ -8,6 +8,7 @@
 
 use rustix::process::Signal;
 
+use ggt_platform::CONFIG_KEY;
 use ggt_standin::published::AfterAnswer;
 use ggt_standin::published::answer;
 use ggt_standin::published::config;
@@ -17,6 +18,9 @@
 use ggt_testkit::wait::wait_until;
 use ggt_testkit::web::WebRequest;
 
+/// Watches of two daemons of which neither can have made all.
+const DAEMON_WATCHES: usize = 4;
+
 fn status(fleet: &FrontFleet, daemon: usize, path: &str) -> Option<u16> {
     fleet.request(daemon, "GET", path, "id-status").send().map(|reply| reply.status)
 }
@@ -31,36 +35,17 @@
         wait_until("the new route is there", || status(&fleet, daemon, "/moved/") == Some(200));
     }
     fleet.publish(&config(4));
-    fleet.add_marker_and_await();
+    let revision = fleet.store.revision();
+    // Each of the two daemons has taken the older one when it watches beyond it.
+    wait_until("both daemons know of it", || {
+        fleet.store.watches_after(CONFIG_KEY, revision) >= DAEMON_WATCHES
+    });
     for daemon in 0..2 {
         assert_eq!(status(&fleet, daemon, "/read/"), Some(404));
         assert_eq!(status(&fleet, daemon, "/moved/"), Some(200));
     }
 }
 
-trait MarkerFleet {
-    /// Publishes a target and waits until all daemons know of it, so that they know all before it.
-    fn add_marker_and_await(&self);
-}
-
-impl MarkerFleet for FrontFleet {
-    fn add_marker_and_await(&self) {
-        let entry = self.servers[0].entry("marker", "a", "ready");
-        self.store.put("servers/i-marker", &entry);
-        // A configuration of its own follows, so that both folders have been read up to here.
-        let mut newest = config(9);
-        newest["Routes"][0]["PathPrefix"] = "/moved/".into();
-        newest["Routes"][1]["PathPrefix"] = "/marker/".into();
-        self.publish(&newest);
-        for daemon in 0..self.daemons.len() {
-            wait_until("the marker is there", || {
-                let request = self.request(daemon, "POST", "/marker/", "id-marker").body("x");
-                request.send().is_some_and(|reply| reply.status == 200)
-            });
-        }
-    }
-}
-
 #[test]
 fn a_daemon_that_the_store_turns_away_learns_from_its_peers() {
     let mut fleet = FrontFleet::start(1, 1);
