fix: a wait for a place does not count as holding one, and a short wait beats a refusal

The wait is taken out by the load at the time of sending, and a request has room when it is served within the goal and that time.

--- a/ggt-core/src/targets/admission.rs
+++ b/ggt-core/src/targets/admission.rs
@@ -12,7 +12,7 @@
 use crate::targets::TargetState;
 use crate::targets::choice::TOKENS_PER_MS;
 
-/// Part of the goal that a request may wait for a place at its target.
+/// Part of the goal that a request may wait for a place at its target in any case.
 const WAIT_PART: f64 = 0.4;
 /// Part of the places that a request leaves to each more urgent priority that the service is asked for.
 const PRIORITY_RESERVE: f64 = 0.1;
@@ -80,13 +80,15 @@
         self.room_mut(service).asked_at[place_of(priority)] = Some(now);
     }
 
-    /// Records how long a request held its place.
-    pub fn note_held(&mut self, key: TargetKey, held_ms: u64) {
-        let Some(service) = self.target(key).map(|state| state.record.service.clone()) else {
-            return;
-        };
+    /// Records how long a request was at its target, which had `load` requests in flight when it came.
+    ///
+    /// Beyond the target's places it waited first; that part is not counted as holding a place.
+    pub fn note_held(&mut self, key: TargetKey, load: u32, held_ms: u64) {
+        let Some(state) = self.target(key) else { return };
+        let slots = state.record.slots.max(1);
+        let service = state.record.service.clone();
+        let held = held_ms as f64 * f64::from(slots) / f64::from(slots.max(load));
         let room = self.room_mut(&service);
-        let held = held_ms as f64;
         let mean = room.hold_ms.map_or(held, |mean| mean + HOLD_WEIGHT * (held - mean));
         room.hold_ms = Some(mean);
     }
@@ -144,7 +146,11 @@
         let room = self.room_of(query.service);
         let Some(hold_ms) = room.hold_ms else { return f64::INFINITY };
         let slots = f64::from(state.record.slots.max(1));
-        let waiting = slots * WAIT_PART * query.goal_ms as f64 / hold_ms.max(1.0);
+        let goal_ms = query.goal_ms as f64;
+        // A refusal costs the caller the time until it may return, so a somewhat late answer is better.
+        let served_in_ms = goal_ms + MIN_RETURN_MS as f64 - hold_ms;
+        let wait_ms = served_in_ms.max(WAIT_PART * goal_ms);
+        let waiting = slots * wait_ms / hold_ms.max(1.0);
         let reserve = PRIORITY_RESERVE * f64::from(room.priorities_ahead(query.priority, now));
         ((slots + waiting) * (1.0 - reserve)).max(1.0)
     }
--- a/ggt-core/src/targets/pool.rs
+++ b/ggt-core/src/targets/pool.rs
@@ -36,6 +36,8 @@
     pub backlog_tokens: u32,
     /// Links of its prompt, by their short hashes, that the target was not known to have read.
     pub new_links: Vec<u32>,
+    /// Requests in flight at the target, with this one.
+    pub load: u32,
     /// When it was sent.
     pub sent_at: MonoTime,
 }
@@ -227,7 +229,7 @@
         while self.untold.len() > MAX_UNTOLD {
             self.untold.pop_front();
         }
-        SentNote { backlog_tokens: missing, new_links, sent_at: now }
+        SentNote { backlog_tokens: missing, new_links, load: state.requests(), sent_at: now }
     }
 
     /// Takes back that a target read the prompt of a request that did not run there, as far as no later
--- a/ggt-daemon/src/front/job.rs
+++ b/ggt-daemon/src/front/job.rs
@@ -109,7 +109,6 @@
     key: TargetKey,
     backlog_tokens: Cell<u32>,
     note: SentNote,
-    sent_at: MonoTime,
     has_run: Cell<bool>,
 }
 
@@ -121,10 +120,9 @@
         chain: &PromptChain,
         is_copied: bool,
     ) -> Self {
-        let sent_at = mono_now();
-        let note = state.pool.borrow_mut().note_sent(key, chain, is_copied, sent_at);
+        let note = state.pool.borrow_mut().note_sent(key, chain, is_copied, mono_now());
         let backlog_tokens = Cell::new(note.backlog_tokens);
-        Self { state, key, backlog_tokens, note, sent_at, has_run: Cell::new(false) }
+        Self { state, key, backlog_tokens, note, has_run: Cell::new(false) }
     }
 
     /// Records that the target began to answer.
@@ -152,7 +150,8 @@
         let mut pool = self.state.pool.borrow_mut();
         pool.note_ended(self.key);
         if self.has_run.get() {
-            pool.note_held(self.key, mono_now().millis_since(self.sent_at));
+            let held_ms = mono_now().millis_since(self.note.sent_at);
+            pool.note_held(self.key, self.note.load, held_ms);
         }
     }
 }
