--- a/ggt-core/tests/admission.rs
+++ b/ggt-core/tests/admission.rs
@@ -151,8 +151,8 @@
     const WORK_MS: u64 = 60;
     let mut pool = pool_of(1);
     let key = pool.iter().next().map(|(key, _)| key).expect("a target");
-    // Each waits for a place behind as many others as are served at once.
-    (0..100).for_each(|_| pool.note_held(key, 2 * SLOTS, 2 * WORK_MS));
+    // Each waits for a place behind nine times as many others as are served at once.
+    (0..100).for_each(|_| pool.note_held(key, 10 * SLOTS, 10 * WORK_MS));
     fill(&mut pool, 3 * SLOTS);
     assert!(pool.choose(&query(0, 1), at(0)).is_ok(), "served within the goal");
     fill(&mut pool, 5 * SLOTS);
