--- a/ggt-testkit/tests/soak.rs
+++ b/ggt-testkit/tests/soak.rs
@@ -6,14 +6,13 @@
 use ggt_testkit::soak::run_soak;
 
 fn soak(seed: u64) {
-    let options = SoakOptions {
-        seed,
-        faults_for: Duration::from_secs(6),
-        daemons: 3,
-        servers: 5,
-        callers: 8,
-    };
-    let outcome = run_soak(&options);
+    let faults_for = Duration::from_secs(6);
+    run(&SoakOptions { seed, faults_for, daemons: 3, servers: 5, callers: 8 });
+}
+
+fn run(options: &SoakOptions) {
+    let seed = options.seed;
+    let outcome = run_soak(options);
     assert!(outcome.broken.is_empty(), "seed {seed}: {:#?}", outcome.broken);
     assert!(outcome.answered > 0, "seed {seed}: nothing was served");
 }
@@ -22,3 +21,11 @@
 fn promises_hold_under_faults_from_outside() {
     [1, 2].into_iter().for_each(soak);
 }
+
+/// A daemon is told to stop, is paused meanwhile and then killed; the soak took the connections that died
+/// with it for ones that the next daemon at the address had cut.
+#[test]
+fn seed_510_a_daemon_is_killed_while_it_stops() {
+    let faults_for = Duration::from_secs(20);
+    run(&SoakOptions { seed: 510, faults_for, daemons: 4, servers: 6, callers: 12 });
+}
