--- a/ggt-core/src/crashes/mod.rs
+++ b/ggt-core/src/crashes/mod.rs
@@ -33,11 +33,25 @@
     }
 }
 
+/// The crashes that count against one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CrashSummary {
+    /// Number of crashes.
+    pub count: usize,
+    /// When the first of them was recorded.
+    pub first_at: MonoTime,
+    /// When the last of them was recorded.
+    pub last_at: MonoTime,
+    /// When the request is no longer suspected.
+    pub expires_at: MonoTime,
+}
+
 /// What is stored about one request.
 #[derive(Clone, Debug)]
 struct CrashEntry {
-    /// Crashes at which the request was in flight and that count against it.
-    crashes: BTreeSet<CrashId>,
+    /// Crashes at which the request was in flight and that count against it, and when each was
+    /// recorded.
+    crashes: BTreeMap<CrashId, MonoTime>,
     /// Crashes from before the request completed, which peers may still report; they no longer
     /// count.
     cleared: BTreeSet<CrashId>,
@@ -69,19 +83,20 @@
         self.limit = limit;
     }
 
-    /// Records that the request was in flight when a target crashed; `true` when this is new. A
-    /// full table drops the entry that expires first.
+    /// Records at `now` that the request was in flight when a target crashed; `true` when this is
+    /// new. A full table drops the entry that expires first.
     pub fn record_crash(
         &mut self,
         fingerprint: RequestFingerprint,
         crash: CrashId,
+        now: MonoTime,
         expires_at: MonoTime,
     ) -> bool {
         if !self.entries.contains_key(&fingerprint) && self.entries.len() >= self.capacity {
             self.drop_first_to_expire();
         }
         let entry = self.entries.entry(fingerprint).or_insert_with(|| CrashEntry {
-            crashes: BTreeSet::new(),
+            crashes: BTreeMap::new(),
             cleared: BTreeSet::new(),
             expires_at,
         });
@@ -89,21 +104,29 @@
             return false;
         }
         entry.expires_at = entry.expires_at.max(expires_at);
-        entry.crashes.insert(crash)
+        let is_new = !entry.crashes.contains_key(&crash);
+        entry.crashes.entry(crash).or_insert(now);
+        is_new
     }
 
-    /// Clears a request that completed; `true` when it was suspected.
-    pub fn clear(&mut self, fingerprint: RequestFingerprint) -> bool {
-        let Some(entry) = self.entries.get_mut(&fingerprint) else { return false };
+    /// Clears a request that completed; returns the number of crashes that no longer count.
+    pub fn clear(&mut self, fingerprint: RequestFingerprint) -> usize {
+        let Some(entry) = self.entries.get_mut(&fingerprint) else { return 0 };
         let crashes = std::mem::take(&mut entry.crashes);
-        let was_suspect = !crashes.is_empty();
-        entry.cleared.extend(crashes);
-        was_suspect
+        let count = crashes.len();
+        entry.cleared.extend(crashes.into_keys());
+        count
     }
 
-    /// The crashes at which the request was in flight and that count against it.
-    pub fn crashes(&self, fingerprint: RequestFingerprint) -> impl Iterator<Item = CrashId> + '_ {
-        self.entries.get(&fingerprint).into_iter().flat_map(|entry| entry.crashes.iter().copied())
+    /// The crashes that count against the request; `None` if there are none.
+    pub fn summary(&self, fingerprint: RequestFingerprint) -> Option<CrashSummary> {
+        let entry = self.entries.get(&fingerprint)?;
+        Some(CrashSummary {
+            count: entry.crashes.len(),
+            first_at: *entry.crashes.values().min()?,
+            last_at: *entry.crashes.values().max()?,
+            expires_at: entry.expires_at,
+        })
     }
 
     /// The time until which the request is refused; `None` if it is not refused.
@@ -124,14 +147,20 @@
         entries
             .sort_by_key(|(_, entry)| std::cmp::Reverse((entry.crashes.len(), entry.expires_at)));
         let crashes = entries.into_iter().flat_map(|(fingerprint, entry)| {
-            entry.crashes.iter().map(|crash| (*fingerprint, *crash))
+            entry.crashes.keys().map(|crash| (*fingerprint, *crash))
         });
         crashes.take(count).collect()
     }
 
-    /// Drops expired entries.
-    pub fn expire(&mut self, now: MonoTime) {
+    /// Drops expired entries; returns the requests among them that were still suspected, with the
+    /// number of their crashes.
+    pub fn expire(&mut self, now: MonoTime) -> Vec<(RequestFingerprint, usize)> {
+        let expired = self.entries.iter().filter(|(_, entry)| now >= entry.expires_at);
+        let suspects = expired.filter(|(_, entry)| !entry.crashes.is_empty());
+        let suspects = suspects.map(|(fingerprint, entry)| (*fingerprint, entry.crashes.len()));
+        let suspects = suspects.collect();
         self.entries.retain(|_, entry| now < entry.expires_at);
+        suspects
     }
 
     /// Number of stored requests.
--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -173,10 +173,11 @@
         let report = target.report.unwrap_or_default();
         let source = choice.source.and_then(|source| pool.target(source));
         log::info!(
-            "event=route request_id={} route={} version={} customer={} service={} target={} \
+            "event=route request_id={} print={:016x} route={} version={} customer={} service={} target={} \
              incarnation={} reason={} load={:.1} bound={:.1} own={} peers={} told={} told_age_ms={} \
              copy_from={} send={} left_ms={}",
             quoted(&job.id),
+            job.fingerprint.0,
             job.route.name,
             job.version,
             job.customer.as_deref().unwrap_or("-"),
--- a/ggt-daemon/src/front/attempt/outcome.rs
+++ b/ggt-daemon/src/front/attempt/outcome.rs
@@ -4,7 +4,6 @@
 use crate::front::attempt::FailureKind;
 use crate::front::attempt::UpstreamAttempts;
 use crate::front::state::CONNECT_TIMEOUT;
-use crate::front::state::SUSPICION_MS;
 use crate::logging::quoted;
 use crate::upstream::TargetConnection;
 use ggt_core::clock::MonoTime;
@@ -53,17 +52,7 @@
         let Err(e) = TargetConnection::open(address, CONNECT_TIMEOUT).await else { return };
         self.record_outcome(key, SendOutcome::Unreachable);
         self.state.connections.close_idle(key);
-        let fingerprint = self.job.fingerprint();
-        let crash = CrashId::of(hash, incarnation);
-        let expires_at = mono_now() + SUSPICION_MS;
-        let is_new = self.state.crashes.borrow_mut().record_crash(fingerprint, crash, expires_at);
-        log::warn!(
-            "event=crash request_id={} print={:016x} death={:016x} is_news={is_new} cause={}",
-            quoted(&self.job.id),
-            fingerprint.0,
-            crash.0,
-            quoted(&e.to_string()),
-        );
+        self.state.record_crash(&self.job, CrashId::of(hash, incarnation), &e.to_string());
     }
 
     /// Applies an outcome to the target's health, and logs a hold-down that starts with it.
--- a/ggt-daemon/src/front/buffered.rs
+++ b/ggt-daemon/src/front/buffered.rs
@@ -49,7 +49,7 @@
             }
             Ok((raw_headers, body)) => {
                 if status.is_success() {
-                    state.crashes.borrow_mut().clear(job.fingerprint());
+                    state.clear_crashes(&job);
                 }
                 guard.end("answered", status.as_u16(), "whole");
                 return forwarded_response(
--- a/ggt-daemon/src/front/callers.rs
+++ b/ggt-daemon/src/front/callers.rs
@@ -43,8 +43,6 @@
 const IDLE_FACTOR: u64 = 4;
 /// Minimum size in bytes of the buffer for a request's head that the HTTP layer accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
-/// `retry-after` in milliseconds for a request that is suspected of crashing its targets.
-const CRASH_RETRY_MS: u64 = 5_000;
 
 /// Serves callers' connections until the edge is closed.
 pub async fn serve_callers(state: Rc<FrontState>, listener: TcpListener) {
@@ -113,12 +111,7 @@
             .and_then(|headers| prepare_job(&state, &parts, headers, body, received_at)),
         Err(refusal) => Err(refusal),
     };
-    let checked = checked.and_then(|job| {
-        match state.crashes.borrow().refused_until(job.fingerprint(), received_at) {
-            Some(_) => Err(FrontRefusal::not_run("crashes-targets", CRASH_RETRY_MS)),
-            None => Ok(job),
-        }
-    });
+    let checked = checked.and_then(|job| state.refuse_crashing(&job).map_or(Ok(job), Err));
     let job = match checked {
         Ok(job) => Rc::new(job),
         Err(refusal) => {
--- /dev/null
+++ b/ggt-daemon/src/front/crashes.rs
@@ -0,0 +1,102 @@
+//! Requests that were in flight when targets crashed: their records, logs and refusals.
+
+use std::net::SocketAddr;
+
+use crate::clock::mono_now;
+use crate::front::job::FrontJob;
+use crate::front::response::FrontRefusal;
+use crate::front::state::FrontState;
+use crate::logging::quoted;
+use ggt_core::clock::MonoTime;
+use ggt_core::crashes::CrashId;
+use ggt_core::crashes::CrashSummary;
+use ggt_core::crashes::RequestFingerprint;
+
+/// Milliseconds for which a request stays suspected of crashing its targets.
+const SUSPICION_MS: u64 = 60_000;
+/// `retry-after` in milliseconds for a request that is suspected of crashing its targets.
+const CRASH_RETRY_MS: u64 = 5_000;
+
+impl FrontState {
+    /// Records that a request was in flight when a target crashed; `cause` is logged.
+    pub fn record_crash(&self, job: &FrontJob, crash: CrashId, cause: &str) {
+        let fingerprint = job.fingerprint;
+        let is_new = self.store_crash(fingerprint, crash);
+        self.metrics.record_crashes("seen", u64::from(is_new));
+        log::warn!(
+            "event=crash request_id={} print={:016x} death={:016x} is_news={is_new} crashes={} \
+             cause={}",
+            quoted(&job.id),
+            fingerprint.0,
+            crash.0,
+            self.crash_count(fingerprint),
+            quoted(cause),
+        );
+    }
+
+    /// Records crashes that another daemon reported.
+    pub fn record_peer_crashes(&self, crashes: &[(RequestFingerprint, CrashId)], peer: SocketAddr) {
+        for (fingerprint, crash) in crashes {
+            if !self.store_crash(*fingerprint, *crash) {
+                continue;
+            }
+            self.metrics.record_crashes("told", 1);
+            log::info!(
+                "event=crash-told print={:016x} death={:016x} crashes={} peer={peer}",
+                fingerprint.0,
+                crash.0,
+                self.crash_count(*fingerprint),
+            );
+        }
+    }
+
+    /// Clears a request that completed, since it did not crash its target.
+    pub fn clear_crashes(&self, job: &FrontJob) {
+        let count = self.crashes.borrow_mut().clear(job.fingerprint);
+        if count > 0 {
+            self.metrics.record_crashes("cleared", count as u64);
+            log::info!(
+                "event=crash-cleared request_id={} print={:016x} crashes={count}",
+                quoted(&job.id),
+                job.fingerprint.0,
+            );
+        }
+    }
+
+    /// The refusal of a request that was in flight at too many crashes; `None` if it may be sent.
+    pub fn refuse_crashing(&self, job: &FrontJob) -> Option<FrontRefusal> {
+        let now = mono_now();
+        let table = self.crashes.borrow();
+        table.refused_until(job.fingerprint, now)?;
+        let CrashSummary { count, first_at, last_at, expires_at } =
+            table.summary(job.fingerprint)?;
+        log::info!(
+            "event=refuse-crashing request_id={} print={:016x} crashes={count} first_age_ms={} \
+             last_age_ms={} left_ms={}",
+            quoted(&job.id),
+            job.fingerprint.0,
+            now.millis_since(first_at),
+            now.millis_since(last_at),
+            expires_at.millis_since(now),
+        );
+        Some(FrontRefusal::not_run("crashes-targets", CRASH_RETRY_MS))
+    }
+
+    /// Drops expired records.
+    pub fn expire_crashes(&self, now: MonoTime) {
+        let expired = self.crashes.borrow_mut().expire(now);
+        for (fingerprint, count) in &expired {
+            log::info!("event=crash-expired print={:016x} crashes={count}", fingerprint.0);
+        }
+        self.metrics.record_crashes("expired", expired.len() as u64);
+    }
+
+    fn store_crash(&self, fingerprint: RequestFingerprint, crash: CrashId) -> bool {
+        let now = mono_now();
+        self.crashes.borrow_mut().record_crash(fingerprint, crash, now, now + SUSPICION_MS)
+    }
+
+    fn crash_count(&self, fingerprint: RequestFingerprint) -> usize {
+        self.crashes.borrow().summary(fingerprint).map_or(0, |summary| summary.count)
+    }
+}
--- a/ggt-daemon/src/front/job.rs
+++ b/ggt-daemon/src/front/job.rs
@@ -42,6 +42,8 @@
     /// All headers of the caller.
     pub raw_headers: HeaderMap,
     pub body: Bytes,
+    /// Equal for requests with the same customer, path and body.
+    pub fingerprint: RequestFingerprint,
     /// When the request's head was received.
     pub received_at: MonoTime,
     /// The earlier of the caller's deadline and the route's timeout.
@@ -49,12 +51,6 @@
 }
 
 impl FrontJob {
-    /// Fingerprint shared by requests with the same customer, path and body.
-    pub fn fingerprint(&self) -> RequestFingerprint {
-        let caller = self.customer.as_deref().unwrap_or_default();
-        RequestFingerprint::of(&format!("{caller} {}", self.path), &self.body)
-    }
-
     /// Milliseconds until the deadline.
     pub fn remaining_ms(&self) -> u64 {
         self.deadline.millis_since(mono_now())
--- a/ggt-daemon/src/front/metrics.rs
+++ b/ggt-daemon/src/front/metrics.rs
@@ -26,6 +26,7 @@
     choices: Counter<u64>,
     store_calls: Counter<u64>,
     digests: Counter<u64>,
+    crashes: Counter<u64>,
     reply_ms: Histogram<f64>,
     first_event_ms: Histogram<f64>,
 }
@@ -47,6 +48,7 @@
             choices: meter.u64_counter("front_choices").build(),
             store_calls: meter.u64_counter("front_store_calls").build(),
             digests: meter.u64_counter("front_digests").build(),
+            crashes: meter.u64_counter("front_crashes").build(),
             reply_ms: histogram("front_reply"),
             first_event_ms: histogram("front_first_event"),
             _provider: provider,
@@ -92,6 +94,12 @@
         self.digests.add(count, &[]);
     }
 
+    /// Counts a record about requests that were in flight when a target crashed: `seen` by this
+    /// daemon, `told` by a peer, `cleared` by a complete reply, or `expired`.
+    pub fn record_crashes(&self, change: &'static str, count: u64) {
+        self.crashes.add(count, &[KeyValue::new("change", change)]);
+    }
+
     /// All metrics in Prometheus text format.
     pub fn text(&self) -> String {
         registry_text(&self.registry)
--- a/ggt-daemon/src/front/mod.rs
+++ b/ggt-daemon/src/front/mod.rs
@@ -8,6 +8,7 @@
 mod buffered;
 mod call;
 mod callers;
+mod crashes;
 mod internal;
 mod job;
 mod metrics;
--- a/ggt-daemon/src/front/prepare.rs
+++ b/ggt-daemon/src/front/prepare.rs
@@ -9,6 +9,7 @@
 use crate::front::response::FrontRefusal;
 use crate::front::state::FrontState;
 use ggt_core::clock::MonoTime;
+use ggt_core::crashes::RequestFingerprint;
 use ggt_core::prompts::PrefixChain;
 use ggt_core::routes::CustomerEntry;
 use ggt_core::routes::RouteConfig;
@@ -51,18 +52,22 @@
     let chain = route.is_sticky.then(|| prefix_chain(&headers));
     let target_path =
         parts.uri.path_and_query().map_or(path, |path_and_query| path_and_query.as_str());
+    let customer_name = customer.map(|customer| customer.name.clone());
+    let caller = customer_name.as_deref().unwrap_or_default();
+    let fingerprint = RequestFingerprint::of(&format!("{caller} {target_path}"), &body);
     Ok(FrontJob {
         id: attempt_id,
         route: route.clone(),
         version: config.version(),
         service: service.to_owned(),
         priority: customer.and_then(|customer| customer.priority).unwrap_or(route.priority),
-        customer: customer.map(|customer| customer.name.clone()),
+        customer: customer_name,
         chain,
         method: parts.method.clone(),
         path: target_path.to_owned(),
         raw_headers: parts.headers.clone(),
         body,
+        fingerprint,
         received_at,
         deadline: received_at + wait_ms,
         headers,
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -43,8 +43,6 @@
 
 /// Connect timeout for targets, peers and the platform.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
-/// Milliseconds for which a request stays suspected of crashing its targets.
-pub const SUSPICION_MS: u64 = 60_000;
 
 /// A folder of the platform's store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -241,11 +239,7 @@
     /// Applies the digest of another daemon.
     pub fn apply_digest(&self, digest: PeerDigest) {
         let now = mono_now();
-        for (fingerprint, crash) in &digest.crashes {
-            if self.crashes.borrow_mut().record_crash(*fingerprint, *crash, now + SUSPICION_MS) {
-                log::info!("event=crash-told print={:016x} death={:016x}", fingerprint.0, crash.0);
-            }
-        }
+        self.record_peer_crashes(&digest.crashes, digest.address);
         let mut outage = self.outage.get();
         let age_ms = u64::from(digest.platform_age_ms);
         outage.record_peer_success(MonoTime::from_millis(now.as_millis().saturating_sub(age_ms)));
@@ -311,7 +305,7 @@
         let changes = self.fleet.borrow_mut().expire(now);
         let mut pool = self.pool.borrow_mut();
         changes.iter().for_each(|c| pool.replace_peer_load(c.hash, c.before, c.after));
-        self.crashes.borrow_mut().expire(now);
+        self.expire_crashes(now);
     }
 
     /// Lower bound of the number of daemons, for the time when not all peers are known.
--- a/ggt-daemon/src/front/stream.rs
+++ b/ggt-daemon/src/front/stream.rs
@@ -267,7 +267,7 @@
     fn finish(&self, reply: TargetReply) {
         let TargetReply { key, headers, connection, guard, .. } = reply;
         self.state.pool.borrow_mut().record_outcome(key, SendOutcome::Good, mono_now());
-        self.state.crashes.borrow_mut().clear(self.job.fingerprint());
+        self.state.clear_crashes(&self.job);
         if !headers.closes_connection && self.job.route.is_idempotent {
             self.state.connections.keep(key, connection, headers.keep_alive_seconds);
         }
--- a/ggt-daemon/src/peers/gossip.rs
+++ b/ggt-daemon/src/peers/gossip.rs
@@ -319,7 +319,8 @@
     expires_at: WallTime,
 ) {
     let remaining_ms = expires_at.as_millis().saturating_sub(wall_now().as_millis());
-    lock(&state.crashes).record_crash(fingerprint, crash, mono_now() + remaining_ms);
+    let now = mono_now();
+    lock(&state.crashes).record_crash(fingerprint, crash, now, now + remaining_ms);
 }
 
 fn target_by_hash(
--- a/ggt-testkit/src/bench/state.rs
+++ b/ggt-testkit/src/bench/state.rs
@@ -126,7 +126,8 @@
 fn fill_suspects(count: usize) -> CrashTable {
     let mut table = CrashTable::new(3, count);
     for number in 0..count as u64 {
-        table.record_crash(RequestFingerprint(number), CrashId(number), MonoTime::from_millis(1));
+        let (now, expires_at) = (MonoTime::default(), MonoTime::from_millis(1));
+        table.record_crash(RequestFingerprint(number), CrashId(number), now, expires_at);
     }
     table
 }
