--- a/ggt-standin/src/users_platform/server.rs
+++ b/ggt-standin/src/users_platform/server.rs
@@ -1,5 +1,6 @@
 //! Server of the users' platform whose responses are scripted by a test.
 
+use std::collections::HashMap;
 use std::io::BufReader;
 use std::io::Write;
 use std::net::Shutdown;
@@ -8,7 +9,10 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
+use std::thread::JoinHandle;
 
 use crate::server::lock;
 use crate::users_platform::request::WireRequest;
@@ -21,20 +25,31 @@
     Keep,
     /// It is closed; unread bytes from the client cause a TCP reset.
     Close,
+    /// The server crashes: it closes its listener and then all of its connections.
+    Crash,
 }
 
 /// Writes the response to a request.
 type ResponseScript = Arc<dyn Fn(&WireRequest, &mut TcpStream) -> AfterResponse + Send + Sync>;
 
+/// State shared by the threads of one server.
+struct ServerState {
+    address: SocketAddr,
+    id: Mutex<String>,
+    requests: Mutex<Vec<WireRequest>>,
+    closed_connections: Mutex<usize>,
+    script: Mutex<ResponseScript>,
+    /// Open connections by the address of the client.
+    open_connections: Mutex<HashMap<SocketAddr, TcpStream>>,
+    is_down: AtomicBool,
+    acceptor: Mutex<Option<JoinHandle<()>>>,
+}
+
 /// Server that records all requests and responds to them by a script.
 pub struct ServerStandin {
     /// Address that it listens on.
     pub address: SocketAddr,
-    /// Instance id under which it registers.
-    pub id: String,
-    requests: Arc<Mutex<Vec<WireRequest>>>,
-    closed_connections: Arc<Mutex<usize>>,
-    script: Arc<Mutex<ResponseScript>>,
+    state: Arc<ServerState>,
 }
 
 impl ServerStandin {
@@ -43,30 +58,25 @@
     /// # Errors
     /// Returns the I/O error if the address cannot be bound.
     pub fn start(address: SocketAddr, id: &str) -> std::io::Result<Self> {
-        let listener = TcpListener::bind(address)?;
         let script: ResponseScript =
             Arc::new(|request, stream| respond(request, stream, 200, "whole"));
-        let server = Self {
+        let state = Arc::new(ServerState {
             address,
-            id: id.to_owned(),
-            requests: Arc::default(),
-            closed_connections: Arc::default(),
-            script: Arc::new(Mutex::new(script)),
-        };
-        let (requests, closed_connections) =
-            (server.requests.clone(), server.closed_connections.clone());
-        let (script, id) = (server.script.clone(), server.id.clone());
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let (requests, closed_connections) = (requests.clone(), closed_connections.clone());
-                let (script, id) = (script.clone(), id.clone());
-                thread::spawn(move || {
-                    serve(stream, &id, &requests, &script);
-                    *lock(&closed_connections) += 1;
-                });
-            }
+            id: Mutex::new(id.to_owned()),
+            requests: Mutex::default(),
+            closed_connections: Mutex::default(),
+            script: Mutex::new(script),
+            open_connections: Mutex::default(),
+            is_down: AtomicBool::new(false),
+            acceptor: Mutex::default(),
         });
-        Ok(server)
+        listen(&state)?;
+        Ok(Self { address, state })
+    }
+
+    /// Instance id under which it registers.
+    pub fn id(&self) -> String {
+        lock(&self.state.id).clone()
     }
 
     /// Sets the script for requests that arrive from now on.
@@ -74,18 +84,38 @@
     where
         F: Fn(&WireRequest, &mut TcpStream) -> AfterResponse + Send + Sync + 'static,
     {
-        *lock(&self.script) = Arc::new(script);
+        *lock(&self.state.script) = Arc::new(script);
     }
 
     /// Requests that arrived, without those rejected with status 421 because their
     /// `x-expect-instance` header names another instance.
     pub fn requests(&self) -> Vec<WireRequest> {
-        lock(&self.requests).clone()
+        lock(&self.state.requests).clone()
     }
 
     /// Number of connections that have ended.
     pub fn closed_connections(&self) -> usize {
-        *lock(&self.closed_connections)
+        *lock(&self.state.closed_connections)
+    }
+
+    /// Whether the server has crashed and has not been restarted.
+    pub fn is_down(&self) -> bool {
+        self.state.is_down.load(Ordering::SeqCst)
+    }
+
+    /// Closes the listener and then all connections, as the end of a process does.
+    pub fn crash(&self) {
+        crash(&self.state);
+    }
+
+    /// Starts a crashed server again on its address, as another instance.
+    ///
+    /// # Errors
+    /// Returns the I/O error if the address cannot be bound.
+    pub fn restart(&self, id: &str) -> std::io::Result<()> {
+        id.clone_into(&mut lock(&self.state.id));
+        self.state.is_down.store(false, Ordering::SeqCst);
+        listen(&self.state)
     }
 
     /// JSON value of the server's registration in the store.
@@ -97,15 +127,53 @@
     }
 }
 
-fn serve(
-    stream: TcpStream,
-    id: &str,
-    requests: &Mutex<Vec<WireRequest>>,
-    script: &Mutex<ResponseScript>,
-) {
+fn listen(state: &Arc<ServerState>) -> std::io::Result<()> {
+    let listener = TcpListener::bind(state.address)?;
+    let server = state.clone();
+    let acceptor = thread::spawn(move || accept_connections(&server, &listener));
+    *lock(&state.acceptor) = Some(acceptor);
+    Ok(())
+}
+
+fn accept_connections(state: &Arc<ServerState>, listener: &TcpListener) {
+    for stream in listener.incoming().flatten() {
+        if state.is_down.load(Ordering::SeqCst) {
+            return;
+        }
+        let state = state.clone();
+        thread::spawn(move || {
+            serve_connection(stream, &state);
+            *lock(&state.closed_connections) += 1;
+        });
+    }
+}
+
+fn crash(state: &ServerState) {
+    if state.is_down.swap(true, Ordering::SeqCst) {
+        return;
+    }
+    // Wakes the acceptor, which then closes the listener.
+    drop(TcpStream::connect(state.address));
+    let acceptor = lock(&state.acceptor).take();
+    acceptor.map(JoinHandle::join);
+    for (_, connection) in lock(&state.open_connections).drain() {
+        // Ignored: the peer may have closed the connection already.
+        let _ = connection.shutdown(Shutdown::Both);
+    }
+}
+
+fn serve_connection(stream: TcpStream, state: &ServerState) {
+    let (Ok(client), Ok(connection)) = (stream.peer_addr(), stream.try_clone()) else { return };
+    lock(&state.open_connections).insert(client, connection);
+    serve_requests(stream, state);
+    lock(&state.open_connections).remove(&client);
+}
+
+fn serve_requests(stream: TcpStream, state: &ServerState) {
     let Ok(mut writer) = stream.try_clone() else { return };
     let mut reader = BufReader::new(stream);
     while let Some(request) = read_request(&mut reader) {
+        let id = lock(&state.id).clone();
         let expected = request.header("x-expect-instance");
         if expected.is_some_and(|expected| expected != id) {
             let head = format!(
@@ -116,12 +184,16 @@
             }
             continue;
         }
-        lock(requests).push(request.clone());
-        let script = lock(script).clone();
-        if script(&request, &mut writer) == AfterResponse::Close {
-            // Ignored: the peer may have closed the connection already.
-            let _ = writer.shutdown(Shutdown::Both);
-            return;
+        lock(&state.requests).push(request.clone());
+        let script = lock(&state.script).clone();
+        match script(&request, &mut writer) {
+            AfterResponse::Keep => {}
+            AfterResponse::Close => {
+                // Ignored: the peer may have closed the connection already.
+                let _ = writer.shutdown(Shutdown::Both);
+                return;
+            }
+            AfterResponse::Crash => return crash(state),
         }
     }
 }
--- a/ggt-testkit/src/front.rs
+++ b/ggt-testkit/src/front.rs
@@ -92,6 +92,34 @@
         self.store.put(&format!("{TARGET_PREFIX}{id}"), &registration.unwrap_or_default());
     }
 
+    /// Restarts a crashed server as a new instance, which replaces the old one in the store.
+    ///
+    /// # Panics
+    /// When its address cannot be bound.
+    pub fn restart_server(&self, number: usize, id: &str) {
+        let server = &self.servers[number];
+        let old_id = server.id();
+        server.restart(id).expect("server should start again");
+        self.store.put(&format!("{TARGET_PREFIX}{id}"), &server.registration("s", "a", "ready"));
+        self.store.remove(&format!("{TARGET_PREFIX}{old_id}"));
+    }
+
+    /// Number of requests for a path that reached any server.
+    pub fn path_count(&self, path: &str) -> usize {
+        let requests = self.servers.iter().flat_map(ServerStandin::requests);
+        requests.filter(|request| request.path == path).count()
+    }
+
+    /// Value of a daemon's counter with these labels as in the Prometheus text format; zero if it
+    /// has not been counted yet.
+    pub fn metric(&self, daemon: usize, name: &str, labels: &str) -> f64 {
+        let response = HttpRequest::new("GET", self.daemons[daemon].admin, "/metrics").send();
+        let text = response.map(|response| response.body).unwrap_or_default();
+        let mut lines = text.lines().filter(|line| line.starts_with(name) && line.contains(labels));
+        let value = lines.next().and_then(|line| line.rsplit(' ').next()?.parse().ok());
+        value.unwrap_or_default()
+    }
+
     /// Starts a daemon that reads from `store`, or from the fleet's store if `None`.
     ///
     /// # Panics
--- a/ggt-testkit/src/soak/deployment.rs
+++ b/ggt-testkit/src/soak/deployment.rs
@@ -143,7 +143,7 @@
         let registration = server.registration("s", "a", state);
         let registration = registration
             .replace(&server.address.to_string(), &self.proxy_routes[number].to_string());
-        self.fleet.store.put(&format!("{TARGET_PREFIX}{}", server.id), &registration);
+        self.fleet.store.put(&format!("{TARGET_PREFIX}{}", server.id()), &registration);
     }
 
     /// Replaces the fault plan of a server's proxy route.
@@ -190,7 +190,7 @@
     pub(super) fn check_draining_servers(&mut self, checker: &InvariantChecker) {
         self.publish_next();
         for number in &self.draining_servers {
-            let id = self.fleet.servers[*number].id.clone();
+            let id = self.fleet.servers[*number].id();
             let before = self.request_count(*number);
             let sent = AtomicUsize::new(0);
             for daemon in 0..self.fleet.daemons.len() {
