fix: front: a crash on a reused connection is detected and counts as an attempt

Callers saw a crashing request sent on and on, and 503 'not run' although it had run. Cause: a failure on a reused connection was taken for a connection that the target had closed while it was idle. The second send went to the same, now dead target and ended as 'not sent': nothing was recorded against the request, the send did not count as an attempt, and the request counted as never sent. Now a reused connection that broke after bytes were written means that the request may have run, and the connection that is opened for the second send is the check for a crash as well: if the target accepts it, the request goes there again within the same attempt; if not, the crash is recorded, and the failure counts as an attempt. The count of sends is restored instead of decreased, which would have gone below zero if the target left between choice and send.

--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -48,7 +48,8 @@
 pub enum FailureKind {
     /// The target sent nothing for too long.
     Timeout,
-    /// A reused connection broke; the target may have closed it while it was idle.
+    /// A reused connection broke, and no second send on a new one followed; the target has been
+    /// checked for a crash.
     StaleConnection,
     /// A new connection broke; the target may have crashed.
     Reset,
--- a/ggt-daemon/src/front/attempt/outcome.rs
+++ b/ggt-daemon/src/front/attempt/outcome.rs
@@ -42,17 +42,21 @@
     }
 
     /// Opens a new connection to find out whether the target crashed while it ran the request; if
-    /// that fails, a crash is recorded against the request's fingerprint.
-    async fn check_crash(&self, key: TargetKey) {
+    /// that fails, a crash is recorded against the request's fingerprint. Returns the connection.
+    pub(super) async fn check_crash(&self, key: TargetKey) -> Option<TargetConnection> {
         let target = {
             let pool = self.state.pool.borrow();
             pool.target(key).map(|t| (t.record.address, t.location_hash, t.record.incarnation))
         };
-        let Some((address, hash, incarnation)) = target else { return };
-        let Err(e) = TargetConnection::open(address, CONNECT_TIMEOUT).await else { return };
+        let (address, hash, incarnation) = target?;
+        let e = match TargetConnection::open(address, CONNECT_TIMEOUT).await {
+            Ok(connection) => return Some(connection),
+            Err(e) => e,
+        };
         self.record_outcome(key, SendOutcome::Unreachable);
         self.state.connections.close_idle(key);
         self.state.record_crash(&self.job, CrashId::of(hash, incarnation), &e.to_string());
+        None
     }
 
     /// Applies an outcome to the target's health, and logs a hold-down that starts with it.
--- a/ggt-daemon/src/front/attempt/send.rs
+++ b/ggt-daemon/src/front/attempt/send.rs
@@ -102,21 +102,22 @@
         last_event: Option<u64>,
     ) -> Result<(Response<Incoming>, TargetConnection), SendError> {
         let key = choice.key;
+        let sends_before = self.sends;
         if self.job.route.is_idempotent
             && let Some(connection) = self.state.connections.take(key)
         {
             match self.send_on_connection(choice, last_event, connection).await {
                 // The target closed the connection while it was idle.
                 Err(SendError::NotSent { .. }) => {}
-                Err(SendError::Lost { cause, kind: FailureKind::StaleConnection })
-                    if self.state.try_retry(&self.job.service) =>
-                {
-                    self.record_send(key, "stale-connection", &cause);
+                Err(SendError::Lost { cause, kind: FailureKind::StaleConnection }) => {
+                    let connection = self.replace_connection(key, cause).await?;
+                    self.sends = sends_before;
+                    return self.send_on_connection(choice, last_event, connection).await;
                 }
                 sent => return sent,
             }
             // The second send goes to the same target and counts as the same attempt.
-            self.sends -= 1;
+            self.sends = sends_before;
         }
         self.connects += 1;
         let address = self.state.pool.borrow().target(key).map(|target| target.record.address);
@@ -127,6 +128,26 @@
         self.send_on_connection(choice, last_event, connection).await
     }
 
+    /// Opens a new connection in place of a reused one that broke after the request had been
+    /// written, for a second send to the same target within the same attempt. The target either
+    /// closed the connection while it was idle or crashed; in the second case, or without a retry
+    /// left in the budget, returns the failure.
+    async fn replace_connection(
+        &mut self,
+        key: TargetKey,
+        cause: String,
+    ) -> Result<TargetConnection, SendError> {
+        self.may_have_run = true;
+        let connection = self.check_crash(key).await;
+        match connection {
+            Some(connection) if self.state.try_retry(&self.job.service) => {
+                self.record_send(key, "stale-connection", &cause);
+                Ok(connection)
+            }
+            _ => Err(SendError::Lost { cause, kind: FailureKind::StaleConnection }),
+        }
+    }
+
     async fn send_on_connection(
         &mut self,
         choice: &TargetChoice,
