--- a/ggt-standin/src/users_platform/server.rs
+++ b/ggt-standin/src/users_platform/server.rs
@@ -108,6 +108,18 @@
         crash(&self.state);
     }
 
+    /// Closes the listener and leaves all connections open without ever sending on them, as a host
+    /// that lost power does.
+    pub fn fall_silent(&self) {
+        close_listener(&self.state);
+    }
+
+    /// Crashes and starts again as another instance, so quickly that no connection is refused.
+    pub fn restart_at_once(&self, id: &str) {
+        id.clone_into(&mut lock(&self.state.id));
+        close_connections(&self.state);
+    }
+
     /// Starts a crashed server again on its address, as another instance.
     ///
     /// # Errors
@@ -149,6 +161,11 @@
 }
 
 fn crash(state: &ServerState) {
+    close_listener(state);
+    close_connections(state);
+}
+
+fn close_listener(state: &ServerState) {
     if state.is_down.swap(true, Ordering::SeqCst) {
         return;
     }
@@ -156,6 +173,9 @@
     drop(TcpStream::connect(state.address));
     let acceptor = lock(&state.acceptor).take();
     acceptor.map(JoinHandle::join);
+}
+
+fn close_connections(state: &ServerState) {
     for (_, connection) in lock(&state.open_connections).drain() {
         // Ignored: the peer may have closed the connection already.
         let _ = connection.shutdown(Shutdown::Both);
--- a/ggt-standin/src/users_platform/store.rs
+++ b/ggt-standin/src/users_platform/store.rs
@@ -82,6 +82,12 @@
         self.apply_change(key, None);
     }
 
+    /// Keys of the items that begin with `prefix`.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let state = lock(&self.state);
+        state.items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
+    }
+
     /// Responds to all requests with a status; `None` ends this.
     pub fn set_failure(&self, status: Option<u16>) {
         lock(&self.state).failure_status = status;
--- a/ggt-testkit/src/front.rs
+++ b/ggt-testkit/src/front.rs
@@ -92,16 +92,27 @@
         self.store.put(&format!("{TARGET_PREFIX}{id}"), &registration.unwrap_or_default());
     }
 
-    /// Restarts a crashed server as a new instance, which replaces the old one in the store.
+    /// Restarts a crashed server as another instance, which replaces the old one in the store.
     ///
     /// # Panics
     /// When its address cannot be bound.
     pub fn restart_server(&self, number: usize, id: &str) {
+        self.servers[number].restart(id).expect("server should start again");
+        self.register_only(number);
+    }
+
+    /// Registers the present instance of a server, and removes all other registrations.
+    pub fn register_only(&self, number: usize) {
         let server = &self.servers[number];
-        let old_id = server.id();
-        server.restart(id).expect("server should start again");
-        self.store.put(&format!("{TARGET_PREFIX}{id}"), &server.registration("s", "a", "ready"));
-        self.store.remove(&format!("{TARGET_PREFIX}{old_id}"));
+        let key = format!("{TARGET_PREFIX}{}", server.id());
+        self.store.put(&key, &server.registration("s", "a", "ready"));
+        let others = self.store.keys(TARGET_PREFIX).into_iter().filter(|other| *other != key);
+        others.for_each(|other| self.store.remove(&other));
+    }
+
+    /// Removes the registration of a server.
+    pub fn remove_registration(&self, id: &str) {
+        self.store.remove(&format!("{TARGET_PREFIX}{id}"));
     }
 
     /// Number of requests for a path that reached any server.
--- a/ggt-testkit/tests/platform_crashes.rs
+++ b/ggt-testkit/tests/platform_crashes.rs
@@ -1,7 +1,12 @@
 //! Requests that crash the servers which run them, on the users' platform: they are refused after
 //! the third crash, on every daemon, and the response never denies that they ran.
 
+use std::cell::Cell;
+use std::io::Write;
 use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -12,6 +17,7 @@
 use ggt_standin::users_platform::stream_head;
 use ggt_testkit::front::FrontFleet;
 use ggt_testkit::http::HttpResponse;
+use ggt_testkit::wait::wait_until;
 
 /// Number of crashes after which a request is refused.
 const CRASH_LIMIT: usize = 3;
@@ -34,7 +40,7 @@
 
 fn send_stream(request: &WireRequest, stream: &mut TcpStream) -> AfterResponse {
     let text = format!("{}{}0\r\n\r\n", stream_head(request), event_chunk(1));
-    match std::io::Write::write_all(stream, text.as_bytes()) {
+    match stream.write_all(text.as_bytes()) {
         Ok(()) => AfterResponse::Keep,
         Err(_) => AfterResponse::Close,
     }
@@ -98,3 +104,158 @@
 fn crashing_stream_on_reused_connections_is_refused_after_three_crashes() {
     check_idle_connections("/chat/crash");
 }
+
+/// Holds requests on paths that contain `crash` until the connection is closed.
+fn hold_or_respond(request: &WireRequest, stream: &mut TcpStream) -> AfterResponse {
+    if !request.path.contains("crash") {
+        return respond(request, stream, 200, "whole");
+    }
+    // Blocks until the daemon or the server closes the connection.
+    let _ = std::io::Read::read(stream, &mut [0; 1]);
+    AfterResponse::Close
+}
+
+/// One server and one daemon; requests on paths that contain `crash` wait for the server to end.
+fn start_holding() -> FrontFleet {
+    let fleet = FrontFleet::start(1, 1);
+    fleet.servers[0].set_script(hold_or_respond);
+    fleet
+}
+
+/// Waits until the daemon sends requests to the present instance of the only server.
+fn await_served(fleet: &FrontFleet, round: usize) {
+    let mut number = 0;
+    wait_until("the present instance serves", || {
+        number += 1;
+        let request = fleet.request(0, "POST", "/once/", &format!("other-{round}-{number}"));
+        request.body("x").send().is_some_and(|response| response.status == 200)
+    });
+}
+
+/// Sends a crashing request in `CRASH_LIMIT` rounds, in each of which `end_server` ends the server
+/// that holds it and `start_next` starts the next instance; then checks that the next request is
+/// refused without reaching the server.
+fn check_refused_after<E, S>(path: &str, end_server: E, start_next: S)
+where
+    E: Fn(&FrontFleet),
+    S: Fn(&FrontFleet, &str),
+{
+    let fleet = start_holding();
+    for round in 0..CRASH_LIMIT {
+        thread::scope(|scope| {
+            let caller = scope.spawn(|| send_crashing(&fleet, 0, path, round));
+            wait_until("the server has the request", || fleet.path_count(path) == round + 1);
+            end_server(&fleet);
+            let response = caller.join().expect("thread should not panic");
+            assert!(matches!(response.status, 502 | 504), "round {round}: {}", response.status);
+        });
+        start_next(&fleet, &format!("next-{round}"));
+        await_served(&fleet, round);
+    }
+    let response = send_crashing(&fleet, 0, path, CRASH_LIMIT);
+    assert_eq!((response.status, fleet.path_count(path)), (503, CRASH_LIMIT), "{}", response.body);
+    assert!(response.header("retry-after").is_some());
+}
+
+fn restart(fleet: &FrontFleet, next_id: &str) {
+    fleet.restart_server(0, next_id);
+}
+
+// Guards against crashes that go unnoticed because the server accepts connections again, as another
+// instance, by the time of the check.
+#[test]
+fn crash_of_a_server_that_restarts_at_once_counts() {
+    let next_id = Cell::new(0);
+    let end_server = |fleet: &FrontFleet| {
+        next_id.set(next_id.get() + 1);
+        fleet.servers[0].restart_at_once(&format!("at-once-{}", next_id.get()));
+    };
+    check_refused_after("/once/crash", end_server, |fleet, _| fleet.register_only(0));
+}
+
+// Guards against crashes that go unnoticed because the store stopped listing the server while it
+// still ran the request.
+#[test]
+fn crash_of_a_server_that_is_no_longer_listed_counts() {
+    let end_server = |fleet: &FrontFleet| {
+        fleet.remove_registration(&fleet.servers[0].id());
+        wait_until("the server is gone", || {
+            let request = fleet.request(0, "POST", "/once/", "none").body("x");
+            request.send().is_some_and(|response| response.status == 503)
+        });
+        fleet.servers[0].crash();
+    };
+    check_refused_after("/once/crash", end_server, restart);
+}
+
+// Guards against crashes that go unnoticed because the connections of the crashed server are never
+// reset.
+#[test]
+fn crash_of_a_server_that_falls_silent_counts() {
+    check_refused_after("/read/crash", |fleet| fleet.servers[0].fall_silent(), restart);
+}
+
+// Guards against crashes that go unnoticed because the caller disconnected before the server ended.
+#[test]
+fn crash_after_the_caller_disconnected_counts() {
+    let path = "/once/crash";
+    let fleet = start_holding();
+    for round in 0..CRASH_LIMIT {
+        let caller = open_crashing(&fleet, path, round);
+        wait_until("the server has the request", || fleet.path_count(path) == round + 1);
+        drop(caller);
+        wait_until("the daemon has noticed", || {
+            fleet.metric(0, "front_requests_total", "caller-left") == (round + 1) as f64
+        });
+        fleet.servers[0].crash();
+        fleet.restart_server(0, &format!("next-{round}"));
+        await_served(&fleet, round);
+    }
+    let response = send_crashing(&fleet, 0, path, CRASH_LIMIT);
+    assert_eq!((response.status, fleet.path_count(path)), (503, CRASH_LIMIT), "{}", response.body);
+}
+
+/// Sends a crashing request on a connection that the test can close.
+fn open_crashing(fleet: &FrontFleet, path: &str, number: usize) -> TcpStream {
+    let mut caller = TcpStream::connect(fleet.daemons[0].callers).expect("should connect");
+    let body = "the same body";
+    let text = format!(
+        "POST {path} HTTP/1.1\r\nHost: chat.example\r\nX-Attempt-Id: crash-{number}\r\n\
+         X-Deadline-Ms: 20000\r\nAuthorization: Token key-of-c1\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    caller.write_all(text.as_bytes()).expect("should send the request");
+    caller
+}
+
+// Guards against further sends of calls that were already on their way when the request reached
+// its limit of crashes.
+#[test]
+fn calls_in_progress_stop_at_the_limit_of_crashes() {
+    let fleet = FrontFleet::start(9, 1);
+    let arrivals = Arc::new(AtomicUsize::new(0));
+    for server in &fleet.servers {
+        let arrivals = arrivals.clone();
+        server.set_script(move |_, _| {
+            arrivals.fetch_add(1, Ordering::SeqCst);
+            // Crashes only once each of the concurrent calls is on a server.
+            while arrivals.load(Ordering::SeqCst) < CRASH_LIMIT {
+                thread::sleep(Duration::from_millis(5));
+            }
+            AfterResponse::Crash
+        });
+    }
+    let path = "/read/crash";
+    thread::scope(|scope| {
+        for number in 0..CRASH_LIMIT {
+            let fleet = &fleet;
+            scope.spawn(move || {
+                let response = send_crashing(fleet, 0, path, number);
+                assert_eq!(response.status, 502, "call {number}");
+            });
+        }
+    });
+    // Calls that retried before the last of the first crashes was detected may reach a server more.
+    let reached = fleet.path_count(path);
+    assert!(reached < 2 * CRASH_LIMIT, "{reached} servers reached by {CRASH_LIMIT} calls");
+}
