fix: front: calls in progress stop when their request reaches the limit of crashes

Three concurrent calls of one crashing request ended nine servers where the limit is three crashes. Cause: the limit was asked for once, when a call was received; a call that waited for a reply or retried went on to up to 'Attempts' servers of its own, whatever had become known meanwhile. Now it is asked for before each send, the first one included, in place of the check on receipt; a call that may have run ends with 502 crashes-targets, one that has not with 503. calls_in_progress_stop_at_the_limit_of_crashes failed before (9 servers) and passes.

--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -126,6 +126,9 @@
             if mono_now() >= self.job.deadline {
                 return Err(self.timeout_refusal());
             }
+            if let Some(refusal) = self.refuse_crashing() {
+                return Err(refusal);
+            }
             let choice = self.choose()?;
             match self.send(&choice, last_event).await {
                 Ok(reply) => return Ok(reply),
@@ -151,6 +154,15 @@
         }
     }
 
+    /// Final response if the request was in flight at too many crashes, also of other calls.
+    fn refuse_crashing(&self) -> Option<FrontRefusal> {
+        let refusal = self.state.refuse_crashing(&self.job)?;
+        Some(match self.may_have_run {
+            true => FrontRefusal::new(StatusCode::BAD_GATEWAY, refusal.cause),
+            false => refusal,
+        })
+    }
+
     fn timeout_refusal(&self) -> FrontRefusal {
         match self.may_have_run {
             true => FrontRefusal::new(StatusCode::GATEWAY_TIMEOUT, "deadline"),
--- a/ggt-daemon/src/front/attempt/send.rs
+++ b/ggt-daemon/src/front/attempt/send.rs
@@ -130,8 +130,8 @@
 
     /// Opens a new connection in place of a reused one that broke after the request had been
     /// written, for a second send to the same target within the same attempt. The target either
-    /// closed the connection while it was idle or crashed; in the second case, or without a retry
-    /// left in the budget, returns the failure.
+    /// closed the connection while it was idle or crashed; in the second case, or if no further send
+    /// is allowed, returns the failure.
     async fn replace_connection(
         &mut self,
         key: TargetKey,
@@ -140,7 +140,9 @@
         self.may_have_run = true;
         let connection = self.check_crash(key).await;
         match connection {
-            Some(connection) if self.state.try_retry(&self.job.service) => {
+            Some(connection)
+                if self.refuse_crashing().is_none() && self.state.try_retry(&self.job.service) =>
+            {
                 self.record_send(key, "stale-connection", &cause);
                 Ok(connection)
             }
--- a/ggt-daemon/src/front/callers.rs
+++ b/ggt-daemon/src/front/callers.rs
@@ -111,7 +111,6 @@
             .and_then(|headers| prepare_job(&state, &parts, headers, body, received_at)),
         Err(refusal) => Err(refusal),
     };
-    let checked = checked.and_then(|job| state.refuse_crashing(&job).map_or(Ok(job), Err));
     let job = match checked {
         Ok(job) => Rc::new(job),
         Err(refusal) => {
