fix: front: a crash counts also if the store no longer lists the target

Cause: the check for a crash looked the target up when the reply was lost; a target that the store had stopped listing meanwhile was no longer there, and nothing was recorded. Address and crash id are now kept from the choice of the target. crash_of_a_server_that_is_no_longer_listed_counts failed before (a fourth instance ran the request) and passes.

--- a/ggt-core/src/targets/pool.rs
+++ b/ggt-core/src/targets/pool.rs
@@ -7,6 +7,7 @@
 use slotmap::new_key_type;
 
 use crate::clock::MonoTime;
+use crate::crashes::CrashId;
 use crate::ident::mix_hash;
 use crate::ident::stable_hash;
 use crate::prompts::PrefixChain;
@@ -85,6 +86,11 @@
         }
     }
 
+    /// Identifies the crash of this incarnation.
+    pub fn crash_id(&self) -> CrashId {
+        CrashId::of(self.location_hash, self.record.incarnation)
+    }
+
     /// Requests in flight from all daemons.
     pub fn requests(&self) -> u32 {
         self.own.requests + self.peers.requests
--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -4,6 +4,7 @@
 mod outcome;
 mod send;
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use http::HeaderMap;
@@ -17,6 +18,7 @@
 use crate::front::state::FrontState;
 use crate::logging::quoted;
 use crate::upstream::TargetConnection;
+use ggt_core::crashes::CrashId;
 use ggt_core::limits::SharePermit;
 use ggt_core::targets::ChoiceError;
 use ggt_core::targets::SendOutcome;
@@ -69,11 +71,20 @@
     Deadline,
 }
 
+/// The target of a send, as it was when it was chosen.
+#[derive(Clone, Copy, Debug)]
+struct SentTarget {
+    key: TargetKey,
+    address: SocketAddr,
+    crash: CrashId,
+}
+
 /// Retry state of one request: the targets tried so far, and whether the request may have run.
 pub struct UpstreamAttempts {
     state: Rc<FrontState>,
     job: Rc<FrontJob>,
     tried: Vec<TargetKey>,
+    sent_target: Option<SentTarget>,
     sends: u32,
     connects: u32,
     may_have_run: bool,
@@ -95,6 +106,7 @@
             state,
             job,
             tried: Vec::new(),
+            sent_target: None,
             sends: 0,
             connects: 0,
             may_have_run: false,
@@ -208,8 +220,10 @@
             self.sends + 1,
             job.remaining_ms(),
         );
+        let (key, address, crash) = (choice.key, target.record.address, target.crash_id());
         drop(pool);
         state.metrics.record_choice(choice.reason.as_str());
+        self.sent_target = Some(SentTarget { key, address, crash });
         self.tried.push(choice.key);
         Ok(choice)
     }
--- a/ggt-daemon/src/front/attempt/outcome.rs
+++ b/ggt-daemon/src/front/attempt/outcome.rs
@@ -2,12 +2,12 @@
 
 use crate::clock::mono_now;
 use crate::front::attempt::FailureKind;
+use crate::front::attempt::SentTarget;
 use crate::front::attempt::UpstreamAttempts;
 use crate::front::state::CONNECT_TIMEOUT;
 use crate::logging::quoted;
 use crate::upstream::TargetConnection;
 use ggt_core::clock::MonoTime;
-use ggt_core::crashes::CrashId;
 use ggt_core::targets::SendOutcome;
 use ggt_core::targets::TargetKey;
 
@@ -37,25 +37,22 @@
         self.record_send(key, "lost", cause);
         self.record_outcome(key, SendOutcome::Bad);
         if kind == FailureKind::Reset {
-            self.check_crash(key).await;
+            self.check_crash().await;
         }
     }
 
-    /// Opens a new connection to find out whether the target crashed while it ran the request; if
-    /// that fails, a crash is recorded against the request's fingerprint. Returns the connection.
-    pub(super) async fn check_crash(&self, key: TargetKey) -> Option<TargetConnection> {
-        let target = {
-            let pool = self.state.pool.borrow();
-            pool.target(key).map(|t| (t.record.address, t.location_hash, t.record.incarnation))
-        };
-        let (address, hash, incarnation) = target?;
+    /// Opens a new connection to find out whether the target of the last send crashed while it ran
+    /// the request; if that fails, a crash is recorded against the request's fingerprint. Returns
+    /// the connection.
+    pub(super) async fn check_crash(&self) -> Option<TargetConnection> {
+        let SentTarget { key, address, crash } = self.sent_target?;
         let e = match TargetConnection::open(address, CONNECT_TIMEOUT).await {
             Ok(connection) => return Some(connection),
             Err(e) => e,
         };
         self.record_outcome(key, SendOutcome::Unreachable);
         self.state.connections.close_idle(key);
-        self.state.record_crash(&self.job, CrashId::of(hash, incarnation), &e.to_string());
+        self.state.record_crash(&self.job, crash, &e.to_string());
         None
     }
 
--- a/ggt-daemon/src/front/attempt/send.rs
+++ b/ggt-daemon/src/front/attempt/send.rs
@@ -138,7 +138,7 @@
         cause: String,
     ) -> Result<TargetConnection, SendError> {
         self.may_have_run = true;
-        let connection = self.check_crash(key).await;
+        let connection = self.check_crash().await;
         match connection {
             Some(connection)
                 if self.refuse_crashing().is_none() && self.state.try_retry(&self.job.service) =>
