fix: front: a lost reply counts as a crash whenever its target turns out to have ended

Cause: whether a lost reply was a crash was decided once, by one connection right after the loss. A target that was back by then, as another instance at the same address, accepted it, and nothing was recorded; other signs of the end (421 of another instance, a registration that replaces it, a connection that another request could not open) were not used. Lost replies are now stored for 8 s with the crash that would explain them (ggt-core crashes::LossTable). Each sign that the incarnation has ended turns them into crashes, also those that are noticed after it. The check runs in a task of its own, so that it ends although the caller disconnects. A target that cannot be reached while no other of its data centre can be (two or more others) is taken for partitioned and not for crashed; errors of the daemon's own, such as no free descriptor, are no sign either. Hold-downs that begin with a complete reply are logged as the others are (front/health.rs).

--- a/ggt-core/src/targets/pool.rs
+++ b/ggt-core/src/targets/pool.rs
@@ -31,6 +31,9 @@
 /// Maximum number of cached prefixes queued for digests; beyond it, the oldest are dropped.
 const MAX_QUEUED_PREFIXES: usize = 1_024;
 
+/// Number of other targets in a data centre from which a partition can be told from crashes.
+const MIN_CENTRE_TARGETS: usize = 2;
+
 /// What one sent request added to the state of its target.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct SendRecord {
@@ -173,6 +176,30 @@
         true
     }
 
+    /// Crash ids of the incarnations that a registration shows to have ended: the target has
+    /// started again, or another one has its address.
+    pub fn ended_by(&self, record: &TargetRecord) -> Vec<CrashId> {
+        let has_ended = |state: &&TargetState| {
+            let is_same_target = state.record.id == record.id;
+            let is_same_incarnation =
+                is_same_target && state.record.incarnation == record.incarnation;
+            (is_same_target || state.record.address == record.address) && !is_same_incarnation
+        };
+        self.targets.values().filter(has_ended).map(TargetState::crash_id).collect()
+    }
+
+    /// Whether all other targets in the data centre of this one are unreachable, which points to a
+    /// network partition; `false` with fewer than `MIN_CENTRE_TARGETS` others.
+    pub fn is_centre_unreachable(&self, key: TargetKey) -> bool {
+        let Some(target) = self.targets.get(key) else { return false };
+        let is_other = |other: TargetKey, state: &TargetState| {
+            other != key && state.record.data_centre == target.record.data_centre
+        };
+        let others = self.targets.iter().filter(|(other, state)| is_other(*other, state));
+        let others: Vec<_> = others.map(|(_, state)| state.health.is_unreachable()).collect();
+        others.len() >= MIN_CENTRE_TARGETS && others.iter().all(|is_unreachable| *is_unreachable)
+    }
+
     /// Records that the platform no longer lists a target, which is to be removed at `remove_at`.
     pub fn record_unlisted(&mut self, id: &str, remove_at: MonoTime) {
         if let Some(state) = self.by_id.get(id).and_then(|key| self.targets.get_mut(*key)) {
--- /dev/null
+++ b/ggt-core/tests/crashes.rs
@@ -0,0 +1,61 @@
+//! Requests that crash targets: which lost replies count as crashes, which requests are refused, and
+//! which crashes are reported to other daemons.
+
+use ggt_core::clock::MonoTime;
+use ggt_core::crashes::CrashId;
+use ggt_core::crashes::LossTable;
+use ggt_core::crashes::LostReply;
+use ggt_core::crashes::RequestFingerprint;
+
+const REQUEST: RequestFingerprint = RequestFingerprint(7);
+/// Capacity of the tables.
+const CAPACITY: usize = 4;
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(millis)
+}
+
+fn lost_reply(fingerprint: RequestFingerprint) -> LostReply {
+    LostReply { request_id: format!("id-{}", fingerprint.0), fingerprint }
+}
+
+// Guards against crashes that go unnoticed because the target's end shows only after the check for it.
+#[test]
+fn lost_reply_counts_if_the_target_ends_soon_after() {
+    let mut losses = LossTable::new(CAPACITY);
+    assert!(!losses.record_loss(lost_reply(REQUEST), CrashId(1), at(1_000)));
+    assert!(!losses.record_loss(lost_reply(REQUEST), CrashId(2), at(1_000)));
+    assert_eq!(losses.record_end(CrashId(1), at(900), at(2_000)), [lost_reply(REQUEST)]);
+    assert_eq!(losses.record_end(CrashId(2), at(1_000), at(2_000)), [], "the loss has expired");
+}
+
+// Guards against crashes that go unnoticed because the lost reply shows only after the target's end.
+#[test]
+fn lost_reply_counts_if_the_target_has_ended_shortly_before() {
+    let mut losses = LossTable::new(CAPACITY);
+    losses.record_end(CrashId(1), at(0), at(1_000));
+    assert!(losses.record_loss(lost_reply(REQUEST), CrashId(1), at(500)));
+    losses.expire(at(1_000));
+    assert!(!losses.record_loss(lost_reply(REQUEST), CrashId(1), at(1_500)));
+}
+
+#[test]
+fn lost_replies_of_a_completed_request_or_of_a_target_that_replies_do_not_count() {
+    let mut losses = LossTable::new(CAPACITY);
+    losses.record_loss(lost_reply(REQUEST), CrashId(1), at(1_000));
+    losses.clear(REQUEST);
+    assert_eq!(losses.record_end(CrashId(1), at(100), at(1_000)), []);
+    losses.record_reply(CrashId(1));
+    assert!(!losses.record_loss(lost_reply(REQUEST), CrashId(1), at(1_000)));
+}
+
+#[test]
+fn full_table_of_losses_drops_the_oldest() {
+    let mut losses = LossTable::new(CAPACITY);
+    for number in 0..=CAPACITY as u64 {
+        losses.record_loss(lost_reply(RequestFingerprint(number)), CrashId(1), at(1_000));
+    }
+    let lost = losses.record_end(CrashId(1), at(100), at(1_000));
+    assert_eq!(lost.len(), CAPACITY);
+    assert!(!lost.contains(&lost_reply(RequestFingerprint(0))));
+}
--- a/ggt-core/tests/targets.rs
+++ b/ggt-core/tests/targets.rs
@@ -331,3 +331,37 @@
     assert!(pool.is_partitioned());
     assert!(pool.choose(&query(None, &[]), at(100)).is_err(), "refused at once instead of queued");
 }
+
+// Guards against requests that are taken for the cause of a crash when a partition cuts off a whole
+// data centre.
+#[test]
+fn data_centre_without_a_reachable_target_counts_as_partitioned() {
+    let mut pool = TargetPool::default();
+    for number in 0..3 {
+        pool.put(TargetRecord { data_centre: "a".into(), ..record(number, 1) });
+    }
+    pool.put(TargetRecord { data_centre: "b".into(), ..record(3, 1) });
+    let crashed = key_of(&pool, 0);
+    pool.record_outcome(key_of(&pool, 1), SendOutcome::Unreachable, at(0));
+    assert!(!pool.is_centre_unreachable(crashed), "one other target is reachable");
+    pool.record_outcome(key_of(&pool, 2), SendOutcome::Unreachable, at(0));
+    assert!(pool.is_centre_unreachable(crashed));
+    let alone = key_of(&pool, 3);
+    assert!(!pool.is_centre_unreachable(alone), "a single target shows no partition");
+}
+
+#[test]
+fn registration_ends_earlier_incarnations_and_earlier_owners_of_its_address() {
+    let mut pool = TargetPool::default();
+    pool.put(record(0, 1));
+    pool.put(record(1, 1));
+    let crash_id = |number| {
+        let key = key_of(&pool, number);
+        pool.target(key).map(ggt_core::targets::TargetState::crash_id)
+    };
+    assert_eq!(pool.ended_by(&record(0, 1)), []);
+    assert_eq!(pool.ended_by(&record(0, 2)), Vec::from_iter(crash_id(0)));
+    let address = record(1, 1).address;
+    let taken_over = TargetRecord { address, ..record(5, 1) };
+    assert_eq!(pool.ended_by(&taken_over), Vec::from_iter(crash_id(1)));
+}
--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -1,6 +1,7 @@
 //! Sends one request to targets: choice of a target, the send itself, its outcome, and retries.
 
 mod admission;
+mod crash_check;
 mod outcome;
 mod send;
 
@@ -238,7 +239,7 @@
         match error {
             SendError::NotSent { cause } => {
                 self.record_send(key, "not-sent", &cause);
-                self.record_outcome(key, SendOutcome::Unreachable);
+                self.state.record_outcome(key, SendOutcome::Unreachable);
                 if self.connects < MAX_CONNECTS { Ok(()) } else { Err(self.send_failure_refusal()) }
             }
             SendError::Refused { status, is_misdirected } => {
--- a/ggt-daemon/src/front/attempt/send.rs
+++ b/ggt-daemon/src/front/attempt/send.rs
@@ -67,6 +67,9 @@
         // A reply that is no refusal means that the target has started the request, whatever its
         // status.
         self.may_have_run = true;
+        if let Some(target) = self.sent_target {
+            self.state.losses.borrow_mut().record_reply(target.crash);
+        }
         guard.record_start();
         Ok(TargetReply {
             key,
@@ -122,9 +125,11 @@
         self.connects += 1;
         let address = self.state.pool.borrow().target(key).map(|target| target.record.address);
         let address = address.ok_or(SendError::NotSent { cause: "target gone".to_owned() })?;
-        let connection = TargetConnection::open(address, CONNECT_TIMEOUT)
-            .await
-            .map_err(|e| SendError::NotSent { cause: e.to_string() })?;
+        let opened = TargetConnection::open(address, CONNECT_TIMEOUT).await;
+        let connection = opened.map_err(|e| {
+            self.record_connect_failure(&e);
+            SendError::NotSent { cause: e.to_string() }
+        })?;
         self.send_on_connection(choice, last_event, connection).await
     }
 
@@ -138,7 +143,7 @@
         cause: String,
     ) -> Result<TargetConnection, SendError> {
         self.may_have_run = true;
-        let connection = self.check_crash().await;
+        let connection = self.check_crash(&cause).await;
         match connection {
             Some(connection)
                 if self.refuse_crashing().is_none() && self.state.try_retry(&self.job.service) =>
--- a/ggt-daemon/src/front/buffered.rs
+++ b/ggt-daemon/src/front/buffered.rs
@@ -10,7 +10,6 @@
 use http_body_util::Limited;
 use tokio::time::timeout;
 
-use crate::clock::mono_now;
 use crate::clock::time_until;
 use crate::front::attempt::FailureKind;
 use crate::front::attempt::TargetReply;
@@ -112,7 +111,7 @@
         Ok(Ok(body)) => body.to_bytes(),
     };
     let outcome = if status.is_server_error() { SendOutcome::Bad } else { SendOutcome::Good };
-    state.pool.borrow_mut().record_outcome(key, outcome, mono_now());
+    state.record_outcome(key, outcome);
     if !headers.closes_connection && job.route.is_idempotent {
         state.connections.keep(key, connection, headers.keep_alive_seconds);
     }
--- a/ggt-daemon/src/front/crashes.rs
+++ b/ggt-daemon/src/front/crashes.rs
@@ -10,23 +10,60 @@
 use ggt_core::clock::MonoTime;
 use ggt_core::crashes::CrashId;
 use ggt_core::crashes::CrashSummary;
+use ggt_core::crashes::LostReply;
 use ggt_core::crashes::RequestFingerprint;
 
 /// Milliseconds for which a request stays suspected of crashing its targets.
 const SUSPICION_MS: u64 = 60_000;
+/// Milliseconds between the loss of a reply and the end of its target within which the two count as
+/// one crash; longer than the platform takes to list a target that started again.
+const LOSS_WINDOW_MS: u64 = 8_000;
 /// `retry-after` in milliseconds for a request that is suspected of crashing its targets.
 const CRASH_RETRY_MS: u64 = 5_000;
 
 impl FrontState {
-    /// Records that a request was in flight when a target crashed; `cause` is logged.
-    pub fn record_crash(&self, job: &FrontJob, crash: CrashId, cause: &str) {
+    /// Records that a request was sent and its reply lost, which counts as a crash if the target
+    /// turns out to have ended. Returns whether it is already known to have; `cause` is logged.
+    pub fn record_loss(&self, job: &FrontJob, crash: CrashId, cause: &str) -> bool {
         let fingerprint = job.fingerprint;
+        let reply = LostReply { request_id: job.id.clone(), fingerprint };
+        let expires_at = mono_now() + LOSS_WINDOW_MS;
+        let has_ended = self.losses.borrow_mut().record_loss(reply, crash, expires_at);
+        log::info!(
+            "event=loss request_id={} print={:016x} death={:016x} has_ended={has_ended} cause={}",
+            quoted(&job.id),
+            fingerprint.0,
+            crash.0,
+            quoted(cause),
+        );
+        if has_ended {
+            self.record_crash(&job.id, fingerprint, crash, cause);
+        }
+        has_ended
+    }
+
+    /// Records that a target has ended: each reply lost at it counts as a crash. `cause` is logged.
+    pub fn record_target_end(&self, crash: CrashId, cause: &str) {
+        let now = mono_now();
+        let replies = self.losses.borrow_mut().record_end(crash, now, now + LOSS_WINDOW_MS);
+        for LostReply { request_id, fingerprint } in replies {
+            self.record_crash(&request_id, fingerprint, crash, cause);
+        }
+    }
+
+    fn record_crash(
+        &self,
+        request_id: &str,
+        fingerprint: RequestFingerprint,
+        crash: CrashId,
+        cause: &str,
+    ) {
         let is_new = self.store_crash(fingerprint, crash);
         self.metrics.record_crashes("seen", u64::from(is_new));
         log::warn!(
             "event=crash request_id={} print={:016x} death={:016x} is_news={is_new} crashes={} \
              cause={}",
-            quoted(&job.id),
+            quoted(request_id),
             fingerprint.0,
             crash.0,
             self.crash_count(fingerprint),
@@ -52,6 +89,7 @@
 
     /// Clears a request that completed, since it did not crash its target.
     pub fn clear_crashes(&self, job: &FrontJob) {
+        self.losses.borrow_mut().clear(job.fingerprint);
         let count = self.crashes.borrow_mut().clear(job.fingerprint);
         if count > 0 {
             self.metrics.record_crashes("cleared", count as u64);
@@ -84,6 +122,7 @@
 
     /// Drops expired records.
     pub fn expire_crashes(&self, now: MonoTime) {
+        self.losses.borrow_mut().expire(now);
         let expired = self.crashes.borrow_mut().expire(now);
         for (fingerprint, count) in &expired {
             log::info!("event=crash-expired print={:016x} crashes={count}", fingerprint.0);
--- a/ggt-daemon/src/front/mod.rs
+++ b/ggt-daemon/src/front/mod.rs
@@ -9,6 +9,7 @@
 mod call;
 mod callers;
 mod crashes;
+mod health;
 mod internal;
 mod job;
 mod metrics;
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -18,6 +18,7 @@
 use crate::upstream::ConnectionPool;
 use ggt_core::clock::MonoTime;
 use ggt_core::crashes::CrashTable;
+use ggt_core::crashes::LossTable;
 use ggt_core::fleet::FleetTable;
 use ggt_core::fleet::PeerDigest;
 use ggt_core::ident::stable_hash;
@@ -94,6 +95,8 @@
     pub fleet: RefCell<FleetTable>,
     /// Requests suspected of crashing their targets.
     pub crashes: RefCell<CrashTable>,
+    /// Requests whose reply was lost, which may turn out to be crashes.
+    pub losses: RefCell<LossTable>,
     /// Customers' shares of each service, by service and priority.
     pub shares: RefCell<ShareTable<(String, u32), String>>,
     /// Requests in flight.
@@ -134,6 +137,7 @@
             connections: ConnectionPool::default(),
             fleet: RefCell::new(fleet),
             crashes: RefCell::new(CrashTable::new(CRASH_LIMIT, MAX_SUSPECTS)),
+            losses: RefCell::new(LossTable::new(MAX_SUSPECTS)),
             shares: RefCell::default(),
             in_flight: Cell::new(0),
             edge: EdgeHandle::default(),
@@ -320,6 +324,8 @@
         match record {
             Some(Ok(record)) => {
                 let is_leaving = record.is_leaving;
+                let ended = self.pool.borrow().ended_by(&record);
+                ended.iter().for_each(|crash| self.record_target_end(*crash, "replaced"));
                 if self.pool.borrow_mut().put(record) {
                     let status = if is_leaving { "leaving" } else { "ready" };
                     log::info!(
--- a/ggt-daemon/src/front/stream.rs
+++ b/ggt-daemon/src/front/stream.rs
@@ -140,7 +140,7 @@
     ) -> Result<Option<StartError>, StartError> {
         let TargetReply { key, status, raw_headers, body, .. } = reply;
         let outcome = if status.is_server_error() { SendOutcome::Bad } else { SendOutcome::Good };
-        self.state.pool.borrow_mut().record_outcome(key, outcome, mono_now());
+        self.state.record_outcome(key, outcome);
         let time_left = time_until(self.job.deadline);
         let collected = tokio::time::timeout(time_left, body.collect()).await;
         let is_retryable = status.is_server_error() && self.job.route.is_idempotent;
@@ -266,7 +266,7 @@
 
     fn finish(&self, reply: TargetReply) {
         let TargetReply { key, headers, connection, guard, .. } = reply;
-        self.state.pool.borrow_mut().record_outcome(key, SendOutcome::Good, mono_now());
+        self.state.record_outcome(key, SendOutcome::Good);
         self.state.clear_crashes(&self.job);
         if !headers.closes_connection && self.job.route.is_idempotent {
             self.state.connections.keep(key, connection, headers.keep_alive_seconds);
--- a/ggt-daemon/src/upstream/connect.rs
+++ b/ggt-daemon/src/upstream/connect.rs
@@ -46,6 +46,24 @@
     },
 }
 
+impl ConnectError {
+    /// Whether the server's host refused the connection or did not reply, as if the server had
+    /// ended; `false` for errors of this process.
+    pub fn is_target_down(&self) -> bool {
+        match self {
+            Self::Refused { source, .. } => matches!(
+                source.kind(),
+                io::ErrorKind::ConnectionRefused
+                    | io::ErrorKind::ConnectionReset
+                    | io::ErrorKind::HostUnreachable
+                    | io::ErrorKind::TimedOut
+            ),
+            Self::Timeout { .. } => true,
+            Self::Handshake { .. } => false,
+        }
+    }
+}
+
 /// Opens a TCP connection with `TCP_NODELAY`, keepalive and `TCP_USER_TIMEOUT`.
 ///
 /// # Errors
