fix: front: the crash of a target that falls silent counts

Cause: only a broken connection led to the check for a crash; silence past its limit, and a deadline that passed without a reply, did not. A host that loses power closes no connection, so its crash never counted. Both now record a lost reply and check the target, unless it has replied to any request within 250 ms. The caller waits for the check only if one more crash decides whether the request may be sent again.

--- a/ggt-daemon/src/front/attempt/crash_check.rs
+++ b/ggt-daemon/src/front/attempt/crash_check.rs
@@ -4,6 +4,7 @@
 
 use tokio::task::spawn_local;
 
+use crate::clock::mono_now;
 use crate::front::attempt::SentTarget;
 use crate::front::attempt::UpstreamAttempts;
 use crate::front::state::CONNECT_TIMEOUT;
@@ -12,7 +13,33 @@
 use crate::upstream::TargetConnection;
 use ggt_core::targets::SendOutcome;
 
+/// Milliseconds without a reply to any request after which a silent target is checked for a crash.
+const MIN_SILENCE_MS: u64 = 250;
+
 impl UpstreamAttempts {
+    /// Records that the target of the last send was silent for too long. Checks whether it crashed,
+    /// unless it has replied to other requests meanwhile; the caller waits for the check only if
+    /// the result decides whether the request may be sent again.
+    pub(super) async fn check_silent_target(&self, cause: &str) {
+        let Some(target) = self.sent_target else { return };
+        if self.state.record_loss(&self.job, target.crash, cause) || self.has_replied_lately(target)
+        {
+            return;
+        }
+        let check = spawn_local(check_target(self.state.clone(), target));
+        let may_retry = mono_now() < self.job.deadline;
+        if may_retry && self.state.is_next_crash_decisive(&self.job) {
+            // The check only fails if the runtime shuts down.
+            let _ = check.await;
+        }
+    }
+
+    fn has_replied_lately(&self, target: SentTarget) -> bool {
+        let pool = self.state.pool.borrow();
+        let last_reply_at = pool.target(target.key).map(|state| state.last_reply_at);
+        last_reply_at.is_some_and(|at| mono_now().millis_since(at) < MIN_SILENCE_MS)
+    }
+
     /// Records that the reply of the last send was lost, and opens a new connection to its target.
     /// If the target does not accept it, the loss counts as a crash; otherwise returns the
     /// connection.
--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -255,6 +255,7 @@
             SendError::Deadline => {
                 self.may_have_run = true;
                 self.record_send(key, "timed-out", "deadline");
+                self.check_silent_target("deadline").await;
                 Err(self.timeout_refusal())
             }
         }
--- a/ggt-daemon/src/front/attempt/outcome.rs
+++ b/ggt-daemon/src/front/attempt/outcome.rs
@@ -35,8 +35,10 @@
     pub(super) async fn record_failure(&self, key: TargetKey, cause: &str, kind: FailureKind) {
         self.record_send(key, "lost", cause);
         self.state.record_outcome(key, SendOutcome::Bad);
-        if kind == FailureKind::Reset {
-            self.check_crash(cause).await;
+        match kind {
+            FailureKind::Reset => drop(self.check_crash(cause).await),
+            FailureKind::Timeout => self.check_silent_target(cause).await,
+            FailureKind::StaleConnection | FailureKind::InvalidReply => {}
         }
     }
 
--- a/ggt-daemon/src/front/buffered.rs
+++ b/ggt-daemon/src/front/buffered.rs
@@ -57,7 +57,7 @@
                     ResponseBody::Complete(Some(body)),
                 );
             }
-            Err(cause) => attempts.record_interruption(key, &cause, FailureKind::Reset).await,
+            Err((kind, cause)) => attempts.record_interruption(key, &cause, kind).await,
         }
         if !attempts.try_next_send() {
             return final_response(&job, error_reply, attempts.send_failure_refusal(), guard);
@@ -96,18 +96,19 @@
     status.is_server_error() && job.route.is_idempotent
 }
 
-/// Reads a reply to its end and keeps its connection for reuse if the target allows it.
+/// Reads a reply to its end and keeps its connection for reuse if the target allows it. Otherwise
+/// returns how the reply failed, and the cause.
 async fn read_complete(
     state: &FrontState,
     job: &FrontJob,
     reply: TargetReply,
-) -> Result<(HeaderMap, Bytes), String> {
+) -> Result<(HeaderMap, Bytes), (FailureKind, String)> {
     let TargetReply { key, status, raw_headers, headers, body, connection, guard } = reply;
     let body =
         timeout(time_until(job.deadline), Limited::new(body, MAX_REPLY_BYTES).collect()).await;
     let body = match body {
-        Err(_) => return Err("deadline".to_owned()),
-        Ok(Err(e)) => return Err(e.to_string()),
+        Err(_) => return Err((FailureKind::Timeout, "deadline".to_owned())),
+        Ok(Err(e)) => return Err((FailureKind::Reset, e.to_string())),
         Ok(Ok(body)) => body.to_bytes(),
     };
     let outcome = if status.is_server_error() { SendOutcome::Bad } else { SendOutcome::Good };
--- a/ggt-daemon/src/front/crashes.rs
+++ b/ggt-daemon/src/front/crashes.rs
@@ -5,6 +5,7 @@
 use crate::clock::mono_now;
 use crate::front::job::FrontJob;
 use crate::front::response::FrontRefusal;
+use crate::front::state::CRASH_LIMIT;
 use crate::front::state::FrontState;
 use crate::logging::quoted;
 use ggt_core::clock::MonoTime;
@@ -120,6 +121,11 @@
         Some(FrontRefusal::not_run("crashes-targets", CRASH_RETRY_MS))
     }
 
+    /// Whether one more crash leads to the refusal of the request.
+    pub fn is_next_crash_decisive(&self, job: &FrontJob) -> bool {
+        self.crash_count(job.fingerprint) + 1 >= CRASH_LIMIT as usize
+    }
+
     /// Drops expired records.
     pub fn expire_crashes(&self, now: MonoTime) {
         self.losses.borrow_mut().expire(now);
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -38,7 +38,7 @@
 use ggt_platform::target_id;
 
 /// Number of target crashes after which a request that was in flight at each of them is refused.
-const CRASH_LIMIT: u32 = 3;
+pub const CRASH_LIMIT: u32 = 3;
 /// Maximum number of requests that are tracked as suspected of crashing their targets.
 const MAX_SUSPECTS: usize = 4_096;
 
