fix: front: a crash counts also if the caller disconnected first

Cause: a request's task ends with its caller's connection, and with it the only place that recorded a lost reply. A caller that gives up on a silent target and asks again ended one target after the other. A task that ends while it waits for the head of a reply now records the lost reply; a later sign that the target has ended makes it a crash. crash_after_the_caller_disconnected_counts failed before (a fourth instance ran the request) and passes.

--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -89,11 +89,17 @@
     sends: u32,
     connects: u32,
     may_have_run: bool,
+    /// Whether a request has been sent and the head of its reply has not arrived.
+    is_awaiting_reply: bool,
     permit: Option<SharePermit<(String, u32)>>,
 }
 
 impl Drop for UpstreamAttempts {
     fn drop(&mut self) {
+        // The target may have crashed without closing the connection.
+        if let Some(target) = self.sent_target.filter(|_| self.is_awaiting_reply) {
+            self.state.record_loss(&self.job, target.crash, "caller disconnected");
+        }
         if let Some(permit) = &self.permit {
             self.state.shares.borrow_mut().release(permit);
         }
@@ -111,6 +117,7 @@
             sends: 0,
             connects: 0,
             may_have_run: false,
+            is_awaiting_reply: false,
             permit: None,
         }
     }
--- a/ggt-daemon/src/front/attempt/send.rs
+++ b/ggt-daemon/src/front/attempt/send.rs
@@ -164,15 +164,17 @@
         let request = self.build_request(choice, last_event)?;
         let deadline = self.job.deadline + REPLY_GRACE_MS;
         self.sends += 1;
+        self.is_awaiting_reply = true;
         let sent = tokio::select! {
-            sent = connection.send(request, self.job.deadline) => sent,
-            () = sleep(time_until(deadline)) => return Err(SendError::Deadline),
+            sent = connection.send(request, self.job.deadline) => Ok(sent),
+            () = sleep(time_until(deadline)) => Err(SendError::Deadline),
             () = self.wait_for_silence(choice.key) => {
                 let cause = "silent".to_owned();
-                return Err(SendError::Lost { cause, kind: FailureKind::Timeout });
+                Err(SendError::Lost { cause, kind: FailureKind::Timeout })
             }
         };
-        match sent {
+        self.is_awaiting_reply = false;
+        match sent? {
             Ok(response) => Ok((response, connection)),
             Err(SendFailure::NotSent { cause }) => Err(SendError::NotSent { cause }),
             Err(SendFailure::Lost { cause }) => {
