fix: core: a full table of suspected requests keeps those with most crashes

Cause: the entry that expired first was dropped, whatever its number of crashes. A target that crashes with thirty requests in flight leaves an entry for each; in a run of crashes they pushed out the one request that was present at all of them. The table had no tests; its other rules have some now.

--- a/ggt-core/src/crashes/table.rs
+++ b/ggt-core/src/crashes/table.rs
@@ -58,7 +58,8 @@
     }
 
     /// Records at `now` that the request was in flight when a target crashed; `true` when this is
-    /// new. A full table drops the entry that expires first.
+    /// new. A full table drops the entry with the fewest crashes, of these the one that expires
+    /// first.
     pub fn record_crash(
         &mut self,
         fingerprint: RequestFingerprint,
@@ -67,7 +68,7 @@
         expires_at: MonoTime,
     ) -> bool {
         if !self.entries.contains_key(&fingerprint) && self.entries.len() >= self.capacity {
-            self.drop_first_to_expire();
+            self.drop_least_suspected();
         }
         let entry = self.entries.entry(fingerprint).or_insert_with(|| CrashEntry {
             crashes: BTreeMap::new(),
@@ -147,9 +148,10 @@
         self.entries.is_empty()
     }
 
-    fn drop_first_to_expire(&mut self) {
-        let first = self.entries.iter().min_by_key(|(_, entry)| entry.expires_at);
-        if let Some(fingerprint) = first.map(|(fingerprint, _)| *fingerprint) {
+    fn drop_least_suspected(&mut self) {
+        let suspicion = |entry: &CrashEntry| (entry.crashes.len(), entry.expires_at);
+        let least = self.entries.iter().min_by_key(|(_, entry)| suspicion(entry));
+        if let Some(fingerprint) = least.map(|(fingerprint, _)| *fingerprint) {
             self.entries.remove(&fingerprint);
         }
     }
--- a/ggt-core/tests/crashes.rs
+++ b/ggt-core/tests/crashes.rs
@@ -3,6 +3,7 @@
 
 use ggt_core::clock::MonoTime;
 use ggt_core::crashes::CrashId;
+use ggt_core::crashes::CrashTable;
 use ggt_core::crashes::LossTable;
 use ggt_core::crashes::LostReply;
 use ggt_core::crashes::RequestFingerprint;
@@ -59,3 +60,47 @@
     assert_eq!(lost.len(), CAPACITY);
     assert!(!lost.contains(&lost_reply(RequestFingerprint(0))));
 }
+
+/// Crashes after which a request is refused.
+const LIMIT: u32 = 3;
+
+fn crash_table(capacity: usize) -> CrashTable {
+    CrashTable::new(LIMIT, capacity)
+}
+
+/// Records the crash with this number, which counts for ten minutes.
+fn record(table: &mut CrashTable, fingerprint: RequestFingerprint, number: u64) {
+    table.record_crash(fingerprint, CrashId(number), at(number), at(number + 600_000));
+}
+
+// Guards against a request that is sent again because the records of other requests took its place.
+#[test]
+fn full_table_keeps_the_requests_with_most_crashes() {
+    let mut table = crash_table(4);
+    (1..=3).for_each(|number| record(&mut table, REQUEST, number));
+    (0..30).for_each(|other| record(&mut table, RequestFingerprint(100 + other), 10 + other));
+    assert!(table.refused_until(REQUEST, at(100)).is_some());
+    assert_eq!(table.len(), 4);
+}
+
+#[test]
+fn request_is_refused_from_the_limit_of_crashes_until_it_expires() {
+    let mut table = crash_table(4);
+    (1..=2).for_each(|number| record(&mut table, REQUEST, number));
+    record(&mut table, REQUEST, 2);
+    assert_eq!(table.refused_until(REQUEST, at(3)), None, "the same crash counts once");
+    record(&mut table, REQUEST, 3);
+    assert_eq!(table.refused_until(REQUEST, at(4)), Some(at(600_003)));
+    assert_eq!(table.refused_until(REQUEST, at(600_003)), None);
+    assert_eq!(table.expire(at(600_003)), [(REQUEST, 3)]);
+}
+
+#[test]
+fn completed_request_is_cleared_also_of_crashes_reported_again() {
+    let mut table = crash_table(4);
+    (1..=3).for_each(|number| record(&mut table, REQUEST, number));
+    assert_eq!(table.clear(REQUEST), 3);
+    record(&mut table, REQUEST, 3);
+    assert_eq!(table.refused_until(REQUEST, at(4)), None);
+    assert_eq!(table.summary(REQUEST), None);
+}
