fix: front: daemons tell each other of crashes at once and of all of them

Cause: a digest held the eight crashes of the requests with most crashes, then those that expire last. A crash with thirty requests in flight, or later crashes, kept a record from ever being told, so that each daemon counted only what it saw; a restarted daemon served before any digest had reached it.

--- a/ggt-core/src/crashes/mod.rs
+++ b/ggt-core/src/crashes/mod.rs
@@ -5,6 +5,9 @@
 
 pub use losses::LossTable;
 pub use losses::LostReply;
+pub use table::CrashRecord;
+pub use table::CrashReport;
+pub use table::CrashSource;
 pub use table::CrashSummary;
 pub use table::CrashTable;
 
--- a/ggt-core/src/crashes/table.rs
+++ b/ggt-core/src/crashes/table.rs
@@ -1,5 +1,6 @@
 //! Requests suspected of crashing targets, with the crashes that count against them.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
@@ -7,25 +8,70 @@
 use crate::crashes::CrashId;
 use crate::crashes::RequestFingerprint;
 
+/// Number of digests in which a crash that this daemon noticed goes before others.
+const URGENT_REPORTS: u32 = 3;
+
 /// The crashes that count against one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CrashSummary {
     /// Number of crashes.
     pub count: usize,
-    /// When the first of them was recorded.
+    /// When the first of them was noticed.
     pub first_at: MonoTime,
-    /// When the last of them was recorded.
+    /// When the last of them was noticed.
     pub last_at: MonoTime,
     /// When the request is no longer suspected.
     pub expires_at: MonoTime,
 }
 
+/// Who noticed a crash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashSource {
+    /// This daemon.
+    Own,
+    /// Another daemon, which reports it itself.
+    Peer,
+}
+
+/// A request that was in flight when a target crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CrashRecord {
+    /// Fingerprint of the request.
+    pub fingerprint: RequestFingerprint,
+    /// Identifies the crash.
+    pub crash: CrashId,
+    /// When the crash was noticed.
+    pub noticed_at: MonoTime,
+    /// When the request is no longer suspected because of it.
+    pub expires_at: MonoTime,
+    /// Who noticed it.
+    pub source: CrashSource,
+}
+
+/// A crash to report to other daemons.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CrashReport {
+    /// Fingerprint of the request that was in flight.
+    pub fingerprint: RequestFingerprint,
+    /// Identifies the crash.
+    pub crash: CrashId,
+    /// When the crash was noticed.
+    pub noticed_at: MonoTime,
+}
+
+/// One crash that counts against a request.
+#[derive(Clone, Copy, Debug)]
+struct CrashState {
+    noticed_at: MonoTime,
+    /// Number of digests that have reported it.
+    reports: u32,
+}
+
 /// What is stored about one request.
 #[derive(Clone, Debug)]
 struct CrashEntry {
-    /// Crashes at which the request was in flight and that count against it, and when each was
-    /// recorded.
-    crashes: BTreeMap<CrashId, MonoTime>,
+    /// Crashes at which the request was in flight and that count against it.
+    crashes: BTreeMap<CrashId, CrashState>,
     /// Crashes from before the request completed, which peers may still report; they no longer
     /// count.
     cleared: BTreeSet<CrashId>,
@@ -57,16 +103,10 @@
         self.limit = limit;
     }
 
-    /// Records at `now` that the request was in flight when a target crashed; `true` when this is
-    /// new. A full table drops the entry with the fewest crashes, of these the one that expires
+    /// Records that a request was in flight when a target crashed; `true` when this is new. A full table drops the entry with the fewest crashes, of these the one that expires
     /// first.
-    pub fn record_crash(
-        &mut self,
-        fingerprint: RequestFingerprint,
-        crash: CrashId,
-        now: MonoTime,
-        expires_at: MonoTime,
-    ) -> bool {
+    pub fn record_crash(&mut self, record: CrashRecord) -> bool {
+        let CrashRecord { fingerprint, crash, noticed_at, expires_at, source } = record;
         if !self.entries.contains_key(&fingerprint) && self.entries.len() >= self.capacity {
             self.drop_least_suspected();
         }
@@ -80,7 +120,11 @@
         }
         entry.expires_at = entry.expires_at.max(expires_at);
         let is_new = !entry.crashes.contains_key(&crash);
-        entry.crashes.entry(crash).or_insert(now);
+        let reports = match source {
+            CrashSource::Own => 0,
+            CrashSource::Peer => URGENT_REPORTS,
+        };
+        entry.crashes.entry(crash).or_insert(CrashState { noticed_at, reports });
         is_new
     }
 
@@ -98,8 +142,8 @@
         let entry = self.entries.get(&fingerprint)?;
         Some(CrashSummary {
             count: entry.crashes.len(),
-            first_at: *entry.crashes.values().min()?,
-            last_at: *entry.crashes.values().max()?,
+            first_at: entry.crashes.values().map(|crash| crash.noticed_at).min()?,
+            last_at: entry.crashes.values().map(|crash| crash.noticed_at).max()?,
             expires_at: entry.expires_at,
         })
     }
@@ -115,16 +159,51 @@
         is_refused.then_some(entry.expires_at)
     }
 
-    /// At most `count` crashes to report to peers: first those of the requests with most crashes,
-    /// then those that expire last.
-    pub fn most_suspected(&self, count: usize) -> Vec<(RequestFingerprint, CrashId)> {
-        let mut entries: Vec<_> = self.entries.iter().collect();
-        entries
-            .sort_by_key(|(_, entry)| std::cmp::Reverse((entry.crashes.len(), entry.expires_at)));
-        let crashes = entries.into_iter().flat_map(|(fingerprint, entry)| {
-            entry.crashes.keys().map(|crash| (*fingerprint, *crash))
-        });
-        crashes.take(count).collect()
+    /// At most `count` crashes for the next digest, which counts as having reported them.
+    ///
+    /// Crashes that this daemon noticed come first until a few digests have reported them, those of
+    /// the requests with most crashes before others; then all crashes in turn, so that daemons which
+    /// missed a digest are told, too.
+    pub fn next_reports(&mut self, count: usize) -> Vec<CrashReport> {
+        let mut queue: Vec<_> = self
+            .states()
+            .map(|(report, state, crashes)| {
+                let turn = state.reports.saturating_sub(URGENT_REPORTS - 1);
+                ((turn, Reverse(crashes), state.reports), report)
+            })
+            .collect();
+        if count < queue.len() {
+            queue.select_nth_unstable(count);
+            queue.truncate(count);
+        }
+        let reports: Vec<_> = queue.into_iter().map(|(_, report)| report).collect();
+        for report in &reports {
+            let entry = self.entries.get_mut(&report.fingerprint);
+            if let Some(state) = entry.and_then(|entry| entry.crashes.get_mut(&report.crash)) {
+                state.reports = state.reports.saturating_add(1);
+            }
+        }
+        reports
+    }
+
+    /// At most `count` crashes for a daemon that knows none: those of the requests with most
+    /// crashes.
+    pub fn most_suspected(&self, count: usize) -> Vec<CrashReport> {
+        let mut queue: Vec<_> =
+            self.states().map(|(report, _, crashes)| (Reverse(crashes), report)).collect();
+        queue.sort_unstable();
+        queue.into_iter().map(|(_, report)| report).take(count).collect()
+    }
+
+    /// All crashes that count, each with the number that count against its request.
+    fn states(&self) -> impl Iterator<Item = (CrashReport, CrashState, usize)> + '_ {
+        self.entries.iter().flat_map(|(fingerprint, entry)| {
+            entry.crashes.iter().map(|(crash, state)| {
+                let noticed_at = state.noticed_at;
+                let report = CrashReport { fingerprint: *fingerprint, crash: *crash, noticed_at };
+                (report, *state, entry.crashes.len())
+            })
+        })
     }
 
     /// Drops expired entries; returns the requests among them that were still suspected, with the
--- a/ggt-core/src/fleet/mod.rs
+++ b/ggt-core/src/fleet/mod.rs
@@ -125,6 +125,12 @@
         Self { own_address, peers: BTreeMap::new(), candidates: BTreeMap::new() }
     }
 
+    /// Whether a digest is the first one of its daemon's present incarnation.
+    pub fn is_first(&self, digest: &PeerDigest) -> bool {
+        let known = self.peers.get(&digest.address).map(|peer| peer.digest.incarnation);
+        digest.address != self.own_address && known.is_none_or(|known| known < digest.incarnation)
+    }
+
     /// Applies a digest and returns the resulting changes of load; none when the digest is
     /// outdated.
     pub fn apply(&mut self, digest: PeerDigest, now: MonoTime) -> Vec<LoadChange> {
--- a/ggt-core/tests/crashes.rs
+++ b/ggt-core/tests/crashes.rs
@@ -1,8 +1,12 @@
 //! Requests that crash targets: which lost replies count as crashes, which requests are refused, and
 //! which crashes are reported to other daemons.
 
+use std::collections::BTreeSet;
+
 use ggt_core::clock::MonoTime;
 use ggt_core::crashes::CrashId;
+use ggt_core::crashes::CrashRecord;
+use ggt_core::crashes::CrashSource;
 use ggt_core::crashes::CrashTable;
 use ggt_core::crashes::LossTable;
 use ggt_core::crashes::LostReply;
@@ -63,14 +67,64 @@
 
 /// Crashes after which a request is refused.
 const LIMIT: u32 = 3;
+/// Crashes that one digest reports.
+const REPORTS: usize = 4;
 
 fn crash_table(capacity: usize) -> CrashTable {
     CrashTable::new(LIMIT, capacity)
 }
 
 /// Records the crash with this number, which counts for ten minutes.
+fn record_from(
+    table: &mut CrashTable,
+    fingerprint: RequestFingerprint,
+    number: u64,
+    source: CrashSource,
+) {
+    let (crash, noticed_at, expires_at) = (CrashId(number), at(number), at(number + 600_000));
+    table.record_crash(CrashRecord { fingerprint, crash, noticed_at, expires_at, source });
+}
+
 fn record(table: &mut CrashTable, fingerprint: RequestFingerprint, number: u64) {
-    table.record_crash(fingerprint, CrashId(number), at(number), at(number + 600_000));
+    record_from(table, fingerprint, number, CrashSource::Own);
+}
+
+// Guards against crashes of which other daemons never hear, since later crashes implicate more
+// requests than a digest holds.
+#[test]
+fn crash_is_reported_although_many_later_ones_follow() {
+    let mut table = crash_table(100);
+    record(&mut table, REQUEST, 1);
+    (0..30).for_each(|other| record(&mut table, RequestFingerprint(100 + other), 2 + other));
+    let mut reported = BTreeSet::new();
+    for _ in 0..40 {
+        reported.extend(table.next_reports(REPORTS).iter().map(|report| report.crash));
+    }
+    assert!(reported.contains(&CrashId(1)));
+}
+
+// Guards against a new crash that waits until all earlier ones have been reported again.
+#[test]
+fn own_crash_is_in_the_next_digests_before_all_that_were_reported() {
+    let mut table = crash_table(100);
+    (0..30).for_each(|other| {
+        record_from(&mut table, RequestFingerprint(100 + other), other, CrashSource::Peer);
+    });
+    (0..20).for_each(|_| drop(table.next_reports(REPORTS)));
+    record(&mut table, REQUEST, 50);
+    for _ in 0..3 {
+        let reports = table.next_reports(REPORTS);
+        assert!(reports.iter().any(|report| report.fingerprint == REQUEST));
+    }
+}
+
+#[test]
+fn daemon_that_starts_is_told_first_of_the_requests_with_most_crashes() {
+    let mut table = crash_table(100);
+    (0..30).for_each(|other| record(&mut table, RequestFingerprint(other + 100), 10 + other));
+    (1..=3).for_each(|number| record(&mut table, REQUEST, number));
+    let told = table.most_suspected(REPORTS);
+    assert!(told[..3].iter().all(|report| report.fingerprint == REQUEST), "{told:?}");
 }
 
 // Guards against a request that is sent again because the records of other requests took its place.
--- a/ggt-daemon/src/front/crashes.rs
+++ b/ggt-daemon/src/front/crashes.rs
@@ -10,6 +10,8 @@
 use crate::logging::quoted;
 use ggt_core::clock::MonoTime;
 use ggt_core::crashes::CrashId;
+use ggt_core::crashes::CrashRecord;
+use ggt_core::crashes::CrashSource;
 use ggt_core::crashes::CrashSummary;
 use ggt_core::crashes::LostReply;
 use ggt_core::crashes::RequestFingerprint;
@@ -59,8 +61,12 @@
         crash: CrashId,
         cause: &str,
     ) {
-        let is_new = self.store_crash(fingerprint, crash);
+        let is_new = self.store_crash(fingerprint, crash, CrashSource::Own);
         self.metrics.record_crashes("seen", u64::from(is_new));
+        if is_new {
+            // The caller may repeat the request at another daemon at any moment.
+            self.digest_requested.notify_one();
+        }
         log::warn!(
             "event=crash request_id={} print={:016x} death={:016x} is_news={is_new} crashes={} \
              cause={}",
@@ -75,7 +81,7 @@
     /// Records crashes that another daemon reported.
     pub fn record_peer_crashes(&self, crashes: &[(RequestFingerprint, CrashId)], peer: SocketAddr) {
         for (fingerprint, crash) in crashes {
-            if !self.store_crash(*fingerprint, *crash) {
+            if !self.store_crash(*fingerprint, *crash, CrashSource::Peer) {
                 continue;
             }
             self.metrics.record_crashes("told", 1);
@@ -136,9 +142,16 @@
         self.metrics.record_crashes("expired", expired.len() as u64);
     }
 
-    fn store_crash(&self, fingerprint: RequestFingerprint, crash: CrashId) -> bool {
-        let now = mono_now();
-        self.crashes.borrow_mut().record_crash(fingerprint, crash, now, now + SUSPICION_MS)
+    fn store_crash(
+        &self,
+        fingerprint: RequestFingerprint,
+        crash: CrashId,
+        source: CrashSource,
+    ) -> bool {
+        let noticed_at = mono_now();
+        let expires_at = noticed_at + SUSPICION_MS;
+        let record = CrashRecord { fingerprint, crash, noticed_at, expires_at, source };
+        self.crashes.borrow_mut().record_crash(record)
     }
 
     fn crash_count(&self, fingerprint: RequestFingerprint) -> usize {
--- a/ggt-daemon/src/front/peers.rs
+++ b/ggt-daemon/src/front/peers.rs
@@ -28,6 +28,7 @@
 use crate::upstream::ConnectError;
 use crate::upstream::TargetConnection;
 use ggt_core::clock::MonoTime;
+use ggt_core::crashes::CrashReport;
 use ggt_core::fleet::PeerDigest;
 use ggt_core::store_cache::StoreBatch;
 
@@ -40,7 +41,7 @@
 /// Path at which peers fetch all cached prefixes.
 const PREFIXES_PATH: &str = "/reads";
 /// Maximum number of target crashes that a digest reports.
-const MAX_CRASHES: usize = 8;
+const MAX_CRASHES: usize = 24;
 /// Time in milliseconds that a change has to arrive from the platform before it is fetched from a
 /// peer.
 const PEER_FETCH_DELAY_MS: u64 = 120;
@@ -81,12 +82,10 @@
 
 /// Sends digests to the other daemons until the task is dropped.
 pub async fn run_digests(state: Rc<FrontState>, socket: Rc<UdpSocket>) {
-    let mut number = 0;
     loop {
         state.expire();
         state.connections.sweep();
-        number += 1;
-        send_digests(&state, &socket, number).await;
+        send_digests(&state, &socket).await;
         let period_ms = state.fleet.borrow().period_ms();
         // The jitter keeps daemons that started together from sending at the same moment.
         let jitter_ms = rand::rng().random_range(0..=period_ms / 5);
@@ -97,12 +96,28 @@
     }
 }
 
-async fn send_digests(state: &FrontState, socket: &UdpSocket, number: u64) {
-    let settings = state.settings();
-    let recipients = state.fleet.borrow().recipients(&settings.seed_peers());
-    let digest = own_digest(state, settings.peer, number);
+async fn send_digests(state: &FrontState, socket: &UdpSocket) {
+    let recipients = state.fleet.borrow().recipients(&state.settings().seed_peers());
+    let cached_prefixes = state.pool.borrow_mut().recent_prefixes(MAX_PREFIXES);
+    let crashes = state.crashes.borrow_mut().next_reports(MAX_CRASHES);
+    send_digest(state, socket, &recipients, own_digest(state, cached_prefixes, &crashes)).await;
+}
+
+/// Sends a digest to a daemon that has just started, which may get requests before the next regular
+/// digest.
+async fn greet(state: &FrontState, socket: &UdpSocket, peer: SocketAddr) {
+    let crashes = state.crashes.borrow().most_suspected(MAX_CRASHES);
+    send_digest(state, socket, &[peer], own_digest(state, Vec::new(), &crashes)).await;
+}
+
+async fn send_digest(
+    state: &FrontState,
+    socket: &UdpSocket,
+    recipients: &[SocketAddr],
+    digest: PeerDigest,
+) {
     let Some(bytes) = encode(digest) else { return };
-    for address in &recipients {
+    for address in recipients {
         if let Err(e) = socket.send_to(&bytes, address).await {
             log::debug!("event=digest peer={address} cause=\"{e}\"");
         }
@@ -130,13 +145,18 @@
     }
 }
 
-fn own_digest(state: &FrontState, address: SocketAddr, number: u64) -> PeerDigest {
-    let cached_prefixes = state.pool.borrow_mut().recent_prefixes(MAX_PREFIXES);
+fn own_digest(
+    state: &FrontState,
+    cached_prefixes: Vec<(u32, u32)>,
+    crashes: &[CrashReport],
+) -> PeerDigest {
+    let number = state.digest_number.get() + 1;
+    state.digest_number.set(number);
     let pool = state.pool.borrow();
     let busy = pool.iter().filter(|(_, target)| target.own.requests > 0);
     let platform_age_ms = mono_now().millis_since(state.platform_replied_at.get());
     PeerDigest {
-        address,
+        address: state.settings().peer,
         incarnation: state.incarnation,
         number,
         centre_hash: state.centre_hash,
@@ -149,7 +169,7 @@
         platform_age_ms: u32::try_from(platform_age_ms).unwrap_or(u32::MAX),
         loads: busy.map(|(_, target)| (target.short_hash, target.own)).take(MAX_LOADS).collect(),
         cached_prefixes,
-        crashes: state.crashes.borrow().most_suspected(MAX_CRASHES),
+        crashes: crashes.iter().map(|report| (report.fingerprint, report.crash)).collect(),
         known_peers: state.fleet.borrow().known_peers(number),
     }
 }
@@ -159,7 +179,11 @@
     let mut buffer = [0; 2 * MAX_DATAGRAM_BYTES];
     loop {
         match socket.recv_from(&mut buffer).await {
-            Ok((length, _)) => apply_datagram(&state, &buffer[..length]),
+            Ok((length, _)) => {
+                if let Some(peer) = apply_datagram(&state, &buffer[..length]) {
+                    greet(&state, &socket, peer).await;
+                }
+            }
             Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {}
             Err(e) => {
                 log::warn!("event=digest cause={}", quoted(&e.to_string()));
@@ -169,12 +193,18 @@
     }
 }
 
-fn apply_datagram(state: &FrontState, bytes: &[u8]) {
+/// Applies a digest; returns the address of its daemon if that has just started.
+fn apply_datagram(state: &FrontState, bytes: &[u8]) -> Option<SocketAddr> {
     let digest: PeerDigest = match postcard::from_bytes(bytes) {
         Ok(digest) => digest,
-        Err(e) => return log::warn!("event=digest outcome=unreadable cause=\"{e}\""),
+        Err(e) => {
+            log::warn!("event=digest outcome=unreadable cause=\"{e}\"");
+            return None;
+        }
     };
+    let peer = state.fleet.borrow().is_first(&digest).then_some(digest.address);
     state.apply_digest(digest);
+    peer
 }
 
 /// Fetches changes of folders from peers that have newer revisions, until the task is dropped.
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -42,6 +42,9 @@
 /// Maximum number of requests that are tracked as suspected of crashing their targets.
 const MAX_SUSPECTS: usize = 4_096;
 
+/// Milliseconds after its start for which a daemon waits for a digest before it is ready.
+const PEER_WAIT_MS: u64 = 300;
+
 /// Connect timeout for targets, peers and the platform.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -83,6 +86,10 @@
     pub incarnation: u64,
     /// Short hash of the name of the daemon's data centre.
     pub centre_hash: u32,
+    /// Number of the last digest that was sent.
+    pub digest_number: Cell<u64>,
+    /// Whether a digest of another daemon has arrived since this process started.
+    pub has_heard_peer: Cell<bool>,
     /// Notified when a digest should be sent at once.
     pub digest_requested: Notify,
     /// When this process started.
@@ -128,6 +135,8 @@
         let centre_hash = stable_hash(settings.data_centre.as_bytes()) as u32;
         Self {
             centre_hash,
+            digest_number: Cell::new(0),
+            has_heard_peer: Cell::new(false),
             digest_requested: Notify::new(),
             settings: RefCell::new(Rc::new(settings)),
             metrics,
@@ -174,15 +183,21 @@
     }
 
     /// Whether the daemon is ready for new connections: it has a configuration and targets, can
-    /// reach some of these, and is not draining.
+    /// reach some of these, has been told by another daemon which requests crash targets or has
+    /// waited for that, and is not draining.
     pub fn is_ready(&self) -> bool {
         let pool = self.pool.borrow();
         self.route_config.borrow().is_some()
             && !pool.is_empty()
             && !pool.is_partitioned()
+            && self.has_waited_for_peers()
             && !self.is_draining()
     }
 
+    fn has_waited_for_peers(&self) -> bool {
+        self.has_heard_peer.get() || mono_now() >= self.started_at + PEER_WAIT_MS
+    }
+
     /// Whether the daemon is shutting down.
     pub fn is_draining(&self) -> bool {
         self.is_draining.get()
@@ -244,6 +259,7 @@
     pub fn apply_digest(&self, digest: PeerDigest) {
         let now = mono_now();
         self.record_peer_crashes(&digest.crashes, digest.address);
+        self.has_heard_peer.set(true);
         let mut outage = self.outage.get();
         let age_ms = u64::from(digest.platform_age_ms);
         outage.record_peer_success(MonoTime::from_millis(now.as_millis().saturating_sub(age_ms)));
--- a/ggt-daemon/src/peers/gossip.rs
+++ b/ggt-daemon/src/peers/gossip.rs
@@ -15,6 +15,8 @@
 use crate::state::SharedState;
 use ggt_core::clock::WallTime;
 use ggt_core::crashes::CrashId;
+use ggt_core::crashes::CrashRecord;
+use ggt_core::crashes::CrashSource;
 use ggt_core::crashes::RequestFingerprint;
 use ggt_core::ident::TargetName;
 use ggt_core::membership::GossipItem;
@@ -320,7 +322,11 @@
 ) {
     let remaining_ms = expires_at.as_millis().saturating_sub(wall_now().as_millis());
     let now = mono_now();
-    lock(&state.crashes).record_crash(fingerprint, crash, now, now + remaining_ms);
+    let expires_at = now + remaining_ms;
+    // Items are sent on by the gossip table, so the source makes no difference here.
+    let source = CrashSource::Peer;
+    let record = CrashRecord { fingerprint, crash, noticed_at: now, expires_at, source };
+    lock(&state.crashes).record_crash(record);
 }
 
 fn target_by_hash(
--- a/ggt-testkit/src/bench/state.rs
+++ b/ggt-testkit/src/bench/state.rs
@@ -18,6 +18,8 @@
 use ggt_core::config::DaemonSection;
 use ggt_core::config::RosterSection;
 use ggt_core::crashes::CrashId;
+use ggt_core::crashes::CrashRecord;
+use ggt_core::crashes::CrashSource;
 use ggt_core::crashes::CrashTable;
 use ggt_core::crashes::RequestFingerprint;
 use ggt_core::hosts::HostEntry;
@@ -126,8 +128,13 @@
 fn fill_suspects(count: usize) -> CrashTable {
     let mut table = CrashTable::new(3, count);
     for number in 0..count as u64 {
-        let (now, expires_at) = (MonoTime::default(), MonoTime::from_millis(1));
-        table.record_crash(RequestFingerprint(number), CrashId(number), now, expires_at);
+        table.record_crash(CrashRecord {
+            fingerprint: RequestFingerprint(number),
+            crash: CrashId(number),
+            noticed_at: MonoTime::default(),
+            expires_at: MonoTime::from_millis(1),
+            source: CrashSource::Own,
+        });
     }
     table
 }
--- a/ggt-testkit/tests/platform_crashes.rs
+++ b/ggt-testkit/tests/platform_crashes.rs
@@ -259,3 +259,48 @@
     let reached = fleet.path_count(path);
     assert!(reached < 2 * CRASH_LIMIT, "{reached} servers reached by {CRASH_LIMIT} calls");
 }
+
+/// Ends `CRASH_LIMIT` servers with a request, each time through the next of `daemons`.
+fn crash_servers(fleet: &FrontFleet, path: &str, daemons: &[usize]) {
+    for (number, daemon) in daemons.iter().cycle().take(CRASH_LIMIT).enumerate() {
+        assert_eq!(send_crashing(fleet, *daemon, path, number).status, 502);
+    }
+}
+
+/// Waits until a daemon knows this number of crashes of one request.
+fn await_crashes(fleet: &FrontFleet, daemon: usize, count: usize) {
+    wait_until("the daemon has been told of the crashes", || {
+        let change = |change| fleet.metric(daemon, "front_crashes_total", change);
+        change("change=\"seen\"") + change("change=\"told\"") >= count as f64
+    });
+}
+
+fn check_refused(fleet: &FrontFleet, daemon: usize, path: &str, number: usize) {
+    let before = fleet.path_count(path);
+    let response = send_crashing(fleet, daemon, path, number);
+    assert_eq!((response.status, fleet.path_count(path)), (503, before), "{}", response.body);
+}
+
+// Guards against daemons that each count only the crashes that they saw themselves.
+#[test]
+fn crashes_seen_by_different_daemons_add_up_on_all() {
+    let fleet = start(8, 4);
+    let path = "/once/crash";
+    crash_servers(&fleet, path, &[0, 1, 2]);
+    for daemon in 0..fleet.daemons.len() {
+        await_crashes(&fleet, daemon, CRASH_LIMIT);
+        check_refused(&fleet, daemon, path, CRASH_LIMIT + daemon);
+    }
+}
+
+// Guards against a restarted daemon that serves before it has been told of any crash.
+#[test]
+fn restarted_daemon_refuses_a_crashing_request_from_the_start() {
+    let mut fleet = start(8, 2);
+    let path = "/once/crash";
+    crash_servers(&fleet, path, &[0]);
+    for number in 0..5 {
+        fleet.restart(1);
+        check_refused(&fleet, 1, path, CRASH_LIMIT + number);
+    }
+}
