fix: core, wire, front: a crash keeps its age when daemons report it to each other

Cause: a digest named crashes without their age, and the receiver counted each report from its arrival. Daemons that reported the same crash to each other renewed it for ever: a request that three unrelated crashes had hit stayed refused as long as the fleet ran. Digests carry the ages as their last field, which earlier builds ignore and may leave out (tests in ggt-wire); expired crashes are not stored again. With ages ignored, as before, crash_keeps_its_age_when_daemons_report_it_to_each_other fails (the crash of 1.0 s counts from 11.9 s).

--- a/ggt-core/src/fleet/mod.rs
+++ b/ggt-core/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 
 use crate::clock::MonoTime;
 use crate::crashes::CrashId;
+use crate::crashes::CrashReport;
 use crate::crashes::RequestFingerprint;
 use crate::ident::stable_hash;
 use crate::targets::InFlightLoad;
@@ -77,6 +78,31 @@
     /// Some of the daemons that it has discovered.
     #[serde(rename = "named")]
     pub known_peers: Vec<SocketAddr>,
+    /// Milliseconds since each of `crashes` was noticed, in the same order; a missing one counts as
+    /// 0. Digests of earlier builds end before this field.
+    pub crash_ages_ms: Vec<u32>,
+}
+
+impl PeerDigest {
+    /// Sets the crashes that the digest reports, with their ages at `now`.
+    pub fn set_crashes(&mut self, reports: &[CrashReport], now: MonoTime) {
+        self.crashes = reports.iter().map(|report| (report.fingerprint, report.crash)).collect();
+        let ages_ms = reports.iter().map(|report| now.millis_since(report.noticed_at));
+        self.crash_ages_ms = ages_ms.map(|age| u32::try_from(age).unwrap_or(u32::MAX)).collect();
+    }
+
+    /// The crashes that the digest reports, with the times at which they were noticed.
+    pub fn crash_reports(&self, now: MonoTime) -> impl Iterator<Item = CrashReport> + '_ {
+        let ages_ms = self.crash_ages_ms.iter().copied().chain(std::iter::repeat(0));
+        self.crashes.iter().zip(ages_ms).map(move |((fingerprint, crash), age_ms)| {
+            let noticed_ms = now.as_millis().saturating_sub(u64::from(age_ms));
+            CrashReport {
+                fingerprint: *fingerprint,
+                crash: *crash,
+                noticed_at: MonoTime::from_millis(noticed_ms),
+            }
+        })
+    }
 }
 
 /// State of one other daemon.
--- a/ggt-core/tests/fleet.rs
+++ b/ggt-core/tests/fleet.rs
@@ -3,6 +3,9 @@
 use std::net::SocketAddr;
 
 use ggt_core::clock::MonoTime;
+use ggt_core::crashes::CrashId;
+use ggt_core::crashes::CrashReport;
+use ggt_core::crashes::RequestFingerprint;
 use ggt_core::fleet::FleetTable;
 use ggt_core::fleet::PeerDigest;
 use ggt_core::fleet::WatchRole;
@@ -37,6 +40,7 @@
         loads: Vec::new(),
         cached_prefixes: Vec::new(),
         crashes: Vec::new(),
+        crash_ages_ms: Vec::new(),
         known_peers: Vec::new(),
     }
 }
@@ -147,3 +151,29 @@
     (2..=60).for_each(|other| drop(table.apply(digest(other, 1, 1), at(900))));
     assert_eq!(table.watch_role(1, 0, at(0), at(1_000)), WatchRole::Follower);
 }
+
+// Guards against suspicions that never end because daemons report each other's crashes as new.
+#[test]
+fn crash_keeps_its_age_when_daemons_report_it_to_each_other() {
+    let noticed = CrashReport {
+        fingerprint: RequestFingerprint(1),
+        crash: CrashId(2),
+        noticed_at: at(1_000),
+    };
+    let mut report = noticed;
+    for round in 0..100 {
+        let now = at(2_000 + 100 * round);
+        let mut told = digest(2, 1, round);
+        told.set_crashes(&[report], now);
+        report = told.crash_reports(now).next().expect("one crash was reported");
+    }
+    assert_eq!(report, noticed);
+}
+
+#[test]
+fn crash_without_an_age_counts_as_noticed_now() {
+    let crashes = vec![(RequestFingerprint(1), CrashId(2))];
+    let told = PeerDigest { crashes, ..digest(2, 1, 1) };
+    let noticed_at: Vec<_> = told.crash_reports(at(500)).map(|report| report.noticed_at).collect();
+    assert_eq!(noticed_at, [at(500)]);
+}
--- a/ggt-daemon/src/front/crashes.rs
+++ b/ggt-daemon/src/front/crashes.rs
@@ -1,7 +1,5 @@
 //! Requests that were in flight when targets crashed: their records, logs and refusals.
 
-use std::net::SocketAddr;
-
 use crate::clock::mono_now;
 use crate::front::job::FrontJob;
 use crate::front::response::FrontRefusal;
@@ -11,10 +9,12 @@
 use ggt_core::clock::MonoTime;
 use ggt_core::crashes::CrashId;
 use ggt_core::crashes::CrashRecord;
+use ggt_core::crashes::CrashReport;
 use ggt_core::crashes::CrashSource;
 use ggt_core::crashes::CrashSummary;
 use ggt_core::crashes::LostReply;
 use ggt_core::crashes::RequestFingerprint;
+use ggt_core::fleet::PeerDigest;
 
 /// Milliseconds for which a request stays suspected of crashing its targets.
 const SUSPICION_MS: u64 = 60_000;
@@ -61,7 +61,8 @@
         crash: CrashId,
         cause: &str,
     ) {
-        let is_new = self.store_crash(fingerprint, crash, CrashSource::Own);
+        let report = CrashReport { fingerprint, crash, noticed_at: mono_now() };
+        let is_new = self.store_crash(report, CrashSource::Own);
         self.metrics.record_crashes("seen", u64::from(is_new));
         if is_new {
             // The caller may repeat the request at another daemon at any moment.
@@ -79,17 +80,20 @@
     }
 
     /// Records crashes that another daemon reported.
-    pub fn record_peer_crashes(&self, crashes: &[(RequestFingerprint, CrashId)], peer: SocketAddr) {
-        for (fingerprint, crash) in crashes {
-            if !self.store_crash(*fingerprint, *crash, CrashSource::Peer) {
+    pub fn record_peer_crashes(&self, digest: &PeerDigest) {
+        let now = mono_now();
+        for report in digest.crash_reports(now) {
+            if !self.store_crash(report, CrashSource::Peer) {
                 continue;
             }
             self.metrics.record_crashes("told", 1);
             log::info!(
-                "event=crash-told print={:016x} death={:016x} crashes={} peer={peer}",
-                fingerprint.0,
-                crash.0,
-                self.crash_count(*fingerprint),
+                "event=crash-told print={:016x} death={:016x} age_ms={} crashes={} peer={}",
+                report.fingerprint.0,
+                report.crash.0,
+                now.millis_since(report.noticed_at),
+                self.crash_count(report.fingerprint),
+                digest.address,
             );
         }
     }
@@ -142,16 +146,12 @@
         self.metrics.record_crashes("expired", expired.len() as u64);
     }
 
-    fn store_crash(
-        &self,
-        fingerprint: RequestFingerprint,
-        crash: CrashId,
-        source: CrashSource,
-    ) -> bool {
-        let noticed_at = mono_now();
+    /// Stores a crash that has not expired; `true` when it is new.
+    fn store_crash(&self, report: CrashReport, source: CrashSource) -> bool {
+        let CrashReport { fingerprint, crash, noticed_at } = report;
         let expires_at = noticed_at + SUSPICION_MS;
         let record = CrashRecord { fingerprint, crash, noticed_at, expires_at, source };
-        self.crashes.borrow_mut().record_crash(record)
+        mono_now() < expires_at && self.crashes.borrow_mut().record_crash(record)
     }
 
     fn crash_count(&self, fingerprint: RequestFingerprint) -> usize {
--- a/ggt-daemon/src/front/peers.rs
+++ b/ggt-daemon/src/front/peers.rs
@@ -31,6 +31,8 @@
 use ggt_core::crashes::CrashReport;
 use ggt_core::fleet::PeerDigest;
 use ggt_core::store_cache::StoreBatch;
+use ggt_wire::digest::decode_digest;
+use ggt_wire::digest::encode_digest;
 
 /// Maximum size of a datagram in bytes; small enough not to be fragmented.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
@@ -128,7 +130,7 @@
 /// Encodes a digest; halves its list of cached prefixes until it fits into a datagram.
 fn encode(mut digest: PeerDigest) -> Option<Vec<u8>> {
     loop {
-        match postcard::to_stdvec(&digest) {
+        match encode_digest(&digest) {
             Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => return Some(bytes),
             Ok(_) if !digest.cached_prefixes.is_empty() => {
                 digest.cached_prefixes.truncate(digest.cached_prefixes.len() / 2)
@@ -154,24 +156,28 @@
     state.digest_number.set(number);
     let pool = state.pool.borrow();
     let busy = pool.iter().filter(|(_, target)| target.own.requests > 0);
-    let platform_age_ms = mono_now().millis_since(state.platform_replied_at.get());
-    PeerDigest {
+    let now = mono_now();
+    let platform_age_ms = now.millis_since(state.platform_replied_at.get());
+    let mut digest = PeerDigest {
         address: state.settings().peer,
         incarnation: state.incarnation,
         number,
         centre_hash: state.centre_hash,
         link_mbps: state.settings().link_mbps as u32,
         is_watching: state.is_watching(),
-        age_ms: mono_now().millis_since(state.started_at),
+        age_ms: now.millis_since(state.started_at),
         is_leaving: state.is_draining(),
         target_revision: state.cache(StoreFolder::Targets).borrow().last_change_revision(),
         config_revision: state.cache(StoreFolder::Config).borrow().last_change_revision(),
         platform_age_ms: u32::try_from(platform_age_ms).unwrap_or(u32::MAX),
         loads: busy.map(|(_, target)| (target.short_hash, target.own)).take(MAX_LOADS).collect(),
         cached_prefixes,
-        crashes: crashes.iter().map(|report| (report.fingerprint, report.crash)).collect(),
+        crashes: Vec::new(),
         known_peers: state.fleet.borrow().known_peers(number),
-    }
+        crash_ages_ms: Vec::new(),
+    };
+    digest.set_crashes(crashes, now);
+    digest
 }
 
 /// Receives digests of other daemons until the task is dropped.
@@ -195,7 +201,7 @@
 
 /// Applies a digest; returns the address of its daemon if that has just started.
 fn apply_datagram(state: &FrontState, bytes: &[u8]) -> Option<SocketAddr> {
-    let digest: PeerDigest = match postcard::from_bytes(bytes) {
+    let digest = match decode_digest(bytes) {
         Ok(digest) => digest,
         Err(e) => {
             log::warn!("event=digest outcome=unreadable cause=\"{e}\"");
--- a/ggt-wire/src/lib.rs
+++ b/ggt-wire/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod auth;
 pub mod datagram;
+pub mod digest;
 pub mod headers;
 pub mod hint;
 pub mod platform;
--- a/ggt-wire/tests/codec.rs
+++ b/ggt-wire/tests/codec.rs
@@ -6,6 +6,9 @@
 use quickcheck::Testable;
 
 use ggt_core::clock::WallTime;
+use ggt_core::crashes::CrashId;
+use ggt_core::crashes::RequestFingerprint;
+use ggt_core::fleet::PeerDigest;
 use ggt_core::ident::CustomerName;
 use ggt_core::ident::DaemonName;
 use ggt_core::membership::DatagramHeader;
@@ -16,6 +19,8 @@
 use ggt_wire::datagram::DatagramError;
 use ggt_wire::datagram::decode_datagram;
 use ggt_wire::datagram::encode_datagram;
+use ggt_wire::digest::decode_digest;
+use ggt_wire::digest::encode_digest;
 use ggt_wire::headers::format_load;
 use ggt_wire::headers::parse_load;
 use ggt_wire::hint::ChatHint;
@@ -154,3 +159,48 @@
     assert_eq!(parse_load("started=1 finished=2"), None);
     assert_eq!(parse_load("started=1"), None);
 }
+
+fn digest() -> PeerDigest {
+    PeerDigest {
+        address: ([10, 0, 0, 1], 7_340).into(),
+        incarnation: 1,
+        number: 2,
+        centre_hash: 3,
+        link_mbps: 1_000,
+        is_watching: true,
+        age_ms: 4,
+        is_leaving: false,
+        target_revision: 5,
+        config_revision: 6,
+        platform_age_ms: 7,
+        loads: Vec::new(),
+        cached_prefixes: vec![(8, 9)],
+        crashes: vec![(RequestFingerprint(10), CrashId(11))],
+        known_peers: vec![([10, 0, 0, 2], 7_340).into()],
+        crash_ages_ms: vec![300],
+    }
+}
+
+#[test]
+fn digest_survives_the_round_trip() {
+    let bytes = encode_digest(&digest()).expect("should encode");
+    assert_eq!(decode_digest(&bytes).expect("should decode"), digest());
+}
+
+// Guards against fleets with two builds in which daemons no longer know each other.
+#[test]
+fn digest_of_a_build_without_crash_ages_decodes() {
+    let without_ages = PeerDigest { crash_ages_ms: Vec::new(), ..digest() };
+    let mut bytes = encode_digest(&without_ages).expect("should encode");
+    assert_eq!(bytes.pop(), Some(0), "the last field should be an empty list");
+    assert_eq!(decode_digest(&bytes).expect("should decode"), without_ages);
+    assert!(decode_digest(&bytes[..bytes.len() / 2]).is_err());
+}
+
+#[test]
+fn earlier_builds_ignore_fields_at_the_end_of_a_digest() {
+    let bytes = encode_digest(&digest()).expect("should encode");
+    let (address, incarnation): (std::net::SocketAddr, u64) =
+        postcard::from_bytes(&bytes).expect("should decode the first fields");
+    assert_eq!((address, incarnation), (digest().address, digest().incarnation));
+}
