fix: core, front: a crashing request is refused for longer after each further crash

Cause: a suspicion ended 60 s after the last crash and was then forgotten as a whole, so that a request repeated every two minutes could end three targets each time; retry-after said 5 s although the request stayed refused for up to a minute. Crashes now count for 20 min. From the third on the request is refused for 60 s after the last crash, twice as long after each further one, 10 min at most; in between it may be sent again, and a complete reply clears it, so that a request that only happened to be on crashed targets is served again after a minute. retry-after is the time left. request_that_crashes_a_target_after_its_refusal_is_refused_at_once_and_for_longer: before, the expired entry was dropped and the fourth crash counted as the first.

--- a/ggt-core/src/crashes/mod.rs
+++ b/ggt-core/src/crashes/mod.rs
@@ -5,6 +5,7 @@
 
 pub use losses::LossTable;
 pub use losses::LostReply;
+pub use table::CrashOptions;
 pub use table::CrashRecord;
 pub use table::CrashReport;
 pub use table::CrashSource;
--- a/ggt-core/src/crashes/table.rs
+++ b/ggt-core/src/crashes/table.rs
@@ -88,26 +88,46 @@
 #[derive(Clone, Debug)]
 pub struct CrashTable {
     entries: BTreeMap<RequestFingerprint, CrashEntry>,
-    limit: u32,
-    capacity: usize,
+    options: CrashOptions,
+}
+
+/// Limits of a [`CrashTable`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CrashOptions {
+    /// Number of crashes after which a request is refused.
+    pub limit: u32,
+    /// Maximum number of requests stored.
+    pub capacity: usize,
+    /// Milliseconds for which a request is refused after the crash that reached the limit; they
+    /// double with each crash after it. A refusal ends with the entry at the latest.
+    pub first_refusal_ms: u64,
+    /// Maximum of these milliseconds.
+    pub max_refusal_ms: u64,
+}
+
+impl Default for CrashOptions {
+    /// Requests are refused until their entries expire.
+    fn default() -> Self {
+        Self { limit: 3, capacity: 4_096, first_refusal_ms: u64::MAX, max_refusal_ms: u64::MAX }
+    }
 }
 
 impl CrashTable {
-    /// A table that refuses a request after `limit` crashes and stores at most `capacity` requests.
-    pub fn new(limit: u32, capacity: usize) -> Self {
-        Self { entries: BTreeMap::new(), limit, capacity }
+    /// An empty table.
+    pub fn new(options: CrashOptions) -> Self {
+        Self { entries: BTreeMap::new(), options }
     }
 
     /// Changes the number of crashes after which a request is refused.
     pub fn set_limit(&mut self, limit: u32) {
-        self.limit = limit;
+        self.options.limit = limit;
     }
 
     /// Records that a request was in flight when a target crashed; `true` when this is new. A full table drops the entry with the fewest crashes, of these the one that expires
     /// first.
     pub fn record_crash(&mut self, record: CrashRecord) -> bool {
         let CrashRecord { fingerprint, crash, noticed_at, expires_at, source } = record;
-        if !self.entries.contains_key(&fingerprint) && self.entries.len() >= self.capacity {
+        if !self.entries.contains_key(&fingerprint) && self.entries.len() >= self.options.capacity {
             self.drop_least_suspected();
         }
         let entry = self.entries.entry(fingerprint).or_insert_with(|| CrashEntry {
@@ -149,14 +169,23 @@
     }
 
     /// The time until which the request is refused; `None` if it is not refused.
+    ///
+    /// After a refusal the request may be sent again: if it crashes another target, it is refused for
+    /// longer, and if it completes, it is cleared.
     pub fn refused_until(
         &self,
         fingerprint: RequestFingerprint,
         now: MonoTime,
     ) -> Option<MonoTime> {
         let entry = self.entries.get(&fingerprint)?;
-        let is_refused = entry.crashes.len() >= self.limit as usize && now < entry.expires_at;
-        is_refused.then_some(entry.expires_at)
+        let last_at = entry.crashes.values().map(|crash| crash.noticed_at).max()?;
+        let CrashOptions { limit, first_refusal_ms, max_refusal_ms, .. } = self.options;
+        let crashes_beyond = entry.crashes.len().checked_sub(limit as usize)?;
+        let doublings = u32::try_from(crashes_beyond).unwrap_or(u32::MAX);
+        let refusal_ms = first_refusal_ms.saturating_mul(2_u64.saturating_pow(doublings));
+        let ends_ms = last_at.as_millis().saturating_add(refusal_ms.min(max_refusal_ms));
+        let until = entry.expires_at.min(MonoTime::from_millis(ends_ms));
+        (now < until).then_some(until)
     }
 
     /// At most `count` crashes for the next digest, which counts as having reported them.
--- a/ggt-core/tests/crashes.rs
+++ b/ggt-core/tests/crashes.rs
@@ -5,6 +5,7 @@
 
 use ggt_core::clock::MonoTime;
 use ggt_core::crashes::CrashId;
+use ggt_core::crashes::CrashOptions;
 use ggt_core::crashes::CrashRecord;
 use ggt_core::crashes::CrashSource;
 use ggt_core::crashes::CrashTable;
@@ -71,7 +72,7 @@
 const REPORTS: usize = 4;
 
 fn crash_table(capacity: usize) -> CrashTable {
-    CrashTable::new(LIMIT, capacity)
+    CrashTable::new(CrashOptions { limit: LIMIT, capacity, ..CrashOptions::default() })
 }
 
 /// Records the crash with this number, which counts for ten minutes.
@@ -158,3 +159,22 @@
     assert_eq!(table.refused_until(REQUEST, at(4)), None);
     assert_eq!(table.summary(REQUEST), None);
 }
+
+// Guards against a request that crashes three targets after each end of its refusal.
+#[test]
+fn request_that_crashes_a_target_after_its_refusal_is_refused_at_once_and_for_longer() {
+    let options = CrashOptions {
+        limit: LIMIT,
+        first_refusal_ms: 60_000,
+        max_refusal_ms: 100_000,
+        ..CrashOptions::default()
+    };
+    let mut table = CrashTable::new(options);
+    (1..=3).for_each(|number| record(&mut table, REQUEST, number));
+    assert_eq!(table.refused_until(REQUEST, at(4)), Some(at(60_003)));
+    assert_eq!(table.refused_until(REQUEST, at(60_003)), None, "it may be sent again");
+    record(&mut table, REQUEST, 70_000);
+    assert_eq!(table.refused_until(REQUEST, at(70_000)), Some(at(170_000)), "120 s, at most 100 s");
+    table.clear(REQUEST);
+    assert_eq!(table.refused_until(REQUEST, at(70_001)), None);
+}
--- a/ggt-daemon/src/front/crashes.rs
+++ b/ggt-daemon/src/front/crashes.rs
@@ -3,11 +3,11 @@
 use crate::clock::mono_now;
 use crate::front::job::FrontJob;
 use crate::front::response::FrontRefusal;
-use crate::front::state::CRASH_LIMIT;
 use crate::front::state::FrontState;
 use crate::logging::quoted;
 use ggt_core::clock::MonoTime;
 use ggt_core::crashes::CrashId;
+use ggt_core::crashes::CrashOptions;
 use ggt_core::crashes::CrashRecord;
 use ggt_core::crashes::CrashReport;
 use ggt_core::crashes::CrashSource;
@@ -16,13 +16,15 @@
 use ggt_core::crashes::RequestFingerprint;
 use ggt_core::fleet::PeerDigest;
 
-/// Milliseconds for which a request stays suspected of crashing its targets.
-const SUSPICION_MS: u64 = 60_000;
+/// Limits of the table of requests that are suspected of crashing their targets.
+pub const CRASH_OPTIONS: CrashOptions =
+    CrashOptions { limit: 3, capacity: 4_096, first_refusal_ms: 60_000, max_refusal_ms: 600_000 };
+/// Milliseconds for which a crash counts against a request; longer than the longest refusal, so that
+/// one more crash after it suffices.
+const SUSPICION_MS: u64 = 1_200_000;
 /// Milliseconds between the loss of a reply and the end of its target within which the two count as
 /// one crash; longer than the platform takes to list a target that started again.
 const LOSS_WINDOW_MS: u64 = 8_000;
-/// `retry-after` in milliseconds for a request that is suspected of crashing its targets.
-const CRASH_RETRY_MS: u64 = 5_000;
 
 impl FrontState {
     /// Records that a request was sent and its reply lost, which counts as a crash if the target
@@ -116,24 +118,22 @@
     pub fn refuse_crashing(&self, job: &FrontJob) -> Option<FrontRefusal> {
         let now = mono_now();
         let table = self.crashes.borrow();
-        table.refused_until(job.fingerprint, now)?;
-        let CrashSummary { count, first_at, last_at, expires_at } =
-            table.summary(job.fingerprint)?;
+        let left_ms = table.refused_until(job.fingerprint, now)?.millis_since(now);
+        let CrashSummary { count, first_at, last_at, .. } = table.summary(job.fingerprint)?;
         log::info!(
             "event=refuse-crashing request_id={} print={:016x} crashes={count} first_age_ms={} \
-             last_age_ms={} left_ms={}",
+             last_age_ms={} left_ms={left_ms}",
             quoted(&job.id),
             job.fingerprint.0,
             now.millis_since(first_at),
             now.millis_since(last_at),
-            expires_at.millis_since(now),
         );
-        Some(FrontRefusal::not_run("crashes-targets", CRASH_RETRY_MS))
+        Some(FrontRefusal::not_run("crashes-targets", left_ms))
     }
 
     /// Whether one more crash leads to the refusal of the request.
     pub fn is_next_crash_decisive(&self, job: &FrontJob) -> bool {
-        self.crash_count(job.fingerprint) + 1 >= CRASH_LIMIT as usize
+        self.crash_count(job.fingerprint) + 1 >= CRASH_OPTIONS.limit as usize
     }
 
     /// Drops expired records.
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -11,6 +11,7 @@
 use crate::clock::mono_now;
 use crate::clock::wall_now;
 use crate::edge::EdgeHandle;
+use crate::front::crashes::CRASH_OPTIONS;
 use crate::front::metrics::FrontMetrics;
 use crate::front::pack::PackedReply;
 use crate::front::settings::FrontSettings;
@@ -37,11 +38,6 @@
 use ggt_platform::parse_registration;
 use ggt_platform::target_id;
 
-/// Number of target crashes after which a request that was in flight at each of them is refused.
-pub const CRASH_LIMIT: u32 = 3;
-/// Maximum number of requests that are tracked as suspected of crashing their targets.
-const MAX_SUSPECTS: usize = 4_096;
-
 /// Milliseconds after its start for which a daemon waits for a digest before it is ready.
 const PEER_WAIT_MS: u64 = 300;
 
@@ -145,8 +141,8 @@
             pool: RefCell::default(),
             connections: ConnectionPool::default(),
             fleet: RefCell::new(fleet),
-            crashes: RefCell::new(CrashTable::new(CRASH_LIMIT, MAX_SUSPECTS)),
-            losses: RefCell::new(LossTable::new(MAX_SUSPECTS)),
+            crashes: RefCell::new(CrashTable::new(CRASH_OPTIONS)),
+            losses: RefCell::new(LossTable::new(CRASH_OPTIONS.capacity)),
             shares: RefCell::default(),
             in_flight: Cell::new(0),
             edge: EdgeHandle::default(),
--- a/ggt-daemon/src/state/mod.rs
+++ b/ggt-daemon/src/state/mod.rs
@@ -19,6 +19,7 @@
 
 use ggt_core::claims::AttemptId;
 use ggt_core::claims::ClaimHolder;
+use ggt_core::crashes::CrashOptions;
 use ggt_core::crashes::CrashTable;
 use ggt_core::ident::CustomerName;
 use ggt_core::ident::DaemonName;
@@ -45,9 +46,6 @@
 use crate::settings::DaemonSettings;
 use crate::upstream::ConnectionPool;
 
-/// Maximum requests tracked as suspected of crashing their targets.
-const MAX_SUSPECT_REQUESTS: usize = 4_096;
-
 /// Unanswered epoch queries: the queried daemon by nonce.
 pub type EpochQueries = BTreeMap<u64, DaemonName>;
 
@@ -134,7 +132,10 @@
             shares: Mutex::default(),
             retry_budget: Mutex::default(),
             // The limit is set when a configuration is activated.
-            crashes: Mutex::new(CrashTable::new(u32::MAX, MAX_SUSPECT_REQUESTS)),
+            crashes: Mutex::new(CrashTable::new(CrashOptions {
+                limit: u32::MAX,
+                ..CrashOptions::default()
+            })),
             claim_holder: Mutex::new(ClaimHolder::new(settings.name.clone(), started_at)),
             gossip: Mutex::new(GossipState::new(peers, settings.limits.gossip_bytes, now)),
             epoch_queries: Mutex::default(),
--- a/ggt-testkit/src/bench/state.rs
+++ b/ggt-testkit/src/bench/state.rs
@@ -18,6 +18,7 @@
 use ggt_core::config::DaemonSection;
 use ggt_core::config::RosterSection;
 use ggt_core::crashes::CrashId;
+use ggt_core::crashes::CrashOptions;
 use ggt_core::crashes::CrashRecord;
 use ggt_core::crashes::CrashSource;
 use ggt_core::crashes::CrashTable;
@@ -126,7 +127,7 @@
 }
 
 fn fill_suspects(count: usize) -> CrashTable {
-    let mut table = CrashTable::new(3, count);
+    let mut table = CrashTable::new(CrashOptions { capacity: count, ..CrashOptions::default() });
     for number in 0..count as u64 {
         table.record_crash(CrashRecord {
             fingerprint: RequestFingerprint(number),
