fix: standin: the fault proxy does not run out of local ports

keys_submitted_on_both_sides_of_a_partition_run_once had failed once (no run on the majority's side), and whole rounds of non_idempotent failed when many ran within a minute. Cause: the proxy bound the port of each outgoing connection explicitly, for which the kernel takes only ports without any closed connection in TIME_WAIT, whatever its target; after some 30,000 connections in a minute none was left, and the proxy closed the caller's connection without a word. The error is printed.

--- a/ggt-standin/src/proxy/mod.rs
+++ b/ggt-standin/src/proxy/mod.rs
@@ -7,7 +7,9 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::io::ErrorKind;
 use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -184,7 +186,16 @@
 }
 
 async fn forward_connection(route: Arc<ProxyRoute>, client: TcpStream, peer: SocketAddr) {
-    let Ok(target) = connect_from(peer, route.target).await else { return };
+    let target = match connect_from(peer, route.target).await {
+        Ok(target) => target,
+        Err(e) => {
+            // Any other error is the target's, as if there were no proxy.
+            if matches!(e.kind(), ErrorKind::AddrInUse | ErrorKind::AddrNotAvailable) {
+                eprintln!("proxy: no local port for a connection to {}: {e}", route.target);
+            }
+            return;
+        }
+    };
     // Nagle's algorithm would delay small chunks.
     let _ = client.set_nodelay(true);
     let _ = target.set_nodelay(true);
@@ -232,7 +243,11 @@
 /// Connects with the peer's IP address as the source, so that the target sees the peer's address.
 async fn connect_from(peer: SocketAddr, target: SocketAddr) -> std::io::Result<TcpStream> {
     let socket = if target.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    socket.bind(SocketAddr::new(peer.ip(), 0))?;
+    // The kernel takes this address anyway. A port that is bound explicitly must not belong to any
+    // closed connection (TIME_WAIT), whatever its target, so that many tests in a row use them up.
+    if peer.ip() != IpAddr::V4(Ipv4Addr::LOCALHOST) {
+        socket.bind(SocketAddr::new(peer.ip(), 0))?;
+    }
     socket.connect(target).await
 }
 
