fix: core: a request that completes elsewhere is not blamed for crashes at the same time

Callers' harm: requests that many callers send alike (a status lookup with the same path, key and body) have one fingerprint. Some of them are in flight at any crash; after three crashes that another request caused all of them were refused for a minute, and no completion could clear them any more. Every complete reply but a 5xx counts, also of non-idempotent requests on the own interface.

--- a/ggt-core/src/crashes/mod.rs
+++ b/ggt-core/src/crashes/mod.rs
@@ -1,11 +1,13 @@
 //! Detects requests that crash the targets that run them.
 
+mod completions;
 mod losses;
 mod table;
 
 pub use losses::LossTable;
 pub use losses::LostReply;
 pub use table::CrashOptions;
+pub use table::CrashOutcome;
 pub use table::CrashRecord;
 pub use table::CrashReport;
 pub use table::CrashSource;
--- a/ggt-core/src/crashes/table.rs
+++ b/ggt-core/src/crashes/table.rs
@@ -7,7 +7,10 @@
 use crate::clock::MonoTime;
 use crate::crashes::CrashId;
 use crate::crashes::RequestFingerprint;
+use crate::crashes::completions::CompletionTable;
 
+/// Milliseconds after a completion of a request in which it is not blamed for a crash.
+const COMPLETION_WINDOW_MS: u64 = 10_000;
 /// Number of digests in which a crash that this daemon noticed goes before others.
 const URGENT_REPORTS: u32 = 3;
 
@@ -48,6 +51,17 @@
     pub source: CrashSource,
 }
 
+/// What became of a [`CrashRecord`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashOutcome {
+    /// It counts against the request now.
+    New,
+    /// It was stored already, or has been cleared.
+    Known,
+    /// The request completed shortly before the crash or after it, so it is not to blame.
+    Completed,
+}
+
 /// A crash to report to other daemons.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CrashReport {
@@ -82,12 +96,14 @@
 /// Requests suspected of crashing targets: those in flight on a target when it crashed.
 ///
 /// A request is refused once it has been in flight at `limit` crashes. A request that completes is
-/// cleared, since it did not crash its target. So other requests that were in flight on a crashed
+/// cleared, since it did not crash its target, and is not blamed for crashes shortly after. The
+/// second rule protects requests that many callers send alike at the same time. So other requests that were in flight on a crashed
 /// target are cleared when they complete on the next one, and only a request that is present at
 /// each crash reaches the limit.
 #[derive(Clone, Debug)]
 pub struct CrashTable {
     entries: BTreeMap<RequestFingerprint, CrashEntry>,
+    completions: CompletionTable,
     options: CrashOptions,
 }
 
@@ -96,7 +112,7 @@
 pub struct CrashOptions {
     /// Number of crashes after which a request is refused.
     pub limit: u32,
-    /// Maximum number of requests stored.
+    /// Maximum number of suspected requests stored, and of recent completions.
     pub capacity: usize,
     /// Milliseconds for which a request is refused after the crash that reached the limit; they
     /// double with each crash after it. A refusal ends with the entry at the latest.
@@ -115,7 +131,8 @@
 impl CrashTable {
     /// An empty table.
     pub fn new(options: CrashOptions) -> Self {
-        Self { entries: BTreeMap::new(), options }
+        let completions = CompletionTable::new(options.capacity);
+        Self { entries: BTreeMap::new(), completions, options }
     }
 
     /// Changes the number of crashes after which a request is refused.
@@ -123,10 +140,15 @@
         self.options.limit = limit;
     }
 
-    /// Records that a request was in flight when a target crashed; `true` when this is new. A full table drops the entry with the fewest crashes, of these the one that expires
+    /// Records that a request was in flight when a target crashed. A full table drops the entry with the fewest crashes, of these the one that expires
     /// first.
-    pub fn record_crash(&mut self, record: CrashRecord) -> bool {
+    pub fn record_crash(&mut self, record: CrashRecord) -> CrashOutcome {
         let CrashRecord { fingerprint, crash, noticed_at, expires_at, source } = record;
+        let blameless_from = noticed_at.as_millis().saturating_sub(COMPLETION_WINDOW_MS);
+        let blameless_from = MonoTime::from_millis(blameless_from);
+        if self.completions.has_completed_since(fingerprint, blameless_from) {
+            return CrashOutcome::Completed;
+        }
         if !self.entries.contains_key(&fingerprint) && self.entries.len() >= self.options.capacity {
             self.drop_least_suspected();
         }
@@ -136,20 +158,24 @@
             expires_at,
         });
         if entry.cleared.contains(&crash) {
-            return false;
+            return CrashOutcome::Known;
         }
         entry.expires_at = entry.expires_at.max(expires_at);
-        let is_new = !entry.crashes.contains_key(&crash);
+        if entry.crashes.contains_key(&crash) {
+            return CrashOutcome::Known;
+        }
         let reports = match source {
             CrashSource::Own => 0,
             CrashSource::Peer => URGENT_REPORTS,
         };
-        entry.crashes.entry(crash).or_insert(CrashState { noticed_at, reports });
-        is_new
+        entry.crashes.insert(crash, CrashState { noticed_at, reports });
+        CrashOutcome::New
     }
 
-    /// Clears a request that completed; returns the number of crashes that no longer count.
-    pub fn clear(&mut self, fingerprint: RequestFingerprint) -> usize {
+    /// Records that a request completed, and clears it; returns the number of crashes that no
+    /// longer count.
+    pub fn record_completion(&mut self, fingerprint: RequestFingerprint, now: MonoTime) -> usize {
+        self.completions.record(fingerprint, now);
         let Some(entry) = self.entries.get_mut(&fingerprint) else { return 0 };
         let crashes = std::mem::take(&mut entry.crashes);
         let count = crashes.len();
--- a/ggt-core/tests/crashes.rs
+++ b/ggt-core/tests/crashes.rs
@@ -6,6 +6,7 @@
 use ggt_core::clock::MonoTime;
 use ggt_core::crashes::CrashId;
 use ggt_core::crashes::CrashOptions;
+use ggt_core::crashes::CrashOutcome;
 use ggt_core::crashes::CrashRecord;
 use ggt_core::crashes::CrashSource;
 use ggt_core::crashes::CrashTable;
@@ -154,7 +155,7 @@
 fn completed_request_is_cleared_also_of_crashes_reported_again() {
     let mut table = crash_table(4);
     (1..=3).for_each(|number| record(&mut table, REQUEST, number));
-    assert_eq!(table.clear(REQUEST), 3);
+    assert_eq!(table.record_completion(REQUEST, at(3)), 3);
     record(&mut table, REQUEST, 3);
     assert_eq!(table.refused_until(REQUEST, at(4)), None);
     assert_eq!(table.summary(REQUEST), None);
@@ -175,6 +176,39 @@
     assert_eq!(table.refused_until(REQUEST, at(60_003)), None, "it may be sent again");
     record(&mut table, REQUEST, 70_000);
     assert_eq!(table.refused_until(REQUEST, at(70_000)), Some(at(170_000)), "120 s, at most 100 s");
-    table.clear(REQUEST);
+    table.record_completion(REQUEST, at(70_001));
     assert_eq!(table.refused_until(REQUEST, at(70_001)), None);
 }
+
+// Guards against the refusal of a request that many callers send alike, such as a status lookup,
+// because some of them were in flight at crashes that another request caused.
+#[test]
+fn request_that_completes_elsewhere_is_not_blamed_for_crashes_at_the_same_time() {
+    let mut table = crash_table(4);
+    for number in 1..=10 {
+        table.record_completion(REQUEST, at(1_000 * number));
+        let (crash, noticed_at) = (CrashId(number), at(1_000 * number + 500));
+        let record = CrashRecord {
+            fingerprint: REQUEST,
+            crash,
+            noticed_at,
+            expires_at: at(600_000),
+            source: CrashSource::Own,
+        };
+        assert_eq!(table.record_crash(record), CrashOutcome::Completed);
+    }
+    assert_eq!(table.refused_until(REQUEST, at(11_000)), None);
+    (1..=3).for_each(|number| record(&mut table, REQUEST, 30_000 + number));
+    assert!(table.refused_until(REQUEST, at(30_010)).is_some(), "it no longer completes");
+}
+
+#[test]
+fn only_the_last_completions_are_stored() {
+    let mut table = crash_table(4);
+    table.record_completion(REQUEST, at(1));
+    for other in 100..104 {
+        table.record_completion(RequestFingerprint(other), at(2));
+    }
+    (2..=4).for_each(|number| record(&mut table, REQUEST, number));
+    assert!(table.refused_until(REQUEST, at(5)).is_some());
+}
--- a/ggt-daemon/src/front/buffered.rs
+++ b/ggt-daemon/src/front/buffered.rs
@@ -47,8 +47,8 @@
                 continue;
             }
             Ok((raw_headers, body)) => {
-                if status.is_success() {
-                    state.clear_crashes(&job);
+                if !status.is_server_error() {
+                    state.record_completion(&job);
                 }
                 guard.end("answered", status.as_u16(), "whole");
                 return forwarded_response(
--- a/ggt-daemon/src/front/crashes.rs
+++ b/ggt-daemon/src/front/crashes.rs
@@ -8,6 +8,7 @@
 use ggt_core::clock::MonoTime;
 use ggt_core::crashes::CrashId;
 use ggt_core::crashes::CrashOptions;
+use ggt_core::crashes::CrashOutcome;
 use ggt_core::crashes::CrashRecord;
 use ggt_core::crashes::CrashReport;
 use ggt_core::crashes::CrashSource;
@@ -64,7 +65,7 @@
         cause: &str,
     ) {
         let report = CrashReport { fingerprint, crash, noticed_at: mono_now() };
-        let is_new = self.store_crash(report, CrashSource::Own);
+        let is_new = self.store_crash(report, CrashSource::Own) == CrashOutcome::New;
         self.metrics.record_crashes("seen", u64::from(is_new));
         if is_new {
             // The caller may repeat the request at another daemon at any moment.
@@ -85,7 +86,7 @@
     pub fn record_peer_crashes(&self, digest: &PeerDigest) {
         let now = mono_now();
         for report in digest.crash_reports(now) {
-            if !self.store_crash(report, CrashSource::Peer) {
+            if self.store_crash(report, CrashSource::Peer) != CrashOutcome::New {
                 continue;
             }
             self.metrics.record_crashes("told", 1);
@@ -100,10 +101,10 @@
         }
     }
 
-    /// Clears a request that completed, since it did not crash its target.
-    pub fn clear_crashes(&self, job: &FrontJob) {
+    /// Records that a request completed, which clears it, since it did not crash its target.
+    pub fn record_completion(&self, job: &FrontJob) {
         self.losses.borrow_mut().clear(job.fingerprint);
-        let count = self.crashes.borrow_mut().clear(job.fingerprint);
+        let count = self.crashes.borrow_mut().record_completion(job.fingerprint, mono_now());
         if count > 0 {
             self.metrics.record_crashes("cleared", count as u64);
             log::info!(
@@ -146,12 +147,15 @@
         self.metrics.record_crashes("expired", expired.len() as u64);
     }
 
-    /// Stores a crash that has not expired; `true` when it is new.
-    fn store_crash(&self, report: CrashReport, source: CrashSource) -> bool {
+    /// Stores a crash that has not expired.
+    fn store_crash(&self, report: CrashReport, source: CrashSource) -> CrashOutcome {
         let CrashReport { fingerprint, crash, noticed_at } = report;
         let expires_at = noticed_at + SUSPICION_MS;
         let record = CrashRecord { fingerprint, crash, noticed_at, expires_at, source };
-        mono_now() < expires_at && self.crashes.borrow_mut().record_crash(record)
+        match mono_now() < expires_at {
+            true => self.crashes.borrow_mut().record_crash(record),
+            false => CrashOutcome::Known,
+        }
     }
 
     fn crash_count(&self, fingerprint: RequestFingerprint) -> usize {
