test: soak: a caller whose requests crash servers, at any daemon, among the other faults

The caller repeats requests of all four kinds; crashed servers come back as other instances with the next fault. Checked as the users state it: more than three calls that crash a server later than 3 s after the third crash, by a daemon and with a store that were undisrupted for 3 s, are a violation; and 503 for a non-idempotent request that has run.

--- a/ggt-testkit/src/bin/ggt-soak.rs
+++ b/ggt-testkit/src/bin/ggt-soak.rs
@@ -32,6 +32,12 @@
     /// number of callers
     #[argh(option, default = "12")]
     callers: usize,
+    /// add a caller whose requests crash the servers that run them
+    #[argh(switch)]
+    crashing: bool,
+    /// longest pause before each fault, in milliseconds (more than 60)
+    #[argh(option, default = "500")]
+    max_pause_ms: u64,
 }
 
 fn main() -> ExitCode {
@@ -44,6 +50,8 @@
             daemons: args.daemons,
             servers: args.servers,
             callers: args.callers,
+            has_crashing_caller: args.crashing,
+            max_fault_interval: Duration::from_millis(args.max_pause_ms),
         });
         println!(
             "seed {seed}: {} requests, {} answered, {} faults, {} violations",
--- a/ggt-testkit/src/soak/deployment.rs
+++ b/ggt-testkit/src/soak/deployment.rs
@@ -4,12 +4,15 @@
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use ggt_platform::TARGET_PREFIX;
+use ggt_standin::server::lock;
 use ggt_standin::users_platform::AfterResponse;
 use ggt_standin::users_platform::ServerStandin;
 use ggt_standin::users_platform::WireRequest;
@@ -22,6 +25,8 @@
 use crate::http::HttpRequest;
 use crate::process::ChildProcess;
 use crate::soak::SoakOptions;
+use crate::soak::crashing::CRASH_PATH;
+use crate::soak::crashing::CrashLog;
 use crate::soak::invariants::InvariantChecker;
 use crate::wait::wait_until;
 
@@ -44,11 +49,14 @@
     format!("id: {number}\ndata: {number} of {id}\n\n")
 }
 
-/// Whether a daemon is paused or killed, so that requests it has read may be interrupted.
+/// Whether a daemon is paused or killed, so that requests it has read may be interrupted, or whether
+/// the store fails.
 #[derive(Debug, Default)]
 pub(super) struct DaemonDisruption {
     /// Incremented when a disruption begins and when it ends; odd during a disruption.
     transitions: AtomicUsize,
+    /// When the last disruption began or ended.
+    changed_at: Mutex<Option<Instant>>,
     /// Number of times that the daemon was killed.
     kills: AtomicUsize,
 }
@@ -60,6 +68,13 @@
         let change = |transitions| differs(transitions).then_some(transitions + 1);
         // An error means that the state is the requested one already.
         let _ = self.transitions.fetch_update(Ordering::SeqCst, Ordering::SeqCst, change);
+        *lock(&self.changed_at) = Some(Instant::now());
+    }
+
+    /// Whether there has been no disruption for this time.
+    pub(super) fn is_stable_for(&self, time: Duration) -> bool {
+        let changed_at = *lock(&self.changed_at);
+        self.stable_version().is_some() && changed_at.is_none_or(|at| at.elapsed() >= time)
     }
 
     /// Records that the daemon is killed, which breaks all its connections.
@@ -85,6 +100,8 @@
     pub(super) fleet: FrontFleet,
     pub(super) draining_servers: Vec<usize>,
     pub(super) disruptions: Vec<Arc<DaemonDisruption>>,
+    pub(super) store_disruption: Arc<DaemonDisruption>,
+    pub(super) crash_log: Arc<CrashLog>,
     proxy_control: SocketAddr,
     proxy_routes: Vec<SocketAddr>,
     /// Version of the configuration published last.
@@ -103,6 +120,8 @@
             proxy_routes: Vec::new(),
             draining_servers: Vec::new(),
             disruptions: (0..options.daemons).map(|_| Arc::default()).collect(),
+            store_disruption: Arc::default(),
+            crash_log: Arc::default(),
             proxy_control,
             version: 1,
             _proxy: proxy,
@@ -116,7 +135,7 @@
             let to = deployment.fleet.servers[number].address;
             deployment.control_proxy(&format!("/control/route?listen={listen}&to={to}"));
             deployment.proxy_routes.push(listen);
-            set_soak_script(&deployment.fleet.servers[number], checker);
+            set_soak_script(&deployment.fleet.servers[number], checker, &deployment.crash_log);
             deployment.register(number, "ready");
         }
         (0..options.daemons).for_each(|number| deployment.fleet.add_daemon(number, None));
@@ -146,6 +165,24 @@
         self.fleet.store.put(&format!("{TARGET_PREFIX}{}", server.id()), &registration);
     }
 
+    /// Starts crashed servers again as other instances at the same addresses.
+    pub(super) fn restart_crashed_servers(&mut self) {
+        for number in 0..self.fleet.servers.len() {
+            let server = &self.fleet.servers[number];
+            if !server.is_down() {
+                continue;
+            }
+            let old_id = server.id();
+            if let Err(e) = server.restart(&format!("{old_id}+")) {
+                eprintln!("server {old_id} cannot be restarted yet: {e}");
+                continue;
+            }
+            self.register(number, "ready");
+            self.fleet.remove_registration(&old_id);
+            self.draining_servers.retain(|draining| *draining != number);
+        }
+    }
+
     /// Replaces the fault plan of a server's proxy route.
     pub(super) fn set_fault_plan(&self, number: usize, plan: &str) {
         self.control_proxy(&format!("/control/plan?listen={}&{plan}", self.proxy_routes[number]));
@@ -159,8 +196,10 @@
 
     /// Ends all faults.
     pub(super) fn heal(&mut self) {
+        self.restart_crashed_servers();
         (0..self.proxy_routes.len()).for_each(|number| self.set_fault_plan(number, "delay_ms=0"));
         self.fleet.store.set_failure(None);
+        self.store_disruption.set_disrupted(false);
         for daemon in 0..self.fleet.daemons.len() {
             if self.fleet.daemons[daemon].process.is_running() {
                 self.fleet.daemons[daemon].process.resume();
@@ -227,13 +266,21 @@
 }
 
 /// Makes a server respond by the request's kind, and record each execution before the first response byte.
-fn set_soak_script(server: &ServerStandin, checker: &Arc<InvariantChecker>) {
-    let checker = checker.clone();
+fn set_soak_script(
+    server: &ServerStandin,
+    checker: &Arc<InvariantChecker>,
+    crash_log: &Arc<CrashLog>,
+) {
+    let (checker, crash_log) = (checker.clone(), crash_log.clone());
     server.set_script(move |request, stream| {
         let id = request.attempt_id().to_owned();
-        let kind = request.path.trim_matches('/').to_owned();
-        checker.record_run(&id, matches!(kind.as_str(), "once" | "talk"));
-        match kind.as_str() {
+        let kind = request.path.split('/').nth(1).unwrap_or_default();
+        checker.record_run(&id, matches!(kind, "once" | "talk"));
+        match kind {
+            _ if request.path.contains(CRASH_PATH) => {
+                crash_log.record(&request.path, &id);
+                AfterResponse::Crash
+            }
             "chat" | "talk" => send_events(request, stream, &id),
             _ => respond(request, stream, 200, &body_of(&id)),
         }
--- a/ggt-testkit/src/soak/faults.rs
+++ b/ggt-testkit/src/soak/faults.rs
@@ -8,11 +8,12 @@
 use rand::rngs::SmallRng;
 use rustix::process::Signal;
 
+use crate::soak::SoakOptions;
 use crate::soak::deployment::SoakDeployment;
 use crate::soak::invariants::InvariantChecker;
 
-/// Range from which the pause before each fault is drawn, in milliseconds.
-const FAULT_INTERVAL_MS: std::ops::Range<u64> = 60..500;
+/// Lower bound of the pause before each fault.
+const MIN_FAULT_INTERVAL: Duration = Duration::from_millis(60);
 /// Upper bound (exclusive) of the duration of a fault, in milliseconds.
 const MAX_FAULT_MS: u64 = 2_500;
 
@@ -30,16 +31,20 @@
     Store,
 }
 
-/// Injects faults, several of them at the same time, until `until`; ends them all before it returns.
+/// Injects faults, several of them at the same time, and restarts crashed servers for the time in the
+/// options; ends all faults before it returns.
 pub(super) fn run_faults(
     deployment: &mut SoakDeployment,
     random: &mut SmallRng,
-    until: Instant,
+    options: &SoakOptions,
     checker: &InvariantChecker,
 ) {
+    let until = Instant::now() + options.faults_for;
     let mut pending_ends: Vec<(Instant, FaultEnd)> = Vec::new();
     while Instant::now() < until {
-        thread::sleep(Duration::from_millis(random.random_range(FAULT_INTERVAL_MS)));
+        let pause = random.random_range(MIN_FAULT_INTERVAL..options.max_fault_interval);
+        thread::sleep(pause);
+        deployment.restart_crashed_servers();
         let now = Instant::now();
         let (due, later): (Vec<_>, Vec<_>) =
             pending_ends.into_iter().partition(|(at, _)| *at <= now);
@@ -101,6 +106,7 @@
         9 => {
             let status = [429, 503][random.random_range(0..2)];
             deployment.fleet.store.set_failure(Some(status));
+            deployment.store_disruption.set_disrupted(true);
             Some((format!("store responds with status {status}"), Some(FaultEnd::Store)))
         }
         10 => {
@@ -132,6 +138,9 @@
         FaultEnd::Restart(daemon) | FaultEnd::StartAfterShutdown(daemon) => {
             deployment.restart(daemon)
         }
-        FaultEnd::Store => deployment.fleet.store.set_failure(None),
+        FaultEnd::Store => {
+            deployment.fleet.store.set_failure(None);
+            deployment.store_disruption.set_disrupted(false);
+        }
     }
 }
--- a/ggt-testkit/src/soak/mod.rs
+++ b/ggt-testkit/src/soak/mod.rs
@@ -2,6 +2,7 @@
 //! the guarantees to callers are checked against what callers and servers observe.
 
 mod caller;
+mod crashing;
 mod deployment;
 mod faults;
 mod invariants;
@@ -10,13 +11,14 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::thread;
+use std::thread::JoinHandle;
 use std::time::Duration;
-use std::time::Instant;
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
 use crate::soak::caller::run_caller;
+use crate::soak::crashing::run_crashing_caller;
 use crate::soak::deployment::SoakDeployment;
 use crate::soak::faults::run_faults;
 use crate::soak::invariants::InvariantChecker;
@@ -34,6 +36,24 @@
     pub servers: usize,
     /// Number of callers, each with its own keep-alive connection.
     pub callers: usize,
+    /// Whether one more caller repeats requests that crash the servers which run them.
+    pub has_crashing_caller: bool,
+    /// Upper bound (exclusive) of the pause before each fault.
+    pub max_fault_interval: Duration,
+}
+
+impl Default for SoakOptions {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            faults_for: Duration::from_secs(8),
+            daemons: 4,
+            servers: 6,
+            callers: 12,
+            has_crashing_caller: false,
+            max_fault_interval: Duration::from_millis(500),
+        }
+    }
 }
 
 /// Counts, faults and violations of a soak.
@@ -65,17 +85,34 @@
             thread::spawn(move || run_caller(number, seed, &daemons, &checker, &is_over))
         })
         .collect();
+    let are_faults_over = Arc::new(AtomicBool::new(false));
+    let crashing_caller = options.has_crashing_caller.then(|| {
+        let (checker, is_over) = (checker.clone(), are_faults_over.clone());
+        let (daemons, log) = (deployment.callers(), deployment.crash_log.clone());
+        let (seed, store) = (options.seed, deployment.store_disruption.clone());
+        thread::spawn(move || {
+            run_crashing_caller(seed, &daemons, &store, &log, &checker, &is_over);
+        })
+    });
     let mut random = SmallRng::seed_from_u64(options.seed);
-    let until = Instant::now() + options.faults_for;
-    run_faults(&mut deployment, &mut random, until, &checker);
+    run_faults(&mut deployment, &mut random, options, &checker);
+    are_faults_over.store(true, Ordering::SeqCst);
+    join_callers(crashing_caller, &checker);
     deployment.heal();
     deployment.await_service(&checker);
     is_over.store(true, Ordering::SeqCst);
+    join_callers(callers, &checker);
+    deployment.check_draining_servers(&checker);
+    checker.outcome()
+}
+
+fn join_callers<C>(callers: C, checker: &InvariantChecker)
+where
+    C: IntoIterator<Item = JoinHandle<()>>,
+{
     for caller in callers {
         if caller.join().is_err() {
             checker.record_violation("a caller thread panicked".to_owned());
         }
     }
-    deployment.check_draining_servers(&checker);
-    checker.outcome()
 }
--- a/ggt-testkit/tests/soak.rs
+++ b/ggt-testkit/tests/soak.rs
@@ -7,7 +7,9 @@
 
 fn soak(seed: u64) {
     let faults_for = Duration::from_secs(6);
-    run(&SoakOptions { seed, faults_for, daemons: 3, servers: 5, callers: 8 });
+    let options =
+        SoakOptions { seed, faults_for, daemons: 3, servers: 5, ..SoakOptions::default() };
+    run(&SoakOptions { callers: 8, ..options });
 }
 
 fn run(options: &SoakOptions) {
@@ -27,5 +29,17 @@
 #[test]
 fn seed_510_daemon_is_killed_during_shutdown() {
     let faults_for = Duration::from_secs(20);
-    run(&SoakOptions { seed: 510, faults_for, daemons: 4, servers: 6, callers: 12 });
+    run(&SoakOptions { seed: 510, faults_for, ..SoakOptions::default() });
+}
+
+/// Daemons that go on sending a request under which three servers have crashed.
+#[test]
+fn crashing_requests_are_refused_under_injected_faults() {
+    run(&SoakOptions {
+        seed: 3,
+        faults_for: Duration::from_secs(20),
+        has_crashing_caller: true,
+        max_fault_interval: Duration::from_millis(4_000),
+        ..SoakOptions::default()
+    });
 }
