--- /dev/null
+++ b/ggt-daemon/src/front/changes.rs
@@ -0,0 +1,99 @@
+//! Applies changes of the platform's folders to the targets and the active configuration.
+
+use std::rc::Rc;
+
+use crate::clock::mono_now;
+use crate::front::state::FrontState;
+use crate::front::state::StoreFolder;
+use crate::logging::quoted;
+use ggt_core::routes::RouteConfig;
+use ggt_core::store_cache::StoreBatch;
+use ggt_core::store_cache::StoreChange;
+use ggt_platform::parse_config;
+use ggt_platform::parse_registration;
+use ggt_platform::target_id;
+
+impl FrontState {
+    /// Applies changes of one folder that came from the platform or from a peer; `source` is
+    /// logged.
+    pub fn apply_batch(&self, folder: StoreFolder, batch: StoreBatch, source: &str) {
+        let changes = self.cache(folder).borrow_mut().apply(batch);
+        if !changes.is_empty() && self.is_watching() {
+            self.digest_requested.notify_one();
+        }
+        for change in &changes {
+            match folder {
+                StoreFolder::Targets => self.apply_target(change, source),
+                StoreFolder::Config => self.apply_config(change, source),
+            }
+        }
+    }
+
+    fn apply_target(&self, change: &StoreChange, source: &str) {
+        let Some(id) = target_id(&change.key) else { return };
+        let revision = change.revision;
+        let record = change.value.as_ref().map(|value| parse_registration(id, value));
+        match record {
+            Some(Ok(record)) => {
+                let is_leaving = record.is_leaving;
+                let ended = self.pool.borrow().ended_by(&record);
+                ended.iter().for_each(|crash| self.record_target_end(*crash, "replaced"));
+                if self.pool.borrow_mut().put(record) {
+                    let status = if is_leaving { "leaving" } else { "ready" };
+                    log::info!(
+                        "event=target target={id} status={status} revision={revision} source={source}"
+                    );
+                }
+            }
+            Some(Err(e)) => {
+                log::warn!(
+                    "event=target-refused target={id} revision={revision} cause={}",
+                    quoted(&e.to_string())
+                );
+                self.pool.borrow_mut().record_unlisted(id, mono_now());
+            }
+            None => {
+                // Targets whose registrations expired during an outage of the platform register
+                // again after it, so their removal is delayed.
+                let now = mono_now();
+                let remove_at = self.outage.get().removal_time(now);
+                let wait_ms = remove_at.millis_since(now);
+                log::info!(
+                    "event=target target={id} status=unlisted revision={revision} \
+                     source={source} gone_in_ms={wait_ms}"
+                );
+                self.pool.borrow_mut().record_unlisted(id, remove_at);
+            }
+        }
+    }
+
+    fn apply_config(&self, change: &StoreChange, source: &str) {
+        let Some(value) = &change.value else {
+            log::warn!("event=config-removed revision={} outcome=kept", change.revision);
+            return;
+        };
+        match parse_config(value) {
+            Ok(config) => self.set_route_config(config, change.revision, source),
+            Err(e) => log::error!(
+                "event=config-refused revision={} cause={}",
+                change.revision,
+                quoted(&e.to_string())
+            ),
+        }
+    }
+
+    fn set_route_config(&self, config: RouteConfig, revision: u64, source: &str) {
+        let active_version = self.route_config().map_or(0, |config| config.version());
+        let version = config.version();
+        if version <= active_version {
+            log::info!("event=config version={version} in_force={active_version} outcome=ignored");
+            return;
+        }
+        let routes = config.route_count();
+        log::info!(
+            "event=config version={version} before={active_version} revision={revision} \
+             routes={routes} source={source} outcome=in-force"
+        );
+        *self.route_config.borrow_mut() = Some(Rc::new(config));
+    }
+}
--- /dev/null
+++ b/ggt-daemon/src/front/digests.rs
@@ -0,0 +1,163 @@
+//! Digests that daemons send to each other over UDP, periodically and when something is urgent.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+use crate::clock::mono_now;
+use crate::front::state::FrontState;
+use crate::front::state::StoreFolder;
+use crate::logging::quoted;
+use ggt_core::crashes::CrashReport;
+use ggt_core::fleet::PeerDigest;
+use ggt_wire::digest::decode_digest;
+use ggt_wire::digest::encode_digest;
+
+/// Maximum size of a datagram in bytes; small enough not to be fragmented.
+const MAX_DATAGRAM_BYTES: usize = 1_400;
+/// Maximum number of targets whose load a digest reports.
+const MAX_LOADS: usize = 50;
+/// Maximum number of cached prefixes in a digest.
+const MAX_PREFIXES: usize = 64;
+/// Maximum number of target crashes that a digest reports.
+const MAX_CRASHES: usize = 24;
+/// Delay before an early digest, so that changes in quick succession go into one.
+const DIGEST_DELAY: Duration = Duration::from_millis(20);
+/// Pause after an error of the socket.
+const ERROR_INTERVAL: Duration = Duration::from_millis(60);
+
+/// Sends digests to the other daemons until the task is dropped.
+pub async fn run_digests(state: Rc<FrontState>, socket: Rc<UdpSocket>) {
+    loop {
+        state.expire();
+        state.connections.sweep();
+        send_digests(&state, &socket).await;
+        let period_ms = state.fleet.borrow().period_ms();
+        // The jitter keeps daemons that started together from sending at the same moment.
+        let jitter_ms = rand::rng().random_range(0..=period_ms / 5);
+        tokio::select! {
+            () = sleep(Duration::from_millis(period_ms + jitter_ms)) => {}
+            () = state.digest_requested.notified() => sleep(DIGEST_DELAY).await,
+        }
+    }
+}
+
+async fn send_digests(state: &FrontState, socket: &UdpSocket) {
+    let recipients = state.fleet.borrow().recipients(&state.settings().seed_peers());
+    let cached_prefixes = state.pool.borrow_mut().recent_prefixes(MAX_PREFIXES);
+    let crashes = state.crashes.borrow_mut().next_reports(MAX_CRASHES);
+    send_digest(state, socket, &recipients, own_digest(state, cached_prefixes, &crashes)).await;
+}
+
+/// Sends a digest to a daemon that has just started, which may get requests before the next regular
+/// digest.
+async fn greet(state: &FrontState, socket: &UdpSocket, peer: SocketAddr) {
+    let crashes = state.crashes.borrow().most_suspected(MAX_CRASHES);
+    send_digest(state, socket, &[peer], own_digest(state, Vec::new(), &crashes)).await;
+}
+
+async fn send_digest(
+    state: &FrontState,
+    socket: &UdpSocket,
+    recipients: &[SocketAddr],
+    digest: PeerDigest,
+) {
+    let Some(bytes) = encode(digest) else { return };
+    for address in recipients {
+        if let Err(e) = socket.send_to(&bytes, address).await {
+            log::debug!("event=digest peer={address} cause=\"{e}\"");
+        }
+    }
+    state.metrics.record_digests(recipients.len() as u64);
+}
+
+/// Encodes a digest; halves its list of cached prefixes until it fits into a datagram.
+fn encode(mut digest: PeerDigest) -> Option<Vec<u8>> {
+    loop {
+        match encode_digest(&digest) {
+            Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => return Some(bytes),
+            Ok(_) if !digest.cached_prefixes.is_empty() => {
+                digest.cached_prefixes.truncate(digest.cached_prefixes.len() / 2)
+            }
+            Ok(bytes) => {
+                log::warn!("event=digest outcome=dropped bytes={}", bytes.len());
+                return None;
+            }
+            Err(e) => {
+                log::error!("event=digest outcome=dropped cause=\"{e}\"");
+                return None;
+            }
+        }
+    }
+}
+
+fn own_digest(
+    state: &FrontState,
+    cached_prefixes: Vec<(u32, u32)>,
+    crashes: &[CrashReport],
+) -> PeerDigest {
+    let number = state.digest_number.get() + 1;
+    state.digest_number.set(number);
+    let pool = state.pool.borrow();
+    let busy = pool.iter().filter(|(_, target)| target.own.requests > 0);
+    let now = mono_now();
+    let platform_age_ms = now.millis_since(state.platform_replied_at.get());
+    let mut digest = PeerDigest {
+        address: state.settings().peer,
+        incarnation: state.incarnation,
+        number,
+        centre_hash: state.centre_hash,
+        link_mbps: state.settings().link_mbps as u32,
+        is_watching: state.is_watching(),
+        age_ms: now.millis_since(state.started_at),
+        is_leaving: state.is_draining(),
+        target_revision: state.cache(StoreFolder::Targets).borrow().last_change_revision(),
+        config_revision: state.cache(StoreFolder::Config).borrow().last_change_revision(),
+        platform_age_ms: u32::try_from(platform_age_ms).unwrap_or(u32::MAX),
+        loads: busy.map(|(_, target)| (target.short_hash, target.own)).take(MAX_LOADS).collect(),
+        cached_prefixes,
+        crashes: Vec::new(),
+        known_peers: state.fleet.borrow().known_peers(number),
+        crash_ages_ms: Vec::new(),
+    };
+    digest.set_crashes(crashes, now);
+    digest
+}
+
+/// Receives digests of other daemons until the task is dropped.
+pub async fn run_receiver(state: Rc<FrontState>, socket: Rc<UdpSocket>) {
+    let mut buffer = [0; 2 * MAX_DATAGRAM_BYTES];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, _)) => {
+                if let Some(peer) = apply_datagram(&state, &buffer[..length]) {
+                    greet(&state, &socket, peer).await;
+                }
+            }
+            Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {}
+            Err(e) => {
+                log::warn!("event=digest cause={}", quoted(&e.to_string()));
+                sleep(ERROR_INTERVAL).await;
+            }
+        }
+    }
+}
+
+/// Applies a digest; returns the address of its daemon if that has just started.
+fn apply_datagram(state: &FrontState, bytes: &[u8]) -> Option<SocketAddr> {
+    let digest = match decode_digest(bytes) {
+        Ok(digest) => digest,
+        Err(e) => {
+            log::warn!("event=digest outcome=unreadable cause=\"{e}\"");
+            return None;
+        }
+    };
+    let peer = state.fleet.borrow().is_first(&digest).then_some(digest.address);
+    state.apply_digest(digest);
+    peer
+}
--- a/ggt-daemon/src/front/run.rs
+++ b/ggt-daemon/src/front/run.rs
@@ -19,11 +19,11 @@
 
 use crate::clock::mono_now;
 use crate::front::callers::serve_callers;
+use crate::front::digests::run_digests;
+use crate::front::digests::run_receiver;
 use crate::front::internal::serve_internal;
 use crate::front::metrics::FrontMetrics;
-use crate::front::peers::run_digests;
 use crate::front::peers::run_fetch;
-use crate::front::peers::run_receiver;
 use crate::front::settings::FrontSettings;
 use crate::front::settings::parse_front_settings;
 use crate::front::state::FrontState;
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -27,16 +27,11 @@
 use ggt_core::retry_window::RetryWindow;
 use ggt_core::routes::RouteConfig;
 use ggt_core::store_cache::PlatformOutage;
-use ggt_core::store_cache::StoreBatch;
 use ggt_core::store_cache::StoreCache;
-use ggt_core::store_cache::StoreChange;
 use ggt_core::targets::TargetKey;
 use ggt_core::targets::TargetPool;
 use ggt_platform::CONFIG_KEY;
 use ggt_platform::TARGET_PREFIX;
-use ggt_platform::parse_config;
-use ggt_platform::parse_registration;
-use ggt_platform::target_id;
 
 /// Milliseconds after its start for which a daemon waits for a digest before it is ready.
 const PEER_WAIT_MS: u64 = 300;
@@ -112,10 +107,13 @@
     pub platform_replied_at: Cell<MonoTime>,
     targets: RefCell<StoreCache>,
     config: RefCell<StoreCache>,
-    route_config: RefCell<Option<Rc<RouteConfig>>>,
-    retry_windows: RefCell<HashMap<String, RetryWindow>>,
+    /// The active configuration.
+    pub(super) route_config: RefCell<Option<Rc<RouteConfig>>>,
+    /// Requests and retries of each service.
+    pub(super) retry_windows: RefCell<HashMap<String, RetryWindow>>,
     is_draining: Cell<bool>,
-    outage: Cell<PlatformOutage>,
+    /// When the platform was last unreachable.
+    pub(super) outage: Cell<PlatformOutage>,
     /// For each folder, whether changes are received from the platform itself.
     watching: Cell<[bool; 2]>,
     /// For each folder, whether peers have a newer revision that could not be fetched from them.
@@ -268,49 +266,11 @@
         changes.iter().for_each(|c| pool.replace_peer_load(c.hash, c.before, c.after));
     }
 
-    /// Applies changes of one folder that came from the platform or from a peer; `source` is
-    /// logged.
-    pub fn apply_batch(&self, folder: StoreFolder, batch: StoreBatch, source: &str) {
-        let changes = self.cache(folder).borrow_mut().apply(batch);
-        if !changes.is_empty() && self.is_watching() {
-            self.digest_requested.notify_one();
-        }
-        for change in &changes {
-            match folder {
-                StoreFolder::Targets => self.apply_target(change, source),
-                StoreFolder::Config => self.apply_config(change, source),
-            }
-        }
-    }
-
     /// Whether the last attempt to reach a target failed, or the target is gone.
     pub fn is_unreachable(&self, key: TargetKey) -> bool {
         self.pool.borrow().target(key).is_none_or(|target| target.health.is_unreachable())
     }
 
-    /// Counts a request for a service, which adds to its retry budget.
-    pub fn record_request(&self, service: &str) {
-        let limit = self.settings.borrow().retry_limit();
-        let mut retry_windows = self.retry_windows.borrow_mut();
-        match retry_windows.get_mut(service) {
-            Some(window) => window.record_request(&limit, mono_now()),
-            None => retry_windows
-                .entry(service.to_owned())
-                .or_default()
-                .record_request(&limit, mono_now()),
-        }
-    }
-
-    /// Counts a retry at a service if this daemon's share of the fleet's retry budget covers it.
-    pub fn try_retry(&self, service: &str) -> bool {
-        let now = mono_now();
-        let limit = self.settings.borrow().retry_limit();
-        let daemons = self.fleet.borrow().alive(now).count() + 1;
-        let mut retry_windows = self.retry_windows.borrow_mut();
-        let window = retry_windows.entry(service.to_owned()).or_default();
-        window.try_retry(&limit, daemons.max(self.min_daemons()), now)
-    }
-
     /// Removes expired targets, peers, connections and crash suspicions.
     pub fn expire(&self) {
         let now = mono_now();
@@ -323,77 +283,4 @@
         changes.iter().for_each(|c| pool.replace_peer_load(c.hash, c.before, c.after));
         self.expire_crashes(now);
     }
-
-    /// Lower bound of the number of daemons, for the time when not all peers are known.
-    fn min_daemons(&self) -> usize {
-        self.settings.borrow().seeds.len().max(1)
-    }
-
-    fn apply_target(&self, change: &StoreChange, source: &str) {
-        let Some(id) = target_id(&change.key) else { return };
-        let revision = change.revision;
-        let record = change.value.as_ref().map(|value| parse_registration(id, value));
-        match record {
-            Some(Ok(record)) => {
-                let is_leaving = record.is_leaving;
-                let ended = self.pool.borrow().ended_by(&record);
-                ended.iter().for_each(|crash| self.record_target_end(*crash, "replaced"));
-                if self.pool.borrow_mut().put(record) {
-                    let status = if is_leaving { "leaving" } else { "ready" };
-                    log::info!(
-                        "event=target target={id} status={status} revision={revision} source={source}"
-                    );
-                }
-            }
-            Some(Err(e)) => {
-                log::warn!(
-                    "event=target-refused target={id} revision={revision} cause={}",
-                    quoted(&e.to_string())
-                );
-                self.pool.borrow_mut().record_unlisted(id, mono_now());
-            }
-            None => {
-                // Targets whose registrations expired during an outage of the platform register
-                // again after it, so their removal is delayed.
-                let now = mono_now();
-                let remove_at = self.outage.get().removal_time(now);
-                let wait_ms = remove_at.millis_since(now);
-                log::info!(
-                    "event=target target={id} status=unlisted revision={revision} \
-                     source={source} gone_in_ms={wait_ms}"
-                );
-                self.pool.borrow_mut().record_unlisted(id, remove_at);
-            }
-        }
-    }
-
-    fn apply_config(&self, change: &StoreChange, source: &str) {
-        let Some(value) = &change.value else {
-            log::warn!("event=config-removed revision={} outcome=kept", change.revision);
-            return;
-        };
-        match parse_config(value) {
-            Ok(config) => self.set_route_config(config, change.revision, source),
-            Err(e) => log::error!(
-                "event=config-refused revision={} cause={}",
-                change.revision,
-                quoted(&e.to_string())
-            ),
-        }
-    }
-
-    fn set_route_config(&self, config: RouteConfig, revision: u64, source: &str) {
-        let active_version = self.route_config().map_or(0, |config| config.version());
-        let version = config.version();
-        if version <= active_version {
-            log::info!("event=config version={version} in_force={active_version} outcome=ignored");
-            return;
-        }
-        let routes = config.route_count();
-        log::info!(
-            "event=config version={version} before={active_version} revision={revision} \
-             routes={routes} source={source} outcome=in-force"
-        );
-        *self.route_config.borrow_mut() = Some(Rc::new(config));
-    }
 }
