fix: core, wire, front: a request that completes on one daemon is cleared on the others

Callers' harm: a daemon that had just started was told of crashes at which a request that many callers send alike had been in flight, and refused it for a minute or longer although it completed on all other daemons: refused, it could not complete there. A daemon that is told of a crash of a request that completes on it, or clears one, reports the request as exonerated in three digests; the others clear it. It is the digest's last field, which earlier builds ignore and may leave out. request_that_completes_on_one_daemon_is_cleared_on_the_others has no counterpart before: nothing was told. The soak counts crashes and late calls, and restarts crashed servers within 0.6 s.

--- a/ggt-core/src/crashes/table.rs
+++ b/ggt-core/src/crashes/table.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 
 use crate::clock::MonoTime;
 use crate::crashes::CrashId;
@@ -11,6 +12,8 @@
 
 /// Milliseconds after a completion of a request in which it is not blamed for a crash.
 const COMPLETION_WINDOW_MS: u64 = 10_000;
+/// Maximum number of exonerated requests that wait for digests.
+const MAX_EXONERATED: usize = 256;
 /// Number of digests in which a crash that this daemon noticed goes before others.
 const URGENT_REPORTS: u32 = 3;
 
@@ -104,6 +107,9 @@
 pub struct CrashTable {
     entries: BTreeMap<RequestFingerprint, CrashEntry>,
     completions: CompletionTable,
+    /// Requests that peers may suspect although they completed here, and the number of digests still
+    /// to report each.
+    exonerated: VecDeque<(RequestFingerprint, u32)>,
     options: CrashOptions,
 }
 
@@ -132,7 +138,7 @@
     /// An empty table.
     pub fn new(options: CrashOptions) -> Self {
         let completions = CompletionTable::new(options.capacity);
-        Self { entries: BTreeMap::new(), completions, options }
+        Self { entries: BTreeMap::new(), completions, exonerated: VecDeque::new(), options }
     }
 
     /// Changes the number of crashes after which a request is refused.
@@ -147,6 +153,9 @@
         let blameless_from = noticed_at.as_millis().saturating_sub(COMPLETION_WINDOW_MS);
         let blameless_from = MonoTime::from_millis(blameless_from);
         if self.completions.has_completed_since(fingerprint, blameless_from) {
+            if source == CrashSource::Peer {
+                self.exonerate(fingerprint);
+            }
             return CrashOutcome::Completed;
         }
         if !self.entries.contains_key(&fingerprint) && self.entries.len() >= self.options.capacity {
@@ -175,6 +184,20 @@
     /// Records that a request completed, and clears it; returns the number of crashes that no
     /// longer count.
     pub fn record_completion(&mut self, fingerprint: RequestFingerprint, now: MonoTime) -> usize {
+        let count = self.record_peer_completion(fingerprint, now);
+        if count > 0 {
+            self.exonerate(fingerprint);
+        }
+        count
+    }
+
+    /// Records that a request completed on another daemon, and clears it; returns the number of
+    /// crashes that no longer count.
+    pub fn record_peer_completion(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        now: MonoTime,
+    ) -> usize {
         self.completions.record(fingerprint, now);
         let Some(entry) = self.entries.get_mut(&fingerprint) else { return 0 };
         let crashes = std::mem::take(&mut entry.crashes);
@@ -241,6 +264,23 @@
         reports
     }
 
+    /// At most `count` requests for the next digest that peers suspect, or were told to, and that
+    /// completed here.
+    pub fn next_exonerated(&mut self, count: usize) -> Vec<RequestFingerprint> {
+        let due = count.min(self.exonerated.len());
+        let reported: Vec<_> = self.exonerated.drain(..due).collect();
+        let repeated = reported.iter().filter(|(_, reports_left)| *reports_left > 1);
+        self.exonerated.extend(repeated.map(|(fingerprint, left)| (*fingerprint, left - 1)));
+        reported.into_iter().map(|(fingerprint, _)| fingerprint).collect()
+    }
+
+    fn exonerate(&mut self, fingerprint: RequestFingerprint) {
+        let is_queued = self.exonerated.iter().any(|(queued, _)| *queued == fingerprint);
+        if !is_queued && self.exonerated.len() < MAX_EXONERATED {
+            self.exonerated.push_back((fingerprint, URGENT_REPORTS));
+        }
+    }
+
     /// At most `count` crashes for a daemon that knows none: those of the requests with most
     /// crashes.
     pub fn most_suspected(&self, count: usize) -> Vec<CrashReport> {
--- a/ggt-core/src/fleet/mod.rs
+++ b/ggt-core/src/fleet/mod.rs
@@ -81,6 +81,9 @@
     /// Milliseconds since each of `crashes` was noticed, in the same order; a missing one counts as
     /// 0. Digests of earlier builds end before this field.
     pub crash_ages_ms: Vec<u32>,
+    /// Suspected requests that completed on the daemon, so that they crashed no target. Digests of
+    /// earlier builds end before this field.
+    pub exonerated: Vec<RequestFingerprint>,
 }
 
 impl PeerDigest {
--- a/ggt-core/tests/crashes.rs
+++ b/ggt-core/tests/crashes.rs
@@ -212,3 +212,23 @@
     (2..=4).for_each(|number| record(&mut table, REQUEST, number));
     assert!(table.refused_until(REQUEST, at(5)).is_some());
 }
+
+// Guards against a daemon that refuses a request which completes on all others: it had been told of
+// crashes before its own first completion.
+#[test]
+fn request_that_completes_on_one_daemon_is_cleared_on_the_others() {
+    let (mut told, mut other) = (crash_table(4), crash_table(4));
+    other.record_completion(REQUEST, at(0));
+    for number in 1..=3 {
+        record(&mut told, REQUEST, number);
+        record_from(&mut other, REQUEST, number, CrashSource::Peer);
+    }
+    assert!(told.refused_until(REQUEST, at(10)).is_some());
+    let exonerated = other.next_exonerated(8);
+    assert_eq!(exonerated, [REQUEST]);
+    assert_eq!(told.record_peer_completion(exonerated[0], at(10)), 3);
+    assert_eq!(told.refused_until(REQUEST, at(10)), None);
+    assert_eq!(told.next_exonerated(8), [], "only the daemon that saw the completion reports it");
+    (0..10).for_each(|_| drop(other.next_exonerated(8)));
+    assert_eq!(other.next_exonerated(8), [], "it is reported in a few digests only");
+}
--- a/ggt-core/tests/fleet.rs
+++ b/ggt-core/tests/fleet.rs
@@ -41,6 +41,7 @@
         cached_prefixes: Vec::new(),
         crashes: Vec::new(),
         crash_ages_ms: Vec::new(),
+        exonerated: Vec::new(),
         known_peers: Vec::new(),
     }
 }
--- a/ggt-daemon/src/front/crashes.rs
+++ b/ggt-daemon/src/front/crashes.rs
@@ -82,9 +82,21 @@
         );
     }
 
-    /// Records crashes that another daemon reported.
+    /// Records the crashes that another daemon reported, and the suspected requests that completed
+    /// there.
     pub fn record_peer_crashes(&self, digest: &PeerDigest) {
         let now = mono_now();
+        for fingerprint in &digest.exonerated {
+            let count = self.crashes.borrow_mut().record_peer_completion(*fingerprint, now);
+            if count > 0 {
+                self.metrics.record_crashes("cleared", count as u64);
+                log::info!(
+                    "event=crash-cleared print={:016x} crashes={count} peer={}",
+                    fingerprint.0,
+                    digest.address,
+                );
+            }
+        }
         for report in digest.crash_reports(now) {
             if self.store_crash(report, CrashSource::Peer) != CrashOutcome::New {
                 continue;
--- a/ggt-daemon/src/front/digests.rs
+++ b/ggt-daemon/src/front/digests.rs
@@ -26,6 +26,8 @@
 const MAX_PREFIXES: usize = 64;
 /// Maximum number of target crashes that a digest reports.
 const MAX_CRASHES: usize = 24;
+/// Maximum number of exonerated requests that a digest reports.
+const MAX_EXONERATED: usize = 8;
 /// Delay before an early digest, so that changes in quick succession go into one.
 const DIGEST_DELAY: Duration = Duration::from_millis(20);
 /// Pause after an error of the socket.
@@ -51,14 +53,16 @@
     let recipients = state.fleet.borrow().recipients(&state.settings().seed_peers());
     let cached_prefixes = state.pool.borrow_mut().recent_prefixes(MAX_PREFIXES);
     let crashes = state.crashes.borrow_mut().next_reports(MAX_CRASHES);
-    send_digest(state, socket, &recipients, own_digest(state, cached_prefixes, &crashes)).await;
+    let exonerated = state.crashes.borrow_mut().next_exonerated(MAX_EXONERATED);
+    let digest = PeerDigest { cached_prefixes, exonerated, ..own_digest(state, &crashes) };
+    send_digest(state, socket, &recipients, digest).await;
 }
 
 /// Sends a digest to a daemon that has just started, which may get requests before the next regular
 /// digest.
 async fn greet(state: &FrontState, socket: &UdpSocket, peer: SocketAddr) {
     let crashes = state.crashes.borrow().most_suspected(MAX_CRASHES);
-    send_digest(state, socket, &[peer], own_digest(state, Vec::new(), &crashes)).await;
+    send_digest(state, socket, &[peer], own_digest(state, &crashes)).await;
 }
 
 async fn send_digest(
@@ -96,11 +100,8 @@
     }
 }
 
-fn own_digest(
-    state: &FrontState,
-    cached_prefixes: Vec<(u32, u32)>,
-    crashes: &[CrashReport],
-) -> PeerDigest {
+/// A digest without news that are reported to each daemon a few times only.
+fn own_digest(state: &FrontState, crashes: &[CrashReport]) -> PeerDigest {
     let number = state.digest_number.get() + 1;
     state.digest_number.set(number);
     let pool = state.pool.borrow();
@@ -120,10 +121,11 @@
         config_revision: state.cache(StoreFolder::Config).borrow().last_change_revision(),
         platform_age_ms: u32::try_from(platform_age_ms).unwrap_or(u32::MAX),
         loads: busy.map(|(_, target)| (target.short_hash, target.own)).take(MAX_LOADS).collect(),
-        cached_prefixes,
+        cached_prefixes: Vec::new(),
         crashes: Vec::new(),
         known_peers: state.fleet.borrow().known_peers(number),
         crash_ages_ms: Vec::new(),
+        exonerated: Vec::new(),
     };
     digest.set_crashes(crashes, now);
     digest
--- a/ggt-testkit/src/bin/ggt-soak.rs
+++ b/ggt-testkit/src/bin/ggt-soak.rs
@@ -54,9 +54,11 @@
             max_fault_interval: Duration::from_millis(args.max_pause_ms),
         });
         println!(
-            "seed {seed}: {} requests, {} answered, {} faults, {} violations",
+            "seed {seed}: {} requests, {} answered, {} crashes ({} late), {} faults, {} violations",
             outcome.requests,
             outcome.answered,
+            outcome.crashes,
+            outcome.late_calls,
             outcome.faults.len(),
             outcome.violations.len()
         );
--- a/ggt-testkit/src/soak/crashing.rs
+++ b/ggt-testkit/src/soak/crashing.rs
@@ -33,9 +33,9 @@
 /// Number of calls that may reach a server after that.
 const MAX_LATE_CALLS: usize = 3;
 /// Range from which the pause between two calls is drawn, in milliseconds.
-const CALL_INTERVAL_MS: Range<u64> = 150..900;
+const CALL_INTERVAL_MS: Range<u64> = 100..500;
 /// Number of calls of one request; the next request follows.
-const CALLS: usize = 24;
+const CALLS: usize = 60;
 /// Deadline that the caller sends, in milliseconds.
 const DEADLINE_MS: u64 = 3_000;
 
@@ -93,7 +93,11 @@
             {
                 checker.record_not_executed(&id, status);
             }
-            late_calls += usize::from(is_stable && log.is_late(&path, &id, sent_at));
+            if !is_stable || !log.is_late(&path, &id, sent_at) {
+                continue;
+            }
+            late_calls += 1;
+            checker.record_late_call();
             if late_calls > MAX_LATE_CALLS {
                 checker.record_violation(format!(
                     "{id}: call {late_calls} that crashed a server long after the third crash"
--- a/ggt-testkit/src/soak/deployment.rs
+++ b/ggt-testkit/src/soak/deployment.rs
@@ -279,6 +279,7 @@
         match kind {
             _ if request.path.contains(CRASH_PATH) => {
                 crash_log.record(&request.path, &id);
+                checker.record_crash();
                 AfterResponse::Crash
             }
             "chat" | "talk" => send_events(request, stream, &id),
--- a/ggt-testkit/src/soak/faults.rs
+++ b/ggt-testkit/src/soak/faults.rs
@@ -14,6 +14,8 @@
 
 /// Lower bound of the pause before each fault.
 const MIN_FAULT_INTERVAL: Duration = Duration::from_millis(60);
+/// Longest time until a crashed server is started again.
+const RESTART_INTERVAL: Duration = Duration::from_millis(600);
 /// Upper bound (exclusive) of the duration of a fault, in milliseconds.
 const MAX_FAULT_MS: u64 = 2_500;
 
@@ -43,8 +45,11 @@
     let mut pending_ends: Vec<(Instant, FaultEnd)> = Vec::new();
     while Instant::now() < until {
         let pause = random.random_range(MIN_FAULT_INTERVAL..options.max_fault_interval);
-        thread::sleep(pause);
-        deployment.restart_crashed_servers();
+        let fault_at = Instant::now() + pause;
+        while Instant::now() < fault_at {
+            deployment.restart_crashed_servers();
+            thread::sleep(fault_at.saturating_duration_since(Instant::now()).min(RESTART_INTERVAL));
+        }
         let now = Instant::now();
         let (due, later): (Vec<_>, Vec<_>) =
             pending_ends.into_iter().partition(|(at, _)| *at <= now);
--- a/ggt-testkit/src/soak/invariants.rs
+++ b/ggt-testkit/src/soak/invariants.rs
@@ -50,6 +50,14 @@
         lock(&self.outcome).answered += 1;
     }
 
+    pub(super) fn record_crash(&self) {
+        lock(&self.outcome).crashes += 1;
+    }
+
+    pub(super) fn record_late_call(&self) {
+        lock(&self.outcome).late_calls += 1;
+    }
+
     pub(super) fn record_fault(&self, fault: String) {
         lock(&self.outcome).faults.push(fault);
     }
--- a/ggt-testkit/src/soak/mod.rs
+++ b/ggt-testkit/src/soak/mod.rs
@@ -63,6 +63,10 @@
     pub requests: usize,
     /// Requests that got a complete response with status 200.
     pub answered: usize,
+    /// Crashes of servers by crashing requests.
+    pub crashes: usize,
+    /// Calls that crashed a server long after the third crash of their request.
+    pub late_calls: usize,
     /// Descriptions of the injected faults, in order.
     pub faults: Vec<String>,
     /// Violated guarantees, each with the observation that shows it.
--- a/ggt-wire/src/digest/mod.rs
+++ b/ggt-wire/src/digest/mod.rs
@@ -2,8 +2,8 @@
 
 use ggt_core::fleet::PeerDigest;
 
-/// Encoding of an empty list, appended before decoding.
-const EMPTY_LIST: u8 = 0;
+/// Encoding of empty lists for the fields that earlier builds do not send, appended before decoding.
+const EMPTY_LISTS: [u8; 2] = [0; 2];
 
 /// Encodes a digest.
 ///
@@ -13,14 +13,14 @@
     postcard::to_stdvec(digest)
 }
 
-/// Decodes a digest. Its last field, the ages of its crashes, may be missing: earlier builds do not
-/// send it, and ignore it when they decode a digest.
+/// Decodes a digest. Its last fields, from the ages of its crashes on, may be missing: earlier builds
+/// do not send them, and ignore them when they decode a digest.
 ///
 /// # Errors
 /// The error of the codec for bytes that are no digest.
 pub fn decode_digest(bytes: &[u8]) -> Result<PeerDigest, postcard::Error> {
-    // The codec ignores bytes after the last field, so this only matters if that field is missing.
+    // The codec ignores bytes after the last field, so these only matter if fields are missing.
     let mut padded = bytes.to_vec();
-    padded.push(EMPTY_LIST);
+    padded.extend(EMPTY_LISTS);
     postcard::from_bytes(&padded)
 }
--- a/ggt-wire/tests/codec.rs
+++ b/ggt-wire/tests/codec.rs
@@ -178,6 +178,7 @@
         crashes: vec![(RequestFingerprint(10), CrashId(11))],
         known_peers: vec![([10, 0, 0, 2], 7_340).into()],
         crash_ages_ms: vec![300],
+        exonerated: vec![RequestFingerprint(12)],
     }
 }
 
@@ -190,9 +191,10 @@
 // Guards against fleets with two builds in which daemons no longer know each other.
 #[test]
 fn digest_of_a_build_without_crash_ages_decodes() {
-    let without_ages = PeerDigest { crash_ages_ms: Vec::new(), ..digest() };
+    let without_ages = PeerDigest { crash_ages_ms: Vec::new(), exonerated: Vec::new(), ..digest() };
     let mut bytes = encode_digest(&without_ages).expect("should encode");
     assert_eq!(bytes.pop(), Some(0), "the last field should be an empty list");
+    assert_eq!(bytes.pop(), Some(0), "the field before it should be an empty list");
     assert_eq!(decode_digest(&bytes).expect("should decode"), without_ages);
     assert!(decode_digest(&bytes[..bytes.len() / 2]).is_err());
 }
