--- a/ggt-core/src/crashes/mod.rs
+++ b/ggt-core/src/crashes/mod.rs
@@ -13,6 +13,7 @@
 pub use table::CrashSource;
 pub use table::CrashSummary;
 pub use table::CrashTable;
+pub use table::DroppedRequest;
 
 use crate::ident::mix_hash;
 use crate::ident::stable_hash;
--- a/ggt-core/src/crashes/table.rs
+++ b/ggt-core/src/crashes/table.rs
@@ -33,9 +33,9 @@
 /// Who noticed a crash.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CrashSource {
-    /// This daemon.
+    /// This daemon, which reports it to its peers at once.
     Own,
-    /// Another daemon, which reports it itself.
+    /// Another daemon, which has reported it to all.
     Peer,
 }
 
@@ -54,17 +54,45 @@
     pub source: CrashSource,
 }
 
+/// A suspected request that a full table no longer stores.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DroppedRequest {
+    /// Fingerprint of the request.
+    pub fingerprint: RequestFingerprint,
+    /// Number of crashes that counted against it.
+    pub crashes: usize,
+}
+
 /// What became of a [`CrashRecord`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CrashOutcome {
-    /// It counts against the request now.
-    New,
+    /// It counts against the request now. The table was full if another request was dropped for it.
+    New {
+        /// The dropped request.
+        dropped: Option<DroppedRequest>,
+    },
     /// It was stored already, or has been cleared.
     Known,
     /// The request completed shortly before the crash or after it, so it is not to blame.
     Completed,
 }
 
+impl CrashOutcome {
+    /// Whether the crash counts against the request since this record.
+    pub const fn is_new(self) -> bool {
+        matches!(self, Self::New { .. })
+    }
+
+    /// The outcome's name in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::New { .. } => "new",
+            Self::Known => "known",
+            Self::Completed => "completed",
+        }
+    }
+}
+
 /// A crash to report to other daemons.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CrashReport {
@@ -99,10 +127,10 @@
 /// Requests suspected of crashing targets: those in flight on a target when it crashed.
 ///
 /// A request is refused once it has been in flight at `limit` crashes. A request that completes is
-/// cleared, since it did not crash its target, and is not blamed for crashes shortly after. The
-/// second rule protects requests that many callers send alike at the same time. So other requests that were in flight on a crashed
+/// cleared, since it did not crash its target. So other requests that were in flight on a crashed
 /// target are cleared when they complete on the next one, and only a request that is present at
-/// each crash reaches the limit.
+/// each crash reaches the limit. Nor is a request blamed for crashes shortly after its completion:
+/// of requests that many callers send alike, some are in flight at any crash.
 #[derive(Clone, Debug)]
 pub struct CrashTable {
     entries: BTreeMap<RequestFingerprint, CrashEntry>,
@@ -146,8 +174,8 @@
         self.options.limit = limit;
     }
 
-    /// Records that a request was in flight when a target crashed. A full table drops the entry with the fewest crashes, of these the one that expires
-    /// first.
+    /// Records that a request was in flight when a target crashed. A full table drops the entry with
+    /// the fewest crashes, of these the one that expires first.
     pub fn record_crash(&mut self, record: CrashRecord) -> CrashOutcome {
         let CrashRecord { fingerprint, crash, noticed_at, expires_at, source } = record;
         let blameless_from = noticed_at.as_millis().saturating_sub(COMPLETION_WINDOW_MS);
@@ -158,9 +186,11 @@
             }
             return CrashOutcome::Completed;
         }
-        if !self.entries.contains_key(&fingerprint) && self.entries.len() >= self.options.capacity {
-            self.drop_least_suspected();
-        }
+        let is_full = self.entries.len() >= self.options.capacity;
+        let dropped = match is_full && !self.entries.contains_key(&fingerprint) {
+            true => self.drop_least_suspected(),
+            false => None,
+        };
         let entry = self.entries.entry(fingerprint).or_insert_with(|| CrashEntry {
             crashes: BTreeMap::new(),
             cleared: BTreeSet::new(),
@@ -178,7 +208,7 @@
             CrashSource::Peer => URGENT_REPORTS,
         };
         entry.crashes.insert(crash, CrashState { noticed_at, reports });
-        CrashOutcome::New
+        CrashOutcome::New { dropped }
     }
 
     /// Records that a request completed, and clears it; returns the number of crashes that no
@@ -327,11 +357,11 @@
         self.entries.is_empty()
     }
 
-    fn drop_least_suspected(&mut self) {
+    fn drop_least_suspected(&mut self) -> Option<DroppedRequest> {
         let suspicion = |entry: &CrashEntry| (entry.crashes.len(), entry.expires_at);
         let least = self.entries.iter().min_by_key(|(_, entry)| suspicion(entry));
-        if let Some(fingerprint) = least.map(|(fingerprint, _)| *fingerprint) {
-            self.entries.remove(&fingerprint);
-        }
+        let fingerprint = *least?.0;
+        let entry = self.entries.remove(&fingerprint)?;
+        Some(DroppedRequest { fingerprint, crashes: entry.crashes.len() })
     }
 }
--- a/ggt-core/tests/crashes.rs
+++ b/ggt-core/tests/crashes.rs
@@ -137,6 +137,17 @@
     (0..30).for_each(|other| record(&mut table, RequestFingerprint(100 + other), 10 + other));
     assert!(table.refused_until(REQUEST, at(100)).is_some());
     assert_eq!(table.len(), 4);
+    let other = CrashRecord {
+        fingerprint: RequestFingerprint(500),
+        crash: CrashId(50),
+        noticed_at: at(50),
+        expires_at: at(600_050),
+        source: CrashSource::Own,
+    };
+    let CrashOutcome::New { dropped: Some(dropped) } = table.record_crash(other) else {
+        panic!("the full table dropped no request")
+    };
+    assert_eq!(dropped.crashes, 1);
 }
 
 #[test]
--- a/ggt-daemon/src/front/crashes.rs
+++ b/ggt-daemon/src/front/crashes.rs
@@ -13,6 +13,7 @@
 use ggt_core::crashes::CrashReport;
 use ggt_core::crashes::CrashSource;
 use ggt_core::crashes::CrashSummary;
+use ggt_core::crashes::DroppedRequest;
 use ggt_core::crashes::LostReply;
 use ggt_core::crashes::RequestFingerprint;
 use ggt_core::fleet::PeerDigest;
@@ -65,18 +66,20 @@
         cause: &str,
     ) {
         let report = CrashReport { fingerprint, crash, noticed_at: mono_now() };
-        let is_new = self.store_crash(report, CrashSource::Own) == CrashOutcome::New;
+        let outcome = self.store_crash(report, CrashSource::Own);
+        let is_new = outcome.is_new();
         self.metrics.record_crashes("seen", u64::from(is_new));
         if is_new {
             // The caller may repeat the request at another daemon at any moment.
             self.digest_requested.notify_one();
         }
         log::warn!(
-            "event=crash request_id={} print={:016x} death={:016x} is_news={is_new} crashes={} \
-             cause={}",
+            "event=crash request_id={} print={:016x} death={:016x} is_news={is_new} outcome={} \
+             crashes={} cause={}",
             quoted(request_id),
             fingerprint.0,
             crash.0,
+            outcome.as_str(),
             self.crash_count(fingerprint),
             quoted(cause),
         );
@@ -98,7 +101,7 @@
             }
         }
         for report in digest.crash_reports(now) {
-            if self.store_crash(report, CrashSource::Peer) != CrashOutcome::New {
+            if !self.store_crash(report, CrashSource::Peer).is_new() {
                 continue;
             }
             self.metrics.record_crashes("told", 1);
@@ -164,10 +167,16 @@
         let CrashReport { fingerprint, crash, noticed_at } = report;
         let expires_at = noticed_at + SUSPICION_MS;
         let record = CrashRecord { fingerprint, crash, noticed_at, expires_at, source };
-        match mono_now() < expires_at {
-            true => self.crashes.borrow_mut().record_crash(record),
-            false => CrashOutcome::Known,
+        if mono_now() >= expires_at {
+            return CrashOutcome::Known;
         }
+        let outcome = self.crashes.borrow_mut().record_crash(record);
+        if let CrashOutcome::New { dropped: Some(dropped) } = outcome {
+            let DroppedRequest { fingerprint, crashes } = dropped;
+            self.metrics.record_crashes("dropped", crashes as u64);
+            log::info!("event=crash-dropped print={:016x} crashes={crashes}", fingerprint.0);
+        }
+        outcome
     }
 
     fn crash_count(&self, fingerprint: RequestFingerprint) -> usize {
--- a/ggt-daemon/src/front/metrics.rs
+++ b/ggt-daemon/src/front/metrics.rs
@@ -95,7 +95,8 @@
     }
 
     /// Counts a record about requests that were in flight when a target crashed: `seen` by this
-    /// daemon, `told` by a peer, `cleared` by a complete reply, or `expired`.
+    /// daemon, `told` by a peer, `cleared` by a complete reply, `dropped` from a full table, or
+    /// `expired`.
     pub fn record_crashes(&self, change: &'static str, count: u64) {
         self.crashes.add(count, &[KeyValue::new("change", change)]);
     }
