--- a/ggt-daemon/src/front/crashes.rs
+++ b/ggt-daemon/src/front/crashes.rs
@@ -85,9 +85,8 @@
         );
     }
 
-    /// Records the crashes that another daemon reported, and the suspected requests that completed
-    /// there.
-    pub fn record_peer_crashes(&self, digest: &PeerDigest) {
+    /// Applies a digest's crashes, and its suspected requests that completed on the other daemon.
+    pub fn apply_peer_crashes(&self, digest: &PeerDigest) {
         let now = mono_now();
         for fingerprint in &digest.exonerated {
             let count = self.crashes.borrow_mut().record_peer_completion(*fingerprint, now);
--- a/ggt-daemon/src/front/digests.rs
+++ b/ggt-daemon/src/front/digests.rs
@@ -100,7 +100,7 @@
     }
 }
 
-/// A digest without news that are reported to each daemon a few times only.
+/// A digest without cached prefixes and exonerated requests, which only regular digests report.
 fn own_digest(state: &FrontState, crashes: &[CrashReport]) -> PeerDigest {
     let number = state.digest_number.get() + 1;
     state.digest_number.set(number);
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -252,7 +252,7 @@
     /// Applies the digest of another daemon.
     pub fn apply_digest(&self, digest: PeerDigest) {
         let now = mono_now();
-        self.record_peer_crashes(&digest);
+        self.apply_peer_crashes(&digest);
         self.has_heard_peer.set(true);
         let mut outage = self.outage.get();
         let age_ms = u64::from(digest.platform_age_ms);
--- a/ggt-testkit/src/soak/caller.rs
+++ b/ggt-testkit/src/soak/caller.rs
@@ -21,7 +21,7 @@
 use ggt_standin::users_platform::caller_headers;
 use ggt_standin::users_platform::prompt_headers;
 
-use crate::soak::deployment::DaemonDisruption;
+use crate::soak::deployment::DisruptionState;
 use crate::soak::deployment::EVENTS;
 use crate::soak::deployment::body_of;
 use crate::soak::deployment::events_of;
@@ -47,7 +47,7 @@
 pub(super) fn run_caller(
     number: usize,
     seed: u64,
-    daemons: &[(SocketAddr, Arc<DaemonDisruption>)],
+    daemons: &[(SocketAddr, Arc<DisruptionState>)],
     checker: &InvariantChecker,
     is_over: &AtomicBool,
 ) {
--- a/ggt-testkit/src/soak/crashing.rs
+++ b/ggt-testkit/src/soak/crashing.rs
@@ -20,7 +20,7 @@
 use ggt_standin::users_platform::caller_headers;
 
 use crate::http::HttpRequest;
-use crate::soak::deployment::DaemonDisruption;
+use crate::soak::deployment::DisruptionState;
 use crate::soak::invariants::InvariantChecker;
 
 /// Part of the path by which servers recognise a request that crashes them.
@@ -65,8 +65,8 @@
 /// Repeats crashing requests of all kinds, one after the other, at random daemons until `is_over`.
 pub(super) fn run_crashing_caller(
     seed: u64,
-    daemons: &[(SocketAddr, Arc<DaemonDisruption>)],
-    store: &DaemonDisruption,
+    daemons: &[(SocketAddr, Arc<DisruptionState>)],
+    store: &DisruptionState,
     log: &CrashLog,
     checker: &InvariantChecker,
     is_over: &AtomicBool,
--- a/ggt-testkit/src/soak/deployment.rs
+++ b/ggt-testkit/src/soak/deployment.rs
@@ -49,10 +49,10 @@
     format!("id: {number}\ndata: {number} of {id}\n\n")
 }
 
-/// Whether a daemon is paused or killed, so that requests it has read may be interrupted, or whether
-/// the store fails.
+/// Whether a daemon is paused or killed, so that requests it has read may be interrupted; also
+/// whether the store fails.
 #[derive(Debug, Default)]
-pub(super) struct DaemonDisruption {
+pub(super) struct DisruptionState {
     /// Incremented when a disruption begins and when it ends; odd during a disruption.
     transitions: AtomicUsize,
     /// When the last disruption began or ended.
@@ -61,7 +61,7 @@
     kills: AtomicUsize,
 }
 
-impl DaemonDisruption {
+impl DisruptionState {
     /// Records the beginning or the end of a disruption.
     pub(super) fn set_disrupted(&self, is_disrupted: bool) {
         let differs = |transitions: usize| (transitions % 2 == 1) != is_disrupted;
@@ -99,8 +99,8 @@
 pub(super) struct SoakDeployment {
     pub(super) fleet: FrontFleet,
     pub(super) draining_servers: Vec<usize>,
-    pub(super) disruptions: Vec<Arc<DaemonDisruption>>,
-    pub(super) store_disruption: Arc<DaemonDisruption>,
+    pub(super) disruptions: Vec<Arc<DisruptionState>>,
+    pub(super) store_disruption: Arc<DisruptionState>,
     pub(super) crash_log: Arc<CrashLog>,
     proxy_control: SocketAddr,
     proxy_routes: Vec<SocketAddr>,
@@ -144,7 +144,7 @@
     }
 
     /// The caller address and the disruption state of each daemon.
-    pub(super) fn callers(&self) -> Vec<(SocketAddr, Arc<DaemonDisruption>)> {
+    pub(super) fn callers(&self) -> Vec<(SocketAddr, Arc<DisruptionState>)> {
         let addresses = self.fleet.daemons.iter().map(|daemon| daemon.callers);
         addresses.zip(self.disruptions.iter().cloned()).collect()
     }
--- a/ggt-testkit/tests/leaving.rs
+++ b/ggt-testkit/tests/leaving.rs
@@ -193,7 +193,9 @@
         keep_alive
             .into_iter()
             .map(|caller| caller.join().expect("thread should not panic"))
-            .fold((0, 0), |(answered, lost), (more, gone)| (answered + more, lost + gone))
+            .fold((0, Vec::new()), |(answered, lost), (more, gone)| {
+                (answered + more, [lost, gone].concat())
+            })
     });
     assert_eq!(
         fleet.daemon_process(0).wait().code(),
@@ -201,13 +203,14 @@
         "the daemon cut requests at its drain deadline, or failed"
     );
     assert!(answered > 0);
-    assert_eq!(lost, 0, "requests on reused connections got no complete response");
+    assert!(lost.is_empty(), "requests on reused connections got no complete response: {lost:#?}");
 }
 
 /// Sends requests on a keep-alive connection until `is_over` or until the daemon accepts no new
 /// connection, when a load balancer would use another daemon. A request that was written on an open
-/// connection and got no complete response is lost. Returns the counts of responses and of losses.
-fn send_until(fleet: &TestFleet, is_over: &AtomicBool, caller: usize) -> (usize, usize) {
+/// connection and got no complete response is lost. Returns the count of responses and a description
+/// of each loss.
+fn send_until(fleet: &TestFleet, is_over: &AtomicBool, caller: usize) -> (usize, Vec<String>) {
     let address = fleet.daemons[0].callers;
     let body = format!("caller {caller}");
     let request = format!(
@@ -215,15 +218,17 @@
          contabil-key\r\ncontent-length: {}\r\n\r\n{body}",
         body.len()
     );
-    let (mut answered, mut lost) = (0, 0);
+    let (mut answered, mut lost) = (0, Vec::new());
     while let Ok(mut stream) = TcpStream::connect(address) {
-        loop {
+        for number in 0.. {
             if is_over.load(Ordering::SeqCst) {
                 return (answered, lost);
             }
             let response = exchange(&mut stream, &request);
             if !response.starts_with("HTTP/1.1 200") || !response.ends_with("0\r\n\r\n") {
-                lost += 1;
+                lost.push(format!(
+                    "caller {caller}, request {number} of a connection: {response:?}"
+                ));
                 break;
             }
             answered += 1;
