test: crashes within streams, a paused daemon, and daemons that cannot reach each other

A stream that crashes its server after its first event counts, with and without resumption; a daemon that was paused is told when it resumes; two daemons that exchange no digests end three servers each.

--- a/ggt-testkit/src/front.rs
+++ b/ggt-testkit/src/front.rs
@@ -22,6 +22,8 @@
 
 /// Deadline that callers send with each request.
 const DEADLINE_MS: u64 = 20_000;
+/// Last octet of the address of the daemon with number 0.
+const FIRST_DAEMON_OCTET: usize = 100;
 /// Port for gossip and calls between daemons, the same on each daemon's address.
 const PEER_PORT: u16 = 1_990;
 
@@ -136,7 +138,23 @@
     /// # Panics
     /// When it does not start.
     pub fn add_daemon(&mut self, number: usize, store: Option<SocketAddr>) {
-        let octet = u8::try_from(100 + number).expect("daemon number should be at most 155");
+        self.add_daemon_with_seed(number, 0, store);
+    }
+
+    /// Starts a daemon that exchanges no digests with the others: it has only itself as a seed.
+    ///
+    /// # Panics
+    /// When it does not start.
+    pub fn add_isolated_daemon(&mut self, number: usize) {
+        self.add_daemon_with_seed(number, number, None);
+        self.daemons.last().into_iter().for_each(await_ready);
+    }
+
+    fn add_daemon_with_seed(&mut self, number: usize, seed: usize, store: Option<SocketAddr>) {
+        let octet_of = |number: usize| {
+            u8::try_from(FIRST_DAEMON_OCTET + number).expect("daemon number should be at most 155")
+        };
+        let octet = octet_of(number);
         let (callers, ready, admin) =
             (self.net.port(octet), self.net.port(octet), self.net.port(octet));
         let settings = json!({
@@ -147,7 +165,7 @@
             "admin": admin,
             "peer": SocketAddr::new(self.net.ip(octet), PEER_PORT),
             // Only the IP address counts: seeds are contacted at the peer port.
-            "seeds": [SocketAddr::new(self.net.ip(100), 1)],
+            "seeds": [SocketAddr::new(self.net.ip(octet_of(seed)), 1)],
             "store": store.unwrap_or(self.store.address),
             "retries": { "ratio": 0.2, "slack": 50.0, "window_s": 10.0 },
             "grace_s": 8.0,
--- a/ggt-testkit/tests/platform_crashes.rs
+++ b/ggt-testkit/tests/platform_crashes.rs
@@ -304,3 +304,64 @@
         check_refused(&fleet, 1, path, CRASH_LIMIT + number);
     }
 }
+
+/// Crashes the server after the first event of the stream.
+fn crash_after_first_event(request: &WireRequest, stream: &mut TcpStream) -> AfterResponse {
+    let text = format!("{}{}", stream_head(request), event_chunk(1));
+    // The daemon may have closed the connection already.
+    let _ = stream.write_all(text.as_bytes());
+    AfterResponse::Crash
+}
+
+fn check_crash_within_stream(path: &str) {
+    let fleet = FrontFleet::start(8, 1);
+    fleet.servers.iter().for_each(|server| server.set_script(crash_after_first_event));
+    for number in 0..6 {
+        let before = fleet.path_count(path);
+        let request = fleet.request(0, "POST", path, &format!("crash-{number}")).body("same");
+        let response = request.send().expect("should respond");
+        match fleet.path_count(path) - before {
+            0 => assert_eq!(response.status, 503, "{}", response.body),
+            _ => assert!(!response.is_complete, "call {number} of {path} looks complete"),
+        }
+    }
+    assert_eq!(fleet.path_count(path), CRASH_LIMIT, "servers crashed by {path}");
+}
+
+// Guards against crashes that go unnoticed because the reply had begun.
+#[test]
+fn crash_within_a_resumable_stream_counts() {
+    check_crash_within_stream("/chat/crash");
+}
+
+// Guards against the same for streams that cannot be resumed.
+#[test]
+fn crash_within_a_stream_that_cannot_be_resumed_counts() {
+    check_crash_within_stream("/talk/crash");
+}
+
+// Guards against a daemon that goes on sending after a time in which no digest reached it.
+#[test]
+fn daemon_that_was_paused_during_the_crashes_is_told_when_it_resumes() {
+    let fleet = start(8, 2);
+    let path = "/once/crash";
+    fleet.daemons[1].process.pause();
+    crash_servers(&fleet, path, &[0]);
+    fleet.daemons[1].process.resume();
+    await_crashes(&fleet, 1, CRASH_LIMIT);
+    check_refused(&fleet, 1, path, CRASH_LIMIT);
+}
+
+// Guards against a cut between daemons behind which a request ends more servers than the limit: each
+// side must count the crashes that it sees.
+#[test]
+fn daemons_that_cannot_reach_each_other_end_three_servers_each() {
+    let mut fleet = start(9, 1);
+    fleet.add_isolated_daemon(1);
+    let path = "/once/crash";
+    for number in 0..12 {
+        send_crashing(&fleet, number % 2, path, number);
+    }
+    assert_eq!(fleet.path_count(path), 2 * CRASH_LIMIT);
+    (0..2).for_each(|daemon| check_refused(&fleet, daemon, path, 12 + daemon));
+}
