--- a/ggt-daemon/src/front/crashes.rs
+++ b/ggt-daemon/src/front/crashes.rs
@@ -17,6 +17,7 @@
 use ggt_core::crashes::LostReply;
 use ggt_core::crashes::RequestFingerprint;
 use ggt_core::fleet::PeerDigest;
+use ggt_core::prompts::PromptPart;
 
 /// Limits of the table of requests that are suspected of crashing their targets.
 pub const CRASH_OPTIONS: CrashOptions =
@@ -28,6 +29,16 @@
 /// one crash; longer than the platform takes to list a target that started again.
 const LOSS_WINDOW_MS: u64 = 8_000;
 
+/// Maximum number of prompt parts that one log line names.
+const MAX_LOGGED_PARTS: usize = 8;
+
+/// The parts of a prompt as written in logs; `-` if there are none.
+fn part_names(parts: &[PromptPart]) -> String {
+    let names = parts.iter().take(MAX_LOGGED_PARTS).map(|part| format!("{:x}", part.hash));
+    let names: Vec<_> = names.collect();
+    if names.is_empty() { "-".to_owned() } else { names.join(",") }
+}
+
 impl FrontState {
     /// Records that a request was sent and its reply lost, which counts as a crash if the target
     /// turns out to have ended. Returns whether it is already known to have; `cause` is logged.
@@ -37,9 +48,11 @@
         let expires_at = mono_now() + LOSS_WINDOW_MS;
         let has_ended = self.losses.borrow_mut().record_loss(reply, crash, expires_at);
         log::info!(
-            "event=loss request_id={} print={:016x} death={:016x} has_ended={has_ended} cause={}",
+            "event=loss request_id={} print={:016x} parts={} death={:016x} has_ended={has_ended} \
+             cause={}",
             quoted(&job.id),
             fingerprint.0,
+            part_names(&job.headers.parts),
             crash.0,
             quoted(cause),
         );
