--- a/ggt-standin/src/users_platform/caller.rs
+++ b/ggt-standin/src/users_platform/caller.rs
@@ -8,6 +8,9 @@
 /// API key of the only customer in the test configuration.
 pub const API_KEY: &str = "key-of-c1";
 
+/// Tokens of each part of a prompt from [`prompt_headers_of`].
+const PART_TOKENS: usize = 100;
+
 /// Headers of a request with the attempt id `id` and a deadline of `deadline_ms` from now.
 pub fn caller_headers(id: &str, deadline_ms: u64) -> Vec<(&'static str, String)> {
     vec![
@@ -27,6 +30,17 @@
     ]
 }
 
+/// Headers of a prompt of parts with these ids, `PART_TOKENS` tokens each, for at most 50 output
+/// tokens.
+pub fn prompt_headers_of(parts: &[&str]) -> Vec<(&'static str, String)> {
+    let entries: Vec<_> = parts.iter().map(|id| format!("{id}:{PART_TOKENS}")).collect();
+    vec![
+        ("x-prompt-prefix", entries.join(",")),
+        ("x-token-count", format!("{},50", parts.len() * PART_TOKENS)),
+        ("x-model", "m".to_owned()),
+    ]
+}
+
 /// Test configuration: idempotent requests under `/read/`, non-idempotent ones under `/once/`,
 /// resumable streams under `/chat/` and others under `/talk/`, all served by the service `s`.
 ///
--- a/ggt-standin/src/users_platform/mod.rs
+++ b/ggt-standin/src/users_platform/mod.rs
@@ -12,6 +12,7 @@
 pub use caller::HOST;
 pub use caller::caller_headers;
 pub use caller::prompt_headers;
+pub use caller::prompt_headers_of;
 pub use caller::test_config;
 pub use request::WireRequest;
 pub use request::read_request;
