refactor: core: suspects of crashes by a key of their own, records and reports in modules of their own

The table of crashes identified everything by the fingerprint of a request. The key is now what requests have in common (SuspectKey); the fingerprint is one way to make one. The format on the wire is unchanged: the same number at the same place, the same names. No decision changes.

--- a/ggt-core/src/crashes/completions.rs
+++ b/ggt-core/src/crashes/completions.rs
@@ -4,15 +4,15 @@
 use std::collections::VecDeque;
 
 use crate::clock::MonoTime;
-use crate::crashes::RequestFingerprint;
+use crate::crashes::SuspectKey;
 
 /// The last completions, one for each request.
 #[derive(Clone, Debug)]
 pub(super) struct CompletionTable {
     /// When each request last completed.
-    completed_at: HashMap<RequestFingerprint, MonoTime>,
+    completed_at: HashMap<SuspectKey, MonoTime>,
     /// All completions in order; a request occurs once for each.
-    queue: VecDeque<(RequestFingerprint, MonoTime)>,
+    queue: VecDeque<(SuspectKey, MonoTime)>,
     capacity: usize,
 }
 
@@ -23,9 +23,9 @@
     }
 
     /// Records a completion.
-    pub(super) fn record(&mut self, fingerprint: RequestFingerprint, now: MonoTime) {
-        self.completed_at.insert(fingerprint, now);
-        self.queue.push_back((fingerprint, now));
+    pub(super) fn record(&mut self, suspect: SuspectKey, now: MonoTime) {
+        self.completed_at.insert(suspect, now);
+        self.queue.push_back((suspect, now));
         if self.queue.len() <= self.capacity {
             return;
         }
@@ -36,11 +36,7 @@
     }
 
     /// Whether the request has completed since `since`.
-    pub(super) fn has_completed_since(
-        &self,
-        fingerprint: RequestFingerprint,
-        since: MonoTime,
-    ) -> bool {
-        self.completed_at.get(&fingerprint).is_some_and(|completed_at| *completed_at >= since)
+    pub(super) fn has_completed_since(&self, suspect: SuspectKey, since: MonoTime) -> bool {
+        self.completed_at.get(&suspect).is_some_and(|completed_at| *completed_at >= since)
     }
 }
--- a/ggt-core/src/crashes/losses.rs
+++ b/ggt-core/src/crashes/losses.rs
@@ -5,7 +5,7 @@
 
 use crate::clock::MonoTime;
 use crate::crashes::CrashId;
-use crate::crashes::RequestFingerprint;
+use crate::crashes::SuspectKey;
 
 /// A request whose reply was lost.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -13,7 +13,7 @@
     /// Id of the request in logs.
     pub request_id: String,
     /// Fingerprint of the request.
-    pub fingerprint: RequestFingerprint,
+    pub suspect: SuspectKey,
 }
 
 /// A lost reply, and the crash that would explain it.
@@ -77,8 +77,8 @@
     }
 
     /// Drops the lost replies of a request that completed.
-    pub fn clear(&mut self, fingerprint: RequestFingerprint) {
-        self.losses.retain(|loss| loss.reply.fingerprint != fingerprint);
+    pub fn clear(&mut self, suspect: SuspectKey) {
+        self.losses.retain(|loss| loss.reply.suspect != suspect);
     }
 
     /// Drops expired entries.
--- a/ggt-core/src/crashes/mod.rs
+++ b/ggt-core/src/crashes/mod.rs
@@ -2,39 +2,40 @@
 
 mod completions;
 mod losses;
+mod record;
+mod reports;
 mod table;
 
 pub use losses::LossTable;
 pub use losses::LostReply;
+pub use record::CrashOutcome;
+pub use record::CrashRecord;
+pub use record::CrashReport;
+pub use record::CrashSource;
+pub use record::CrashSummary;
+pub use record::DroppedRequest;
 pub use table::CrashOptions;
-pub use table::CrashOutcome;
-pub use table::CrashRecord;
-pub use table::CrashReport;
-pub use table::CrashSource;
-pub use table::CrashSummary;
 pub use table::CrashTable;
-pub use table::DroppedRequest;
+
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::ident::mix_hash;
 use crate::ident::stable_hash;
 
-/// Fingerprint of a request: equal for requests with the same path and body.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
-)]
-pub struct RequestFingerprint(pub u64);
+/// What requests have in common that may crash the targets which run them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct SuspectKey(pub u64);
 
-impl RequestFingerprint {
-    /// Computes the fingerprint of a path and a body.
-    pub fn of(path: &str, body: &[u8]) -> Self {
+impl SuspectKey {
+    /// The fingerprint of a request: equal for requests with the same path and body.
+    pub fn of_request(path: &str, body: &[u8]) -> Self {
         Self(mix_hash(stable_hash(path.as_bytes()), stable_hash(body)))
     }
 }
 
 /// Identifies the crash of one incarnation of one target.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct CrashId(pub u64);
 
 impl CrashId {
--- /dev/null
+++ b/ggt-core/src/crashes/record.rs
@@ -0,0 +1,92 @@
+//! What is recorded about crashes, and what becomes of a record.
+
+use crate::clock::MonoTime;
+use crate::crashes::CrashId;
+use crate::crashes::SuspectKey;
+
+/// The crashes that count against one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CrashSummary {
+    /// Number of crashes.
+    pub count: usize,
+    /// When the first of them was noticed.
+    pub first_at: MonoTime,
+    /// When the last of them was noticed.
+    pub last_at: MonoTime,
+    /// When the request is no longer suspected.
+    pub expires_at: MonoTime,
+}
+
+/// Who noticed a crash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashSource {
+    /// This daemon, which reports it to its peers at once.
+    Own,
+    /// Another daemon, which has reported it to all.
+    Peer,
+}
+
+/// A request that was in flight when a target crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CrashRecord {
+    /// Fingerprint of the request.
+    pub suspect: SuspectKey,
+    /// Identifies the crash.
+    pub crash: CrashId,
+    /// When the crash was noticed.
+    pub noticed_at: MonoTime,
+    /// When the request is no longer suspected because of it.
+    pub expires_at: MonoTime,
+    /// Who noticed it.
+    pub source: CrashSource,
+}
+
+/// A suspected request that a full table no longer stores.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DroppedRequest {
+    /// Fingerprint of the request.
+    pub suspect: SuspectKey,
+    /// Number of crashes that counted against it.
+    pub crashes: usize,
+}
+
+/// What became of a [`CrashRecord`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashOutcome {
+    /// It counts against the request now. The table was full if another request was dropped for it.
+    New {
+        /// The dropped request.
+        dropped: Option<DroppedRequest>,
+    },
+    /// It was stored already, or has been cleared.
+    Known,
+    /// The request completed shortly before the crash or after it, so it is not to blame.
+    Completed,
+}
+
+impl CrashOutcome {
+    /// Whether the crash counts against the request since this record.
+    pub const fn is_new(self) -> bool {
+        matches!(self, Self::New { .. })
+    }
+
+    /// The outcome's name in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::New { .. } => "new",
+            Self::Known => "known",
+            Self::Completed => "completed",
+        }
+    }
+}
+
+/// A crash to report to other daemons.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CrashReport {
+    /// Fingerprint of the request that was in flight.
+    pub suspect: SuspectKey,
+    /// Identifies the crash.
+    pub crash: CrashId,
+    /// When the crash was noticed.
+    pub noticed_at: MonoTime,
+}
--- a/ggt-core/src/fleet/mod.rs
+++ b/ggt-core/src/fleet/mod.rs
@@ -15,7 +15,7 @@
 use crate::clock::MonoTime;
 use crate::crashes::CrashId;
 use crate::crashes::CrashReport;
-use crate::crashes::RequestFingerprint;
+use crate::crashes::SuspectKey;
 use crate::ident::stable_hash;
 use crate::targets::InFlightLoad;
 
@@ -74,7 +74,7 @@
     pub cached_prefixes: Vec<(u32, u32)>,
     /// Requests that were in flight when a target crashed.
     #[serde(rename = "deaths")]
-    pub crashes: Vec<(RequestFingerprint, CrashId)>,
+    pub crashes: Vec<(SuspectKey, CrashId)>,
     /// Some of the daemons that it has discovered.
     #[serde(rename = "named")]
     pub known_peers: Vec<SocketAddr>,
@@ -83,13 +83,13 @@
     pub crash_ages_ms: Vec<u32>,
     /// Suspected requests that completed on the daemon, so that they crashed no target. Digests of
     /// earlier builds end before this field.
-    pub exonerated: Vec<RequestFingerprint>,
+    pub exonerated: Vec<SuspectKey>,
 }
 
 impl PeerDigest {
     /// Sets the crashes that the digest reports, with their ages at `now`.
     pub fn set_crashes(&mut self, reports: &[CrashReport], now: MonoTime) {
-        self.crashes = reports.iter().map(|report| (report.fingerprint, report.crash)).collect();
+        self.crashes = reports.iter().map(|report| (report.suspect, report.crash)).collect();
         let ages_ms = reports.iter().map(|report| now.millis_since(report.noticed_at));
         self.crash_ages_ms = ages_ms.map(|age| u32::try_from(age).unwrap_or(u32::MAX)).collect();
     }
@@ -97,10 +97,10 @@
     /// The crashes that the digest reports, with the times at which they were noticed.
     pub fn crash_reports(&self, now: MonoTime) -> impl Iterator<Item = CrashReport> + '_ {
         let ages_ms = self.crash_ages_ms.iter().copied().chain(std::iter::repeat(0));
-        self.crashes.iter().zip(ages_ms).map(move |((fingerprint, crash), age_ms)| {
+        self.crashes.iter().zip(ages_ms).map(move |((suspect, crash), age_ms)| {
             let noticed_ms = now.as_millis().saturating_sub(u64::from(age_ms));
             CrashReport {
-                fingerprint: *fingerprint,
+                suspect: *suspect,
                 crash: *crash,
                 noticed_at: MonoTime::from_millis(noticed_ms),
             }
--- a/ggt-core/src/membership/item.rs
+++ b/ggt-core/src/membership/item.rs
@@ -8,7 +8,7 @@
 
 use crate::clock::WallTime;
 use crate::crashes::CrashId;
-use crate::crashes::RequestFingerprint;
+use crate::crashes::SuspectKey;
 use crate::ident::stable_hash;
 use crate::membership::PeerStatus;
 use crate::routing::LoadReport;
@@ -33,7 +33,7 @@
     /// Departure of a target, by the short hash of its name.
     Leaving(u32),
     /// A request that was in flight when a target crashed.
-    Crash(RequestFingerprint, CrashId),
+    Crash(SuspectKey, CrashId),
     /// Membership status of a daemon, by the short hash of its name.
     Peer(u32),
     /// Load of a target, by the short hash of its name.
@@ -52,9 +52,9 @@
     },
     /// A request was in flight when a target crashed.
     Crash {
-        /// Fingerprint of the request.
+        /// What the request has in common with others that may crash targets.
         #[serde(rename = "print")]
-        fingerprint: RequestFingerprint,
+        suspect: SuspectKey,
         /// Identifies the crash.
         #[serde(rename = "death")]
         crash: CrashId,
@@ -89,7 +89,7 @@
     pub fn key(&self) -> ItemKey {
         match *self {
             Self::Leaving { target, .. } => ItemKey::Leaving(target),
-            Self::Crash { fingerprint, crash, .. } => ItemKey::Crash(fingerprint, crash),
+            Self::Crash { suspect, crash, .. } => ItemKey::Crash(suspect, crash),
             Self::Peer { daemon, .. } => ItemKey::Peer(daemon),
             Self::Load { target, .. } => ItemKey::Load(target),
         }
--- a/ggt-core/tests/crashes.rs
+++ b/ggt-core/tests/crashes.rs
@@ -12,9 +12,9 @@
 use ggt_core::crashes::CrashTable;
 use ggt_core::crashes::LossTable;
 use ggt_core::crashes::LostReply;
-use ggt_core::crashes::RequestFingerprint;
+use ggt_core::crashes::SuspectKey;
 
-const REQUEST: RequestFingerprint = RequestFingerprint(7);
+const REQUEST: SuspectKey = SuspectKey(7);
 /// Capacity of the tables.
 const CAPACITY: usize = 4;
 
@@ -22,8 +22,8 @@
     MonoTime::from_millis(millis)
 }
 
-fn lost_reply(fingerprint: RequestFingerprint) -> LostReply {
-    LostReply { request_id: format!("id-{}", fingerprint.0), fingerprint }
+fn lost_reply(suspect: SuspectKey) -> LostReply {
+    LostReply { request_id: format!("id-{}", suspect.0), suspect }
 }
 
 // Guards against crashes that go unnoticed because the target's end shows only after the check for it.
@@ -60,11 +60,11 @@
 fn full_table_of_losses_drops_the_oldest() {
     let mut losses = LossTable::new(CAPACITY);
     for number in 0..=CAPACITY as u64 {
-        losses.record_loss(lost_reply(RequestFingerprint(number)), CrashId(1), at(1_000));
+        losses.record_loss(lost_reply(SuspectKey(number)), CrashId(1), at(1_000));
     }
     let lost = losses.record_end(CrashId(1), at(100), at(1_000));
     assert_eq!(lost.len(), CAPACITY);
-    assert!(!lost.contains(&lost_reply(RequestFingerprint(0))));
+    assert!(!lost.contains(&lost_reply(SuspectKey(0))));
 }
 
 /// Crashes after which a request is refused.
@@ -77,18 +77,13 @@
 }
 
 /// Records the crash with this number, which counts for ten minutes.
-fn record_from(
-    table: &mut CrashTable,
-    fingerprint: RequestFingerprint,
-    number: u64,
-    source: CrashSource,
-) {
+fn record_from(table: &mut CrashTable, suspect: SuspectKey, number: u64, source: CrashSource) {
     let (crash, noticed_at, expires_at) = (CrashId(number), at(number), at(number + 600_000));
-    table.record_crash(CrashRecord { fingerprint, crash, noticed_at, expires_at, source });
+    table.record_crash(CrashRecord { suspect, crash, noticed_at, expires_at, source });
 }
 
-fn record(table: &mut CrashTable, fingerprint: RequestFingerprint, number: u64) {
-    record_from(table, fingerprint, number, CrashSource::Own);
+fn record(table: &mut CrashTable, suspect: SuspectKey, number: u64) {
+    record_from(table, suspect, number, CrashSource::Own);
 }
 
 // Guards against crashes of which other daemons never hear, since later crashes implicate more
@@ -97,7 +92,7 @@
 fn crash_is_reported_although_many_later_ones_follow() {
     let mut table = crash_table(100);
     record(&mut table, REQUEST, 1);
-    (0..30).for_each(|other| record(&mut table, RequestFingerprint(100 + other), 2 + other));
+    (0..30).for_each(|other| record(&mut table, SuspectKey(100 + other), 2 + other));
     let mut reported = BTreeSet::new();
     for _ in 0..40 {
         reported.extend(table.next_reports(REPORTS).iter().map(|report| report.crash));
@@ -110,23 +105,23 @@
 fn own_crash_is_in_the_next_digests_before_all_that_were_reported() {
     let mut table = crash_table(100);
     (0..30).for_each(|other| {
-        record_from(&mut table, RequestFingerprint(100 + other), other, CrashSource::Peer);
+        record_from(&mut table, SuspectKey(100 + other), other, CrashSource::Peer);
     });
     (0..20).for_each(|_| drop(table.next_reports(REPORTS)));
     record(&mut table, REQUEST, 50);
     for _ in 0..3 {
         let reports = table.next_reports(REPORTS);
-        assert!(reports.iter().any(|report| report.fingerprint == REQUEST));
+        assert!(reports.iter().any(|report| report.suspect == REQUEST));
     }
 }
 
 #[test]
 fn daemon_that_starts_is_told_first_of_the_requests_with_most_crashes() {
     let mut table = crash_table(100);
-    (0..30).for_each(|other| record(&mut table, RequestFingerprint(other + 100), 10 + other));
+    (0..30).for_each(|other| record(&mut table, SuspectKey(other + 100), 10 + other));
     (1..=3).for_each(|number| record(&mut table, REQUEST, number));
     let told = table.most_suspected(REPORTS);
-    assert!(told[..3].iter().all(|report| report.fingerprint == REQUEST), "{told:?}");
+    assert!(told[..3].iter().all(|report| report.suspect == REQUEST), "{told:?}");
 }
 
 // Guards against a request that is sent again because the records of other requests took its place.
@@ -134,11 +129,11 @@
 fn full_table_keeps_the_requests_with_most_crashes() {
     let mut table = crash_table(4);
     (1..=3).for_each(|number| record(&mut table, REQUEST, number));
-    (0..30).for_each(|other| record(&mut table, RequestFingerprint(100 + other), 10 + other));
+    (0..30).for_each(|other| record(&mut table, SuspectKey(100 + other), 10 + other));
     assert!(table.refused_until(REQUEST, at(100)).is_some());
     assert_eq!(table.len(), 4);
     let other = CrashRecord {
-        fingerprint: RequestFingerprint(500),
+        suspect: SuspectKey(500),
         crash: CrashId(50),
         noticed_at: at(50),
         expires_at: at(600_050),
@@ -200,7 +195,7 @@
         table.record_completion(REQUEST, at(1_000 * number));
         let (crash, noticed_at) = (CrashId(number), at(1_000 * number + 500));
         let record = CrashRecord {
-            fingerprint: REQUEST,
+            suspect: REQUEST,
             crash,
             noticed_at,
             expires_at: at(600_000),
@@ -218,7 +213,7 @@
     let mut table = crash_table(4);
     table.record_completion(REQUEST, at(1));
     for other in 100..104 {
-        table.record_completion(RequestFingerprint(other), at(2));
+        table.record_completion(SuspectKey(other), at(2));
     }
     (2..=4).for_each(|number| record(&mut table, REQUEST, number));
     assert!(table.refused_until(REQUEST, at(5)).is_some());
--- a/ggt-core/tests/fleet.rs
+++ b/ggt-core/tests/fleet.rs
@@ -5,7 +5,7 @@
 use ggt_core::clock::MonoTime;
 use ggt_core::crashes::CrashId;
 use ggt_core::crashes::CrashReport;
-use ggt_core::crashes::RequestFingerprint;
+use ggt_core::crashes::SuspectKey;
 use ggt_core::fleet::FleetTable;
 use ggt_core::fleet::PeerDigest;
 use ggt_core::fleet::WatchRole;
@@ -156,11 +156,7 @@
 // Guards against suspicions that never end because daemons report each other's crashes as new.
 #[test]
 fn crash_keeps_its_age_when_daemons_report_it_to_each_other() {
-    let noticed = CrashReport {
-        fingerprint: RequestFingerprint(1),
-        crash: CrashId(2),
-        noticed_at: at(1_000),
-    };
+    let noticed = CrashReport { suspect: SuspectKey(1), crash: CrashId(2), noticed_at: at(1_000) };
     let mut report = noticed;
     for round in 0..100 {
         let now = at(2_000 + 100 * round);
@@ -173,7 +169,7 @@
 
 #[test]
 fn crash_without_an_age_counts_as_noticed_now() {
-    let crashes = vec![(RequestFingerprint(1), CrashId(2))];
+    let crashes = vec![(SuspectKey(1), CrashId(2))];
     let told = PeerDigest { crashes, ..digest(2, 1, 1) };
     let noticed_at: Vec<_> = told.crash_reports(at(500)).map(|report| report.noticed_at).collect();
     assert_eq!(noticed_at, [at(500)]);
--- a/ggt-core/tests/membership.rs
+++ b/ggt-core/tests/membership.rs
@@ -11,7 +11,7 @@
 use ggt_core::config::DaemonSection;
 use ggt_core::config::RosterSection;
 use ggt_core::crashes::CrashId;
-use ggt_core::crashes::RequestFingerprint;
+use ggt_core::crashes::SuspectKey;
 use ggt_core::ident::DaemonName;
 use ggt_core::ident::mix_hash;
 use ggt_core::membership::DatagramHeader;
@@ -294,7 +294,7 @@
 fn dropped_items_are_not_sent_again() {
     let mut items = ItemTable::default();
     let crash = |expires_at| GossipItem::Crash {
-        fingerprint: RequestFingerprint(1),
+        suspect: SuspectKey(1),
         crash: CrashId(2),
         expires_at: WallTime::from_millis(expires_at),
     };
--- a/ggt-daemon/src/dispatch/job.rs
+++ b/ggt-daemon/src/dispatch/job.rs
@@ -8,7 +8,7 @@
 use ggt_core::clock::MonoTime;
 use ggt_core::config::CustomerSection;
 use ggt_core::config::WorkloadSection;
-use ggt_core::crashes::RequestFingerprint;
+use ggt_core::crashes::SuspectKey;
 use ggt_core::ident::CustomerName;
 use ggt_core::ident::WorkloadName;
 use ggt_wire::hint::ChatHint;
@@ -54,7 +54,7 @@
 
 impl RequestJob {
     /// Fingerprint of path and body, which identifies a crashing request over its retries.
-    pub fn fingerprint(&self) -> RequestFingerprint {
-        RequestFingerprint::of(&self.path, &self.body)
+    pub fn fingerprint(&self) -> SuspectKey {
+        SuspectKey::of_request(&self.path, &self.body)
     }
 }
--- a/ggt-daemon/src/front/crashes.rs
+++ b/ggt-daemon/src/front/crashes.rs
@@ -15,7 +15,7 @@
 use ggt_core::crashes::CrashSummary;
 use ggt_core::crashes::DroppedRequest;
 use ggt_core::crashes::LostReply;
-use ggt_core::crashes::RequestFingerprint;
+use ggt_core::crashes::SuspectKey;
 use ggt_core::fleet::PeerDigest;
 use ggt_core::prompts::PromptPart;
 
@@ -43,21 +43,21 @@
     /// Records that a request was sent and its reply lost, which counts as a crash if the target
     /// turns out to have ended. Returns whether it is already known to have; `cause` is logged.
     pub fn record_loss(&self, job: &FrontJob, crash: CrashId, cause: &str) -> bool {
-        let fingerprint = job.fingerprint;
-        let reply = LostReply { request_id: job.id.clone(), fingerprint };
+        let suspect = job.fingerprint;
+        let reply = LostReply { request_id: job.id.clone(), suspect };
         let expires_at = mono_now() + LOSS_WINDOW_MS;
         let has_ended = self.losses.borrow_mut().record_loss(reply, crash, expires_at);
         log::info!(
             "event=loss request_id={} print={:016x} parts={} death={:016x} has_ended={has_ended} \
              cause={}",
             quoted(&job.id),
-            fingerprint.0,
+            suspect.0,
             part_names(&job.headers.parts),
             crash.0,
             quoted(cause),
         );
         if has_ended {
-            self.record_crash(&job.id, fingerprint, crash, cause);
+            self.record_crash(&job.id, suspect, crash, cause);
         }
         has_ended
     }
@@ -66,19 +66,13 @@
     pub fn record_target_end(&self, crash: CrashId, cause: &str) {
         let now = mono_now();
         let replies = self.losses.borrow_mut().record_end(crash, now, now + LOSS_WINDOW_MS);
-        for LostReply { request_id, fingerprint } in replies {
-            self.record_crash(&request_id, fingerprint, crash, cause);
+        for LostReply { request_id, suspect } in replies {
+            self.record_crash(&request_id, suspect, crash, cause);
         }
     }
 
-    fn record_crash(
-        &self,
-        request_id: &str,
-        fingerprint: RequestFingerprint,
-        crash: CrashId,
-        cause: &str,
-    ) {
-        let report = CrashReport { fingerprint, crash, noticed_at: mono_now() };
+    fn record_crash(&self, request_id: &str, suspect: SuspectKey, crash: CrashId, cause: &str) {
+        let report = CrashReport { suspect, crash, noticed_at: mono_now() };
         let outcome = self.store_crash(report, CrashSource::Own);
         let is_new = outcome.is_new();
         self.metrics.record_crashes("seen", u64::from(is_new));
@@ -90,10 +84,10 @@
             "event=crash request_id={} print={:016x} death={:016x} is_news={is_new} outcome={} \
              crashes={} cause={}",
             quoted(request_id),
-            fingerprint.0,
+            suspect.0,
             crash.0,
             outcome.as_str(),
-            self.crash_count(fingerprint),
+            self.crash_count(suspect),
             quoted(cause),
         );
     }
@@ -101,13 +95,13 @@
     /// Applies a digest's crashes, and its suspected requests that completed on the other daemon.
     pub fn apply_peer_crashes(&self, digest: &PeerDigest) {
         let now = mono_now();
-        for fingerprint in &digest.exonerated {
-            let count = self.crashes.borrow_mut().record_peer_completion(*fingerprint, now);
+        for suspect in &digest.exonerated {
+            let count = self.crashes.borrow_mut().record_peer_completion(*suspect, now);
             if count > 0 {
                 self.metrics.record_crashes("cleared", count as u64);
                 log::info!(
                     "event=crash-cleared print={:016x} crashes={count} peer={}",
-                    fingerprint.0,
+                    suspect.0,
                     digest.address,
                 );
             }
@@ -119,10 +113,10 @@
             self.metrics.record_crashes("told", 1);
             log::info!(
                 "event=crash-told print={:016x} death={:016x} age_ms={} crashes={} peer={}",
-                report.fingerprint.0,
+                report.suspect.0,
                 report.crash.0,
                 now.millis_since(report.noticed_at),
-                self.crash_count(report.fingerprint),
+                self.crash_count(report.suspect),
                 digest.address,
             );
         }
@@ -168,30 +162,30 @@
     pub fn expire_crashes(&self, now: MonoTime) {
         self.losses.borrow_mut().expire(now);
         let expired = self.crashes.borrow_mut().expire(now);
-        for (fingerprint, count) in &expired {
-            log::info!("event=crash-expired print={:016x} crashes={count}", fingerprint.0);
+        for (suspect, count) in &expired {
+            log::info!("event=crash-expired print={:016x} crashes={count}", suspect.0);
         }
         self.metrics.record_crashes("expired", expired.len() as u64);
     }
 
     /// Stores a crash that has not expired.
     fn store_crash(&self, report: CrashReport, source: CrashSource) -> CrashOutcome {
-        let CrashReport { fingerprint, crash, noticed_at } = report;
+        let CrashReport { suspect, crash, noticed_at } = report;
         let expires_at = noticed_at + SUSPICION_MS;
-        let record = CrashRecord { fingerprint, crash, noticed_at, expires_at, source };
+        let record = CrashRecord { suspect, crash, noticed_at, expires_at, source };
         if mono_now() >= expires_at {
             return CrashOutcome::Known;
         }
         let outcome = self.crashes.borrow_mut().record_crash(record);
         if let CrashOutcome::New { dropped: Some(dropped) } = outcome {
-            let DroppedRequest { fingerprint, crashes } = dropped;
+            let DroppedRequest { suspect, crashes } = dropped;
             self.metrics.record_crashes("dropped", crashes as u64);
-            log::info!("event=crash-dropped print={:016x} crashes={crashes}", fingerprint.0);
+            log::info!("event=crash-dropped print={:016x} crashes={crashes}", suspect.0);
         }
         outcome
     }
 
-    fn crash_count(&self, fingerprint: RequestFingerprint) -> usize {
-        self.crashes.borrow().summary(fingerprint).map_or(0, |summary| summary.count)
+    fn crash_count(&self, suspect: SuspectKey) -> usize {
+        self.crashes.borrow().summary(suspect).map_or(0, |summary| summary.count)
     }
 }
--- a/ggt-daemon/src/front/prepare.rs
+++ b/ggt-daemon/src/front/prepare.rs
@@ -9,7 +9,7 @@
 use crate::front::response::FrontRefusal;
 use crate::front::state::FrontState;
 use ggt_core::clock::MonoTime;
-use ggt_core::crashes::RequestFingerprint;
+use ggt_core::crashes::SuspectKey;
 use ggt_core::prompts::PrefixChain;
 use ggt_core::routes::CustomerEntry;
 use ggt_core::routes::RouteConfig;
@@ -54,7 +54,7 @@
         parts.uri.path_and_query().map_or(path, |path_and_query| path_and_query.as_str());
     let customer_name = customer.map(|customer| customer.name.clone());
     let caller = customer_name.as_deref().unwrap_or_default();
-    let fingerprint = RequestFingerprint::of(&format!("{caller} {target_path}"), &body);
+    let fingerprint = SuspectKey::of_request(&format!("{caller} {target_path}"), &body);
     Ok(FrontJob {
         id: attempt_id,
         route: route.clone(),
--- a/ggt-daemon/src/peers/gossip.rs
+++ b/ggt-daemon/src/peers/gossip.rs
@@ -17,7 +17,7 @@
 use ggt_core::crashes::CrashId;
 use ggt_core::crashes::CrashRecord;
 use ggt_core::crashes::CrashSource;
-use ggt_core::crashes::RequestFingerprint;
+use ggt_core::crashes::SuspectKey;
 use ggt_core::ident::TargetName;
 use ggt_core::membership::GossipItem;
 use ggt_core::membership::PeerAction;
@@ -225,8 +225,8 @@
                 log::info!("event=target target={name} incarnation={incarnation} status=leaving");
             }
         }
-        GossipItem::Crash { fingerprint, crash, expires_at } => {
-            record_crash(state, fingerprint, crash, expires_at);
+        GossipItem::Crash { suspect, crash, expires_at } => {
+            record_crash(state, suspect, crash, expires_at);
             if !is_own_centre {
                 send_to_own_centre(state, *item);
             }
@@ -259,12 +259,12 @@
 ///
 /// The regular gossip rounds would be too slow: the caller may retry at any moment through any
 /// daemon.
-pub fn broadcast_crash(state: &SharedState, fingerprint: RequestFingerprint, crash: CrashId) {
+pub fn broadcast_crash(state: &SharedState, suspect: SuspectKey, crash: CrashId) {
     let refusal_ms =
         state.active_config().map_or(0, |config| config.accepted.model.routing.crash_refusal_ms);
     let expires_at = wall_now() + refusal_ms;
-    record_crash(state, fingerprint, crash, expires_at);
-    let item = GossipItem::Crash { fingerprint, crash, expires_at };
+    record_crash(state, suspect, crash, expires_at);
+    let item = GossipItem::Crash { suspect, crash, expires_at };
     if lock(&state.gossip).add_item(item) {
         send_to_own_centre(state, item);
         send_to_other_centres(state, item);
@@ -314,18 +314,13 @@
     }
 }
 
-fn record_crash(
-    state: &SharedState,
-    fingerprint: RequestFingerprint,
-    crash: CrashId,
-    expires_at: WallTime,
-) {
+fn record_crash(state: &SharedState, suspect: SuspectKey, crash: CrashId, expires_at: WallTime) {
     let remaining_ms = expires_at.as_millis().saturating_sub(wall_now().as_millis());
     let now = mono_now();
     let expires_at = now + remaining_ms;
     // Items are sent on by the gossip table, so the source makes no difference here.
     let source = CrashSource::Peer;
-    let record = CrashRecord { fingerprint, crash, noticed_at: now, expires_at, source };
+    let record = CrashRecord { suspect, crash, noticed_at: now, expires_at, source };
     lock(&state.crashes).record_crash(record);
 }
 
--- a/ggt-testkit/src/bench/state.rs
+++ b/ggt-testkit/src/bench/state.rs
@@ -22,7 +22,7 @@
 use ggt_core::crashes::CrashRecord;
 use ggt_core::crashes::CrashSource;
 use ggt_core::crashes::CrashTable;
-use ggt_core::crashes::RequestFingerprint;
+use ggt_core::crashes::SuspectKey;
 use ggt_core::hosts::HostEntry;
 use ggt_core::hosts::HostList;
 use ggt_core::hosts::HostState;
@@ -130,7 +130,7 @@
     let mut table = CrashTable::new(CrashOptions { capacity: count, ..CrashOptions::default() });
     for number in 0..count as u64 {
         table.record_crash(CrashRecord {
-            fingerprint: RequestFingerprint(number),
+            suspect: SuspectKey(number),
             crash: CrashId(number),
             noticed_at: MonoTime::default(),
             expires_at: MonoTime::from_millis(1),
--- a/ggt-wire/tests/codec.rs
+++ b/ggt-wire/tests/codec.rs
@@ -7,7 +7,7 @@
 
 use ggt_core::clock::WallTime;
 use ggt_core::crashes::CrashId;
-use ggt_core::crashes::RequestFingerprint;
+use ggt_core::crashes::SuspectKey;
 use ggt_core::fleet::PeerDigest;
 use ggt_core::ident::CustomerName;
 use ggt_core::ident::DaemonName;
@@ -175,10 +175,10 @@
         platform_age_ms: 7,
         loads: Vec::new(),
         cached_prefixes: vec![(8, 9)],
-        crashes: vec![(RequestFingerprint(10), CrashId(11))],
+        crashes: vec![(SuspectKey(10), CrashId(11))],
         known_peers: vec![([10, 0, 0, 2], 7_340).into()],
         crash_ages_ms: vec![300],
-        exonerated: vec![RequestFingerprint(12)],
+        exonerated: vec![SuspectKey(12)],
     }
 }
 
