fix: front: the end of a reply without a length is no proof that its target lives

What callers saw: responses that a crash had cut off, as complete responses with status 200; and crashing parts that were never refused on routes whose servers answer without a length or chunks.

Cause: where a reply states no length, its end is the end of its connection, and so is a crash. The daemon took each such end, also after a head without an event, for a completion: it recorded no loss, and cleared the suspects that the crash should have counted against.

Change: after such an end the daemon opens a connection to the target, unless the target is leaving. If it is refused, the reply counts as lost. Otherwise the reply is delivered; it clears its suspects only once the target replies to a later request, and counts as a crash if the target turns out to have ended. A stream without a length that ends before its first event was broken off.

--- a/ggt-core/src/crashes/losses.rs
+++ b/ggt-core/src/crashes/losses.rs
@@ -1,4 +1,4 @@
-//! Lost replies that may turn out to be crashes of their targets.
+//! Lost replies, and replies that may be cut off, which may turn out to be crashes of their targets.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -23,6 +23,8 @@
     reply: LostReply,
     crash: CrashId,
     expires_at: MonoTime,
+    /// When the reply ended, if it was complete unless the target crashed.
+    ended_at: Option<MonoTime>,
 }
 
 /// Requests whose reply was lost recently, and targets that are known to have ended.
@@ -47,13 +49,31 @@
     /// Records a lost reply, which counts as a crash if the target's end is recorded before
     /// `expires_at`. Returns `true` if the end has been recorded already.
     pub fn record_loss(&mut self, reply: LostReply, crash: CrashId, expires_at: MonoTime) -> bool {
-        if self.ends.contains_key(&crash) {
+        self.insert(LossEntry { reply, crash, expires_at, ended_at: None })
+    }
+
+    /// Records a reply that ended at `ended_at` with its connection and without stating its length: a
+    /// crash of the target looks the same. It counts as a crash like a lost reply, and as complete
+    /// once the target replies to a later request. Returns `true` if the target's end has been
+    /// recorded already.
+    pub fn record_unframed_end(
+        &mut self,
+        reply: LostReply,
+        crash: CrashId,
+        ended_at: MonoTime,
+        expires_at: MonoTime,
+    ) -> bool {
+        self.insert(LossEntry { reply, crash, expires_at, ended_at: Some(ended_at) })
+    }
+
+    fn insert(&mut self, entry: LossEntry) -> bool {
+        if self.ends.contains_key(&entry.crash) {
             return true;
         }
         if self.losses.len() >= self.capacity {
             self.losses.pop_front();
         }
-        self.losses.push_back(LossEntry { reply, crash, expires_at });
+        self.losses.push_back(entry);
         false
     }
 
@@ -72,9 +92,17 @@
         replies
     }
 
-    /// Records that a target has replied, so that it has not ended.
-    pub fn record_reply(&mut self, crash: CrashId) {
+    /// Records that a target has replied to a request sent at `sent_at`, so that it has not ended.
+    /// Returns the replies that ended with their connection before that, which are complete.
+    pub fn record_reply(&mut self, crash: CrashId, sent_at: MonoTime) -> Vec<LostReply> {
         self.ends.remove(&crash);
+        let is_complete = |loss: &LossEntry| {
+            loss.crash == crash && loss.ended_at.is_some_and(|ended_at| ended_at < sent_at)
+        };
+        let complete = self.losses.iter().filter(|loss| is_complete(loss));
+        let replies = complete.map(|loss| loss.reply.clone()).collect();
+        self.losses.retain(|loss| !is_complete(loss));
+        replies
     }
 
     /// Drops the lost replies of a request that completed.
--- a/ggt-core/tests/crashes.rs
+++ b/ggt-core/tests/crashes.rs
@@ -53,10 +53,24 @@
     losses.record_loss(lost_reply(REQUEST), CrashId(1), at(1_000));
     losses.clear(REQUEST);
     assert_eq!(losses.record_end(CrashId(1), at(100), at(1_000)), []);
-    losses.record_reply(CrashId(1));
+    losses.record_reply(CrashId(1), at(100));
     assert!(!losses.record_loss(lost_reply(REQUEST), CrashId(1), at(1_000)));
 }
 
+// Guards against a crash that is taken for the end of a reply without a length, and so clears its
+// request; and against replies without a length that never clear theirs.
+#[test]
+fn reply_without_length_is_complete_once_the_target_replies_to_a_later_request() {
+    let mut losses = LossTable::new(CAPACITY);
+    assert!(!losses.record_unframed_end(lost_reply(REQUEST), CrashId(1), at(100), at(1_000)));
+    assert_eq!(losses.record_reply(CrashId(1), at(100)), [], "sent before the end");
+    assert_eq!(losses.record_reply(CrashId(2), at(200)), [], "another target");
+    assert_eq!(losses.record_reply(CrashId(1), at(101)), [lost_reply(REQUEST)]);
+    assert_eq!(losses.record_end(CrashId(1), at(300), at(1_000)), []);
+    losses.record_unframed_end(lost_reply(REQUEST), CrashId(3), at(400), at(1_000));
+    assert_eq!(losses.record_end(CrashId(3), at(500), at(1_000)), [lost_reply(REQUEST)]);
+}
+
 #[test]
 fn full_table_of_losses_drops_the_oldest() {
     let mut losses = LossTable::new(CAPACITY);
--- a/ggt-daemon/src/front/attempt/crash_check.rs
+++ b/ggt-daemon/src/front/attempt/crash_check.rs
@@ -53,6 +53,22 @@
         check.await.ok().flatten()
     }
 
+    /// Whether a reply of the last send that ended with its connection, without stating its length, may
+    /// be taken as complete: the target still accepts connections. One that is leaving need not.
+    pub async fn has_outlived_reply(&self) -> bool {
+        let Some(target) = self.sent_target else { return false };
+        let is_listed = {
+            let pool = self.state.pool.borrow();
+            pool.target(target.key)
+                .is_some_and(|state| !state.record.is_leaving && state.remove_at.is_none())
+        };
+        if !is_listed {
+            return true;
+        }
+        !self.state.record_unframed_end(&self.job, target.crash)
+            && check_target(self.state.clone(), target).await.is_some()
+    }
+
     /// Applies a failure to connect to the target of the present send: replies that other requests
     /// lost at it count as crashes.
     pub(super) fn record_connect_failure(&self, error: &ConnectError) {
--- a/ggt-daemon/src/front/attempt/send.rs
+++ b/ggt-daemon/src/front/attempt/send.rs
@@ -68,7 +68,7 @@
         // status.
         self.may_have_run = true;
         if let Some(target) = self.sent_target {
-            self.state.losses.borrow_mut().record_reply(target.crash);
+            self.state.record_target_reply(target.crash, guard.sent_at());
         }
         guard.record_start();
         Ok(TargetReply {
--- a/ggt-daemon/src/front/buffered.rs
+++ b/ggt-daemon/src/front/buffered.rs
@@ -39,15 +39,18 @@
             Ok(reply) => reply,
             Err(refusal) => return final_response(&job, error_reply, refusal, guard),
         };
-        let key = reply.key;
-        let status = reply.status;
-        match read_complete(state, &job, reply).await {
+        let (key, status, is_framed) = (reply.key, reply.status, reply.headers.is_framed);
+        let mut complete = read_complete(state, &job, reply).await;
+        if complete.is_ok() && !is_framed && !attempts.has_outlived_reply().await {
+            complete = Err((FailureKind::Reset, "target ended with its reply".to_owned()));
+        }
+        match complete {
             Ok((raw_headers, body)) if is_retryable(&job, status) && attempts.try_next_send() => {
                 error_reply = Some(ErrorReply { status, raw_headers, body });
                 continue;
             }
             Ok((raw_headers, body)) => {
-                if !status.is_server_error() {
+                if is_framed && !status.is_server_error() {
                     state.record_completion(&job, status);
                 }
                 guard.end("answered", status.as_u16(), "whole");
--- a/ggt-daemon/src/front/crashes.rs
+++ b/ggt-daemon/src/front/crashes.rs
@@ -49,13 +49,42 @@
     if names.is_empty() { "-".to_owned() } else { names.join(",") }
 }
 
+fn lost_reply(job: &FrontJob) -> LostReply {
+    LostReply { request_id: job.id.clone(), suspects: job.suspects.clone() }
+}
+
 impl FrontState {
     /// Records that a request was sent and its reply lost, which counts as a crash if the target
     /// turns out to have ended. Returns whether it is already known to have; `cause` is logged.
     pub fn record_loss(&self, job: &FrontJob, crash: CrashId, cause: &str) -> bool {
-        let reply = LostReply { request_id: job.id.clone(), suspects: job.suspects.clone() };
+        let reply = lost_reply(job);
         let expires_at = mono_now() + LOSS_WINDOW_MS;
         let has_ended = self.losses.borrow_mut().record_loss(reply.clone(), crash, expires_at);
+        self.log_loss(job, &reply, crash, has_ended, cause);
+        has_ended
+    }
+
+    /// Records a reply that ended with its connection and without a length, like a lost one; it counts
+    /// as complete once the target replies to a later request.
+    pub fn record_unframed_end(&self, job: &FrontJob, crash: CrashId) -> bool {
+        let (reply, now) = (lost_reply(job), mono_now());
+        let expires_at = now + LOSS_WINDOW_MS;
+        let mut losses = self.losses.borrow_mut();
+        let has_ended = losses.record_unframed_end(reply.clone(), crash, now, expires_at);
+        drop(losses);
+        self.log_loss(job, &reply, crash, has_ended, "reply without length ended");
+        has_ended
+    }
+
+    /// Logs a reply that was or may be lost, and counts it as a crash if its target has ended.
+    fn log_loss(
+        &self,
+        job: &FrontJob,
+        reply: &LostReply,
+        crash: CrashId,
+        has_ended: bool,
+        cause: &str,
+    ) {
         log::info!(
             "event=loss request_id={} print={:016x} parts={} death={:016x} has_ended={has_ended} \
              cause={}",
@@ -66,9 +95,16 @@
             quoted(cause),
         );
         if has_ended {
-            self.record_crash(&reply, crash, cause);
+            self.record_crash(reply, crash, cause);
+        }
+    }
+
+    /// Records that a target has replied to a request sent at `sent_at`, so that it has not ended.
+    pub fn record_target_reply(&self, crash: CrashId, sent_at: MonoTime) {
+        let complete = self.losses.borrow_mut().record_reply(crash, sent_at);
+        for LostReply { request_id, suspects } in &complete {
+            self.clear_suspects(request_id, suspects.keys());
         }
-        has_ended
     }
 
     /// Records that a target has ended: each reply lost at it counts as a crash. `cause` is logged.
@@ -140,13 +176,17 @@
         let suspects = job.suspects.keys();
         let cleared = if status.is_success() { suspects } else { &suspects[..1] };
         self.losses.borrow_mut().clear(job.suspects.request());
-        for suspect in cleared {
+        self.clear_suspects(&job.id, cleared);
+    }
+
+    fn clear_suspects(&self, request_id: &str, suspects: &[SuspectKey]) {
+        for suspect in suspects {
             let count = self.crashes.borrow_mut().record_completion(*suspect, mono_now());
             if count > 0 {
                 self.metrics.record_crashes("cleared", count as u64);
                 log::info!(
                     "event=crash-cleared request_id={} print={:016x} crashes={count}",
-                    quoted(&job.id),
+                    quoted(request_id),
                     suspect.0,
                 );
             }
--- a/ggt-daemon/src/front/job.rs
+++ b/ggt-daemon/src/front/job.rs
@@ -121,6 +121,11 @@
         Self { state, key, backlog_tokens, record, has_started: Cell::new(false) }
     }
 
+    /// When the target was chosen for the send.
+    pub fn sent_at(&self) -> MonoTime {
+        self.record.sent_at
+    }
+
     /// Records that the target started the request, so that its duration is recorded as slot time.
     pub fn record_start(&self) {
         self.has_started.set(true);
--- a/ggt-daemon/src/front/stream.rs
+++ b/ggt-daemon/src/front/stream.rs
@@ -120,7 +120,7 @@
                 error_reply = self.handle_error_reply(reply).await?;
                 continue;
             }
-            match self.read(reply.key, &mut reply.body).await {
+            match self.read_checked(&mut reply).await {
                 outcome @ (ReadOutcome::Events(_) | ReadOutcome::Complete) => {
                     reply.guard.record_prefill();
                     return Ok((reply, outcome));
@@ -203,7 +203,7 @@
                     }
                 },
             }
-            outcome = self.read(reply.key, &mut reply.body).await;
+            outcome = self.read_checked(&mut reply).await;
         }
     }
 
@@ -264,10 +264,28 @@
         }
     }
 
+    /// Reads like [`Self::read`]; the end of a reply without a length is its completion only if the
+    /// caller has got an event and the target has not crashed.
+    async fn read_checked(&mut self, reply: &mut TargetReply) -> ReadOutcome {
+        let outcome = self.read(reply.key, &mut reply.body).await;
+        if reply.headers.is_framed || !matches!(outcome, ReadOutcome::Complete) {
+            return outcome;
+        }
+        if self.order.last().is_none() {
+            return ReadOutcome::Interrupted("ended before the first event".to_owned());
+        }
+        match self.attempts.has_outlived_reply().await {
+            true => ReadOutcome::Complete,
+            false => ReadOutcome::Interrupted("target ended with its reply".to_owned()),
+        }
+    }
+
     fn finish(&self, reply: TargetReply) {
         let TargetReply { key, status, headers, connection, guard, .. } = reply;
         self.state.record_outcome(key, SendOutcome::Good);
-        self.state.record_completion(&self.job, status);
+        if headers.is_framed {
+            self.state.record_completion(&self.job, status);
+        }
         if !headers.closes_connection && self.job.route.is_idempotent {
             self.state.connections.keep(key, connection, headers.keep_alive_seconds);
         }
--- a/ggt-testkit/tests/platform_crashing_parts.rs
+++ b/ggt-testkit/tests/platform_crashing_parts.rs
@@ -188,6 +188,30 @@
     check_crash_point("talk", CrashPoint::AfterUnframedHead);
 }
 
+/// Responds without a length or chunks, and closes the connection.
+fn respond_unframed(request: &WireRequest, stream: &mut TcpStream) -> AfterResponse {
+    let point = match request.path.starts_with("/chat/") || request.path.starts_with("/talk/") {
+        true => CrashPoint::AfterUnframedEvent,
+        false => CrashPoint::WithinUnframedBody,
+    };
+    // The daemon may have closed the connection already.
+    let _ = stream.write_all(point.text(request).as_bytes());
+    AfterResponse::Close
+}
+
+// Guards against complete responses that are rejected since a crash could have cut them off.
+#[test]
+fn response_without_length_of_a_server_that_lives_on_is_complete() {
+    let fleet = FrontFleet::start(2, 1);
+    fleet.servers.iter().for_each(|server| server.set_script(respond_unframed));
+    for (number, route) in ["read", "once", "chat", "talk"].into_iter().enumerate() {
+        let response = send(&fleet, 0, route, &[SHARED_PART], number);
+        let body = if number < 2 { "half of it" } else { "id: 1\ndata: one\n\n" };
+        let seen = (response.status, response.is_complete, response.body.as_str());
+        assert_eq!(seen, (200, true, body), "/{route}/");
+    }
+}
+
 // Guards against daemons that each count only the crashes that they saw themselves.
 #[test]
 fn crashes_by_a_prompt_part_add_up_over_the_daemons() {
