fix: dispatch: on the own interface crashes count against the chat, too

What callers would see: a chat whose requests crash the engines that run them, each with another body (the history is what crashes them), ends one engine after the other: the same cause as on the users' platform, blame by one identity of a request, looked for on the own interface.

Change: a lost reply counts against the request and its chat; a complete reply clears both. The customer is not a suspect: its requests are in flight on many engines at once, and daemons do not tell each other of completions here, so a restart of three engines could refuse a large customer on daemons that serve it rarely. Replies that state no length are rejected on this interface already, so the second cause of the incident does not exist here.

--- a/ggt-core/src/crashes/suspects.rs
+++ b/ggt-core/src/crashes/suspects.rs
@@ -9,6 +9,8 @@
 
 /// Hash that tells keys of prompt parts from fingerprints.
 const PART_SEED: u64 = 0x70_61_72_74;
+/// Hash that tells keys of chats from others.
+const CHAT_SEED: u64 = 0x63_68_61_74;
 /// Maximum number of parts of one prompt that are suspected, the last ones: bounds what a caller can
 /// make daemons store and tell each other.
 const MAX_PARTS: usize = 64;
@@ -27,6 +29,11 @@
     pub fn of_part(part: PromptPart) -> Self {
         Self(mix_hash(PART_SEED, part.hash))
     }
+
+    /// The key of a chat, given as the hash of its id and customer.
+    pub fn of_chat(chat_hash: u64) -> Self {
+        Self(mix_hash(CHAT_SEED, chat_hash))
+    }
 }
 
 /// All that may be to blame if a request crashes its target: the request itself, and what it shares
@@ -55,6 +62,12 @@
         self
     }
 
+    /// Adds the chat that the request continues, given as the hash of its id and customer.
+    pub fn with_chat(mut self, chat_hash: u64) -> Self {
+        self.keys.push(SuspectKey::of_chat(chat_hash));
+        self
+    }
+
     /// The key of the request itself.
     pub fn request(&self) -> SuspectKey {
         self.keys[0]
--- a/ggt-core/tests/crash_blame.rs
+++ b/ggt-core/tests/crash_blame.rs
@@ -1,5 +1,9 @@
 //! Which suspect is blamed for crashes, by what the requests that were in flight at them share.
 
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
 use ggt_core::clock::MonoTime;
 use ggt_core::crashes::CrashId;
 use ggt_core::crashes::CrashJudgement;
@@ -10,9 +14,6 @@
 use ggt_core::crashes::RequestSuspects;
 use ggt_core::crashes::SuspectKey;
 use ggt_core::prompts::PromptPart;
-use rand::Rng;
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
 
 /// Crashes after which a suspect is refused.
 const LIMIT: u32 = 3;
--- a/ggt-daemon/src/dispatch/exchange.rs
+++ b/ggt-daemon/src/dispatch/exchange.rs
@@ -33,6 +33,8 @@
 use crate::upstream::call_target;
 use ggt_core::clock::MonoTime;
 use ggt_core::crashes::CrashId;
+use ggt_core::crashes::CrashJudgement;
+use ggt_core::crashes::CrashRefusal;
 use ggt_core::ident::TargetName;
 use ggt_core::ident::WorkloadName;
 use ggt_core::limits::SharePermit;
@@ -81,17 +83,34 @@
         })
 }
 
-/// The refusal of a request that was in flight at too many crashes of targets; `None` if it may be
+/// The refusal of a request that is to blame for too many crashes of targets; `None` if it may be
 /// sent.
 pub(super) fn refuse_crashing(state: &SharedState, job: &RequestJob) -> Option<Refusal> {
     let now = mono_now();
-    let crashes = lock(&state.crashes);
-    let until = crashes.refused_until(job.fingerprint(), now)?;
-    let count = crashes.summary(job.fingerprint()).map_or(0, |summary| summary.count);
-    let detail = format!("{count} targets crashed while they ran this request");
+    let suspects = job.suspects();
+    let judgement = lock(&state.crashes).judge(suspects.keys(), now);
+    let CrashJudgement::Refused(CrashRefusal { suspect, summary, until }) = judgement else {
+        return None;
+    };
+    let what = if suspect == suspects.request() { "this request" } else { "requests of this chat" };
+    let detail = format!("{} targets crashed while they ran {what}", summary.count);
+    log::info!(
+        "event=refuse-crashing request_id={} print={:016x} crashes={}",
+        job.request_id,
+        suspect.0,
+        summary.count,
+    );
     Some(Refusal::not_run(422, "crashing", detail).retry_after(until.millis_since(now)))
 }
 
+/// Records a complete reply, which clears the request and its chat: they did not crash the target.
+pub(super) fn record_completion(state: &SharedState, job: &RequestJob) {
+    let mut crashes = lock(&state.crashes);
+    for suspect in job.suspects().keys() {
+        crashes.record_completion(*suspect, mono_now());
+    }
+}
+
 /// Waits for fresh data after a process pause, then chooses a target, logs the choice and adds the
 /// request to the target's load.
 pub(super) async fn choose(
@@ -283,15 +302,16 @@
     drop(routing);
     if was_sent && has_crashed {
         let crash = CrashId::of(target.hash, target.incarnation);
-        let fingerprint = job.fingerprint();
-        broadcast_crash(state, fingerprint, crash);
-        log::warn!(
-            "event=crash request_id={} target={} incarnation={} print={:016x}",
-            job.request_id,
-            target.name,
-            target.incarnation,
-            fingerprint.0,
-        );
+        for suspect in job.suspects().keys() {
+            broadcast_crash(state, *suspect, crash);
+            log::warn!(
+                "event=crash request_id={} target={} incarnation={} print={:016x}",
+                job.request_id,
+                target.name,
+                target.incarnation,
+                suspect.0,
+            );
+        }
     }
 }
 
--- a/ggt-daemon/src/dispatch/idempotent.rs
+++ b/ggt-daemon/src/dispatch/idempotent.rs
@@ -85,7 +85,7 @@
         lock(&state.routing).record_done(target.key);
         let failure = match end {
             AttemptEnd::Complete => {
-                lock(&state.crashes).record_completion(job.fingerprint(), mono_now());
+                exchange::record_completion(state, job);
                 return sink.finish();
             }
             AttemptEnd::CallerDisconnected => return,
--- a/ggt-daemon/src/dispatch/job.rs
+++ b/ggt-daemon/src/dispatch/job.rs
@@ -8,6 +8,7 @@
 use ggt_core::clock::MonoTime;
 use ggt_core::config::CustomerSection;
 use ggt_core::config::WorkloadSection;
+use ggt_core::crashes::RequestSuspects;
 use ggt_core::crashes::SuspectKey;
 use ggt_core::ident::CustomerName;
 use ggt_core::ident::WorkloadName;
@@ -53,8 +54,10 @@
 }
 
 impl RequestJob {
-    /// Fingerprint of path and body, which identifies a crashing request over its retries.
-    pub fn fingerprint(&self) -> SuspectKey {
-        SuspectKey::of_request(&self.path, &self.body)
+    /// What may be to blame if a target crashes while it runs the request: path and body, and the
+    /// chat that it continues.
+    pub fn suspects(&self) -> RequestSuspects {
+        let suspects = RequestSuspects::new(SuspectKey::of_request(&self.path, &self.body));
+        if self.has_chat { suspects.with_chat(self.chat_hash) } else { suspects }
     }
 }
--- a/ggt-daemon/src/dispatch/non_idempotent.rs
+++ b/ggt-daemon/src/dispatch/non_idempotent.rs
@@ -228,7 +228,7 @@
         exchange::respond(sink, head, body.into(), self.job.deadline).await;
         exchange::record_done(state, self.job, target, status, RunVerdict::Ran, length);
         state.metrics.record_claim("ran");
-        lock(&state.crashes).record_completion(self.job.fingerprint(), mono_now());
+        exchange::record_completion(state, self.job);
         self.settle(ActionOutcome::Ran(stored)).await;
     }
 
