fix: core, front: after a refusal one request is tried at a time, and at most three fail

What callers would see: when the refusal of a crashing request or part ended after a minute, each daemon sent every request with it until the next crash was told, and this again after each refusal; the users' rule counts three more for good.

Change: after a refusal one request is sent as a trial. Daemons take turns by rank, five seconds apart, so the first one's crash is told before the second tries; others get 503 with retry-after meanwhile. A complete reply ends the suspicion; a crash refuses for four times as long (1, 4, 16 min after the last crash), and after the third failed trial until nothing has crashed for 24 h. Suspects below the limit expire after 20 min as before.

Tests of the core use calls that did not exist before, so they were not run red; on the code before, a request was no longer refused at the end of the first refusal, however many were in flight.

--- a/ggt-core/src/crashes/blame.rs
+++ b/ggt-core/src/crashes/blame.rs
@@ -19,21 +19,23 @@
     /// many prompts begin with is present whenever a part below it crashes a target: the prompts
     /// without the latter are not refused. A part that is itself to blame crashes targets together
     /// with different parts, none of which was present at all of the crashes.
+    ///
+    /// After its refusal, a request may be sent as a trial.
     pub fn judge(&self, suspects: &[SuspectKey], now: MonoTime) -> CrashJudgement {
         let mut judgement = CrashJudgement::Clear;
         for suspect in suspects {
-            let Some(until) = self.refused_until(*suspect, now) else { continue };
             let Some(entry) = self.entries.get(suspect) else { continue };
-            match (self.explanation(entry, suspects), self.summary(*suspect)) {
-                (Some(by), _) => {
-                    judgement = CrashJudgement::Explained { suspect: *suspect, by };
-                }
-                (None, Some(summary)) => {
-                    let refusal = CrashRefusal { suspect: *suspect, summary, until };
-                    return CrashJudgement::Refused(refusal);
-                }
-                (None, None) => {}
+            let Some(until) = self.refusal_end(entry) else { continue };
+            let Some(summary) = self.summary(*suspect) else { continue };
+            if let Some(by) = self.explanation(entry, suspects) {
+                judgement = CrashJudgement::Explained { suspect: *suspect, by };
+                continue;
+            }
+            let refusal = CrashRefusal { suspect: *suspect, summary, until };
+            if now < until {
+                return CrashJudgement::Refused(refusal);
             }
+            return CrashJudgement::Trial(refusal);
         }
         judgement
     }
--- a/ggt-core/src/crashes/record.rs
+++ b/ggt-core/src/crashes/record.rs
@@ -117,4 +117,7 @@
     },
     /// It is refused.
     Refused(CrashRefusal),
+    /// The refusal has ended: one request may be sent as a trial, and others are refused until its
+    /// outcome is known.
+    Trial(CrashRefusal),
 }
--- a/ggt-core/src/crashes/table.rs
+++ b/ggt-core/src/crashes/table.rs
@@ -36,6 +36,24 @@
     cleared: BTreeSet<CrashId>,
     /// When the request is no longer suspected.
     expires_at: MonoTime,
+    /// When the last of its crashes was noticed, cleared ones included.
+    last_recorded_at: MonoTime,
+    /// Until when a request that was sent as a trial may be in flight.
+    pub(super) trial_until: Option<MonoTime>,
+}
+
+impl CrashEntry {
+    fn last_at(&self) -> Option<MonoTime> {
+        self.crashes.values().map(|crash| crash.noticed_at).max()
+    }
+
+    /// Number of times that crashes followed after a pause of at least `pause_ms`.
+    fn pauses(&self, pause_ms: u64) -> u32 {
+        let mut times: Vec<_> = self.crashes.values().map(|crash| crash.noticed_at).collect();
+        times.sort_unstable();
+        let is_pause = |pair: &&[MonoTime]| pair[1].millis_since(pair[0]) >= pause_ms;
+        times.windows(2).filter(is_pause).count() as u32
+    }
 }
 
 /// Requests suspected of crashing targets: those in flight on a target when it crashed.
@@ -62,17 +80,33 @@
     pub limit: u32,
     /// Maximum number of suspected requests stored, and of recent completions.
     pub capacity: usize,
-    /// Milliseconds for which a request is refused after the crash that reached the limit; they
-    /// double with each crash after it. A refusal ends with the entry at the latest.
+    /// Milliseconds for which a request is refused after the crash that reached the limit. A refusal
+    /// ends with the entry at the latest.
     pub first_refusal_ms: u64,
+    /// Factor by which these milliseconds grow with each crash after the end of a refusal.
+    pub refusal_factor: u64,
     /// Maximum of these milliseconds.
     pub max_refusal_ms: u64,
+    /// Number of crashes after ends of refusals from which on a request is refused until its entry
+    /// expires.
+    pub max_failed_trials: u32,
+    /// Milliseconds after its last crash for which a request below the limit is suspected, if its
+    /// entry does not expire before.
+    pub below_limit_ms: u64,
 }
 
 impl Default for CrashOptions {
     /// Requests are refused until their entries expire.
     fn default() -> Self {
-        Self { limit: 3, capacity: 4_096, first_refusal_ms: u64::MAX, max_refusal_ms: u64::MAX }
+        Self {
+            limit: 3,
+            capacity: 4_096,
+            first_refusal_ms: u64::MAX,
+            refusal_factor: 2,
+            max_refusal_ms: u64::MAX,
+            max_failed_trials: u32::MAX,
+            below_limit_ms: u64::MAX,
+        }
     }
 }
 
@@ -109,11 +143,14 @@
             crashes: BTreeMap::new(),
             cleared: BTreeSet::new(),
             expires_at,
+            last_recorded_at: noticed_at,
+            trial_until: None,
         });
         if entry.cleared.contains(&crash) {
             return CrashOutcome::Known;
         }
         entry.expires_at = entry.expires_at.max(expires_at);
+        entry.last_recorded_at = entry.last_recorded_at.max(noticed_at);
         if entry.crashes.contains_key(&crash) {
             return CrashOutcome::Known;
         }
@@ -122,6 +159,7 @@
             CrashSource::Peer => URGENT_REPORTS,
         };
         entry.crashes.insert(crash, CrashState { noticed_at, reports });
+        entry.trial_until = None;
         CrashOutcome::New { dropped }
     }
 
@@ -162,25 +200,53 @@
     /// After a refusal the request may be sent again: if it crashes another target, it is refused for
     /// longer, and if it completes, it is cleared.
     pub fn refused_until(&self, suspect: SuspectKey, now: MonoTime) -> Option<MonoTime> {
-        let entry = self.entries.get(&suspect)?;
-        let last_at = entry.crashes.values().map(|crash| crash.noticed_at).max()?;
-        let CrashOptions { limit, first_refusal_ms, max_refusal_ms, .. } = self.options;
-        let crashes_beyond = entry.crashes.len().checked_sub(limit as usize)?;
-        let doublings = u32::try_from(crashes_beyond).unwrap_or(u32::MAX);
-        let refusal_ms = first_refusal_ms.saturating_mul(2_u64.saturating_pow(doublings));
-        let ends_ms = last_at.as_millis().saturating_add(refusal_ms.min(max_refusal_ms));
-        let until = entry.expires_at.min(MonoTime::from_millis(ends_ms));
+        let until = self.refusal_end(self.entries.get(&suspect)?)?;
         (now < until).then_some(until)
     }
 
+    /// The end of the latest refusal; `None` if the entry is below the limit of crashes.
+    pub(super) fn refusal_end(&self, entry: &CrashEntry) -> Option<MonoTime> {
+        let last_at = entry.last_at()?;
+        let options = &self.options;
+        if entry.crashes.len() < options.limit as usize {
+            return None;
+        }
+        let failed_trials = entry.pauses(options.first_refusal_ms);
+        if failed_trials >= options.max_failed_trials {
+            return Some(entry.expires_at);
+        }
+        let growth = options.refusal_factor.saturating_pow(failed_trials);
+        let refusal_ms = options.first_refusal_ms.saturating_mul(growth);
+        let ends_ms = last_at.as_millis().saturating_add(refusal_ms.min(options.max_refusal_ms));
+        Some(entry.expires_at.min(MonoTime::from_millis(ends_ms)))
+    }
+
+    /// Begins a trial: a request with this suspect is sent, and others are refused until its outcome
+    /// is known, `until` at the latest. Returns `false` while another trial is in progress here.
+    pub fn begin_trial(&mut self, suspect: SuspectKey, now: MonoTime, until: MonoTime) -> bool {
+        let Some(entry) = self.entries.get_mut(&suspect) else { return false };
+        if entry.trial_until.is_some_and(|until| now < until) {
+            return false;
+        }
+        entry.trial_until = Some(until);
+        true
+    }
+
     /// Drops expired entries; returns the requests among them that were still suspected, with the
     /// number of their crashes.
     pub fn expire(&mut self, now: MonoTime) -> Vec<(SuspectKey, usize)> {
-        let expired = self.entries.iter().filter(|(_, entry)| now >= entry.expires_at);
+        let CrashOptions { limit, below_limit_ms, .. } = self.options;
+        let is_expired = |entry: &CrashEntry| {
+            let is_below_limit = entry.crashes.len() < limit as usize;
+            let last_ms = entry.last_recorded_at.as_millis();
+            let is_old = now.as_millis() >= last_ms.saturating_add(below_limit_ms);
+            now >= entry.expires_at || (is_below_limit && is_old)
+        };
+        let expired = self.entries.iter().filter(|(_, entry)| is_expired(entry));
         let suspects = expired.filter(|(_, entry)| !entry.crashes.is_empty());
         let suspects = suspects.map(|(suspect, entry)| (*suspect, entry.crashes.len()));
         let suspects = suspects.collect();
-        self.entries.retain(|_, entry| now < entry.expires_at);
+        self.entries.retain(|_, entry| !is_expired(entry));
         suspects
     }
 
--- a/ggt-core/src/fleet/mod.rs
+++ b/ggt-core/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 use crate::crashes::CrashId;
 use crate::crashes::CrashReport;
 use crate::crashes::SuspectKey;
+use crate::ident::mix_hash;
 use crate::ident::stable_hash;
 use crate::targets::InFlightLoad;
 
@@ -243,6 +244,16 @@
         ahead.count() < WATCHERS_PER_CENTRE || !same_centre().any(|digest| digest.is_watching)
     }
 
+    /// This daemon's rank for an item with this hash among all that are alive, in an order that is the
+    /// same on all daemons with the same view; 0 is the first.
+    pub fn rank(&self, hash: u64, now: MonoTime) -> usize {
+        let score = |address: SocketAddr| {
+            (mix_hash(hash, stable_hash(address.to_string().as_bytes())), address)
+        };
+        let own = score(self.own_address);
+        self.alive(now).filter(|peer| score(peer.digest.address) < own).count()
+    }
+
     /// Recipients of the next digest: discovered daemons, addresses listed in their digests, and
     /// the seeds.
     pub fn recipients(&self, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
--- a/ggt-core/tests/crashes.rs
+++ b/ggt-core/tests/crashes.rs
@@ -5,6 +5,7 @@
 
 use ggt_core::clock::MonoTime;
 use ggt_core::crashes::CrashId;
+use ggt_core::crashes::CrashJudgement;
 use ggt_core::crashes::CrashOptions;
 use ggt_core::crashes::CrashOutcome;
 use ggt_core::crashes::CrashRecord;
@@ -223,6 +224,65 @@
     assert!(table.refused_until(REQUEST, at(30_010)).is_some(), "it no longer completes");
 }
 
+// Guards against concurrent requests that each crash a target when a refusal ends, and against trials
+// without end: the users' rule allows three sends after the refusal.
+#[test]
+fn one_trial_at_a_time_follows_a_refusal_and_at_most_three_fail() {
+    let options = CrashOptions {
+        limit: LIMIT,
+        first_refusal_ms: 60_000,
+        refusal_factor: 4,
+        max_failed_trials: 3,
+        ..CrashOptions::default()
+    };
+    let mut table = CrashTable::new(options);
+    let crash = |table: &mut CrashTable, number: u64, noticed_ms: u64| {
+        table.record_crash(CrashRecord {
+            suspect: REQUEST,
+            crash: CrashId(number),
+            noticed_at: at(noticed_ms),
+            expires_at: at(noticed_ms + 86_400_000),
+            source: CrashSource::Own,
+        });
+    };
+    (1..=5).for_each(|number| crash(&mut table, number, number));
+    let mut trial_at = 60_005;
+    for (failed, refusal_ms) in [240_000, 960_000, 86_400_000].into_iter().enumerate() {
+        let judgement = table.judge(&[REQUEST], at(trial_at - 1));
+        assert!(matches!(judgement, CrashJudgement::Refused(_)), "{failed} failed: {judgement:?}");
+        let judgement = table.judge(&[REQUEST], at(trial_at));
+        assert!(matches!(judgement, CrashJudgement::Trial(_)), "{failed} failed: {judgement:?}");
+        assert!(table.begin_trial(REQUEST, at(trial_at), at(trial_at + 2_000)));
+        assert!(!table.begin_trial(REQUEST, at(trial_at + 1_999), at(trial_at + 9_000)));
+        crash(&mut table, 10 + failed as u64, trial_at + 100);
+        trial_at += 100 + refusal_ms;
+    }
+    assert!(matches!(table.judge(&[REQUEST], at(trial_at - 1)), CrashJudgement::Refused(_)));
+}
+
+#[test]
+fn trial_that_completes_ends_the_suspicion() {
+    let options = CrashOptions { first_refusal_ms: 60_000, ..CrashOptions::default() };
+    let mut table = CrashTable::new(options);
+    (1..=3).for_each(|number| record(&mut table, REQUEST, number));
+    assert!(table.begin_trial(REQUEST, at(60_010), at(70_000)));
+    table.record_completion(REQUEST, at(60_500));
+    assert_eq!(table.judge(&[REQUEST], at(60_501)), CrashJudgement::Clear);
+}
+
+// Guards against suspects below the limit that fill table and digests as long as those at the limit.
+#[test]
+fn suspects_below_the_limit_expire_earlier() {
+    let options = CrashOptions { below_limit_ms: 1_000, ..CrashOptions::default() };
+    let mut table = CrashTable::new(options);
+    let other = SuspectKey(8);
+    (1..=3).for_each(|number| record(&mut table, REQUEST, number));
+    (1..=2).for_each(|number| record(&mut table, other, number));
+    assert_eq!(table.expire(at(1_001)), []);
+    assert_eq!(table.expire(at(1_002)), [(other, 2)]);
+    assert!(table.refused_until(REQUEST, at(1_002)).is_some());
+}
+
 #[test]
 fn only_the_last_completions_are_stored() {
     let mut table = crash_table(4);
--- a/ggt-core/tests/fleet.rs
+++ b/ggt-core/tests/fleet.rs
@@ -174,3 +174,24 @@
     let noticed_at: Vec<_> = told.crash_reports(at(500)).map(|report| report.noticed_at).collect();
     assert_eq!(noticed_at, [at(500)]);
 }
+
+// Guards against trials of a refused request on several daemons at once.
+#[test]
+fn daemons_with_the_same_view_have_different_ranks() {
+    let ranks = |hash: u64| {
+        let tables = (1..=5).map(|own| {
+            let mut table = FleetTable::new(address(own));
+            (1..=5).filter(|other| *other != own).for_each(|other| {
+                table.apply(digest(other, 1, 1), at(0));
+            });
+            table.rank(hash, at(10))
+        });
+        tables.collect::<Vec<_>>()
+    };
+    let sorted = |mut ranks: Vec<usize>| {
+        ranks.sort_unstable();
+        ranks
+    };
+    assert_eq!(sorted(ranks(1)), [0, 1, 2, 3, 4]);
+    assert!((2..20).any(|hash| ranks(hash) != ranks(1)), "the order depends on the item");
+}
--- a/ggt-daemon/src/front/crashes.rs
+++ b/ggt-daemon/src/front/crashes.rs
@@ -23,12 +23,24 @@
 use ggt_core::fleet::PeerDigest;
 use ggt_core::prompts::PromptPart;
 
-/// Limits of the table of requests that are suspected of crashing their targets.
-pub const CRASH_OPTIONS: CrashOptions =
-    CrashOptions { limit: 3, capacity: 4_096, first_refusal_ms: 60_000, max_refusal_ms: 600_000 };
-/// Milliseconds for which a crash counts against a request; longer than the longest refusal, so that
-/// one more crash after it suffices.
-const SUSPICION_MS: u64 = 1_200_000;
+/// Limits of the table of requests that are suspected of crashing their targets. The users' rule allows
+/// three sends after the refusal, so there are at most three trials.
+pub const CRASH_OPTIONS: CrashOptions = CrashOptions {
+    limit: 3,
+    capacity: 4_096,
+    first_refusal_ms: 60_000,
+    refusal_factor: 4,
+    max_refusal_ms: u64::MAX,
+    max_failed_trials: 3,
+    below_limit_ms: 1_200_000,
+};
+/// Milliseconds for which a crash counts against what reached the limit.
+const SUSPICION_MS: u64 = 24 * 3_600_000;
+/// Milliseconds between the starts of trials on two daemons that follow each other in rank: enough for
+/// the first to be told of as a crash.
+const TRIAL_STAGGER_MS: u64 = 5_000;
+/// `retry-after` in milliseconds while a trial is another daemon's, or in progress.
+const TRIAL_RETRY_MS: u64 = 5_000;
 /// Milliseconds between the loss of a reply and the end of its target within which the two count as
 /// one crash; longer than the platform takes to list a target that started again.
 const LOSS_WINDOW_MS: u64 = 8_000;
@@ -207,6 +219,10 @@
                 );
                 return None;
             }
+            CrashJudgement::Trial(refusal) if self.begin_trial(job, &refusal, now) => return None,
+            CrashJudgement::Trial(refusal) => {
+                CrashRefusal { until: now + TRIAL_RETRY_MS, ..refusal }
+            }
             CrashJudgement::Refused(refusal) => refusal,
         };
         let CrashRefusal { suspect, summary: CrashSummary { count, first_at, last_at, .. }, until } =
@@ -224,6 +240,25 @@
         Some(FrontRefusal::not_run("crashes-targets", left_ms))
     }
 
+    /// Begins a trial of a request whose refusal has ended, if none is in progress. Daemons take turns,
+    /// so that one of them sends first and the others are told if that crashes another target.
+    fn begin_trial(&self, job: &FrontJob, refusal: &CrashRefusal, now: MonoTime) -> bool {
+        let rank = self.fleet.borrow().rank(refusal.suspect.0, now) as u64;
+        if now < refusal.until + rank * TRIAL_STAGGER_MS {
+            return false;
+        }
+        let is_begun = self.crashes.borrow_mut().begin_trial(refusal.suspect, now, job.deadline);
+        if is_begun {
+            log::info!(
+                "event=crash-trial request_id={} print={:016x} crashes={} rank={rank}",
+                quoted(&job.id),
+                refusal.suspect.0,
+                refusal.summary.count,
+            );
+        }
+        is_begun
+    }
+
     /// Whether one more crash may lead to the refusal of the request.
     pub fn is_next_crash_decisive(&self, job: &FrontJob) -> bool {
         let counts = job.suspects.keys().iter().map(|suspect| self.crash_count(*suspect));
