--- a/ggt-testkit/src/soak/caller.rs
+++ b/ggt-testkit/src/soak/caller.rs
@@ -21,6 +21,7 @@
 use ggt_standin::users_platform::caller_headers;
 use ggt_standin::users_platform::prompt_headers;
 
+use crate::soak::crashing::CrashLog;
 use crate::soak::deployment::DisruptionState;
 use crate::soak::deployment::EVENTS;
 use crate::soak::deployment::body_of;
@@ -43,11 +44,18 @@
     is_complete: bool,
 }
 
+impl SoakResponse {
+    fn is_refused_as_crashing(&self) -> bool {
+        self.status == 503 && String::from_utf8_lossy(&self.body).contains("crashes-targets")
+    }
+}
+
 /// Sends requests of random kinds to random daemons until `is_over`.
 pub(super) fn run_caller(
     number: usize,
     seed: u64,
     daemons: &[(SocketAddr, Arc<DisruptionState>)],
+    log: &CrashLog,
     checker: &InvariantChecker,
     is_over: &AtomicBool,
 ) {
@@ -90,6 +98,7 @@
             .as_ref()
             .is_some_and(|response| response.is_complete && !response.closes_connection);
         if let Some(response) = response {
+            log.record_sound(response.is_refused_as_crashing());
             check_response(&response, kind, &id, checker);
         }
         if !is_reusable {
--- a/ggt-testkit/src/soak/deployment.rs
+++ b/ggt-testkit/src/soak/deployment.rs
@@ -25,8 +25,8 @@
 use crate::http::HttpRequest;
 use crate::process::ChildProcess;
 use crate::soak::SoakOptions;
-use crate::soak::crashing::CRASH_PATH;
 use crate::soak::crashing::CrashLog;
+use crate::soak::crashing::is_crashing;
 use crate::soak::invariants::InvariantChecker;
 use crate::wait::wait_until;
 
@@ -277,8 +277,8 @@
         let kind = request.path.split('/').nth(1).unwrap_or_default();
         checker.record_run(&id, matches!(kind, "once" | "talk"));
         match kind {
-            _ if request.path.contains(CRASH_PATH) => {
-                crash_log.record(&request.path, &id);
+            _ if is_crashing(request) => {
+                crash_log.record(&id);
                 checker.record_crash();
                 AfterResponse::Crash
             }
--- a/ggt-testkit/src/soak/mod.rs
+++ b/ggt-testkit/src/soak/mod.rs
@@ -84,9 +84,9 @@
     let callers: Vec<_> = (0..options.callers)
         .map(|number| {
             let (checker, is_over) = (checker.clone(), is_over.clone());
-            let daemons = deployment.callers();
+            let (daemons, log) = (deployment.callers(), deployment.crash_log.clone());
             let seed = options.seed.wrapping_mul(1_000).wrapping_add(number as u64);
-            thread::spawn(move || run_caller(number, seed, &daemons, &checker, &is_over))
+            thread::spawn(move || run_caller(number, seed, &daemons, &log, &checker, &is_over))
         })
         .collect();
     let are_faults_over = Arc::new(AtomicBool::new(false));
