fix: core, front: daemons together keep to the rate that a target names

A limit that all keep together also needs what no daemon knows alone: how many others send.

For each target, a few daemons, chosen by rank over all members, get equal parts of the rate and send no closer than their part allows; the others send nothing there. With floor(limit) + 3 senders at most, each with one request more than its part in any span, 4 s hold at most 4 x limit + limit + 3 requests, where the users' rule allows 6 x limit + 5, also for limits below one a second. Members that fall silent keep their part for 5 min, so both sides of a cut add up to the limit. Daemons report statements to each other, so that one that starts or sends rarely knows them. A statement replaces another if its request was sent after that one was received; of two in flight together the stricter counts. Limits below 0.2 a second count as 0.2: without any request no reply would tell when they end.

A target at its rate is neither idle nor failing: it is left out of the choice and of the mean load, and counts with the load that its rate allows in the utilisation that admission goes by. Less urgent requests wait a quarter of the time between two sends longer for each more urgent priority. If all targets are at their rates, a request is refused at once with 503, cause rate-limited, and a retry-after until the first takes one.

--- a/ggt-core/src/fleet/mod.rs
+++ b/ggt-core/src/fleet/mod.rs
@@ -4,6 +4,8 @@
 //! falls as the fleet grows. Digests list addresses of other daemons, so that one reachable seed is
 //! enough to discover all.
 
+mod members;
+
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -16,9 +18,12 @@
 use crate::crashes::CrashId;
 use crate::crashes::CrashReport;
 use crate::crashes::SuspectKey;
+use crate::fleet::members::MemberTable;
 use crate::ident::mix_hash;
 use crate::ident::stable_hash;
 use crate::targets::InFlightLoad;
+use crate::targets::RateShare;
+use crate::targets::RateStatement;
 
 /// Approximate maximum number of datagrams that a daemon sends per second.
 const MAX_SENDS_PER_SECOND: u64 = 80;
@@ -85,6 +90,45 @@
     /// Suspected requests that completed on the daemon, so that they crashed no target. Digests of
     /// earlier builds end before this field.
     pub exonerated: Vec<SuspectKey>,
+    /// Rates that targets say they take. Digests of earlier builds end before this field.
+    pub rates: Vec<RateReport>,
+}
+
+/// What a target stated in a reply to the sender of a digest about the rate that it takes.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RateReport {
+    /// Short hash of the target.
+    pub target: u32,
+    /// Requests per second from all daemons together; `None` if there is no limit any more.
+    pub limit: Option<f32>,
+    /// Milliseconds since the request was sent, when the digest was made.
+    pub sent_age_ms: u32,
+    /// Milliseconds since the reply was received, when the digest was made.
+    pub received_age_ms: u32,
+}
+
+impl RateReport {
+    /// The report of a target's statement.
+    pub fn new(target: u32, statement: &RateStatement, now: MonoTime) -> Self {
+        let age_ms = |time| u32::try_from(now.millis_since(time)).unwrap_or(u32::MAX);
+        Self {
+            target,
+            limit: statement.limit.map(|limit| limit as f32),
+            sent_age_ms: age_ms(statement.sent_at),
+            received_age_ms: age_ms(statement.received_at),
+        }
+    }
+
+    /// The statement, with its times on the receiver's clock.
+    pub fn statement(&self, now: MonoTime) -> RateStatement {
+        let time =
+            |age_ms: u32| MonoTime::from_millis(now.as_millis().saturating_sub(u64::from(age_ms)));
+        RateStatement {
+            limit: self.limit.map(f64::from),
+            sent_at: time(self.sent_age_ms),
+            received_at: time(self.received_age_ms),
+        }
+    }
 }
 
 impl PeerDigest {
@@ -147,12 +191,18 @@
     peers: BTreeMap<SocketAddr, PeerState>,
     /// Addresses that peers have listed but that have sent no digest yet, and when each expires.
     candidates: BTreeMap<SocketAddr, MonoTime>,
+    members: MemberTable,
 }
 
 impl FleetTable {
     /// An empty table of the daemon at address `own_address`.
     pub fn new(own_address: SocketAddr) -> Self {
-        Self { own_address, peers: BTreeMap::new(), candidates: BTreeMap::new() }
+        Self {
+            own_address,
+            peers: BTreeMap::new(),
+            candidates: BTreeMap::new(),
+            members: MemberTable::default(),
+        }
     }
 
     /// Whether a digest is the first one of its daemon's present incarnation.
@@ -180,6 +230,7 @@
         if is_outdated {
             return Vec::new();
         }
+        self.members.record(digest.address, digest.is_leaving, now);
         let changes = load_changes(before.map_or(&[], |before| &before.loads), &digest.loads);
         self.peers.insert(digest.address, PeerState { digest, received_at: now });
         changes
@@ -196,6 +247,7 @@
         }
         self.peers.retain(|_, peer| peer.received_at + PEER_EXPIRY_MS >= now);
         self.candidates.retain(|_, expires_at| *expires_at >= now);
+        self.members.expire(now);
         changes
     }
 
@@ -254,6 +306,12 @@
         self.alive(now).filter(|peer| score(peer.digest.address) < own).count()
     }
 
+    /// This daemon's part of a limit of requests per second that the target with this hash takes from
+    /// all daemons together.
+    pub fn rate_share(&self, hash: u64, limit: f64) -> RateShare {
+        self.members.rate_share(self.own_address, hash, limit)
+    }
+
     /// Recipients of the next digest: discovered daemons, addresses listed in their digests, and
     /// the seeds.
     pub fn recipients(&self, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
--- a/ggt-core/src/targets/admission.rs
+++ b/ggt-core/src/targets/admission.rs
@@ -101,9 +101,11 @@
     /// Records that a request was refused for lack of capacity, and estimates when its caller
     /// should retry.
     ///
-    /// An overload is expected to last as long again as it has lasted. More urgent callers retry
-    /// first, and those of one priority are spread over time.
+    /// An overload is expected to last as long again as it has lasted, and at least until a target
+    /// takes requests at its rate. More urgent callers retry first, and those of one priority are spread
+    /// over time.
     pub fn record_overload(&mut self, query: &ChoiceQuery<'_>, now: MonoTime) -> OverloadEstimate {
+        let closed_ms = self.millis_until_open(query, now);
         let admission = self.admission_mut(query.service);
         let is_ongoing =
             admission.refused_at.is_some_and(|refused_at| refused_at + OVERLOAD_END_MS >= now);
@@ -112,7 +114,7 @@
         }
         admission.refused_at = Some(now);
         let full_ms = now.millis_since(admission.overload_started_at);
-        let expected_ms = full_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
+        let expected_ms = full_ms.max(closed_ms).clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
         let steps = u64::from(query.priority).min(MAX_PRIORITY_STEPS);
         let spread_ms = mix_hash(query.spread_hash, now.as_millis()) % (expected_ms / 2).max(1);
         let retry_after_ms =
@@ -120,6 +122,20 @@
         OverloadEstimate { retry_after_ms, full_ms, slot_ms: admission.slot_ms }
     }
 
+    /// Milliseconds until the first of the service's targets takes a request at its rate.
+    fn millis_until_open(&self, query: &ChoiceQuery<'_>, now: MonoTime) -> u64 {
+        let more_urgent = self.more_urgent_priorities(query, now);
+        let targets = self.of_service(query.service).iter().filter_map(|key| self.target(*key));
+        let usable = targets.filter(|state| !state.record.is_leaving);
+        let open_at = usable.filter_map(|state| state.rate.open_at(more_urgent)).min();
+        open_at.map_or(0, |open_at| open_at.millis_since(now))
+    }
+
+    /// Number of more urgent priorities with recent requests for the service.
+    pub(super) fn more_urgent_priorities(&self, query: &ChoiceQuery<'_>, now: MonoTime) -> u32 {
+        self.admission_of(query.service).more_urgent_priorities(query.priority, now) as u32
+    }
+
     /// Load of a service's targets divided by their capacity for requests of this priority.
     pub fn utilisation(&self, query: &ChoiceQuery<'_>, now: MonoTime) -> f64 {
         let keys = self.of_service(query.service).iter();
@@ -127,7 +143,9 @@
         let usable =
             targets.filter(|state| !state.record.is_leaving && !state.health.is_unreachable());
         let (load, limit) = usable.fold((0.0, 0.0), |(load, limit), state| {
-            (load + f64::from(state.requests()), limit + self.max_in_flight(state, query, now))
+            let capacity =
+                self.max_in_flight(state, query, now).min(self.rate_capacity(state, query));
+            (load + f64::from(state.requests()), limit + capacity)
         });
         if limit > 0.0 { load / limit } else { 0.0 }
     }
@@ -150,6 +168,15 @@
         load + 1.0 <= self.max_in_flight(state, query, now) && !is_backlogged
     }
 
+    /// Requests that are in flight at a target on average when it gets as many as it says it takes.
+    fn rate_capacity(&self, state: &TargetState, query: &ChoiceQuery<'_>) -> f64 {
+        let slot_ms = self.admission_of(query.service).slot_ms;
+        match (state.rate.limit(), slot_ms) {
+            (Some(limit), Some(slot_ms)) => (limit * slot_ms / 1_000.0).max(1.0),
+            _ => f64::INFINITY,
+        }
+    }
+
     /// Requests that a target may have in flight, with the new one, so that each gets a slot in
     /// time.
     fn max_in_flight(&self, state: &TargetState, query: &ChoiceQuery<'_>, now: MonoTime) -> f64 {
--- a/ggt-core/src/targets/choice.rs
+++ b/ggt-core/src/targets/choice.rs
@@ -90,6 +90,9 @@
     /// All usable targets are at capacity.
     #[snafu(display("every usable target of the service is at capacity"))]
     Full,
+    /// All usable targets have got as many requests as they say they take.
+    #[snafu(display("every usable target of the service is at the rate that it takes"))]
+    RateLimited,
 }
 
 /// Factor by which the load of a target may exceed its service's mean when the prompt is not
@@ -140,7 +143,11 @@
             .filter(|(key, state)| !state.record.is_leaving && !query.tried.contains(key))
             .collect();
         let listed = without_unlisted(listed);
-        if let Some(choice) = choose_trial(&listed, query, now) {
+        let more_urgent = self.more_urgent_priorities(query, now);
+        let is_open = |state: &TargetState| {
+            state.rate.open_at(more_urgent).is_some_and(|open_at| now >= open_at)
+        };
+        if let Some(choice) = choose_trial(&listed, query, now, is_open) {
             return Ok(choice);
         }
         let reachable = listed.iter().filter(|(_, state)| !state.health.is_unreachable()).copied();
@@ -154,6 +161,11 @@
         if usable.is_empty() {
             return Err(ChoiceError::NoTarget);
         }
+        // Targets at their limits are idle by their load and would lower the mean.
+        let usable: Vec<_> = usable.into_iter().filter(|(_, state)| is_open(state)).collect();
+        if usable.is_empty() {
+            return Err(ChoiceError::RateLimited);
+        }
         let has_capacity = |state| query.may_have_run || self.has_capacity(state, query, now);
         let with_capacity = usable.iter().filter(|(_, state)| has_capacity(state)).copied();
         let with_capacity: Vec<_> = with_capacity.collect();
@@ -251,11 +263,15 @@
 /// A non-idempotent request serves as a trial only for a target that was unreachable: it either
 /// does not arrive or finds the target healthy. A target that replied with errors might run it and
 /// fail.
-fn choose_trial(
+fn choose_trial<O>(
     listed: &[(TargetKey, &TargetState)],
     query: &ChoiceQuery<'_>,
     now: MonoTime,
-) -> Option<TargetChoice> {
+    is_open: O,
+) -> Option<TargetChoice>
+where
+    O: Fn(&TargetState) -> bool,
+{
     if !query.tried.is_empty() {
         return None;
     }
@@ -263,6 +279,7 @@
         state.health.is_half_open(now)
             && state.own.requests == 0
             && (query.is_idempotent || state.health.is_unreachable())
+            && is_open(state)
     };
     let (key, state) = listed.iter().find(|(_, state)| is_due(state))?;
     let load = load_of(state);
--- a/ggt-core/src/targets/mod.rs
+++ b/ggt-core/src/targets/mod.rs
@@ -7,6 +7,7 @@
 mod choice;
 mod health;
 mod pool;
+mod rate;
 
 pub use admission::OverloadEstimate;
 pub use choice::ChoiceError;
@@ -19,6 +20,9 @@
 pub use pool::TargetKey;
 pub use pool::TargetPool;
 pub use pool::TargetState;
+pub use rate::RateShare;
+pub use rate::RateStatement;
+pub use rate::TargetRate;
 
 use std::net::SocketAddr;
 
--- a/ggt-core/src/targets/pool.rs
+++ b/ggt-core/src/targets/pool.rs
@@ -14,7 +14,10 @@
 use crate::targets::HealthState;
 use crate::targets::InFlightLoad;
 use crate::targets::LoadReport;
+use crate::targets::RateShare;
+use crate::targets::RateStatement;
 use crate::targets::SendOutcome;
+use crate::targets::TargetRate;
 use crate::targets::TargetRecord;
 use crate::targets::admission::ServiceAdmission;
 
@@ -64,6 +67,8 @@
     pub report: Option<(LoadReport, MonoTime)>,
     /// Health, from the outcomes of its requests.
     pub health: HealthState,
+    /// The rate that it says it takes, if any.
+    pub rate: TargetRate,
     /// When this daemon last received bytes of a reply from the target.
     pub last_reply_at: MonoTime,
     /// When the target is to be removed; `None` while the platform lists it.
@@ -82,6 +87,7 @@
             peers: InFlightLoad::default(),
             report: None,
             health: HealthState::default(),
+            rate: TargetRate::default(),
             last_reply_at: MonoTime::default(),
             remove_at: None,
             prefixes: HashMap::new(),
@@ -258,6 +264,7 @@
         let uncached = state.uncached_tokens(chain);
         let uncached = if is_copied { uncached.min(last) } else { uncached };
         state.own.requests += 1;
+        state.rate.record_send(now);
         state.own.backlog_tokens += uncached;
         let prefixes = chain.prefixes().iter().map(|prefix| short_prefix(prefix.hash));
         let new_prefixes =
@@ -278,6 +285,36 @@
         SendRecord { backlog_tokens: uncached, new_prefixes, load: state.requests(), sent_at: now }
     }
 
+    /// Counts a second send of a request to the same target against the rate that it takes.
+    pub fn record_second_send(&mut self, key: TargetKey, now: MonoTime) {
+        if let Some(state) = self.targets.get_mut(key) {
+            state.rate.record_send(now);
+        }
+    }
+
+    /// Applies a target's statement of the rate that it takes; `true` if its limit has changed.
+    pub fn apply_rate(&mut self, key: TargetKey, statement: RateStatement, is_own: bool) -> bool {
+        self.targets.get_mut(key).is_some_and(|state| state.rate.apply(statement, is_own))
+    }
+
+    /// The target with this short hash.
+    pub fn by_short_hash(&self, hash: u32) -> Option<TargetKey> {
+        self.by_hash.get(&hash).copied()
+    }
+
+    /// Sets this daemon's part of the rate of each target that limits it; `share_of` gets the target's
+    /// hash and its limit.
+    pub fn update_rate_shares<S>(&mut self, now: MonoTime, share_of: S)
+    where
+        S: Fn(u64, f64) -> RateShare,
+    {
+        for state in self.targets.values_mut() {
+            if let Some(limit) = state.rate.limit() {
+                state.rate.set_share(share_of(state.location_hash, limit), now);
+            }
+        }
+    }
+
     /// Removes the prefixes that were recorded as cached for a request which the target did not
     /// run, except those that a later request has recorded again.
     pub fn undo_send(&mut self, key: TargetKey, record: &SendRecord) {
--- a/ggt-core/tests/fleet.rs
+++ b/ggt-core/tests/fleet.rs
@@ -42,6 +42,7 @@
         crashes: Vec::new(),
         crash_ages_ms: Vec::new(),
         exonerated: Vec::new(),
+        rates: Vec::new(),
         known_peers: Vec::new(),
     }
 }
--- a/ggt-daemon/src/front/attempt/admission.rs
+++ b/ggt-daemon/src/front/attempt/admission.rs
@@ -91,6 +91,7 @@
                 FrontRefusal::not_run("no-target", NO_TARGET_RETRY_MS)
             }
             (false, ChoiceError::Full) => self.overload_refusal("no-room"),
+            (false, ChoiceError::RateLimited) => self.overload_refusal("rate-limited"),
         }
     }
 }
--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -208,7 +208,7 @@
         log::info!(
             "event=route request_id={} print={:016x} route={} version={} customer={} service={} target={} \
              incarnation={} reason={} load={:.1} bound={:.1} own={} peers={} told={} told_age_ms={} \
-             copy_from={} send={} left_ms={}",
+             rate_limit={} copy_from={} send={} left_ms={}",
             quoted(&job.id),
             job.suspects.request().0,
             job.route.name,
@@ -224,6 +224,7 @@
             target.peers.requests,
             report.0.running + report.0.waiting,
             now.millis_since(report.1),
+            target.rate.limit().map_or("-".to_owned(), |limit| format!("{limit:.2}")),
             source.map_or("-", |source| source.record.id.as_str()),
             self.sends + 1,
             job.remaining_ms(),
--- a/ggt-daemon/src/front/attempt/send.rs
+++ b/ggt-daemon/src/front/attempt/send.rs
@@ -20,6 +20,7 @@
 use crate::front::state::CONNECT_TIMEOUT;
 use crate::upstream::SendFailure;
 use crate::upstream::TargetConnection;
+use ggt_core::clock::MonoTime;
 use ggt_core::prompts::PrefixChain;
 use ggt_core::targets::TargetChoice;
 use ggt_core::targets::TargetKey;
@@ -56,7 +57,8 @@
         let guard = SendGuard::new(self.state.clone(), key, chain, choice.source.is_some());
         let result = match self.send_request(choice, last_event).await {
             Ok((response, connection)) => {
-                self.decode_reply(key, response).map(|reply| (reply, connection))
+                let sent_at = guard.sent_at();
+                self.decode_reply(key, sent_at, response).map(|reply| (reply, connection))
             }
             Err(error) => Err(error),
         };
@@ -82,16 +84,20 @@
         })
     }
 
-    /// Decodes a reply's head, records the load that it reports, and checks that the reply belongs
-    /// to this request.
+    /// Decodes a reply's head, records the load and the rate that it states, and checks that the reply
+    /// belongs to this request.
     fn decode_reply(
         &self,
         key: TargetKey,
+        sent_at: MonoTime,
         response: Response<Incoming>,
     ) -> Result<(Parts, ReplyHeaders, Incoming), SendError> {
         let (parts, body) = response.into_parts();
         let headers = parse_reply_headers(parts.status, &parts.headers);
         self.state.pool.borrow_mut().record_reply(key, headers.load, mono_now());
+        if headers.attempt_id.as_ref() == Some(&self.job.id) && !headers.is_misdirected {
+            self.state.apply_rate_header(key, headers.rate_limit, sent_at);
+        }
         self.check_reply(&parts.status, &headers)?;
         Ok((parts, headers, body))
     }
@@ -149,6 +155,7 @@
                 if self.refuse_crashing().is_none() && self.state.try_retry(&self.job.service) =>
             {
                 self.record_send(key, "stale-connection", &cause);
+                self.state.pool.borrow_mut().record_second_send(key, mono_now());
                 Ok(connection)
             }
             _ => Err(SendError::Lost { cause, kind: FailureKind::StaleConnection }),
--- a/ggt-daemon/src/front/digests.rs
+++ b/ggt-daemon/src/front/digests.rs
@@ -80,7 +80,7 @@
     state.metrics.record_digests(recipients.len() as u64);
 }
 
-/// Encodes a digest; halves its list of cached prefixes until it fits into a datagram.
+/// Encodes a digest; halves its lists of cached prefixes, then of rates, until it fits into a datagram.
 fn encode(mut digest: PeerDigest) -> Option<Vec<u8>> {
     loop {
         match encode_digest(&digest) {
@@ -88,6 +88,7 @@
             Ok(_) if !digest.cached_prefixes.is_empty() => {
                 digest.cached_prefixes.truncate(digest.cached_prefixes.len() / 2)
             }
+            Ok(_) if !digest.rates.is_empty() => digest.rates.truncate(digest.rates.len() / 2),
             Ok(bytes) => {
                 log::warn!("event=digest outcome=dropped bytes={}", bytes.len());
                 return None;
@@ -126,6 +127,7 @@
         known_peers: state.fleet.borrow().known_peers(number),
         crash_ages_ms: Vec::new(),
         exonerated: Vec::new(),
+        rates: state.rate_reports(number),
     };
     digest.set_crashes(crashes, now);
     digest
--- a/ggt-daemon/src/front/mod.rs
+++ b/ggt-daemon/src/front/mod.rs
@@ -18,6 +18,7 @@
 mod pack;
 mod peers;
 mod prepare;
+mod rates;
 mod response;
 mod retries;
 mod run;
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -253,6 +253,7 @@
     pub fn apply_digest(&self, digest: PeerDigest) {
         let now = mono_now();
         self.apply_peer_crashes(&digest);
+        self.apply_peer_rates(&digest);
         self.has_heard_peer.set(true);
         let mut outage = self.outage.get();
         let age_ms = u64::from(digest.platform_age_ms);
@@ -281,6 +282,8 @@
         let changes = self.fleet.borrow_mut().expire(now);
         let mut pool = self.pool.borrow_mut();
         changes.iter().for_each(|c| pool.replace_peer_load(c.hash, c.before, c.after));
+        drop(pool);
+        self.update_rate_shares();
         self.expire_crashes(now);
     }
 }
--- a/ggt-wire/tests/codec.rs
+++ b/ggt-wire/tests/codec.rs
@@ -9,6 +9,7 @@
 use ggt_core::crashes::CrashId;
 use ggt_core::crashes::SuspectKey;
 use ggt_core::fleet::PeerDigest;
+use ggt_core::fleet::RateReport;
 use ggt_core::ident::CustomerName;
 use ggt_core::ident::DaemonName;
 use ggt_core::membership::DatagramHeader;
@@ -179,6 +180,12 @@
         known_peers: vec![([10, 0, 0, 2], 7_340).into()],
         crash_ages_ms: vec![300],
         exonerated: vec![SuspectKey(12)],
+        rates: vec![RateReport {
+            target: 13,
+            limit: Some(4.5),
+            sent_age_ms: 200,
+            received_age_ms: 100,
+        }],
     }
 }
 
@@ -191,14 +198,28 @@
 // Guards against fleets with two builds in which daemons no longer know each other.
 #[test]
 fn digest_of_a_build_without_crash_ages_decodes() {
-    let without_ages = PeerDigest { crash_ages_ms: Vec::new(), exonerated: Vec::new(), ..digest() };
+    let without_ages = PeerDigest {
+        crash_ages_ms: Vec::new(),
+        exonerated: Vec::new(),
+        rates: Vec::new(),
+        ..digest()
+    };
     let mut bytes = encode_digest(&without_ages).expect("should encode");
-    assert_eq!(bytes.pop(), Some(0), "the last field should be an empty list");
-    assert_eq!(bytes.pop(), Some(0), "the field before it should be an empty list");
+    for field in ["last", "one before it", "one before these"] {
+        assert_eq!(bytes.pop(), Some(0), "the {field} should be an empty list");
+    }
     assert_eq!(decode_digest(&bytes).expect("should decode"), without_ages);
     assert!(decode_digest(&bytes[..bytes.len() / 2]).is_err());
 }
 
+#[test]
+fn digest_of_a_build_without_rates_decodes() {
+    let without_rates = PeerDigest { rates: Vec::new(), ..digest() };
+    let mut bytes = encode_digest(&without_rates).expect("should encode");
+    assert_eq!(bytes.pop(), Some(0), "the last field should be an empty list");
+    assert_eq!(decode_digest(&bytes).expect("should decode"), without_rates);
+}
+
 #[test]
 fn earlier_builds_ignore_fields_at_the_end_of_a_digest() {
     let bytes = encode_digest(&digest()).expect("should encode");
