test: soak: servers that name limits, which change all the time

Requests through daemons that were undisrupted for 3 s count from 3 s after the first naming on; a server may get one and a half times its limit, and 5, in 4 s. Without the switch the faults of a seed are as before; the crashing caller begins with a part or a request by seed and round.

--- a/ggt-standin/src/users_platform/server.rs
+++ b/ggt-standin/src/users_platform/server.rs
@@ -225,11 +225,22 @@
     stream: &mut TcpStream,
     status: u16,
     body: &str,
+) -> AfterResponse {
+    respond_with(request, stream, status, "", body)
+}
+
+/// Writes a complete response like [`respond`], with additional header lines.
+pub fn respond_with(
+    request: &WireRequest,
+    stream: &mut TcpStream,
+    status: u16,
+    lines: &str,
+    body: &str,
 ) -> AfterResponse {
     let id = request.header("x-attempt-id").unwrap_or("-");
     let text = format!(
         "HTTP/1.1 {status} Scripted\r\nX-Attempt-Id: {id}\r\nX-Server-Stamp: stamp-{id}\r\n\
-         X-Server-Load: 1,0,8\r\nContent-Length: {}\r\n\r\n{body}",
+         X-Server-Load: 1,0,8\r\n{lines}Content-Length: {}\r\n\r\n{body}",
         body.len()
     );
     match stream.write_all(text.as_bytes()) {
@@ -240,10 +251,15 @@
 
 /// Status line and headers of a chunked event stream.
 pub fn stream_head(request: &WireRequest) -> String {
+    stream_head_with(request, "")
+}
+
+/// Status line and headers like [`stream_head`], with additional header lines.
+pub fn stream_head_with(request: &WireRequest, lines: &str) -> String {
     let id = request.header("x-attempt-id").unwrap_or("-");
     format!(
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: {id}\r\n\
-         X-Server-Stamp: stamp-{id}\r\nTransfer-Encoding: chunked\r\n\r\n"
+         X-Server-Stamp: stamp-{id}\r\n{lines}Transfer-Encoding: chunked\r\n\r\n"
     )
 }
 
--- a/ggt-testkit/src/bin/ggt-soak.rs
+++ b/ggt-testkit/src/bin/ggt-soak.rs
@@ -35,6 +35,9 @@
     /// add a caller whose requests crash the servers that run them
     #[argh(switch)]
     crashing: bool,
+    /// let servers name limits of the requests that they take
+    #[argh(switch)]
+    limits: bool,
     /// longest pause before each fault, in milliseconds (more than 60)
     #[argh(option, default = "500")]
     max_pause_ms: u64,
@@ -51,14 +54,17 @@
             servers: args.servers,
             callers: args.callers,
             has_crashing_caller: args.crashing,
+            has_limits: args.limits,
             max_fault_interval: Duration::from_millis(args.max_pause_ms),
         });
         println!(
-            "seed {seed}: {} requests, {} answered, {} crashes ({} late), {} faults, {} violations",
+            "seed {seed}: {} requests, {} answered, {} crashes ({} late), {} counted against limits, \
+             {} faults, {} violations",
             outcome.requests,
             outcome.answered,
             outcome.crashes,
             outcome.late_calls,
+            outcome.limited_requests,
             outcome.faults.len(),
             outcome.violations.len()
         );
--- a/ggt-testkit/src/soak/caller.rs
+++ b/ggt-testkit/src/soak/caller.rs
@@ -76,7 +76,7 @@
         count += 1;
         // Routes of the test configuration: idempotent, non-idempotent, resumable stream, other stream.
         let kind = ["read", "once", "chat", "talk"][random.random_range(0..4)];
-        let id = format!("c{number}-{count}-{kind}");
+        let id = format!("c{number}-{count}-{kind}-{daemon}");
         checker.record_request();
         let sent_at = Instant::now();
         let response = send_request(open, kind, &id);
--- a/ggt-testkit/src/soak/crashing.rs
+++ b/ggt-testkit/src/soak/crashing.rs
@@ -132,7 +132,7 @@
     let mut random = SmallRng::seed_from_u64(seed);
     for round in 0.. {
         let kind = ["read", "once", "chat", "talk"][random.random_range(0..4)];
-        let shared = [SharedTrait::Request, SharedTrait::Part][random.random_range(0..2)];
+        let shared = [SharedTrait::Part, SharedTrait::Request][(seed + round) as usize % 2];
         let mut late_calls = 0;
         for number in 0..CALLS {
             if is_over.load(Ordering::SeqCst) {
@@ -170,7 +170,7 @@
 
 /// One call of a round.
 struct CrashingCall {
-    round: usize,
+    round: u64,
     number: usize,
     kind: &'static str,
     shared: SharedTrait,
--- a/ggt-testkit/src/soak/deployment.rs
+++ b/ggt-testkit/src/soak/deployment.rs
@@ -14,10 +14,9 @@
 use ggt_platform::TARGET_PREFIX;
 use ggt_standin::server::lock;
 use ggt_standin::users_platform::AfterResponse;
-use ggt_standin::users_platform::ServerStandin;
 use ggt_standin::users_platform::WireRequest;
-use ggt_standin::users_platform::respond;
-use ggt_standin::users_platform::stream_head;
+use ggt_standin::users_platform::respond_with;
+use ggt_standin::users_platform::stream_head_with;
 use ggt_standin::users_platform::test_config;
 
 use crate::front::FrontFleet;
@@ -28,6 +27,7 @@
 use crate::soak::crashing::CrashLog;
 use crate::soak::crashing::is_crashing;
 use crate::soak::invariants::InvariantChecker;
+use crate::soak::limits::ServerLimit;
 use crate::wait::wait_until;
 
 /// Number of events of each stream.
@@ -102,6 +102,8 @@
     pub(super) disruptions: Vec<Arc<DisruptionState>>,
     pub(super) store_disruption: Arc<DisruptionState>,
     pub(super) crash_log: Arc<CrashLog>,
+    /// The limits that servers name, by server.
+    pub(super) limits: Vec<Arc<ServerLimit>>,
     proxy_control: SocketAddr,
     proxy_routes: Vec<SocketAddr>,
     /// Version of the configuration published last.
@@ -122,6 +124,7 @@
             disruptions: (0..options.daemons).map(|_| Arc::default()).collect(),
             store_disruption: Arc::default(),
             crash_log: Arc::default(),
+            limits: (0..options.servers).map(|_| Arc::default()).collect(),
             proxy_control,
             version: 1,
             _proxy: proxy,
@@ -135,7 +138,7 @@
             let to = deployment.fleet.servers[number].address;
             deployment.control_proxy(&format!("/control/route?listen={listen}&to={to}"));
             deployment.proxy_routes.push(listen);
-            set_soak_script(&deployment.fleet.servers[number], checker, &deployment.crash_log);
+            deployment.set_soak_script(number, checker);
             deployment.register(number, "ready");
         }
         (0..options.daemons).for_each(|number| deployment.fleet.add_daemon(number, None));
@@ -143,6 +146,34 @@
         deployment
     }
 
+    /// Makes a server respond by the request's kind, and record each execution before the first response
+    /// byte.
+    fn set_soak_script(&self, number: usize, checker: &Arc<InvariantChecker>) {
+        let (checker, crash_log) = (checker.clone(), self.crash_log.clone());
+        let (limit, disruptions) = (self.limits[number].clone(), self.disruptions.clone());
+        let name = self.fleet.servers[number].id();
+        self.fleet.servers[number].set_script(move |request, stream| {
+            let id = request.attempt_id().to_owned();
+            let kind = request.path.split('/').nth(1).unwrap_or_default();
+            if let Some(daemon) = daemon_of(&id) {
+                limit.record_arrival(&name, &disruptions[daemon], &checker);
+            }
+            checker.record_run(&id, matches!(kind, "once" | "talk"));
+            let lines = limit.header_line();
+            match kind {
+                _ if is_crashing(request) => {
+                    crash_log.record(&id);
+                    checker.record_crash();
+                    // The next instance has no limit of before.
+                    limit.set(None);
+                    AfterResponse::Crash
+                }
+                "chat" | "talk" => send_events(request, stream, &id, &lines),
+                _ => respond_with(request, stream, 200, &lines, &body_of(&id)),
+            }
+        });
+    }
+
     /// The caller address and the disruption state of each daemon.
     pub(super) fn callers(&self) -> Vec<(SocketAddr, Arc<DisruptionState>)> {
         let addresses = self.fleet.daemons.iter().map(|daemon| daemon.callers);
@@ -265,32 +296,20 @@
     }
 }
 
-/// Makes a server respond by the request's kind, and record each execution before the first response byte.
-fn set_soak_script(
-    server: &ServerStandin,
-    checker: &Arc<InvariantChecker>,
-    crash_log: &Arc<CrashLog>,
-) {
-    let (checker, crash_log) = (checker.clone(), crash_log.clone());
-    server.set_script(move |request, stream| {
-        let id = request.attempt_id().to_owned();
-        let kind = request.path.split('/').nth(1).unwrap_or_default();
-        checker.record_run(&id, matches!(kind, "once" | "talk"));
-        match kind {
-            _ if is_crashing(request) => {
-                crash_log.record(&id);
-                checker.record_crash();
-                AfterResponse::Crash
-            }
-            "chat" | "talk" => send_events(request, stream, &id),
-            _ => respond(request, stream, 200, &body_of(&id)),
-        }
-    });
+/// Number of the daemon to which the call with this attempt id was sent; `None` for calls of the
+/// crashing caller and of checks.
+fn daemon_of(id: &str) -> Option<usize> {
+    id.starts_with('c').then(|| id.rsplit('-').next()?.parse().ok())?
 }
 
-fn send_events(request: &WireRequest, stream: &mut TcpStream, id: &str) -> AfterResponse {
+fn send_events(
+    request: &WireRequest,
+    stream: &mut TcpStream,
+    id: &str,
+    lines: &str,
+) -> AfterResponse {
     let first = request.last_event_id().unwrap_or(0) + 1;
-    if stream.write_all(stream_head(request).as_bytes()).is_err() {
+    if stream.write_all(stream_head_with(request, lines).as_bytes()).is_err() {
         return AfterResponse::Close;
     }
     for number in first..=EVENTS {
--- a/ggt-testkit/src/soak/invariants.rs
+++ b/ggt-testkit/src/soak/invariants.rs
@@ -58,6 +58,10 @@
         lock(&self.outcome).late_calls += 1;
     }
 
+    pub(super) fn record_limited_request(&self) {
+        lock(&self.outcome).limited_requests += 1;
+    }
+
     pub(super) fn record_fault(&self, fault: String) {
         lock(&self.outcome).faults.push(fault);
     }
--- a/ggt-testkit/src/soak/mod.rs
+++ b/ggt-testkit/src/soak/mod.rs
@@ -6,6 +6,7 @@
 mod deployment;
 mod faults;
 mod invariants;
+mod limits;
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -22,6 +23,7 @@
 use crate::soak::deployment::SoakDeployment;
 use crate::soak::faults::run_faults;
 use crate::soak::invariants::InvariantChecker;
+use crate::soak::limits::run_limits;
 
 /// Size, duration and seed of a soak.
 #[derive(Clone, Copy, Debug)]
@@ -38,6 +40,8 @@
     pub callers: usize,
     /// Whether one more caller repeats requests that crash the servers which run them.
     pub has_crashing_caller: bool,
+    /// Whether servers name limits of the requests that they take, which change all the time.
+    pub has_limits: bool,
     /// Upper bound (exclusive) of the pause before each fault.
     pub max_fault_interval: Duration,
 }
@@ -51,6 +55,7 @@
             servers: 6,
             callers: 12,
             has_crashing_caller: false,
+            has_limits: false,
             max_fault_interval: Duration::from_millis(500),
         }
     }
@@ -67,6 +72,8 @@
     pub crashes: usize,
     /// Calls that crashed a server long after the third crash of their request.
     pub late_calls: usize,
+    /// Requests that were counted against the limit that their server had named.
+    pub limited_requests: usize,
     /// Descriptions of the injected faults, in order.
     pub faults: Vec<String>,
     /// Violated guarantees, each with the observation that shows it.
@@ -98,10 +105,15 @@
             run_crashing_caller(seed, &daemons, &store, &log, &checker, &is_over);
         })
     });
+    let limits = options.has_limits.then(|| {
+        let (seed, is_over) = (options.seed, are_faults_over.clone());
+        let limits = deployment.limits.clone();
+        thread::spawn(move || run_limits(seed, &limits, &is_over))
+    });
     let mut random = SmallRng::seed_from_u64(options.seed);
     run_faults(&mut deployment, &mut random, options, &checker);
     are_faults_over.store(true, Ordering::SeqCst);
-    join_callers(crashing_caller, &checker);
+    join_callers(crashing_caller.into_iter().chain(limits), &checker);
     deployment.heal();
     deployment.await_service(&checker);
     is_over.store(true, Ordering::SeqCst);
