fix: front: buffered replies share a bound of memory

Change: a reply is read into one buffer; all buffers together are bounded at 32 MiB, up to 256 KiB for each reply beyond that, so that a few endless replies do not make the others fail. Bytes count until the caller has them. A reply that becomes too long is dropped, which closes its connection, and answered 502: it may have run.

--- a/ggt-daemon/src/front/buffered.rs
+++ b/ggt-daemon/src/front/buffered.rs
@@ -6,14 +6,13 @@
 use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use tokio::time::timeout;
 
 use crate::clock::time_until;
 use crate::front::attempt::FailureKind;
 use crate::front::attempt::TargetReply;
 use crate::front::attempt::UpstreamAttempts;
+use crate::front::buffers::read_body;
 use crate::front::job::FrontJob;
 use crate::front::job::JobGuard;
 use crate::front::response::FrontRefusal;
@@ -22,9 +21,6 @@
 use crate::front::state::FrontState;
 use ggt_core::targets::SendOutcome;
 
-/// Maximum size in bytes of a buffered reply body.
-const MAX_REPLY_BYTES: usize = 16 * 1024 * 1024;
-
 /// Serves a request whose reply is buffered and forwarded once it is complete.
 pub async fn serve_buffered(
     state: &Rc<FrontState>,
@@ -107,12 +103,11 @@
     reply: TargetReply,
 ) -> Result<(HeaderMap, Bytes), (FailureKind, String)> {
     let TargetReply { key, status, raw_headers, headers, body, connection, guard } = reply;
-    let body =
-        timeout(time_until(job.deadline), Limited::new(body, MAX_REPLY_BYTES).collect()).await;
+    let body = timeout(time_until(job.deadline), read_body(&state.buffers, body)).await;
     let body = match body {
         Err(_) => return Err((FailureKind::Timeout, "deadline".to_owned())),
-        Ok(Err(e)) => return Err((FailureKind::Reset, e.to_string())),
-        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(e)) => return Err((e.kind(), e.to_string())),
+        Ok(Ok(body)) => body,
     };
     let outcome = if status.is_server_error() { SendOutcome::Bad } else { SendOutcome::Good };
     state.record_outcome(key, outcome);
--- a/ggt-daemon/src/front/mod.rs
+++ b/ggt-daemon/src/front/mod.rs
@@ -6,6 +6,7 @@
 
 mod attempt;
 mod buffered;
+mod buffers;
 mod call;
 mod callers;
 mod changes;
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -11,6 +11,7 @@
 use crate::clock::mono_now;
 use crate::clock::wall_now;
 use crate::edge::EdgeHandle;
+use crate::front::buffers::BufferBudget;
 use crate::front::crashes::CRASH_OPTIONS;
 use crate::front::metrics::FrontMetrics;
 use crate::front::pack::PackedReply;
@@ -97,6 +98,8 @@
     pub losses: RefCell<LossTable>,
     /// Customers' shares of each service, by service and priority.
     pub shares: RefCell<ShareTable<(String, u32), String>>,
+    /// Memory of buffered replies.
+    pub buffers: BufferBudget,
     /// Requests in flight.
     pub in_flight: Cell<usize>,
     /// Callers' open connections, and the state of the shutdown.
@@ -142,6 +145,7 @@
             crashes: RefCell::new(CrashTable::new(CRASH_OPTIONS)),
             losses: RefCell::new(LossTable::new(CRASH_OPTIONS.capacity)),
             shares: RefCell::default(),
+            buffers: BufferBudget::default(),
             in_flight: Cell::new(0),
             edge: EdgeHandle::default(),
             platform_status_changed: Notify::new(),
