fix: front: the error reply of a server on a streaming route is bounded

What operators would see: a server that sends an error status and then a body without end, on a streaming route, makes the daemon run out of memory: the body was collected without any bound until the deadline of the request (up to 20 s in the test).

Evidence: with an endless error body platform_endless failed before with 9,087,072 and 10,961,452 KiB of peak memory.

Change: the body is read like that of a buffered reply, within the shared bound.

--- a/ggt-daemon/src/front/stream.rs
+++ b/ggt-daemon/src/front/stream.rs
@@ -11,12 +11,14 @@
 use tokio::sync::mpsc::channel;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::clock::mono_now;
 use crate::clock::time_until;
 use crate::front::attempt::FailureKind;
 use crate::front::attempt::TargetReply;
 use crate::front::attempt::UpstreamAttempts;
+use crate::front::buffers::read_body;
 use crate::front::job::FrontJob;
 use crate::front::job::JobGuard;
 use crate::front::response::ResponseBody;
@@ -142,11 +144,11 @@
         let outcome = if status.is_server_error() { SendOutcome::Bad } else { SendOutcome::Good };
         self.state.record_outcome(key, outcome);
         let time_left = time_until(self.job.deadline);
-        let collected = tokio::time::timeout(time_left, body.collect()).await;
+        let collected = timeout(time_left, read_body(&self.state.buffers, body)).await;
         let is_retryable = status.is_server_error() && self.job.route.is_idempotent;
         match collected {
             Ok(Ok(body)) => {
-                let error_reply = StartError::ErrorReply((status, raw_headers), body.to_bytes());
+                let error_reply = StartError::ErrorReply((status, raw_headers), body);
                 if is_retryable && self.attempts.try_next_send() {
                     Ok(Some(error_reply))
                 } else {
--- a/ggt-testkit/tests/platform_endless.rs
+++ b/ggt-testkit/tests/platform_endless.rs
@@ -29,6 +29,8 @@
     HeaderList,
     /// A body without a length or chunks.
     Body,
+    /// The body of an error response.
+    ErrorBody,
     /// Chunks of a body.
     Chunks,
     /// A stream's first event.
@@ -36,8 +38,15 @@
 }
 
 impl EndlessPart {
-    const ALL: [Self; 6] =
-        [Self::Garbage, Self::HeaderLine, Self::HeaderList, Self::Body, Self::Chunks, Self::Event];
+    const ALL: [Self; 7] = [
+        Self::Garbage,
+        Self::HeaderLine,
+        Self::HeaderList,
+        Self::Body,
+        Self::ErrorBody,
+        Self::Chunks,
+        Self::Event,
+    ];
 
     /// What the server sends first, and what it repeats until the connection is closed.
     fn text(self, request: &WireRequest) -> (String, String) {
@@ -49,6 +58,7 @@
             Self::HeaderLine => (format!("{head}X-Long: "), block),
             Self::HeaderList => (head, "X-Other: 0123456789\r\n".repeat(512)),
             Self::Body => (format!("{head}\r\n"), block),
+            Self::ErrorBody => (format!("{}\r\n", head.replace("200 OK", "500 Error")), block),
             Self::Chunks => {
                 let chunk = format!("{:x}\r\n{block}\r\n", block.len());
                 (format!("{head}Transfer-Encoding: chunked\r\n\r\n"), chunk)
