fix: core: an incarnation that announced its end does not return with an older copy of the store

What callers would see: the store may come back from a copy some seconds old. A target that had announced that it leaves and was removed stood there as ready and got requests again.

Change: removed incarnations that had announced their end are remembered for 120 s, and count as leaving if they are listed again; a new incarnation does not.

--- a/ggt-core/src/targets/pool.rs
+++ b/ggt-core/src/targets/pool.rs
@@ -34,6 +34,10 @@
 /// Maximum number of cached prefixes queued for digests; beyond it, the oldest are dropped.
 const MAX_QUEUED_PREFIXES: usize = 1_024;
 
+/// Milliseconds for which an incarnation that announced its end and was removed stays known: longer
+/// than the age of a copy from which the store may come back.
+const DEPARTED_TTL_MS: u64 = 120_000;
+
 /// Number of other targets in a data centre from which a partition can be told from crashes.
 const MIN_CENTRE_TARGETS: usize = 2;
 
@@ -147,6 +151,9 @@
     by_id: HashMap<String, TargetKey>,
     by_hash: HashMap<u32, TargetKey>,
     by_service: HashMap<String, Vec<TargetKey>>,
+    /// Incarnations that announced that they leave and were removed, by id, and until when they are
+    /// remembered.
+    departed: HashMap<String, (u64, MonoTime)>,
     /// Queue for digests: short hashes of prefix and target, and the number of digests still to
     /// come.
     prefix_queue: VecDeque<(u32, u32, u8)>,
@@ -156,7 +163,10 @@
 impl TargetPool {
     /// Stores a registration; `true` when it is a new incarnation or differs in whether it is
     /// leaving.
-    pub fn put(&mut self, record: TargetRecord) -> bool {
+    pub fn put(&mut self, mut record: TargetRecord) -> bool {
+        // The store may list it again from an older copy.
+        let departed = self.departed.get(&record.id);
+        record.is_leaving |= departed.is_some_and(|(departed, _)| *departed == record.incarnation);
         if let Some(key) = self.by_id.get(&record.id).copied() {
             let state = &mut self.targets[key];
             let is_same_incarnation = state.record.incarnation == record.incarnation
@@ -219,7 +229,15 @@
             |state: &TargetState| state.remove_at.is_some_and(|remove_at| remove_at <= now);
         let removed = self.targets.iter().filter(|(_, state)| is_due(state));
         let removed: Vec<_> = removed.map(|(key, state)| (key, state.record.id.clone())).collect();
-        removed.iter().for_each(|(key, _)| self.remove(*key));
+        for (key, id) in &removed {
+            if let Some(record) = self.targets.get(*key).map(|state| &state.record)
+                && record.is_leaving
+            {
+                self.departed.insert(id.clone(), (record.incarnation, now + DEPARTED_TTL_MS));
+            }
+            self.remove(*key);
+        }
+        self.departed.retain(|_, (_, expires_at)| now < *expires_at);
         removed
     }
 
--- a/ggt-core/tests/targets.rs
+++ b/ggt-core/tests/targets.rs
@@ -63,6 +63,28 @@
     }
 }
 
+// Guards against a target that left, and gets requests again since the store came back from a copy that
+// lists it as ready.
+#[test]
+fn incarnation_that_announced_its_end_does_not_return_with_an_older_copy_of_the_store() {
+    let mut pool = pool_of(2);
+    pool.put(TargetRecord { is_leaving: true, ..record(0, 1) });
+    pool.record_unlisted("t0", at(0));
+    assert_eq!(pool.expire(at(0)).len(), 1);
+    pool.put(record(0, 1));
+    let others: Vec<_> = pool.of_service("engines").to_vec();
+    let is_leaving = |key: &TargetKey| pool.target(*key).is_some_and(|t| t.record.is_leaving);
+    assert_eq!(others.iter().filter(|key| is_leaving(key)).count(), 1);
+    let mut next = pool.clone();
+    next.put(record(0, 2));
+    assert!(next.iter().all(|(_, target)| !target.record.is_leaving), "a new incarnation may");
+    pool.record_unlisted("t0", at(200_000));
+    pool.expire(at(200_000));
+    pool.expire(at(400_000));
+    pool.put(record(0, 1));
+    assert!(pool.iter().all(|(_, target)| !target.record.is_leaving), "it is forgotten");
+}
+
 fn choose(pool: &TargetPool, chain: &PrefixChain) -> TargetChoice {
     pool.choose(&query(Some(chain), &[]), at(0)).expect("a target")
 }
