fix: platform, front: revisions rise also when the store comes back from an older copy

Cause: caches, digests and fetches between daemons go by the store's revision, which goes back with the store.

Change: the platform crate combines the store's era, which all its replies name, with its revision into one number that always rises; nothing outside the crate sees the difference. A reply of another era than that of the known revision, like status 410, leads to reading the folder anew. The active configuration stays, as its version only rises; the operator's later ones are taken.

Evidence: of five new tests two failed before (changes_after_..., changes_with_revisions_of_before_...), two with the mechanism switched off (server_that_left_..., servers_that_the_copy_lacks_...); configuration_does_not_go_back_with_the_store was green before.

--- a/ggt-core/src/store_cache/outage.rs
+++ b/ggt-core/src/store_cache/outage.rs
@@ -48,6 +48,12 @@
         true
     }
 
+    /// Records that the store came back from an older copy: registrations that it lacks are written
+    /// again.
+    pub fn record_restore(&mut self, now: MonoTime) {
+        self.keep_until = self.keep_until.max(now + REREGISTRATION_MS);
+    }
+
     /// The time at which a target that is unlisted at `now` is to be removed.
     pub fn removal_time(&self, now: MonoTime) -> MonoTime {
         self.keep_until.max(now)
--- a/ggt-daemon/src/front/call.rs
+++ b/ggt-daemon/src/front/call.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use http::HeaderMap;
 use http::Request;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -39,11 +40,22 @@
     /// The server replied with an error status.
     #[snafu(display("status {status}"))]
     Status { status: u16 },
+    /// The store has come back from an older copy since the last reply.
+    #[snafu(display("the store came back from an older copy"))]
+    StoreRestored,
     /// The store's reply cannot be decoded.
     #[snafu(display("{source}"), context(false))]
     Decode { source: StoreError },
 }
 
+/// A complete reply.
+#[derive(Debug)]
+pub struct CallReply {
+    pub status: u16,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
 /// Sends a `GET` request on a connection and reads the complete reply.
 ///
 /// # Errors
@@ -52,15 +64,15 @@
     connection: &mut TargetConnection,
     address: SocketAddr,
     path: &str,
-) -> Result<(u16, Bytes), CallError> {
+) -> Result<CallReply, CallError> {
     let request = Request::get(path).header(http::header::HOST, address.to_string());
     let request =
         request.body(Full::default()).map_err(|e| CallError::Body { cause: e.to_string() })?;
     connection.ready().await.context(BrokenSnafu)?;
     let send_deadline = mono_now() + SEND_TIMEOUT_MS;
     let response = connection.send(request, send_deadline).await.context(BrokenSnafu)?;
-    let status = response.status().as_u16();
-    let body = Limited::new(response.into_body(), MAX_REPLY_BYTES).collect().await;
+    let (parts, body) = response.into_parts();
+    let body = Limited::new(body, MAX_REPLY_BYTES).collect().await;
     let body = body.map_err(|e| CallError::Body { cause: e.to_string() })?;
-    Ok((status, body.to_bytes()))
+    Ok(CallReply { status: parts.status.as_u16(), headers: parts.headers, body: body.to_bytes() })
 }
--- a/ggt-daemon/src/front/changes.rs
+++ b/ggt-daemon/src/front/changes.rs
@@ -9,6 +9,7 @@
 use ggt_core::routes::RouteConfig;
 use ggt_core::store_cache::StoreBatch;
 use ggt_core::store_cache::StoreChange;
+use ggt_platform::is_same_history;
 use ggt_platform::parse_config;
 use ggt_platform::parse_registration;
 use ggt_platform::target_id;
@@ -17,6 +18,16 @@
     /// Applies changes of one folder that came from the platform or from a peer; `source` is
     /// logged.
     pub fn apply_batch(&self, folder: StoreFolder, batch: StoreBatch, source: &str) {
+        let known_revision = self.cache(folder).borrow().revision();
+        if known_revision > 0
+            && batch.revision > known_revision
+            && !is_same_history(batch.revision, known_revision)
+        {
+            log::warn!("event=store-restored folder={} source={source}", folder.as_str());
+            let mut outage = self.outage.get();
+            outage.record_restore(mono_now());
+            self.outage.set(outage);
+        }
         let changes = self.cache(folder).borrow_mut().apply(batch);
         if !changes.is_empty() && self.is_watching() {
             self.digest_requested.notify_one();
--- a/ggt-daemon/src/front/peers.rs
+++ b/ggt-daemon/src/front/peers.rs
@@ -117,11 +117,11 @@
     let revision = state.cache(folder).borrow().revision();
     let mut connection = TargetConnection::open(peer, CONNECT_TIMEOUT).await?;
     let path = format!("/facts/{}/{revision}", folder.as_str());
-    let (status, body) = get(&mut connection, peer, &path).await?;
-    if status != 200 {
-        return Err(FetchError::Status { status });
+    let reply = get(&mut connection, peer, &path).await?;
+    if reply.status != 200 {
+        return Err(FetchError::Status { status: reply.status });
     }
-    Ok(unpack(&body)?)
+    Ok(unpack(&reply.body)?)
 }
 
 /// Tries for a short time to fetch a complete folder from a seed. `None` when no seed has it, or
@@ -167,11 +167,11 @@
 pub async fn fetch_prefixes(peer: SocketAddr) -> Result<Vec<(u32, u32)>, FetchError> {
     let call = async {
         let mut connection = TargetConnection::open(peer, CONNECT_TIMEOUT).await?;
-        let (status, body) = get(&mut connection, peer, PREFIXES_PATH).await?;
-        if status != 200 {
-            return Err(FetchError::Status { status });
+        let reply = get(&mut connection, peer, PREFIXES_PATH).await?;
+        if reply.status != 200 {
+            return Err(FetchError::Status { status: reply.status });
         }
-        Ok(unpack(&body)?)
+        Ok(unpack(&reply.body)?)
     };
     timeout(FETCH_TIMEOUT, call).await.unwrap_or(Err(FetchError::Timeout))
 }
--- a/ggt-daemon/src/front/store.rs
+++ b/ggt-daemon/src/front/store.rs
@@ -5,24 +5,28 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use rand::Rng;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::clock::mono_now;
 use crate::front::call::CallError;
+use crate::front::call::CallReply;
 use crate::front::call::get;
 use crate::front::peers::fetch_snapshot;
 use crate::front::state::CONNECT_TIMEOUT;
 use crate::front::state::FrontState;
 use crate::front::state::StoreFolder;
+use crate::logging::quoted;
 use crate::upstream::TargetConnection;
 use ggt_core::fleet::WatchRole;
 use ggt_core::store_cache::StoreBatch;
 use ggt_core::store_cache::StoreChange;
 use ggt_platform::ReadMode;
 use ggt_platform::StoreItem;
+use ggt_platform::StoreReply;
+use ggt_platform::is_same_history;
+use ggt_platform::parse_era;
 use ggt_platform::parse_range;
 use ggt_platform::parse_watch;
 use ggt_platform::range_path;
@@ -35,6 +39,8 @@
 /// Maximum time in milliseconds until the daemon notices that the store no longer responds on an
 /// open connection, although it still serves others.
 pub const WATCH_TIMEOUT_MS: u64 = WATCH_HOLD_MS + REPLY_MARGIN_MS;
+/// The same as a duration.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(WATCH_TIMEOUT_MS);
 /// Timeout of one page of a folder.
 const READ_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Time in milliseconds for which the store holds open the watch that completes a full read.
@@ -85,8 +91,10 @@
                     sleep(CHANGE_DELAY).await;
                 }
             }
-            Err(CallError::Status { status: 410 }) => {
-                log::info!("event=history-lost folder={} outcome=read-anew", folder.as_str());
+            Err(e @ (CallError::Status { status: 410 } | CallError::StoreRestored)) => {
+                let cause = quoted(&e.to_string());
+                let folder = folder.as_str();
+                log::info!("event=history-lost folder={folder} outcome=read-anew cause={cause}");
                 client.needs_snapshot = true;
             }
             Err(e) => {
@@ -143,8 +151,7 @@
     if revision == 0 {
         return read_snapshot(state, client, folder).await;
     }
-    let path = watch_path(folder.prefix(), revision, WATCH_HOLD_MS);
-    let reply = parse_watch(&client.call(&path, Duration::from_millis(WATCH_TIMEOUT_MS)).await?)?;
+    let reply = client.watch(folder, revision, WATCH_HOLD_MS, WATCH_TIMEOUT).await?;
     let changes = reply.changes.into_iter().map(into_store_change).collect();
     Ok(StoreBatch { revision: reply.revision, is_snapshot: false, changes })
 }
@@ -157,8 +164,7 @@
     folder: StoreFolder,
 ) -> Result<StoreBatch, CallError> {
     let mut snapshot = read_pages(state, client, folder, ReadMode::Relaxed).await?;
-    let path = watch_path(folder.prefix(), snapshot.revision, CATCH_UP_MS);
-    let update = parse_watch(&client.call(&path, READ_TIMEOUT).await?)?;
+    let update = client.watch(folder, snapshot.revision, CATCH_UP_MS, READ_TIMEOUT).await?;
     snapshot.revision = snapshot.revision.max(update.revision);
     snapshot.changes.extend(update.changes.into_iter().map(into_store_change));
     Ok(snapshot)
@@ -178,7 +184,11 @@
         let after = snapshot.changes.last().map(|last| last.key.as_str());
         let is_first = after.is_none();
         let path = range_path(folder.prefix(), after, mode);
-        let page = parse_range(&client.call(&path, READ_TIMEOUT).await?)?;
+        let reply = client.call(&path, READ_TIMEOUT).await?;
+        let page = parse_range(&reply.body, parse_era(&reply.headers))?;
+        if !is_first && !is_same_history(page.revision, snapshot.revision) {
+            return Err(CallError::StoreRestored);
+        }
         let is_last = !page.has_more || page.changes.is_empty();
         // Pages may have different revisions: the result is valid at the oldest one, and the watch
         // returns the changes after it.
@@ -202,7 +212,25 @@
 }
 
 impl StoreClient {
-    async fn call(&mut self, path: &str, call_timeout: Duration) -> Result<Bytes, CallError> {
+    /// Waits for changes after a revision. Fails if the store has come back from an older copy since
+    /// that revision: it has given out the revisions after it anew.
+    async fn watch(
+        &mut self,
+        folder: StoreFolder,
+        after: u64,
+        hold_ms: u64,
+        call_timeout: Duration,
+    ) -> Result<StoreReply, CallError> {
+        let path = watch_path(folder.prefix(), after, hold_ms);
+        let reply = self.call(&path, call_timeout).await?;
+        let reply = parse_watch(&reply.body, parse_era(&reply.headers))?;
+        match is_same_history(reply.revision, after) {
+            true => Ok(reply),
+            false => Err(CallError::StoreRestored),
+        }
+    }
+
+    async fn call(&mut self, path: &str, call_timeout: Duration) -> Result<CallReply, CallError> {
         match timeout(call_timeout, self.call_untimed(path)).await {
             Ok(reply) => reply,
             Err(_) => {
@@ -212,13 +240,17 @@
         }
     }
 
-    async fn call_untimed(&mut self, path: &str) -> Result<Bytes, CallError> {
+    async fn call_untimed(&mut self, path: &str) -> Result<CallReply, CallError> {
         let mut connection = match self.connection.take() {
             Some(connection) if !connection.is_closed() => connection,
             _ => TargetConnection::open(self.address, CONNECT_TIMEOUT).await?,
         };
-        let (status, body) = get(&mut connection, self.address, path).await?;
+        let reply = get(&mut connection, self.address, path).await?;
         self.connection = Some(connection);
-        if status == 200 { Ok(body) } else { Err(CallError::Status { status }) }
+        if reply.status == 200 {
+            Ok(reply)
+        } else {
+            Err(CallError::Status { status: reply.status })
+        }
     }
 }
--- a/ggt-daemon/src/front/warmup.rs
+++ b/ggt-daemon/src/front/warmup.rs
@@ -104,8 +104,10 @@
     };
     let reply = timeout(LIST_TIMEOUT, call).await.unwrap_or(Err(CallError::Timeout));
     let parts = match reply {
-        Ok((200, body)) => parse_cache_list(&body).map_err(|e| e.to_string()),
-        Ok((status, _)) => Err(format!("status {status}")),
+        Ok(reply) if reply.status == 200 => {
+            parse_cache_list(&reply.body).map_err(|e| e.to_string())
+        }
+        Ok(reply) => Err(format!("status {}", reply.status)),
         Err(e) => Err(e.to_string()),
     };
     match parts {
--- a/ggt-standin/src/users_platform/mod.rs
+++ b/ggt-standin/src/users_platform/mod.rs
@@ -23,4 +23,5 @@
 pub use server::respond_with;
 pub use server::stream_head;
 pub use server::stream_head_with;
+pub use store::StoreCopy;
 pub use store::StoreStandin;
--- a/ggt-standin/src/users_platform/store.rs
+++ b/ggt-standin/src/users_platform/store.rs
@@ -31,6 +31,8 @@
     revision: u64,
     /// Last revision whose changes are no longer in the log.
     compacted_revision: u64,
+    /// Number of times that the store came back from a copy; named in all responses.
+    era: u64,
     /// Status of all responses while it is set.
     failure_status: Option<u16>,
     /// Number of calls of `stop_responding`; connections opened before the last one get no response.
@@ -42,6 +44,14 @@
     watches: Vec<(String, u64)>,
 }
 
+/// Copy of a store's data.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    items: BTreeMap<String, (u64, Vec<u8>)>,
+    log: Vec<(u64, String, Option<Vec<u8>>)>,
+    revision: u64,
+}
+
 /// Maximum number of items on a page.
 const PAGE_ITEMS: usize = 500;
 
@@ -106,6 +116,21 @@
         state.log.clear();
     }
 
+    /// A copy of the present data.
+    pub fn copy(&self) -> StoreCopy {
+        let state = lock(&self.state);
+        StoreCopy { items: state.items.clone(), log: state.log.clone(), revision: state.revision }
+    }
+
+    /// Comes back from an older copy: later changes are lost, and their revisions are given out again.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = lock(&self.state);
+        let StoreCopy { items, log, revision } = copy.clone();
+        (state.items, state.log, state.revision) = (items, log, revision);
+        state.era += 1;
+        self.changed.notify_all();
+    }
+
     /// Number of requests received.
     pub fn request_count(&self) -> u64 {
         lock(&self.state).request_count
@@ -155,9 +180,11 @@
             if lock(&self.state).silence_count > silence_count_at_open {
                 continue;
             }
-            let body = body.to_string();
-            let text =
-                format!("HTTP/1.1 {status} Store\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            let (body, era) = (body.to_string(), lock(&self.state).era);
+            let text = format!(
+                "HTTP/1.1 {status} Store\r\nStore-Era: {era}\r\nContent-Length: {}\r\n\r\n{body}",
+                body.len()
+            );
             if writer.write_all(text.as_bytes()).is_err() {
                 return;
             }
@@ -194,12 +221,19 @@
     }
 
     fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> (u16, Value) {
-        lock(&self.state).watches.push((prefix.to_owned(), after));
+        let era = {
+            let mut state = lock(&self.state);
+            state.watches.push((prefix.to_owned(), after));
+            state.era
+        };
         let is_unchanged = |state: &mut StoreState| {
             let is_new = |(revision, key, _): &(u64, String, Option<Vec<u8>>)| {
                 *revision > after && key.starts_with(prefix)
             };
-            state.failure_status.is_none() && !state.log.iter().any(is_new)
+            state.failure_status.is_none()
+                && state.era == era
+                && after <= state.revision
+                && !state.log.iter().any(is_new)
         };
         let wait = Duration::from_millis(wait_ms);
         let waited = self.changed.wait_timeout_while(lock(&self.state), wait, is_unchanged);
@@ -207,7 +241,7 @@
         if let Some(status) = state.failure_status {
             return (status, json!({}));
         }
-        if after < state.compacted_revision {
+        if after < state.compacted_revision || after > state.revision {
             return (410, json!({}));
         }
         let changes = state
