fix: core: a request is refused for one suspect before it is a trial for another

What callers would see: a request that is itself to blame and also has a crashing part was sent as a trial of the former while the latter was refused, and crashed one more server. refusal_of_one_suspect_goes_before_the_trial_of_another failed before.

--- a/ggt-core/src/crashes/blame.rs
+++ b/ggt-core/src/crashes/blame.rs
@@ -15,12 +15,12 @@
     /// Judges a request with these suspects.
     ///
     /// It is refused if one of them was present at `limit` crashes, unless another suspect, which the
-    /// request does not have, was present at nearly all of these crashes. A part that
-    /// many prompts begin with is present whenever a part below it crashes a target: the prompts
-    /// without the latter are not refused. A part that is itself to blame crashes targets together
-    /// with different parts, none of which was present at all of the crashes.
+    /// request does not have, was present at nearly all of these crashes. A part that many prompts
+    /// begin with is present whenever a part below it crashes a target: the prompts without the latter
+    /// are not refused. A part that is itself to blame crashes targets together with different parts,
+    /// none of which was present at all of the crashes.
     ///
-    /// After its refusal, a request may be sent as a trial.
+    /// After the refusals of all of its suspects, a request may be sent as a trial.
     pub fn judge(&self, suspects: &[SuspectKey], now: MonoTime) -> CrashJudgement {
         let mut judgement = CrashJudgement::Clear;
         for suspect in suspects {
@@ -28,14 +28,16 @@
             let Some(until) = self.refusal_end(entry) else { continue };
             let Some(summary) = self.summary(*suspect) else { continue };
             if let Some(by) = self.explanation(entry, suspects) {
-                judgement = CrashJudgement::Explained { suspect: *suspect, by };
+                if judgement == CrashJudgement::Clear {
+                    judgement = CrashJudgement::Explained { suspect: *suspect, by };
+                }
                 continue;
             }
             let refusal = CrashRefusal { suspect: *suspect, summary, until };
             if now < until {
                 return CrashJudgement::Refused(refusal);
             }
-            return CrashJudgement::Trial(refusal);
+            judgement = CrashJudgement::Trial(refusal);
         }
         judgement
     }
--- a/ggt-core/tests/crash_blame.rs
+++ b/ggt-core/tests/crash_blame.rs
@@ -131,6 +131,18 @@
     assert!(!is_refused(&table, &request(11, &[FIRST, SOUND])));
 }
 
+// Guards against a request that is sent as a trial of itself while a part of its prompt is refused.
+#[test]
+fn refusal_of_one_suspect_goes_before_the_trial_of_another() {
+    let options = CrashOptions { limit: LIMIT, first_refusal_ms: 1_000, ..CrashOptions::default() };
+    let mut table = CrashTable::new(options);
+    let first = request(1, &[BAD]);
+    (1..=3).for_each(|crash| record(&mut table, &first, crash));
+    (1_500..=1_502).for_each(|crash| record(&mut table, &request(crash, &[BAD]), crash));
+    let judgement = table.judge(first.keys(), at(1_600));
+    assert!(matches!(judgement, CrashJudgement::Refused(_)), "{judgement:?}");
+}
+
 #[test]
 fn last_part_of_a_prompt_is_no_suspect() {
     let session = PromptPart { hash: 7, tokens: 1 };
