--- a/ggt-core/src/crashes/mod.rs
+++ b/ggt-core/src/crashes/mod.rs
@@ -17,7 +17,7 @@
 pub use record::CrashReport;
 pub use record::CrashSource;
 pub use record::CrashSummary;
-pub use record::DroppedRequest;
+pub use record::DroppedSuspect;
 pub use suspects::RequestSuspects;
 pub use suspects::SuspectKey;
 pub use table::CrashOptions;
--- a/ggt-core/src/crashes/record.rs
+++ b/ggt-core/src/crashes/record.rs
@@ -4,7 +4,7 @@
 use crate::crashes::CrashId;
 use crate::crashes::SuspectKey;
 
-/// The crashes that count against one request.
+/// The crashes that count against one suspect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CrashSummary {
     /// Number of crashes.
@@ -13,7 +13,7 @@
     pub first_at: MonoTime,
     /// When the last of them was noticed.
     pub last_at: MonoTime,
-    /// When the request is no longer suspected.
+    /// When it is no longer suspected.
     pub expires_at: MonoTime,
 }
 
@@ -26,25 +26,25 @@
     Peer,
 }
 
-/// A request that was in flight when a target crashed.
+/// A suspect of a request that was in flight when a target crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CrashRecord {
-    /// Fingerprint of the request.
+    /// The suspect.
     pub suspect: SuspectKey,
     /// Identifies the crash.
     pub crash: CrashId,
     /// When the crash was noticed.
     pub noticed_at: MonoTime,
-    /// When the request is no longer suspected because of it.
+    /// When it is no longer suspected because of the crash.
     pub expires_at: MonoTime,
     /// Who noticed it.
     pub source: CrashSource,
 }
 
-/// A suspected request that a full table no longer stores.
+/// A suspect that a full table no longer stores.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct DroppedRequest {
-    /// Fingerprint of the request.
+pub struct DroppedSuspect {
+    /// The suspect.
     pub suspect: SuspectKey,
     /// Number of crashes that counted against it.
     pub crashes: usize,
@@ -53,19 +53,19 @@
 /// What became of a [`CrashRecord`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CrashOutcome {
-    /// It counts against the request now. The table was full if another request was dropped for it.
+    /// It counts against the suspect now. The table was full if another one was dropped for it.
     New {
-        /// The dropped request.
-        dropped: Option<DroppedRequest>,
+        /// The dropped suspect.
+        dropped: Option<DroppedSuspect>,
     },
     /// It was stored already, or has been cleared.
     Known,
-    /// The request completed shortly before the crash or after it, so it is not to blame.
+    /// A request with it completed shortly before the crash or after it, so it is not to blame.
     Completed,
 }
 
 impl CrashOutcome {
-    /// Whether the crash counts against the request since this record.
+    /// Whether the crash counts against the suspect since this record.
     pub const fn is_new(self) -> bool {
         matches!(self, Self::New { .. })
     }
@@ -83,7 +83,7 @@
 /// A crash to report to other daemons.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CrashReport {
-    /// Fingerprint of the request that was in flight.
+    /// The suspect that was present.
     pub suspect: SuspectKey,
     /// Identifies the crash.
     pub crash: CrashId,
--- a/ggt-core/src/crashes/table.rs
+++ b/ggt-core/src/crashes/table.rs
@@ -1,4 +1,4 @@
-//! Requests suspected of crashing targets, with the crashes that count against them.
+//! Suspects of crashes of targets, with the crashes that count against them.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -10,15 +10,15 @@
 use crate::crashes::CrashRecord;
 use crate::crashes::CrashSource;
 use crate::crashes::CrashSummary;
-use crate::crashes::DroppedRequest;
+use crate::crashes::DroppedSuspect;
 use crate::crashes::SuspectKey;
 use crate::crashes::completions::CompletionTable;
 use crate::crashes::reports::URGENT_REPORTS;
 
-/// Milliseconds after a completion of a request in which it is not blamed for a crash.
+/// Milliseconds after the completion of a request in which its suspects are not blamed for a crash.
 const COMPLETION_WINDOW_MS: u64 = 10_000;
 
-/// One crash that counts against a request.
+/// One crash that counts against a suspect.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct CrashState {
     pub(super) noticed_at: MonoTime,
@@ -26,15 +26,15 @@
     pub(super) reports: u32,
 }
 
-/// What is stored about one request.
+/// What is stored about one suspect.
 #[derive(Clone, Debug)]
 pub(super) struct CrashEntry {
-    /// Crashes at which the request was in flight and that count against it.
+    /// Crashes at which it was present and that count against it.
     pub(super) crashes: BTreeMap<CrashId, CrashState>,
-    /// Crashes from before the request completed, which peers may still report; they no longer
+    /// Crashes from before a request with it completed, which peers may still report; they no longer
     /// count.
     cleared: BTreeSet<CrashId>,
-    /// When the request is no longer suspected.
+    /// When it is no longer suspected.
     expires_at: MonoTime,
     /// When the last of its crashes was noticed, cleared ones included.
     last_recorded_at: MonoTime,
@@ -56,19 +56,20 @@
     }
 }
 
-/// Requests suspected of crashing targets: those in flight on a target when it crashed.
+/// Suspects of crashes: the requests that were in flight on a target when it crashed, and what they
+/// share with others.
 ///
-/// A request is refused once it has been in flight at `limit` crashes. A request that completes is
-/// cleared, since it did not crash its target. So other requests that were in flight on a crashed
-/// target are cleared when they complete on the next one, and only a request that is present at
-/// each crash reaches the limit. Nor is a request blamed for crashes shortly after its completion:
-/// of requests that many callers send alike, some are in flight at any crash.
+/// A request is refused once a suspect of its was present at `limit` crashes, if nothing else explains
+/// these. The suspects of a request that completes are cleared, since they did not crash its target. So
+/// other requests that were in flight on a crashed target are cleared when they complete on the next
+/// one, and only a suspect that is present at each crash reaches the limit. Nor is a suspect blamed for
+/// crashes shortly after a completion: of requests that many callers send alike, some are in flight at
+/// any crash.
 #[derive(Clone, Debug)]
 pub struct CrashTable {
     pub(super) entries: BTreeMap<SuspectKey, CrashEntry>,
     completions: CompletionTable,
-    /// Requests that peers may suspect although they completed here, and the number of digests still
-    /// to report each.
+    /// Suspects of peers that completed here, and the number of digests still to report each.
     pub(super) exonerated: VecDeque<(SuspectKey, u32)>,
     pub(super) options: CrashOptions,
 }
@@ -265,11 +266,11 @@
         self.entries.is_empty()
     }
 
-    fn drop_least_suspected(&mut self) -> Option<DroppedRequest> {
+    fn drop_least_suspected(&mut self) -> Option<DroppedSuspect> {
         let suspicion = |entry: &CrashEntry| (entry.crashes.len(), entry.expires_at);
         let least = self.entries.iter().min_by_key(|(_, entry)| suspicion(entry));
         let suspect = *least?.0;
         let entry = self.entries.remove(&suspect)?;
-        Some(DroppedRequest { suspect, crashes: entry.crashes.len() })
+        Some(DroppedSuspect { suspect, crashes: entry.crashes.len() })
     }
 }
--- a/ggt-daemon/src/front/crashes.rs
+++ b/ggt-daemon/src/front/crashes.rs
@@ -17,7 +17,7 @@
 use ggt_core::crashes::CrashReport;
 use ggt_core::crashes::CrashSource;
 use ggt_core::crashes::CrashSummary;
-use ggt_core::crashes::DroppedRequest;
+use ggt_core::crashes::DroppedSuspect;
 use ggt_core::crashes::LostReply;
 use ggt_core::crashes::SuspectKey;
 use ggt_core::fleet::PeerDigest;
@@ -48,15 +48,11 @@
 /// Maximum number of prompt parts that one log line names.
 const MAX_LOGGED_PARTS: usize = 8;
 
-/// The shared parts of a prompt as written in logs, each with `describe` of its key; `-` if there are
+/// The shared parts of a prompt as written in logs, each with the key of its crashes; `-` if there are
 /// none.
-fn part_names<D>(parts: &[PromptPart], describe: D) -> String
-where
-    D: Fn(SuspectKey) -> String,
-{
+fn part_names(parts: &[PromptPart]) -> String {
     let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
-    let name =
-        |part: &PromptPart| format!("{:x}{}", part.hash, describe(SuspectKey::of_part(*part)));
+    let name = |part: &PromptPart| format!("{:x}/{:016x}", part.hash, SuspectKey::of_part(*part).0);
     let names: Vec<_> = shared.iter().take(MAX_LOGGED_PARTS).map(name).collect();
     if names.is_empty() { "-".to_owned() } else { names.join(",") }
 }
@@ -102,7 +98,7 @@
              cause={}",
             quoted(&job.id),
             job.suspects.request().0,
-            part_names(&job.headers.parts, |key| format!("/{:016x}", key.0)),
+            part_names(&job.headers.parts),
             crash.0,
             quoted(cause),
         );
@@ -285,7 +281,7 @@
         }
         let outcome = self.crashes.borrow_mut().record_crash(record);
         if let CrashOutcome::New { dropped: Some(dropped) } = outcome {
-            let DroppedRequest { suspect, crashes } = dropped;
+            let DroppedSuspect { suspect, crashes } = dropped;
             self.metrics.record_crashes("dropped", crashes as u64);
             log::info!("event=crash-dropped print={:016x} crashes={crashes}", suspect.0);
         }
--- a/ggt-testkit/tests/platform_crashing_parts.rs
+++ b/ggt-testkit/tests/platform_crashing_parts.rs
@@ -247,6 +247,23 @@
     }
 }
 
+// Guards against daemons on two sides of a cut that together crash more servers than the rule allows.
+#[test]
+fn daemons_that_cannot_reach_each_other_refuse_a_crashing_prompt_part_each_for_itself() {
+    let mut fleet = start(1, CrashPoint::BeforeHead);
+    fleet.add_isolated_daemon(1);
+    let parts = [SHARED_PART, CRASHING_PART];
+    for number in 0..CRASHING_REQUESTS {
+        send(&fleet, number % 2, "once", &parts, number);
+    }
+    let crashes = crashing_count(&fleet);
+    assert!(crashes <= MAX_CRASHES, "{crashes} servers crashed");
+    for daemon in 0..2 {
+        let response = send(&fleet, daemon, "once", &parts, CRASHING_REQUESTS + daemon);
+        assert_eq!(response.status, 503, "daemon {daemon}: {}", response.body);
+    }
+}
+
 // Guards against sound requests that are refused since a part that they share with crashing ones was
 // present at each crash, and completes so rarely that nothing clears it.
 #[test]
