refactor: core, front: one order of daemons for shares of rates and for turns

The hash of each member is stored instead of computed for each limited target, and limits are kept in single precision as in digests, so that a peer's report of the same limit is no change and writes no log line.

--- a/ggt-core/src/fleet/members.rs
+++ b/ggt-core/src/fleet/members.rs
@@ -15,40 +15,57 @@
 /// one request more in a span of time than its part of the rate.
 const EXTRA_SENDERS: usize = 3;
 
-/// All daemons that may be sending requests, by address, with the time of the last digest.
+/// Hash of a daemon's address for orders of daemons.
+pub(super) fn member_hash(address: SocketAddr) -> u64 {
+    stable_hash(address.to_string().as_bytes())
+}
+
+/// Position of a daemon in the order of all daemons for an item, which is the same on each of them.
+pub(super) fn member_score(item_hash: u64, member_hash: u64) -> (u64, u64) {
+    (mix_hash(item_hash, member_hash), member_hash)
+}
+
+/// A daemon that may be sending requests.
+#[derive(Clone, Copy, Debug)]
+struct MemberEntry {
+    hash: u64,
+    expires_at: MonoTime,
+}
+
+/// All daemons but this one that may be sending requests, by address.
 #[derive(Clone, Debug, Default)]
 pub(super) struct MemberTable {
-    heard_at: BTreeMap<SocketAddr, MonoTime>,
+    members: BTreeMap<SocketAddr, MemberEntry>,
 }
 
 impl MemberTable {
     /// Records a digest.
     pub(super) fn record(&mut self, address: SocketAddr, is_leaving: bool, now: MonoTime) {
         if is_leaving {
-            self.heard_at.remove(&address);
-        } else {
-            self.heard_at.insert(address, now);
+            self.members.remove(&address);
+            return;
         }
+        let expires_at = now + MEMBER_TTL_MS;
+        let new = || MemberEntry { hash: member_hash(address), expires_at };
+        self.members.entry(address).or_insert_with(new).expires_at = expires_at;
     }
 
     /// Drops daemons that have sent no digest for a long time.
     pub(super) fn expire(&mut self, now: MonoTime) {
-        self.heard_at.retain(|_, heard_at| *heard_at + MEMBER_TTL_MS >= now);
+        self.members.retain(|_, member| now < member.expires_at);
     }
 
-    /// The part of the daemon at `own` in a limit of requests per second for the target with this hash.
+    /// The part of the daemon with hash `own_hash` in a limit of requests per second for the target with
+    /// this hash.
     ///
     /// All daemons with the same members choose the same few senders for a target, with equal parts.
     /// Daemons that cannot be reached keep theirs, so the parts on both sides of a cut add up to the
     /// limit.
-    pub(super) fn rate_share(&self, own: SocketAddr, hash: u64, limit: f64) -> RateShare {
-        let score = |address: &SocketAddr| {
-            (mix_hash(hash, stable_hash(address.to_string().as_bytes())), *address)
-        };
-        let own_score = score(&own);
-        let others = self.heard_at.keys().filter(|address| **address != own);
-        let rank = others.clone().filter(|address| score(address) < own_score).count();
-        let members = others.count() + 1;
+    pub(super) fn rate_share(&self, own_hash: u64, target_hash: u64, limit: f64) -> RateShare {
+        let own_score = member_score(target_hash, own_hash);
+        let scores = self.members.values().map(|member| member_score(target_hash, member.hash));
+        let rank = scores.filter(|score| *score < own_score).count();
+        let members = self.members.len() + 1;
         // A limit beyond the range of integers is more than any number of daemons.
         let senders = members.min((limit as usize).saturating_add(EXTRA_SENDERS));
         if rank >= senders {
--- a/ggt-core/src/fleet/mod.rs
+++ b/ggt-core/src/fleet/mod.rs
@@ -19,7 +19,8 @@
 use crate::crashes::CrashReport;
 use crate::crashes::SuspectKey;
 use crate::fleet::members::MemberTable;
-use crate::ident::mix_hash;
+use crate::fleet::members::member_hash;
+use crate::fleet::members::member_score;
 use crate::ident::stable_hash;
 use crate::targets::InFlightLoad;
 use crate::targets::RateShare;
@@ -299,9 +300,7 @@
     /// This daemon's rank for an item with this hash among all that are alive, in an order that is the
     /// same on all daemons with the same view; 0 is the first.
     pub fn rank(&self, hash: u64, now: MonoTime) -> usize {
-        let score = |address: SocketAddr| {
-            (mix_hash(hash, stable_hash(address.to_string().as_bytes())), address)
-        };
+        let score = |address: SocketAddr| member_score(hash, member_hash(address));
         let own = score(self.own_address);
         self.alive(now).filter(|peer| score(peer.digest.address) < own).count()
     }
@@ -309,7 +308,7 @@
     /// This daemon's part of a limit of requests per second that the target with this hash takes from
     /// all daemons together.
     pub fn rate_share(&self, hash: u64, limit: f64) -> RateShare {
-        self.members.rate_share(self.own_address, hash, limit)
+        self.members.rate_share(member_hash(self.own_address), hash, limit)
     }
 
     /// Recipients of the next digest: discovered daemons, addresses listed in their digests, and
--- a/ggt-daemon/src/front/rates.rs
+++ b/ggt-daemon/src/front/rates.rs
@@ -18,7 +18,8 @@
     pub fn apply_rate_header(&self, key: TargetKey, header: RateLimitHeader, sent_at: MonoTime) {
         let limit = match header {
             RateLimitHeader::Absent => None,
-            RateLimitHeader::Limit(limit) => Some(limit),
+            // Single precision, as in digests, so that peers' reports of it show no change.
+            RateLimitHeader::Limit(limit) => Some(f64::from(limit as f32)),
             RateLimitHeader::Malformed => {
                 let pool = self.pool.borrow();
                 let id = pool.target(key).map_or("gone", |target| target.record.id.as_str());
