--- a/ggt-testkit/src/soak/deployment.rs
+++ b/ggt-testkit/src/soak/deployment.rs
@@ -216,6 +216,7 @@
 
     /// Replaces the fault plan of a server's proxy route.
     pub(super) fn set_fault_plan(&self, number: usize, plan: &str) {
+        self.limits[number].restart_counting();
         self.control_proxy(&format!("/control/plan?listen={}&{plan}", self.proxy_routes[number]));
     }
 
--- a/ggt-testkit/src/soak/limits.rs
+++ b/ggt-testkit/src/soak/limits.rs
@@ -52,6 +52,14 @@
         *lock(&self.state) = LimitState { per_second, ..LimitState::default() };
     }
 
+    /// Counts again from the next naming on: the server's network changes, which may hold requests up and
+    /// deliver them together.
+    pub(super) fn restart_counting(&self) {
+        let mut state = lock(&self.state);
+        state.named_at = None;
+        state.counted.clear();
+    }
+
     /// The header line of a response; empty if there is no limit.
     pub(super) fn header_line(&self) -> String {
         let mut state = lock(&self.state);
--- a/ggt-testkit/tests/soak.rs
+++ b/ggt-testkit/tests/soak.rs
@@ -43,3 +43,17 @@
         ..SoakOptions::default()
     });
 }
+
+/// Daemons that send a server more than it says it takes, and sound requests refused together with those
+/// that crash servers by a part of their prompts.
+#[test]
+fn named_limits_and_crashing_parts_hold_under_injected_faults() {
+    run(&SoakOptions {
+        seed: 4002,
+        faults_for: Duration::from_secs(20),
+        has_crashing_caller: true,
+        has_limits: true,
+        max_fault_interval: Duration::from_millis(2_500),
+        ..SoakOptions::default()
+    });
+}
