refactor: tests: one fixture for digests, one for pools, one wait for a target's status

Digests and pools were built anew in two files each, the wait for a status of a target stood five times in one, and a stream of one event in two. Tests and assertions are the same in number.

--- a/ggt-core/tests/admission.rs
+++ b/ggt-core/tests/admission.rs
@@ -1,8 +1,14 @@
 //! Admission at a service with and without free capacity, and the retry delay of refused callers.
 
+mod pool_fixture;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
+use crate::pool_fixture::GOAL_MS;
+use crate::pool_fixture::SLOTS;
+use crate::pool_fixture::pool_of;
+use crate::pool_fixture::query;
 use ggt_core::clock::MonoTime;
 use ggt_core::limits::ShareTable;
 use ggt_core::prompts::PrefixChain;
@@ -11,12 +17,9 @@
 use ggt_core::targets::ChoiceQuery;
 use ggt_core::targets::TargetKey;
 use ggt_core::targets::TargetPool;
-use ggt_core::targets::TargetRecord;
 
 const TARGETS: usize = 3;
-const SLOTS: u32 = 8;
 const SLOT_TIME_MS: u64 = 1_000;
-const GOAL_MS: u64 = 300;
 /// Longest accepted time in the queue for a slot: half of the latency objective.
 const MAX_WAIT_MS: u64 = GOAL_MS / 2;
 
@@ -24,36 +27,6 @@
     MonoTime::from_millis(millis)
 }
 
-fn pool_of(count: usize) -> TargetPool {
-    let mut pool = TargetPool::default();
-    for number in 0..count {
-        pool.put(TargetRecord {
-            id: format!("t{number}"),
-            incarnation: 1,
-            service: "s".to_owned(),
-            address: ([10, 0, 1, number as u8], 8_000).into(),
-            data_centre: "a".to_owned(),
-            slots: SLOTS,
-            is_leaving: false,
-        });
-    }
-    pool
-}
-
-fn query(priority: u32, spread_hash: u64) -> ChoiceQuery<'static> {
-    ChoiceQuery {
-        service: "s",
-        chain: None,
-        spread_hash,
-        goal_ms: GOAL_MS,
-        priority,
-        data_centre: "a",
-        tried: &[],
-        may_have_run: false,
-        is_idempotent: true,
-    }
-}
-
 /// A pool that has recorded that a request occupies a slot for [`SLOT_TIME_MS`].
 fn pool_with_slot_time(count: usize) -> TargetPool {
     let mut pool = pool_of(count);
--- a/ggt-core/tests/fleet.rs
+++ b/ggt-core/tests/fleet.rs
@@ -1,7 +1,10 @@
 //! Discovery of daemons from seeds, loads reported in digests, and the choice of watchers.
 
+mod digest_fixture;
+
 use std::net::SocketAddr;
 
+use crate::digest_fixture::empty_digest;
 use ggt_core::clock::MonoTime;
 use ggt_core::crashes::CrashId;
 use ggt_core::crashes::CrashReport;
@@ -26,24 +29,9 @@
 
 fn digest(from: u8, incarnation: u64, number: u64) -> PeerDigest {
     PeerDigest {
-        address: address(from),
-        incarnation,
-        number,
         centre_hash: u32::from(from % 3),
         link_mbps: link_of(from),
-        is_watching: true,
-        age_ms: 0,
-        is_leaving: false,
-        target_revision: 0,
-        config_revision: 0,
-        platform_age_ms: 0,
-        loads: Vec::new(),
-        cached_prefixes: Vec::new(),
-        crashes: Vec::new(),
-        crash_ages_ms: Vec::new(),
-        exonerated: Vec::new(),
-        rates: Vec::new(),
-        known_peers: Vec::new(),
+        ..empty_digest(address(from), incarnation, number)
     }
 }
 
--- a/ggt-core/tests/rates.rs
+++ b/ggt-core/tests/rates.rs
@@ -1,17 +1,22 @@
 //! Rates that targets say they take from all daemons together: which statement counts, how daemons
 //! share a rate, and which targets get requests.
 
+mod digest_fixture;
+mod pool_fixture;
+
 use std::net::SocketAddr;
 
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::digest_fixture::empty_digest;
+use crate::pool_fixture::pool_of;
+use crate::pool_fixture::query;
 use ggt_core::clock::MonoTime;
 use ggt_core::fleet::FleetTable;
 use ggt_core::fleet::PeerDigest;
 use ggt_core::targets::ChoiceError;
-use ggt_core::targets::ChoiceQuery;
 use ggt_core::targets::RateShare;
 use ggt_core::targets::RateStatement;
 use ggt_core::targets::TargetKey;
@@ -36,26 +41,7 @@
 }
 
 fn digest(from: usize, number: u64, is_leaving: bool) -> PeerDigest {
-    PeerDigest {
-        address: address(from),
-        incarnation: 1,
-        number,
-        centre_hash: 0,
-        link_mbps: 10,
-        is_watching: true,
-        age_ms: 0,
-        is_leaving,
-        target_revision: 0,
-        config_revision: 0,
-        platform_age_ms: 0,
-        loads: Vec::new(),
-        cached_prefixes: Vec::new(),
-        crashes: Vec::new(),
-        known_peers: Vec::new(),
-        crash_ages_ms: Vec::new(),
-        exonerated: Vec::new(),
-        rates: Vec::new(),
-    }
+    PeerDigest { is_leaving, ..empty_digest(address(from), 1, number) }
 }
 
 /// The tables of this many daemons, which have all heard of each other at time zero.
@@ -170,35 +156,8 @@
     }
 }
 
-fn pool_of(count: usize) -> (TargetPool, Vec<TargetKey>) {
-    let mut pool = TargetPool::default();
-    for number in 0..count {
-        pool.put(TargetRecord {
-            id: format!("t{number}"),
-            incarnation: 1,
-            service: "s".to_owned(),
-            address: ([10, 0, 1, number as u8], 8_000).into(),
-            data_centre: "a".to_owned(),
-            slots: 8,
-            is_leaving: false,
-        });
-    }
-    let keys = pool.of_service("s").to_vec();
-    (pool, keys)
-}
-
-fn query(priority: u32, spread_hash: u64) -> ChoiceQuery<'static> {
-    ChoiceQuery {
-        service: "s",
-        chain: None,
-        spread_hash,
-        goal_ms: 300,
-        priority,
-        data_centre: "a",
-        tried: &[],
-        may_have_run: false,
-        is_idempotent: true,
-    }
+fn targets_of(pool: &TargetPool) -> Vec<TargetKey> {
+    pool.of_service("s").to_vec()
 }
 
 /// Limits a target, of which this daemon may use all.
@@ -209,7 +168,8 @@
 
 #[test]
 fn pattern_a_target_at_its_rate_gets_no_request_and_others_do() {
-    let (mut pool, keys) = pool_of(2);
+    let mut pool = pool_of(2);
+    let keys = targets_of(&pool);
     limit_target(&mut pool, keys[0], 2.0);
     pool.record_send(keys[0], &Default::default(), false, at(100));
     pool.record_end(keys[0]);
@@ -222,7 +182,8 @@
 
 #[test]
 fn pattern_all_targets_at_their_rates_refuse_until_the_first_takes_a_request() {
-    let (mut pool, keys) = pool_of(2);
+    let mut pool = pool_of(2);
+    let keys = targets_of(&pool);
     for (key, limit) in keys.iter().zip([1.0, 0.5]) {
         limit_target(&mut pool, *key, limit);
         pool.record_send(*key, &Default::default(), false, at(100));
@@ -236,7 +197,8 @@
 // Guards against urgent requests that are refused since less urgent ones took what a target takes.
 #[test]
 fn pattern_less_urgent_requests_leave_the_rate_to_more_urgent_ones() {
-    let (mut pool, keys) = pool_of(1);
+    let mut pool = pool_of(1);
+    let keys = targets_of(&pool);
     limit_target(&mut pool, keys[0], 1.0);
     pool.record_request("s", 0, at(100));
     pool.record_send(keys[0], &Default::default(), false, at(100));
@@ -247,7 +209,8 @@
 
 #[test]
 fn new_incarnation_of_a_target_has_no_limit() {
-    let (mut pool, keys) = pool_of(1);
+    let mut pool = pool_of(1);
+    let keys = targets_of(&pool);
     limit_target(&mut pool, keys[0], 1.0);
     let record = pool.target(keys[0]).expect("target").record.clone();
     pool.put(TargetRecord { incarnation: 2, ..record });
--- a/ggt-standin/src/users_platform/mod.rs
+++ b/ggt-standin/src/users_platform/mod.rs
@@ -21,6 +21,7 @@
 pub use server::event_chunk;
 pub use server::respond;
 pub use server::respond_with;
+pub use server::respond_with_event;
 pub use server::stream_head;
 pub use server::stream_head_with;
 pub use store::StoreCopy;
--- a/ggt-standin/src/users_platform/server.rs
+++ b/ggt-standin/src/users_platform/server.rs
@@ -263,6 +263,15 @@
     )
 }
 
+/// Writes a complete stream of one event, and keeps the connection open.
+pub fn respond_with_event(request: &WireRequest, stream: &mut TcpStream) -> AfterResponse {
+    let text = format!("{}{}0\r\n\r\n", stream_head(request), event_chunk(1));
+    match stream.write_all(text.as_bytes()) {
+        Ok(()) => AfterResponse::Keep,
+        Err(_) => AfterResponse::Close,
+    }
+}
+
 /// Event with the given id, as one chunk of a chunked body.
 pub fn event_chunk(id: u64) -> String {
     let text = format!("id: {id}\ndata: piece {id}\n\n");
--- a/ggt-testkit/tests/leaving.rs
+++ b/ggt-testkit/tests/leaving.rs
@@ -30,6 +30,16 @@
     found.and_then(|entry| entry["status"].as_str()).unwrap_or("absent")
 }
 
+/// Waits until each daemon gives a target this status.
+fn await_target_status(fleet: &TestFleet, index: usize, expected: &str) {
+    let name = &fleet.targets[index].name;
+    for daemon in 0..fleet.daemons.len() {
+        fleet.await_status(&format!("the target is {expected}"), daemon, |status| {
+            status_of(status, name) == expected
+        });
+    }
+}
+
 fn started(fleet: &TestFleet, index: usize) -> u64 {
     fleet.control_target(index, "stats").expect("engine should report its stats").json()["started"]
         .as_u64()
@@ -49,14 +59,9 @@
 fn target_that_reports_leaving_gets_no_new_requests_despite_a_stale_host_list() {
     let mut fleet = fleet();
     let index = fleet.targets_of("intake")[0];
-    let name = fleet.targets[index].name.clone();
     // The host list still shows it as live; only the target's own responses report that it leaves.
     fleet.control_target(index, "leave");
-    for daemon in 0..fleet.daemons.len() {
-        fleet.await_status("the target is marked as leaving", daemon, |status| {
-            status_of(status, &name) == "leaving"
-        });
-    }
+    await_target_status(&fleet, index, "leaving");
     // A newly published list that still shows it as live does not make it ready again.
     let version = fleet.publish_hosts();
     for daemon in 0..fleet.daemons.len() {
@@ -72,11 +77,7 @@
     fleet.target_process(index).kill();
     fleet.start_target(index);
     fleet.publish_hosts();
-    for daemon in 0..fleet.daemons.len() {
-        fleet.await_status("the new incarnation is ready", daemon, |status| {
-            status_of(status, &name) == "ready"
-        });
-    }
+    await_target_status(&fleet, index, "ready");
     wait_until("the new incarnation gets requests", || {
         chat_everywhere(&fleet, 20);
         started(&fleet, index) > 0
@@ -92,11 +93,7 @@
     fleet.publish_hosts_delayed(400);
     fleet.targets[index].leaving = true;
     let version = fleet.publish_hosts();
-    for daemon in 0..fleet.daemons.len() {
-        fleet.await_status("the target is marked as leaving", daemon, |status| {
-            status_of(status, &name) == "leaving"
-        });
-    }
+    await_target_status(&fleet, index, "leaving");
     for daemon in 0..fleet.daemons.len() {
         fleet.await_status("the late list is applied", daemon, |status| {
             status["hosts_version"].as_u64() > Some(version)
@@ -116,18 +113,13 @@
         ..FleetOptions::default()
     });
     let index = fleet.targets_of("intake")[0];
-    let name = fleet.targets[index].name.clone();
     // Daemon 0 reaches the platform at once, daemon 1 with a delay, daemon 2 not at all.
     for (daemon, plan) in ["", "delay_ms=700", "refuse=1&cut_down=0"].iter().enumerate() {
         fleet.set_fault_plan(fleet.daemons[daemon].platform, plan);
     }
     fleet.targets[index].leaving = true;
     fleet.publish_hosts();
-    for daemon in 0..fleet.daemons.len() {
-        fleet.await_status("the target is marked as leaving", daemon, |status| {
-            status_of(status, &name) == "leaving"
-        });
-    }
+    await_target_status(&fleet, index, "leaving");
     let before = started(&fleet, index);
     chat_everywhere(&fleet, 40);
     assert_eq!(started(&fleet, index), before, "the leaving target got new requests");
@@ -137,14 +129,9 @@
 fn target_listed_as_leaving_gets_no_new_requests() {
     let mut fleet = fleet();
     let index = fleet.targets_of("intake")[1];
-    let name = fleet.targets[index].name.clone();
     fleet.targets[index].leaving = true;
     fleet.publish_hosts();
-    for daemon in 0..fleet.daemons.len() {
-        fleet.await_status("the target is marked as leaving", daemon, |status| {
-            status_of(status, &name) == "leaving"
-        });
-    }
+    await_target_status(&fleet, index, "leaving");
     let before = started(&fleet, index);
     chat_everywhere(&fleet, 40);
     assert_eq!(started(&fleet, index), before);
--- a/ggt-testkit/tests/platform_crashes.rs
+++ b/ggt-testkit/tests/platform_crashes.rs
@@ -14,6 +14,7 @@
 use ggt_standin::users_platform::WireRequest;
 use ggt_standin::users_platform::event_chunk;
 use ggt_standin::users_platform::respond;
+use ggt_standin::users_platform::respond_with_event;
 use ggt_standin::users_platform::stream_head;
 use ggt_testkit::front::FrontFleet;
 use ggt_testkit::http::HttpResponse;
@@ -33,19 +34,11 @@
     }
     thread::sleep(HOLD);
     match request.path.starts_with("/chat/") || request.path.starts_with("/talk/") {
-        true => send_stream(request, stream),
+        true => respond_with_event(request, stream),
         false => respond(request, stream, 200, "whole"),
     }
 }
 
-fn send_stream(request: &WireRequest, stream: &mut TcpStream) -> AfterResponse {
-    let text = format!("{}{}0\r\n\r\n", stream_head(request), event_chunk(1));
-    match stream.write_all(text.as_bytes()) {
-        Ok(()) => AfterResponse::Keep,
-        Err(_) => AfterResponse::Close,
-    }
-}
-
 fn start(servers: usize, daemons: usize) -> FrontFleet {
     let fleet = FrontFleet::start(servers, daemons);
     fleet.servers.iter().for_each(|server| server.set_script(crash_or_respond));
--- a/ggt-testkit/tests/platform_crashing_parts.rs
+++ b/ggt-testkit/tests/platform_crashing_parts.rs
@@ -9,6 +9,7 @@
 use ggt_standin::users_platform::event_chunk;
 use ggt_standin::users_platform::prompt_headers_of;
 use ggt_standin::users_platform::respond;
+use ggt_standin::users_platform::respond_with_event;
 use ggt_standin::users_platform::stream_head;
 use ggt_testkit::front::FrontFleet;
 use ggt_testkit::http::HttpResponse;
@@ -90,11 +91,7 @@
     if !request.path.starts_with("/chat/") && !request.path.starts_with("/talk/") {
         return respond(request, stream, 200, "whole");
     }
-    let text = format!("{}{}0\r\n\r\n", stream_head(request), event_chunk(1));
-    match stream.write_all(text.as_bytes()) {
-        Ok(()) => AfterResponse::Keep,
-        Err(_) => AfterResponse::Close,
-    }
+    respond_with_event(request, stream)
 }
 
 fn start(daemons: usize, point: CrashPoint) -> FrontFleet {
