--- a/ggt-standin/src/users_platform/mod.rs
+++ b/ggt-standin/src/users_platform/mod.rs
@@ -19,6 +19,7 @@
 pub use server::AfterResponse;
 pub use server::ServerStandin;
 pub use server::event_chunk;
+pub use server::limit_line;
 pub use server::respond;
 pub use server::respond_with;
 pub use server::respond_with_event;
--- a/ggt-standin/src/users_platform/request.rs
+++ b/ggt-standin/src/users_platform/request.rs
@@ -32,6 +32,12 @@
         self.header("x-attempt-id").unwrap_or_default()
     }
 
+    /// Ids of the parts of the prompt, in order.
+    pub fn prompt_parts(&self) -> Vec<&str> {
+        let list = self.header("x-prompt-prefix").unwrap_or_default();
+        list.split(',').filter_map(|part| part.split_once(':')).map(|(id, _)| id).collect()
+    }
+
     /// Number of the last event that the caller received (`last-event-id`).
     pub fn last_event_id(&self) -> Option<u64> {
         self.header("last-event-id").and_then(|text| text.parse().ok())
--- a/ggt-standin/src/users_platform/server.rs
+++ b/ggt-standin/src/users_platform/server.rs
@@ -263,6 +263,11 @@
     )
 }
 
+/// Header line that names how many requests a second a server takes from all daemons together.
+pub fn limit_line(per_second: &str) -> String {
+    format!("Server-Limit: {per_second}\r\n")
+}
+
 /// Writes a complete stream of one event, and keeps the connection open.
 pub fn respond_with_event(request: &WireRequest, stream: &mut TcpStream) -> AfterResponse {
     let text = format!("{}{}0\r\n\r\n", stream_head(request), event_chunk(1));
--- a/ggt-testkit/src/soak/crashing.rs
+++ b/ggt-testkit/src/soak/crashing.rs
@@ -115,8 +115,8 @@
 
 /// Whether a request crashes the server that runs it.
 pub(super) fn is_crashing(request: &WireRequest) -> bool {
-    let parts = request.header("x-prompt-prefix").unwrap_or_default();
-    request.path.contains(CRASH_PATH) || parts.split(',').any(|part| part.starts_with(CRASH_PART))
+    let parts = request.prompt_parts();
+    request.path.contains(CRASH_PATH) || parts.iter().any(|part| part.starts_with(CRASH_PART))
 }
 
 /// Repeats crashing requests of all kinds, one round after the other, at random daemons until
--- a/ggt-testkit/src/soak/limits.rs
+++ b/ggt-testkit/src/soak/limits.rs
@@ -15,6 +15,7 @@
 use rand::rngs::SmallRng;
 
 use ggt_standin::server::lock;
+use ggt_standin::users_platform::limit_line;
 
 use crate::soak::deployment::DisruptionState;
 use crate::soak::invariants::InvariantChecker;
@@ -65,7 +66,7 @@
         let mut state = lock(&self.state);
         let Some(limit) = state.per_second else { return String::new() };
         state.named_at.get_or_insert_with(Instant::now);
-        format!("Server-Limit: {limit}\r\n")
+        limit_line(&limit.to_string())
     }
 
     /// Counts a request that a daemon sent to server `name`, and checks the rule.
--- a/ggt-testkit/tests/platform_crashing_parts.rs
+++ b/ggt-testkit/tests/platform_crashing_parts.rs
@@ -66,15 +66,8 @@
     }
 }
 
-/// Ids of the parts of a request's prompt.
-fn parts_of(request: &WireRequest) -> Vec<String> {
-    let list = request.header("x-prompt-prefix").unwrap_or_default();
-    let ids = list.split(',').filter_map(|part| part.split_once(':'));
-    ids.map(|(id, _)| id.to_owned()).collect()
-}
-
 fn has_crashing_part(request: &WireRequest) -> bool {
-    parts_of(request).iter().any(|part| part == CRASHING_PART)
+    request.prompt_parts().contains(&CRASHING_PART)
 }
 
 /// Crashes the server on requests with the crashing part, and responds to all others.
--- a/ggt-testkit/tests/platform_limits.rs
+++ b/ggt-testkit/tests/platform_limits.rs
@@ -15,6 +15,7 @@
 use ggt_standin::server::lock;
 use ggt_standin::users_platform::AfterResponse;
 use ggt_standin::users_platform::WireRequest;
+use ggt_standin::users_platform::limit_line;
 use ggt_standin::users_platform::prompt_headers_of;
 use ggt_testkit::front::FrontFleet;
 use ggt_testkit::http::HttpResponse;
@@ -41,7 +42,7 @@
 /// Responds with this value of the limit header, or without it if it is empty.
 fn respond(request: &WireRequest, stream: &mut TcpStream, limit: &str) -> AfterResponse {
     let id = request.attempt_id();
-    let named = if limit.is_empty() { String::new() } else { format!("Server-Limit: {limit}\r\n") };
+    let named = if limit.is_empty() { String::new() } else { limit_line(limit) };
     let (kind, body) = match request.path.starts_with("/chat/") {
         true => ("text/event-stream", "id: 1\ndata: one\n\n"),
         false => ("text/plain", "whole"),
