fix: front: a complete reply without a length is delivered unless its target refuses connections

What callers would see: a reply without a length, complete, was answered 502 if the connection that checks its target timed out or failed for a reason of this process (no file descriptors left), not only if it was refused. A host that lost power or is cut off sends no end of the connection, so such a reply is complete.

--- a/ggt-daemon/src/front/attempt/crash_check.rs
+++ b/ggt-daemon/src/front/attempt/crash_check.rs
@@ -50,11 +50,11 @@
         }
         // A task of its own, so that the check ends also if the caller disconnects.
         let check = spawn_local(check_target(self.state.clone(), target));
-        check.await.ok().flatten()
+        check.await.ok()?.ok()
     }
 
     /// Whether a reply of the last send that ended with its connection, without stating its length, may
-    /// be taken as complete: the target still accepts connections. One that is leaving need not.
+    /// be taken as complete: nothing shows that the target has ended. One that is leaving may have.
     pub async fn has_outlived_reply(&self) -> bool {
         let Some(target) = self.sent_target else { return false };
         let is_listed = {
@@ -65,8 +65,13 @@
         if !is_listed {
             return true;
         }
-        !self.state.record_unframed_end(&self.job, target.crash)
-            && check_target(self.state.clone(), target).await.is_some()
+        if self.state.record_unframed_end(&self.job, target.crash) {
+            return false;
+        }
+        // A host that lost power or is cut off sends no end of the connection, and an error of this
+        // process says nothing about the target.
+        let check = check_target(self.state.clone(), target).await;
+        !check.is_err_and(|error| error.is_refused())
     }
 
     /// Applies a failure to connect to the target of the present send: replies that other requests
@@ -78,16 +83,18 @@
     }
 }
 
-async fn check_target(state: Rc<FrontState>, target: SentTarget) -> Option<TargetConnection> {
-    match TargetConnection::open(target.address, CONNECT_TIMEOUT).await {
-        Ok(connection) => Some(connection),
-        Err(e) => {
-            state.record_outcome(target.key, SendOutcome::Unreachable);
-            state.connections.close_idle(target.key);
-            judge_connect_failure(&state, target, &e);
-            None
-        }
+/// Opens a connection to a target, and records a failure.
+async fn check_target(
+    state: Rc<FrontState>,
+    target: SentTarget,
+) -> Result<TargetConnection, ConnectError> {
+    let opened = TargetConnection::open(target.address, CONNECT_TIMEOUT).await;
+    if let Err(e) = &opened {
+        state.record_outcome(target.key, SendOutcome::Unreachable);
+        state.connections.close_idle(target.key);
+        judge_connect_failure(&state, target, e);
     }
+    opened
 }
 
 /// Records the end of a target that does not accept connections, unless its whole data centre seems
--- a/ggt-daemon/src/upstream/connect.rs
+++ b/ggt-daemon/src/upstream/connect.rs
@@ -47,6 +47,12 @@
 }
 
 impl ConnectError {
+    /// Whether the server's host refused the connection: no process listens at the address.
+    pub fn is_refused(&self) -> bool {
+        let Self::Refused { source, .. } = self else { return false };
+        matches!(source.kind(), io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset)
+    }
+
     /// Whether the server's host refused the connection or did not reply, as if the server had
     /// ended; `false` for errors of this process.
     pub fn is_target_down(&self) -> bool {
--- a/ggt-daemon/tests/upstream.rs
+++ b/ggt-daemon/tests/upstream.rs
@@ -18,6 +18,7 @@
 use ggt_daemon::clock::mono_now;
 use ggt_daemon::upstream::CallFailure;
 use ggt_daemon::upstream::CallOptions;
+use ggt_daemon::upstream::ConnectError;
 use ggt_daemon::upstream::ConnectionPool;
 use ggt_daemon::upstream::TargetCall;
 use ggt_daemon::upstream::call_target;
@@ -251,3 +252,16 @@
     served.join().expect("no panic");
     assert_eq!(result.expect_err("closed").verdict(), RunVerdict::NotRun);
 }
+
+// Guards against complete replies that are rejected because this process, or the way to the target,
+// does not allow a connection: only a refusal shows that no process listens there any more.
+#[test]
+fn only_a_refused_connection_shows_that_a_target_has_ended() {
+    let address = ([127, 0, 0, 1], 9).into();
+    let failed = |kind: std::io::ErrorKind| ConnectError::Refused { address, source: kind.into() };
+    assert!(failed(std::io::ErrorKind::ConnectionRefused).is_refused());
+    assert!(failed(std::io::ErrorKind::ConnectionReset).is_refused());
+    assert!(!failed(std::io::ErrorKind::HostUnreachable).is_refused());
+    assert!(!failed(std::io::ErrorKind::Other).is_refused(), "too many open files");
+    assert!(!ConnectError::Timeout { address, timeout_ms: 200 }.is_refused());
+}
