--- /dev/null
+++ b/ggt-core/src/fleet/digest.rs
@@ -0,0 +1,121 @@
+//! Digests: the state that daemons send to each other.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::clock::MonoTime;
+use crate::crashes::CrashId;
+use crate::crashes::CrashReport;
+use crate::crashes::SuspectKey;
+use crate::targets::InFlightLoad;
+use crate::targets::RateStatement;
+
+/// State that a daemon sends to all others. Encoded with postcard: the order of the fields is part
+/// of the format.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PeerDigest {
+    /// Address on which the daemon receives digests and calls.
+    pub address: SocketAddr,
+    /// Incarnation of the daemon, higher than that of any earlier process at the address.
+    pub incarnation: u64,
+    /// Sequence number, which increases with each digest of one incarnation.
+    pub number: u64,
+    /// Short hash of the daemon's data centre.
+    #[serde(rename = "centre")]
+    pub centre_hash: u32,
+    /// Bandwidth of its host's link in megabits per second.
+    pub link_mbps: u32,
+    /// Whether the daemon watches the platform itself.
+    pub is_watching: bool,
+    /// Milliseconds since the daemon started, when the digest was made.
+    pub age_ms: u64,
+    /// Whether the daemon is draining.
+    pub is_leaving: bool,
+    /// Revision of the latest change of a target that the daemon has.
+    pub target_revision: u64,
+    /// Revision of the configuration that the daemon has.
+    pub config_revision: u64,
+    /// Milliseconds since the platform last replied to the daemon.
+    pub platform_age_ms: u32,
+    /// Load of the daemon's requests in flight, by short hash of the target.
+    pub loads: Vec<(u32, InFlightLoad)>,
+    /// Prefixes that targets recently cached for the daemon, as pairs of the short hashes of prefix
+    /// and target.
+    #[serde(rename = "reads")]
+    pub cached_prefixes: Vec<(u32, u32)>,
+    /// Requests that were in flight when a target crashed.
+    #[serde(rename = "deaths")]
+    pub crashes: Vec<(SuspectKey, CrashId)>,
+    /// Some of the daemons that it has discovered.
+    #[serde(rename = "named")]
+    pub known_peers: Vec<SocketAddr>,
+    /// Milliseconds since each of `crashes` was noticed, in the same order; a missing one counts as
+    /// 0. Digests of earlier builds end before this field.
+    pub crash_ages_ms: Vec<u32>,
+    /// Suspected requests that completed on the daemon, so that they crashed no target. Digests of
+    /// earlier builds end before this field.
+    pub exonerated: Vec<SuspectKey>,
+    /// Rates that targets say they take. Digests of earlier builds end before this field.
+    pub rates: Vec<RateReport>,
+}
+
+/// What a target stated in a reply to the sender of a digest about the rate that it takes.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RateReport {
+    /// Short hash of the target.
+    pub target: u32,
+    /// Requests per second from all daemons together; `None` if there is no limit any more.
+    pub limit: Option<f32>,
+    /// Milliseconds since the request was sent, when the digest was made.
+    pub sent_age_ms: u32,
+    /// Milliseconds since the reply was received, when the digest was made.
+    pub received_age_ms: u32,
+}
+
+impl RateReport {
+    /// The report of a target's statement.
+    pub fn new(target: u32, statement: &RateStatement, now: MonoTime) -> Self {
+        let age_ms = |time| u32::try_from(now.millis_since(time)).unwrap_or(u32::MAX);
+        Self {
+            target,
+            limit: statement.limit.map(|limit| limit as f32),
+            sent_age_ms: age_ms(statement.sent_at),
+            received_age_ms: age_ms(statement.received_at),
+        }
+    }
+
+    /// The statement, with its times on the receiver's clock.
+    pub fn statement(&self, now: MonoTime) -> RateStatement {
+        let time =
+            |age_ms: u32| MonoTime::from_millis(now.as_millis().saturating_sub(u64::from(age_ms)));
+        RateStatement {
+            limit: self.limit.map(f64::from),
+            sent_at: time(self.sent_age_ms),
+            received_at: time(self.received_age_ms),
+        }
+    }
+}
+
+impl PeerDigest {
+    /// Sets the crashes that the digest reports, with their ages at `now`.
+    pub fn set_crashes(&mut self, reports: &[CrashReport], now: MonoTime) {
+        self.crashes = reports.iter().map(|report| (report.suspect, report.crash)).collect();
+        let ages_ms = reports.iter().map(|report| now.millis_since(report.noticed_at));
+        self.crash_ages_ms = ages_ms.map(|age| u32::try_from(age).unwrap_or(u32::MAX)).collect();
+    }
+
+    /// The crashes that the digest reports, with the times at which they were noticed.
+    pub fn crash_reports(&self, now: MonoTime) -> impl Iterator<Item = CrashReport> + '_ {
+        let ages_ms = self.crash_ages_ms.iter().copied().chain(std::iter::repeat(0));
+        self.crashes.iter().zip(ages_ms).map(move |((suspect, crash), age_ms)| {
+            let noticed_ms = now.as_millis().saturating_sub(u64::from(age_ms));
+            CrashReport {
+                suspect: *suspect,
+                crash: *crash,
+                noticed_at: MonoTime::from_millis(noticed_ms),
+            }
+        })
+    }
+}
--- a/ggt-core/src/targets/mod.rs
+++ b/ggt-core/src/targets/mod.rs
@@ -7,6 +7,7 @@
 mod choice;
 mod health;
 mod pool;
+mod prefixes;
 mod rate;
 
 pub use admission::OverloadEstimate;
--- a/ggt-core/src/targets/pool.rs
+++ b/ggt-core/src/targets/pool.rs
@@ -20,20 +20,13 @@
 use crate::targets::TargetRate;
 use crate::targets::TargetRecord;
 use crate::targets::admission::ServiceAdmission;
+use crate::targets::prefixes::short_prefix;
 
 new_key_type! {
     /// Identifies one incarnation of a target in a [`TargetPool`].
     pub struct TargetKey;
 }
 
-/// Maximum number of cached prefixes stored per target; beyond it, the older half is dropped.
-const MAX_PREFIXES: usize = 4_096;
-/// Number of digests that report each newly cached prefix, so that the loss of one datagram does no
-/// harm.
-const DIGESTS_PER_PREFIX: u8 = 2;
-/// Maximum number of cached prefixes queued for digests; beyond it, the oldest are dropped.
-const MAX_QUEUED_PREFIXES: usize = 1_024;
-
 /// Milliseconds for which an incarnation that announced its end and was removed stays known: longer
 /// than the age of a copy from which the store may come back.
 const DEPARTED_TTL_MS: u64 = 120_000;
@@ -78,7 +71,7 @@
     /// When the target is to be removed; `None` while the platform lists it.
     pub remove_at: Option<MonoTime>,
     /// Cached prefixes by their short hashes, and when each was last recorded.
-    prefixes: HashMap<u32, MonoTime>,
+    pub(super) prefixes: HashMap<u32, MonoTime>,
 }
 
 impl TargetState {
@@ -113,50 +106,21 @@
     pub fn backlog_tokens(&self) -> u32 {
         self.own.backlog_tokens + self.peers.backlog_tokens
     }
-
-    /// Tokens of the prompt beyond its longest prefix that the target is known to have cached.
-    pub fn uncached_tokens(&self, chain: &PrefixChain) -> u32 {
-        let prefixes = chain.prefixes().iter().rev();
-        prefixes
-            .take_while(|prefix| !self.prefixes.contains_key(&short_prefix(prefix.hash)))
-            .map(|prefix| prefix.tokens)
-            .sum()
-    }
-
-    /// Whether the target is known to have the prefix with this hash cached.
-    pub fn has_cached(&self, prefix: u64) -> bool {
-        self.prefixes.contains_key(&short_prefix(prefix))
-    }
-
-    fn record_prefix(&mut self, prefix: u32, now: MonoTime) {
-        self.prefixes.insert(prefix, now);
-        if self.prefixes.len() > MAX_PREFIXES {
-            let mut recorded: Vec<_> = self.prefixes.values().copied().collect();
-            recorded.sort_unstable();
-            let median = recorded[recorded.len() / 2];
-            self.prefixes.retain(|_, time| *time > median);
-        }
-    }
-}
-
-/// The short hash of a prefix, as daemons exchange it.
-fn short_prefix(hash: u64) -> u32 {
-    hash as u32
 }
 
 /// All registered targets, and those that the platform has stopped listing but may list again.
 #[derive(Clone, Debug, Default)]
 pub struct TargetPool {
-    targets: SlotMap<TargetKey, TargetState>,
+    pub(super) targets: SlotMap<TargetKey, TargetState>,
     by_id: HashMap<String, TargetKey>,
-    by_hash: HashMap<u32, TargetKey>,
+    pub(super) by_hash: HashMap<u32, TargetKey>,
     by_service: HashMap<String, Vec<TargetKey>>,
     /// Incarnations that announced that they leave and were removed, by id, and until when they are
     /// remembered.
     departed: HashMap<String, (u64, MonoTime)>,
     /// Queue for digests: short hashes of prefix and target, and the number of digests still to
     /// come.
-    prefix_queue: VecDeque<(u32, u32, u8)>,
+    pub(super) prefix_queue: VecDeque<(u32, u32, u8)>,
     pub(super) admissions: HashMap<String, ServiceAdmission>,
 }
 
@@ -288,19 +252,9 @@
         let new_prefixes =
             prefixes.clone().filter(|prefix| !state.prefixes.contains_key(prefix)).collect();
         prefixes.for_each(|prefix| state.record_prefix(prefix, now));
-        // A cached prefix implies all shorter ones, so the two longest suffice: the whole prompt,
-        // which only its own session can reuse, and the shared prefix before it.
-        for prefix in chain.prefixes().iter().rev().take(2) {
-            self.prefix_queue.push_back((
-                short_prefix(prefix.hash),
-                state.short_hash,
-                DIGESTS_PER_PREFIX,
-            ));
-        }
-        while self.prefix_queue.len() > MAX_QUEUED_PREFIXES {
-            self.prefix_queue.pop_front();
-        }
-        SendRecord { backlog_tokens: uncached, new_prefixes, load: state.requests(), sent_at: now }
+        let load = state.requests();
+        self.queue_prefixes(key, chain);
+        SendRecord { backlog_tokens: uncached, new_prefixes, load, sent_at: now }
     }
 
     /// Counts a second send of a request to the same target against the rate that it takes.
@@ -333,59 +287,6 @@
         }
     }
 
-    /// Removes the prefixes that were recorded as cached for a request which the target did not
-    /// run, except those that a later request has recorded again.
-    pub fn undo_send(&mut self, key: TargetKey, record: &SendRecord) {
-        let Some(state) = self.targets.get_mut(key) else { return };
-        let prefixes = &mut state.prefixes;
-        let is_unchanged =
-            |prefix: &&u32| prefixes.get(*prefix).is_some_and(|time| *time == record.sent_at);
-        let removed: Vec<_> = record.new_prefixes.iter().filter(is_unchanged).copied().collect();
-        for prefix in &removed {
-            prefixes.remove(prefix);
-        }
-        let hash = state.short_hash;
-        self.prefix_queue
-            .retain(|(prefix, target, _)| *target != hash || !removed.contains(prefix));
-    }
-
-    /// At most `count` recently cached prefixes to report in the next digest, as pairs of the short
-    /// hashes of prefix and target.
-    pub fn recent_prefixes(&mut self, count: usize) -> Vec<(u32, u32)> {
-        let due = count.min(self.prefix_queue.len());
-        let reported: Vec<_> = self.prefix_queue.drain(..due).collect();
-        let repeated = reported.iter().filter(|(_, _, remaining)| *remaining > 1);
-        let repeated: Vec<_> =
-            repeated.map(|(prefix, hash, remaining)| (*prefix, *hash, remaining - 1)).collect();
-        self.prefix_queue.extend(repeated);
-        reported.into_iter().map(|(prefix, hash, _)| (prefix, hash)).collect()
-    }
-
-    /// Records a prefix from a target's own list of its cache, and queues it for digests.
-    pub fn record_listed_prefix(&mut self, key: TargetKey, prefix: u64, now: MonoTime) {
-        let Some(state) = self.targets.get_mut(key) else { return };
-        let prefix = short_prefix(prefix);
-        state.record_prefix(prefix, now);
-        self.prefix_queue.push_back((prefix, state.short_hash, DIGESTS_PER_PREFIX));
-    }
-
-    /// All cached prefixes that are known, as pairs of the short hashes of prefix and target.
-    pub fn all_prefixes(&self) -> Vec<(u32, u32)> {
-        let targets = self.targets.values();
-        let prefixes =
-            targets.flat_map(|s| s.prefixes.keys().map(|prefix| (*prefix, s.short_hash)));
-        prefixes.collect()
-    }
-
-    /// Records a cached prefix that another daemon reported, by the short hashes of target and
-    /// prefix.
-    pub fn record_peer_prefix(&mut self, hash: u32, prefix: u32, now: MonoTime) {
-        let Some(key) = self.by_hash.get(&hash) else { return };
-        if let Some(state) = self.targets.get_mut(*key) {
-            state.record_prefix(prefix, now);
-        }
-    }
-
     /// Records that a target has prefilled this many tokens of a request's prompt.
     pub fn record_prefill(&mut self, key: TargetKey, tokens: u32) {
         if let Some(state) = self.targets.get_mut(key) {
