fix: front: the trial after a refusal is sent, and keeps its further attempts

What callers would see: when the refusal of a crashing request or part ended (60 s after its last crash), the daemon panicked in the task of the next such request, whose connection was closed without an answer; and had it not, a trial whose first connection failed was refused by its own trial. Found reading the diff; no test went through the daemon, since the refusal took a minute.

Cause: the table of crashes stayed borrowed for the whole match over its judgement, and the trial borrows it again; the trial did not know whose it was.

Evidence: one_request_with_a_crashing_part_is_tried_after_its_refusal and part_whose_trial_completes_is_served_again failed before with 'RefCell already borrowed', and with that alone fixed since the trial's second attempt was refused. They use the new setting crash_refusal_s (60 s unless given).

Change: the judgement is taken before the match; a trial belongs to one call, whose further attempts are part of it.

--- a/ggt-core/src/crashes/table.rs
+++ b/ggt-core/src/crashes/table.rs
@@ -26,6 +26,15 @@
     pub(super) reports: u32,
 }
 
+/// A request that is sent after the end of a refusal.
+#[derive(Clone, Copy, Debug)]
+struct CrashTrial {
+    /// Hash of the id of its call.
+    call_hash: u64,
+    /// Until when it may be in flight.
+    ends_at: MonoTime,
+}
+
 /// What is stored about one suspect.
 #[derive(Clone, Debug)]
 pub(super) struct CrashEntry {
@@ -38,8 +47,8 @@
     expires_at: MonoTime,
     /// When the last of its crashes was noticed, cleared ones included.
     last_recorded_at: MonoTime,
-    /// Until when a request that was sent as a trial may be in flight.
-    pub(super) trial_until: Option<MonoTime>,
+    /// The request that is sent as a trial.
+    trial: Option<CrashTrial>,
 }
 
 impl CrashEntry {
@@ -145,7 +154,7 @@
             cleared: BTreeSet::new(),
             expires_at,
             last_recorded_at: noticed_at,
-            trial_until: None,
+            trial: None,
         });
         if entry.cleared.contains(&crash) {
             return CrashOutcome::Known;
@@ -160,7 +169,7 @@
             CrashSource::Peer => URGENT_REPORTS,
         };
         entry.crashes.insert(crash, CrashState { noticed_at, reports });
-        entry.trial_until = None;
+        entry.trial = None;
         CrashOutcome::New { dropped }
     }
 
@@ -222,14 +231,22 @@
         Some(entry.expires_at.min(MonoTime::from_millis(ends_ms)))
     }
 
-    /// Begins a trial: a request with this suspect is sent, and others are refused until its outcome
-    /// is known, `until` at the latest. Returns `false` while another trial is in progress here.
-    pub fn begin_trial(&mut self, suspect: SuspectKey, now: MonoTime, until: MonoTime) -> bool {
+    /// Begins a trial: the call with this hash is sent, and others with the suspect are refused until
+    /// its outcome is known, `ends_at` at the latest. Returns `false` while another call's trial is in
+    /// progress here.
+    pub fn begin_trial(
+        &mut self,
+        suspect: SuspectKey,
+        call_hash: u64,
+        now: MonoTime,
+        ends_at: MonoTime,
+    ) -> bool {
         let Some(entry) = self.entries.get_mut(&suspect) else { return false };
-        if entry.trial_until.is_some_and(|until| now < until) {
+        let is_other = |trial: CrashTrial| now < trial.ends_at && trial.call_hash != call_hash;
+        if entry.trial.is_some_and(is_other) {
             return false;
         }
-        entry.trial_until = Some(until);
+        entry.trial = Some(CrashTrial { call_hash, ends_at });
         true
     }
 
--- a/ggt-core/tests/crashes.rs
+++ b/ggt-core/tests/crashes.rs
@@ -252,8 +252,10 @@
         assert!(matches!(judgement, CrashJudgement::Refused(_)), "{failed} failed: {judgement:?}");
         let judgement = table.judge(&[REQUEST], at(trial_at));
         assert!(matches!(judgement, CrashJudgement::Trial(_)), "{failed} failed: {judgement:?}");
-        assert!(table.begin_trial(REQUEST, at(trial_at), at(trial_at + 2_000)));
-        assert!(!table.begin_trial(REQUEST, at(trial_at + 1_999), at(trial_at + 9_000)));
+        let ends_at = at(trial_at + 2_000);
+        assert!(table.begin_trial(REQUEST, 1, at(trial_at), ends_at));
+        assert!(!table.begin_trial(REQUEST, 2, at(trial_at + 1_999), at(trial_at + 9_000)));
+        assert!(table.begin_trial(REQUEST, 1, at(trial_at + 1_999), ends_at), "its next attempt");
         crash(&mut table, 10 + failed as u64, trial_at + 100);
         trial_at += 100 + refusal_ms;
     }
@@ -265,7 +267,7 @@
     let options = CrashOptions { first_refusal_ms: 60_000, ..CrashOptions::default() };
     let mut table = CrashTable::new(options);
     (1..=3).for_each(|number| record(&mut table, REQUEST, number));
-    assert!(table.begin_trial(REQUEST, at(60_010), at(70_000)));
+    assert!(table.begin_trial(REQUEST, 1, at(60_010), at(70_000)));
     table.record_completion(REQUEST, at(60_500));
     assert_eq!(table.judge(&[REQUEST], at(60_501)), CrashJudgement::Clear);
 }
--- a/ggt-daemon/src/front/crashes.rs
+++ b/ggt-daemon/src/front/crashes.rs
@@ -21,14 +21,15 @@
 use ggt_core::crashes::LostReply;
 use ggt_core::crashes::SuspectKey;
 use ggt_core::fleet::PeerDigest;
+use ggt_core::ident::stable_hash;
 use ggt_core::prompts::PromptPart;
 
-/// Limits of the table of requests that are suspected of crashing their targets. The users' rule allows
-/// three sends after the refusal, so there are at most three trials.
+/// Limits of the table of suspects of crashes; the settings hold the duration of the first refusal. The
+/// users' rule allows three sends after the refusal, so there are at most three trials.
 pub const CRASH_OPTIONS: CrashOptions = CrashOptions {
     limit: 3,
     capacity: 4_096,
-    first_refusal_ms: 60_000,
+    first_refusal_ms: u64::MAX,
     refusal_factor: 4,
     max_refusal_ms: u64::MAX,
     max_failed_trials: 3,
@@ -204,7 +205,8 @@
     /// The refusal of a request that is to blame for too many crashes; `None` if it may be sent.
     pub fn refuse_crashing(&self, job: &FrontJob) -> Option<FrontRefusal> {
         let now = mono_now();
-        let refusal = match self.crashes.borrow().judge(job.suspects.keys(), now) {
+        let judgement = self.crashes.borrow().judge(job.suspects.keys(), now);
+        let refusal = match judgement {
             CrashJudgement::Clear => return None,
             CrashJudgement::Explained { suspect, by } => {
                 log::info!(
@@ -243,7 +245,9 @@
         if now < refusal.until + rank * TRIAL_STAGGER_MS {
             return false;
         }
-        let is_begun = self.crashes.borrow_mut().begin_trial(refusal.suspect, now, job.deadline);
+        let call_hash = stable_hash(job.id.as_bytes());
+        let mut table = self.crashes.borrow_mut();
+        let is_begun = table.begin_trial(refusal.suspect, call_hash, now, job.deadline);
         if is_begun {
             log::info!(
                 "event=crash-trial request_id={} print={:016x} crashes={} rank={rank}",
--- a/ggt-daemon/src/front/settings.rs
+++ b/ggt-daemon/src/front/settings.rs
@@ -45,6 +45,10 @@
     pub first_start: bool,
     /// Seconds from the stop signal until the process is killed.
     pub grace_s: f64,
+    /// Seconds for which requests are refused after the crash of a target that they are blamed for;
+    /// longer after each trial that crashes another one.
+    #[serde(default = "default_crash_refusal_s")]
+    pub crash_refusal_s: f64,
     /// Least severe level to log: `error`, `warn`, `info`, `debug` or `trace`.
     #[serde(default = "default_log_level")]
     pub log_level: String,
@@ -78,12 +82,21 @@
         }
     }
 
+    /// Milliseconds of the first refusal of requests that are blamed for crashes.
+    pub fn crash_refusal_ms(&self) -> u64 {
+        (self.crash_refusal_s * MILLIS_PER_SECOND) as u64
+    }
+
     /// Milliseconds from the stop signal until the process is killed.
     pub fn grace_ms(&self) -> u64 {
         (self.grace_s * MILLIS_PER_SECOND) as u64
     }
 }
 
+fn default_crash_refusal_s() -> f64 {
+    60.0
+}
+
 fn default_link_mbps() -> f64 {
     1_000.0
 }
@@ -117,6 +130,7 @@
         ("retries.slack", retries.slack < 0.0, "must not be negative"),
         ("retries.window_s", retries.window_s <= 0.0, "must be more than 0"),
         ("grace_s", settings.grace_s <= 0.0, "must be more than 0"),
+        ("crash_refusal_s", settings.crash_refusal_s <= 0.0, "must be more than 0"),
         ("log_level", log_level.is_err(), "must be error, warn, info, debug or trace"),
     ];
     checks.into_iter().find(|(_, is_invalid, _)| *is_invalid).map(|(path, _, cause)| (path, cause))
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -19,6 +19,7 @@
 use crate::logging::quoted;
 use crate::upstream::ConnectionPool;
 use ggt_core::clock::MonoTime;
+use ggt_core::crashes::CrashOptions;
 use ggt_core::crashes::CrashTable;
 use ggt_core::crashes::LossTable;
 use ggt_core::fleet::FleetTable;
@@ -129,6 +130,8 @@
     /// State of a daemon that starts now.
     pub fn new(settings: FrontSettings, metrics: FrontMetrics) -> Self {
         let fleet = FleetTable::new(settings.peer);
+        let crash_options =
+            CrashOptions { first_refusal_ms: settings.crash_refusal_ms(), ..CRASH_OPTIONS };
         let centre_hash = stable_hash(settings.data_centre.as_bytes()) as u32;
         Self {
             centre_hash,
@@ -142,7 +145,7 @@
             pool: RefCell::default(),
             connections: ConnectionPool::default(),
             fleet: RefCell::new(fleet),
-            crashes: RefCell::new(CrashTable::new(CRASH_OPTIONS)),
+            crashes: RefCell::new(CrashTable::new(crash_options)),
             losses: RefCell::new(LossTable::new(CRASH_OPTIONS.capacity)),
             shares: RefCell::default(),
             buffers: BufferBudget::default(),
--- a/ggt-testkit/src/front.rs
+++ b/ggt-testkit/src/front.rs
@@ -17,6 +17,7 @@
 
 use crate::address::LoopbackNet;
 use crate::http::HttpRequest;
+use crate::layout::merge;
 use crate::process::ChildProcess;
 use crate::wait::wait_until;
 
@@ -50,6 +51,8 @@
     pub daemons: Vec<FrontDaemon>,
     net: LoopbackNet,
     folder: PathBuf,
+    /// Settings of all daemons that replace or extend the usual ones.
+    settings: Value,
 }
 
 impl FrontFleet {
@@ -59,11 +62,20 @@
     /// # Panics
     /// When any of them does not start.
     pub fn start(servers: usize, daemons: usize) -> Self {
+        Self::start_with(servers, daemons, json!({}))
+    }
+
+    /// Starts a fleet like [`FrontFleet::start`], with these settings in addition.
+    ///
+    /// # Panics
+    /// When any of them does not start.
+    pub fn start_with(servers: usize, daemons: usize, settings: Value) -> Self {
         let net = LoopbackNet::allocate();
         let folder = std::env::temp_dir().join(format!("ggt-front-{}", net.ip(0)));
         std::fs::create_dir_all(&folder).expect("should create the settings folder");
         let store = StoreStandin::start(net.port(1)).expect("store should start");
-        let mut fleet = Self { store, servers: Vec::new(), daemons: Vec::new(), net, folder };
+        let mut fleet =
+            Self { store, servers: Vec::new(), daemons: Vec::new(), net, folder, settings };
         fleet.publish(&test_config(1));
         (0..servers).for_each(|number| fleet.add_server(&format!("i-{number}")));
         (0..daemons).for_each(|number| fleet.add_daemon(number, None));
@@ -157,7 +169,7 @@
         let octet = octet_of(number);
         let (callers, ready, admin) =
             (self.net.port(octet), self.net.port(octet), self.net.port(octet));
-        let settings = json!({
+        let mut settings = json!({
             "name": format!("d-{number}"),
             "data_centre": "a",
             "callers": callers,
@@ -170,6 +182,7 @@
             "retries": { "ratio": 0.2, "slack": 50.0, "window_s": 10.0 },
             "grace_s": 8.0,
         });
+        merge(&mut settings, &self.settings);
         let file = self.folder.join(format!("d-{number}.json"));
         std::fs::write(&file, settings.to_string()).expect("should write the settings file");
         let process = ChildProcess::spawn_daemon(&file);
--- a/ggt-testkit/tests/platform_crashing_parts.rs
+++ b/ggt-testkit/tests/platform_crashing_parts.rs
@@ -3,6 +3,10 @@
 
 use std::io::Write;
 use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
+use serde_json::json;
 
 use ggt_standin::users_platform::AfterResponse;
 use ggt_standin::users_platform::WireRequest;
@@ -202,6 +206,54 @@
     }
 }
 
+/// Servers that crash on the part, and a daemon that refuses it for half a second at first; sends
+/// requests until the part is refused, and waits until that has ended.
+fn start_refused() -> FrontFleet {
+    let fleet = FrontFleet::start_with(SERVERS, 1, json!({ "crash_refusal_s": 0.5 }));
+    for server in &fleet.servers {
+        server.set_script(|request, stream| {
+            crash_or_respond(CrashPoint::BeforeHead, request, stream)
+        });
+    }
+    let parts = [SHARED_PART, CRASHING_PART];
+    let is_refused = |number| send(&fleet, 0, "once", &parts, number).status == 503;
+    assert!((0..CRASHING_REQUESTS).any(is_refused), "the part should be refused");
+    thread::sleep(Duration::from_millis(700));
+    fleet
+}
+
+// Guards against concurrent requests that each crash a server when a refusal ends, and against a daemon
+// that fails in the attempt to send one of them.
+#[test]
+fn one_request_with_a_crashing_part_is_tried_after_its_refusal() {
+    let fleet = start_refused();
+    let crashes = crashing_count(&fleet);
+    thread::scope(|scope| {
+        for number in 0..6 {
+            let fleet = &fleet;
+            scope.spawn(move || {
+                let response = send(fleet, 0, "once", &[SHARED_PART, CRASHING_PART], 50 + number);
+                assert!(matches!(response.status, 502 | 503), "{}", response.body);
+            });
+        }
+    });
+    assert_eq!(crashing_count(&fleet), crashes + 1);
+    assert_eq!(send(&fleet, 0, "once", &[SHARED_PART, CRASHING_PART], 90).status, 503);
+}
+
+// Guards against a part that stays refused although it no longer crashes servers.
+#[test]
+fn part_whose_trial_completes_is_served_again() {
+    let fleet = start_refused();
+    for server in &fleet.servers {
+        server.set_script(|request, stream| respond(request, stream, 200, "whole"));
+    }
+    for number in 0..4 {
+        let response = send(&fleet, 0, "once", &[SHARED_PART, CRASHING_PART], 50 + number);
+        assert_eq!(response.status, 200, "{}", response.body);
+    }
+}
+
 // Guards against daemons that each count only the crashes that they saw themselves.
 #[test]
 fn crashes_by_a_prompt_part_add_up_over_the_daemons() {
