fix: standin: a crashed server accepts no connection while another thread starts a process

The kernel accepted the daemon's check, so the crash was not seen. The logs show the check of a crashed server succeed in the same milliseconds in which two daemons of other tests were started.

--- a/ggt-standin/src/users_platform/server.rs
+++ b/ggt-standin/src/users_platform/server.rs
@@ -14,6 +14,8 @@
 use std::thread;
 use std::thread::JoinHandle;
 
+use socket2::SockRef;
+
 use crate::server::lock;
 use crate::users_platform::request::WireRequest;
 use crate::users_platform::request::read_request;
@@ -150,6 +152,10 @@
 fn accept_connections(state: &Arc<ServerState>, listener: &TcpListener) {
     for stream in listener.incoming().flatten() {
         if state.is_down.load(Ordering::SeqCst) {
+            // A process that another thread starts at this moment has a copy of the listener until it
+            // executes its program, and the kernel would accept connections for that long.
+            // Ignored: the listener is closed in any case.
+            let _ = SockRef::from(listener).shutdown(Shutdown::Both);
             return;
         }
         let state = state.clone();
