fix: testkit: a test process reserves its block of loopback addresses

Once in some 100 rounds of platform_crashing_parts, and once in 50 rounds beside two soaks, a daemon was not ready for 90 s. The lines of the second one: 'peer address 127.151.2.100:1990: Address already in use'. Processes chose their addresses by process id modulo 200, so one pair in 200 shared them; soaks are such processes for minutes.

--- a/ggt-testkit/src/address.rs
+++ b/ggt-testkit/src/address.rs
@@ -4,6 +4,8 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::net::UdpSocket;
+use std::sync::LazyLock;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::AtomicU16;
 use std::sync::atomic::Ordering;
@@ -11,6 +13,16 @@
 /// First port of the range from which Linux takes ports for outgoing connections by default.
 const FIRST_KERNEL_PORT: u16 = 32_768;
 
+/// Number of blocks of addresses among which processes choose theirs.
+const PROCESS_BLOCKS: u32 = 200;
+/// Second octet of the first of these blocks.
+const FIRST_PROCESS_OCTET: u8 = 20;
+/// Port of the socket that reserves a block for a process.
+const GUARD_PORT: u16 = 1_989;
+
+/// Second octet of all addresses of this process, and the socket that reserves it until the process ends.
+static PROCESS_BLOCK: LazyLock<(u8, UdpSocket)> = LazyLock::new(reserve_process_block);
+
 static NEXT_PORT: AtomicU16 = AtomicU16::new(2_000);
 static NEXT_NET: AtomicU8 = AtomicU8::new(0);
 
@@ -23,10 +35,17 @@
 }
 
 impl LoopbackNet {
-    /// Returns a block that is unique within this process and unlikely to be used by another test process.
+    /// Returns a block that no other fleet of this or another test process uses.
+    ///
+    /// # Panics
+    /// When other processes have reserved all blocks.
     pub fn allocate() -> Self {
-        let second = u8::try_from(std::process::id() % 200).unwrap_or_default() + 20;
-        Self { second, third: NEXT_NET.fetch_add(1, Ordering::SeqCst) }
+        Self { second: PROCESS_BLOCK.0, third: NEXT_NET.fetch_add(1, Ordering::SeqCst) }
+    }
+
+    /// Address of the socket that reserves the addresses of this process.
+    pub fn guard_address(self) -> SocketAddr {
+        guard_address(self.second)
     }
 
     /// The address of the block with the given last octet.
@@ -62,3 +81,18 @@
         SocketAddr::new(self.ip(octet), first)
     }
 }
+
+fn guard_address(second: u8) -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, second, u8::MAX, 254)), GUARD_PORT)
+}
+
+/// Reserves the first block that no other process has, from one that depends on the process id on.
+fn reserve_process_block() -> (u8, UdpSocket) {
+    let own = std::process::id() % PROCESS_BLOCKS;
+    let octets = (0..PROCESS_BLOCKS)
+        .map(|offset| FIRST_PROCESS_OCTET + ((own + offset) % PROCESS_BLOCKS) as u8);
+    let mut reserved = octets.filter_map(|octet| {
+        UdpSocket::bind(guard_address(octet)).ok().map(|socket| (octet, socket))
+    });
+    reserved.next().expect("a block of loopback addresses should be free")
+}
