--- a/ggt-testkit/tests/crashing_chats.rs
+++ b/ggt-testkit/tests/crashing_chats.rs
@@ -1,5 +1,9 @@
 //! Chats whose requests crash the engines that run them, each with another body.
 
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
 use serde_json::json;
 
 use ggt_testkit::fleet::TestFleet;
@@ -10,6 +14,10 @@
 const CRASH_LIMIT: usize = 3;
 /// Number of engines that a chat may crash: the users' rule allows three after the fifth.
 const MAX_CRASHES: usize = 8;
+/// Time after a crash from which on the users' rule counts (their `StableMs`).
+const STABLE_TIME: Duration = Duration::from_secs(3);
+/// Pause between two looks at the daemons' status.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Number of engines; crashed ones are not restarted.
 const ENGINES: usize = 10;
 
@@ -37,6 +45,19 @@
     (0..fleet.targets.len()).filter(|index| is_crashed(fleet, *index)).count()
 }
 
+/// Waits until each daemon counts this many crashes against a request and its chat, at most for the time
+/// that the users' rule leaves them.
+fn await_told(fleet: &TestFleet, crashed: usize) {
+    let is_told = |daemon: usize| {
+        let status = fleet.status(daemon).expect("daemon should report its status");
+        status["suspect_crashes"].as_u64() >= Some(2 * crashed as u64)
+    };
+    let deadline = Instant::now() + STABLE_TIME;
+    while Instant::now() < deadline && !(0..fleet.daemons.len()).all(is_told) {
+        thread::sleep(POLL_INTERVAL);
+    }
+}
+
 // Guards against a chat that crashes one engine after the other, since crashes counted against the
 // body and path of a request only.
 #[test]
@@ -52,12 +73,7 @@
         if crashed == crashed_before {
             assert_eq!((response.status, response.verdict()), (422, "not-run"));
         }
-        // Each crash counts against the request and its chat.
-        for daemon in 0..fleet.daemons.len() {
-            fleet.await_status("the daemon knows of the crashes", daemon, |status| {
-                status["suspect_crashes"].as_u64() >= Some(2 * crashed as u64)
-            });
-        }
+        await_told(&fleet, crashed);
     }
     let other = send(&fleet, 0, "other-chat", "a sound request");
     assert_eq!(other.status, 200, "{}", other.body);
--- a/ggt-testkit/tests/platform_crashing_parts.rs
+++ b/ggt-testkit/tests/platform_crashing_parts.rs
@@ -5,6 +5,7 @@
 use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use serde_json::json;
 
@@ -17,7 +18,6 @@
 use ggt_standin::users_platform::stream_head;
 use ggt_testkit::front::FrontFleet;
 use ggt_testkit::http::HttpResponse;
-use ggt_testkit::wait::wait_until;
 
 /// Number of requests with the part that may crash a server: the users' rule allows three after the
 /// fifth crash.
@@ -28,6 +28,10 @@
 const CRASHING_REQUESTS: usize = 14;
 /// Records of one crash by a request with two shared parts: its own and one for each part.
 const SUSPECTS: usize = 3;
+/// Time after a crash from which on the users' rule counts (their `StableMs`).
+const STABLE_TIME: Duration = Duration::from_secs(3);
+/// Pause between two looks at the daemons' counters.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// The part that crashes servers.
 const CRASHING_PART: &str = "bad0";
 /// A part that both the crashing and the sound requests begin with.
@@ -266,13 +270,16 @@
     }
 }
 
-/// Waits until each daemon knows this many crashes by requests with two shared parts.
+/// Waits until each daemon has a record for each suspect of this many crashes, at most for the time that
+/// the users' rule leaves them.
 fn await_told(fleet: &FrontFleet, crashes: usize) {
-    for daemon in 0..fleet.daemons.len() {
-        wait_until("the daemon has been told of the crashes", || {
-            let change = |change| fleet.metric(daemon, "front_crashes_total", change);
-            change("change=\"seen\"") + change("change=\"told\"") >= (crashes * SUSPECTS) as f64
-        });
+    let is_told = |daemon: usize| {
+        let change = |change| fleet.metric(daemon, "front_crashes_total", change);
+        change("change=\"seen\"") + change("change=\"told\"") >= (crashes * SUSPECTS) as f64
+    };
+    let deadline = Instant::now() + STABLE_TIME;
+    while Instant::now() < deadline && !(0..fleet.daemons.len()).all(is_told) {
+        thread::sleep(POLL_INTERVAL);
     }
 }
 
