--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -72,6 +72,31 @@
     Deadline,
 }
 
+/// Why a request may not be sent to another target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RetryDenial {
+    /// It may have run and must not run twice.
+    NotIdempotent,
+    /// The route's maximum number of attempts is reached.
+    Attempts,
+    /// The deadline has passed.
+    Deadline,
+    /// This daemon's part of the service's retry budget is spent.
+    Budget,
+}
+
+impl RetryDenial {
+    /// The cause as written in logs.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::NotIdempotent => "not-idempotent",
+            Self::Attempts => "attempts",
+            Self::Deadline => "deadline",
+            Self::Budget => "budget",
+        }
+    }
+}
+
 /// The target of a send, as it was when it was chosen.
 #[derive(Clone, Copy, Debug)]
 struct SentTarget {
@@ -123,14 +148,32 @@
     }
 
     /// Whether the request may be sent to another target after a failure. Takes the retry from the
-    /// service's retry budget.
+    /// service's retry budget; logs what denies it.
     pub fn try_next_send(&self) -> bool {
+        let denial = self
+            .retry_denial()
+            .or_else(|| (!self.state.try_retry(&self.job.service)).then_some(RetryDenial::Budget));
+        let Some(denial) = denial else { return true };
+        log::info!(
+            "event=retry-denied request_id={} cause={} sends={} left_ms={}",
+            quoted(&self.job.id),
+            denial.as_str(),
+            self.sends,
+            self.job.remaining_ms(),
+        );
+        false
+    }
+
+    /// What denies a retry, apart from the retry budget.
+    fn retry_denial(&self) -> Option<RetryDenial> {
         let job = &self.job;
-        let is_allowed = !self.may_have_run || job.route.is_idempotent;
-        is_allowed
-            && self.sends < job.route.max_attempts
-            && mono_now() < job.deadline
-            && self.state.try_retry(&job.service)
+        if self.may_have_run && !job.route.is_idempotent {
+            return Some(RetryDenial::NotIdempotent);
+        }
+        if self.sends >= job.route.max_attempts {
+            return Some(RetryDenial::Attempts);
+        }
+        (mono_now() >= job.deadline).then_some(RetryDenial::Deadline)
     }
 
     /// Sends the request to one target after another until the head of a reply arrives.
--- a/ggt-daemon/src/front/callers.rs
+++ b/ggt-daemon/src/front/callers.rs
@@ -33,6 +33,7 @@
 use crate::front::response::ResponseBody;
 use crate::front::state::FrontState;
 use crate::front::stream::serve_stream;
+use crate::logging::quoted;
 use ggt_core::routes::CallerLimits;
 use ggt_platform::ATTEMPT_HEADER;
 use ggt_platform::parse_request_headers;
@@ -80,10 +81,16 @@
         }
     };
     if let Err(e) = result {
-        log::debug!("event=caller address={caller} cause=\"{e}\"");
+        log_broken_connection(caller, &e);
     }
 }
 
+/// Logs a connection that broke; one that was idle until its timeout only at debug level.
+fn log_broken_connection(caller: SocketAddr, error: &hyper::Error) {
+    let level = if error.is_timeout() { log::Level::Debug } else { log::Level::Info };
+    log::log!(level, "event=caller address={caller} cause={}", quoted(&error.to_string()));
+}
+
 async fn serve_request(
     state: Rc<FrontState>,
     request: Request<Incoming>,
--- a/ggt-daemon/src/front/job.rs
+++ b/ggt-daemon/src/front/job.rs
@@ -57,8 +57,8 @@
     }
 }
 
-/// Counts a request as in flight until it is dropped; logs a disconnected caller if no other
-/// outcome was logged before.
+/// Counts a request as in flight until it is dropped; logs a disconnected caller, or a panic of the
+/// request's task, if no other outcome was logged before.
 pub struct JobGuard {
     state: Rc<FrontState>,
     id: String,
@@ -92,7 +92,10 @@
 
 impl Drop for JobGuard {
     fn drop(&mut self) {
-        self.end("caller-left", 0, "connection-closed");
+        match std::thread::panicking() {
+            true => self.end("failed", 0, "panic"),
+            false => self.end("caller-left", 0, "connection-closed"),
+        }
         self.state.in_flight.set(self.state.in_flight.get().saturating_sub(1));
     }
 }
