--- /dev/null
+++ b/ggt-testkit/tests/platform_silence.rs
@@ -0,0 +1,140 @@
+//! Servers of the users' platform that are silent for a second or so and then continue: no response ends
+//! sooner for that, and no stream runs twice.
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
+use serde_json::json;
+
+use ggt_standin::users_platform::AfterResponse;
+use ggt_standin::users_platform::ServerStandin;
+use ggt_standin::users_platform::WireRequest;
+use ggt_standin::users_platform::event_chunk;
+use ggt_standin::users_platform::respond;
+use ggt_standin::users_platform::stream_head;
+use ggt_standin::users_platform::test_config;
+use ggt_testkit::front::FrontFleet;
+use ggt_testkit::http::HttpResponse;
+
+/// Silence of a sound server.
+const SILENCE: Duration = Duration::from_millis(1_500);
+/// Events of each stream.
+const EVENTS: u64 = 12;
+/// Event after which a server falls silent.
+const SILENT_AFTER: u64 = 4;
+/// Pause between two events.
+const EVENT_INTERVAL: Duration = Duration::from_millis(10);
+/// Streams in flight at the same time, fewer than the slots of one server.
+const STREAMS: usize = 6;
+
+fn events_text() -> String {
+    (1..=EVENTS).map(|id| format!("id: {id}\ndata: piece {id}\n\n")).collect()
+}
+
+/// Sends all events after the caller's last one, with [`SILENCE`] after event `silent_after`; 0 is
+/// before the response's head.
+fn send_with_silence(
+    request: &WireRequest,
+    stream: &mut TcpStream,
+    silent_after: u64,
+) -> std::io::Result<()> {
+    if silent_after == 0 {
+        thread::sleep(SILENCE);
+    }
+    stream.write_all(stream_head(request).as_bytes())?;
+    for id in request.last_event_id().unwrap_or(0) + 1..=EVENTS {
+        stream.write_all(event_chunk(id).as_bytes())?;
+        thread::sleep(if id == silent_after { SILENCE } else { EVENT_INTERVAL });
+    }
+    stream.write_all(b"0\r\n\r\n")
+}
+
+/// Makes a server fall silent after event `silent_after` of each stream.
+fn set_silent_script(server: &ServerStandin, silent_after: u64) {
+    server.set_script(move |request, stream| {
+        match send_with_silence(request, stream, silent_after) {
+            Ok(()) => AfterResponse::Keep,
+            // The daemon closed the connection.
+            Err(_) => AfterResponse::Close,
+        }
+    });
+}
+
+/// Sends streams at the same time and returns their responses.
+fn send_streams(fleet: &FrontFleet) -> Vec<HttpResponse> {
+    thread::scope(|scope| {
+        let send = |number| {
+            let id = format!("id-{number}");
+            let request = fleet.request(0, "POST", "/chat/", &id).body("x");
+            scope.spawn(move || request.send().expect("should respond"))
+        };
+        let callers: Vec<_> = (0..STREAMS).map(send).collect();
+        callers.into_iter().map(|caller| caller.join().expect("should not panic")).collect()
+    })
+}
+
+fn check_whole(responses: &[HttpResponse]) {
+    for response in responses {
+        assert!(response.is_complete, "cut short: {} {}", response.status, response.body);
+        assert_eq!((response.status, response.body.as_str()), (200, events_text().as_str()));
+    }
+}
+
+// Guards against a stream that is cut although its server would have gone on, because the daemon gives
+// up a silent reply without knowing that another server may take the stream.
+#[test]
+fn stream_of_the_only_server_is_complete_after_a_silence() {
+    let fleet = FrontFleet::start(1, 1);
+    set_silent_script(&fleet.servers[0], SILENT_AFTER);
+    let responses = thread::scope(|scope| {
+        let publisher = scope.spawn(|| {
+            for version in 2..7 {
+                fleet.publish(&test_config(version));
+                thread::sleep(Duration::from_millis(300));
+            }
+        });
+        let responses = send_streams(&fleet);
+        publisher.join().expect("should not panic");
+        responses
+    });
+    check_whole(&responses);
+}
+
+// Guards against streams that are all sent to a second server because the first is silent for a second
+// or so.
+#[test]
+fn stream_of_a_sound_silent_server_is_sent_once() {
+    let fleet = FrontFleet::start(3, 1);
+    fleet.servers.iter().for_each(|server| set_silent_script(server, SILENT_AFTER));
+    check_whole(&send_streams(&fleet));
+    let sends: usize = (0..STREAMS).map(|n| fleet.request_count(&format!("id-{n}"))).sum();
+    assert_eq!(sends, STREAMS);
+}
+
+// Guards against a refusal in place of a stream whose server is silent before its response's head while
+// no other server can take the stream.
+#[test]
+fn stream_of_the_only_server_is_complete_after_a_silence_before_its_head() {
+    let fleet = FrontFleet::start(1, 1);
+    set_silent_script(&fleet.servers[0], 0);
+    check_whole(&send_streams(&fleet));
+}
+
+// Guards against an error in place of the response of a server that is at work, because the daemon gives
+// up a silent request before it knows that the retry budget allows to send it again.
+#[test]
+fn idempotent_request_of_a_silent_server_is_answered_without_a_retry_budget() {
+    let settings = json!({ "retries": { "ratio": 0.0, "slack": 0.0, "window_s": 10.0 } });
+    let fleet = FrontFleet::start_with(2, 1, settings);
+    for server in &fleet.servers {
+        server.set_script(|request, stream| {
+            thread::sleep(SILENCE);
+            respond(request, stream, 200, "whole")
+        });
+    }
+    let response = fleet.request(0, "GET", "/read/", "id-1").send().expect("should respond");
+    assert_eq!((response.status, response.body.as_str()), (200, "whole"));
+    assert_eq!(fleet.request_count("id-1"), 1);
+}
