--- a/ggt-core/src/crashes/losses.rs
+++ b/ggt-core/src/crashes/losses.rs
@@ -92,6 +92,11 @@
         replies
     }
 
+    /// Whether a target is known to have ended.
+    pub fn has_ended(&self, crash: CrashId) -> bool {
+        self.ends.contains_key(&crash)
+    }
+
     /// Records that a target has replied to a request sent at `sent_at`, so that it has not ended.
     /// Returns the replies that ended with their connection before that, which are complete.
     pub fn record_reply(&mut self, crash: CrashId, sent_at: MonoTime) -> Vec<LostReply> {
--- a/ggt-core/src/lib.rs
+++ b/ggt-core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod retry_window;
 pub mod routes;
 pub mod routing;
+pub mod silence;
 pub mod store_cache;
 pub mod targets;
 pub mod verdict;
--- a/ggt-core/src/targets/choice.rs
+++ b/ggt-core/src/targets/choice.rs
@@ -32,6 +32,9 @@
     /// Whether the request may run more than once, so that it can serve as a trial request to any
     /// target.
     pub is_idempotent: bool,
+    /// Since when the request's last target has been silent. Other targets that have sent nothing since
+    /// then, though they have requests of this daemon, are not chosen.
+    pub silent_since: Option<MonoTime>,
 }
 
 /// Why a target was chosen.
@@ -141,6 +144,7 @@
         let listed: Vec<_> = keys
             .filter_map(|key| self.target(*key).map(|state| (*key, state)))
             .filter(|(key, state)| !state.record.is_leaving && !query.tried.contains(key))
+            .filter(|(_, state)| query.silent_since.is_none_or(|since| !is_silent(state, since)))
             .collect();
         let listed = without_unlisted(listed);
         let more_urgent = self.more_urgent_priorities(query, now);
@@ -150,8 +154,7 @@
         if let Some(choice) = choose_trial(&listed, query, now, is_open) {
             return Ok(choice);
         }
-        let reachable = listed.iter().filter(|(_, state)| !state.health.is_unreachable()).copied();
-        let reachable: Vec<_> = reachable.collect();
+        let reachable = self.reachable(&listed, now);
         let healthy: Vec<_> =
             reachable.iter().filter(|(_, s)| is_healthy(s, now)).copied().collect();
         // When most targets reply with errors, the cause is more likely elsewhere, and the few
@@ -189,6 +192,23 @@
 }
 
 impl TargetPool {
+    /// The targets that are not known to be unreachable. If there is none while other services have
+    /// some, those that have not been unresponsive for long: all may be silent for a moment.
+    fn reachable<'a>(
+        &self,
+        listed: &[(TargetKey, &'a TargetState)],
+        now: MonoTime,
+    ) -> Vec<(TargetKey, &'a TargetState)> {
+        let reachable = listed.iter().filter(|(_, state)| !state.health.is_unreachable());
+        let reachable: Vec<_> = reachable.copied().collect();
+        let is_cut_off = || self.iter().all(|(_, state)| state.health.is_unreachable());
+        if !reachable.is_empty() || is_cut_off() {
+            return reachable;
+        }
+        let unresponsive = listed.iter().filter(|(_, s)| s.health.is_briefly_unresponsive(now));
+        unresponsive.copied().collect()
+    }
+
     /// Leaves out other data centres in which several targets are unreachable, unless no target
     /// would remain: a network partition between data centres shows at a few targets first.
     fn outside_unreachable_centres<'a>(
@@ -254,6 +274,11 @@
     targets.into_iter().filter(|(_, state)| state.remove_at.is_none()).collect()
 }
 
+/// Whether a target that has requests of this daemon has sent nothing since this time.
+fn is_silent(state: &TargetState, since: MonoTime) -> bool {
+    state.own.requests > 0 && state.last_reply_at < since
+}
+
 fn is_healthy(state: &TargetState, now: MonoTime) -> bool {
     !state.health.is_held_down(now) && !state.health.is_half_open(now)
 }
--- a/ggt-core/src/targets/health.rs
+++ b/ggt-core/src/targets/health.rs
@@ -1,6 +1,7 @@
 //! Health of a target (outlier ejection), derived from the outcomes of its requests.
 
 use crate::clock::MonoTime;
+use crate::silence::MAX_SOUND_SILENCE_MS;
 
 /// Outcome of one request to a target, as far as it concerns the target's health.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -9,8 +10,11 @@
     Good,
     /// The target replied with an error, the reply was interrupted, or it was invalid.
     Bad,
-    /// The target could not be reached or did not reply in time.
+    /// The target refused the connection or has ended.
     Unreachable,
+    /// The connection could not be opened in time: the target may have ended, or be silent for a
+    /// moment.
+    Unresponsive,
 }
 
 /// First hold-down in milliseconds; it doubles with each failed trial request.
@@ -40,6 +44,9 @@
     /// End of the latest hold-down; `None` while the target is healthy.
     held_down_until: Option<MonoTime>,
     is_unreachable: bool,
+    /// First of the connection attempts in a row that timed out; `None` if none did, or if the target
+    /// is known to be unreachable for another reason.
+    unresponsive_since: Option<MonoTime>,
 }
 
 impl HealthState {
@@ -68,7 +75,16 @@
                 let must_hold_down = self.is_half_open(now) || self.is_outlier(sibling_share);
                 if must_hold_down { self.hold_down(false, now) } else { None }
             }
-            SendOutcome::Unreachable => self.hold_down(true, now),
+            SendOutcome::Unreachable => {
+                self.unresponsive_since = None;
+                self.hold_down(true, now)
+            }
+            SendOutcome::Unresponsive => {
+                if !self.is_unreachable {
+                    self.unresponsive_since = Some(now);
+                }
+                self.hold_down(true, now)
+            }
         }
     }
 
@@ -93,6 +109,12 @@
         self.is_unreachable
     }
 
+    /// Whether the target has only been unresponsive, and for no longer than a sound one may be.
+    pub fn is_briefly_unresponsive(&self, now: MonoTime) -> bool {
+        self.is_unreachable
+            && self.unresponsive_since.is_some_and(|since| now < since + MAX_SOUND_SILENCE_MS)
+    }
+
     fn is_outlier(&self, sibling_share: f64) -> bool {
         let limit = MIN_BAD_SHARE.max(SIBLING_RATIO * sibling_share);
         self.bad >= MIN_BAD_WEIGHT && self.bad_share() > limit
--- a/ggt-core/tests/targets.rs
+++ b/ggt-core/tests/targets.rs
@@ -60,6 +60,7 @@
         data_centre: "a",
         tried,
         is_idempotent: true,
+        silent_since: None,
     }
 }
 
--- a/ggt-daemon/src/front/attempt/admission.rs
+++ b/ggt-daemon/src/front/attempt/admission.rs
@@ -30,6 +30,7 @@
             tried: &self.tried,
             may_have_run: self.may_have_run,
             is_idempotent: job.route.is_idempotent,
+            silent_since: None,
         }
     }
 
--- a/ggt-daemon/src/front/attempt/crash_check.rs
+++ b/ggt-daemon/src/front/attempt/crash_check.rs
@@ -11,7 +11,6 @@
 use crate::front::state::FrontState;
 use crate::upstream::ConnectError;
 use crate::upstream::TargetConnection;
-use ggt_core::targets::SendOutcome;
 
 /// Milliseconds without a reply to any request after which a silent target is checked for a crash.
 const MIN_SILENCE_MS: u64 = 250;
@@ -34,6 +33,20 @@
         }
     }
 
+    /// Whether the target of the last send is known to have ended.
+    pub(super) fn has_target_ended(&self) -> bool {
+        let losses = self.state.losses.borrow();
+        self.sent_target.is_some_and(|target| losses.has_ended(target.crash))
+    }
+
+    /// Opens a connection to the target of the last send, to find out whether it has ended.
+    pub(super) async fn probe_target(&self) {
+        if let Some(target) = self.sent_target {
+            // The outcome has been recorded.
+            let _ = check_target(self.state.clone(), target).await;
+        }
+    }
+
     fn has_replied_lately(&self, target: SentTarget) -> bool {
         let pool = self.state.pool.borrow();
         let last_reply_at = pool.target(target.key).map(|state| state.last_reply_at);
@@ -75,7 +88,7 @@
     }
 
     /// Applies a failure to connect to the target of the present send: replies that other requests
-    /// lost at it count as crashes.
+    /// lost at it count as crashes if it has ended.
     pub(super) fn record_connect_failure(&self, error: &ConnectError) {
         if let Some(target) = self.sent_target {
             judge_connect_failure(&self.state, target, error);
@@ -90,7 +103,7 @@
 ) -> Result<TargetConnection, ConnectError> {
     let opened = TargetConnection::open(target.address, CONNECT_TIMEOUT).await;
     if let Err(e) = &opened {
-        state.record_outcome(target.key, SendOutcome::Unreachable);
+        state.record_outcome(target.key, e.outcome());
         state.connections.close_idle(target.key);
         judge_connect_failure(&state, target, e);
     }
--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -4,7 +4,9 @@
 mod crash_check;
 mod outcome;
 mod send;
+mod silence;
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -19,9 +21,11 @@
 use crate::front::state::FrontState;
 use crate::logging::quoted;
 use crate::upstream::TargetConnection;
+use ggt_core::clock::MonoTime;
 use ggt_core::crashes::CrashId;
 use ggt_core::limits::SharePermit;
 use ggt_core::targets::ChoiceError;
+use ggt_core::targets::ChoiceQuery;
 use ggt_core::targets::SendOutcome;
 use ggt_core::targets::TargetChoice;
 use ggt_core::targets::TargetKey;
@@ -62,8 +66,8 @@
 
 /// Why a send produced no usable reply.
 enum SendError {
-    /// No byte of the request was written to a socket.
-    NotSent { cause: String },
+    /// No byte of the request was written to a socket; the outcome is what that says about the target.
+    NotSent { cause: String, outcome: SendOutcome },
     /// The target states that it did not run the request.
     Refused { status: StatusCode, is_misdirected: bool },
     /// The request was sent and may have run.
@@ -83,6 +87,10 @@
     Deadline,
     /// This daemon's part of the service's retry budget is spent.
     Budget,
+    /// No other target can take it now.
+    NoTarget,
+    /// It is to blame for too many crashes.
+    Crashing,
 }
 
 impl RetryDenial {
@@ -93,6 +101,8 @@
             Self::Attempts => "attempts",
             Self::Deadline => "deadline",
             Self::Budget => "budget",
+            Self::NoTarget => "no-target",
+            Self::Crashing => "crashes-targets",
         }
     }
 }
@@ -116,6 +126,9 @@
     may_have_run: bool,
     /// Whether a request has been sent and the head of its reply has not arrived.
     is_awaiting_reply: bool,
+    /// Since when the last target has been silent, if the request is to leave it for another one and
+    /// has a retry reserved.
+    moving_since: Cell<Option<MonoTime>>,
     permit: Option<SharePermit<(String, u32)>>,
 }
 
@@ -143,6 +156,7 @@
             connects: 0,
             may_have_run: false,
             is_awaiting_reply: false,
+            moving_since: Cell::default(),
             permit: None,
         }
     }
@@ -150,6 +164,9 @@
     /// Whether the request may be sent to another target after a failure. Takes the retry from the
     /// service's retry budget; logs what denies it.
     pub fn try_next_send(&self) -> bool {
+        if self.moving_since.get().is_some() {
+            return true;
+        }
         let denial = self
             .retry_denial()
             .or_else(|| (!self.state.try_retry(&self.job.service)).then_some(RetryDenial::Budget));
@@ -239,7 +256,10 @@
         let (state, job) = (&self.state, &self.job);
         let settings = state.settings();
         let now = mono_now();
-        let query = self.query(&settings);
+        let silent_since = self.moving_since.take();
+        // A request that leaves a silent target only goes to one with capacity.
+        let may_have_run = self.may_have_run && silent_since.is_none();
+        let query = ChoiceQuery { may_have_run, silent_since, ..self.query(&settings) };
         let chosen = state.pool.borrow().choose(&query, now);
         let choice = chosen.map_err(|e| self.choice_refusal(e))?;
         let pool = state.pool.borrow();
@@ -288,9 +308,9 @@
         error: SendError,
     ) -> Result<(), FrontRefusal> {
         match error {
-            SendError::NotSent { cause } => {
+            SendError::NotSent { cause, outcome } => {
                 self.record_send(key, "not-sent", &cause);
-                self.state.record_outcome(key, SendOutcome::Unreachable);
+                self.state.record_outcome(key, outcome);
                 if self.connects < MAX_CONNECTS { Ok(()) } else { Err(self.send_failure_refusal()) }
             }
             SendError::Refused { status, is_misdirected } => {
--- a/ggt-daemon/src/front/attempt/send.rs
+++ b/ggt-daemon/src/front/attempt/send.rs
@@ -1,7 +1,5 @@
 //! One send of a request to one target, and the check of its reply's head.
 
-use std::time::Duration;
-
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -22,6 +20,8 @@
 use crate::upstream::TargetConnection;
 use ggt_core::clock::MonoTime;
 use ggt_core::prompts::PrefixChain;
+use ggt_core::silence::ReplyStage;
+use ggt_core::targets::SendOutcome;
 use ggt_core::targets::TargetChoice;
 use ggt_core::targets::TargetKey;
 use ggt_platform::ForwardHeaders;
@@ -31,14 +31,6 @@
 
 /// Milliseconds past the deadline for which a target's own error reply is awaited.
 const REPLY_GRACE_MS: u64 = 40;
-/// Minimum silence in milliseconds after which an idempotent request is retried at another target.
-const MIN_SILENCE_MS: u64 = 250;
-/// Multiple of the route's latency objective after which the request of a silent target is retried.
-const SILENCE_GOAL_FACTOR: u64 = 3;
-/// The silence limit in milliseconds for a target that accepts no new connections.
-const UNREACHABLE_SILENCE_MS: u64 = 300;
-/// Interval between checks for a silent target.
-const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Urgency value sent to targets for priority 0; lower values are served first.
 const HIGHEST_URGENCY: u32 = 3;
 /// Urgency value of the lowest priorities.
@@ -130,11 +122,11 @@
         }
         self.connects += 1;
         let address = self.state.pool.borrow().target(key).map(|target| target.record.address);
-        let address = address.ok_or(SendError::NotSent { cause: "target gone".to_owned() })?;
+        let address = address.ok_or(not_sent("target gone"))?;
         let opened = TargetConnection::open(address, CONNECT_TIMEOUT).await;
         let connection = opened.map_err(|e| {
             self.record_connect_failure(&e);
-            SendError::NotSent { cause: e.to_string() }
+            SendError::NotSent { cause: e.to_string(), outcome: e.outcome() }
         })?;
         self.send_on_connection(choice, last_event, connection).await
     }
@@ -173,9 +165,11 @@
         self.sends += 1;
         self.is_awaiting_reply = true;
         let sent = tokio::select! {
+            // A reply that has arrived goes before a silence that has been too long.
+            biased;
             sent = connection.send(request, self.job.deadline) => Ok(sent),
             () = sleep(time_until(deadline)) => Err(SendError::Deadline),
-            () = self.wait_for_silence(choice.key) => {
+            () = self.wait_for_move(ReplyStage::Head) => {
                 let cause = "silent".to_owned();
                 Err(SendError::Lost { cause, kind: FailureKind::Timeout })
             }
@@ -183,7 +177,7 @@
         self.is_awaiting_reply = false;
         match sent? {
             Ok(response) => Ok((response, connection)),
-            Err(SendFailure::NotSent { cause }) => Err(SendError::NotSent { cause }),
+            Err(SendFailure::NotSent { cause }) => Err(not_sent(&cause)),
             Err(SendFailure::Lost { cause }) => {
                 let kind = if connection.is_reused() {
                     FailureKind::StaleConnection
@@ -203,8 +197,7 @@
         let job = &self.job;
         let pool = self.state.pool.borrow();
         let source = choice.source.and_then(|source| pool.target(source));
-        let target =
-            pool.target(choice.key).ok_or(SendError::NotSent { cause: "gone".to_owned() })?;
+        let target = pool.target(choice.key).ok_or(not_sent("target gone"))?;
         let urgency =
             job.chain.is_some().then(|| (HIGHEST_URGENCY + job.priority).min(LOWEST_URGENCY));
         let headers = ForwardHeaders {
@@ -217,39 +210,11 @@
         };
         let mut request = Request::new(Full::new(job.body.clone()));
         *request.method_mut() = job.method.clone();
-        *request.uri_mut() = job
-            .path
-            .parse()
-            .map_err(|_| SendError::NotSent { cause: "malformed path".to_owned() })?;
+        *request.uri_mut() = job.path.parse().map_err(|_| not_sent("malformed path"))?;
         *request.headers_mut() = build_target_headers(&job.raw_headers, &headers);
         Ok(request)
     }
 
-    /// Returns once the target has been silent for so long that the request should be retried at
-    /// another target; never returns if the request may not be retried.
-    async fn wait_for_silence(&self, key: TargetKey) {
-        let job = &self.job;
-        let may_retry = job.route.is_idempotent && self.sends < job.route.max_attempts;
-        if !may_retry {
-            return std::future::pending().await;
-        }
-        let sent_at = mono_now();
-        let limit_ms = (job.route.goal_ms * SILENCE_GOAL_FACTOR).max(MIN_SILENCE_MS);
-        loop {
-            sleep(SILENCE_CHECK_INTERVAL).await;
-            let silent_ms = mono_now().millis_since(sent_at);
-            let is_unreachable =
-                self.state.is_unreachable(key) && silent_ms >= UNREACHABLE_SILENCE_MS;
-            // A target that has replied to other requests since is busy rather than hung.
-            let last_reply_at =
-                self.state.pool.borrow().target(key).map(|target| target.last_reply_at);
-            let is_busy = job.route.is_stream && last_reply_at.is_some_and(|at| at > sent_at);
-            if is_unreachable || (silent_ms >= limit_ms && !is_busy) {
-                return;
-            }
-        }
-    }
-
     fn check_reply(&self, status: &StatusCode, headers: &ReplyHeaders) -> Result<(), SendError> {
         let failed = |cause: &str| SendError::Lost {
             cause: cause.to_owned(),
@@ -273,3 +238,7 @@
         Ok(())
     }
 }
+
+fn not_sent(cause: &str) -> SendError {
+    SendError::NotSent { cause: cause.to_owned(), outcome: SendOutcome::Unreachable }
+}
--- a/ggt-daemon/src/front/crashes.rs
+++ b/ggt-daemon/src/front/crashes.rs
@@ -238,6 +238,12 @@
         Some(FrontRefusal::not_run("crashes-targets", left_ms))
     }
 
+    /// Whether a request is to blame for too many crashes.
+    pub fn is_suspected(&self, job: &FrontJob) -> bool {
+        let judgement = self.crashes.borrow().judge(job.suspects.keys(), mono_now());
+        !matches!(judgement, CrashJudgement::Clear | CrashJudgement::Explained { .. })
+    }
+
     /// Begins a trial of a request whose refusal has ended, if none is in progress. Daemons take turns,
     /// so that one of them sends first and the others are told if that crashes another target.
     fn begin_trial(&self, job: &FrontJob, refusal: &CrashRefusal, now: MonoTime) -> bool {
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -274,11 +274,6 @@
         changes.iter().for_each(|c| pool.replace_peer_load(c.hash, c.before, c.after));
     }
 
-    /// Whether the last attempt to reach a target failed, or the target is gone.
-    pub fn is_unreachable(&self, key: TargetKey) -> bool {
-        self.pool.borrow().target(key).is_none_or(|target| target.health.is_unreachable())
-    }
-
     /// Removes expired targets, peers, connections and crash suspicions.
     pub fn expire(&self) {
         let now = mono_now();
--- a/ggt-daemon/src/front/stream.rs
+++ b/ggt-daemon/src/front/stream.rs
@@ -1,7 +1,6 @@
 //! Requests whose reply is a stream of server-sent events, resumed at another target if necessary.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::Response;
@@ -28,20 +27,12 @@
 use ggt_core::events::EventAction;
 use ggt_core::events::EventOrder;
 use ggt_core::events::EventSplitter;
+use ggt_core::silence::ReplyStage;
 use ggt_core::targets::SendOutcome;
 use ggt_core::targets::TargetKey;
 
 /// Maximum number of batches of events that are buffered for a slow caller.
 const MAX_BUFFERED_BATCHES: usize = 16;
-/// Minimum silence within a stream, in milliseconds, after which it is resumed at another target.
-const MIN_SILENCE_MS: u64 = 1_200;
-/// Multiple of the route's `max_gap_ms` after which a silent stream is resumed at another target.
-const SILENCE_GAP_FACTOR: u64 = 4;
-/// The silence limit in milliseconds for a target that accepts no new connections.
-const UNREACHABLE_SILENCE_MS: u64 = 400;
-/// Interval between checks for a silent target.
-const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
-
 /// Result of reading from a target's reply.
 enum ReadOutcome {
     /// Events to be forwarded; empty if the caller has them already.
@@ -50,7 +41,7 @@
     Complete,
     /// The reply was interrupted or cannot be forwarded; holds the cause.
     Interrupted(String),
-    /// The target sent nothing for too long.
+    /// The target sent nothing for too long, and a retry at another one is reserved.
     Timeout,
     /// The request's deadline passed.
     Deadline,
@@ -298,9 +289,11 @@
     async fn read(&mut self, key: TargetKey, body: &mut Incoming) -> ReadOutcome {
         loop {
             let frame = tokio::select! {
-                frame = body.frame() => frame,
+                // Bytes that have arrived go before a silence that has been too long.
+                biased;
                 () = sleep(time_until(self.job.deadline)) => return ReadOutcome::Deadline,
-                () = self.wait_for_silence(key) => return ReadOutcome::Timeout,
+                frame = body.frame() => frame,
+                () = self.attempts.wait_for_move(ReplyStage::Event) => return ReadOutcome::Timeout,
             };
             let bytes = match frame {
                 None if self.splitter.has_partial_event() => {
@@ -333,23 +326,4 @@
         }
         Ok(forwarded.into())
     }
-
-    /// Returns once the target has been silent for so long that the stream should be resumed at
-    /// another target; sooner if the target is unreachable, never if the stream cannot be resumed.
-    async fn wait_for_silence(&self, key: TargetKey) {
-        let route = &self.job.route;
-        if !route.is_idempotent {
-            return std::future::pending().await;
-        }
-        let waiting_since = mono_now();
-        let gap_limit_ms = (route.max_gap_ms * SILENCE_GAP_FACTOR).max(MIN_SILENCE_MS);
-        loop {
-            sleep(SILENCE_CHECK_INTERVAL).await;
-            let is_unreachable = self.state.is_unreachable(key);
-            let limit_ms = if is_unreachable { UNREACHABLE_SILENCE_MS } else { gap_limit_ms };
-            if mono_now().millis_since(waiting_since) >= limit_ms {
-                return;
-            }
-        }
-    }
 }
--- a/ggt-daemon/src/upstream/connect.rs
+++ b/ggt-daemon/src/upstream/connect.rs
@@ -10,6 +10,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use ggt_core::targets::SendOutcome;
+
 /// Idle time before the first keepalive probe, and the interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered keepalive probes after which the kernel closes the connection.
@@ -53,6 +55,14 @@
         matches!(source.kind(), io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset)
     }
 
+    /// What the failure says about the health of the server.
+    pub fn outcome(&self) -> SendOutcome {
+        match self {
+            Self::Timeout { .. } => SendOutcome::Unresponsive,
+            Self::Refused { .. } | Self::Handshake { .. } => SendOutcome::Unreachable,
+        }
+    }
+
     /// Whether the server's host refused the connection or did not reply, as if the server had
     /// ended; `false` for errors of this process.
     pub fn is_target_down(&self) -> bool {
