--- a/ggt-daemon/src/front/attempt/crash_check.rs
+++ b/ggt-daemon/src/front/attempt/crash_check.rs
@@ -1,8 +1,10 @@
 //! Finds out whether the target of a send crashed while it ran the request.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::task::spawn_local;
+use tokio::time::sleep;
 
 use crate::clock::mono_now;
 use crate::front::attempt::SentTarget;
@@ -11,9 +13,12 @@
 use crate::front::state::FrontState;
 use crate::upstream::ConnectError;
 use crate::upstream::TargetConnection;
+use ggt_core::silence::MAX_SOUND_SILENCE_MS;
 
 /// Milliseconds without a reply to any request after which a silent target is checked for a crash.
 const MIN_SILENCE_MS: u64 = 250;
+/// Pause between two checks of a target that does not respond.
+const CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
 impl UpstreamAttempts {
     /// Records that the target of the last send was silent for too long. Checks whether it crashed,
@@ -110,12 +115,40 @@
     opened
 }
 
+/// Records the end of a target that refuses connections. One that does not respond may be sound, and is
+/// checked again in the background.
+fn judge_connect_failure(state: &Rc<FrontState>, target: SentTarget, error: &ConnectError) {
+    if error.is_refused() {
+        record_end(state, target, error);
+    } else if error.is_target_down()
+        && !state.losses.borrow().has_ended(target.crash)
+        && state.target_checks.borrow_mut().insert(target.crash)
+    {
+        spawn_local(check_again(state.clone(), target));
+    }
+}
+
+/// Checks an unresponsive target until it accepts or refuses a connection, or has been unresponsive for
+/// longer than a sound one may be: it has ended then.
+async fn check_again(state: Rc<FrontState>, target: SentTarget) {
+    let deadline = mono_now() + MAX_SOUND_SILENCE_MS;
+    let error = loop {
+        sleep(CHECK_INTERVAL).await;
+        match TargetConnection::open(target.address, CONNECT_TIMEOUT).await {
+            Ok(_) => break None,
+            Err(e) if e.is_refused() || mono_now() >= deadline => break Some(e),
+            Err(_) => {}
+        }
+    };
+    state.target_checks.borrow_mut().remove(&target.crash);
+    if let Some(error) = error.filter(ConnectError::is_target_down) {
+        record_end(&state, target, &error);
+    }
+}
+
 /// Records the end of a target that does not accept connections, unless its whole data centre seems
 /// to be partitioned from this daemon.
-fn judge_connect_failure(state: &FrontState, target: SentTarget, error: &ConnectError) {
-    if !error.is_target_down() {
-        return;
-    }
+fn record_end(state: &FrontState, target: SentTarget, error: &ConnectError) {
     if state.pool.borrow().is_centre_unreachable(target.key) {
         log::info!("event=crash-unclear death={:016x} cause=partition", target.crash.0);
         return;
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,6 +20,7 @@
 use crate::logging::quoted;
 use crate::upstream::ConnectionPool;
 use ggt_core::clock::MonoTime;
+use ggt_core::crashes::CrashId;
 use ggt_core::crashes::CrashOptions;
 use ggt_core::crashes::CrashTable;
 use ggt_core::crashes::LossTable;
@@ -97,6 +99,8 @@
     pub crashes: RefCell<CrashTable>,
     /// Requests whose reply was lost, which may turn out to be crashes.
     pub losses: RefCell<LossTable>,
+    /// Unresponsive targets that are being checked for a crash.
+    pub target_checks: RefCell<BTreeSet<CrashId>>,
     /// Customers' shares of each service, by service and priority.
     pub shares: RefCell<ShareTable<(String, u32), String>>,
     /// Memory of buffered replies.
@@ -146,6 +150,7 @@
             connections: ConnectionPool::default(),
             fleet: RefCell::new(fleet),
             crashes: RefCell::new(CrashTable::new(crash_options)),
+            target_checks: RefCell::default(),
             losses: RefCell::new(LossTable::new(CRASH_OPTIONS.capacity)),
             shares: RefCell::default(),
             buffers: BufferBudget::default(),
