feat: front: logs name the software version of targets and what a caller takes up

The version of a registration and the header with which a caller names its first attempt are decoded, and logged in event=route and event=target. No decision changes.

--- a/ggt-core/src/lib.rs
+++ b/ggt-core/src/lib.rs
@@ -26,3 +26,4 @@
 pub mod store_cache;
 pub mod targets;
 pub mod verdict;
+pub mod versions;
--- a/ggt-core/src/targets/mod.rs
+++ b/ggt-core/src/targets/mod.rs
@@ -30,6 +30,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::versions::SoftwareVersion;
+
 /// Registration of a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetRecord {
@@ -43,6 +45,8 @@
     pub address: SocketAddr,
     /// Data centre in which it runs.
     pub data_centre: String,
+    /// Version of its software.
+    pub version: SoftwareVersion,
     /// Number of requests that it runs concurrently.
     pub slots: u32,
     /// Whether it is shutting down and accepts no new requests.
--- a/ggt-core/tests/pool_fixture/mod.rs
+++ b/ggt-core/tests/pool_fixture/mod.rs
@@ -3,6 +3,7 @@
 use ggt_core::targets::ChoiceQuery;
 use ggt_core::targets::TargetPool;
 use ggt_core::targets::TargetRecord;
+use ggt_core::versions::SoftwareVersion;
 
 /// Slots of each target.
 pub const SLOTS: u32 = 8;
@@ -19,6 +20,7 @@
             service: "s".to_owned(),
             address: ([10, 0, 1, number as u8], 8_000).into(),
             data_centre: "a".to_owned(),
+            version: SoftwareVersion::named("v1"),
             slots: SLOTS,
             is_leaving: false,
         });
--- a/ggt-core/tests/targets.rs
+++ b/ggt-core/tests/targets.rs
@@ -13,6 +13,7 @@
 use ggt_core::targets::TargetKey;
 use ggt_core::targets::TargetPool;
 use ggt_core::targets::TargetRecord;
+use ggt_core::versions::SoftwareVersion;
 
 const ENGINES: usize = 18;
 
@@ -27,6 +28,7 @@
         service: "engines".to_owned(),
         address: ([10, 0, 1, number as u8], 8_000).into(),
         data_centre: ["a", "b", "c"][number % 3].to_owned(),
+        version: SoftwareVersion::named("v1"),
         slots: 48,
         is_leaving: false,
     }
--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -270,7 +270,7 @@
         let source = choice.source.and_then(|source| pool.target(source));
         log::info!(
             "event=route request_id={} print={:016x} route={} version={} customer={} service={} target={} \
-             incarnation={} reason={} load={:.1} bound={:.1} own={} peers={} told={} told_age_ms={} \
+             incarnation={} software={} last_event={} first_attempt={} reason={} load={:.1} bound={:.1} own={} peers={} told={} told_age_ms={} \
              rate_limit={} copy_from={} send={} left_ms={}",
             quoted(&job.id),
             job.suspects.request().0,
@@ -280,6 +280,9 @@
             job.service,
             target.record.id,
             target.record.incarnation,
+            target.record.version,
+            job.headers.last_event.map_or("-".to_owned(), |event| event.to_string()),
+            quoted(job.headers.first_attempt.as_deref().unwrap_or("-")),
             choice.reason.as_str(),
             choice.load,
             choice.bound,
--- a/ggt-daemon/src/front/changes.rs
+++ b/ggt-daemon/src/front/changes.rs
@@ -46,13 +46,14 @@
         let record = change.value.as_ref().map(|value| parse_registration(id, value));
         match record {
             Some(Ok(record)) => {
-                let is_leaving = record.is_leaving;
+                let (is_leaving, version) = (record.is_leaving, record.version);
                 let ended = self.pool.borrow().ended_by(&record);
                 ended.iter().for_each(|crash| self.record_target_end(*crash, "replaced"));
                 if self.pool.borrow_mut().put(record) {
                     let status = if is_leaving { "leaving" } else { "ready" };
                     log::info!(
-                        "event=target target={id} status={status} revision={revision} source={source}"
+                        "event=target target={id} status={status} software={version} \
+                         revision={revision} source={source}"
                     );
                 }
             }
