--- /dev/null
+++ b/ggt-testkit/tests/platform_versions.rs
@@ -0,0 +1,308 @@
+//! Servers of several software versions side by side: a stream only goes on at the version that began it,
+//! within one response and over a caller's attempts, at any daemon.
+
+use std::collections::BTreeSet;
+use std::io::Write;
+use std::net::TcpStream;
+
+use ggt_platform::TARGET_PREFIX;
+use ggt_standin::users_platform::AfterResponse;
+use ggt_standin::users_platform::ServerStandin;
+use ggt_standin::users_platform::WireRequest;
+use ggt_standin::users_platform::stream_head;
+use ggt_testkit::front::FrontFleet;
+use ggt_testkit::http::HttpResponse;
+use ggt_testkit::wait::wait_until;
+
+const VERSIONS: [&str; 2] = ["v1", "v1.1"];
+/// Servers of both versions together.
+const SERVERS: usize = 6;
+/// Events of each stream.
+const EVENTS: u64 = 12;
+/// Event after which a server cuts a stream that it began.
+const CUT_AFTER: u64 = 5;
+/// Streams of each case.
+const STREAMS: usize = 24;
+
+fn version_of(server: usize) -> &'static str {
+    VERSIONS[server % VERSIONS.len()]
+}
+
+/// Registers a server with a software version.
+fn register(fleet: &FrontFleet, server: &ServerStandin, version: &str, state: &str) {
+    let entry = server.registration("s", "a", state);
+    let entry = entry.replace(r#""Version":"v1""#, &format!(r#""Version":"{version}""#));
+    fleet.store.put(&format!("{TARGET_PREFIX}{}", server.id()), &entry);
+}
+
+/// Sends events that name the version, up to the last one or, if `is_cut`, up to `CUT_AFTER`.
+fn send_events(request: &WireRequest, stream: &mut TcpStream, version: &str, is_cut: bool) {
+    let end = if is_cut { CUT_AFTER } else { EVENTS };
+    let mut text = stream_head(request);
+    for id in request.last_event_id().unwrap_or(0) + 1..=end {
+        let event = format!("id: {id}\ndata: {version}\n\n");
+        text.push_str(&format!("{:x}\r\n{event}\r\n", event.len()));
+    }
+    if !is_cut {
+        text.push_str("0\r\n\r\n");
+    }
+    // The daemon may have closed the connection already.
+    let _ = stream.write_all(text.as_bytes());
+}
+
+/// Makes a server send events of its version; it cuts the streams that it begins, but not those that it
+/// goes on with.
+fn set_script(server: &ServerStandin, version: &'static str) {
+    server.set_script(move |request, stream| {
+        let is_cut = request.last_event_id().is_none();
+        send_events(request, stream, version, is_cut);
+        if is_cut { AfterResponse::Close } else { AfterResponse::Keep }
+    });
+}
+
+/// A fleet of `daemons` daemons and six servers of two versions.
+fn start(daemons: usize) -> FrontFleet {
+    let mut fleet = FrontFleet::start(0, 0);
+    for number in 0..SERVERS {
+        fleet.add_unregistered_server(&format!("i-{number}"));
+        set_script(&fleet.servers[number], version_of(number));
+        register(&fleet, &fleet.servers[number], version_of(number), "ready");
+    }
+    (0..daemons).for_each(|number| fleet.add_daemon(number, None));
+    fleet.daemons.iter().for_each(ggt_testkit::front::await_ready);
+    fleet
+}
+
+/// The versions of the events in a response's body.
+fn versions_in(body: &str) -> BTreeSet<&str> {
+    body.lines().filter_map(|line| line.strip_prefix("data: ")).collect()
+}
+
+/// Begins a resumable stream, of which the caller may get a part only.
+fn begin(fleet: &FrontFleet, daemon: usize, id: &str) -> HttpResponse {
+    fleet.request(daemon, "POST", "/chat/", id).body("x").send().expect("should respond")
+}
+
+/// Takes a stream up after `last` events that the attempt `origin` brought.
+fn take_up(
+    fleet: &FrontFleet,
+    daemon: usize,
+    id: &str,
+    origin: Option<&str>,
+    last: u64,
+) -> HttpResponse {
+    let request = fleet.request(daemon, "POST", "/chat/", id);
+    let request = request.header("last-event-id", &last.to_string());
+    let request = match origin {
+        Some(origin) => request.header("resumes", origin),
+        None => request,
+    };
+    request.body("x").send().expect("should respond")
+}
+
+/// Makes every server cut each stream after `CUT_AFTER` events, also one that it goes on with, so that the
+/// first attempt ends there for its caller.
+fn set_cutting_scripts(fleet: &FrontFleet) {
+    for (number, server) in fleet.servers.iter().enumerate() {
+        let version = version_of(number);
+        server.set_script(move |request, stream| {
+            send_events(request, stream, version, true);
+            AfterResponse::Close
+        });
+    }
+}
+
+/// Makes every server complete the streams that it goes on with.
+fn set_completing_scripts(fleet: &FrontFleet) {
+    fleet.servers.iter().enumerate().for_each(|(n, server)| set_script(server, version_of(n)));
+}
+
+/// Begins streams that end after `CUT_AFTER` events; returns the version of each.
+fn begin_cut_streams(fleet: &FrontFleet, daemon: usize) -> Vec<String> {
+    set_cutting_scripts(fleet);
+    let begin_one = |number| {
+        let response = begin(fleet, daemon, &format!("first-{number}"));
+        let versions = versions_in(&response.body);
+        assert_eq!(versions.len(), 1, "{}", response.body);
+        assert!(!response.is_complete);
+        versions.into_iter().next().unwrap_or_default().to_owned()
+    };
+    let versions = (0..STREAMS).map(begin_one).collect();
+    set_completing_scripts(fleet);
+    versions
+}
+
+/// Takes all streams up at `daemon`: none may get events of another version, and all must go on.
+fn check_taken_up(fleet: &FrontFleet, daemon: usize, versions: &[String]) {
+    for (number, version) in versions.iter().enumerate() {
+        let (id, origin) = (format!("next-{daemon}-{number}"), format!("first-{number}"));
+        let response = take_up(fleet, daemon, &id, Some(&origin), CUT_AFTER);
+        assert_eq!(response.status, 200, "{id}: {}", response.body);
+        assert!(response.is_complete);
+        assert_eq!(versions_in(&response.body), BTreeSet::from([version.as_str()]), "{id}");
+    }
+}
+
+// Guards against a stream that the daemon itself goes on with at a server of another version.
+#[test]
+fn stream_that_a_server_cuts_goes_on_at_the_same_version() {
+    let fleet = start(1);
+    for number in 0..STREAMS {
+        let response = begin(&fleet, 0, &format!("id-{number}"));
+        assert!(response.is_complete, "{}", response.body);
+        assert_eq!(versions_in(&response.body).len(), 1, "{}", response.body);
+    }
+}
+
+// Guards against a stream that its caller takes up at the same daemon and gets from another version.
+#[test]
+fn stream_taken_up_at_the_same_daemon_stays_at_its_version() {
+    let fleet = start(1);
+    let versions = begin_cut_streams(&fleet, 0);
+    check_taken_up(&fleet, 0, &versions);
+}
+
+// Guards against the same at daemons that did not begin the stream.
+#[test]
+fn stream_taken_up_at_another_daemon_stays_at_its_version() {
+    let fleet = start(4);
+    let versions = begin_cut_streams(&fleet, 0);
+    (1..4).for_each(|daemon| check_taken_up(&fleet, daemon, &versions));
+}
+
+// Guards against versions that are lost with the daemon that began the streams.
+#[test]
+fn stream_stays_at_its_version_when_the_daemon_that_began_it_is_killed() {
+    let mut fleet = start(4);
+    let versions = begin_cut_streams(&fleet, 0);
+    // A stream's version is told to other daemons within moments of its first event.
+    check_taken_up(&fleet, 1, &versions);
+    fleet.daemons[0].process.kill();
+    (2..4).for_each(|daemon| check_taken_up(&fleet, daemon, &versions));
+    fleet.restart(0);
+    check_taken_up(&fleet, 0, &versions);
+}
+
+// Guards against a stream of unknown origin that goes on at any of two versions: after a restart of all
+// daemons, and if its caller names no attempt or one that is not known.
+#[test]
+fn stream_of_unknown_origin_is_refused_while_two_versions_are_possible() {
+    let mut fleet = start(2);
+    let versions = begin_cut_streams(&fleet, 0);
+    assert_eq!(versions.len(), STREAMS);
+    for origin in [None, Some("unknown"), Some("")] {
+        let response = take_up(&fleet, 1, &format!("next-{origin:?}"), origin, CUT_AFTER);
+        assert_eq!(response.status, 503, "{origin:?}: {}", response.body);
+        assert_eq!(fleet.request_count(&format!("next-{origin:?}")), 0);
+    }
+    (0..2).for_each(|daemon| fleet.daemons[daemon].process.kill());
+    (0..2).for_each(|daemon| fleet.restart(daemon));
+    for number in 0..STREAMS {
+        let (id, origin) = (format!("after-{number}"), format!("first-{number}"));
+        let response = take_up(&fleet, number % 2, &id, Some(&origin), CUT_AFTER);
+        assert_eq!((response.status, fleet.request_count(&id)), (503, 0), "{}", response.body);
+    }
+}
+
+// Guards against the refusal of streams of unknown origin where only one version can have begun them.
+#[test]
+fn stream_of_unknown_origin_goes_on_if_all_servers_have_one_version() {
+    let mut fleet = FrontFleet::start(3, 2);
+    fleet.servers.iter().for_each(|server| set_script(server, "v1"));
+    (0..2).for_each(|daemon| fleet.daemons[daemon].process.kill());
+    (0..2).for_each(|daemon| fleet.restart(daemon));
+    for (number, origin) in [None, Some("unknown")].into_iter().enumerate() {
+        let response = take_up(&fleet, number, &format!("next-{number}"), origin, CUT_AFTER);
+        assert_eq!(response.status, 200, "{}", response.body);
+    }
+}
+
+// Guards against a stream that goes on at the remaining version when all servers of its own are gone, or
+// that waits for one.
+#[test]
+fn stream_is_refused_when_all_servers_of_its_version_are_gone() {
+    let fleet = start(2);
+    let versions = begin_cut_streams(&fleet, 0);
+    let old = || (0..SERVERS).filter(|number| version_of(*number) == "v1");
+    for number in old() {
+        fleet.remove_registration(&fleet.servers[number].id());
+    }
+    wait_until("both daemons have no server of the version", || {
+        (0..2).all(|daemon| {
+            let versions = (0..8).map(|number| {
+                let response = begin(&fleet, daemon, &format!("probe-{daemon}-{number}"));
+                versions_in(&response.body).iter().any(|version| *version == "v1")
+            });
+            versions.filter(|is_old| *is_old).count() == 0
+        })
+    });
+    for (number, version) in versions.iter().enumerate() {
+        let (id, origin) = (format!("next-{number}"), format!("first-{number}"));
+        let response = take_up(&fleet, 1, &id, Some(&origin), CUT_AFTER);
+        match version.as_str() {
+            "v1" => assert_eq!((response.status, fleet.request_count(&id)), (503, 0)),
+            _ => assert_eq!(versions_in(&response.body), BTreeSet::from(["v1.1"])),
+        }
+    }
+}
+
+// Guards against a chain of attempts in which the third daemon no longer knows the first attempt.
+#[test]
+fn stream_taken_up_twice_stays_at_its_version() {
+    let fleet = start(4);
+    let versions = begin_cut_streams(&fleet, 0);
+    // These servers cut streams two events after the caller's last one.
+    for (number, server) in fleet.servers.iter().enumerate() {
+        let version = version_of(number);
+        server.set_script(move |request, stream| {
+            let last = request.last_event_id().unwrap_or(0);
+            if last >= CUT_AFTER + 2 {
+                send_events(request, stream, version, false);
+                return AfterResponse::Keep;
+            }
+            let mut text = stream_head(request);
+            for id in last + 1..=last + 2 {
+                let event = format!("id: {id}\ndata: {version}\n\n");
+                text.push_str(&format!("{:x}\r\n{event}\r\n", event.len()));
+            }
+            // The daemon may have closed the connection already.
+            let _ = stream.write_all(text.as_bytes());
+            AfterResponse::Close
+        });
+    }
+    for (number, version) in versions.iter().enumerate() {
+        let origin = format!("first-{number}");
+        let second = take_up(&fleet, 1, &format!("second-{number}"), Some(&origin), CUT_AFTER);
+        let last = second.body.lines().filter_map(|line| line.strip_prefix("id: ")).next_back();
+        let last = last.and_then(|id| id.parse().ok()).unwrap_or(CUT_AFTER);
+        assert_eq!(versions_in(&second.body), BTreeSet::from([version.as_str()]));
+        if second.is_complete {
+            continue;
+        }
+        let third = take_up(&fleet, 2, &format!("third-{number}"), Some(&origin), last);
+        assert_eq!(versions_in(&third.body), BTreeSet::from([version.as_str()]));
+    }
+}
+
+// Guards against an id that comes back as a server of another version: its streams of before must not go
+// on there.
+#[test]
+fn id_that_comes_back_with_another_version_does_not_get_the_streams_of_before() {
+    let fleet = start(2);
+    let versions = begin_cut_streams(&fleet, 0);
+    // All servers of the first version come back under their ids with the second one, and the reverse.
+    for (number, server) in fleet.servers.iter().enumerate() {
+        let version = version_of(number + 1);
+        set_script(server, version);
+        let entry = server.registration("s", "a", "ready").replace(r#""born":1"#, r#""born":2"#);
+        let entry = entry.replace(r#""Version":"v1""#, &format!(r#""Version":"{version}""#));
+        fleet.store.put(&format!("{TARGET_PREFIX}{}", server.id()), &entry);
+    }
+    wait_until("both daemons have the new registrations", || {
+        (0..2).all(|daemon| {
+            let response = take_up(&fleet, daemon, "probe", Some("first-0"), CUT_AFTER);
+            versions_in(&response.body) == BTreeSet::from([versions[0].as_str()])
+        })
+    });
+    (0..2).for_each(|daemon| check_taken_up(&fleet, daemon, &versions));
+}
