--- a/ggt-core/src/fleet/mod.rs
+++ b/ggt-core/src/fleet/mod.rs
@@ -194,6 +194,16 @@
         self.alive(now).filter(|peer| score(peer.digest.address) < own).count()
     }
 
+    /// The other daemons that hold an item with this hash: the first `count` that are alive, in an order
+    /// that is the same on all daemons with the same view.
+    pub fn holders(&self, hash: u64, count: usize, now: MonoTime) -> Vec<SocketAddr> {
+        let addresses = self.alive(now).map(|peer| peer.digest.address);
+        let mut holders: Vec<_> = addresses.collect();
+        holders.sort_by_cached_key(|address| member_score(hash, member_hash(*address)));
+        holders.truncate(count);
+        holders
+    }
+
     /// This daemon's part of a limit of requests per second that the target with this hash takes from
     /// all daemons together.
     pub fn rate_share(&self, hash: u64, limit: f64) -> RateShare {
--- a/ggt-core/src/routes/mod.rs
+++ b/ggt-core/src/routes/mod.rs
@@ -161,6 +161,12 @@
         self.hosts.values().map(HashMap::len).sum()
     }
 
+    /// The longest timeout of a route with streams, in milliseconds; 0 if there is none.
+    pub fn longest_stream_ms(&self) -> u64 {
+        let streams = self.hosts.values().flat_map(HashMap::values).filter(|route| route.is_stream);
+        streams.map(|route| route.timeout_ms).max().unwrap_or_default()
+    }
+
     /// The route of `host` with the longest prefix of `path`.
     pub fn find(&self, host: &str, path: &str) -> Option<&RouteEntry> {
         let by_prefix = self.hosts.get(&host.to_ascii_lowercase())?;
--- a/ggt-core/src/targets/choice.rs
+++ b/ggt-core/src/targets/choice.rs
@@ -9,6 +9,7 @@
 use crate::targets::TargetKey;
 use crate::targets::TargetPool;
 use crate::targets::TargetState;
+use crate::versions::SoftwareVersion;
 
 /// Inputs of the choice of a target.
 #[derive(Clone, Debug)]
@@ -35,6 +36,8 @@
     /// Since when the request's last target has been silent. Other targets that have sent nothing since
     /// then, though they have requests of this daemon, are not chosen.
     pub silent_since: Option<MonoTime>,
+    /// The only version that may serve the request, which goes on with a stream.
+    pub version: Option<SoftwareVersion>,
 }
 
 /// Why a target was chosen.
@@ -96,6 +99,9 @@
     /// All usable targets have got as many requests as they say they take.
     #[snafu(display("every usable target of the service is at the rate that it takes"))]
     RateLimited,
+    /// The service has no usable target of the version that began the stream.
+    #[snafu(display("no usable target has the version that began the stream"))]
+    NoVersion,
 }
 
 /// Factor by which the load of a target may exceed its service's mean when the prompt is not
@@ -120,6 +126,9 @@
 const OWN_CENTRE_WEIGHT: f64 = 8.0;
 /// Minimum free fraction assumed for a target, so that even a busy one is chosen now and then.
 const MIN_FREE_FRACTION: f64 = 0.02;
+/// Milliseconds for which a target that leaves still takes the streams of its version, if it is the last
+/// with it: less than the time in which it must get no new request.
+const LEAVING_GRACE_MS: u64 = 1_000;
 /// A daemon counts as partitioned when a larger fraction of all targets is unreachable.
 const PARTITIONED_FRACTION: f64 = 0.85;
 /// Number of unreachable targets in another data centre from which on all its targets are avoided.
@@ -141,12 +150,20 @@
         now: MonoTime,
     ) -> Result<TargetChoice, ChoiceError> {
         let keys = self.of_service(query.service).iter();
-        let listed: Vec<_> = keys
+        let untried: Vec<_> = keys
             .filter_map(|key| self.target(*key).map(|state| (*key, state)))
-            .filter(|(key, state)| !state.record.is_leaving && !query.tried.contains(key))
+            .filter(|(key, _)| !query.tried.contains(key))
             .filter(|(_, state)| query.silent_since.is_none_or(|since| !is_silent(state, since)))
             .collect();
-        let listed = without_unlisted(listed);
+        let staying = untried.iter().filter(|(_, state)| !state.record.is_leaving);
+        let listed = without_unlisted(staying.copied().collect());
+        let listed = match query.version {
+            Some(version) => of_version(&listed, &untried, version, now),
+            None => listed,
+        };
+        if query.version.is_some() && listed.is_empty() {
+            return Err(ChoiceError::NoVersion);
+        }
         let more_urgent = self.more_urgent_priorities(query, now);
         let is_open = |state: &TargetState| {
             state.rate.open_at(more_urgent).is_some_and(|open_at| now >= open_at)
@@ -172,6 +189,11 @@
         let has_capacity = |state| query.may_have_run || self.has_capacity(state, query, now);
         let with_capacity = usable.iter().filter(|(_, state)| has_capacity(state)).copied();
         let with_capacity: Vec<_> = with_capacity.collect();
+        // Other targets may have capacity, but none of them can go on with the stream.
+        let with_capacity = match with_capacity.is_empty() && self.must_exceed_capacity(query) {
+            true => usable.clone(),
+            false => with_capacity,
+        };
         if with_capacity.is_empty() {
             return Err(ChoiceError::Full);
         }
@@ -192,6 +214,16 @@
 }
 
 impl TargetPool {
+    /// Whether a stream goes on at its version although the targets of that are full: other versions serve
+    /// new streams at the same time. A stream that leaves a silent target waits instead.
+    fn must_exceed_capacity(&self, query: &ChoiceQuery<'_>) -> bool {
+        let Some(version) = query.version.filter(|_| query.silent_since.is_none()) else {
+            return false;
+        };
+        let targets = self.of_service(query.service).iter().filter_map(|key| self.target(*key));
+        targets.filter(|state| !state.record.is_leaving).any(|s| s.record.version != version)
+    }
+
     /// The targets that are not known to be unreachable. If there is none while other services have
     /// some, those that have not been unresponsive for long: all may be silent for a moment.
     fn reachable<'a>(
@@ -256,8 +288,11 @@
             return None;
         }
         let others = self.of_service(query.service).iter().filter(|key| **key != chosen);
+        // What another version has cached does not fit.
+        let version = self.target(chosen)?.record.version;
         let sources = others
             .filter_map(|key| self.target(*key).map(|state| (*key, state)))
+            .filter(|(_, state)| state.record.version == version)
             .filter(|(_, state)| state.has_cached(anchor.hash) && is_healthy(state, now));
         sources.max_by_key(|(_, state)| state.last_reply_at).map(|(key, _)| key)
     }
@@ -274,6 +309,27 @@
     targets.into_iter().filter(|(_, state)| state.remove_at.is_none()).collect()
 }
 
+/// The listed targets of one version. If there is none, those of all `untried` ones that began to leave
+/// within `LEAVING_GRACE_MS`.
+fn of_version<'a>(
+    listed: &[(TargetKey, &'a TargetState)],
+    untried: &[(TargetKey, &'a TargetState)],
+    version: SoftwareVersion,
+    now: MonoTime,
+) -> Vec<(TargetKey, &'a TargetState)> {
+    let has_version = |state: &TargetState| state.record.version == version;
+    let same: Vec<_> = listed.iter().filter(|(_, state)| has_version(state)).copied().collect();
+    if !same.is_empty() {
+        return same;
+    }
+    let has_just_begun_to_leave = |state: &TargetState| {
+        state.leaving_since.is_some_and(|since| now < since + LEAVING_GRACE_MS)
+    };
+    let leaving =
+        untried.iter().filter(|(_, state)| has_version(state) && has_just_begun_to_leave(state));
+    leaving.copied().collect()
+}
+
 /// Whether a target that has requests of this daemon has sent nothing since this time.
 fn is_silent(state: &TargetState, since: MonoTime) -> bool {
     state.own.requests > 0 && state.last_reply_at < since
@@ -297,7 +353,8 @@
 where
     O: Fn(&TargetState) -> bool,
 {
-    if !query.tried.is_empty() {
+    // A target that has just come back may have another version than the one listed.
+    if !query.tried.is_empty() || query.version.is_some() {
         return None;
     }
     let is_due = |state: &TargetState| {
--- a/ggt-core/src/targets/pool.rs
+++ b/ggt-core/src/targets/pool.rs
@@ -68,6 +68,8 @@
     pub rate: TargetRate,
     /// When this daemon last received bytes of a reply from the target.
     pub last_reply_at: MonoTime,
+    /// When this daemon learnt that the target is leaving.
+    pub leaving_since: Option<MonoTime>,
     /// When the target is to be removed; `None` while the platform lists it.
     pub remove_at: Option<MonoTime>,
     /// Cached prefixes by their short hashes, and when each was last recorded.
@@ -86,6 +88,7 @@
             health: HealthState::default(),
             rate: TargetRate::default(),
             last_reply_at: MonoTime::default(),
+            leaving_since: None,
             remove_at: None,
             prefixes: HashMap::new(),
             record,
@@ -180,6 +183,13 @@
         others.len() >= MIN_CENTRE_TARGETS && others.iter().all(|is_unreachable| *is_unreachable)
     }
 
+    /// Records when this daemon learnt that a target is leaving; only the first call has an effect.
+    pub fn record_leaving_since(&mut self, id: &str, now: MonoTime) {
+        if let Some(state) = self.by_id.get(id).and_then(|key| self.targets.get_mut(*key)) {
+            state.leaving_since.get_or_insert(now);
+        }
+    }
+
     /// Records that the platform no longer lists a target, which is to be removed at `remove_at`.
     pub fn record_unlisted(&mut self, id: &str, remove_at: MonoTime) {
         if let Some(state) = self.by_id.get(id).and_then(|key| self.targets.get_mut(*key)) {
--- /dev/null
+++ b/ggt-core/src/versions/history.rs
@@ -0,0 +1,94 @@
+//! Which versions each service has had, as far back as a stream can last.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::clock::MonoTime;
+use crate::ident::stable_hash;
+use crate::versions::SoftwareVersion;
+
+/// Identifies a service: a hash of its name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ServiceKey(pub u64);
+
+impl ServiceKey {
+    /// The service with this name.
+    pub fn named(name: &str) -> Self {
+        Self(stable_hash(name.as_bytes()))
+    }
+}
+
+/// Versions that may have begun the streams of a service that are still in flight.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum VersionState {
+    /// Only this one.
+    Single(SoftwareVersion),
+    /// Several, or one that this daemon does not know of.
+    Open {
+        /// The version of all targets that this daemon knows, if it is the same.
+        listed: Option<SoftwareVersion>,
+    },
+}
+
+/// The versions that the targets of each service have had.
+#[derive(Clone, Debug, Default)]
+pub struct VersionHistory {
+    /// For each version, when a target with it was last listed.
+    services: HashMap<ServiceKey, BTreeMap<SoftwareVersion, MonoTime>>,
+    /// Since when this daemon has had a current view of the registrations without a gap.
+    current_since: Option<MonoTime>,
+}
+
+impl VersionHistory {
+    /// Records that no stream can have begun before this daemon started.
+    pub fn record_first_start(&mut self) {
+        self.current_since = Some(MonoTime::default());
+    }
+
+    /// Records whether this daemon's view of the registrations is current.
+    pub fn record_view(&mut self, is_current: bool, now: MonoTime) {
+        match is_current {
+            true => _ = self.current_since.get_or_insert(now),
+            false => self.current_since = None,
+        }
+    }
+
+    /// Records a target of a service.
+    pub fn record_target(&mut self, service: ServiceKey, version: SoftwareVersion, now: MonoTime) {
+        self.services.entry(service).or_default().insert(version, now);
+    }
+
+    /// The versions that may have begun a stream within the last `memory_ms`.
+    pub fn state(&self, service: ServiceKey, memory_ms: u64, now: MonoTime) -> VersionState {
+        let versions = self.services.get(&service).into_iter().flatten();
+        let mut recent = versions.filter(|(_, listed_at)| now <= **listed_at + memory_ms);
+        let listed = match (recent.next(), recent.next()) {
+            (Some((version, _)), None) => Some(*version),
+            _ => None,
+        };
+        let is_complete = self.current_since.is_some_and(|since| since + memory_ms <= now);
+        match listed {
+            Some(version) if is_complete => VersionState::Single(version),
+            _ => VersionState::Open { listed },
+        }
+    }
+
+    /// The services that may have streams of several versions.
+    pub fn open_services(&self, memory_ms: u64, now: MonoTime) -> Vec<ServiceKey> {
+        let is_open = |key: &ServiceKey| {
+            matches!(self.state(*key, memory_ms, now), VersionState::Open { .. })
+        };
+        self.services.keys().copied().filter(is_open).collect()
+    }
+
+    /// Drops versions that no target has had for `memory_ms`.
+    pub fn expire(&mut self, memory_ms: u64, now: MonoTime) {
+        for versions in self.services.values_mut() {
+            versions.retain(|_, listed_at| now <= *listed_at + memory_ms);
+        }
+        self.services.retain(|_, versions| !versions.is_empty());
+    }
+}
--- a/ggt-core/src/versions/mod.rs
+++ b/ggt-core/src/versions/mod.rs
@@ -1,5 +1,17 @@
 //! Software versions of targets, and which version began a stream.
+//!
+//! What targets of two versions write does not fit together, so a stream only goes on at the version that
+//! began it. A daemon knows that of the streams that it has served and of those that it was told of, and for
+//! a service that has had one version only, of all.
 
+mod history;
+mod origins;
 mod version;
 
+pub use history::ServiceKey;
+pub use history::VersionHistory;
+pub use history::VersionState;
+pub use origins::OriginTable;
+pub use origins::StreamKey;
+pub use origins::StreamOrigin;
 pub use version::SoftwareVersion;
--- a/ggt-core/tests/pool_fixture/mod.rs
+++ b/ggt-core/tests/pool_fixture/mod.rs
@@ -41,5 +41,6 @@
         may_have_run: false,
         is_idempotent: true,
         silent_since: None,
+        version: None,
     }
 }
--- a/ggt-core/tests/targets.rs
+++ b/ggt-core/tests/targets.rs
@@ -63,6 +63,7 @@
         tried,
         is_idempotent: true,
         silent_since: None,
+        version: None,
     }
 }
 
--- /dev/null
+++ b/ggt-core/tests/versions.rs
@@ -0,0 +1,224 @@
+//! Software versions: which of them may have begun a stream, and at which targets a stream goes on.
+
+use ggt_core::clock::MonoTime;
+use ggt_core::targets::ChoiceError;
+use ggt_core::targets::ChoiceQuery;
+use ggt_core::targets::ChoiceReason;
+use ggt_core::targets::SendOutcome;
+use ggt_core::targets::TargetKey;
+use ggt_core::targets::TargetPool;
+use ggt_core::targets::TargetRecord;
+use ggt_core::versions::OriginTable;
+use ggt_core::versions::ServiceKey;
+use ggt_core::versions::SoftwareVersion;
+use ggt_core::versions::StreamKey;
+use ggt_core::versions::StreamOrigin;
+use ggt_core::versions::VersionHistory;
+use ggt_core::versions::VersionState;
+
+mod pool_fixture;
+
+use pool_fixture::SLOTS;
+use pool_fixture::pool_of;
+use pool_fixture::query;
+
+const MEMORY_MS: u64 = 20_000;
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(100_000 + millis)
+}
+
+fn old() -> SoftwareVersion {
+    SoftwareVersion::named("v1")
+}
+
+fn new() -> SoftwareVersion {
+    SoftwareVersion::named("v1.1")
+}
+
+fn service() -> ServiceKey {
+    ServiceKey::named("s")
+}
+
+/// A pool of `old_count` targets of the old version and `new_count` of the new one.
+fn mixed_pool(old_count: usize, new_count: usize) -> TargetPool {
+    let mut pool = pool_of(old_count);
+    let all = pool_of(old_count + new_count);
+    let records = all.iter().map(|(_, state)| state.record.clone());
+    for record in records.skip(old_count) {
+        pool.put(TargetRecord { version: new(), ..record });
+    }
+    pool
+}
+
+fn keys_of(pool: &TargetPool, version: SoftwareVersion) -> Vec<TargetKey> {
+    let same = pool.iter().filter(|(_, state)| state.record.version == version);
+    same.map(|(key, _)| key).collect()
+}
+
+fn pinned(version: SoftwareVersion, spread_hash: u64) -> ChoiceQuery<'static> {
+    ChoiceQuery { version: Some(version), ..query(0, spread_hash) }
+}
+
+// Guards against a stream that goes on at another version because that has more room or is healthier.
+#[test]
+fn pattern_a_stream_goes_on_only_at_its_version_whatever_the_load() {
+    let mut pool = mixed_pool(1, 5);
+    let only = keys_of(&pool, old())[0];
+    for _ in 0..3 * SLOTS {
+        pool.record_send(only, &Default::default(), false, at(0));
+    }
+    for round in 0..5 {
+        pool.record_outcome(only, SendOutcome::Bad, at(round));
+    }
+    for hash in 0..50 {
+        let choice = pool.choose(&pinned(old(), hash), at(10)).expect("should choose");
+        assert_eq!(choice.key, only);
+        let choice = pool.choose(&pinned(new(), hash), at(10)).expect("should choose");
+        assert_ne!(choice.key, only);
+    }
+}
+
+// Guards against streams that are refused because the few targets left of their version are full, while
+// new streams begin at the other version.
+#[test]
+fn pattern_a_stream_goes_on_at_a_full_target_of_its_version_during_a_release() {
+    let mut pool = mixed_pool(2, 16);
+    for key in keys_of(&pool, old()) {
+        for _ in 0..4 * SLOTS {
+            pool.record_send(key, &Default::default(), false, at(0));
+        }
+        pool.record_slot_time(key, 1, 1_000);
+    }
+    assert!(pool.choose(&query(0, 1), at(0)).is_ok(), "new streams begin");
+    assert!(pool.choose(&pinned(old(), 1), at(0)).is_ok());
+}
+
+// Guards against requests at targets that leave, and against streams that cannot go on in the moment in
+// which the last targets of their version begin to.
+#[test]
+fn leaving_targets_take_streams_of_their_version_for_a_moment_only() {
+    let mut pool = mixed_pool(1, 2);
+    let record = pool.iter().find(|(_, state)| state.record.version == old());
+    let record = record.map(|(_, state)| state.record.clone()).expect("should be there");
+    pool.put(TargetRecord { is_leaving: true, ..record.clone() });
+    pool.record_leaving_since(&record.id, at(0));
+    assert!(pool.choose(&pinned(old(), 1), at(500)).is_ok());
+    pool.record_leaving_since(&record.id, at(800));
+    assert_eq!(pool.choose(&pinned(old(), 1), at(1_500)), Err(ChoiceError::NoVersion));
+    for hash in 0..50 {
+        let choice = pool.choose(&query(0, hash), at(500)).expect("should choose");
+        assert_ne!(pool.target(choice.key).map(|state| state.record.version), Some(old()));
+    }
+}
+
+#[test]
+fn stream_whose_version_has_no_target_is_refused() {
+    let pool = mixed_pool(0, 3);
+    assert_eq!(pool.choose(&pinned(old(), 1), at(0)), Err(ChoiceError::NoVersion));
+}
+
+// Guards against a stream that goes on at a target that has just come back, perhaps with a version that the
+// platform does not list yet.
+#[test]
+fn stream_is_no_trial_request() {
+    let mut pool = mixed_pool(2, 0);
+    let keys = keys_of(&pool, old());
+    pool.record_outcome(keys[0], SendOutcome::Unreachable, at(0));
+    let trial = pool.choose(&query(0, 1), at(600)).expect("should choose");
+    assert_eq!((trial.key, trial.reason), (keys[0], ChoiceReason::Trial));
+    let choice = pool.choose(&pinned(old(), 1), at(600)).expect("should choose");
+    assert_eq!(choice.key, keys[1]);
+}
+
+#[test]
+fn target_without_a_version_fits_only_the_same_incarnation() {
+    let unnamed = SoftwareVersion::unnamed("i-1", 1);
+    assert_eq!(unnamed, SoftwareVersion::unnamed("i-1", 1));
+    assert_ne!(unnamed, SoftwareVersion::unnamed("i-1", 2));
+    assert_ne!(unnamed, SoftwareVersion::unnamed("i-2", 1));
+    assert_ne!(unnamed, SoftwareVersion::named(""));
+}
+
+// Guards against a stream of unknown origin that goes on although it may have begun at a version that has
+// just gone, or that this daemon could not see.
+#[test]
+fn service_has_a_single_version_only_after_a_whole_memory_without_a_gap() {
+    let mut history = VersionHistory::default();
+    let state = |history: &VersionHistory, millis| history.state(service(), MEMORY_MS, at(millis));
+    history.record_view(true, at(0));
+    for millis in (0..=30_000).step_by(100) {
+        history.record_target(service(), old(), at(millis));
+    }
+    assert_eq!(state(&history, 19_900), VersionState::Open { listed: Some(old()) });
+    assert_eq!(state(&history, 20_000), VersionState::Single(old()));
+    history.record_target(service(), new(), at(21_000));
+    assert_eq!(state(&history, 30_000), VersionState::Open { listed: None });
+    history.expire(MEMORY_MS, at(41_100));
+    history.record_target(service(), old(), at(41_100));
+    assert_eq!(state(&history, 41_100), VersionState::Single(old()));
+    history.record_view(false, at(41_200));
+    assert_eq!(state(&history, 41_200), VersionState::Open { listed: Some(old()) });
+    history.record_view(true, at(41_300));
+    assert_eq!(state(&history, 50_000), VersionState::Open { listed: Some(old()) });
+}
+
+#[test]
+fn first_start_of_the_system_has_no_streams_of_before() {
+    let mut history = VersionHistory::default();
+    history.record_first_start();
+    history.record_view(true, at(0));
+    history.record_target(service(), old(), at(0));
+    assert_eq!(history.state(service(), MEMORY_MS, at(10)), VersionState::Single(old()));
+    assert_eq!(history.open_services(MEMORY_MS, at(10)), []);
+}
+
+fn origin(number: u64, version: SoftwareVersion) -> StreamOrigin {
+    StreamOrigin { key: StreamKey(number), version }
+}
+
+#[test]
+fn origins_expire_unless_named_again_and_are_told_once() {
+    let mut table = OriginTable::new(100);
+    table.record_own(origin(1, old()), service(), at(1_000));
+    table.record_own(origin(2, new()), ServiceKey::named("other"), at(1_000));
+    table.record_told(origin(3, old()), at(1_000));
+    assert_eq!(table.take_untold(|key| key == service()), [origin(1, old())]);
+    assert_eq!(table.take_untold(|key| key == service()), []);
+    table.record_told(origin(1, old()), at(5_000));
+    table.expire(at(1_000));
+    assert_eq!(table.version(StreamKey(1), at(1_000)), Some(old()));
+    assert_eq!((table.version(StreamKey(2), at(1_000)), table.len()), (None, 1));
+    table.expire(at(5_000));
+    assert!(table.is_empty());
+}
+
+// Guards against an attempt id that is used twice, or forged: with two versions it shows none.
+#[test]
+fn origin_with_two_versions_is_unknown() {
+    let mut table = OriginTable::new(100);
+    table.record_told(origin(1, old()), at(1_000));
+    table.record_told(origin(1, new()), at(1_000));
+    table.record_told(origin(1, old()), at(1_000));
+    assert_eq!(table.version(StreamKey(1), at(0)), None);
+}
+
+#[test]
+fn table_of_origins_is_bounded_and_drops_the_oldest() {
+    let mut table = OriginTable::new(100);
+    for number in 0..1_000 {
+        table.record_told(origin(number, old()), at(1_000 + number));
+    }
+    assert_eq!(table.len(), 100);
+    assert_eq!(table.version(StreamKey(0), at(0)), None);
+    assert_eq!(table.version(StreamKey(999), at(0)), Some(old()));
+}
+
+// Guards against a customer that learns of the streams of another, or goes on with them.
+#[test]
+fn stream_keys_differ_by_customer_and_service() {
+    let key = |customer, service| StreamKey::new(customer, service, "a1");
+    assert_ne!(key("c1", "s"), key("c2", "s"));
+    assert_ne!(key("c1", "s"), key("c1", "t"));
+    assert_ne!(StreamKey::new("c", "1s", "a"), StreamKey::new("c1", "s", "a"));
+}
--- a/ggt-daemon/src/front/attempt/admission.rs
+++ b/ggt-daemon/src/front/attempt/admission.rs
@@ -13,6 +13,8 @@
 
 /// `retry-after` in milliseconds when the service has no usable target.
 const NO_TARGET_RETRY_MS: u64 = 400;
+/// `retry-after` in milliseconds when no usable target has the version that began the stream.
+const NO_VERSION_RETRY_MS: u64 = 1_000;
 /// Utilisation of a service (load over capacity) from which customers' fair shares are enforced.
 const FAIR_SHARE_UTILISATION: f64 = 0.9;
 
@@ -31,6 +33,7 @@
             may_have_run: self.may_have_run,
             is_idempotent: job.route.is_idempotent,
             silent_since: None,
+            version: self.version.get(),
         }
     }
 
@@ -91,6 +94,9 @@
             (false, ChoiceError::NoTarget) => {
                 FrontRefusal::not_run("no-target", NO_TARGET_RETRY_MS)
             }
+            (false, ChoiceError::NoVersion) => {
+                FrontRefusal::not_run("no-version", NO_VERSION_RETRY_MS)
+            }
             (false, ChoiceError::Full) => self.overload_refusal("no-room"),
             (false, ChoiceError::RateLimited) => self.overload_refusal("rate-limited"),
         }
--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -29,6 +29,8 @@
 use ggt_core::targets::SendOutcome;
 use ggt_core::targets::TargetChoice;
 use ggt_core::targets::TargetKey;
+use ggt_core::targets::TargetRecord;
+use ggt_core::versions::SoftwareVersion;
 use ggt_platform::ReplyHeaders;
 
 /// Maximum number of connections that one request may try to open.
@@ -113,6 +115,7 @@
     key: TargetKey,
     address: SocketAddr,
     crash: CrashId,
+    version: SoftwareVersion,
 }
 
 /// Retry state of one request: the targets tried so far, and whether the request may have run.
@@ -129,6 +132,8 @@
     /// Since when the last target has been silent, if the request is to leave it for another one and
     /// has a retry reserved.
     moving_since: Cell<Option<MonoTime>>,
+    /// The only version that may serve the request, which goes on with a stream.
+    version: Cell<Option<SoftwareVersion>>,
     permit: Option<SharePermit<(String, u32)>>,
 }
 
@@ -157,10 +162,21 @@
             may_have_run: false,
             is_awaiting_reply: false,
             moving_since: Cell::default(),
+            version: Cell::default(),
             permit: None,
         }
     }
 
+    /// Sets the only version that may serve the request from now on.
+    pub fn require_version(&self, version: Option<SoftwareVersion>) {
+        self.version.set(version);
+    }
+
+    /// The version of the target of the last send.
+    pub fn sent_version(&self) -> Option<SoftwareVersion> {
+        self.sent_target.map(|target| target.version)
+    }
+
     /// Whether the request may be sent to another target after a failure. Takes the retry from the
     /// service's retry budget; logs what denies it.
     pub fn try_next_send(&self) -> bool {
@@ -295,10 +311,12 @@
             self.sends + 1,
             job.remaining_ms(),
         );
-        let (key, address, crash) = (choice.key, target.record.address, target.crash_id());
+        let TargetRecord { address, version, .. } = target.record;
+        let sent_target =
+            SentTarget { key: choice.key, address, crash: target.crash_id(), version };
         drop(pool);
         state.metrics.record_choice(choice.reason.as_str());
-        self.sent_target = Some(SentTarget { key, address, crash });
+        self.sent_target = Some(sent_target);
         self.tried.push(choice.key);
         Ok(choice)
     }
--- a/ggt-daemon/src/front/changes.rs
+++ b/ggt-daemon/src/front/changes.rs
@@ -9,6 +9,7 @@
 use ggt_core::routes::RouteConfig;
 use ggt_core::store_cache::StoreBatch;
 use ggt_core::store_cache::StoreChange;
+use ggt_core::versions::ServiceKey;
 use ggt_platform::is_same_history;
 use ggt_platform::parse_config;
 use ggt_platform::parse_registration;
@@ -47,9 +48,15 @@
         match record {
             Some(Ok(record)) => {
                 let (is_leaving, version) = (record.is_leaving, record.version);
+                let service = ServiceKey::named(&record.service);
+                self.versions.borrow_mut().record_target(service, version, mono_now());
                 let ended = self.pool.borrow().ended_by(&record);
                 ended.iter().for_each(|crash| self.record_target_end(*crash, "replaced"));
-                if self.pool.borrow_mut().put(record) {
+                let has_changed = self.pool.borrow_mut().put(record);
+                if is_leaving {
+                    self.pool.borrow_mut().record_leaving_since(id, mono_now());
+                }
+                if has_changed {
                     let status = if is_leaving { "leaving" } else { "ready" };
                     log::info!(
                         "event=target target={id} status={status} software={version} \
@@ -106,6 +113,7 @@
             "event=config version={version} before={active_version} revision={revision} \
              routes={routes} source={source} outcome=in-force"
         );
+        self.extend_stream_memory(config.longest_stream_ms());
         *self.route_config.borrow_mut() = Some(Rc::new(config));
     }
 }
--- a/ggt-daemon/src/front/digests.rs
+++ b/ggt-daemon/src/front/digests.rs
@@ -17,6 +17,7 @@
 use ggt_core::fleet::PeerDigest;
 use ggt_wire::digest::decode_digest;
 use ggt_wire::digest::encode_digest;
+use ggt_wire::origins::is_origins;
 
 /// Maximum size of a datagram in bytes; small enough not to be fragmented.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
@@ -139,7 +140,9 @@
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((length, _)) => {
-                if let Some(peer) = apply_datagram(&state, &buffer[..length]) {
+                if is_origins(&buffer[..length]) {
+                    state.apply_origins(&buffer[..length]);
+                } else if let Some(peer) = apply_datagram(&state, &buffer[..length]) {
                     greet(&state, &socket, peer).await;
                 }
             }
--- a/ggt-daemon/src/front/job.rs
+++ b/ggt-daemon/src/front/job.rs
@@ -16,6 +16,7 @@
 use ggt_core::routes::RouteEntry;
 use ggt_core::targets::SendRecord;
 use ggt_core::targets::TargetKey;
+use ggt_core::versions::StreamKey;
 use ggt_platform::RequestHeaders;
 
 /// A validated request with its route and service.
@@ -51,6 +52,22 @@
 }
 
 impl FrontJob {
+    /// Whether the caller has events of the stream already and takes it up.
+    pub fn is_resumption(&self) -> bool {
+        self.route.is_stream && self.headers.last_event.is_some_and(|event| event > 0)
+    }
+
+    /// Identifies the stream that the request begins or takes up; `None` if it takes one up without naming
+    /// the attempt that brought its first event.
+    pub fn stream_key(&self) -> Option<StreamKey> {
+        let first_attempt = match self.is_resumption() {
+            true => self.headers.first_attempt.as_deref()?,
+            false => &self.id,
+        };
+        let customer = self.customer.as_deref().unwrap_or_default();
+        Some(StreamKey::new(customer, &self.service, first_attempt))
+    }
+
     /// Milliseconds until the deadline.
     pub fn remaining_ms(&self) -> u64 {
         self.deadline.millis_since(mono_now())
--- a/ggt-daemon/src/front/mod.rs
+++ b/ggt-daemon/src/front/mod.rs
@@ -16,6 +16,7 @@
 mod internal;
 mod job;
 mod metrics;
+mod origins;
 mod pack;
 mod peers;
 mod prepare;
--- a/ggt-daemon/src/front/peers.rs
+++ b/ggt-daemon/src/front/peers.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use rand::Rng;
+use serde::de::DeserializeOwned;
 use snafu::Snafu;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -27,9 +28,14 @@
 use ggt_core::clock::MonoTime;
 use ggt_core::fleet::PeerDigest;
 use ggt_core::store_cache::StoreBatch;
+use ggt_core::versions::ServiceKey;
+use ggt_core::versions::StreamKey;
+use ggt_wire::origins::OriginReply;
 
 /// Path at which peers fetch all cached prefixes.
 const PREFIXES_PATH: &str = "/reads";
+/// Start of the paths at which peers ask which version began a stream.
+const ORIGIN_PATH: &str = "/origins/";
 /// Time in milliseconds that a change has to arrive from the platform before it is fetched from a
 /// peer.
 const PEER_FETCH_DELAY_MS: u64 = 120;
@@ -165,9 +171,16 @@
 /// Fetches all cached prefixes that a peer has recorded: pairs of the short hashes of a prefix and
 /// of the target that has it cached.
 pub async fn fetch_prefixes(peer: SocketAddr) -> Result<Vec<(u32, u32)>, FetchError> {
+    fetch_value(peer, PREFIXES_PATH).await
+}
+
+async fn fetch_value<V>(peer: SocketAddr, path: &str) -> Result<V, FetchError>
+where
+    V: DeserializeOwned,
+{
     let call = async {
         let mut connection = TargetConnection::open(peer, CONNECT_TIMEOUT).await?;
-        let reply = get(&mut connection, peer, PREFIXES_PATH).await?;
+        let reply = get(&mut connection, peer, path).await?;
         if reply.status != 200 {
             return Err(FetchError::Status { status: reply.status });
         }
@@ -176,9 +189,30 @@
     timeout(FETCH_TIMEOUT, call).await.unwrap_or(Err(FetchError::Timeout))
 }
 
-/// Packed reply body for a peer that requests a folder's changes after a revision, or the cached
-/// prefixes; `None` for an unknown path.
+/// Asks a peer which version began a stream.
+pub async fn fetch_origin(
+    peer: SocketAddr,
+    key: StreamKey,
+    service: ServiceKey,
+) -> Result<OriginReply, FetchError> {
+    fetch_value(peer, &format!("{ORIGIN_PATH}{:x}/{:x}", key.0, service.0)).await
+}
+
+/// Reply body for a peer that asks which version began a stream; `path` is what follows
+/// `ORIGIN_PATH`.
+fn origin_reply(state: &FrontState, path: &str) -> Option<Bytes> {
+    let (key, service) = path.split_once('/')?;
+    let number = |text| u64::from_str_radix(text, 16).ok();
+    let reply = state.origin_reply(StreamKey(number(key)?), ServiceKey(number(service)?));
+    into_reply(path, pack(&reply))
+}
+
+/// Packed reply body for a peer that requests a folder's changes after a revision, the cached
+/// prefixes, or the origin of a stream; `None` for an unknown path.
 pub fn peer_reply(state: &FrontState, path: &str) -> Option<Bytes> {
+    if let Some(stream) = path.strip_prefix(ORIGIN_PATH) {
+        return origin_reply(state, stream);
+    }
     if path == PREFIXES_PATH {
         return into_reply(path, pack(&state.pool.borrow().all_prefixes()));
     }
--- a/ggt-daemon/src/front/prepare.rs
+++ b/ggt-daemon/src/front/prepare.rs
@@ -46,8 +46,10 @@
     let Some(attempt_id) = headers.attempt_id.clone() else {
         return Err(FrontRefusal::new(StatusCode::BAD_REQUEST, "no-attempt-id"));
     };
+    // A stream that is taken up goes to the service that began it, if the route still has that.
+    let first_attempt = headers.first_attempt.as_ref().filter(|_| headers.last_event.is_some());
     let service = route
-        .service_for(split_hash(&attempt_id))
+        .service_for(split_hash(first_attempt.unwrap_or(&attempt_id)))
         .ok_or(FrontRefusal::not_run("no-service", NO_SERVICE_RETRY_MS))?;
     let wait_ms = headers.wait_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
     let chain = route.is_sticky.then(|| prefix_chain(&headers));
--- a/ggt-daemon/src/front/run.rs
+++ b/ggt-daemon/src/front/run.rs
@@ -23,6 +23,7 @@
 use crate::front::digests::run_receiver;
 use crate::front::internal::serve_internal;
 use crate::front::metrics::FrontMetrics;
+use crate::front::origins::run_origins;
 use crate::front::peers::run_fetch;
 use crate::front::settings::FrontSettings;
 use crate::front::settings::parse_front_settings;
@@ -116,7 +117,8 @@
         spawn_local(run_watch(state.clone(), folder));
     }
     spawn_local(run_digests(state.clone(), socket.clone()));
-    spawn_local(run_receiver(state.clone(), socket));
+    spawn_local(run_receiver(state.clone(), socket.clone()));
+    spawn_local(run_origins(state.clone(), socket));
     spawn_local(run_fetch(state.clone()));
     spawn_local(run_warmup(state.clone()));
     spawn_local(run_reload(state.clone(), file, reload_signals));
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -15,6 +15,8 @@
 use crate::front::buffers::BufferBudget;
 use crate::front::crashes::CRASH_OPTIONS;
 use crate::front::metrics::FrontMetrics;
+use crate::front::origins::MAX_ORIGINS;
+use crate::front::origins::MIN_MEMORY_MS;
 use crate::front::pack::PackedReply;
 use crate::front::settings::FrontSettings;
 use crate::logging::quoted;
@@ -34,6 +36,8 @@
 use ggt_core::store_cache::StoreCache;
 use ggt_core::targets::TargetKey;
 use ggt_core::targets::TargetPool;
+use ggt_core::versions::OriginTable;
+use ggt_core::versions::VersionHistory;
 use ggt_platform::CONFIG_KEY;
 use ggt_platform::TARGET_PREFIX;
 
@@ -101,6 +105,14 @@
     pub losses: RefCell<LossTable>,
     /// Unresponsive targets that are being checked for a crash.
     pub target_checks: RefCell<BTreeSet<CrashId>>,
+    /// The versions that the targets of each service have had.
+    pub versions: RefCell<VersionHistory>,
+    /// Which version began each stream.
+    pub origins: RefCell<OriginTable>,
+    /// Notified when streams have begun that other daemons have to be told of.
+    pub origins_untold: Notify,
+    /// Milliseconds for which a stream, or a version of a service, is kept in mind.
+    pub stream_memory_ms: Cell<u64>,
     /// Customers' shares of each service, by service and priority.
     pub shares: RefCell<ShareTable<(String, u32), String>>,
     /// Memory of buffered replies.
@@ -136,6 +148,10 @@
         let fleet = FleetTable::new(settings.peer);
         let crash_options =
             CrashOptions { first_refusal_ms: settings.crash_refusal_ms(), ..CRASH_OPTIONS };
+        let mut versions = VersionHistory::default();
+        if settings.first_start {
+            versions.record_first_start();
+        }
         let centre_hash = stable_hash(settings.data_centre.as_bytes()) as u32;
         Self {
             centre_hash,
@@ -152,6 +168,10 @@
             crashes: RefCell::new(CrashTable::new(crash_options)),
             target_checks: RefCell::default(),
             losses: RefCell::new(LossTable::new(CRASH_OPTIONS.capacity)),
+            versions: RefCell::new(versions),
+            origins: RefCell::new(OriginTable::new(MAX_ORIGINS)),
+            origins_untold: Notify::new(),
+            stream_memory_ms: Cell::new(MIN_MEMORY_MS),
             shares: RefCell::default(),
             buffers: BufferBudget::default(),
             in_flight: Cell::new(0),
@@ -291,6 +311,7 @@
         changes.iter().for_each(|c| pool.replace_peer_load(c.hash, c.before, c.after));
         drop(pool);
         self.update_rate_shares();
+        self.update_versions();
         self.expire_crashes(now);
     }
 }
--- a/ggt-daemon/src/front/stream.rs
+++ b/ggt-daemon/src/front/stream.rs
@@ -20,6 +20,7 @@
 use crate::front::buffers::read_body;
 use crate::front::job::FrontJob;
 use crate::front::job::JobGuard;
+use crate::front::origins::required_version;
 use crate::front::response::ResponseBody;
 use crate::front::response::StreamInterrupted;
 use crate::front::response::forwarded_response;
@@ -54,6 +55,13 @@
     guard: JobGuard,
 ) -> Response<ResponseBody> {
     let mut relay = StreamRelay::new(state, &job);
+    match required_version(state, &job).await {
+        Ok(version) => relay.attempts.require_version(version),
+        Err(refusal) => {
+            guard.end("refused", refusal.status.as_u16(), refusal.cause);
+            return refusal.into_response(Some(&job.id));
+        }
+    }
     let (reply, first) = match relay.start().await {
         Ok(started) => started,
         Err(StartError::Refused(refusal)) => {
@@ -116,6 +124,7 @@
             match self.read_checked(&mut reply).await {
                 outcome @ (ReadOutcome::Events(_) | ReadOutcome::Complete) => {
                     reply.guard.record_prefill();
+                    self.keep_version();
                     return Ok((reply, outcome));
                 }
                 outcome => {
@@ -125,6 +134,15 @@
         }
     }
 
+    /// Requires the version of the target that has sent the first events for the rest of the stream, and
+    /// records it for callers that take the stream up.
+    fn keep_version(&self) {
+        if let Some(version) = self.attempts.sent_version() {
+            self.attempts.require_version(Some(version));
+            self.state.record_origin(&self.job, version);
+        }
+    }
+
     /// Returns a target's error reply as `Err`, or as `Ok` if the request may be sent to another
     /// target first; `Ok(None)` if the reply was interrupted and the request may be retried.
     async fn handle_error_reply(
--- a/ggt-wire/src/lib.rs
+++ b/ggt-wire/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod digest;
 pub mod headers;
 pub mod hint;
+pub mod origins;
 pub mod platform;
 pub mod rpc;
--- a/ggt-wire/tests/codec.rs
+++ b/ggt-wire/tests/codec.rs
@@ -16,6 +16,9 @@
 use ggt_core::membership::GossipItem;
 use ggt_core::membership::PeerMessage;
 use ggt_core::routing::LoadReport;
+use ggt_core::versions::SoftwareVersion;
+use ggt_core::versions::StreamKey;
+use ggt_core::versions::StreamOrigin;
 use ggt_wire::auth::FleetKeys;
 use ggt_wire::datagram::DatagramError;
 use ggt_wire::datagram::decode_datagram;
@@ -28,6 +31,9 @@
 use ggt_wire::hint::HintVerdict;
 use ggt_wire::hint::decode_hint;
 use ggt_wire::hint::encode_hint;
+use ggt_wire::origins::decode_origins;
+use ggt_wire::origins::encode_origins;
+use ggt_wire::origins::is_origins;
 use ggt_wire::rpc::CallError;
 use ggt_wire::rpc::sign_call;
 use ggt_wire::rpc::sign_reply;
@@ -227,3 +233,22 @@
         postcard::from_bytes(&bytes).expect("should decode the first fields");
     assert_eq!((address, incarnation), (digest().address, digest().incarnation));
 }
+
+#[test]
+fn origins_of_streams_round_trip_and_differ_from_digests() {
+    let origin = |number| StreamOrigin {
+        key: StreamKey(number),
+        version: SoftwareVersion::named(&format!("v{number}")),
+    };
+    let origins: Vec<_> = (0..50).map(|number| origin(u64::MAX - number)).collect();
+    let bytes = encode_origins(&origins).expect("should encode");
+    assert!(is_origins(&bytes) && bytes.len() < 1_400, "{} bytes", bytes.len());
+    assert_eq!(decode_origins(&bytes).expect("should decode"), origins);
+    for end in 0..bytes.len() {
+        assert!(decode_origins(&bytes[..end]).is_err(), "truncated at {end}");
+    }
+    for address in ["127.0.0.1:1", "[::1]:1"] {
+        let address: std::net::SocketAddr = address.parse().expect("an address");
+        assert!(!is_origins(&postcard::to_stdvec(&address).expect("should encode")));
+    }
+}
