--- a/ggt-daemon/src/front/origins.rs
+++ b/ggt-daemon/src/front/origins.rs
@@ -66,7 +66,8 @@
     Own,
     /// Another daemon knows the stream, or knows that the service has had one version only.
     Peer,
-    /// All daemons have restarted; all targets have one version and no release is under way.
+    /// This daemon has seen one version only; the caller names no attempt, or all daemons have restarted
+    /// and no release is under way.
     Assumed,
 }
 
@@ -125,8 +126,11 @@
         VersionState::Single(version) => return Some((OriginSource::Single, version)),
         VersionState::Open { listed } => listed,
     };
-    // A stream without a key can be found only through the service's version.
-    let key = key.unwrap_or(StreamKey(0));
+    // A caller that names no attempt cannot be told from others by any daemon, so what this one has seen
+    // decides.
+    let Some(key) = key else {
+        return listed.map(|version| (OriginSource::Assumed, version));
+    };
     let asked = state.fleet.borrow().holders(key.0, ASKED_HOLDERS, mono_now());
     let replies = ask(&asked, key, service).await;
     if let Some(version) = agreed_version(&replies, listed) {
