--- a/ggt-core/src/targets/health.rs
+++ b/ggt-core/src/targets/health.rs
@@ -88,6 +88,15 @@
         }
     }
 
+    /// Records bytes of a reply: a target that was only unresponsive is there.
+    pub fn record_bytes(&mut self) {
+        if self.unresponsive_since.take().is_some() {
+            self.is_unreachable = false;
+            self.held_down_until = None;
+            self.hold_downs = 0;
+        }
+    }
+
     /// Share of bad outcomes, from 0 to 1.
     pub fn bad_share(&self) -> f64 {
         let total = self.good + self.bad;
--- a/ggt-core/src/targets/pool.rs
+++ b/ggt-core/src/targets/pool.rs
@@ -316,6 +316,7 @@
     pub fn record_reply(&mut self, key: TargetKey, report: Option<LoadReport>, now: MonoTime) {
         if let Some(state) = self.targets.get_mut(key) {
             state.last_reply_at = now;
+            state.health.record_bytes();
             if let Some(report) = report {
                 state.report = Some((report, now));
             }
--- a/ggt-core/tests/silence.rs
+++ b/ggt-core/tests/silence.rs
@@ -114,3 +114,33 @@
     pool.record_reply(keys[1], None, at(1_400));
     assert_eq!(pool.choose(&moving, at(1_500)).map(|choice| choice.key), Ok(keys[1]));
 }
+
+// Guards against targets that stay out after a silence for as long as they have requests in flight,
+// although their replies go on.
+#[test]
+fn bytes_of_a_reply_end_the_hold_down_of_an_unresponsive_target() {
+    let mut pool = pool_of(3);
+    for key in keys_of(&pool) {
+        pool.record_send(key, &Default::default(), false, at(0));
+        pool.record_outcome(key, SendOutcome::Unresponsive, at(200));
+    }
+    assert_eq!(pool.choose(&query(0, 1), at(900)), Err(ChoiceError::NoTarget));
+    for key in keys_of(&pool) {
+        pool.record_reply(key, None, at(1_000));
+    }
+    for millis in (1_000..12_000).step_by(500) {
+        assert!(pool.choose(&query(0, 1), at(millis)).is_ok(), "at {millis}");
+    }
+}
+
+// Guards against the same for a target that refused a connection: its replies in flight do not show that
+// it takes new requests.
+#[test]
+fn bytes_of_a_reply_do_not_end_the_hold_down_of_a_target_that_refused_a_connection() {
+    let mut pool = pool_of(1);
+    let key = keys_of(&pool)[0];
+    pool.record_send(key, &Default::default(), false, at(0));
+    pool.record_outcome(key, SendOutcome::Unreachable, at(200));
+    pool.record_reply(key, None, at(300));
+    assert_eq!(pool.choose(&query(0, 1), at(400)), Err(ChoiceError::NoTarget));
+}
