--- a/ggt-core/src/targets/choice.rs
+++ b/ggt-core/src/targets/choice.rs
@@ -330,9 +330,9 @@
     leaving.copied().collect()
 }
 
-/// Whether a target that has requests of this daemon has sent nothing since this time.
+/// Whether a target that has had requests of this daemon since this time has sent nothing since then.
 fn is_silent(state: &TargetState, since: MonoTime) -> bool {
-    state.own.requests > 0 && state.last_reply_at < since
+    state.own.requests > 0 && state.last_reply_at.max(state.busy_since) < since
 }
 
 fn is_healthy(state: &TargetState, now: MonoTime) -> bool {
--- a/ggt-core/src/targets/pool.rs
+++ b/ggt-core/src/targets/pool.rs
@@ -68,6 +68,8 @@
     pub rate: TargetRate,
     /// When this daemon last received bytes of a reply from the target.
     pub last_reply_at: MonoTime,
+    /// Since when the target has had requests of this daemon.
+    pub busy_since: MonoTime,
     /// When this daemon learnt that the target is leaving.
     pub leaving_since: Option<MonoTime>,
     /// When the target is to be removed; `None` while the platform lists it.
@@ -88,6 +90,7 @@
             health: HealthState::default(),
             rate: TargetRate::default(),
             last_reply_at: MonoTime::default(),
+            busy_since: MonoTime::default(),
             leaving_since: None,
             remove_at: None,
             prefixes: HashMap::new(),
@@ -255,6 +258,9 @@
         let last = chain.prefixes().last().map_or(0, |prefix| prefix.tokens);
         let uncached = state.uncached_tokens(chain);
         let uncached = if is_copied { uncached.min(last) } else { uncached };
+        if state.own.requests == 0 {
+            state.busy_since = now;
+        }
         state.own.requests += 1;
         state.rate.record_send(now);
         state.own.backlog_tokens += uncached;
--- a/ggt-core/tests/silence.rs
+++ b/ggt-core/tests/silence.rs
@@ -144,3 +144,16 @@
     pool.record_reply(key, None, at(300));
     assert_eq!(pool.choose(&query(0, 1), at(400)), Err(ChoiceError::NoTarget));
 }
+
+// Guards against streams of a dead target that go on one by one, because the next target counts as silent
+// from the moment at which it has got the first of them.
+#[test]
+fn pattern_streams_of_a_dead_target_move_together_to_an_idle_one() {
+    let mut pool = pool_of(2);
+    let keys = keys_of(&pool);
+    pool.record_send(keys[0], &Default::default(), false, at(0));
+    let tried = [keys[0]];
+    let moving = ChoiceQuery { tried: &tried, silent_since: Some(at(50)), ..query(0, 1) };
+    pool.record_send(keys[1], &Default::default(), false, at(1_800));
+    assert_eq!(pool.choose(&moving, at(1_810)).map(|choice| choice.key), Ok(keys[1]));
+}
