--- a/ggt-daemon/src/front/attempt/crash_check.rs
+++ b/ggt-daemon/src/front/attempt/crash_check.rs
@@ -17,6 +17,8 @@
 
 /// Milliseconds without a reply to any request after which a silent target is checked for a crash.
 const MIN_SILENCE_MS: u64 = 250;
+/// Milliseconds between two probes of a silent target.
+const PROBE_INTERVAL_MS: u64 = 500;
 /// Pause between two checks of a target that does not respond.
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -38,20 +40,38 @@
         }
     }
 
-    /// Whether the target of the last send is known to have ended.
+    /// Whether the target of the last send is known to have ended. One that is leaving may refuse
+    /// connections and still complete its replies.
     pub(super) fn has_target_ended(&self) -> bool {
-        let losses = self.state.losses.borrow();
-        self.sent_target.is_some_and(|target| losses.has_ended(target.crash))
+        let Some(target) = self.sent_target else { return false };
+        let pool = self.state.pool.borrow();
+        let is_leaving = pool
+            .target(target.key)
+            .is_some_and(|state| state.record.is_leaving || state.remove_at.is_some());
+        !is_leaving && self.state.losses.borrow().has_ended(target.crash)
     }
 
-    /// Opens a connection to the target of the last send, to find out whether it has ended.
+    /// Opens a connection to the target of the last send, to find out whether it has ended; at most one
+    /// in `PROBE_INTERVAL_MS` for all requests, and none if it has replied to another lately.
     pub(super) async fn probe_target(&self) {
-        if let Some(target) = self.sent_target {
+        let Some(target) = self.sent_target else { return };
+        if !self.has_replied_lately(target) && self.begin_probe(target) {
             // The outcome has been recorded.
             let _ = check_target(self.state.clone(), target).await;
         }
     }
 
+    fn begin_probe(&self, target: SentTarget) -> bool {
+        let now = mono_now();
+        let mut probes = self.state.target_probes.borrow_mut();
+        probes.retain(|_, next_at| now < *next_at);
+        if probes.contains_key(&target.crash) {
+            return false;
+        }
+        probes.insert(target.crash, now + PROBE_INTERVAL_MS);
+        true
+    }
+
     fn has_replied_lately(&self, target: SentTarget) -> bool {
         let pool = self.state.pool.borrow();
         let last_reply_at = pool.target(target.key).map(|state| state.last_reply_at);
--- a/ggt-daemon/src/front/attempt/silence.rs
+++ b/ggt-daemon/src/front/attempt/silence.rs
@@ -7,16 +7,21 @@
 use crate::clock::mono_now;
 use crate::front::attempt::RetryDenial;
 use crate::front::attempt::UpstreamAttempts;
+use crate::front::state::CONNECT_TIMEOUT;
 use crate::logging::quoted;
+use crate::upstream::TargetConnection;
 use ggt_core::clock::MonoTime;
+use ggt_core::silence::MAX_SOUND_SILENCE_MS;
 use ggt_core::silence::ReplyStage;
 use ggt_core::silence::SilenceLimit;
 use ggt_core::targets::ChoiceQuery;
+use ggt_core::targets::SendOutcome;
+use ggt_core::targets::TargetKey;
 
 /// Interval between checks for a silent target.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Milliseconds between probes of a silent target while no other can take its request.
-const PROBE_INTERVAL_MS: u64 = 500;
+/// The same while no other target can take the request.
+const DENIED_INTERVAL: Duration = Duration::from_millis(200);
 
 impl UpstreamAttempts {
     /// Returns once the target of the last send has been silent for so long that the request should
@@ -30,23 +35,26 @@
         }
         let silent_since = mono_now();
         let limit = SilenceLimit::new(stage, route.goal_ms, route.max_gap_ms);
-        let (mut logged_denial, mut probe_at) = (None, silent_since);
+        let mut last_denial = None;
         loop {
-            sleep(CHECK_INTERVAL).await;
+            sleep(if last_denial.is_some() { DENIED_INTERVAL } else { CHECK_INTERVAL }).await;
             if !self.is_silent_for_too_long(stage, limit, silent_since) {
                 continue;
             }
-            let denial = self.reserve_move(silent_since).err();
-            if denial != logged_denial || denial.is_none() {
-                self.log_silence(silent_since, denial);
-                logged_denial = denial;
-            }
-            if denial.is_none() || self.has_target_ended() {
+            let Err(denial) = self.reserve_move(silent_since).await else {
+                self.log_silence(silent_since, None);
                 return;
+            };
+            if last_denial != Some(denial) {
+                self.log_silence(silent_since, Some(denial));
+            }
+            if last_denial.replace(denial).is_none() {
+                self.record_silence();
             }
-            if mono_now() >= probe_at {
-                self.probe_target().await;
-                probe_at = mono_now() + PROBE_INTERVAL_MS;
+            self.probe_target().await;
+            let silent_ms = mono_now().millis_since(silent_since);
+            if silent_ms >= MAX_SOUND_SILENCE_MS && self.has_target_ended() {
+                return;
             }
         }
     }
@@ -58,24 +66,28 @@
         silent_since: MonoTime,
     ) -> bool {
         let Some(target) = self.sent_target else { return false };
-        let silent_ms = mono_now().millis_since(silent_since);
-        if silent_ms >= limit.ended_ms && self.has_target_ended() {
+        let now = mono_now();
+        if now >= silent_since + limit.ended_ms && self.has_target_ended() {
             return true;
         }
-        // A target that has replied to other requests since is busy with the prompt rather than hung.
-        let is_busy = stage == ReplyStage::Head && self.job.route.is_stream && {
-            let pool = self.state.pool.borrow();
-            pool.target(target.key).is_some_and(|state| state.last_reply_at > silent_since)
+        // A target that replies to other requests is busy with the prompt rather than hung.
+        let is_awaiting_prompt = stage == ReplyStage::Head && self.job.route.is_stream;
+        let last_reply_at = match self.state.pool.borrow().target(target.key) {
+            Some(state) if is_awaiting_prompt => state.last_reply_at,
+            _ => silent_since,
         };
-        silent_ms >= limit.sound_ms && !is_busy
+        now >= silent_since.max(last_reply_at) + limit.sound_ms
     }
 
-    /// Reserves a retry at another target that can take the request now.
-    fn reserve_move(&self, silent_since: MonoTime) -> Result<(), RetryDenial> {
+    /// Reserves a retry at another target that can take the request now and accepts a connection.
+    async fn reserve_move(&self, silent_since: MonoTime) -> Result<(), RetryDenial> {
         if let Some(denial) = self.retry_denial() {
             return Err(denial);
         }
-        if self.state.is_suspected(&self.job) {
+        // Whether the silent target has crashed decides whether the request may be sent at all.
+        let may_be_decisive =
+            self.state.is_next_crash_decisive(&self.job) && !self.has_target_ended();
+        if may_be_decisive || self.state.is_suspected(&self.job) {
             return Err(RetryDenial::Crashing);
         }
         let settings = self.state.settings();
@@ -85,9 +97,8 @@
             ..self.query(&settings)
         };
         let chosen = self.state.pool.borrow().choose(&query, mono_now());
-        if chosen.is_err() {
-            return Err(RetryDenial::NoTarget);
-        }
+        let choice = chosen.map_err(|_| RetryDenial::NoTarget)?;
+        self.connect_ahead(choice.key).await?;
         if !self.state.try_retry(&self.job.service) {
             return Err(RetryDenial::Budget);
         }
@@ -95,6 +106,30 @@
         Ok(())
     }
 
+    /// Opens a connection to the next target, for the send that follows, so that the reply of the silent
+    /// one is not given up for a target that is silent as well.
+    async fn connect_ahead(&self, key: TargetKey) -> Result<(), RetryDenial> {
+        let address = self.state.pool.borrow().target(key).map(|target| target.record.address);
+        let address = address.ok_or(RetryDenial::NoTarget)?;
+        match TargetConnection::open(address, CONNECT_TIMEOUT).await {
+            Ok(connection) => {
+                self.state.connections.keep(key, connection, None);
+                Ok(())
+            }
+            Err(e) => {
+                self.state.record_outcome(key, e.outcome());
+                Err(RetryDenial::NoTarget)
+            }
+        }
+    }
+
+    /// Counts the silence against the target, whose requests cannot leave it.
+    fn record_silence(&self) {
+        if let Some(target) = self.sent_target {
+            self.state.record_outcome(target.key, SendOutcome::Bad);
+        }
+    }
+
     fn log_silence(&self, silent_since: MonoTime, denial: Option<RetryDenial>) {
         let pool = self.state.pool.borrow();
         let target = self.sent_target.and_then(|target| pool.target(target.key));
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -105,6 +106,8 @@
     pub losses: RefCell<LossTable>,
     /// Unresponsive targets that are being checked for a crash.
     pub target_checks: RefCell<BTreeSet<CrashId>>,
+    /// Silent targets that were probed, and when each may be probed again.
+    pub target_probes: RefCell<BTreeMap<CrashId, MonoTime>>,
     /// The versions that the targets of each service have had.
     pub versions: RefCell<VersionHistory>,
     /// Which version began each stream.
@@ -167,6 +170,7 @@
             fleet: RefCell::new(fleet),
             crashes: RefCell::new(CrashTable::new(crash_options)),
             target_checks: RefCell::default(),
+            target_probes: RefCell::default(),
             losses: RefCell::new(LossTable::new(CRASH_OPTIONS.capacity)),
             versions: RefCell::new(versions),
             origins: RefCell::new(OriginTable::new(MAX_ORIGINS)),
--- a/ggt-testkit/tests/platform_silence.rs
+++ b/ggt-testkit/tests/platform_silence.rs
@@ -13,10 +13,12 @@
 use ggt_standin::users_platform::WireRequest;
 use ggt_standin::users_platform::event_chunk;
 use ggt_standin::users_platform::respond;
+use ggt_standin::users_platform::respond_with_event;
 use ggt_standin::users_platform::stream_head;
 use ggt_standin::users_platform::test_config;
 use ggt_testkit::front::FrontFleet;
 use ggt_testkit::http::HttpResponse;
+use ggt_testkit::wait::wait_until;
 
 /// Silence of a sound server.
 const SILENCE: Duration = Duration::from_millis(1_500);
@@ -138,3 +140,56 @@
     assert_eq!((response.status, response.body.as_str()), (200, "whole"));
     assert_eq!(fleet.request_count("id-1"), 1);
 }
+
+// Guards against a stream that is cut while its server goes on with it, because the server accepts no new
+// connections.
+#[test]
+fn stream_of_a_server_that_refuses_connections_is_complete_after_a_pause() {
+    let fleet = FrontFleet::start(1, 1);
+    set_silent_script(&fleet.servers[0], SILENT_AFTER);
+    let response = thread::scope(|scope| {
+        let request = fleet.request(0, "POST", "/chat/", "id-1").body("x");
+        let caller = scope.spawn(move || request.send().expect("should respond"));
+        wait_until("the server has the stream", || fleet.request_count("id-1") == 1);
+        fleet.servers[0].fall_silent();
+        let other = fleet.request(0, "POST", "/once/", "id-2").body("x").send();
+        assert_eq!(other.map(|response| response.status), Some(503));
+        caller.join().expect("should not panic")
+    });
+    check_whole(&[response]);
+}
+
+// Guards against a stream that waits for its first event at a hung server because that has answered
+// another request since.
+#[test]
+fn stream_leaves_a_server_that_hangs_after_a_reply_to_another_request() {
+    let fleet = FrontFleet::start(2, 1);
+    for server in &fleet.servers {
+        server.set_script(|request, stream| {
+            if request.path != "/chat/" || request.attempt_id() == "warm" {
+                return respond_with_event(request, stream);
+            }
+            AfterResponse::Keep
+        });
+    }
+    thread::scope(|scope| {
+        let request = fleet.request(0, "POST", "/chat/", "id-1").body("x");
+        let caller = scope.spawn(move || request.send().expect("should respond"));
+        wait_until("a server has the stream", || fleet.request_count("id-1") == 1);
+        let hung = fleet.servers.iter().position(|server| !server.requests().is_empty());
+        for (number, server) in fleet.servers.iter().enumerate() {
+            if Some(number) != hung {
+                server.set_script(respond_with_event);
+            }
+        }
+        // Replies of the hung server to other requests, before it hangs for good.
+        for number in 0..8 {
+            let other = fleet.request(0, "POST", "/talk/", &format!("other-{number}")).body("x");
+            assert_eq!(other.send().map(|response| response.status), Some(200));
+        }
+        let response = caller.join().expect("should not panic");
+        assert_eq!(response.status, 200);
+        assert!(response.is_complete);
+        assert_eq!(fleet.request_count("id-1"), 2);
+    });
+}
