--- a/ggt-daemon/src/dispatch/exchange.rs
+++ b/ggt-daemon/src/dispatch/exchange.rs
@@ -20,6 +20,7 @@
 use crate::lock::lock;
 use crate::logging::quoted;
 use crate::peers::broadcast_crash;
+use crate::probes::ProbeFailure;
 use crate::probes::ProbeReply;
 use crate::probes::announce_leaving;
 use crate::probes::probe;
@@ -35,12 +36,14 @@
 use ggt_core::crashes::CrashId;
 use ggt_core::crashes::CrashJudgement;
 use ggt_core::crashes::CrashRefusal;
+use ggt_core::crashes::SuspectKey;
 use ggt_core::ident::TargetName;
 use ggt_core::ident::WorkloadName;
 use ggt_core::limits::SharePermit;
 use ggt_core::routing::RouteQuery;
 use ggt_core::routing::RouteRefusal;
 use ggt_core::routing::TargetKey;
+use ggt_core::silence::MAX_SOUND_SILENCE_MS;
 use ggt_core::verdict::RunVerdict;
 use ggt_wire::headers;
 use ggt_wire::hint::ChatHint;
@@ -48,6 +51,8 @@
 
 /// Interval at which a request checks whether published data is fresh again after a process pause.
 const REFRESH_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Pause between two probes of a silent target.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Target chosen for one attempt, copied from the routing table.
 #[derive(Clone, Debug)]
@@ -203,7 +208,7 @@
         return send(state, job, target, head, send_deadline).await;
     };
     match send_on_connection(Some(connection), state, job, target, head, send_deadline).await {
-        Err(CallFailure::NotSent { cause }) => {
+        Err(CallFailure::NotSent { cause, .. }) => {
             log::debug!("event=stale-channel request_id={} cause=\"{cause}\"", job.request_id);
             send(state, job, target, head, send_deadline).await
         }
@@ -271,46 +276,92 @@
     }
 }
 
-/// Records a failed attempt. If the request was sent, probes the target; a target that is down or
-/// restarted counts as a crash that this request may have caused.
+/// Records a failure to reach a target.
+pub(super) fn record_unreached(state: &SharedState, config: &ActiveConfig, target: &AttemptTarget) {
+    let mut routing = lock(&state.routing);
+    if routing.record_failure(target.key, &config.routing.hold, mono_now()) {
+        log::info!("event=target target={} status=down cause=call", target.name);
+    }
+}
+
+/// Records a failed attempt whose request was sent, and probes the target. One that has ended or
+/// restarted counts as a crash that this request may have caused; one that is silent is probed
+/// again in the background.
 pub(super) async fn record_failure(
     state: &Arc<SharedState>,
     config: &ActiveConfig,
     job: &RequestJob,
     target: &AttemptTarget,
-    was_sent: bool,
 ) {
-    let probe_reply = match was_sent {
-        true => probe_async(state, target.address).await,
-        false => Err(String::new()),
-    };
-    let has_crashed = match &probe_reply {
-        Ok(probe_reply) => probe_reply.incarnation != target.incarnation,
-        Err(_) => true,
-    };
-    let mut routing = lock(&state.routing);
-    match probe_reply {
-        Ok(probe_reply) => {
-            routing.apply_report(target.key, probe_reply.incarnation, probe_reply.report);
+    match probe_async(state, target.address).await {
+        Ok(reply) => {
+            let mut routing = lock(&state.routing);
+            routing.apply_report(target.key, reply.incarnation, reply.report);
+            drop(routing);
+            if reply.incarnation != target.incarnation {
+                report_crash(state, target, job.suspects().keys(), &job.request_id);
+            }
         }
-        Err(_) => {
-            if routing.record_failure(target.key, &config.routing.hold, mono_now()) {
-                log::info!("event=target target={} status=down cause=call", target.name);
+        Err(failure) => {
+            record_unreached(state, config, target);
+            match failure.is_silence {
+                true => check_silent_target(state, job, target),
+                false => report_crash(state, target, job.suspects().keys(), &job.request_id),
             }
         }
     }
-    drop(routing);
-    if was_sent && has_crashed {
-        let crash = CrashId::of(target.hash, target.incarnation);
-        for suspect in job.suspects().keys() {
-            broadcast_crash(state, *suspect, crash);
-            log::warn!(
-                "event=crash request_id={} target={} incarnation={} print={:016x}",
-                job.request_id,
-                target.name,
-                target.incarnation,
-                suspect.0,
-            );
+}
+
+/// Suspects a request and its chat of a crash of the target, at all daemons.
+fn report_crash(
+    state: &SharedState,
+    target: &AttemptTarget,
+    suspects: &[SuspectKey],
+    request_id: &str,
+) {
+    let crash = CrashId::of(target.hash, target.incarnation);
+    for suspect in suspects {
+        broadcast_crash(state, *suspect, crash);
+        log::warn!(
+            "event=crash request_id={request_id} target={} incarnation={} print={:016x}",
+            target.name,
+            target.incarnation,
+            suspect.0,
+        );
+    }
+}
+
+/// Probes a silent target until it replies or has been silent for longer than a sound one may be,
+/// which counts as a crash like any other end. A target is probed by one task at a time, also when
+/// several requests wait for the result.
+fn check_silent_target(state: &Arc<SharedState>, job: &RequestJob, target: &AttemptTarget) {
+    let crash = CrashId::of(target.hash, target.incarnation);
+    let waiting = (job.request_id.clone(), job.suspects().keys().to_vec());
+    let mut silent = lock(&state.silent_targets);
+    let is_checked = silent.contains_key(&crash);
+    silent.entry(crash).or_default().push(waiting);
+    drop(silent);
+    if is_checked {
+        return;
+    }
+    let (state, target) = (state.clone(), target.clone());
+    tokio::spawn(async move {
+        let has_crashed = has_silent_target_crashed(&state, &target).await;
+        let waiting = lock(&state.silent_targets).remove(&crash).unwrap_or_default();
+        for (request_id, suspects) in waiting.iter().filter(|_| has_crashed) {
+            report_crash(&state, &target, suspects, request_id);
+        }
+    });
+}
+
+async fn has_silent_target_crashed(state: &Arc<SharedState>, target: &AttemptTarget) -> bool {
+    let silent_until = mono_now() + MAX_SOUND_SILENCE_MS;
+    loop {
+        sleep(SILENCE_CHECK_INTERVAL).await;
+        match probe_async(state, target.address).await {
+            Ok(reply) => return reply.incarnation != target.incarnation,
+            Err(failure) if !failure.is_silence || mono_now() >= silent_until => return true,
+            Err(_) => {}
         }
     }
 }
@@ -319,10 +370,11 @@
 async fn probe_async(
     state: &Arc<SharedState>,
     address: std::net::SocketAddr,
-) -> Result<ProbeReply, String> {
+) -> Result<ProbeReply, ProbeFailure> {
     let state = state.clone();
     let probed = tokio::task::spawn_blocking(move || probe(&state, address)).await;
-    probed.unwrap_or_else(|e| Err(e.to_string()))
+    // A probe that could not be carried out shows nothing about the target.
+    probed.unwrap_or_else(|e| Err(ProbeFailure { cause: e.to_string(), is_silence: true }))
 }
 
 /// Status and headers of the response to the caller, derived from the target's reply.
--- a/ggt-daemon/src/dispatch/idempotent.rs
+++ b/ggt-daemon/src/dispatch/idempotent.rs
@@ -90,14 +90,17 @@
             }
             AttemptEnd::CallerDisconnected => return,
             AttemptEnd::Interrupted => {
-                exchange::record_failure(state, config, job, &target, true).await;
+                exchange::record_failure(state, config, job, &target).await;
                 return;
             }
             AttemptEnd::Failed(failure) => failure,
         };
         let verdict = failure.verdict();
         history.record(verdict);
-        exchange::record_failure(state, config, job, &target, verdict != RunVerdict::NotRun).await;
+        match verdict {
+            RunVerdict::NotRun => exchange::record_unreached(state, config, &target),
+            _ => exchange::record_failure(state, config, job, &target).await,
+        }
         if let Some(refusal) = refuse_retry(state, job, &failure) {
             let refusal = Refusal { verdict: history.verdict(), ..refusal };
             return exchange::refuse(state, job, sink, &refusal).await;
--- a/ggt-daemon/src/dispatch/non_idempotent.rs
+++ b/ggt-daemon/src/dispatch/non_idempotent.rs
@@ -165,8 +165,8 @@
             lock(&state.routing).record_done(target.key);
             match outcome {
                 Ok((head, body)) => return self.finish(sink, &target, head, body).await,
-                Err(CallFailure::NotSent { cause }) => {
-                    exchange::record_failure(state, &self.config, self.job, &target, false).await;
+                Err(CallFailure::NotSent { cause, .. }) => {
+                    exchange::record_unreached(state, &self.config, &target);
                     last_refusal = Refusal::not_run(503, "not-sent", cause);
                 }
                 Err(failure) => return self.fail_unknown(sink, &target, &failure).await,
@@ -201,7 +201,8 @@
         while let Some(chunk) = reply.next_chunk().await? {
             body.extend_from_slice(&chunk);
             if body.len() > limit {
-                return Err(CallFailure::NoReply { cause: format!("more than {limit} bytes") });
+                let cause = format!("more than {limit} bytes");
+                return Err(CallFailure::NoReply { cause, is_silence: false });
             }
         }
         Ok((head, body))
@@ -241,7 +242,7 @@
         let state = &self.context.state;
         // The caller may submit the request again under another key as soon as it has the response,
         // so a crash is reported first; a target that is only slow must not delay the response.
-        let report = exchange::record_failure(state, &self.config, self.job, target, true);
+        let report = exchange::record_failure(state, &self.config, self.job, target);
         let mut report = pin!(report);
         let is_reported = timeout(CRASH_REPORT_WAIT, report.as_mut()).await.is_ok();
         let refusal = Refusal::unknown(502, "answer-lost", failure.to_string());
--- a/ggt-daemon/src/probes/mod.rs
+++ b/ggt-daemon/src/probes/mod.rs
@@ -41,19 +41,30 @@
     pub leaving: bool,
 }
 
+/// Why there is no valid reply to a probe.
+#[derive(Clone, Debug)]
+pub struct ProbeFailure {
+    /// Cause as text.
+    pub cause: String,
+    /// Whether the target was only silent for the time given to it, so that it may be sound.
+    pub is_silence: bool,
+}
+
 /// Sends a probe to a target.
 ///
 /// # Errors
-/// The cause as text, when there is no valid reply.
-pub fn probe(state: &SharedState, address: SocketAddr) -> Result<ProbeReply, String> {
+/// [`ProbeFailure`] when there is no valid reply.
+pub fn probe(state: &SharedState, address: SocketAddr) -> Result<ProbeReply, ProbeFailure> {
     let connect = Duration::from_millis(state.settings.timing.connect_ms).min(PROBE_TIMEOUT);
     let counter = state.metrics.traffic(TrafficKind::Probe);
     let call = blocking_call(address, &Method::GET, "/load", connect, PROBE_TIMEOUT, Some(counter));
-    let (status, text) = call.map_err(|e| e.to_string())?;
+    let (status, text) =
+        call.map_err(|e| ProbeFailure { is_silence: e.is_silence(), cause: e.to_string() })?;
+    let invalid = |cause: String| ProbeFailure { cause, is_silence: false };
     if status != 200 {
-        return Err(format!("status {status}"));
+        return Err(invalid(format!("status {status}")));
     }
-    serde_json::from_str(&text).map_err(|e| e.to_string())
+    serde_json::from_str(&text).map_err(|e| invalid(e.to_string()))
 }
 
 /// A target to probe, as in the routing table when the round began.
@@ -127,7 +138,7 @@
         .collect()
 }
 
-fn apply_result(state: &SharedState, target: &DueProbe, result: Result<ProbeReply, String>) {
+fn apply_result(state: &SharedState, target: &DueProbe, result: Result<ProbeReply, ProbeFailure>) {
     let Some(config) = state.active_config() else { return };
     let hash = short_hash(target.name.as_str());
     let mut routing = lock(&state.routing);
@@ -150,7 +161,7 @@
                 is_down: false,
             }
         }
-        Err(cause) => {
+        Err(ProbeFailure { cause, .. }) => {
             let is_newly_down =
                 routing.record_failure(target.key, &config.routing.hold, mono_now());
             if is_newly_down {
--- a/ggt-daemon/src/state/mod.rs
+++ b/ggt-daemon/src/state/mod.rs
@@ -19,8 +19,10 @@
 
 use ggt_core::claims::AttemptId;
 use ggt_core::claims::ClaimHolder;
+use ggt_core::crashes::CrashId;
 use ggt_core::crashes::CrashOptions;
 use ggt_core::crashes::CrashTable;
+use ggt_core::crashes::SuspectKey;
 use ggt_core::ident::CustomerName;
 use ggt_core::ident::DaemonName;
 use ggt_core::ident::WorkloadName;
@@ -49,6 +51,10 @@
 /// Unanswered epoch queries: the queried daemon by nonce.
 pub type EpochQueries = BTreeMap<u64, DaemonName>;
 
+/// Requests that failed at a silent target, by the crash that they would be suspected of: the id of
+/// each request, and its suspects.
+pub type SilentTargets = BTreeMap<CrashId, Vec<(String, Vec<SuspectKey>)>>;
+
 /// Hint that a peer has a newer revision of a folder.
 #[derive(Clone, Debug)]
 pub struct FetchHint {
@@ -78,6 +84,8 @@
     pub retry_budget: Mutex<RetryBudget>,
     /// Requests suspected of crashing targets.
     pub crashes: Mutex<CrashTable>,
+    /// Silent targets that are being probed, with the requests that wait for the result.
+    pub silent_targets: Mutex<SilentTargets>,
     /// Claims on idempotency keys that this daemon holds.
     pub claim_holder: Mutex<ClaimHolder>,
     /// Peers and gossip items.
@@ -136,6 +144,7 @@
                 limit: u32::MAX,
                 ..CrashOptions::default()
             })),
+            silent_targets: Mutex::default(),
             claim_holder: Mutex::new(ClaimHolder::new(settings.name.clone(), started_at)),
             gossip: Mutex::new(GossipState::new(peers, settings.limits.gossip_bytes, now)),
             epoch_queries: Mutex::default(),
--- a/ggt-daemon/src/upstream/call.rs
+++ b/ggt-daemon/src/upstream/call.rs
@@ -1,5 +1,6 @@
 //! Requests to targets: asynchronous ones with a streamed reply, and short blocking ones.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,6 +25,7 @@
 
 use crate::clock::mono_now;
 use crate::metrics::ByteCounter;
+use crate::upstream::ConnectError;
 use crate::upstream::SendFailure;
 use crate::upstream::SendTracker;
 use crate::upstream::TargetConnection;
@@ -43,12 +45,16 @@
     NotSent {
         /// Text of the underlying error.
         cause: String,
+        /// Whether the target was only silent for the time given to it.
+        is_silence: bool,
     },
     /// The request was sent and no complete reply arrived.
     #[snafu(display("no reply: {cause}"))]
     NoReply {
         /// Text of the underlying error.
         cause: String,
+        /// Whether the target was only silent for the time given to it.
+        is_silence: bool,
     },
     /// The reply has the id of another request, or has no marked end, so that a truncated one could
     /// not be detected.
@@ -68,6 +74,14 @@
         }
     }
 
+    /// Whether the target was only silent for the time given to it, so that it may be sound.
+    pub const fn is_silence(&self) -> bool {
+        match self {
+            Self::NotSent { is_silence, .. } | Self::NoReply { is_silence, .. } => *is_silence,
+            Self::WrongReply { .. } => false,
+        }
+    }
+
     /// The failure's name in logs and metrics.
     pub const fn as_str(&self) -> &'static str {
         match self {
@@ -81,8 +95,8 @@
 impl From<SendFailure> for CallFailure {
     fn from(failure: SendFailure) -> Self {
         match failure {
-            SendFailure::NotSent { cause } => Self::NotSent { cause },
-            SendFailure::Lost { cause } => Self::NoReply { cause },
+            SendFailure::NotSent { cause } => Self::NotSent { cause, is_silence: false },
+            SendFailure::Lost { cause } => Self::NoReply { cause, is_silence: false },
         }
     }
 }
@@ -106,7 +120,7 @@
 
 impl TargetCall<'_> {
     fn request(&self) -> Result<Request<Full<Bytes>>, CallFailure> {
-        let not_sent = |cause: String| CallFailure::NotSent { cause };
+        let not_sent = |cause: String| CallFailure::NotSent { cause, is_silence: false };
         let mut request = Request::builder().method(self.method).uri(self.path);
         if let Some(headers) = request.headers_mut() {
             headers.extend(self.head.clone());
@@ -155,12 +169,12 @@
     /// # Errors
     /// [`CallFailure::NoReply`] when the body is interrupted or the next chunk takes too long.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, CallFailure> {
-        let failed = |cause: String| CallFailure::NoReply { cause };
+        let failed = |cause: String, is_silence| CallFailure::NoReply { cause, is_silence };
         let frame = timeout(self.idle_timeout, self.body.frame()).await;
-        match frame.map_err(|_| failed("the reply's body is silent".to_owned()))? {
+        match frame.map_err(|_| failed("the reply's body is silent".to_owned(), true))? {
             None => Ok(None),
             Some(Ok(frame)) => Ok(Some(frame.into_data().unwrap_or_default())),
-            Some(Err(e)) => Err(failed(e.to_string())),
+            Some(Err(e)) => Err(failed(e.to_string(), false)),
         }
     }
 
@@ -207,20 +221,23 @@
     let request = call.request()?;
     let mut connection = match idle_connection {
         Some(connection) => connection,
-        None => TargetConnection::open(call.address, options.connect_timeout)
-            .await
-            .map_err(|e| CallFailure::NotSent { cause: e.to_string() })?,
+        None => {
+            TargetConnection::open(call.address, options.connect_timeout).await.map_err(|e| {
+                let is_silence = matches!(e, ConnectError::Timeout { .. });
+                CallFailure::NotSent { cause: e.to_string(), is_silence }
+            })?
+        }
     };
     let result =
         timeout(options.first_byte_timeout, connection.send(request, options.send_deadline)).await;
-    let result = result.unwrap_or_else(|_| {
-        let cause = "no answer in time".to_owned();
+    let result = result.map(|sent| sent.map_err(CallFailure::from)).unwrap_or_else(|_| {
+        let (cause, is_silence) = ("no answer in time".to_owned(), true);
         Err(match connection.has_written() {
-            true => SendFailure::Lost { cause },
-            false => SendFailure::NotSent { cause },
+            true => CallFailure::NoReply { cause, is_silence },
+            false => CallFailure::NotSent { cause, is_silence },
         })
     });
-    let (parts, body) = result.map_err(CallFailure::from)?.into_parts();
+    let (parts, body) = result?.into_parts();
     let reply = TargetReply {
         status: parts.status.as_u16(),
         headers: parts.headers,
@@ -269,19 +286,30 @@
         + u64::try_from((connect_timeout + reply_timeout).as_millis()).unwrap_or(u64::MAX);
     let tracker = SendTracker::new(send_deadline, reply_timeout, counter);
     let request = Request::builder().method(method).uri(format!("http://{address}{path}"));
-    let request = request.body(()).map_err(|e| CallFailure::NotSent { cause: e.to_string() })?;
-    let failed = |cause: String| match tracker.has_written() {
-        true => CallFailure::NoReply { cause },
-        false => CallFailure::NotSent { cause },
+    let request = request
+        .body(())
+        .map_err(|e| CallFailure::NotSent { cause: e.to_string(), is_silence: false })?;
+    let failed = |error: ureq::Error| {
+        let (cause, is_silence) = (error.to_string(), is_timeout(&error));
+        match tracker.has_written() {
+            true => CallFailure::NoReply { cause, is_silence },
+            false => CallFailure::NotSent { cause, is_silence },
+        }
     };
-    let response = blocking_agent(&tracker, connect_timeout, reply_timeout)
-        .run(request)
-        .map_err(|e| failed(e.to_string()))?;
+    let response =
+        blocking_agent(&tracker, connect_timeout, reply_timeout).run(request).map_err(failed)?;
     let (parts, mut body) = response.into_parts();
-    let text = body
-        .with_config()
-        .limit(MAX_BLOCKING_BODY_BYTES)
-        .read_to_string()
-        .map_err(|e| failed(e.to_string()))?;
+    let text =
+        body.with_config().limit(MAX_BLOCKING_BODY_BYTES).read_to_string().map_err(failed)?;
     Ok((parts.status.as_u16(), text))
 }
+
+fn is_timeout(error: &ureq::Error) -> bool {
+    match error {
+        ureq::Error::Timeout(_) => true,
+        ureq::Error::Io(e) => {
+            matches!(e.kind(), io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock)
+        }
+        _ => false,
+    }
+}
--- /dev/null
+++ b/ggt-testkit/tests/silent_targets.rs
@@ -0,0 +1,78 @@
+//! Sound targets that are silent for a moment: their requests are not blamed for a crash.
+
+use std::thread;
+use std::time::Duration;
+
+use serde_json::json;
+
+use ggt_testkit::fleet::TestFleet;
+use ggt_testkit::http::HttpResponse;
+use ggt_testkit::layout::FleetOptions;
+use ggt_testkit::wait::wait_until;
+
+/// A silence that a sound target may have.
+const SOUND_SILENCE: Duration = Duration::from_millis(1_500);
+/// Requests sent at once to silent targets.
+const CONCURRENT_REQUESTS: usize = 9;
+/// Engines of the fleet, as many as the crashes after which a request is refused.
+const ENGINES: usize = 3;
+
+fn fleet(first_byte_timeout_ms: u64) -> TestFleet {
+    TestFleet::start(FleetOptions {
+        centres: vec![("recife-a", 1)],
+        engines: ENGINES,
+        services: 0,
+        config: json!({
+            "workloads": { "intake": { "first_byte_timeout_ms": first_byte_timeout_ms } },
+            "routing": { "crash_limit": ENGINES },
+        }),
+        ..FleetOptions::default()
+    })
+}
+
+fn pause_all(fleet: &mut TestFleet) {
+    (0..ENGINES).for_each(|index| fleet.target_process(index).pause());
+}
+
+fn resume_all(fleet: &mut TestFleet) {
+    (0..ENGINES).for_each(|index| fleet.target_process(index).resume());
+}
+
+fn ask(fleet: &TestFleet) -> HttpResponse {
+    let request = fleet.request(0, "POST", "/chat?tokens=2&gap_ms=1").body("a sound request");
+    request.send().expect("should respond")
+}
+
+fn start_asking(fleet: &TestFleet) -> thread::JoinHandle<HttpResponse> {
+    let request = fleet.request(0, "POST", "/chat?tokens=2&gap_ms=1").body("a sound request");
+    thread::spawn(move || request.send().expect("should respond"))
+}
+
+// Guards against sound requests that are refused as crashing, since a probe of a silent target that timed
+// out counted as a crash.
+#[test]
+fn request_of_silent_targets_is_not_blamed_for_a_crash() {
+    let mut fleet = fleet(200);
+    pause_all(&mut fleet);
+    let asked: Vec<_> = (0..CONCURRENT_REQUESTS).map(|_| start_asking(&fleet)).collect();
+    thread::sleep(SOUND_SILENCE);
+    resume_all(&mut fleet);
+    let statuses: Vec<u16> =
+        asked.into_iter().map(|x| x.join().expect("thread should not panic").status).collect();
+    let log = fleet.log(0);
+    let blamed: Vec<&str> = log.lines().filter(|line| line.contains("event=crash ")).collect();
+    assert!(blamed.is_empty(), "statuses {statuses:?}: {blamed:#?}");
+    wait_until("the targets serve again", || ask(&fleet).status != 503);
+    let response = ask(&fleet);
+    assert_eq!(response.status, 200, "{}", response.body);
+}
+
+// Guards against a crash of a target that leaves no trace but silence and is not noticed.
+#[test]
+fn request_of_a_target_that_stays_silent_is_suspected() {
+    let mut fleet = fleet(200);
+    pause_all(&mut fleet);
+    let response = ask(&fleet);
+    assert_ne!(response.status, 200, "{}", response.body);
+    wait_until("the request is suspected", || fleet.log(0).contains("event=crash "));
+}
