--- a/ggt-core/src/routing/entry.rs
+++ b/ggt-core/src/routing/entry.rs
@@ -24,6 +24,9 @@
     Down,
     /// Its data centre is unreachable.
     Unreachable,
+    /// It has been silent for no longer than a sound target may be; it takes new work only if no
+    /// target is ready.
+    Silent,
 }
 
 impl TargetStatus {
@@ -35,6 +38,7 @@
             Self::Held => "held",
             Self::Down => "down",
             Self::Unreachable => "cut-off",
+            Self::Silent => "silent",
         }
     }
 }
@@ -52,6 +56,8 @@
     pub(super) hold: HoldDown,
     /// Failures since the last reply.
     pub(super) failures: u32,
+    /// First of the latest failures in a row that were only silence.
+    pub(super) silent_since: Option<MonoTime>,
     /// Whether the target counts as down, by failures here or by a prober's report; until it
     /// replies or restarts.
     pub(super) is_down: bool,
@@ -71,6 +77,11 @@
         self.hash
     }
 
+    /// Whether the target has not responded since its last reply, without other signs of its end.
+    pub fn is_silent(&self) -> bool {
+        self.silent_since.is_some()
+    }
+
     /// End of the latest hold-down.
     pub fn held_until(&self) -> MonoTime {
         self.hold.held_until()
--- a/ggt-core/src/routing/table.rs
+++ b/ggt-core/src/routing/table.rs
@@ -26,6 +26,7 @@
 use crate::routing::TargetEntry;
 use crate::routing::TargetStatus;
 use crate::routing::rendezvous_score;
+use crate::silence::MAX_SOUND_SILENCE_MS;
 
 /// Consecutive failures after which a target is down until it replies again.
 const FAILURES_TO_DOWN: u32 = 2;
@@ -56,6 +57,15 @@
     Removed(TargetName),
 }
 
+/// What a failure shows about its target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FailureProof {
+    /// It has been silent, for no longer than a sound target may be.
+    Silence,
+    /// It has ended or cannot be reached.
+    Ended,
+}
+
 /// All targets of the host list in use.
 #[derive(Clone, Debug, Default)]
 pub struct RoutingTable {
@@ -66,6 +76,11 @@
     unreachable_centres: BTreeSet<CentreName>,
     /// Targets that have failed since the last reply from any target of their data centre.
     failed_targets: BTreeMap<CentreName, BTreeSet<TargetKey>>,
+    /// Those of them that failed otherwise than by silence, or were silent for longer than a sound
+    /// target may be.
+    ended_targets: BTreeMap<CentreName, BTreeSet<TargetKey>>,
+    /// Data centres from which several targets are silent, for less than that time.
+    silent_centres: BTreeSet<CentreName>,
     /// Highest incarnation of each target that was reported as leaving.
     leaving: BTreeMap<TargetName, u64>,
     list_version: u64,
@@ -159,6 +174,7 @@
                 load: LoadEstimate::default(),
                 hold: HoldDown::default(),
                 failures: 0,
+                silent_since: None,
                 is_down: false,
                 slow_start_from: (!is_first).then_some(now),
                 host,
@@ -175,6 +191,7 @@
             entry.hold.record_flap(&options.hold, now);
             entry.load.drop_report();
             entry.failures = 0;
+            entry.silent_since = None;
             entry.is_down = false;
             entry.slow_start_from = Some(now.max(entry.hold.held_until()));
             changes.push(HostChange::Restarted(host.name.clone()));
@@ -227,21 +244,32 @@
     ///
     /// A data centre counts as unreachable once several of its targets have failed without a reply
     /// from any of its targets in between. Marking each target down separately would cost at least
-    /// one failed request per target.
-    fn update_reachability(&mut self, key: TargetKey, is_failure: bool) {
+    /// one failed request per target. While targets are only silent, and for no longer than sound ones
+    /// may be, their data centre is avoided but still used if nothing else is left.
+    fn update_reachability(&mut self, key: TargetKey, failure: Option<FailureProof>) {
         let Some(entry) = self.targets.get(key) else { return };
         let centre = entry.host.data_centre.clone();
-        if !is_failure {
+        let Some(proof) = failure else {
             self.failed_targets.remove(&centre);
+            self.ended_targets.remove(&centre);
+            self.silent_centres.remove(&centre);
             self.set_unreachable(&centre, false);
             return;
-        }
+        };
         let target_count = self.targets.values().filter(|x| x.host.data_centre == centre).count();
-        let failed_targets = self.failed_targets.entry(centre.clone()).or_default();
-        failed_targets.insert(key);
         let needed =
             FAILED_TARGETS_TO_UNREACHABLE.min(target_count).max(MIN_FAILED_TARGETS_TO_UNREACHABLE);
+        let failed_targets = self.failed_targets.entry(centre.clone()).or_default();
+        failed_targets.insert(key);
         if failed_targets.len() >= needed {
+            self.silent_centres.insert(centre.clone());
+        }
+        if proof == FailureProof::Silence {
+            return;
+        }
+        let ended_targets = self.ended_targets.entry(centre.clone()).or_default();
+        ended_targets.insert(key);
+        if ended_targets.len() >= needed {
             self.set_unreachable(&centre, true);
         }
     }
@@ -261,6 +289,10 @@
             TargetStatus::Down
         } else if entry.hold.is_held(now) {
             TargetStatus::Held
+        } else if self.silent_centres.contains(&entry.host.data_centre)
+            || (entry.silent_since.is_some() && entry.failures >= FAILURES_TO_DOWN)
+        {
+            TargetStatus::Silent
         } else {
             TargetStatus::Ready
         }
@@ -292,16 +324,18 @@
     pub fn record_reply(&mut self, key: TargetKey, now: MonoTime) -> bool {
         let Some(entry) = self.targets.get_mut(key) else { return false };
         entry.failures = 0;
+        entry.silent_since = None;
         let was_down = entry.is_down;
         entry.is_down = false;
         if was_down {
             entry.slow_start_from = Some(now.max(entry.hold.held_until()));
         }
-        self.update_reachability(key, false);
+        self.update_reachability(key, None);
         was_down
     }
 
-    /// Records a failure to reach the target; returns whether this marked it down.
+    /// Records a failure to reach the target that was not only silence; returns whether this marked
+    /// it down.
     pub fn record_failure(&mut self, key: TargetKey, options: &HoldOptions, now: MonoTime) -> bool {
         let Some(entry) = self.targets.get_mut(key) else { return false };
         entry.failures += 1;
@@ -310,10 +344,23 @@
             entry.is_down = true;
             entry.hold.record_flap(options, now);
         }
-        self.update_reachability(key, true);
+        self.update_reachability(key, Some(FailureProof::Ended));
         is_new
     }
 
+    /// Records that the target did not respond in time. A sound one may be silent for a moment, so it
+    /// is down only once it has been silent for longer; returns whether this marked it down.
+    pub fn record_silence(&mut self, key: TargetKey, options: &HoldOptions, now: MonoTime) -> bool {
+        let Some(entry) = self.targets.get_mut(key) else { return false };
+        let since = *entry.silent_since.get_or_insert(now);
+        if now >= since + MAX_SOUND_SILENCE_MS {
+            return self.record_failure(key, options, now);
+        }
+        entry.failures += 1;
+        self.update_reachability(key, Some(FailureProof::Silence));
+        false
+    }
+
     /// Records a prober's report that the target is down; returns whether it is new.
     pub fn record_down(&mut self, key: TargetKey, options: &HoldOptions, now: MonoTime) -> bool {
         let Some(entry) = self.targets.get_mut(key) else { return false };
@@ -330,14 +377,14 @@
         self.targets.values_mut().for_each(|entry| entry.load.drop_report());
     }
 
-    /// Load of the workload's ready targets divided by their capacity; 1.0 if none is ready.
+    /// Load of the workload's usable targets divided by their capacity; 1.0 if there is none.
     pub fn utilisation(
         &self,
         workload: &WorkloadName,
         options: &RoutingOptions,
         now: MonoTime,
     ) -> f64 {
-        let (load, capacity) = self.sum_ready(workload, options, now);
+        let (load, capacity) = self.sum_usable(workload, &[], options, now);
         if capacity > 0.0 { load / capacity } else { 1.0 }
     }
 
@@ -355,7 +402,7 @@
         options: &RoutingOptions,
         now: MonoTime,
     ) -> Result<ChosenTarget, RouteRefusal> {
-        let (load, capacity) = self.sum_ready(query.workload, options, now);
+        let (load, capacity) = self.sum_usable(query.workload, query.tried, options, now);
         if capacity <= 0.0 {
             return Err(RouteRefusal::NoTarget);
         }
@@ -375,10 +422,8 @@
         let mut home: Option<(f64, TargetKey)> = None;
         let mut best: Option<(f64, ChosenTarget)> = None;
         let mut fallback: Option<(f64, ChosenTarget)> = None;
-        for (key, entry) in self.ready(query.workload, now) {
-            if query.tried.contains(&key) {
-                continue;
-            }
+        let untried = self.usable(query.workload, query.tried, now);
+        for (key, entry) in untried.filter(|(key, _)| !query.tried.contains(key)) {
             let capacity = f64::from(entry.host.capacity);
             let score = rendezvous_score(query.chat_hash, entry.hash, capacity);
             if home.is_none_or(|(top, _)| score > top) {
@@ -431,24 +476,39 @@
         (is_usable && chosen.is_within_bound()).then_some(chosen)
     }
 
-    fn ready(
+    fn with_status(
         &self,
         workload: &WorkloadName,
+        status: TargetStatus,
         now: MonoTime,
     ) -> impl Iterator<Item = (TargetKey, &TargetEntry)> {
         let keys = self.by_workload.get(workload).map(Vec::as_slice).unwrap_or_default();
         keys.iter()
             .filter_map(|key| Some((*key, self.targets.get(*key)?)))
-            .filter(move |(_, entry)| self.status(entry, now) == TargetStatus::Ready)
+            .filter(move |(_, entry)| self.status(entry, now) == status)
+    }
+
+    /// The ready targets of a workload; if none of them is left untried, those that are silent.
+    fn usable(
+        &self,
+        workload: &WorkloadName,
+        tried: &[TargetKey],
+        now: MonoTime,
+    ) -> impl Iterator<Item = (TargetKey, &TargetEntry)> {
+        let mut ready = self.with_status(workload, TargetStatus::Ready, now);
+        let is_ready_left = ready.any(|(key, _)| !tried.contains(&key));
+        let status = if is_ready_left { TargetStatus::Ready } else { TargetStatus::Silent };
+        self.with_status(workload, status, now)
     }
 
-    fn sum_ready(
+    fn sum_usable(
         &self,
         workload: &WorkloadName,
+        tried: &[TargetKey],
         options: &RoutingOptions,
         now: MonoTime,
     ) -> (f64, f64) {
-        self.ready(workload, now).fold((0.0, 0.0), |(load, capacity), (_, entry)| {
+        self.usable(workload, tried, now).fold((0.0, 0.0), |(load, capacity), (_, entry)| {
             let estimate = entry.load.value(options.peer_scale);
             (load + estimate, capacity + entry.effective_capacity(options, now))
         })
--- a/ggt-core/tests/routing.rs
+++ b/ggt-core/tests/routing.rs
@@ -255,3 +255,47 @@
         .tests(2_000)
         .quickcheck(property as fn(Vec<u8>) -> bool);
 }
+
+/// Time at which targets fall silent, 2 s before the time at which `choose` chooses.
+const SILENT_AT: MonoTime = MonoTime::from_millis(998_000);
+
+fn silence_all(table: &mut RoutingTable, at: MonoTime) {
+    let hold = RoutingOptions::default().hold;
+    let keys: Vec<TargetKey> = table.iter().map(|(key, _)| key).collect();
+    for key in keys.iter().chain(&keys) {
+        table.record_silence(*key, &hold, at);
+    }
+}
+
+// Guards against a workload without targets after a second in which all of them were silent.
+#[test]
+fn silent_targets_are_used_while_no_other_is_left() {
+    let mut table = table_of(4);
+    silence_all(&mut table, SILENT_AT);
+    assert_eq!(table.unreachable_centres().count(), 0);
+    let workload = WorkloadName::from("w");
+    let options = RoutingOptions::default();
+    assert!(table.utilisation(&workload, &options, SILENT_AT + 500) < 1.0);
+    let (first, _) = choose(&table, 3, None, &[]).expect("a silent target");
+    let (second, _) = choose(&table, 3, None, &[first]).expect("another silent target");
+    assert_ne!(first, second);
+    // A target that replies is ready again; the silent ones remain for requests that it has had.
+    table.record_reply(second, SILENT_AT + 600);
+    for chat in 0..50 {
+        assert_eq!(choose(&table, chat, None, &[]).map(|x| x.0), Ok(second));
+    }
+    assert!(choose(&table, 3, None, &[second]).is_ok());
+}
+
+// Guards against a target that has ended without closing its connections and stays in use.
+#[test]
+fn targets_that_stay_silent_are_down() {
+    let mut table = table_of(4);
+    silence_all(&mut table, SILENT_AT);
+    silence_all(&mut table, SILENT_AT + 1_999);
+    assert!(table.iter().all(|(key, _)| !table.is_down(key)));
+    silence_all(&mut table, SILENT_AT + 2_000);
+    assert!(table.iter().all(|(key, _)| table.is_down(key)));
+    assert_eq!(table.unreachable_centres().count(), 2);
+    assert_eq!(choose(&table, 3, None, &[]), Err(RouteRefusal::NoTarget));
+}
--- a/ggt-daemon/src/dispatch/exchange.rs
+++ b/ggt-daemon/src/dispatch/exchange.rs
@@ -276,10 +276,20 @@
     }
 }
 
-/// Records a failure to reach a target.
-pub(super) fn record_unreached(state: &SharedState, config: &ActiveConfig, target: &AttemptTarget) {
+/// Records a failure to reach a target, which may have been only silent.
+pub(super) fn record_unreached(
+    state: &SharedState,
+    config: &ActiveConfig,
+    target: &AttemptTarget,
+    is_silence: bool,
+) {
     let mut routing = lock(&state.routing);
-    if routing.record_failure(target.key, &config.routing.hold, mono_now()) {
+    let hold = &config.routing.hold;
+    let is_newly_down = match is_silence {
+        true => routing.record_silence(target.key, hold, mono_now()),
+        false => routing.record_failure(target.key, hold, mono_now()),
+    };
+    if is_newly_down {
         log::info!("event=target target={} status=down cause=call", target.name);
     }
 }
@@ -303,7 +313,7 @@
             }
         }
         Err(failure) => {
-            record_unreached(state, config, target);
+            record_unreached(state, config, target, failure.is_silence);
             match failure.is_silence {
                 true => check_silent_target(state, job, target),
                 false => report_crash(state, target, job.suspects().keys(), &job.request_id),
--- a/ggt-daemon/src/dispatch/idempotent.rs
+++ b/ggt-daemon/src/dispatch/idempotent.rs
@@ -98,7 +98,9 @@
         let verdict = failure.verdict();
         history.record(verdict);
         match verdict {
-            RunVerdict::NotRun => exchange::record_unreached(state, config, &target),
+            RunVerdict::NotRun => {
+                exchange::record_unreached(state, config, &target, failure.is_silence());
+            }
             _ => exchange::record_failure(state, config, job, &target).await,
         }
         if let Some(refusal) = refuse_retry(state, job, &failure) {
--- a/ggt-daemon/src/dispatch/non_idempotent.rs
+++ b/ggt-daemon/src/dispatch/non_idempotent.rs
@@ -165,8 +165,8 @@
             lock(&state.routing).record_done(target.key);
             match outcome {
                 Ok((head, body)) => return self.finish(sink, &target, head, body).await,
-                Err(CallFailure::NotSent { cause, .. }) => {
-                    exchange::record_unreached(state, &self.config, &target);
+                Err(CallFailure::NotSent { cause, is_silence }) => {
+                    exchange::record_unreached(state, &self.config, &target, is_silence);
                     last_refusal = Refusal::not_run(503, "not-sent", cause);
                 }
                 Err(failure) => return self.fail_unknown(sink, &target, &failure).await,
--- a/ggt-daemon/src/probes/mod.rs
+++ b/ggt-daemon/src/probes/mod.rs
@@ -78,7 +78,7 @@
 
 /// Probes the targets assigned to this daemon for as long as the process runs.
 ///
-/// A daemon also probes each target that it considers down, for whatever reason, and in rotation
+/// A daemon also probes each target that it considers down or silent, and in rotation
 /// one target of each data centre that it considers unreachable: no other daemon can find out
 /// whether this one reaches them.
 pub fn run_probes(state: &Arc<SharedState>) {
@@ -126,8 +126,10 @@
         .filter_map(|(key, entry)| {
             let status = routing.status(entry, now);
             let is_down = status == TargetStatus::Down || routing.is_down(key);
+            let is_silent = entry.is_silent();
             let is_assigned = assigned.contains(&entry.hash());
-            (is_down || is_assigned || reachability_probes.contains(&key)).then(|| DueProbe {
+            let is_due = is_down || is_silent || is_assigned || reachability_probes.contains(&key);
+            is_due.then(|| DueProbe {
                 key,
                 name: entry.host.name.clone(),
                 address: entry.address(),
@@ -161,9 +163,12 @@
                 is_down: false,
             }
         }
-        Err(ProbeFailure { cause, .. }) => {
-            let is_newly_down =
-                routing.record_failure(target.key, &config.routing.hold, mono_now());
+        Err(ProbeFailure { cause, is_silence }) => {
+            let hold = &config.routing.hold;
+            let is_newly_down = match is_silence {
+                true => routing.record_silence(target.key, hold, mono_now()),
+                false => routing.record_failure(target.key, hold, mono_now()),
+            };
             if is_newly_down {
                 log::info!("event=target target={} status=down cause={cause:?}", target.name);
             }
--- a/ggt-testkit/tests/silent_targets.rs
+++ b/ggt-testkit/tests/silent_targets.rs
@@ -1,4 +1,5 @@
-//! Sound targets that are silent for a moment: their requests are not blamed for a crash.
+//! Sound targets that are silent for a moment: their requests are not blamed for a crash, and a workload
+//! whose targets are all silent keeps them.
 
 use std::thread;
 use std::time::Duration;
@@ -12,15 +13,17 @@
 
 /// A silence that a sound target may have.
 const SOUND_SILENCE: Duration = Duration::from_millis(1_500);
+/// Interval between requests that are sent during the silence.
+const SEND_INTERVAL: Duration = Duration::from_millis(100);
 /// Requests sent at once to silent targets.
 const CONCURRENT_REQUESTS: usize = 9;
 /// Engines of the fleet, as many as the crashes after which a request is refused.
 const ENGINES: usize = 3;
 
-fn fleet(first_byte_timeout_ms: u64) -> TestFleet {
+fn fleet(engines: usize, first_byte_timeout_ms: u64) -> TestFleet {
     TestFleet::start(FleetOptions {
         centres: vec![("recife-a", 1)],
-        engines: ENGINES,
+        engines,
         services: 0,
         config: json!({
             "workloads": { "intake": { "first_byte_timeout_ms": first_byte_timeout_ms } },
@@ -31,11 +34,11 @@
 }
 
 fn pause_all(fleet: &mut TestFleet) {
-    (0..ENGINES).for_each(|index| fleet.target_process(index).pause());
+    (0..fleet.targets.len()).for_each(|index| fleet.target_process(index).pause());
 }
 
 fn resume_all(fleet: &mut TestFleet) {
-    (0..ENGINES).for_each(|index| fleet.target_process(index).resume());
+    (0..fleet.targets.len()).for_each(|index| fleet.target_process(index).resume());
 }
 
 fn ask(fleet: &TestFleet) -> HttpResponse {
@@ -52,7 +55,7 @@
 // out counted as a crash.
 #[test]
 fn request_of_silent_targets_is_not_blamed_for_a_crash() {
-    let mut fleet = fleet(200);
+    let mut fleet = fleet(ENGINES, 200);
     pause_all(&mut fleet);
     let asked: Vec<_> = (0..CONCURRENT_REQUESTS).map(|_| start_asking(&fleet)).collect();
     thread::sleep(SOUND_SILENCE);
@@ -70,9 +73,27 @@
 // Guards against a crash of a target that leaves no trace but silence and is not noticed.
 #[test]
 fn request_of_a_target_that_stays_silent_is_suspected() {
-    let mut fleet = fleet(200);
+    let mut fleet = fleet(ENGINES, 200);
     pause_all(&mut fleet);
     let response = ask(&fleet);
     assert_ne!(response.status, 200, "{}", response.body);
     wait_until("the request is suspected", || fleet.log(0).contains("event=crash "));
 }
+
+// Guards against a workload without targets, since a second of silence of all of them was taken for their
+// end.
+#[test]
+fn silence_of_all_targets_leaves_the_workload_its_targets() {
+    let mut fleet = fleet(2, 30_000);
+    pause_all(&mut fleet);
+    let mut asked = Vec::new();
+    for _ in 0..SOUND_SILENCE.as_millis() / SEND_INTERVAL.as_millis() {
+        asked.push(start_asking(&fleet));
+        thread::sleep(SEND_INTERVAL);
+    }
+    resume_all(&mut fleet);
+    for response in asked {
+        let response = response.join().expect("thread should not panic");
+        assert_eq!(response.status, 200, "{}", response.body);
+    }
+}
