--- a/ggt-daemon/src/dispatch/idempotent.rs
+++ b/ggt-daemon/src/dispatch/idempotent.rs
@@ -144,6 +144,7 @@
     sink: &mut ResponseSink,
 ) -> AttemptEnd {
     if sink.caller().is_closed() {
+        log_cut(job, target, 0, true);
         return AttemptEnd::CallerDisconnected;
     }
     let cancel = CancelRequest { address: target.address, request_id: job.request_id.clone() };
@@ -173,16 +174,21 @@
     if matches!(end, AttemptEnd::Complete) {
         exchange::record_done(state, job, target, status, RunVerdict::Ran, forwarded);
     } else {
-        log::info!(
-            "event=cut request_id={} target={} bytes={forwarded} caller_left={}",
-            job.request_id,
-            target.name,
-            matches!(end, AttemptEnd::CallerDisconnected),
-        );
+        let caller_left = matches!(end, AttemptEnd::CallerDisconnected);
+        log_cut(job, target, forwarded, caller_left);
     }
     end
 }
 
+/// Logs the end of a request whose response was not forwarded to its end.
+fn log_cut(job: &RequestJob, target: &AttemptTarget, forwarded: usize, caller_left: bool) {
+    log::info!(
+        "event=cut request_id={} target={} bytes={forwarded} caller_left={caller_left}",
+        job.request_id,
+        target.name,
+    );
+}
+
 /// Requests the rest of a reply that broke off after `forwarded` bytes; `None` if the same
 /// incarnation of the target does not provide it.
 async fn resume(
--- a/ggt-testkit/tests/silent_targets.rs
+++ b/ggt-testkit/tests/silent_targets.rs
@@ -1,5 +1,5 @@
 //! Sound targets that are silent for a moment: their requests are not blamed for a crash, and a workload
-//! whose targets are all silent keeps them.
+//! whose targets are all silent keeps them. Each request that was read has one log line on its end.
 
 use std::thread;
 use std::time::Duration;
@@ -97,3 +97,24 @@
         assert_eq!(response.status, 200, "{}", response.body);
     }
 }
+
+// Guards against a request whose end is in no log line, since its caller left between two attempts.
+#[test]
+fn request_whose_caller_leaves_between_attempts_has_one_line_on_its_end() {
+    let mut fleet = fleet(ENGINES, 600);
+    pause_all(&mut fleet);
+    let address = fleet.daemons[0].callers;
+    let mut stream = std::net::TcpStream::connect(address).expect("should connect");
+    let request = "POST /chat?tokens=2 HTTP/1.1\r\nhost: x\r\nauthorization: Bearer \
+                   contabil-key\r\ncontent-length: 1\r\n\r\nx";
+    std::io::Write::write_all(&mut stream, request.as_bytes()).expect("should write");
+    wait_until("the request is sent to a target", || fleet.log(0).contains("event=route "));
+    drop(stream);
+    fleet.await_status("no request is in flight", 0, |status| status["in_flight"] == 0);
+    resume_all(&mut fleet);
+    let log = fleet.log(0);
+    let ends = ["event=done ", "event=refuse ", "event=cut ", "event=replay "];
+    let is_end = |line: &&str| ends.iter().any(|end| line.contains(end));
+    let lines: Vec<&str> = log.lines().filter(|line| line.contains("request_id=")).collect();
+    assert_eq!(lines.iter().copied().filter(is_end).count(), 1, "{lines:#?}");
+}
