--- a/ggt-daemon/src/dispatch/idempotent.rs
+++ b/ggt-daemon/src/dispatch/idempotent.rs
@@ -25,7 +25,7 @@
 use ggt_core::routing::TargetKey;
 use ggt_core::verdict::RunVerdict;
 
-/// Maximum number of times that one reply is resumed.
+/// Maximum number of times that the rest of one reply is requested.
 const MAX_RESUMES: usize = 3;
 
 /// How one attempt ended.
@@ -41,6 +41,15 @@
     Failed(CallFailure),
 }
 
+/// Why the rest of a reply is not to be had.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ResumeFailure {
+    /// The target did not respond in time.
+    Silent,
+    /// The target has ended or restarted, or no longer has the reply; or the deadline has passed.
+    Refused,
+}
+
 /// Serves an idempotent request.
 pub(super) async fn serve_idempotent(
     context: &RequestContext,
@@ -166,8 +175,10 @@
             break;
         }
         end = match resume(state, job, target, forwarded).await {
-            Some(reply) => forward_body(state, job, target, reply, sink, &mut forwarded).await,
-            None => break,
+            Ok(reply) => forward_body(state, job, target, reply, sink, &mut forwarded).await,
+            // The target may be sound and go on.
+            Err(ResumeFailure::Silent) => continue,
+            Err(ResumeFailure::Refused) => break,
         };
     }
     sink.caller().set_cancel(None);
@@ -189,14 +200,14 @@
     );
 }
 
-/// Requests the rest of a reply that broke off after `forwarded` bytes; `None` if the same
-/// incarnation of the target does not provide it.
+/// Requests the rest of a reply that broke off after `forwarded` bytes, from the same incarnation of
+/// the target.
 async fn resume(
     state: &SharedState,
     job: &RequestJob,
     target: &AttemptTarget,
     forwarded: usize,
-) -> Option<TargetReply> {
+) -> Result<TargetReply, ResumeFailure> {
     let chosen_now = AttemptTarget { chosen_at: mono_now(), ..target.clone() };
     let resume_job = RequestJob {
         method: Method::GET,
@@ -214,7 +225,12 @@
         ..*job
     };
     let head = exchange::target_headers(&resume_job);
-    let reply = exchange::send(state, &resume_job, &chosen_now, &head, job.deadline).await.ok()?;
+    let reply = exchange::send(state, &resume_job, &chosen_now, &head, job.deadline).await;
+    let reply =
+        reply.map_err(|failure| match failure.is_silence() && mono_now() < job.deadline {
+            true => ResumeFailure::Silent,
+            false => ResumeFailure::Refused,
+        })?;
     let is_same_incarnation = reply
         .header(ggt_wire::headers::INCARNATION)
         .is_some_and(|text| text.parse() == Ok(target.incarnation));
@@ -224,7 +240,7 @@
         job.request_id,
         target.name,
     );
-    is_usable.then_some(reply)
+    if is_usable { Ok(reply) } else { Err(ResumeFailure::Refused) }
 }
 
 /// Forwards a reply's body to the caller; after its end, keeps the target's connection for later
--- a/ggt-standin/src/engine/mod.rs
+++ b/ggt-standin/src/engine/mod.rs
@@ -71,6 +71,10 @@
     cancelled: AtomicU64,
     /// Resume requests received.
     resumed: AtomicU64,
+    /// Milliseconds for which the engine is silent from the next resume request on.
+    resume_silence_ms: AtomicU64,
+    /// End of that silence.
+    silent_until: Mutex<Option<Instant>>,
     /// Number of responses left to send with a wrong request id.
     wrong_ids: AtomicU64,
     is_leaving: AtomicBool,
@@ -93,6 +97,8 @@
         load_reports: Mutex::default(),
         cancelled: AtomicU64::new(0),
         resumed: AtomicU64::new(0),
+        resume_silence_ms: AtomicU64::new(0),
+        silent_until: Mutex::default(),
         wrong_ids: AtomicU64::new(0),
         is_leaving: AtomicBool::new(false),
         hit_tokens: AtomicU64::new(0),
@@ -116,6 +122,7 @@
         })),
         ["resume", id] => {
             state.resumed.fetch_add(1, Ordering::SeqCst);
+            state.wait_for_silence().await;
             let stream = lock(&state.streams).get(*id).cloned();
             let from = usize::try_from(request.number("from", 0)).unwrap_or_default();
             match stream {
@@ -186,6 +193,18 @@
         oldest.map_or_else(LoadReport::default, |(_, report)| *report)
     }
 
+    /// Starts the silence that was set for the next resume request, and waits for its end.
+    async fn wait_for_silence(&self) {
+        let silence_ms = self.resume_silence_ms.swap(0, Ordering::SeqCst);
+        if silence_ms > 0 {
+            *lock(&self.silent_until) = Some(Instant::now() + Duration::from_millis(silence_ms));
+        }
+        let silent_until = *lock(&self.silent_until);
+        if let Some(silent_until) = silent_until {
+            tokio::time::sleep_until(silent_until.into()).await;
+        }
+    }
+
     /// Streams the bytes from `from` on, with the headers that a daemon reads.
     fn stream_response(
         &self,
@@ -225,6 +244,9 @@
             ["die"] => std::process::exit(1),
             ["leave"] => self.is_leaving.store(true, Ordering::SeqCst),
             ["wrong-echo"] => self.wrong_ids.store(request.number("count", 1), Ordering::SeqCst),
+            ["silent-resume"] => {
+                self.resume_silence_ms.store(request.number("ms", 0), Ordering::SeqCst);
+            }
             ["release", name] => {
                 let stream = lock(&self.streams).get(&format!("held:{name}")).cloned();
                 match stream {
--- a/ggt-testkit/tests/silent_targets.rs
+++ b/ggt-testkit/tests/silent_targets.rs
@@ -98,6 +98,26 @@
     }
 }
 
+// Guards against a response that ends since its target was silent when the rest of it was requested.
+#[test]
+fn interrupted_response_is_completed_after_a_silence() {
+    const TOKENS: usize = 20;
+    let fleet = TestFleet::start(FleetOptions {
+        centres: vec![("recife-a", 1)],
+        services: 0,
+        proxied: true,
+        config: json!({ "workloads": { "intake": { "first_byte_timeout_ms": 700 } } }),
+        ..FleetOptions::default()
+    });
+    fleet.control_target(0, &format!("silent-resume?ms={}", SOUND_SILENCE.as_millis()));
+    // The connection is cut within the response; the rest of it is short enough to pass.
+    fleet.set_fault_plan(fleet.targets[0].advertised_address, "cut_down=700");
+    let path = format!("/chat?tokens={TOKENS}&gap_ms=1");
+    let response = fleet.request(0, "POST", &path).body("x").send().expect("should respond");
+    let events = response.body.matches("data:").count();
+    assert_eq!((response.status, response.is_complete, events), (200, true, TOKENS));
+}
+
 // Guards against a request whose end is in no log line, since its caller left between two attempts.
 #[test]
 fn request_whose_caller_leaves_between_attempts_has_one_line_on_its_end() {
