--- a/ggt-standin/src/users_platform/mod.rs
+++ b/ggt-standin/src/users_platform/mod.rs
@@ -6,6 +6,7 @@
 mod caller;
 mod request;
 mod server;
+mod silence;
 mod store;
 
 pub use caller::API_KEY;
@@ -25,5 +26,7 @@
 pub use server::respond_with_event;
 pub use server::stream_head;
 pub use server::stream_head_with;
+pub use silence::SilenceGate;
+pub use silence::SilenceKind;
 pub use store::StoreCopy;
 pub use store::StoreStandin;
--- a/ggt-standin/src/users_platform/server.rs
+++ b/ggt-standin/src/users_platform/server.rs
@@ -13,12 +13,17 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::thread::JoinHandle;
+use std::time::Duration;
 
 use socket2::SockRef;
 
 use crate::server::lock;
 use crate::users_platform::request::WireRequest;
 use crate::users_platform::request::read_request;
+use crate::users_platform::silence::SilenceGate;
+use crate::users_platform::silence::SilenceKind;
+use crate::users_platform::silence::saturate;
+use crate::users_platform::silence::set_usual_backlog;
 
 /// What happens to a connection after a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,6 +50,9 @@
     open_connections: Mutex<HashMap<SocketAddr, TcpStream>>,
     is_down: AtomicBool,
     acceptor: Mutex<Option<JoinHandle<()>>>,
+    /// Copy of the listener while it is open.
+    listener: Mutex<Option<TcpListener>>,
+    gate: Arc<SilenceGate>,
 }
 
 /// Server that records all requests and responds to them by a script.
@@ -71,6 +79,8 @@
             open_connections: Mutex::default(),
             is_down: AtomicBool::new(false),
             acceptor: Mutex::default(),
+            listener: Mutex::default(),
+            gate: Arc::default(),
         });
         listen(&state)?;
         Ok(Self { address, state })
@@ -116,6 +126,30 @@
         close_listener(&self.state);
     }
 
+    /// Sends nothing for this time, and continues; false if the server is down or silent already. A
+    /// script that writes a response in several parts has to pass the gate before each of them.
+    pub fn pause(&self, time: Duration, kind: SilenceKind) -> bool {
+        let state = self.state.clone();
+        if self.is_down() || !state.gate.close(time, kind) {
+            return false;
+        }
+        if kind == SilenceKind::AcceptsNothing {
+            let fillers =
+                with_listener(&state, |listener| saturate(listener, state.address, &state.gate));
+            thread::spawn(move || {
+                state.gate.pass();
+                with_listener(&state, set_usual_backlog);
+                drop(fillers);
+            });
+        }
+        true
+    }
+
+    /// Gate that is closed while the server is silent.
+    pub fn gate(&self) -> Arc<SilenceGate> {
+        self.state.gate.clone()
+    }
+
     /// Crashes and starts again as another instance, so quickly that no connection is refused.
     pub fn restart_at_once(&self, id: &str) {
         id.clone_into(&mut lock(&self.state.id));
@@ -143,6 +177,7 @@
 
 fn listen(state: &Arc<ServerState>) -> std::io::Result<()> {
     let listener = TcpListener::bind(state.address)?;
+    *lock(&state.listener) = Some(listener.try_clone()?);
     let server = state.clone();
     let acceptor = thread::spawn(move || accept_connections(&server, &listener));
     *lock(&state.acceptor) = Some(acceptor);
@@ -151,6 +186,7 @@
 
 fn accept_connections(state: &Arc<ServerState>, listener: &TcpListener) {
     for stream in listener.incoming().flatten() {
+        state.gate.pass_acceptor();
         if state.is_down.load(Ordering::SeqCst) {
             // A process that another thread starts at this moment has a copy of the listener until it
             // executes its program, and the kernel would accept connections for that long.
@@ -175,12 +211,22 @@
     if state.is_down.swap(true, Ordering::SeqCst) {
         return;
     }
+    state.gate.open();
+    with_listener(state, set_usual_backlog);
+    drop(lock(&state.listener).take());
     // Wakes the acceptor, which then closes the listener.
     drop(TcpStream::connect(state.address));
     let acceptor = lock(&state.acceptor).take();
     acceptor.map(JoinHandle::join);
 }
 
+fn with_listener<R, A>(state: &ServerState, act: A) -> Option<R>
+where
+    A: FnOnce(&TcpListener) -> R,
+{
+    lock(&state.listener).as_ref().map(act)
+}
+
 fn close_connections(state: &ServerState) {
     for (_, connection) in lock(&state.open_connections).drain() {
         // Ignored: the peer may have closed the connection already.
@@ -202,6 +248,7 @@
         let id = lock(&state.id).clone();
         let expected = request.header("x-expect-instance");
         if expected.is_some_and(|expected| expected != id) {
+            state.gate.pass();
             let head = format!(
                 "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: {id}\r\nContent-Length: 0\r\n\r\n"
             );
@@ -212,6 +259,7 @@
         }
         lock(&state.requests).push(request.clone());
         let script = lock(&state.script).clone();
+        state.gate.pass();
         match script(&request, &mut writer) {
             AfterResponse::Keep => {}
             AfterResponse::Close => {
--- a/ggt-testkit/src/bin/ggt-soak.rs
+++ b/ggt-testkit/src/bin/ggt-soak.rs
@@ -38,6 +38,9 @@
     /// let servers name limits of the requests that they take
     #[argh(switch)]
     limits: bool,
+    /// let sound servers fall silent for a second or so
+    #[argh(switch)]
+    silence: bool,
     /// longest pause before each fault, in milliseconds (more than 60)
     #[argh(option, default = "500")]
     max_pause_ms: u64,
@@ -55,16 +58,19 @@
             callers: args.callers,
             has_crashing_caller: args.crashing,
             has_limits: args.limits,
+            has_silence: args.silence,
             max_fault_interval: Duration::from_millis(args.max_pause_ms),
         });
         println!(
             "seed {seed}: {} requests, {} answered, {} crashes ({} late), {} counted against limits, \
-             {} faults, {} violations",
+             {} silences, {} miscounted ends, {} faults, {} violations",
             outcome.requests,
             outcome.answered,
             outcome.crashes,
             outcome.late_calls,
             outcome.limited_requests,
+            outcome.silences,
+            outcome.miscounted_ends,
             outcome.faults.len(),
             outcome.violations.len()
         );
--- a/ggt-testkit/src/front.rs
+++ b/ggt-testkit/src/front.rs
@@ -2,7 +2,9 @@
 //! threads of the test.
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::path::PathBuf;
+use std::sync::Arc;
 
 use serde_json::Value;
 use serde_json::json;
@@ -18,6 +20,7 @@
 use crate::address::LoopbackNet;
 use crate::http::HttpRequest;
 use crate::layout::merge;
+use crate::log_book::LogBook;
 use crate::process::ChildProcess;
 use crate::wait::wait_until;
 
@@ -53,6 +56,8 @@
     folder: PathBuf,
     /// Settings of all daemons that replace or extend the usual ones.
     settings: Value,
+    /// Book of the log lines of daemons that start from now on, if they are kept.
+    log_book: Option<Arc<LogBook>>,
 }
 
 impl FrontFleet {
@@ -74,8 +79,15 @@
         let folder = std::env::temp_dir().join(format!("ggt-front-{}", net.ip(0)));
         std::fs::create_dir_all(&folder).expect("should create the settings folder");
         let store = StoreStandin::start(net.port(1)).expect("store should start");
-        let mut fleet =
-            Self { store, servers: Vec::new(), daemons: Vec::new(), net, folder, settings };
+        let mut fleet = Self {
+            store,
+            servers: Vec::new(),
+            daemons: Vec::new(),
+            net,
+            folder,
+            settings,
+            log_book: None,
+        };
         fleet.publish(&test_config(1));
         (0..servers).for_each(|number| fleet.add_server(&format!("i-{number}")));
         (0..daemons).for_each(|number| fleet.add_daemon(number, None));
@@ -83,6 +95,18 @@
         fleet
     }
 
+    /// Keeps the log lines of daemons that start from now on.
+    pub fn keep_logs(&mut self) -> Arc<LogBook> {
+        self.log_book.get_or_insert_default().clone()
+    }
+
+    fn spawn_daemon(&self, settings: &Path) -> ChildProcess {
+        match &self.log_book {
+            Some(book) => ChildProcess::spawn_logged_daemon(settings, book),
+            None => ChildProcess::spawn_daemon(settings),
+        }
+    }
+
     /// Writes a configuration to the store.
     pub fn publish(&self, config: &Value) {
         self.store.put(CONFIG_KEY, &config.to_string());
@@ -185,7 +209,7 @@
         merge(&mut settings, &self.settings);
         let file = self.folder.join(format!("d-{number}.json"));
         std::fs::write(&file, settings.to_string()).expect("should write the settings file");
-        let process = ChildProcess::spawn_daemon(&file);
+        let process = self.spawn_daemon(&file);
         self.daemons.push(FrontDaemon { process, callers, ready, admin, settings: file });
     }
 
@@ -202,9 +226,9 @@
 
     /// Kills a daemon and starts it again without waiting until it is ready.
     pub fn restart_without_waiting(&mut self, number: usize) {
-        let daemon = &mut self.daemons[number];
-        daemon.process.kill();
-        daemon.process = ChildProcess::spawn_daemon(&daemon.settings);
+        self.daemons[number].process.kill();
+        let process = self.spawn_daemon(&self.daemons[number].settings);
+        self.daemons[number].process = process;
     }
 
     /// A request to a daemon with the test customer's key and the attempt id `id`.
--- a/ggt-testkit/src/lib.rs
+++ b/ggt-testkit/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod front;
 pub mod http;
 pub mod layout;
+pub mod log_book;
 pub mod process;
 pub mod soak;
 pub mod wait;
--- /dev/null
+++ b/ggt-testkit/src/log_book.rs
@@ -0,0 +1,57 @@
+//! Log lines of daemons that name a request, by request.
+
+use std::collections::BTreeMap;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::process::ChildStdout;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+
+use ggt_standin::server::lock;
+
+/// Field that names the request that a line is about.
+const REQUEST_FIELD: &str = " request_id=";
+/// Beginning of the line that daemons log instead of lines that they dropped.
+const DROPPED_EVENT: &str = "event=log-lines-dropped";
+
+/// The lines that any daemon has logged about each request.
+#[derive(Debug, Default)]
+pub struct LogBook {
+    lines: Mutex<BTreeMap<String, Vec<String>>>,
+    /// Lines that say that daemons dropped others.
+    dropped: Mutex<usize>,
+}
+
+impl LogBook {
+    /// Reads the standard output of a daemon on a thread until it ends; prints it too if
+    /// `GGT_SHOW_LOGS` is set.
+    pub fn read_from(self: &Arc<Self>, output: ChildStdout) {
+        let (book, is_shown) = (self.clone(), std::env::var_os("GGT_SHOW_LOGS").is_some());
+        thread::spawn(move || {
+            for line in BufReader::new(output).lines().map_while(Result::ok) {
+                if is_shown {
+                    println!("{line}");
+                }
+                book.add(line);
+            }
+        });
+    }
+
+    /// The lines about a request, in the order in which each daemon logged them.
+    pub fn lines_of(&self, request_id: &str) -> Vec<String> {
+        lock(&self.lines).get(request_id).cloned().unwrap_or_default()
+    }
+
+    /// Whether daemons dropped lines because they logged faster than was read.
+    pub fn has_gaps(&self) -> bool {
+        *lock(&self.dropped) > 0
+    }
+
+    fn add(&self, line: String) {
+        *lock(&self.dropped) += usize::from(line.contains(DROPPED_EVENT));
+        let Some((_, rest)) = line.split_once(REQUEST_FIELD) else { return };
+        let id = rest.split(' ').next().unwrap_or_default().to_owned();
+        lock(&self.lines).entry(id).or_default().push(line);
+    }
+}
--- a/ggt-testkit/src/process.rs
+++ b/ggt-testkit/src/process.rs
@@ -9,11 +9,13 @@
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
+use std::sync::Arc;
 
 use rustix::process::Pid;
 use rustix::process::Signal;
 use rustix::process::kill_process;
 
+use crate::log_book::LogBook;
 use crate::wait::wait_for;
 
 /// A child process, killed and reaped on drop.
@@ -66,11 +68,25 @@
     /// # Panics
     /// When the process cannot be started.
     pub fn spawn_daemon(settings: &Path) -> Self {
+        Self::spawn_daemon_with_output(settings, log_output())
+    }
+
+    /// Starts a daemon like [`ChildProcess::spawn_daemon`], whose log lines are kept in a book.
+    ///
+    /// # Panics
+    /// When the process cannot be started.
+    pub fn spawn_logged_daemon(settings: &Path, book: &Arc<LogBook>) -> Self {
+        let mut process = Self::spawn_daemon_with_output(settings, Stdio::piped());
+        process.child.stdout.take().into_iter().for_each(|output| book.read_from(output));
+        process
+    }
+
+    fn spawn_daemon_with_output(settings: &Path, output: Stdio) -> Self {
         let child = Command::new(binary_path("greengageturnd"))
             .arg("--settings")
             .arg(settings)
             .stdin(Stdio::null())
-            .stdout(log_output())
+            .stdout(output)
             .spawn()
             .expect("daemon should start");
         Self { child }
--- a/ggt-testkit/src/soak/caller.rs
+++ b/ggt-testkit/src/soak/caller.rs
@@ -21,6 +21,7 @@
 use ggt_standin::users_platform::caller_headers;
 use ggt_standin::users_platform::prompt_headers;
 
+use crate::soak::SoakOptions;
 use crate::soak::crashing::CrashLog;
 use crate::soak::deployment::DisruptionState;
 use crate::soak::deployment::EVENTS;
@@ -50,16 +51,38 @@
     }
 }
 
-/// Sends requests of random kinds to random daemons until `is_over`.
-pub(super) fn run_caller(
-    number: usize,
-    seed: u64,
-    daemons: &[(SocketAddr, Arc<DisruptionState>)],
-    log: &CrashLog,
-    checker: &InvariantChecker,
-    is_over: &AtomicBool,
-) {
-    let mut random = SmallRng::seed_from_u64(seed);
+/// What a caller sends to and reports to.
+pub(super) struct CallerContext {
+    pub(super) number: usize,
+    pub(super) seed: u64,
+    /// Address and disruptions of each daemon.
+    pub(super) daemons: Vec<(SocketAddr, Arc<DisruptionState>)>,
+    /// Disruptions of each server.
+    pub(super) servers: Vec<Arc<DisruptionState>>,
+    pub(super) crash_log: Arc<CrashLog>,
+    pub(super) checker: Arc<InvariantChecker>,
+    pub(super) is_over: Arc<AtomicBool>,
+    pub(super) options: SoakOptions,
+}
+
+impl CallerContext {
+    fn stable_servers(&self) -> Vec<Option<usize>> {
+        self.servers.iter().map(|server| server.stable_version()).collect()
+    }
+
+    /// Servers that were disrupted at some time since the others' stable versions were taken.
+    fn disrupted_servers(&self, before: &[Option<usize>]) -> Vec<usize> {
+        let now = self.stable_servers();
+        let is_disrupted =
+            |number: &usize| before[*number].is_none() || before[*number] != now[*number];
+        (0..now.len()).filter(is_disrupted).collect()
+    }
+}
+
+/// Sends requests of random kinds to random daemons until the soak is over.
+pub(super) fn run_caller(context: &CallerContext) {
+    let CallerContext { number, seed, daemons, checker, is_over, .. } = context;
+    let mut random = SmallRng::seed_from_u64(*seed);
     let mut connection: Option<BufReader<TcpStream>> = None;
     let (mut daemon, mut kill_count) = (0, 0);
     let mut count = 0;
@@ -78,7 +101,7 @@
         let kind = ["read", "once", "chat", "talk"][random.random_range(0..4)];
         let id = format!("c{number}-{count}-{kind}-{daemon}");
         checker.record_request();
-        let sent_at = Instant::now();
+        let (sent_at, stable_servers) = (Instant::now(), context.stable_servers());
         let response = send_request(open, kind, &id);
         // A stream may break off together with its server. Every other request gets a complete response
         // unless its daemon was paused or killed meanwhile.
@@ -94,11 +117,27 @@
                  status {status:?}"
             ));
         }
+        if is_incomplete
+            && matches!(kind, "chat" | "talk")
+            && is_undisturbed
+            && context.options.has_silence
+            && sent_at.elapsed() < Duration::from_millis(DEADLINE_MS)
+        {
+            let disrupted = context.disrupted_servers(&stable_servers);
+            checker.record_cut(&id, sent_at.elapsed(), disrupted);
+        }
+        checker.record_sent(&id, daemon, kill_count, response.is_some());
         let is_reusable = response
             .as_ref()
             .is_some_and(|response| response.is_complete && !response.closes_connection);
         if let Some(response) = response {
-            log.record_sound(response.is_refused_as_crashing());
+            context.crash_log.record_sound(response.is_refused_as_crashing());
+            let has_silence_only =
+                context.options.has_silence && !context.options.has_crashing_caller;
+            if has_silence_only && response.is_refused_as_crashing() {
+                checker
+                    .record_violation(format!("{id} was refused as crashing, and nothing crashes"));
+            }
             check_response(&response, kind, &id, checker);
         }
         if !is_reusable {
--- a/ggt-testkit/src/soak/deployment.rs
+++ b/ggt-testkit/src/soak/deployment.rs
@@ -1,5 +1,6 @@
 //! The deployment under soak: a store, servers behind the fault proxy, and daemons.
 
+use std::collections::BTreeSet;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
@@ -14,6 +15,8 @@
 use ggt_platform::TARGET_PREFIX;
 use ggt_standin::server::lock;
 use ggt_standin::users_platform::AfterResponse;
+use ggt_standin::users_platform::SilenceGate;
+use ggt_standin::users_platform::SilenceKind;
 use ggt_standin::users_platform::WireRequest;
 use ggt_standin::users_platform::respond_with;
 use ggt_standin::users_platform::stream_head_with;
@@ -22,6 +25,7 @@
 use crate::front::FrontFleet;
 use crate::front::await_ready;
 use crate::http::HttpRequest;
+use crate::log_book::LogBook;
 use crate::process::ChildProcess;
 use crate::soak::SoakOptions;
 use crate::soak::crashing::CrashLog;
@@ -34,6 +38,10 @@
 pub(super) const EVENTS: u64 = 12;
 /// Pause after each event of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(6);
+/// Fault plan without faults.
+pub(super) const SOUND_NETWORK: &str = "delay_ms=0";
+/// Time between two silences of one server.
+const SILENCE_SPACING: Duration = Duration::from_secs(2);
 
 /// Complete body of the response to a request.
 pub(super) fn body_of(id: &str) -> String {
@@ -50,7 +58,7 @@
 }
 
 /// Whether a daemon is paused or killed, so that requests it has read may be interrupted; also
-/// whether the store fails.
+/// whether the store fails, and whether a server is down or its network impaired.
 #[derive(Debug, Default)]
 pub(super) struct DisruptionState {
     /// Incremented when a disruption begins and when it ends; odd during a disruption.
@@ -59,6 +67,8 @@
     changed_at: Mutex<Option<Instant>>,
     /// Number of times that the daemon was killed.
     kills: AtomicUsize,
+    /// Kill counts at which the daemon still ran when it was killed.
+    killed_at_work: Mutex<BTreeSet<usize>>,
 }
 
 impl DisruptionState {
@@ -77,10 +87,18 @@
         self.stable_version().is_some() && changed_at.is_none_or(|at| at.elapsed() >= time)
     }
 
-    /// Records that the daemon is killed, which breaks all its connections.
-    pub(super) fn record_kill(&self) {
+    /// Records that the daemon is killed, which breaks all its connections if it still ran.
+    pub(super) fn record_kill(&self, was_running: bool) {
         self.set_disrupted(true);
-        self.kills.fetch_add(1, Ordering::SeqCst);
+        let count = self.kills.fetch_add(1, Ordering::SeqCst);
+        if was_running {
+            lock(&self.killed_at_work).insert(count);
+        }
+    }
+
+    /// Whether the process that had this kill count was killed rather than ended by itself.
+    pub(super) fn was_killed(&self, kill_count: usize) -> bool {
+        lock(&self.killed_at_work).contains(&kill_count)
     }
 
     /// Number of times that the daemon was killed; unchanged as long as its process is the same.
@@ -101,11 +119,20 @@
     pub(super) draining_servers: Vec<usize>,
     pub(super) disruptions: Vec<Arc<DisruptionState>>,
     pub(super) store_disruption: Arc<DisruptionState>,
+    /// Disruptions of servers and of the network before them; silences are none.
+    pub(super) server_disruptions: Vec<Arc<DisruptionState>>,
+    /// Log lines of the daemons.
+    pub(super) log_book: Arc<LogBook>,
     pub(super) crash_log: Arc<CrashLog>,
     /// The limits that servers name, by server.
     pub(super) limits: Vec<Arc<ServerLimit>>,
     proxy_control: SocketAddr,
     proxy_routes: Vec<SocketAddr>,
+    /// When the last silence of each server ends.
+    silent_until: Vec<Instant>,
+    /// Whether every other server is reached without the proxy, whose own listener would accept
+    /// connections for a server that does not.
+    has_direct_servers: bool,
     /// Version of the configuration published last.
     version: u64,
     _proxy: ChildProcess,
@@ -115,6 +142,7 @@
     /// Starts everything, with each server behind a route of the fault proxy.
     pub(super) fn start(options: &SoakOptions, checker: &Arc<InvariantChecker>) -> Self {
         let mut fleet = FrontFleet::start(0, 0);
+        let log_book = fleet.keep_logs();
         let proxy_control = fleet.unused_address();
         let control = proxy_control.to_string();
         let proxy = ChildProcess::spawn_standin(&["proxy", "--control", &control]);
@@ -123,9 +151,13 @@
             draining_servers: Vec::new(),
             disruptions: (0..options.daemons).map(|_| Arc::default()).collect(),
             store_disruption: Arc::default(),
+            server_disruptions: (0..options.servers).map(|_| Arc::default()).collect(),
+            log_book,
             crash_log: Arc::default(),
             limits: (0..options.servers).map(|_| Arc::default()).collect(),
             proxy_control,
+            silent_until: vec![Instant::now(); options.servers],
+            has_direct_servers: options.has_silence,
             version: 1,
             _proxy: proxy,
             fleet: {
@@ -151,7 +183,8 @@
     fn set_soak_script(&self, number: usize, checker: &Arc<InvariantChecker>) {
         let (checker, crash_log) = (checker.clone(), self.crash_log.clone());
         let (limit, disruptions) = (self.limits[number].clone(), self.disruptions.clone());
-        let name = self.fleet.servers[number].id();
+        let (name, gate) = (self.fleet.servers[number].id(), self.fleet.servers[number].gate());
+        let own_disruption = self.server_disruptions[number].clone();
         self.fleet.servers[number].set_script(move |request, stream| {
             let id = request.attempt_id().to_owned();
             let kind = request.path.split('/').nth(1).unwrap_or_default();
@@ -166,9 +199,10 @@
                     checker.record_crash();
                     // The next instance has no limit of before.
                     limit.set(None);
+                    own_disruption.set_disrupted(true);
                     AfterResponse::Crash
                 }
-                "chat" | "talk" => send_events(request, stream, &id, &lines),
+                "chat" | "talk" => send_events(request, stream, &gate, &lines),
                 _ => respond_with(request, stream, 200, &lines, &body_of(&id)),
             }
         });
@@ -182,17 +216,51 @@
 
     /// Kills a daemon if it still runs, and starts it again.
     pub(super) fn restart(&mut self, daemon: usize) {
-        self.disruptions[daemon].record_kill();
+        let was_running = self.fleet.daemons[daemon].process.is_running();
+        self.disruptions[daemon].record_kill(was_running);
         self.fleet.restart_without_waiting(daemon);
         self.disruptions[daemon].set_disrupted(false);
     }
 
-    /// Registers a server in the store with the address of its proxy route.
+    /// Kills a daemon.
+    pub(super) fn kill(&mut self, daemon: usize) {
+        let was_running = self.fleet.daemons[daemon].process.is_running();
+        self.disruptions[daemon].record_kill(was_running);
+        self.fleet.daemons[daemon].process.kill();
+    }
+
+    /// Whether daemons reach a server without the proxy.
+    pub(super) fn is_direct(&self, number: usize) -> bool {
+        self.has_direct_servers && number % 2 == 1
+    }
+
+    /// Makes a server silent for this time; false if it was silent a moment ago, since a sound one is
+    /// not silent for long.
+    pub(super) fn pause_server(
+        &mut self,
+        number: usize,
+        time: Duration,
+        kind: SilenceKind,
+    ) -> bool {
+        let now = Instant::now();
+        if now < self.silent_until[number] + SILENCE_SPACING
+            || !self.fleet.servers[number].pause(time, kind)
+        {
+            return false;
+        }
+        self.silent_until[number] = now + time;
+        true
+    }
+
+    /// Registers a server in the store, with the address of its proxy route unless it is direct.
     pub(super) fn register(&self, number: usize, state: &str) {
         let server = &self.fleet.servers[number];
         let registration = server.registration("s", "a", state);
-        let registration = registration
-            .replace(&server.address.to_string(), &self.proxy_routes[number].to_string());
+        let registration = match self.is_direct(number) {
+            true => registration,
+            false => registration
+                .replace(&server.address.to_string(), &self.proxy_routes[number].to_string()),
+        };
         self.fleet.store.put(&format!("{TARGET_PREFIX}{}", server.id()), &registration);
     }
 
@@ -210,6 +278,7 @@
             }
             self.register(number, "ready");
             self.fleet.remove_registration(&old_id);
+            self.server_disruptions[number].set_disrupted(false);
             self.draining_servers.retain(|draining| *draining != number);
         }
     }
@@ -217,6 +286,7 @@
     /// Replaces the fault plan of a server's proxy route.
     pub(super) fn set_fault_plan(&self, number: usize, plan: &str) {
         self.limits[number].restart_counting();
+        self.server_disruptions[number].set_disrupted(plan != SOUND_NETWORK);
         self.control_proxy(&format!("/control/plan?listen={}&{plan}", self.proxy_routes[number]));
     }
 
@@ -229,7 +299,7 @@
     /// Ends all faults.
     pub(super) fn heal(&mut self) {
         self.restart_crashed_servers();
-        (0..self.proxy_routes.len()).for_each(|number| self.set_fault_plan(number, "delay_ms=0"));
+        (0..self.proxy_routes.len()).for_each(|number| self.set_fault_plan(number, SOUND_NETWORK));
         self.fleet.store.set_failure(None);
         self.store_disruption.set_disrupted(false);
         for daemon in 0..self.fleet.daemons.len() {
@@ -306,9 +376,10 @@
 fn send_events(
     request: &WireRequest,
     stream: &mut TcpStream,
-    id: &str,
+    gate: &SilenceGate,
     lines: &str,
 ) -> AfterResponse {
+    let id = request.attempt_id();
     let first = request.last_event_id().unwrap_or(0) + 1;
     if stream.write_all(stream_head_with(request, lines).as_bytes()).is_err() {
         return AfterResponse::Close;
@@ -316,11 +387,13 @@
     for number in first..=EVENTS {
         let event = event_of(id, number);
         let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        gate.pass();
         if stream.write_all(chunk.as_bytes()).is_err() {
             return AfterResponse::Close;
         }
         thread::sleep(EVENT_INTERVAL);
     }
+    gate.pass();
     match stream.write_all(b"0\r\n\r\n") {
         Ok(()) => AfterResponse::Keep,
         Err(_) => AfterResponse::Close,
--- a/ggt-testkit/src/soak/faults.rs
+++ b/ggt-testkit/src/soak/faults.rs
@@ -1,5 +1,6 @@
 //! Random faults of a soak, determined by its seed.
 
+use std::ops::Range;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -8,7 +9,10 @@
 use rand::rngs::SmallRng;
 use rustix::process::Signal;
 
+use ggt_standin::users_platform::SilenceKind;
+
 use crate::soak::SoakOptions;
+use crate::soak::deployment::SOUND_NETWORK;
 use crate::soak::deployment::SoakDeployment;
 use crate::soak::invariants::InvariantChecker;
 
@@ -18,6 +22,12 @@
 const RESTART_INTERVAL: Duration = Duration::from_millis(600);
 /// Upper bound (exclusive) of the duration of a fault, in milliseconds.
 const MAX_FAULT_MS: u64 = 2_500;
+/// Range from which the silence of a sound server is drawn, in milliseconds.
+const SILENCE_MS: Range<u64> = 600..1_400;
+/// Number of kinds of faults in all soaks.
+const FAULT_KINDS: u32 = 12;
+/// Number of further choices in soaks with silent servers.
+const SILENCE_KINDS: u32 = 4;
 
 /// Time that a daemon has for its graceful shutdown before it is killed.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(7_500);
@@ -56,7 +66,7 @@
         pending_ends = later;
         due.into_iter().for_each(|(_, end)| end_fault(deployment, end));
         let duration = Duration::from_millis(random.random_range(200..MAX_FAULT_MS));
-        if let Some((name, end)) = begin_fault(deployment, random) {
+        if let Some((name, end)) = begin_fault(deployment, random, options, checker) {
             let duration = if matches!(end, Some(FaultEnd::StartAfterShutdown(_))) {
                 SHUTDOWN_TIMEOUT
             } else {
@@ -74,14 +84,20 @@
 fn begin_fault(
     deployment: &mut SoakDeployment,
     random: &mut SmallRng,
+    options: &SoakOptions,
+    checker: &InvariantChecker,
 ) -> Option<(String, Option<FaultEnd>)> {
     let server = random.random_range(0..deployment.fleet.servers.len());
     let daemon = random.random_range(0..deployment.fleet.daemons.len());
     let network = |deployment: &SoakDeployment, plan: String| {
+        if deployment.is_direct(server) {
+            return None;
+        }
         deployment.set_fault_plan(server, &plan);
         Some((format!("network of server {server}: {plan}"), Some(FaultEnd::Network(server))))
     };
-    match random.random_range(0..12) {
+    let kinds = FAULT_KINDS + if options.has_silence { SILENCE_KINDS } else { 0 };
+    match random.random_range(0..kinds) {
         0 => network(deployment, "refuse=1".to_owned()),
         1 => {
             let stalls = ["stall", "stall_up", "stall_down"];
@@ -96,8 +112,7 @@
             Some((format!("daemon {daemon} paused"), Some(FaultEnd::Resume(daemon))))
         }
         6 => {
-            deployment.disruptions[daemon].record_kill();
-            deployment.fleet.daemons[daemon].process.kill();
+            deployment.kill(daemon);
             Some((format!("daemon {daemon} killed"), Some(FaultEnd::Restart(daemon))))
         }
         7 if deployment.fleet.daemons[daemon].process.is_running() => {
@@ -127,13 +142,41 @@
             deployment.register(server, "draining");
             Some((format!("server {server} drains"), None))
         }
+        12 | 13 => begin_silence(deployment, random, server..server + 1, checker),
+        14 => {
+            let all = 0..deployment.fleet.servers.len();
+            begin_silence(deployment, random, all, checker)
+        }
+        15 => {
+            deployment.publish_next();
+            Some(("next configuration published".to_owned(), None))
+        }
         _ => None,
     }
 }
 
+/// Makes servers silent, which ends by itself.
+fn begin_silence(
+    deployment: &mut SoakDeployment,
+    random: &mut SmallRng,
+    servers: Range<usize>,
+    checker: &InvariantChecker,
+) -> Option<(String, Option<FaultEnd>)> {
+    let time = Duration::from_millis(random.random_range(SILENCE_MS));
+    let kind = match random.random_range(0..2) {
+        0 => SilenceKind::AcceptsConnections,
+        _ => SilenceKind::AcceptsNothing,
+    };
+    let silent: Vec<_> =
+        servers.filter(|server| deployment.pause_server(*server, time, kind)).collect();
+    checker.record_silences(silent.len());
+    let what = format!("servers {silent:?} silent for {} ms, {kind:?}", time.as_millis());
+    (!silent.is_empty()).then_some((what, None))
+}
+
 fn end_fault(deployment: &mut SoakDeployment, end: FaultEnd) {
     match end {
-        FaultEnd::Network(server) => deployment.set_fault_plan(server, "delay_ms=0"),
+        FaultEnd::Network(server) => deployment.set_fault_plan(server, SOUND_NETWORK),
         FaultEnd::Resume(daemon) => {
             if deployment.fleet.daemons[daemon].process.is_running() {
                 deployment.fleet.daemons[daemon].process.resume();
--- a/ggt-testkit/src/soak/invariants.rs
+++ b/ggt-testkit/src/soak/invariants.rs
@@ -1,20 +1,50 @@
 //! Records which requests servers ran and which responses callers got, and checks that they agree.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
 
 use ggt_standin::server::lock;
 
+use crate::log_book::LogBook;
 use crate::soak::SoakOutcome;
+use crate::soak::deployment::DisruptionState;
+
+/// Time after the last request within which the daemons' lines about its end must arrive.
+const END_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause between two looks at the daemons' lines.
+const END_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Executions and not-executed responses by attempt id, and the outcome of the soak.
 #[derive(Default)]
 pub(super) struct InvariantChecker {
     runs: Mutex<BTreeMap<String, usize>>,
     not_executed: Mutex<BTreeMap<String, u16>>,
+    sent: Mutex<Vec<SentRequest>>,
+    cuts: Mutex<Vec<CutStream>>,
     outcome: Mutex<SoakOutcome>,
 }
 
+/// A request that a caller sent.
+struct SentRequest {
+    id: String,
+    daemon: usize,
+    /// Kill count of the daemon when the request's connection was opened.
+    kill_count: usize,
+    has_response: bool,
+}
+
+/// A stream that ended early before its deadline at an undisrupted daemon.
+struct CutStream {
+    id: String,
+    after: Duration,
+    /// Servers that were disrupted meanwhile.
+    disrupted_servers: Vec<usize>,
+}
+
 impl InvariantChecker {
     /// Records that a server began to run a request; `once` if the request must not run twice.
     pub(super) fn record_run(&self, id: &str, once: bool) {
@@ -62,6 +92,76 @@
         lock(&self.outcome).limited_requests += 1;
     }
 
+    /// Records a request with whether the caller got at least the head of a response.
+    pub(super) fn record_sent(
+        &self,
+        id: &str,
+        daemon: usize,
+        kill_count: usize,
+        has_response: bool,
+    ) {
+        let id = id.to_owned();
+        lock(&self.sent).push(SentRequest { id, daemon, kill_count, has_response });
+    }
+
+    /// Records a stream that ended early.
+    pub(super) fn record_cut(&self, id: &str, after: Duration, disrupted_servers: Vec<usize>) {
+        lock(&self.cuts).push(CutStream { id: id.to_owned(), after, disrupted_servers });
+    }
+
+    /// Checks that the daemons have logged exactly one end of each request that they had read, unless
+    /// they were killed.
+    pub(super) fn check_ends(&self, daemons: &[Arc<DisruptionState>], book: &LogBook) {
+        if book.has_gaps() {
+            return self.record_violation("a daemon dropped log lines".to_owned());
+        }
+        let until = Instant::now() + END_TIMEOUT;
+        let mut miscounted = self.miscounted_ends(daemons, book);
+        while !miscounted.is_empty() && Instant::now() < until {
+            thread::sleep(END_INTERVAL);
+            miscounted = self.miscounted_ends(daemons, book);
+        }
+        lock(&self.outcome).miscounted_ends = miscounted.len();
+        miscounted.into_iter().for_each(|what| self.record_violation(what));
+    }
+
+    fn miscounted_ends(&self, daemons: &[Arc<DisruptionState>], book: &LogBook) -> Vec<String> {
+        let (sent, runs) = (lock(&self.sent), lock(&self.runs));
+        let checked = sent.iter().filter_map(|request| {
+            let SentRequest { id, daemon, kill_count, has_response } = request;
+            let lines = book.lines_of(id);
+            let was_read = *has_response || !lines.is_empty() || runs.contains_key(id);
+            let ends = lines.iter().filter(|line| line.contains("event=end ")).count();
+            let is_right = match daemons[*daemon].was_killed(*kill_count) {
+                true => ends <= 1,
+                false => ends == usize::from(was_read),
+            };
+            (!is_right).then(|| format!("{id} has {ends} ends in the logs: {lines:#?}"))
+        });
+        checked.collect()
+    }
+
+    /// Checks that streams that ended early had been sent to a server that was disrupted.
+    pub(super) fn check_cuts(&self, book: &LogBook) {
+        for CutStream { id, after, disrupted_servers } in lock(&self.cuts).iter() {
+            let lines = book.lines_of(id);
+            let is_excused = |line: &String| {
+                server_of(line).is_some_and(|server| disrupted_servers.contains(&server))
+            };
+            if !lines.iter().any(is_excused) {
+                self.record_violation(format!(
+                    "{id} was cut after {} ms, and no server that it was sent to was disrupted: \
+                     {lines:#?}",
+                    after.as_millis()
+                ));
+            }
+        }
+    }
+
+    pub(super) fn record_silences(&self, count: usize) {
+        lock(&self.outcome).silences += count;
+    }
+
     pub(super) fn record_fault(&self, fault: String) {
         lock(&self.outcome).faults.push(fault);
     }
@@ -74,3 +174,10 @@
         lock(&self.outcome).clone()
     }
 }
+
+/// Number of the server that a daemon's log line names: the first number in its id.
+fn server_of(line: &str) -> Option<usize> {
+    let (_, id) = line.split_once(" target=i-")?;
+    let digits: String = id.chars().take_while(char::is_ascii_digit).collect();
+    digits.parse().ok()
+}
--- a/ggt-testkit/src/soak/mod.rs
+++ b/ggt-testkit/src/soak/mod.rs
@@ -18,6 +18,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::soak::caller::CallerContext;
 use crate::soak::caller::run_caller;
 use crate::soak::crashing::run_crashing_caller;
 use crate::soak::deployment::SoakDeployment;
@@ -42,6 +43,9 @@
     pub has_crashing_caller: bool,
     /// Whether servers name limits of the requests that they take, which change all the time.
     pub has_limits: bool,
+    /// Whether sound servers fall silent for a second or so and continue; every other server is then
+    /// reached without the fault proxy.
+    pub has_silence: bool,
     /// Upper bound (exclusive) of the pause before each fault.
     pub max_fault_interval: Duration,
 }
@@ -56,6 +60,7 @@
             callers: 12,
             has_crashing_caller: false,
             has_limits: false,
+            has_silence: false,
             max_fault_interval: Duration::from_millis(500),
         }
     }
@@ -74,6 +79,10 @@
     pub late_calls: usize,
     /// Requests that were counted against the limit that their server had named.
     pub limited_requests: usize,
+    /// Silences of servers.
+    pub silences: usize,
+    /// Requests that a daemon had read, not killed later, without exactly one line about their end.
+    pub miscounted_ends: usize,
     /// Descriptions of the injected faults, in order.
     pub faults: Vec<String>,
     /// Violated guarantees, each with the observation that shows it.
@@ -90,10 +99,17 @@
     let is_over = Arc::new(AtomicBool::new(false));
     let callers: Vec<_> = (0..options.callers)
         .map(|number| {
-            let (checker, is_over) = (checker.clone(), is_over.clone());
-            let (daemons, log) = (deployment.callers(), deployment.crash_log.clone());
-            let seed = options.seed.wrapping_mul(1_000).wrapping_add(number as u64);
-            thread::spawn(move || run_caller(number, seed, &daemons, &log, &checker, &is_over))
+            let context = CallerContext {
+                number,
+                seed: options.seed.wrapping_mul(1_000).wrapping_add(number as u64),
+                daemons: deployment.callers(),
+                servers: deployment.server_disruptions.clone(),
+                crash_log: deployment.crash_log.clone(),
+                checker: checker.clone(),
+                is_over: is_over.clone(),
+                options: *options,
+            };
+            thread::spawn(move || run_caller(&context))
         })
         .collect();
     let are_faults_over = Arc::new(AtomicBool::new(false));
@@ -119,6 +135,8 @@
     is_over.store(true, Ordering::SeqCst);
     join_callers(callers, &checker);
     deployment.check_draining_servers(&checker);
+    checker.check_ends(&deployment.disruptions, &deployment.log_book);
+    checker.check_cuts(&deployment.log_book);
     checker.outcome()
 }
 
--- a/ggt-testkit/tests/soak.rs
+++ b/ggt-testkit/tests/soak.rs
@@ -57,3 +57,15 @@
         ..SoakOptions::default()
     });
 }
+
+/// Daemons that end responses early because sound servers are silent for a second or so, alone or all at
+/// once, or that lose the end of a request they have read.
+#[test]
+fn responses_are_complete_while_sound_servers_fall_silent() {
+    run(&SoakOptions {
+        seed: 9_000,
+        faults_for: Duration::from_secs(10),
+        has_silence: true,
+        ..SoakOptions::default()
+    });
+}
