--- a/ggt-standin/src/users_platform/server.rs
+++ b/ggt-standin/src/users_platform/server.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::thread::JoinHandle;
@@ -25,6 +26,9 @@
 use crate::users_platform::silence::saturate;
 use crate::users_platform::silence::set_usual_backlog;
 
+/// Version of a server's software unless a test sets another one.
+const USUAL_VERSION: &str = "v1";
+
 /// What happens to a connection after a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AfterResponse {
@@ -43,6 +47,10 @@
 struct ServerState {
     address: SocketAddr,
     id: Mutex<String>,
+    /// Version of its software.
+    version: Mutex<String>,
+    /// Number of times that it was started; the registration names it as the time of its start.
+    starts: AtomicU64,
     requests: Mutex<Vec<WireRequest>>,
     closed_connections: Mutex<usize>,
     script: Mutex<ResponseScript>,
@@ -73,6 +81,8 @@
         let state = Arc::new(ServerState {
             address,
             id: Mutex::new(id.to_owned()),
+            version: Mutex::new(USUAL_VERSION.to_owned()),
+            starts: AtomicU64::new(1),
             requests: Mutex::default(),
             closed_connections: Mutex::default(),
             script: Mutex::new(script),
@@ -91,6 +101,16 @@
         lock(&self.state.id).clone()
     }
 
+    /// Version of its software.
+    pub fn version(&self) -> String {
+        lock(&self.state.version).clone()
+    }
+
+    /// Sets the version that its next registrations name, before it is started again.
+    pub fn set_version(&self, version: &str) {
+        version.clone_into(&mut lock(&self.state.version));
+    }
+
     /// Sets the script for requests that arrive from now on.
     pub fn set_script<F>(&self, script: F)
     where
@@ -153,6 +173,7 @@
     /// Crashes and starts again as another instance, so quickly that no connection is refused.
     pub fn restart_at_once(&self, id: &str) {
         id.clone_into(&mut lock(&self.state.id));
+        self.state.starts.fetch_add(1, Ordering::SeqCst);
         close_connections(&self.state);
     }
 
@@ -162,14 +183,16 @@
     /// Returns the I/O error if the address cannot be bound.
     pub fn restart(&self, id: &str) -> std::io::Result<()> {
         id.clone_into(&mut lock(&self.state.id));
+        self.state.starts.fetch_add(1, Ordering::SeqCst);
         self.state.is_down.store(false, Ordering::SeqCst);
         listen(&self.state)
     }
 
     /// JSON value of the server's registration in the store.
     pub fn registration(&self, service: &str, zone: &str, state: &str) -> String {
+        let (version, starts) = (self.version(), self.state.starts.load(Ordering::SeqCst));
         format!(
-            r#"{{"Service":"{service}","Address":"{}","Zone":"{zone}","Version":"v1","Slots":8,"State":"{state}","ColdLeftMs":0,"Seq":1,"born":1}}"#,
+            r#"{{"Service":"{service}","Address":"{}","Zone":"{zone}","Version":"{version}","Slots":8,"State":"{state}","ColdLeftMs":0,"Seq":1,"born":{starts}}}"#,
             self.address
         )
     }
--- a/ggt-testkit/src/bin/ggt-soak.rs
+++ b/ggt-testkit/src/bin/ggt-soak.rs
@@ -41,6 +41,9 @@
     /// let sound servers fall silent for a second or so
     #[argh(switch)]
     silence: bool,
+    /// let servers run two versions and callers take up streams
+    #[argh(switch)]
+    versions: bool,
     /// longest pause before each fault, in milliseconds (more than 60)
     #[argh(option, default = "500")]
     max_pause_ms: u64,
@@ -59,11 +62,12 @@
             has_crashing_caller: args.crashing,
             has_limits: args.limits,
             has_silence: args.silence,
+            has_versions: args.versions,
             max_fault_interval: Duration::from_millis(args.max_pause_ms),
         });
         println!(
             "seed {seed}: {} requests, {} answered, {} crashes ({} late), {} counted against limits, \
-             {} silences, {} miscounted ends, {} faults, {} violations",
+             {} silences, {} miscounted ends, new streams begun {:?}, taken up that went on {:?}, {} faults, {} violations",
             outcome.requests,
             outcome.answered,
             outcome.crashes,
@@ -71,6 +75,8 @@
             outcome.limited_requests,
             outcome.silences,
             outcome.miscounted_ends,
+            outcome.new_streams,
+            outcome.taken_up_streams,
             outcome.faults.len(),
             outcome.violations.len()
         );
--- a/ggt-testkit/src/soak/deployment.rs
+++ b/ggt-testkit/src/soak/deployment.rs
@@ -4,6 +4,7 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
@@ -12,6 +13,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde_json::json;
+
 use ggt_platform::TARGET_PREFIX;
 use ggt_standin::server::lock;
 use ggt_standin::users_platform::AfterResponse;
@@ -32,6 +35,9 @@
 use crate::soak::crashing::is_crashing;
 use crate::soak::invariants::InvariantChecker;
 use crate::soak::limits::ServerLimit;
+use crate::soak::versions::ServingVersions;
+use crate::soak::versions::VERSIONS;
+use crate::soak::versions::version_line;
 use crate::wait::wait_until;
 
 /// Number of events of each stream.
@@ -40,6 +46,8 @@
 const EVENT_INTERVAL: Duration = Duration::from_millis(6);
 /// Fault plan without faults.
 pub(super) const SOUND_NETWORK: &str = "delay_ms=0";
+/// Time for which the entry of a server must have been removed before it comes back under its id.
+const REMOVAL_TIME: Duration = Duration::from_secs(1);
 /// Time between two silences of one server.
 const SILENCE_SPACING: Duration = Duration::from_secs(2);
 
@@ -48,13 +56,14 @@
     format!("the complete response to {id}")
 }
 
-/// Body of the first `count` events of the stream for a request.
-pub(super) fn events_of(id: &str, count: u64) -> String {
-    (1..=count).map(|number| event_of(id, number)).collect()
+/// Body of these events of the stream for a request.
+pub(super) fn events_of(id: &str, numbers: RangeInclusive<u64>) -> String {
+    numbers.map(|number| event_of(id, number, "")).collect()
 }
 
-fn event_of(id: &str, number: u64) -> String {
-    format!("id: {number}\ndata: {number} of {id}\n\n")
+/// An event; `line` follows its data.
+fn event_of(id: &str, number: u64, line: &str) -> String {
+    format!("id: {number}\ndata: {number} of {id}{line}\n\n")
 }
 
 /// Whether a daemon is paused or killed, so that requests it has read may be interrupted; also
@@ -126,6 +135,12 @@
     pub(super) crash_log: Arc<CrashLog>,
     /// The limits that servers name, by server.
     pub(super) limits: Vec<Arc<ServerLimit>>,
+    pub(super) serving: Arc<ServingVersions>,
+    /// Whether servers run two versions and their events name them.
+    has_versions: bool,
+    /// Servers that are being replaced, and since when.
+    replaced: Vec<(usize, Instant)>,
+    checker: Arc<InvariantChecker>,
     proxy_control: SocketAddr,
     proxy_routes: Vec<SocketAddr>,
     /// When the last silence of each server ends.
@@ -141,7 +156,12 @@
 impl SoakDeployment {
     /// Starts everything, with each server behind a route of the fault proxy.
     pub(super) fn start(options: &SoakOptions, checker: &Arc<InvariantChecker>) -> Self {
-        let mut fleet = FrontFleet::start(0, 0);
+        // Silent servers must not end responses either when no retry is allowed.
+        let settings = match options.has_silence {
+            true => json!({ "retries": { "ratio": 0.02, "slack": 4.0, "window_s": 10.0 } }),
+            false => json!({}),
+        };
+        let mut fleet = FrontFleet::start_with(0, 0, settings);
         let log_book = fleet.keep_logs();
         let proxy_control = fleet.unused_address();
         let control = proxy_control.to_string();
@@ -155,6 +175,10 @@
             log_book,
             crash_log: Arc::default(),
             limits: (0..options.servers).map(|_| Arc::default()).collect(),
+            serving: Arc::default(),
+            has_versions: options.has_versions,
+            replaced: Vec::new(),
+            checker: checker.clone(),
             proxy_control,
             silent_until: vec![Instant::now(); options.servers],
             has_direct_servers: options.has_silence,
@@ -170,7 +194,10 @@
             let to = deployment.fleet.servers[number].address;
             deployment.control_proxy(&format!("/control/route?listen={listen}&to={to}"));
             deployment.proxy_routes.push(listen);
-            deployment.set_soak_script(number, checker);
+            if options.has_versions {
+                deployment.fleet.servers[number].set_version(VERSIONS[number % VERSIONS.len()]);
+            }
+            deployment.set_soak_script(number);
             deployment.register(number, "ready");
         }
         (0..options.daemons).for_each(|number| deployment.fleet.add_daemon(number, None));
@@ -180,8 +207,10 @@
 
     /// Makes a server respond by the request's kind, and record each execution before the first response
     /// byte.
-    fn set_soak_script(&self, number: usize, checker: &Arc<InvariantChecker>) {
-        let (checker, crash_log) = (checker.clone(), self.crash_log.clone());
+    fn set_soak_script(&self, number: usize) {
+        let (checker, crash_log) = (self.checker.clone(), self.crash_log.clone());
+        let version = self.fleet.servers[number].version();
+        let event_line = if self.has_versions { version_line(&version) } else { String::new() };
         let (limit, disruptions) = (self.limits[number].clone(), self.disruptions.clone());
         let (name, gate) = (self.fleet.servers[number].id(), self.fleet.servers[number].gate());
         let own_disruption = self.server_disruptions[number].clone();
@@ -202,7 +231,7 @@
                     own_disruption.set_disrupted(true);
                     AfterResponse::Crash
                 }
-                "chat" | "talk" => send_events(request, stream, &gate, &lines),
+                "chat" | "talk" => send_events(request, stream, &gate, &lines, &event_line),
                 _ => respond_with(request, stream, 200, &lines, &body_of(&id)),
             }
         });
@@ -255,6 +284,7 @@
     /// Registers a server in the store, with the address of its proxy route unless it is direct.
     pub(super) fn register(&self, number: usize, state: &str) {
         let server = &self.fleet.servers[number];
+        self.serving.set(number, (state == "ready").then(|| server.version()));
         let registration = server.registration("s", "a", state);
         let registration = match self.is_direct(number) {
             true => registration,
@@ -264,11 +294,49 @@
         self.fleet.store.put(&format!("{TARGET_PREFIX}{}", server.id()), &registration);
     }
 
+    /// Ends a server, whose entry goes, for a release of its software; false if it is down already.
+    pub(super) fn begin_replacement(&mut self, number: usize) -> bool {
+        let server = &self.fleet.servers[number];
+        if server.is_down() {
+            return false;
+        }
+        self.replaced.push((number, Instant::now()));
+        self.server_disruptions[number].set_disrupted(true);
+        self.serving.set(number, None);
+        self.fleet.remove_registration(&server.id());
+        server.crash();
+        true
+    }
+
+    /// Starts a replaced server on its address with this version. It comes back under its id only if
+    /// all daemons have had time to learn that it had gone; otherwise they could not tell the two.
+    pub(super) fn end_replacement(&mut self, number: usize, version: &str, keeps_id: bool) {
+        let Some(place) = self.replaced.iter().position(|(other, _)| *other == number) else {
+            return;
+        };
+        let (_, since) = self.replaced.remove(place);
+        let mut disruptions = self.disruptions.iter().chain([&self.store_disruption]);
+        let is_known = since.elapsed() >= REMOVAL_TIME
+            && disruptions.all(|disruption| disruption.is_stable_for(REMOVAL_TIME));
+        let old_id = self.fleet.servers[number].id();
+        let id = if keeps_id && is_known { old_id } else { format!("{old_id}-{version}") };
+        self.fleet.servers[number].set_version(version);
+        self.set_soak_script(number);
+        if let Err(e) = self.fleet.servers[number].restart(&id) {
+            // It is started like a crashed one.
+            eprintln!("server {id} cannot be started yet: {e}");
+            return;
+        }
+        self.register(number, "ready");
+        self.server_disruptions[number].set_disrupted(false);
+        self.draining_servers.retain(|draining| *draining != number);
+    }
+
     /// Starts crashed servers again as other instances at the same addresses.
     pub(super) fn restart_crashed_servers(&mut self) {
         for number in 0..self.fleet.servers.len() {
             let server = &self.fleet.servers[number];
-            if !server.is_down() {
+            if !server.is_down() || self.replaced.iter().any(|(other, _)| *other == number) {
                 continue;
             }
             let old_id = server.id();
@@ -378,6 +446,7 @@
     stream: &mut TcpStream,
     gate: &SilenceGate,
     lines: &str,
+    event_line: &str,
 ) -> AfterResponse {
     let id = request.attempt_id();
     let first = request.last_event_id().unwrap_or(0) + 1;
@@ -385,7 +454,7 @@
         return AfterResponse::Close;
     }
     for number in first..=EVENTS {
-        let event = event_of(id, number);
+        let event = event_of(id, number, event_line);
         let chunk = format!("{:x}\r\n{event}\r\n", event.len());
         gate.pass();
         if stream.write_all(chunk.as_bytes()).is_err() {
--- a/ggt-testkit/src/soak/faults.rs
+++ b/ggt-testkit/src/soak/faults.rs
@@ -15,6 +15,7 @@
 use crate::soak::deployment::SOUND_NETWORK;
 use crate::soak::deployment::SoakDeployment;
 use crate::soak::invariants::InvariantChecker;
+use crate::soak::versions::VERSIONS;
 
 /// Lower bound of the pause before each fault.
 const MIN_FAULT_INTERVAL: Duration = Duration::from_millis(60);
@@ -26,8 +27,10 @@
 const SILENCE_MS: Range<u64> = 600..1_400;
 /// Number of kinds of faults in all soaks.
 const FAULT_KINDS: u32 = 12;
+/// Number of further choices in soaks with two versions.
+const VERSION_KINDS: u32 = 6;
 /// Number of further choices in soaks with silent servers.
-const SILENCE_KINDS: u32 = 4;
+const SILENCE_KINDS: u32 = 10;
 
 /// Time that a daemon has for its graceful shutdown before it is killed.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(7_500);
@@ -38,6 +41,11 @@
     Network(usize),
     Resume(usize),
     Restart(usize),
+    Replacement {
+        server: usize,
+        version: &'static str,
+        keeps_id: bool,
+    },
     /// Starts a daemon again that got SIGTERM; kills it first if it still runs.
     StartAfterShutdown(usize),
     Store,
@@ -96,8 +104,16 @@
         deployment.set_fault_plan(server, &plan);
         Some((format!("network of server {server}: {plan}"), Some(FaultEnd::Network(server))))
     };
-    let kinds = FAULT_KINDS + if options.has_silence { SILENCE_KINDS } else { 0 };
+    let first_replacement = FAULT_KINDS + if options.has_silence { SILENCE_KINDS } else { 0 };
+    let kinds = first_replacement + if options.has_versions { VERSION_KINDS } else { 0 };
     match random.random_range(0..kinds) {
+        kind if kind >= first_replacement => {
+            let version = VERSIONS[random.random_range(0..VERSIONS.len())];
+            let keeps_id = random.random_range(0..3) == 0;
+            let end = FaultEnd::Replacement { server, version, keeps_id };
+            let what = format!("server {server} replaced by {version}, keeps its id: {keeps_id},");
+            deployment.begin_replacement(server).then_some((what, Some(end)))
+        }
         0 => network(deployment, "refuse=1".to_owned()),
         1 => {
             let stalls = ["stall", "stall_up", "stall_down"];
@@ -142,12 +158,12 @@
             deployment.register(server, "draining");
             Some((format!("server {server} drains"), None))
         }
-        12 | 13 => begin_silence(deployment, random, server..server + 1, checker),
-        14 => {
+        12..=15 => begin_silence(deployment, random, server..server + 1, checker),
+        16..=19 => {
             let all = 0..deployment.fleet.servers.len();
             begin_silence(deployment, random, all, checker)
         }
-        15 => {
+        20 | 21 => {
             deployment.publish_next();
             Some(("next configuration published".to_owned(), None))
         }
@@ -186,6 +202,9 @@
         FaultEnd::Restart(daemon) | FaultEnd::StartAfterShutdown(daemon) => {
             deployment.restart(daemon)
         }
+        FaultEnd::Replacement { server, version, keeps_id } => {
+            deployment.end_replacement(server, version, keeps_id);
+        }
         FaultEnd::Store => {
             deployment.fleet.store.set_failure(None);
             deployment.store_disruption.set_disrupted(false);
--- a/ggt-testkit/src/soak/invariants.rs
+++ b/ggt-testkit/src/soak/invariants.rs
@@ -158,6 +158,18 @@
         }
     }
 
+    /// Records whether a new stream began.
+    pub(super) fn record_new_stream(&self, has_begun: bool) {
+        let (begun, all) = &mut lock(&self.outcome).new_streams;
+        (*begun, *all) = (*begun + usize::from(has_begun), *all + 1);
+    }
+
+    /// Records whether a stream that was taken up went on.
+    pub(super) fn record_taken_up(&self, went_on: bool) {
+        let (gone_on, all) = &mut lock(&self.outcome).taken_up_streams;
+        (*gone_on, *all) = (*gone_on + usize::from(went_on), *all + 1);
+    }
+
     pub(super) fn record_silences(&self, count: usize) {
         lock(&self.outcome).silences += count;
     }
--- a/ggt-testkit/src/soak/mod.rs
+++ b/ggt-testkit/src/soak/mod.rs
@@ -7,6 +7,7 @@
 mod faults;
 mod invariants;
 mod limits;
+mod versions;
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -46,6 +47,9 @@
     /// Whether sound servers fall silent for a second or so and continue; every other server is then
     /// reached without the fault proxy.
     pub has_silence: bool,
+    /// Whether servers run two versions, are replaced back and forth between them, and callers take
+    /// up `chat` streams that ended early.
+    pub has_versions: bool,
     /// Upper bound (exclusive) of the pause before each fault.
     pub max_fault_interval: Duration,
 }
@@ -61,6 +65,7 @@
             has_crashing_caller: false,
             has_limits: false,
             has_silence: false,
+            has_versions: false,
             max_fault_interval: Duration::from_millis(500),
         }
     }
@@ -79,6 +84,11 @@
     pub late_calls: usize,
     /// Requests that were counted against the limit that their server had named.
     pub limited_requests: usize,
+    /// New streams whose callers saw them begin, and all, at undisrupted daemons.
+    pub new_streams: (usize, usize),
+    /// Streams taken up that went on, and all, at undisrupted daemons while two servers of their
+    /// version served.
+    pub taken_up_streams: (usize, usize),
     /// Silences of servers.
     pub silences: usize,
     /// Requests that a daemon had read, not killed later, without exactly one line about their end.
@@ -104,6 +114,7 @@
                 seed: options.seed.wrapping_mul(1_000).wrapping_add(number as u64),
                 daemons: deployment.callers(),
                 servers: deployment.server_disruptions.clone(),
+                serving: deployment.serving.clone(),
                 crash_log: deployment.crash_log.clone(),
                 checker: checker.clone(),
                 is_over: is_over.clone(),
--- a/ggt-testkit/tests/soak.rs
+++ b/ggt-testkit/tests/soak.rs
@@ -69,3 +69,15 @@
         ..SoakOptions::default()
     });
 }
+
+/// Streams that go on at a server of another version than the one that began them, in one response or over
+/// a caller's tries.
+#[test]
+fn streams_hold_events_of_one_version() {
+    run(&SoakOptions {
+        seed: 9_100,
+        faults_for: Duration::from_secs(10),
+        has_versions: true,
+        ..SoakOptions::default()
+    });
+}
