--- a/ggt-daemon/src/edge/handle.rs
+++ b/ggt-daemon/src/edge/handle.rs
@@ -20,6 +20,8 @@
 pub struct EdgeHandle {
     phase: watch::Sender<EdgePhase>,
     open_connections: Arc<AtomicUsize>,
+    /// Listeners whose accept queue has not been served to its end.
+    open_listeners: Arc<AtomicUsize>,
 }
 
 /// Shutdown phase of an edge, in order.
@@ -33,7 +35,7 @@
     Ending,
 }
 
-/// Counts a connection as open until it is dropped.
+/// Counts a connection, or a listener, as open until it is dropped.
 pub struct ConnectionGuard(Arc<AtomicUsize>);
 
 impl Drop for ConnectionGuard {
@@ -44,7 +46,11 @@
 
 impl Default for EdgeHandle {
     fn default() -> Self {
-        Self { phase: watch::Sender::new(EdgePhase::Open), open_connections: Arc::default() }
+        Self {
+            phase: watch::Sender::new(EdgePhase::Open),
+            open_connections: Arc::default(),
+            open_listeners: Arc::default(),
+        }
     }
 }
 
@@ -59,9 +65,12 @@
         self.phase.send_replace(EdgePhase::Ending);
     }
 
-    /// Number of open connections.
+    /// Number of open connections. Once the edge is closed, a listener counts as one until the
+    /// connections in its accept queue have been accepted.
     pub fn open_connections(&self) -> usize {
-        self.open_connections.load(Ordering::SeqCst)
+        let is_closed = *self.phase.borrow() >= EdgePhase::Closed;
+        let listeners = if is_closed { self.open_listeners.load(Ordering::SeqCst) } else { 0 };
+        listeners + self.open_connections.load(Ordering::SeqCst)
     }
 
     /// Counts a connection as open until the guard is dropped.
@@ -81,11 +90,14 @@
     }
 }
 
-/// Passes accepted connections to `serve` until the edge is closed.
+/// Passes accepted connections to `serve` until the edge is closed. `serve` should call
+/// [`EdgeHandle::track_connection`] before it returns, so that each connection counts as open.
 pub async fn accept_connections<F>(handle: &EdgeHandle, listener: TcpListener, serve: F)
 where
     F: Fn(TcpStream, SocketAddr),
 {
+    handle.open_listeners.fetch_add(1, Ordering::SeqCst);
+    let _listener_guard = ConnectionGuard(handle.open_listeners.clone());
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
--- a/ggt-daemon/src/edge/listen.rs
+++ b/ggt-daemon/src/edge/listen.rs
@@ -35,6 +35,7 @@
 use crate::dispatch::ResponseBody;
 use crate::dispatch::response_channel;
 use crate::dispatch::set_header;
+use crate::edge::ConnectionGuard;
 use crate::edge::EdgeHandle;
 use crate::edge::RequestError;
 use crate::edge::accept_connections;
@@ -88,13 +89,18 @@
 pub async fn serve_callers(context: Arc<EdgeContext>, listener: TcpListener) {
     let handle = context.handle.clone();
     let serve = |stream, peer| {
-        tokio::spawn(serve_connection(context.clone(), stream, peer));
+        let guard = context.handle.track_connection();
+        tokio::spawn(serve_connection(context.clone(), stream, peer, guard));
     };
     accept_connections(&handle, listener, serve).await;
 }
 
-async fn serve_connection(context: Arc<EdgeContext>, stream: TcpStream, peer: SocketAddr) {
-    let _guard = context.handle.track_connection();
+async fn serve_connection(
+    context: Arc<EdgeContext>,
+    stream: TcpStream,
+    peer: SocketAddr,
+    _guard: ConnectionGuard,
+) {
     // Streams consist of small chunks, which Nagle's algorithm would delay.
     let _ = stream.set_nodelay(true);
     let service = service_fn(|request| {
