--- a/ggt-core/tests/silence.rs
+++ b/ggt-core/tests/silence.rs
@@ -1,6 +1,10 @@
 //! Limits of the silence of a target: a sound one is waited for, and the streams of one that has ended go
 //! on before their callers give up.
 
+mod pool_fixture;
+
+use crate::pool_fixture::pool_of;
+use crate::pool_fixture::query;
 use ggt_core::clock::MonoTime;
 use ggt_core::silence::ReplyStage;
 use ggt_core::silence::SilenceLimit;
@@ -11,11 +15,6 @@
 use ggt_core::targets::TargetKey;
 use ggt_core::targets::TargetPool;
 
-mod pool_fixture;
-
-use pool_fixture::pool_of;
-use pool_fixture::query;
-
 /// A silence in milliseconds that a sound target may have.
 const SOUND_SILENCE_MS: u64 = 1_200;
 /// Milliseconds that the next target of a stream needs for its first event.
--- a/ggt-core/tests/versions.rs
+++ b/ggt-core/tests/versions.rs
@@ -1,5 +1,10 @@
 //! Software versions: which of them may have begun a stream, and at which targets a stream goes on.
 
+mod pool_fixture;
+
+use crate::pool_fixture::SLOTS;
+use crate::pool_fixture::pool_of;
+use crate::pool_fixture::query;
 use ggt_core::clock::MonoTime;
 use ggt_core::targets::ChoiceError;
 use ggt_core::targets::ChoiceQuery;
@@ -16,12 +21,6 @@
 use ggt_core::versions::VersionHistory;
 use ggt_core::versions::VersionState;
 
-mod pool_fixture;
-
-use pool_fixture::SLOTS;
-use pool_fixture::pool_of;
-use pool_fixture::query;
-
 const MEMORY_MS: u64 = 20_000;
 
 fn at(millis: u64) -> MonoTime {
