--- a/ggt-daemon/src/front/callers.rs
+++ b/ggt-daemon/src/front/callers.rs
@@ -25,6 +25,7 @@
 use tokio::task::spawn_local;
 
 use crate::clock::mono_now;
+use crate::edge::ConnectionGuard;
 use crate::edge::accept_connections;
 use crate::front::buffered::serve_buffered;
 use crate::front::job::JobGuard;
@@ -48,13 +49,18 @@
 /// Serves callers' connections until the edge is closed.
 pub async fn serve_callers(state: Rc<FrontState>, listener: TcpListener) {
     let serve = |stream, caller| {
-        spawn_local(serve_connection(state.clone(), stream, caller));
+        let guard = state.edge.track_connection();
+        spawn_local(serve_connection(state.clone(), stream, caller, guard));
     };
     accept_connections(&state.edge, listener, serve).await;
 }
 
-async fn serve_connection(state: Rc<FrontState>, stream: TcpStream, caller: SocketAddr) {
-    let _guard = state.edge.track_connection();
+async fn serve_connection(
+    state: Rc<FrontState>,
+    stream: TcpStream,
+    caller: SocketAddr,
+    _guard: ConnectionGuard,
+) {
     if let Err(e) = stream.set_nodelay(true) {
         log::debug!("event=caller address={caller} cause=\"{e}\"");
     }
