--- a/ggt-testkit/tests/soak.rs
+++ b/ggt-testkit/tests/soak.rs
@@ -81,3 +81,16 @@
         ..SoakOptions::default()
     });
 }
+
+/// Daemons that exit after a shutdown before they have written the log lines of their last 100 ms, so that
+/// requests they had read have no end in the logs.
+#[test]
+fn seed_9010_daemon_exits_before_its_last_log_lines() {
+    run(&SoakOptions {
+        seed: 9_010,
+        faults_for: Duration::from_secs(6),
+        has_silence: true,
+        max_fault_interval: Duration::from_millis(250),
+        ..SoakOptions::default()
+    });
+}
