--- a/ggt-daemon/src/bin/greengageturnd.rs
+++ b/ggt-daemon/src/bin/greengageturnd.rs
@@ -66,10 +66,13 @@
         return report_valid(file);
     }
     let level = parse_log_level(&settings.log_level);
-    if let Err(e) = start_output_logging(&settings.name, level) {
-        return fail(&e);
-    }
-    match run_front(file, settings) {
+    let queue = match start_output_logging(&settings.name, level) {
+        Ok(queue) => queue,
+        Err(e) => return fail(&e),
+    };
+    let result = run_front(file, settings);
+    queue.flush();
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => fail(&e),
     }
--- a/ggt-daemon/src/logging/mod.rs
+++ b/ggt-daemon/src/logging/mod.rs
@@ -2,6 +2,8 @@
 
 mod queue;
 
+pub use queue::LineQueue;
+
 use std::path::Path;
 
 use log::LevelFilter;
@@ -66,15 +68,18 @@
 }
 
 /// Starts logging to standard output through a bounded queue, so that a slow reader of the output
-/// never blocks the daemon. Lines dropped by a full queue are counted, and the count is logged.
+/// never blocks the daemon. Lines dropped by a full queue are counted, and the count is logged. Returns
+/// the queue, to be flushed before the process ends.
 ///
 /// # Errors
 /// [`LoggingError::Install`] if another logger is installed.
-pub fn start_output_logging(name: &str, level: LevelFilter) -> Result<(), LoggingError> {
+pub fn start_output_logging(name: &str, level: LevelFilter) -> Result<LineQueue, LoggingError> {
     let queue = queue::start_line_queue();
-    let output = fern::Output::call(move |record| queue.push(format!("{}\n", record.args())));
+    let sender = queue.clone();
+    let output = fern::Output::call(move |record| sender.push(format!("{}\n", record.args())));
     let dispatch = new_dispatch(name, level).chain(output);
-    dispatch.apply().context(InstallSnafu)
+    dispatch.apply().context(InstallSnafu)?;
+    Ok(queue)
 }
 
 /// Quotes a value if it is empty or contains a space, quote, `=` or character outside printable
