--- a/ggt-core/src/targets/choice.rs
+++ b/ggt-core/src/targets/choice.rs
@@ -9,6 +9,10 @@
 use crate::targets::TargetKey;
 use crate::targets::TargetPool;
 use crate::targets::TargetState;
+use crate::targets::candidates::is_healthy;
+use crate::targets::candidates::is_silent;
+use crate::targets::candidates::of_version;
+use crate::targets::candidates::without_unlisted;
 use crate::versions::SoftwareVersion;
 
 /// Inputs of the choice of a target.
@@ -126,13 +130,6 @@
 const OWN_CENTRE_WEIGHT: f64 = 8.0;
 /// Minimum free fraction assumed for a target, so that even a busy one is chosen now and then.
 const MIN_FREE_FRACTION: f64 = 0.02;
-/// Milliseconds for which a target that leaves still takes the streams of its version, if it is the last
-/// with it: less than the time in which it must get no new request.
-const LEAVING_GRACE_MS: u64 = 1_000;
-/// A daemon counts as partitioned when a larger fraction of all targets is unreachable.
-const PARTITIONED_FRACTION: f64 = 0.85;
-/// Number of unreachable targets in another data centre from which on all its targets are avoided.
-const MIN_UNREACHABLE_IN_CENTRE: usize = 2;
 
 impl TargetPool {
     /// Chooses a target.
@@ -224,54 +221,6 @@
         targets.filter(|state| !state.record.is_leaving).any(|s| s.record.version != version)
     }
 
-    /// The targets that are not known to be unreachable. If there is none while other services have
-    /// some, those that have not been unresponsive for long: all may be silent for a moment.
-    fn reachable<'a>(
-        &self,
-        listed: &[(TargetKey, &'a TargetState)],
-        now: MonoTime,
-    ) -> Vec<(TargetKey, &'a TargetState)> {
-        let reachable = listed.iter().filter(|(_, state)| !state.health.is_unreachable());
-        let reachable: Vec<_> = reachable.copied().collect();
-        let is_cut_off = || self.iter().all(|(_, state)| state.health.is_unreachable());
-        if !reachable.is_empty() || is_cut_off() {
-            return reachable;
-        }
-        let unresponsive = listed.iter().filter(|(_, s)| s.health.is_briefly_unresponsive(now));
-        unresponsive.copied().collect()
-    }
-
-    /// Leaves out other data centres in which several targets are unreachable, unless no target
-    /// would remain: a network partition between data centres shows at a few targets first.
-    fn outside_unreachable_centres<'a>(
-        &self,
-        usable: Vec<(TargetKey, &'a TargetState)>,
-        own_centre: &str,
-    ) -> Vec<(TargetKey, &'a TargetState)> {
-        let unreachable = self.iter().filter(|(_, state)| state.health.is_unreachable());
-        let centres: Vec<_> =
-            unreachable.map(|(_, state)| state.record.data_centre.as_str()).collect();
-        if centres.len() < MIN_UNREACHABLE_IN_CENTRE {
-            return usable;
-        }
-        let is_in_unreachable_centre = |state: &TargetState| {
-            let centre = state.record.data_centre.as_str();
-            centre != own_centre
-                && centres.iter().filter(|other| **other == centre).count()
-                    >= MIN_UNREACHABLE_IN_CENTRE
-        };
-        let outside: Vec<_> =
-            usable.iter().filter(|(_, s)| !is_in_unreachable_centre(s)).copied().collect();
-        if outside.is_empty() { usable } else { outside }
-    }
-
-    /// Whether nearly all targets are unreachable, which means that this daemon itself is
-    /// partitioned.
-    pub fn is_partitioned(&self) -> bool {
-        let unreachable = self.iter().filter(|(_, state)| state.health.is_unreachable()).count();
-        unreachable as f64 > PARTITIONED_FRACTION * self.len() as f64
-    }
-
     /// A target from whose cache the chosen one may copy the shared prefix, if that is faster than
     /// prefill.
     ///
@@ -298,47 +247,6 @@
     }
 }
 
-/// Leaves out targets that the platform no longer lists, unless they are the majority: a few that
-/// are missing after an outage of the platform have stopped, but a majority was unable to renew its
-/// registration.
-fn without_unlisted(targets: Vec<(TargetKey, &TargetState)>) -> Vec<(TargetKey, &TargetState)> {
-    let unlisted = targets.iter().filter(|(_, state)| state.remove_at.is_some()).count();
-    if unlisted * 2 > targets.len() {
-        return targets;
-    }
-    targets.into_iter().filter(|(_, state)| state.remove_at.is_none()).collect()
-}
-
-/// The listed targets of one version. If there is none, those of all `untried` ones that began to leave
-/// within `LEAVING_GRACE_MS`.
-fn of_version<'a>(
-    listed: &[(TargetKey, &'a TargetState)],
-    untried: &[(TargetKey, &'a TargetState)],
-    version: SoftwareVersion,
-    now: MonoTime,
-) -> Vec<(TargetKey, &'a TargetState)> {
-    let has_version = |state: &TargetState| state.record.version == version;
-    let same: Vec<_> = listed.iter().filter(|(_, state)| has_version(state)).copied().collect();
-    if !same.is_empty() {
-        return same;
-    }
-    let has_just_begun_to_leave = |state: &TargetState| {
-        state.leaving_since.is_some_and(|since| now < since + LEAVING_GRACE_MS)
-    };
-    let leaving =
-        untried.iter().filter(|(_, state)| has_version(state) && has_just_begun_to_leave(state));
-    leaving.copied().collect()
-}
-
-/// Whether a target that has had requests of this daemon since this time has sent nothing since then.
-fn is_silent(state: &TargetState, since: MonoTime) -> bool {
-    state.own.requests > 0 && state.last_reply_at.max(state.busy_since) < since
-}
-
-fn is_healthy(state: &TargetState, now: MonoTime) -> bool {
-    !state.health.is_held_down(now) && !state.health.is_half_open(now)
-}
-
 /// A trial request to a target whose hold-down has ended, if one is due.
 ///
 /// A non-idempotent request serves as a trial only for a target that was unreachable: it either
--- a/ggt-core/src/targets/mod.rs
+++ b/ggt-core/src/targets/mod.rs
@@ -4,6 +4,7 @@
 //! reported. Health is derived from the outcomes of requests, not from reports of the targets.
 
 mod admission;
+mod candidates;
 mod choice;
 mod health;
 mod pool;
--- a/ggt-daemon/src/dispatch/idempotent.rs
+++ b/ggt-daemon/src/dispatch/idempotent.rs
@@ -14,6 +14,7 @@
 use crate::dispatch::ResponseSink;
 use crate::dispatch::exchange;
 use crate::dispatch::exchange::AttemptTarget;
+use crate::dispatch::failure;
 use crate::dispatch::sink::CancelRequest;
 use crate::lock::lock;
 use crate::state::ActiveConfig;
@@ -99,7 +100,7 @@
             }
             AttemptEnd::CallerDisconnected => return,
             AttemptEnd::Interrupted => {
-                exchange::record_failure(state, config, job, &target).await;
+                failure::record_failure(state, config, job, &target).await;
                 return;
             }
             AttemptEnd::Failed(failure) => failure,
@@ -108,9 +109,9 @@
         history.record(verdict);
         match verdict {
             RunVerdict::NotRun => {
-                exchange::record_unreached(state, config, &target, failure.is_silence());
+                failure::record_unreached(state, config, &target, failure.is_silence());
             }
-            _ => exchange::record_failure(state, config, job, &target).await,
+            _ => failure::record_failure(state, config, job, &target).await,
         }
         if let Some(refusal) = refuse_retry(state, job, &failure) {
             let refusal = Refusal { verdict: history.verdict(), ..refusal };
--- a/ggt-daemon/src/dispatch/mod.rs
+++ b/ggt-daemon/src/dispatch/mod.rs
@@ -2,6 +2,7 @@
 
 mod context;
 mod exchange;
+mod failure;
 mod idempotent;
 mod job;
 mod non_idempotent;
--- a/ggt-daemon/src/dispatch/non_idempotent.rs
+++ b/ggt-daemon/src/dispatch/non_idempotent.rs
@@ -18,6 +18,7 @@
 use crate::dispatch::exchange;
 use crate::dispatch::exchange::AttemptTarget;
 use crate::dispatch::exchange::set_header;
+use crate::dispatch::failure;
 use crate::lock::lock;
 use crate::peers::LinkError;
 use crate::peers::handle_claim;
@@ -166,7 +167,7 @@
             match outcome {
                 Ok((head, body)) => return self.finish(sink, &target, head, body).await,
                 Err(CallFailure::NotSent { cause, is_silence }) => {
-                    exchange::record_unreached(state, &self.config, &target, is_silence);
+                    failure::record_unreached(state, &self.config, &target, is_silence);
                     last_refusal = Refusal::not_run(503, "not-sent", cause);
                 }
                 Err(failure) => return self.fail_unknown(sink, &target, &failure).await,
@@ -242,7 +243,7 @@
         let state = &self.context.state;
         // The caller may submit the request again under another key as soon as it has the response,
         // so a crash is reported first; a target that is only slow must not delay the response.
-        let report = exchange::record_failure(state, &self.config, self.job, target);
+        let report = failure::record_failure(state, &self.config, self.job, target);
         let mut report = pin!(report);
         let is_reported = timeout(CRASH_REPORT_WAIT, report.as_mut()).await.is_ok();
         let refusal = Refusal::unknown(502, "answer-lost", failure.to_string());
