--- a/ggt-testkit/tests/platform_versions.rs
+++ b/ggt-testkit/tests/platform_versions.rs
@@ -204,6 +204,20 @@
     }
 }
 
+// Guards against a stream that goes on at any version behind a cut, at a daemon that no other can tell of it.
+#[test]
+fn stream_is_refused_at_a_daemon_that_is_cut_off_from_those_that_know_it() {
+    let mut fleet = start(2);
+    fleet.add_isolated_daemon(2);
+    let versions = begin_cut_streams(&fleet, 0);
+    check_taken_up(&fleet, 1, &versions);
+    for number in 0..STREAMS {
+        let (id, origin) = (format!("cut-{number}"), format!("first-{number}"));
+        let response = take_up(&fleet, 2, &id, Some(&origin), CUT_AFTER);
+        assert_eq!((response.status, fleet.request_count(&id)), (503, 0), "{}", response.body);
+    }
+}
+
 // Guards against the refusal of streams of unknown origin where only one version can have begun them.
 #[test]
 fn stream_of_unknown_origin_goes_on_if_all_servers_have_one_version() {
