test: platform: changes are awaited while requests are in flight, not slept for

The servers now hold the requests until a probe shows the change (routes 404, keys 401, limits 413, registrations 503), so that each change is in force while they are in flight, which the fixed time did not ensure.

--- a/ggt-testkit/tests/platform_planned_changes.rs
+++ b/ggt-testkit/tests/platform_planned_changes.rs
@@ -4,6 +4,9 @@
 use std::io::Read;
 use std::io::Write;
 use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -20,35 +23,44 @@
 use ggt_testkit::front::FrontFleet;
 use ggt_testkit::wait::wait_until;
 
-/// Time for which servers work on each request.
-const WORK: Duration = Duration::from_millis(900);
+/// Time in which a change without a visible effect reaches the daemon.
+const SETTLE: Duration = Duration::from_millis(300);
 const PATHS: [&str; 4] = ["/read/", "/once/", "/chat/", "/talk/"];
 
-/// Makes the servers work for a while before a plain response, and in the middle of a stream.
-fn set_slow_scripts(fleet: &FrontFleet) {
+/// Makes the servers work on each request of an id that begins with `id/` until `is_over`: before a plain
+/// response, and in the middle of a stream. They respond to all others at once.
+fn set_holding_scripts(fleet: &FrontFleet, is_over: &Arc<AtomicBool>) {
     for server in &fleet.servers {
-        server.set_script(|request, stream| {
+        let is_over = is_over.clone();
+        server.set_script(move |request, stream| {
+            let hold = || {
+                let is_held = request.attempt_id().starts_with("id/");
+                while is_held && !is_over.load(Ordering::SeqCst) {
+                    thread::sleep(Duration::from_millis(5));
+                }
+            };
             if !["/chat/", "/talk/"].contains(&request.path.as_str()) {
-                thread::sleep(WORK);
+                hold();
                 return respond(request, stream, 200, "whole");
             }
             let begin = [stream_head(request), event_chunk(1)].concat();
             // The daemon may have closed the connection already.
             let _ = stream.write_all(begin.as_bytes());
-            thread::sleep(WORK);
+            hold();
             let _ = stream.write_all([event_chunk(2), "0\r\n\r\n".to_owned()].concat().as_bytes());
             AfterResponse::Keep
         });
     }
 }
 
-/// Sends a request of each kind, makes `change` once all have reached a server, and checks that each gets
-/// its complete response.
+/// Sends a request of each kind, makes `change` once all have reached a server, lets the servers finish, and
+/// checks that each request gets its complete response.
 fn check_answered_across<C>(fleet: &FrontFleet, change: C)
 where
     C: FnOnce(&FrontFleet),
 {
-    set_slow_scripts(fleet);
+    let is_over = Arc::new(AtomicBool::new(false));
+    set_holding_scripts(fleet, &is_over);
     thread::scope(|scope| {
         let send = |path: &'static str| {
             let request = fleet.request(0, "POST", path, &format!("id{path}")).body("x");
@@ -56,9 +68,10 @@
         };
         let callers: Vec<_> = PATHS.into_iter().map(send).collect();
         wait_until("all requests have reached a server", || {
-            PATHS.into_iter().all(|path| fleet.path_count(path) == 1)
+            PATHS.into_iter().all(|path| fleet.request_count(&format!("id{path}")) >= 1)
         });
         change(fleet);
+        is_over.store(true, Ordering::SeqCst);
         for caller in callers {
             let (path, response) = caller.join().expect("should not panic");
             assert!(response.is_complete, "{path}: {}", response.body);
@@ -67,6 +80,16 @@
     });
 }
 
+/// Waits until a new request gets this status.
+fn await_status(fleet: &FrontFleet, body: &str, status: u16) {
+    let mut count = 0;
+    wait_until("the change is in force", || {
+        count += 1;
+        let request = fleet.request(0, "POST", "/once/", &format!("probe-{count}")).body(body);
+        request.send().is_some_and(|response| response.status == status)
+    });
+}
+
 /// The test configuration with one field replaced.
 fn config_with(version: u64, field: &str, value: Value) -> Value {
     let mut config = test_config(version);
@@ -74,21 +97,14 @@
     config
 }
 
-fn publish_and_wait(fleet: &FrontFleet, config: &Value) {
-    fleet.publish(config);
-    // The change reaches the daemon while the requests are at their servers.
-    thread::sleep(WORK / 3);
-}
-
 // Guards against requests that end with the route by which they came.
 #[test]
 fn requests_in_flight_are_answered_when_their_routes_are_removed() {
     let fleet = FrontFleet::start(2, 1);
     check_answered_across(&fleet, |fleet| {
-        publish_and_wait(fleet, &config_with(2, "Routes", json!([])));
+        fleet.publish(&config_with(2, "Routes", json!([])));
+        await_status(fleet, "x", 404);
     });
-    let response = fleet.request(0, "GET", "/read/", "after").send().expect("should respond");
-    assert_eq!(response.status, 404, "the change was in force");
 }
 
 // Guards against requests that end with the key by which they were admitted.
@@ -97,10 +113,9 @@
     let fleet = FrontFleet::start(2, 1);
     let other = json!([{ "Name": "c1", "ApiKeys": ["another-key"], "Priority": 1 }]);
     check_answered_across(&fleet, |fleet| {
-        publish_and_wait(fleet, &config_with(2, "Tenants", other));
+        fleet.publish(&config_with(2, "Tenants", other));
+        await_status(fleet, "x", 401);
     });
-    let response = fleet.request(0, "GET", "/read/", "after").send().expect("should respond");
-    assert_eq!(response.status, 401, "the change was in force");
 }
 
 // Guards against requests that end with a change of the timeouts and sizes for connections of callers.
@@ -111,7 +126,8 @@
         "MaxHeaderBytes": 8_192, "MaxBodyBytes": 1, "HeaderTimeoutMs": 50, "IdleTimeoutMs": 50,
     });
     check_answered_across(&fleet, |fleet| {
-        publish_and_wait(fleet, &config_with(2, "Limits", limits));
+        fleet.publish(&config_with(2, "Limits", limits));
+        await_status(fleet, "too long", 413);
     });
 }
 
@@ -121,7 +137,7 @@
     let fleet = FrontFleet::start(2, 1);
     check_answered_across(&fleet, |fleet| {
         fleet.daemons[0].process.signal(Signal::HUP);
-        thread::sleep(WORK / 3);
+        thread::sleep(SETTLE);
     });
 }
 
@@ -133,7 +149,9 @@
         for server in &fleet.servers {
             fleet.remove_registration(&server.id());
         }
-        thread::sleep(WORK / 3);
+        await_status(fleet, "x", 503);
+        // Longer than the silence for which streams of servers that have ended are waited for.
+        thread::sleep(2 * SETTLE);
     });
 }
 
@@ -148,7 +166,7 @@
     }
     stream.write_all(format!("{head}\r\nhalf").as_bytes()).expect("should write");
     fleet.publish(&test_config(2));
-    thread::sleep(WORK / 3);
+    thread::sleep(SETTLE);
     stream.write_all(b"half").expect("should write");
     let mut response = String::new();
     stream.read_to_string(&mut response).expect("should respond");
