--- a/ggt-testkit/tests/platform_silence.rs
+++ b/ggt-testkit/tests/platform_silence.rs
@@ -1,8 +1,11 @@
 //! Servers of the users' platform that are silent for a second or so and then continue: no response ends
 //! sooner for that, and no stream runs twice.
 
+use std::collections::BTreeSet;
 use std::io::Write;
 use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
 
@@ -22,6 +25,8 @@
 
 /// Silence of a sound server.
 const SILENCE: Duration = Duration::from_millis(1_500);
+/// Silence after which a stream should go on at another server, since its caller would soon give up.
+const LONG_SILENCE: Duration = Duration::from_millis(2_200);
 /// Events of each stream.
 const EVENTS: u64 = 12;
 /// Event after which a server falls silent.
@@ -41,14 +46,28 @@
     request: &WireRequest,
     stream: &mut TcpStream,
     silent_after: u64,
+) -> std::io::Result<()> {
+    send_with_pause(request, stream, silent_after, SILENCE)
+}
+
+/// Sends all events, with [`LONG_SILENCE`] after event [`SILENT_AFTER`].
+fn send_with_long_silence(request: &WireRequest, stream: &mut TcpStream) -> std::io::Result<()> {
+    send_with_pause(request, stream, SILENT_AFTER, LONG_SILENCE)
+}
+
+fn send_with_pause(
+    request: &WireRequest,
+    stream: &mut TcpStream,
+    silent_after: u64,
+    silence: Duration,
 ) -> std::io::Result<()> {
     if silent_after == 0 {
-        thread::sleep(SILENCE);
+        thread::sleep(silence);
     }
     stream.write_all(stream_head(request).as_bytes())?;
     for id in request.last_event_id().unwrap_or(0) + 1..=EVENTS {
         stream.write_all(event_chunk(id).as_bytes())?;
-        thread::sleep(if id == silent_after { SILENCE } else { EVENT_INTERVAL });
+        thread::sleep(if id == silent_after { silence } else { EVENT_INTERVAL });
     }
     stream.write_all(b"0\r\n\r\n")
 }
@@ -193,3 +212,67 @@
         assert_eq!(fleet.request_count("id-1"), 2);
     });
 }
+
+/// Response with which a server states that it has no capacity for a request.
+fn refuse(request: &WireRequest, stream: &mut TcpStream) -> AfterResponse {
+    let text = format!(
+        "HTTP/1.1 503 Full\r\nX-Attempt-Id: {}\r\nX-Not-Executed: 1\r\nX-Server-Load: 8,4,8\r\n\
+         Content-Length: 0\r\n\r\n",
+        request.attempt_id()
+    );
+    match stream.write_all(text.as_bytes()) {
+        Ok(()) => AfterResponse::Keep,
+        Err(_) => AfterResponse::Close,
+    }
+}
+
+/// Makes each server serve, with `serve`, the request for which it is the first, and refuse it if another
+/// server has it already.
+fn set_refusing_scripts<S>(fleet: &FrontFleet, serve: S)
+where
+    S: Fn(&WireRequest, &mut TcpStream) -> AfterResponse + Clone + Send + Sync + 'static,
+{
+    let begun: Arc<Mutex<BTreeSet<String>>> = Arc::default();
+    for server in &fleet.servers {
+        let (begun, serve) = (begun.clone(), serve.clone());
+        server.set_script(move |request, stream| {
+            let is_first = begun.lock().expect("no panic").insert(request.attempt_id().to_owned());
+            if is_first { serve(request, stream) } else { refuse(request, stream) }
+        });
+    }
+}
+
+// Guards against a stream that is cut because it leaves a silent server for one that accepts the
+// connection and then refuses the request for lack of capacity.
+#[test]
+fn stream_of_a_silent_server_is_complete_if_the_next_server_refuses_it() {
+    let fleet = FrontFleet::start(3, 1);
+    set_refusing_scripts(&fleet, |request, stream| match send_with_long_silence(request, stream) {
+        Ok(()) => AfterResponse::Keep,
+        Err(_) => AfterResponse::Close,
+    });
+    check_whole(&send_streams(&fleet));
+}
+
+// Guards against an error in place of a response for the same cause, before the response's head.
+#[test]
+fn idempotent_request_of_a_silent_server_is_answered_if_the_next_server_refuses_it() {
+    let fleet = FrontFleet::start(3, 1);
+    set_refusing_scripts(&fleet, |request, stream| {
+        thread::sleep(SILENCE);
+        respond(request, stream, 200, "whole")
+    });
+    let response = fleet.request(0, "GET", "/read/", "id-1").send().expect("should respond");
+    assert_eq!((response.status, response.body.as_str()), (200, "whole"));
+}
+
+// Guards against a stream without its first event for the same cause.
+#[test]
+fn stream_of_a_server_silent_before_its_head_is_complete_if_the_next_server_refuses_it() {
+    let fleet = FrontFleet::start(3, 1);
+    set_refusing_scripts(&fleet, |request, stream| match send_with_silence(request, stream, 0) {
+        Ok(()) => AfterResponse::Keep,
+        Err(_) => AfterResponse::Close,
+    });
+    check_whole(&send_streams(&fleet));
+}
