--- a/ggt-daemon/src/front/attempt/crash_check.rs
+++ b/ggt-daemon/src/front/attempt/crash_check.rs
@@ -3,12 +3,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::task::JoinHandle;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use crate::clock::mono_now;
 use crate::front::attempt::SentTarget;
 use crate::front::attempt::UpstreamAttempts;
+use crate::front::job::FrontJob;
 use crate::front::state::CONNECT_TIMEOUT;
 use crate::front::state::FrontState;
 use crate::upstream::ConnectError;
@@ -28,11 +30,7 @@
     /// the result decides whether the request may be sent again.
     pub(super) async fn check_silent_target(&self, cause: &str) {
         let Some(target) = self.sent_target else { return };
-        if self.state.record_loss(&self.job, target.crash, cause) || self.has_replied_lately(target)
-        {
-            return;
-        }
-        let check = spawn_local(check_target(self.state.clone(), target));
+        let Some(check) = check_silence(&self.state, &self.job, target, cause) else { return };
         let may_retry = mono_now() < self.job.deadline;
         if may_retry && self.state.is_next_crash_decisive(&self.job) {
             // The check only fails if the runtime shuts down.
@@ -55,7 +53,7 @@
     /// in `PROBE_INTERVAL_MS` for all requests, and none if it has replied to another lately.
     pub(super) async fn probe_target(&self) {
         let Some(target) = self.sent_target else { return };
-        if !self.has_replied_lately(target) && self.begin_probe(target) {
+        if !has_replied_lately(&self.state, target) && self.begin_probe(target) {
             // The outcome has been recorded.
             let _ = check_target(self.state.clone(), target).await;
         }
@@ -72,12 +70,6 @@
         true
     }
 
-    fn has_replied_lately(&self, target: SentTarget) -> bool {
-        let pool = self.state.pool.borrow();
-        let last_reply_at = pool.target(target.key).map(|state| state.last_reply_at);
-        last_reply_at.is_some_and(|at| mono_now().millis_since(at) < MIN_SILENCE_MS)
-    }
-
     /// Records that the reply of the last send was lost, and opens a new connection to its target.
     /// If the target does not accept it, the loss counts as a crash; otherwise returns the
     /// connection.
@@ -121,6 +113,26 @@
     }
 }
 
+/// Records that a target was silent for too long. Begins a check whether it crashed, unless that is
+/// known or it has replied to other requests meanwhile.
+pub(super) fn check_silence(
+    state: &Rc<FrontState>,
+    job: &FrontJob,
+    target: SentTarget,
+    cause: &str,
+) -> Option<JoinHandle<Result<TargetConnection, ConnectError>>> {
+    if state.record_loss(job, target.crash, cause) || has_replied_lately(state, target) {
+        return None;
+    }
+    Some(spawn_local(check_target(state.clone(), target)))
+}
+
+fn has_replied_lately(state: &FrontState, target: SentTarget) -> bool {
+    let pool = state.pool.borrow();
+    let last_reply_at = pool.target(target.key).map(|state| state.last_reply_at);
+    last_reply_at.is_some_and(|at| mono_now().millis_since(at) < MIN_SILENCE_MS)
+}
+
 /// Opens a connection to a target, and records a failure.
 async fn check_target(
     state: Rc<FrontState>,
--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -2,10 +2,13 @@
 
 mod admission;
 mod crash_check;
+mod move_on;
 mod outcome;
 mod send;
 mod silence;
 
+pub use move_on::MovedReply;
+
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -40,7 +43,7 @@
 
 /// A reply whose head has been received and checked, with its body still to be read.
 pub struct TargetReply {
-    pub key: TargetKey,
+    target: SentTarget,
     pub status: StatusCode,
     pub raw_headers: HeaderMap,
     /// The platform's headers, decoded from `raw_headers`.
@@ -52,6 +55,13 @@
     pub guard: SendGuard,
 }
 
+impl TargetReply {
+    /// The target that sent it.
+    pub const fn key(&self) -> TargetKey {
+        self.target.key
+    }
+}
+
 /// How a request failed after it was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FailureKind {
@@ -67,7 +77,7 @@
 }
 
 /// Why a send produced no usable reply.
-enum SendError {
+pub enum SendError {
     /// No byte of the request was written to a socket; the outcome is what that says about the target.
     NotSent { cause: String, outcome: SendOutcome },
     /// The target states that it did not run the request.
@@ -132,6 +142,8 @@
     /// Since when the last target has been silent, if the request is to leave it for another one and
     /// has a retry reserved.
     moving_since: Cell<Option<MonoTime>>,
+    /// The same, if the other target did not take the request over.
+    stayed_since: Cell<Option<MonoTime>>,
     /// The only version that may serve the request, which goes on with a stream.
     version: Cell<Option<SoftwareVersion>>,
     permit: Option<SharePermit<(String, u32)>>,
@@ -162,6 +174,7 @@
             may_have_run: false,
             is_awaiting_reply: false,
             moving_since: Cell::default(),
+            stayed_since: Cell::default(),
             version: Cell::default(),
             permit: None,
         }
@@ -226,9 +239,9 @@
                 return Err(refusal);
             }
             let choice = self.choose()?;
-            match self.send(&choice, last_event).await {
-                Ok(reply) => return Ok(reply),
-                Err(error) => self.handle_failure(choice.key, error).await?,
+            let end = self.send(&choice, last_event).await;
+            if let Some(reply) = self.finish_send(choice.key, end, last_event).await? {
+                return Ok(reply);
             }
         }
     }
--- a/ggt-daemon/src/front/attempt/send.rs
+++ b/ggt-daemon/src/front/attempt/send.rs
@@ -6,12 +6,16 @@
 use http::response::Parts;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use tokio::task::JoinError;
+use tokio::task::JoinHandle;
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use crate::clock::mono_now;
 use crate::clock::time_until;
 use crate::front::attempt::FailureKind;
 use crate::front::attempt::SendError;
+use crate::front::attempt::SentTarget;
 use crate::front::attempt::TargetReply;
 use crate::front::attempt::UpstreamAttempts;
 use crate::front::job::SendGuard;
@@ -36,44 +40,104 @@
 /// Urgency value of the lowest priorities.
 const LOWEST_URGENCY: u32 = 9;
 
+/// How a send ended, as far as the head of its reply.
+pub enum SendEnd {
+    /// The head of a valid reply has arrived.
+    Replied(Box<TargetReply>),
+    /// The target is silent, and a retry at another one is reserved.
+    Silent(PendingSend),
+    /// There is no usable reply.
+    Failed(SendError),
+}
+
+/// A request that has been written to a target, with the head of the reply still to come.
+pub struct PendingSend {
+    pub(super) target: SentTarget,
+    guard: SendGuard,
+    task: SendTask,
+}
+
+/// The exchange of a request and the head of its reply; dropping it closes the connection.
+struct SendTask(JoinHandle<SendResult>);
+
+/// The head of a reply, and the connection on which it was awaited.
+type SendResult = (Result<Response<Incoming>, SendFailure>, TargetConnection);
+
+impl Drop for SendTask {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// How waiting for the head of a reply ended.
+enum HeadWait {
+    /// The head has arrived.
+    Arrived(Response<Incoming>, TargetConnection),
+    /// The target is silent, and a retry at another one is reserved.
+    Silent(SendTask),
+}
+
 impl UpstreamAttempts {
     /// Sends the request to the chosen target and waits for the head of a valid reply.
-    pub(super) async fn send(
-        &mut self,
-        choice: &TargetChoice,
-        last_event: Option<u64>,
-    ) -> Result<TargetReply, SendError> {
-        let key = choice.key;
+    pub(super) async fn send(&mut self, choice: &TargetChoice, last_event: Option<u64>) -> SendEnd {
+        let Some(target) = self.sent_target else {
+            return SendEnd::Failed(not_sent("target gone"));
+        };
         let empty_chain = PrefixChain::default();
         let chain = self.job.chain.as_ref().unwrap_or(&empty_chain);
-        let guard = SendGuard::new(self.state.clone(), key, chain, choice.source.is_some());
-        let result = match self.send_request(choice, last_event).await {
-            Ok((response, connection)) => {
-                let sent_at = guard.sent_at();
-                self.decode_reply(key, sent_at, response).map(|reply| (reply, connection))
+        let guard = SendGuard::new(self.state.clone(), choice.key, chain, choice.source.is_some());
+        let waited = self.send_request(choice, last_event).await;
+        self.end_send(target, guard, waited)
+    }
+
+    /// Waits on for the head of a silent target's reply.
+    pub(super) async fn wait_on(&mut self, pending: PendingSend) -> SendEnd {
+        let PendingSend { target, guard, task } = pending;
+        self.sent_target = Some(target);
+        let waited = self.wait_for_head(task).await;
+        self.end_send(target, guard, waited)
+    }
+
+    fn end_send(
+        &mut self,
+        target: SentTarget,
+        guard: SendGuard,
+        waited: Result<HeadWait, SendError>,
+    ) -> SendEnd {
+        let accepted = match waited {
+            Ok(HeadWait::Arrived(response, connection)) => {
+                let decoded = self.decode_reply(target.key, guard.sent_at(), response);
+                decoded.map(|decoded| (decoded, connection))
+            }
+            Ok(HeadWait::Silent(task)) => {
+                self.may_have_run = true;
+                return SendEnd::Silent(PendingSend { target, guard, task });
             }
             Err(error) => Err(error),
         };
-        if let Err(SendError::NotSent { .. } | SendError::Refused { .. }) = &result {
-            guard.undo_send();
-        }
-        let ((parts, headers, body), connection) = result?;
+        let ((parts, headers, body), connection) = match accepted {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                if matches!(error, SendError::NotSent { .. } | SendError::Refused { .. }) {
+                    guard.undo_send();
+                }
+                return SendEnd::Failed(error);
+            }
+        };
         // A reply that is no refusal means that the target has started the request, whatever its
         // status.
         self.may_have_run = true;
-        if let Some(target) = self.sent_target {
-            self.state.record_target_reply(target.crash, guard.sent_at());
-        }
+        self.state.record_target_reply(target.crash, guard.sent_at());
         guard.record_start();
-        Ok(TargetReply {
-            key,
+        SendEnd::Replied(Box::new(TargetReply {
+            target,
             status: parts.status,
             raw_headers: parts.headers,
             headers,
             body,
             connection,
             guard,
-        })
+        }))
     }
 
     /// Decodes a reply's head, records the load and the rate that it states, and checks that the reply
@@ -101,7 +165,7 @@
         &mut self,
         choice: &TargetChoice,
         last_event: Option<u64>,
-    ) -> Result<(Response<Incoming>, TargetConnection), SendError> {
+    ) -> Result<HeadWait, SendError> {
         let key = choice.key;
         let sends_before = self.sends;
         if self.job.route.is_idempotent
@@ -159,36 +223,45 @@
         choice: &TargetChoice,
         last_event: Option<u64>,
         mut connection: TargetConnection,
-    ) -> Result<(Response<Incoming>, TargetConnection), SendError> {
+    ) -> Result<HeadWait, SendError> {
         let request = self.build_request(choice, last_event)?;
-        let deadline = self.job.deadline + REPLY_GRACE_MS;
+        let deadline = self.job.deadline;
         self.sends += 1;
+        // A task of its own, so that the exchange goes on while another target is tried.
+        self.wait_for_head(SendTask(spawn_local(async move {
+            let sent = connection.send(request, deadline).await;
+            (sent, connection)
+        })))
+        .await
+    }
+
+    /// Waits until the head of a reply arrives, or the request should leave the silent target.
+    async fn wait_for_head(&mut self, mut task: SendTask) -> Result<HeadWait, SendError> {
+        let deadline = self.job.deadline + REPLY_GRACE_MS;
         self.is_awaiting_reply = true;
         let sent = tokio::select! {
             // A reply that has arrived goes before a silence that has been too long.
             biased;
-            sent = connection.send(request, self.job.deadline) => Ok(sent),
-            () = sleep(time_until(deadline)) => Err(SendError::Deadline),
-            () = self.wait_for_move(ReplyStage::Head) => {
-                let cause = "silent".to_owned();
-                Err(SendError::Lost { cause, kind: FailureKind::Timeout })
-            }
+            sent = &mut task.0 => Some(sent),
+            () = sleep(time_until(deadline)) => return Err(self.end_wait(SendError::Deadline)),
+            () = self.wait_for_move(ReplyStage::Head) => None,
         };
         self.is_awaiting_reply = false;
-        match sent? {
-            Ok(response) => Ok((response, connection)),
-            Err(SendFailure::NotSent { cause }) => Err(not_sent(&cause)),
-            Err(SendFailure::Lost { cause }) => {
-                let kind = if connection.is_reused() {
-                    FailureKind::StaleConnection
-                } else {
-                    FailureKind::Reset
-                };
-                Err(SendError::Lost { cause, kind })
+        match sent {
+            Some(sent) => sent_head(sent),
+            None if self.is_moving() => Ok(HeadWait::Silent(task)),
+            None => {
+                let cause = "silent".to_owned();
+                Err(SendError::Lost { cause, kind: FailureKind::Timeout })
             }
         }
     }
 
+    fn end_wait(&mut self, error: SendError) -> SendError {
+        self.is_awaiting_reply = false;
+        error
+    }
+
     fn build_request(
         &self,
         choice: &TargetChoice,
@@ -239,6 +312,21 @@
     }
 }
 
+/// The head of a reply, or what its absence says about the request.
+fn sent_head(sent: Result<SendResult, JoinError>) -> Result<HeadWait, SendError> {
+    let lost = |cause, kind| Err(SendError::Lost { cause, kind });
+    match sent {
+        Ok((Ok(response), connection)) => Ok(HeadWait::Arrived(response, connection)),
+        Ok((Err(SendFailure::NotSent { cause }), _)) => Err(not_sent(&cause)),
+        Ok((Err(SendFailure::Lost { cause }), connection)) if connection.is_reused() => {
+            lost(cause, FailureKind::StaleConnection)
+        }
+        Ok((Err(SendFailure::Lost { cause }), _)) => lost(cause, FailureKind::Reset),
+        // The task panicked; whether the request was written is not known.
+        Err(e) => lost(e.to_string(), FailureKind::InvalidReply),
+    }
+}
+
 fn not_sent(cause: &str) -> SendError {
     SendError::NotSent { cause: cause.to_owned(), outcome: SendOutcome::Unreachable }
 }
--- a/ggt-daemon/src/front/attempt/silence.rs
+++ b/ggt-daemon/src/front/attempt/silence.rs
@@ -33,20 +33,21 @@
         if !route.is_idempotent {
             return std::future::pending().await;
         }
-        let silent_since = mono_now();
+        let stayed_since = self.stayed_since.take();
+        let silent_since = stayed_since.unwrap_or_else(mono_now);
         let limit = SilenceLimit::new(stage, route.goal_ms, route.max_gap_ms);
-        let mut last_denial = None;
+        let mut last_denial = stayed_since.map(|_| RetryDenial::NoTarget);
         loop {
             sleep(if last_denial.is_some() { DENIED_INTERVAL } else { CHECK_INTERVAL }).await;
             if !self.is_silent_for_too_long(stage, limit, silent_since) {
                 continue;
             }
             let Err(denial) = self.reserve_move(silent_since).await else {
-                self.log_silence(silent_since, None);
+                self.log_silence(silent_since, "moved", "-");
                 return;
             };
             if last_denial != Some(denial) {
-                self.log_silence(silent_since, Some(denial));
+                self.log_silence(silent_since, "waiting", denial.as_str());
             }
             if last_denial.replace(denial).is_none() {
                 self.record_silence();
@@ -124,23 +125,22 @@
     }
 
     /// Counts the silence against the target, whose requests cannot leave it.
-    fn record_silence(&self) {
+    pub(super) fn record_silence(&self) {
         if let Some(target) = self.sent_target {
             self.state.record_outcome(target.key, SendOutcome::Bad);
         }
     }
 
-    fn log_silence(&self, silent_since: MonoTime, denial: Option<RetryDenial>) {
+    pub(super) fn log_silence(&self, silent_since: MonoTime, outcome: &'static str, cause: &str) {
         let pool = self.state.pool.borrow();
         let target = self.sent_target.and_then(|target| pool.target(target.key));
         log::info!(
-            "event=silent request_id={} target={} unreachable={} silent_ms={} outcome={} cause={}",
+            "event=silent request_id={} target={} unreachable={} silent_ms={} outcome={outcome} cause={}",
             quoted(&self.job.id),
             target.map_or("gone", |state| state.record.id.as_str()),
             target.is_none_or(|state| state.health.is_unreachable()),
             mono_now().millis_since(silent_since),
-            if denial.is_some() { "waiting" } else { "moved" },
-            denial.map_or("-", RetryDenial::as_str),
+            quoted(cause),
         );
     }
 }
--- a/ggt-daemon/src/front/buffered.rs
+++ b/ggt-daemon/src/front/buffered.rs
@@ -35,7 +35,7 @@
             Ok(reply) => reply,
             Err(refusal) => return final_response(&job, error_reply, refusal, guard),
         };
-        let (key, status, is_framed) = (reply.key, reply.status, reply.headers.is_framed);
+        let (key, status, is_framed) = (reply.key(), reply.status, reply.headers.is_framed);
         let mut complete = read_complete(state, &job, reply).await;
         if complete.is_ok() && !is_framed && !attempts.has_outlived_reply().await {
             complete = Err((FailureKind::Reset, "target ended with its reply".to_owned()));
@@ -102,7 +102,8 @@
     job: &FrontJob,
     reply: TargetReply,
 ) -> Result<(HeaderMap, Bytes), (FailureKind, String)> {
-    let TargetReply { key, status, raw_headers, headers, body, connection, guard } = reply;
+    let key = reply.key();
+    let TargetReply { status, raw_headers, headers, body, connection, guard, .. } = reply;
     let body = timeout(time_until(job.deadline), read_body(&state.buffers, body)).await;
     let body = match body {
         Err(_) => return Err((FailureKind::Timeout, "deadline".to_owned())),
--- a/ggt-daemon/src/front/stream.rs
+++ b/ggt-daemon/src/front/stream.rs
@@ -15,12 +15,14 @@
 use crate::clock::mono_now;
 use crate::clock::time_until;
 use crate::front::attempt::FailureKind;
+use crate::front::attempt::MovedReply;
 use crate::front::attempt::TargetReply;
 use crate::front::attempt::UpstreamAttempts;
 use crate::front::buffers::read_body;
 use crate::front::job::FrontJob;
 use crate::front::job::JobGuard;
 use crate::front::origins::required_version;
+use crate::front::response::FrontRefusal;
 use crate::front::response::ResponseBody;
 use crate::front::response::StreamInterrupted;
 use crate::front::response::forwarded_response;
@@ -112,8 +114,13 @@
     async fn start(&mut self) -> Result<(TargetReply, ReadOutcome), StartError> {
         // Error reply of a target, forwarded if no other target succeeds.
         let mut error_reply = None;
+        let mut next = None;
         loop {
-            let mut reply = match self.next_reply().await {
+            let reply = match next.take() {
+                Some(reply) => Ok(reply),
+                None => self.next_reply().await,
+            };
+            let mut reply = match reply {
                 Ok(reply) => reply,
                 Err(refusal) => return Err(error_reply.unwrap_or(StartError::Refused(refusal))),
             };
@@ -128,7 +135,8 @@
                     return Ok((reply, outcome));
                 }
                 outcome => {
-                    self.handle_interruption(reply, &outcome).await.map_err(StartError::Refused)?
+                    let moved = self.leave(reply, &outcome).await.map_err(StartError::Refused)?;
+                    next = moved.into_reply();
                 }
             }
         }
@@ -149,7 +157,8 @@
         &mut self,
         reply: TargetReply,
     ) -> Result<Option<StartError>, StartError> {
-        let TargetReply { key, status, raw_headers, body, .. } = reply;
+        let key = reply.key();
+        let TargetReply { status, raw_headers, body, .. } = reply;
         let outcome = if status.is_server_error() { SendOutcome::Bad } else { SendOutcome::Good };
         self.state.record_outcome(key, outcome);
         let time_left = time_until(self.job.deadline);
@@ -176,7 +185,7 @@
         }
     }
 
-    async fn next_reply(&mut self) -> Result<TargetReply, crate::front::response::FrontRefusal> {
+    async fn next_reply(&mut self) -> Result<TargetReply, FrontRefusal> {
         self.splitter = EventSplitter::default();
         self.attempts.next_reply(self.order.last()).await
     }
@@ -218,15 +227,22 @@
         }
     }
 
-    /// Resumes the stream at another target, after the reply of the old one has been dropped.
+    /// Goes on with the stream at another target, or at the same one if that was only silent and no other
+    /// can take the stream over.
     async fn resume(
         &mut self,
         reply: TargetReply,
         outcome: &ReadOutcome,
     ) -> Result<TargetReply, &'static str> {
-        self.handle_interruption(reply, outcome).await.map_err(|refusal| refusal.cause)?;
+        let mut next = match self.leave(reply, outcome).await.map_err(|refusal| refusal.cause)? {
+            MovedReply::Same(reply) => return Ok(reply),
+            moved => moved.into_reply(),
+        };
         loop {
-            let reply = self.next_reply().await.map_err(|refusal| refusal.cause)?;
+            let reply = match next.take() {
+                Some(reply) => reply,
+                None => self.next_reply().await.map_err(|refusal| refusal.cause)?,
+            };
             if reply.status.is_success() {
                 log::info!(
                     "event=resume request_id={} after_event={} outcome=begun",
@@ -235,7 +251,7 @@
                 );
                 return Ok(reply);
             }
-            let key = reply.key;
+            let key = reply.key();
             drop(reply);
             self.attempts
                 .record_interruption(key, "error reply to resumption", FailureKind::InvalidReply)
@@ -246,14 +262,31 @@
         }
     }
 
+    /// Leaves a reply that was interrupted or has fallen silent.
+    async fn leave(
+        &mut self,
+        reply: TargetReply,
+        outcome: &ReadOutcome,
+    ) -> Result<MovedReply, FrontRefusal> {
+        if !matches!(outcome, ReadOutcome::Timeout) || !self.attempts.is_moving() {
+            self.handle_interruption(reply, outcome).await?;
+            return Ok(MovedReply::None);
+        }
+        let moved = self.attempts.move_reply(reply, self.order.last()).await?;
+        if matches!(moved, MovedReply::Next(_)) {
+            self.splitter = EventSplitter::default();
+        }
+        Ok(moved)
+    }
+
     /// Drops an interrupted reply and records its failure. Returns `Ok` if the request may be sent
     /// to another target.
     async fn handle_interruption(
         &mut self,
         reply: TargetReply,
         outcome: &ReadOutcome,
-    ) -> Result<(), crate::front::response::FrontRefusal> {
-        let key = reply.key;
+    ) -> Result<(), FrontRefusal> {
+        let key = reply.key();
         drop(reply);
         match outcome {
             ReadOutcome::Deadline => {
@@ -278,7 +311,7 @@
     /// Reads like [`Self::read`]; the end of a reply without a length is its completion only if the
     /// caller has got an event and the target has not crashed.
     async fn read_checked(&mut self, reply: &mut TargetReply) -> ReadOutcome {
-        let outcome = self.read(reply.key, &mut reply.body).await;
+        let outcome = self.read(reply.key(), &mut reply.body).await;
         if reply.headers.is_framed || !matches!(outcome, ReadOutcome::Complete) {
             return outcome;
         }
@@ -292,7 +325,8 @@
     }
 
     fn finish(&self, reply: TargetReply) {
-        let TargetReply { key, status, headers, connection, guard, .. } = reply;
+        let key = reply.key();
+        let TargetReply { status, headers, connection, guard, .. } = reply;
         self.state.record_outcome(key, SendOutcome::Good);
         if headers.is_framed {
             self.state.record_completion(&self.job, status);
--- a/ggt-testkit/tests/platform_versions.rs
+++ b/ggt-testkit/tests/platform_versions.rs
@@ -4,6 +4,8 @@
 use std::collections::BTreeSet;
 use std::io::Write;
 use std::net::TcpStream;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use ggt_platform::TARGET_PREFIX;
 use ggt_standin::users_platform::AfterResponse;
@@ -320,3 +322,22 @@
     });
     (0..2).for_each(|daemon| check_taken_up(&fleet, daemon, &versions));
 }
+
+// Guards against a daemon that refuses streams for as long as a release may be under way although they began
+// after all daemons had restarted, so that their versions are known.
+#[test]
+fn stream_begun_after_a_restart_of_all_daemons_goes_on_while_servers_are_young() {
+    let mut fleet = start(3);
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("clock is set").as_millis();
+    for (number, server) in fleet.servers.iter().enumerate() {
+        let entry = server.registration("s", "a", "ready");
+        let entry = entry.replace(r#""born":1"#, &format!(r#""born":{now}"#));
+        let version = format!(r#""Version":"{}""#, version_of(number));
+        let entry = entry.replace(r#""Version":"v1""#, &version);
+        fleet.store.put(&format!("{TARGET_PREFIX}{}", server.id()), &entry);
+    }
+    (0..3).for_each(|daemon| fleet.daemons[daemon].process.kill());
+    (0..3).for_each(|daemon| fleet.restart(daemon));
+    let versions = begin_cut_streams(&fleet, 0);
+    (0..3).for_each(|daemon| check_taken_up(&fleet, daemon, &versions));
+}
