--- a/ggt-daemon/src/front/attempt/move_on.rs
+++ b/ggt-daemon/src/front/attempt/move_on.rs
@@ -79,6 +79,11 @@
         self.moving_since.get().is_some()
     }
 
+    /// Records that the target that was silent has sent bytes of its reply.
+    pub fn end_silence(&self) {
+        self.stayed_since.take();
+    }
+
     /// Moves a request on whose reply the target has fallen silent.
     ///
     /// # Errors
--- a/ggt-daemon/src/front/stream.rs
+++ b/ggt-daemon/src/front/stream.rs
@@ -355,6 +355,7 @@
                 Some(Err(e)) => return ReadOutcome::Interrupted(e.to_string()),
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
+            self.attempts.end_silence();
             self.state.pool.borrow_mut().record_reply(key, None, mono_now());
             match self.push_bytes(&bytes) {
                 Ok(events) if events.is_empty() => {}
--- a/ggt-testkit/tests/platform_silence.rs
+++ b/ggt-testkit/tests/platform_silence.rs
@@ -6,6 +6,8 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -27,6 +29,8 @@
 const SILENCE: Duration = Duration::from_millis(1_500);
 /// Silence after which a stream should go on at another server, since its caller would soon give up.
 const LONG_SILENCE: Duration = Duration::from_millis(2_200);
+/// Time that a server takes to refuse a request, shorter than it is kept at two servers.
+const SLOW_REFUSAL: Duration = Duration::from_millis(150);
 /// Events of each stream.
 const EVENTS: u64 = 12;
 /// Event after which a server falls silent.
@@ -276,3 +280,33 @@
     });
     check_whole(&send_streams(&fleet));
 }
+
+// Guards against a stream that is sent elsewhere a second time although its server went on while another
+// one refused the stream.
+#[test]
+fn stream_stays_at_a_server_that_goes_on_while_the_next_one_refuses_it() {
+    let fleet = FrontFleet::start(3, 1);
+    let (begun, refused) = (Arc::new(Mutex::new(false)), Arc::new(AtomicBool::new(false)));
+    for server in &fleet.servers {
+        let (begun, refused) = (begun.clone(), refused.clone());
+        server.set_script(move |request, stream| {
+            if std::mem::replace(&mut *begun.lock().expect("no panic"), true) {
+                refused.store(true, Ordering::SeqCst);
+                thread::sleep(SLOW_REFUSAL);
+                return refuse(request, stream);
+            }
+            // The caller or the daemon may have closed the connection.
+            let _ = stream.write_all([stream_head(request), event_chunk(1)].concat().as_bytes());
+            wait_until("the next server has the stream", || refused.load(Ordering::SeqCst));
+            for id in 2..=EVENTS {
+                let _ = stream.write_all(event_chunk(id).as_bytes());
+                thread::sleep(if id < 4 { SLOW_REFUSAL * 3 } else { EVENT_INTERVAL });
+            }
+            let _ = stream.write_all(b"0\r\n\r\n");
+            AfterResponse::Keep
+        });
+    }
+    let request = fleet.request(0, "POST", "/chat/", "id-1").body("x");
+    check_whole(&[request.send().expect("should respond")]);
+    assert_eq!(fleet.request_count("id-1"), 2);
+}
