feat: front: log lines that tell a cut from all targets from the end of a service's targets

`event=end cause=no-target` did not say how many targets of how many services and data centres had failed, nor since when. `event=reach` does, with every refusal for lack of a target and once when a service's targets stop accepting connections and accept again. Only log lines change: nothing is decided by it yet.

--- a/ggt-core/src/lib.rs
+++ b/ggt-core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod ident;
 pub mod limits;
 pub mod membership;
+pub mod partition;
 pub mod prompts;
 pub mod retries;
 pub mod retry_window;
--- a/ggt-core/src/targets/candidates.rs
+++ b/ggt-core/src/targets/candidates.rs
@@ -1,5 +1,7 @@
 //! Which targets may be chosen at all: by registration, version, reachability and health.
 
+use std::collections::HashMap;
+
 use crate::clock::MonoTime;
 use crate::targets::TargetKey;
 use crate::targets::TargetPool;
@@ -64,6 +66,63 @@
     }
 }
 
+/// How many targets, services and data centres this daemon reaches.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReachCounts {
+    /// All targets, of all services.
+    pub targets: usize,
+    /// Those of them that are unreachable.
+    pub unreachable_targets: usize,
+    /// Data centres with targets.
+    pub centres: usize,
+    /// Those of them in which all targets are unreachable.
+    pub unreachable_centres: usize,
+    /// Services with targets.
+    pub services: usize,
+    /// Those of them of which all targets are unreachable.
+    pub unreachable_services: usize,
+}
+
+impl TargetPool {
+    /// Counts what this daemon reaches.
+    pub fn reach_counts(&self) -> ReachCounts {
+        let unreachable = self.iter().filter(|(_, state)| state.health.is_unreachable());
+        let group_counts = |name_of: fn(&TargetState) -> &str| {
+            let mut groups: HashMap<&str, bool> = HashMap::new();
+            for (_, state) in self.iter() {
+                *groups.entry(name_of(state)).or_insert(true) &= state.health.is_unreachable();
+            }
+            (groups.len(), groups.values().filter(|is_unreachable| **is_unreachable).count())
+        };
+        let (centres, unreachable_centres) = group_counts(|state| &state.record.data_centre);
+        let (services, unreachable_services) = group_counts(|state| &state.record.service);
+        ReachCounts {
+            targets: self.len(),
+            unreachable_targets: unreachable.count(),
+            centres,
+            unreachable_centres,
+            services,
+            unreachable_services,
+        }
+    }
+
+    /// The targets of a service that may get new requests.
+    pub fn staying_targets<'a>(
+        &'a self,
+        service: &str,
+    ) -> impl Iterator<Item = (TargetKey, &'a TargetState)> {
+        let targets = self.of_service(service).iter();
+        let targets = targets.filter_map(|key| self.target(*key).map(|state| (*key, state)));
+        targets.filter(|(_, state)| !state.record.is_leaving && state.remove_at.is_none())
+    }
+
+    /// The services with targets.
+    pub fn services(&self) -> impl Iterator<Item = &str> {
+        let services = self.by_service.iter().filter(|(_, targets)| !targets.is_empty());
+        services.map(|(service, _)| service.as_str())
+    }
+}
+
 /// Leaves out targets that the platform no longer lists, unless they are the majority: a few that
 /// are missing after an outage of the platform have stopped, but a majority was unable to renew its
 /// registration.
--- a/ggt-core/src/targets/mod.rs
+++ b/ggt-core/src/targets/mod.rs
@@ -12,6 +12,7 @@
 mod rate;
 
 pub use admission::OverloadEstimate;
+pub use candidates::ReachCounts;
 pub use choice::ChoiceError;
 pub use choice::ChoiceQuery;
 pub use choice::ChoiceReason;
--- a/ggt-core/src/targets/pool.rs
+++ b/ggt-core/src/targets/pool.rs
@@ -120,7 +120,7 @@
     pub(super) targets: SlotMap<TargetKey, TargetState>,
     by_id: HashMap<String, TargetKey>,
     pub(super) by_hash: HashMap<u32, TargetKey>,
-    by_service: HashMap<String, Vec<TargetKey>>,
+    pub(super) by_service: HashMap<String, Vec<TargetKey>>,
     /// Incarnations that announced that they leave and were removed, by id, and until when they are
     /// remembered.
     departed: HashMap<String, (u64, MonoTime)>,
--- /dev/null
+++ b/ggt-core/tests/partition.rs
@@ -0,0 +1,77 @@
+//! Whether a daemon is cut off from the targets of a service.
+
+use ggt_core::clock::MonoTime;
+use ggt_core::partition::ReachRegained;
+use ggt_core::partition::ReachTable;
+use ggt_core::targets::TargetKey;
+
+use slotmap::SlotMap;
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(millis)
+}
+
+fn target_keys<const N: usize>() -> [TargetKey; N] {
+    let mut keys = SlotMap::<TargetKey, ()>::with_key();
+    std::array::from_fn(|_| keys.insert(()))
+}
+
+// Guards against a daemon that refuses requests without knowing that it reaches none of a small service's
+// targets.
+#[test]
+fn all_targets_of_a_small_service_failing_is_a_cut() {
+    let [first, second] = target_keys();
+    let mut table = ReachTable::default();
+    assert!(!table.record_failure("s", first, 2, at(0)));
+    assert!(!table.record_failure("s", first, 2, at(10)), "the same target again");
+    assert_eq!(table.cut_since("s"), None);
+    assert!(table.record_failure("s", second, 2, at(20)));
+    assert!(!table.record_failure("s", second, 2, at(30)), "the cut is known");
+    assert_eq!(table.cut_since("s"), Some(at(20)));
+    assert_eq!(table.cut_services().collect::<Vec<_>>(), ["s"]);
+    assert_eq!(table.cut_since("other"), None);
+}
+
+// Guards against the end of a few targets of a large service being taken for a cut.
+#[test]
+fn failures_with_an_accepted_connection_between_them_are_no_cut() {
+    let keys: [_; 8] = target_keys();
+    let mut table = ReachTable::default();
+    for (number, key) in keys[..7].iter().enumerate() {
+        assert!(!table.record_failure("s", *key, 8, at(number as u64)));
+        assert_eq!(table.record_accept("s", keys[7]), None);
+    }
+}
+
+// Guards against a cut from a large service that is only noticed once every target has failed.
+#[test]
+fn a_few_targets_of_a_large_service_failing_in_a_row_are_a_cut() {
+    let keys: [_; 4] = target_keys();
+    let mut table = ReachTable::default();
+    let cuts = keys.map(|key| table.record_failure("s", key, 780, at(5)));
+    assert_eq!(cuts, [false, false, false, true]);
+}
+
+// Guards against targets that ended long after each other being taken for a cut.
+#[test]
+fn failures_long_apart_are_no_cut() {
+    let [first, second] = target_keys();
+    let mut table = ReachTable::default();
+    assert!(!table.record_failure("s", first, 2, at(0)));
+    assert!(!table.record_failure("s", second, 2, at(6_000)));
+    assert!(table.record_failure("s", first, 2, at(6_100)));
+}
+
+// Guards against targets that stay held down after the cut, and against a cut that never ends.
+#[test]
+fn one_accepted_connection_ends_the_cut_and_names_the_other_targets() {
+    let [first, second, third] = target_keys();
+    let mut table = ReachTable::default();
+    for key in [first, second, third] {
+        table.record_failure("s", key, 3, at(100));
+    }
+    let regained = table.record_accept("s", second);
+    assert_eq!(regained, Some(ReachRegained { cut_since: at(100), failed: vec![first, third] }));
+    assert_eq!(table.cut_since("s"), None);
+    assert!(!table.record_failure("s", first, 3, at(200)), "the next cut takes all of them again");
+}
--- a/ggt-daemon/src/front/attempt/admission.rs
+++ b/ggt-daemon/src/front/attempt/admission.rs
@@ -89,6 +89,9 @@
 
     /// Final response when no target could be chosen.
     pub(super) fn choice_refusal(&self, error: ChoiceError) -> FrontRefusal {
+        if error == ChoiceError::NoTarget {
+            self.state.log_cut(&self.job.service, "no-target");
+        }
         match (self.may_have_run, error) {
             (true, _) => FrontRefusal::new(StatusCode::BAD_GATEWAY, "no-target"),
             (false, ChoiceError::NoTarget) => {
--- a/ggt-daemon/src/front/attempt/crash_check.rs
+++ b/ggt-daemon/src/front/attempt/crash_check.rs
@@ -9,7 +9,6 @@
 use crate::clock::mono_now;
 use crate::front::attempt::SentTarget;
 use crate::front::attempt::UpstreamAttempts;
-use crate::front::state::CONNECT_TIMEOUT;
 use crate::front::state::FrontState;
 use crate::upstream::ConnectError;
 use crate::upstream::TargetConnection;
@@ -126,7 +125,7 @@
     state: Rc<FrontState>,
     target: SentTarget,
 ) -> Result<TargetConnection, ConnectError> {
-    let opened = TargetConnection::open(target.address, CONNECT_TIMEOUT).await;
+    let opened = state.connect_target(target.key, target.address).await;
     if let Err(e) = &opened {
         state.record_outcome(target.key, e.outcome());
         state.connections.close_idle(target.key);
@@ -154,7 +153,7 @@
     let deadline = mono_now() + MAX_SOUND_SILENCE_MS;
     let error = loop {
         sleep(CHECK_INTERVAL).await;
-        match TargetConnection::open(target.address, CONNECT_TIMEOUT).await {
+        match state.connect_target(target.key, target.address).await {
             Ok(_) => break None,
             Err(e) if e.is_refused() || mono_now() >= deadline => break Some(e),
             Err(_) => {}
--- a/ggt-daemon/src/front/attempt/send.rs
+++ b/ggt-daemon/src/front/attempt/send.rs
@@ -15,7 +15,6 @@
 use crate::front::attempt::TargetReply;
 use crate::front::attempt::UpstreamAttempts;
 use crate::front::job::SendGuard;
-use crate::front::state::CONNECT_TIMEOUT;
 use crate::upstream::SendFailure;
 use crate::upstream::TargetConnection;
 use ggt_core::clock::MonoTime;
@@ -123,7 +122,7 @@
         self.connects += 1;
         let address = self.state.pool.borrow().target(key).map(|target| target.record.address);
         let address = address.ok_or(not_sent("target gone"))?;
-        let opened = TargetConnection::open(address, CONNECT_TIMEOUT).await;
+        let opened = self.state.connect_target(key, address).await;
         let connection = opened.map_err(|e| {
             self.record_connect_failure(&e);
             SendError::NotSent { cause: e.to_string(), outcome: e.outcome() }
--- a/ggt-daemon/src/front/attempt/silence.rs
+++ b/ggt-daemon/src/front/attempt/silence.rs
@@ -7,9 +7,7 @@
 use crate::clock::mono_now;
 use crate::front::attempt::RetryDenial;
 use crate::front::attempt::UpstreamAttempts;
-use crate::front::state::CONNECT_TIMEOUT;
 use crate::logging::quoted;
-use crate::upstream::TargetConnection;
 use ggt_core::clock::MonoTime;
 use ggt_core::silence::MAX_SOUND_SILENCE_MS;
 use ggt_core::silence::ReplyStage;
@@ -111,7 +109,7 @@
     async fn connect_ahead(&self, key: TargetKey) -> Result<(), RetryDenial> {
         let address = self.state.pool.borrow().target(key).map(|target| target.record.address);
         let address = address.ok_or(RetryDenial::NoTarget)?;
-        match TargetConnection::open(address, CONNECT_TIMEOUT).await {
+        match self.state.connect_target(key, address).await {
             Ok(connection) => {
                 self.state.connections.keep(key, connection, None);
                 Ok(())
--- a/ggt-daemon/src/front/health.rs
+++ b/ggt-daemon/src/front/health.rs
@@ -13,6 +13,9 @@
         if let Some(held_until) = held_until {
             self.log_hold_down(key, held_until);
         }
+        if matches!(outcome, SendOutcome::Unreachable | SendOutcome::Unresponsive) {
+            self.record_connect_failure(key);
+        }
     }
 
     fn log_hold_down(&self, key: TargetKey, held_until: MonoTime) {
--- a/ggt-daemon/src/front/mod.rs
+++ b/ggt-daemon/src/front/mod.rs
@@ -21,6 +21,7 @@
 mod peers;
 mod prepare;
 mod rates;
+mod reach;
 mod response;
 mod retries;
 mod run;
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -31,6 +31,7 @@
 use ggt_core::fleet::PeerDigest;
 use ggt_core::ident::stable_hash;
 use ggt_core::limits::ShareTable;
+use ggt_core::partition::ReachTable;
 use ggt_core::retry_window::RetryWindow;
 use ggt_core::routes::RouteConfig;
 use ggt_core::store_cache::PlatformOutage;
@@ -96,6 +97,8 @@
     pub started_at: MonoTime,
     /// The targets with their load, health and cached prefixes.
     pub pool: RefCell<TargetPool>,
+    /// Which services' targets accept connections of this daemon.
+    pub reach: RefCell<ReachTable>,
     /// Idle connections to targets.
     pub connections: ConnectionPool<TargetKey>,
     /// The other daemons.
@@ -166,6 +169,7 @@
             incarnation: wall_now().as_millis(),
             started_at: mono_now(),
             pool: RefCell::default(),
+            reach: RefCell::default(),
             connections: ConnectionPool::default(),
             fleet: RefCell::new(fleet),
             crashes: RefCell::new(CrashTable::new(crash_options)),
