test: standin: links between a daemon and its servers that can be cut

A stand-in for a daemon that is partitioned from all servers while callers, the store and the other daemons still reach it: `LinkStandin` forwards one address to one server and is open, reset, hanging, or refuses new connections only. `FrontFleet::start_linked` gives each daemon links of its own and a store of its own that names them; ids, instances and configurations are equal over the stores, so that daemons agree on a target. `cut(daemon, kind)`, `heal(daemon)`.

A link accepts a connection to a server that is down and resets it. While it hangs the kernel still acknowledges what is sent on existing connections.

--- a/ggt-standin/src/users_platform/mod.rs
+++ b/ggt-standin/src/users_platform/mod.rs
@@ -1,9 +1,11 @@
-//! Stand-ins for the users' platform: its key-value store, and servers that take requests.
+//! Stand-ins for the users' platform: its key-value store, servers that take requests, and
+//! links to them that can be cut.
 //!
 //! They run on threads of the test process, so that a test can script each response byte for byte
 //! and inspect every request that was received.
 
 mod caller;
+mod link;
 mod request;
 mod server;
 mod silence;
@@ -15,6 +17,9 @@
 pub use caller::prompt_headers;
 pub use caller::prompt_headers_of;
 pub use caller::test_config;
+pub use link::LinkCounts;
+pub use link::LinkKind;
+pub use link::LinkStandin;
 pub use request::WireRequest;
 pub use request::read_request;
 pub use server::AfterResponse;
--- a/ggt-testkit/src/front.rs
+++ b/ggt-testkit/src/front/mod.rs
@@ -1,6 +1,8 @@
 //! A test fleet on the users' platform: daemons as processes, with the store and the servers as stand-ins on
 //! threads of the test.
 
+mod links;
+
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
@@ -12,11 +14,14 @@
 use ggt_platform::CONFIG_KEY;
 use ggt_platform::READY_PATH;
 use ggt_platform::TARGET_PREFIX;
+use ggt_standin::users_platform::LinkKind;
 use ggt_standin::users_platform::ServerStandin;
 use ggt_standin::users_platform::StoreStandin;
 use ggt_standin::users_platform::caller_headers;
 use ggt_standin::users_platform::test_config;
 
+pub use crate::front::links::DaemonLinks;
+
 use crate::address::LoopbackNet;
 use crate::http::HttpRequest;
 use crate::layout::merge;
@@ -46,8 +51,10 @@
 
 /// A store, servers and daemons; the daemons are killed when it is dropped.
 pub struct FrontFleet {
-    /// Store that holds the configuration and the server entries.
+    /// Store that holds the configuration and the server entries, at the servers' own addresses.
     pub store: StoreStandin,
+    /// Links to the servers by index of the daemon; empty if the daemons reach the servers directly.
+    pub links: Vec<DaemonLinks>,
     /// Servers by index, registered or not.
     pub servers: Vec<ServerStandin>,
     /// Daemons by index.
@@ -75,12 +82,35 @@
     /// # Panics
     /// When any of them does not start.
     pub fn start_with(servers: usize, daemons: usize, settings: Value) -> Self {
+        Self::start_fleet(servers, daemons, settings, false)
+    }
+
+    /// Starts a fleet like [`FrontFleet::start`], in which each daemon has its own links to the servers
+    /// and its own store, all with the same configuration, server ids and instances.
+    ///
+    /// # Panics
+    /// When any of them does not start.
+    pub fn start_linked(servers: usize, daemons: usize) -> Self {
+        Self::start_linked_with(servers, daemons, json!({}))
+    }
+
+    /// Starts a fleet like [`FrontFleet::start_linked`], with these settings in addition.
+    ///
+    /// # Panics
+    /// When any of them does not start.
+    pub fn start_linked_with(servers: usize, daemons: usize, settings: Value) -> Self {
+        Self::start_fleet(servers, daemons, settings, true)
+    }
+
+    fn start_fleet(servers: usize, daemons: usize, settings: Value, is_linked: bool) -> Self {
         let net = LoopbackNet::allocate();
         let folder = std::env::temp_dir().join(format!("ggt-front-{}", net.ip(0)));
         std::fs::create_dir_all(&folder).expect("should create the settings folder");
         let store = StoreStandin::start(net.port(1)).expect("store should start");
+        let linked_daemons = if is_linked { daemons } else { 0 };
         let mut fleet = Self {
             store,
+            links: (0..linked_daemons).map(|_| DaemonLinks::start(net)).collect(),
             servers: Vec::new(),
             daemons: Vec::new(),
             net,
@@ -107,9 +137,24 @@
         }
     }
 
-    /// Writes a configuration to the store.
+    /// Cuts a daemon off from all servers in this way, and returns when that is in force.
+    pub fn cut(&self, daemon: usize, kind: LinkKind) {
+        self.links[daemon].set(kind);
+    }
+
+    /// Ends a daemon's cut.
+    pub fn heal(&self, daemon: usize) {
+        self.cut(daemon, LinkKind::Open);
+    }
+
+    /// The fleet's store and the stores of linked daemons.
+    fn stores(&self) -> impl Iterator<Item = &StoreStandin> {
+        self.links.iter().map(|links| &links.store).chain([&self.store])
+    }
+
+    /// Writes a configuration to all stores.
     pub fn publish(&self, config: &Value) {
-        self.store.put(CONFIG_KEY, &config.to_string());
+        self.stores().for_each(|store| store.put(CONFIG_KEY, &config.to_string()));
     }
 
     /// Starts a server without registering it in the store.
@@ -117,7 +162,17 @@
     /// # Panics
     /// When it does not start.
     pub fn add_unregistered_server(&mut self, id: &str) {
-        self.servers.push(ServerStandin::start(self.net.port(2), id).expect("server should start"));
+        let server = ServerStandin::start(self.net.port(2), id).expect("server should start");
+        self.links.iter_mut().for_each(|links| links.add(self.net, &server));
+        self.servers.push(server);
+    }
+
+    /// Registers the present instance of a server in all stores, in this state.
+    pub fn register(&self, number: usize, state: &str) {
+        let server = &self.servers[number];
+        let registration = server.registration("s", "a", state);
+        self.links.iter().for_each(|links| links.register(number, server, &registration));
+        self.store.put(&format!("{TARGET_PREFIX}{}", server.id()), &registration);
     }
 
     /// Starts a server and registers it in the store as ready.
@@ -126,8 +181,7 @@
     /// When it does not start.
     pub fn add_server(&mut self, id: &str) {
         self.add_unregistered_server(id);
-        let registration = self.servers.last().map(|server| server.registration("s", "a", "ready"));
-        self.store.put(&format!("{TARGET_PREFIX}{id}"), &registration.unwrap_or_default());
+        self.register(self.servers.len() - 1, "ready");
     }
 
     /// Restarts a crashed server as another instance, which replaces the old one in the store.
@@ -141,16 +195,15 @@
 
     /// Registers the present instance of a server, and removes all other registrations.
     pub fn register_only(&self, number: usize) {
-        let server = &self.servers[number];
-        let key = format!("{TARGET_PREFIX}{}", server.id());
-        self.store.put(&key, &server.registration("s", "a", "ready"));
+        self.register(number, "ready");
+        let key = format!("{TARGET_PREFIX}{}", self.servers[number].id());
         let others = self.store.keys(TARGET_PREFIX).into_iter().filter(|other| *other != key);
-        others.for_each(|other| self.store.remove(&other));
+        others.for_each(|other| self.stores().for_each(|store| store.remove(&other)));
     }
 
     /// Removes the registration of a server.
     pub fn remove_registration(&self, id: &str) {
-        self.store.remove(&format!("{TARGET_PREFIX}{id}"));
+        self.stores().for_each(|store| store.remove(&format!("{TARGET_PREFIX}{id}")));
     }
 
     /// Number of requests for a path that reached any server.
@@ -169,7 +222,8 @@
         value.unwrap_or_default()
     }
 
-    /// Starts a daemon that reads from `store`, or from the fleet's store if `None`.
+    /// Starts a daemon that reads from `store`; if `None`, from its own store if the fleet is linked,
+    /// else from the fleet's.
     ///
     /// # Panics
     /// When it does not start.
@@ -193,6 +247,7 @@
         let octet = octet_of(number);
         let (callers, ready, admin) =
             (self.net.port(octet), self.net.port(octet), self.net.port(octet));
+        let own_store = self.links.get(number).map_or(self.store.address, |own| own.store.address);
         let mut settings = json!({
             "name": format!("d-{number}"),
             "data_centre": "a",
@@ -202,7 +257,7 @@
             "peer": SocketAddr::new(self.net.ip(octet), PEER_PORT),
             // Only the IP address counts: seeds are contacted at the peer port.
             "seeds": [SocketAddr::new(self.net.ip(octet_of(seed)), 1)],
-            "store": store.unwrap_or(self.store.address),
+            "store": store.unwrap_or(own_store),
             "retries": { "ratio": 0.2, "slack": 50.0, "window_s": 10.0 },
             "grace_s": 8.0,
         });
