--- a/ggt-core/src/fleet/digest.rs
+++ b/ggt-core/src/fleet/digest.rs
@@ -9,6 +9,7 @@
 use crate::crashes::CrashId;
 use crate::crashes::CrashReport;
 use crate::crashes::SuspectKey;
+use crate::ident::stable_hash;
 use crate::targets::InFlightLoad;
 use crate::targets::RateStatement;
 
@@ -59,6 +60,23 @@
     pub exonerated: Vec<SuspectKey>,
     /// Rates that targets say they take. Digests of earlier builds end before this field.
     pub rates: Vec<RateReport>,
+    /// What the daemon can do with requests that peers forward to it. Digests of earlier builds end
+    /// before this field.
+    pub reach: PeerReach,
+}
+
+/// What a daemon can do with requests that peers forward to it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerReach {
+    /// Version of the protocol for forwarded requests that it speaks; 0 if it takes none.
+    pub protocol: u8,
+    /// Short hashes of the services of which it reaches no target.
+    pub unreached: Vec<u32>,
+}
+
+/// Short hash of a service's name in digests.
+pub fn service_hash(service: &str) -> u32 {
+    stable_hash(service.as_bytes()) as u32
 }
 
 /// What a target stated in a reply to the sender of a digest about the rate that it takes.
--- /dev/null
+++ b/ggt-core/src/fleet/forwarding.rs
@@ -0,0 +1,60 @@
+//! Which peers can take a request that this daemon cannot send to a target itself.
+
+use std::net::SocketAddr;
+
+use crate::clock::MonoTime;
+use crate::fleet::FleetTable;
+use crate::fleet::PeerState;
+use crate::fleet::members::member_hash;
+use crate::routing::rendezvous_score;
+
+/// Version of the protocol for forwarded requests that this build speaks.
+pub const PEER_PROTOCOL: u8 = 1;
+/// Weight of peers in the daemon's own data centre relative to others.
+const OWN_CENTRE_WEIGHT: f64 = 4.0;
+
+/// Inputs of the choice of peers.
+#[derive(Clone, Copy, Debug)]
+pub struct ForwardQuery {
+    /// Short hash of the request's service.
+    pub service_hash: u32,
+    /// Hash of the request, which spreads requests over the peers.
+    pub request_hash: u64,
+    /// Short hash of the daemon's own data centre.
+    pub centre_hash: u32,
+}
+
+impl FleetTable {
+    /// Peers to which a request may be forwarded, the best first: they are alive, do not drain, have a
+    /// configuration and targets, and have not said that they reach no target of the service. Requests
+    /// are spread over them, with more for those of the own data centre.
+    pub fn forward_candidates(&self, query: &ForwardQuery, now: MonoTime) -> Vec<SocketAddr> {
+        let takes_request = |peer: &&PeerState| {
+            let digest = &peer.digest;
+            digest.reach.protocol >= PEER_PROTOCOL
+                && digest.config_revision > 0
+                && digest.target_revision > 0
+                && !digest.reach.unreached.contains(&query.service_hash)
+        };
+        let score = |peer: &PeerState| {
+            let is_near = peer.digest.centre_hash == query.centre_hash;
+            let weight = if is_near { OWN_CENTRE_WEIGHT } else { 1.0 };
+            rendezvous_score(query.request_hash, member_hash(peer.digest.address), weight)
+        };
+        let mut peers: Vec<_> = self
+            .alive(now)
+            .filter(takes_request)
+            .map(|peer| (score(peer), peer.digest.address))
+            .collect();
+        peers.sort_by(|(a, _), (b, _)| b.total_cmp(a));
+        peers.into_iter().map(|(_, address)| address).collect()
+    }
+
+    /// Whether any peer takes forwarded requests of all services.
+    pub fn has_forward_peer(&self, now: MonoTime) -> bool {
+        let reaches_all = |peer: &PeerState| {
+            peer.digest.reach.protocol >= PEER_PROTOCOL && peer.digest.reach.unreached.is_empty()
+        };
+        self.alive(now).any(reaches_all)
+    }
+}
--- a/ggt-core/src/fleet/mod.rs
+++ b/ggt-core/src/fleet/mod.rs
@@ -5,10 +5,15 @@
 //! enough to discover all.
 
 mod digest;
+mod forwarding;
 mod members;
 
 pub use digest::PeerDigest;
+pub use digest::PeerReach;
 pub use digest::RateReport;
+pub use digest::service_hash;
+pub use forwarding::ForwardQuery;
+pub use forwarding::PEER_PROTOCOL;
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
--- a/ggt-core/src/partition/mod.rs
+++ b/ggt-core/src/partition/mod.rs
@@ -84,6 +84,11 @@
         self.services.get(service)?.cut_since
     }
 
+    /// Whether a target is among those of its service that accepted no connection since any last did.
+    pub fn has_failed(&self, service: &str, target: TargetKey) -> bool {
+        self.services.get(service).is_some_and(|reach| reach.failed.contains_key(&target))
+    }
+
     /// The services that this daemon is cut off from.
     pub fn cut_services(&self) -> impl Iterator<Item = &str> {
         let is_cut_off = |(_, reach): &(&String, &ServiceReach)| reach.cut_since.is_some();
--- a/ggt-core/src/targets/health.rs
+++ b/ggt-core/src/targets/health.rs
@@ -97,6 +97,13 @@
         }
     }
 
+    /// Ends a hold-down that only shows that this daemon was cut off.
+    pub fn record_regained(&mut self) {
+        if self.is_unreachable {
+            *self = Self { good: self.good, decayed_at: self.decayed_at, ..Self::default() };
+        }
+    }
+
     /// Share of bad outcomes, from 0 to 1.
     pub fn bad_share(&self) -> f64 {
         let total = self.good + self.bad;
--- a/ggt-core/src/targets/pool.rs
+++ b/ggt-core/src/targets/pool.rs
@@ -344,6 +344,16 @@
         self.targets.get_mut(key)?.health.record(outcome, sibling_share, now)
     }
 
+    /// Ends the hold-downs of targets that were unreachable while this daemon was cut off from their
+    /// service.
+    pub fn record_regained(&mut self, accepting: TargetKey, failed: &[TargetKey]) {
+        for key in failed.iter().chain([&accepting]) {
+            if let Some(state) = self.targets.get_mut(*key) {
+                state.health.record_regained();
+            }
+        }
+    }
+
     /// Marks a target as leaving; `true` when it was not marked before.
     pub fn record_leaving(&mut self, key: TargetKey) -> bool {
         let Some(state) = self.targets.get_mut(key) else { return false };
--- a/ggt-core/tests/digest_fixture/mod.rs
+++ b/ggt-core/tests/digest_fixture/mod.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use ggt_core::fleet::PeerDigest;
+use ggt_core::fleet::PeerReach;
 
 /// A digest of the daemon at `address`, which watches the platform.
 pub fn empty_digest(address: SocketAddr, incarnation: u64, number: u64) -> PeerDigest {
@@ -25,5 +26,6 @@
         crash_ages_ms: Vec::new(),
         exonerated: Vec::new(),
         rates: Vec::new(),
+        reach: PeerReach::default(),
     }
 }
--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod crash_check;
+mod forward;
 mod outcome;
 mod send;
 mod silence;
@@ -40,7 +41,10 @@
 
 /// A reply whose head has been received and checked, with its body still to be read.
 pub struct TargetReply {
+    /// The target; of no use if a peer forwards the reply.
     pub key: TargetKey,
+    /// The peer that forwards the target's reply, if the request was forwarded.
+    pub peer: Option<SocketAddr>,
     pub status: StatusCode,
     pub raw_headers: HeaderMap,
     /// The platform's headers, decoded from `raw_headers`.
@@ -134,6 +138,8 @@
     moving_since: Cell<Option<MonoTime>>,
     /// The only version that may serve the request, which goes on with a stream.
     version: Cell<Option<SoftwareVersion>>,
+    /// Version of the target that has served the request at a peer.
+    forwarded_version: Option<SoftwareVersion>,
     permit: Option<SharePermit<(String, u32)>>,
 }
 
@@ -152,6 +158,7 @@
 impl UpstreamAttempts {
     /// State of a request that has not been sent yet.
     pub fn new(state: Rc<FrontState>, job: Rc<FrontJob>) -> Self {
+        let may_have_run = job.handover.as_ref().is_some_and(|handover| handover.may_have_run);
         Self {
             state,
             job,
@@ -159,10 +166,11 @@
             sent_target: None,
             sends: 0,
             connects: 0,
-            may_have_run: false,
+            may_have_run,
             is_awaiting_reply: false,
             moving_since: Cell::default(),
             version: Cell::default(),
+            forwarded_version: None,
             permit: None,
         }
     }
@@ -174,7 +182,7 @@
 
     /// The version of the target of the last send.
     pub fn sent_version(&self) -> Option<SoftwareVersion> {
-        self.sent_target.map(|target| target.version)
+        self.sent_target.map(|target| target.version).or(self.forwarded_version)
     }
 
     /// Whether the request may be sent to another target after a failure. Takes the retry from the
@@ -225,6 +233,12 @@
             if let Some(refusal) = self.refuse_crashing() {
                 return Err(refusal);
             }
+            if let Some(result) = self.forward(last_event).await {
+                return result;
+            }
+            if self.connects >= MAX_CONNECTS {
+                return Err(self.send_failure_refusal());
+            }
             let choice = self.choose()?;
             match self.send(&choice, last_event).await {
                 Ok(reply) => return Ok(reply),
@@ -332,7 +346,8 @@
             SendError::NotSent { cause, outcome } => {
                 self.record_send(key, "not-sent", &cause);
                 self.state.record_outcome(key, outcome);
-                if self.connects < MAX_CONNECTS { Ok(()) } else { Err(self.send_failure_refusal()) }
+                let may_continue = self.connects < MAX_CONNECTS || self.can_forward();
+                if may_continue { Ok(()) } else { Err(self.send_failure_refusal()) }
             }
             SendError::Refused { status, is_misdirected } => {
                 self.record_send(key, "refused", status.as_str());
--- a/ggt-daemon/src/front/attempt/send.rs
+++ b/ggt-daemon/src/front/attempt/send.rs
@@ -66,6 +66,7 @@
         guard.record_start();
         Ok(TargetReply {
             key,
+            peer: None,
             status: parts.status,
             raw_headers: parts.headers,
             headers,
@@ -123,10 +124,13 @@
         let address = self.state.pool.borrow().target(key).map(|target| target.record.address);
         let address = address.ok_or(not_sent("target gone"))?;
         let opened = self.state.connect_target(key, address).await;
-        let connection = opened.map_err(|e| {
-            self.record_connect_failure(&e);
-            SendError::NotSent { cause: e.to_string(), outcome: e.outcome() }
-        })?;
+        let connection = match opened {
+            Ok(connection) => connection,
+            Err(e) => {
+                self.record_connect_failure(&e);
+                return Err(SendError::NotSent { cause: e.to_string(), outcome: e.outcome() });
+            }
+        };
         self.send_on_connection(choice, last_event, connection).await
     }
 
--- a/ggt-daemon/src/front/attempt/silence.rs
+++ b/ggt-daemon/src/front/attempt/silence.rs
@@ -65,7 +65,8 @@
     ) -> bool {
         let Some(target) = self.sent_target else { return false };
         let now = mono_now();
-        if now >= silent_since + limit.ended_ms && self.has_target_ended() {
+        let cannot_reply = self.has_target_ended() || self.is_cut_silent();
+        if now >= silent_since + limit.ended_ms && cannot_reply {
             return true;
         }
         // A target that replies to other requests is busy with the prompt rather than hung.
@@ -88,6 +89,13 @@
         if may_be_decisive || self.state.is_suspected(&self.job) {
             return Err(RetryDenial::Crashing);
         }
+        if self.is_cut_silent() {
+            if !self.state.try_retry(&self.job.service) {
+                return Err(RetryDenial::Budget);
+            }
+            self.moving_since.set(Some(silent_since));
+            return Ok(());
+        }
         let settings = self.state.settings();
         let query = ChoiceQuery {
             may_have_run: false,
@@ -104,6 +112,12 @@
         Ok(())
     }
 
+    /// Whether this daemon is cut off from the service, kept connections bring nothing either, and a peer
+    /// can take the request.
+    fn is_cut_silent(&self) -> bool {
+        self.state.is_cut_silent(&self.job.service) && self.can_forward()
+    }
+
     /// Opens a connection to the next target, for the send that follows, so that the reply of the silent
     /// one is not given up for a target that is silent as well.
     async fn connect_ahead(&self, key: TargetKey) -> Result<(), RetryDenial> {
--- a/ggt-daemon/src/front/buffered.rs
+++ b/ggt-daemon/src/front/buffered.rs
@@ -36,6 +36,7 @@
             Err(refusal) => return final_response(&job, error_reply, refusal, guard),
         };
         let (key, status, is_framed) = (reply.key, reply.status, reply.headers.is_framed);
+        let is_forwarded = reply.peer.is_some();
         let mut complete = read_complete(state, &job, reply).await;
         if complete.is_ok() && !is_framed && !attempts.has_outlived_reply().await {
             complete = Err((FailureKind::Reset, "target ended with its reply".to_owned()));
@@ -46,7 +47,7 @@
                 continue;
             }
             Ok((raw_headers, body)) => {
-                if is_framed && !status.is_server_error() {
+                if is_framed && !is_forwarded && !status.is_server_error() {
                     state.record_completion(&job, status);
                 }
                 guard.end("answered", status.as_u16(), "whole");
@@ -102,7 +103,7 @@
     job: &FrontJob,
     reply: TargetReply,
 ) -> Result<(HeaderMap, Bytes), (FailureKind, String)> {
-    let TargetReply { key, status, raw_headers, headers, body, connection, guard } = reply;
+    let TargetReply { key, peer, status, raw_headers, headers, body, connection, guard } = reply;
     let body = timeout(time_until(job.deadline), read_body(&state.buffers, body)).await;
     let body = match body {
         Err(_) => return Err((FailureKind::Timeout, "deadline".to_owned())),
@@ -112,7 +113,7 @@
     let outcome = if status.is_server_error() { SendOutcome::Bad } else { SendOutcome::Good };
     state.record_outcome(key, outcome);
     if !headers.closes_connection && job.route.is_idempotent {
-        state.connections.keep(key, connection, headers.keep_alive_seconds);
+        state.keep_connection(key, peer, connection, headers.keep_alive_seconds);
     }
     drop(guard);
     Ok((raw_headers, body))
--- a/ggt-daemon/src/front/digests.rs
+++ b/ggt-daemon/src/front/digests.rs
@@ -39,6 +39,7 @@
     loop {
         state.expire();
         state.connections.sweep();
+        state.peer_connections.sweep();
         send_digests(&state, &socket).await;
         let period_ms = state.fleet.borrow().period_ms();
         // The jitter keeps daemons that started together from sending at the same moment.
@@ -129,6 +130,7 @@
         crash_ages_ms: Vec::new(),
         exonerated: Vec::new(),
         rates: state.rate_reports(number),
+        reach: state.peer_reach(),
     };
     digest.set_crashes(crashes, now);
     digest
--- a/ggt-daemon/src/front/health.rs
+++ b/ggt-daemon/src/front/health.rs
@@ -14,7 +14,7 @@
             self.log_hold_down(key, held_until);
         }
         if matches!(outcome, SendOutcome::Unreachable | SendOutcome::Unresponsive) {
-            self.record_connect_failure(key);
+            self.record_connect_failure(key, outcome);
         }
     }
 
--- a/ggt-daemon/src/front/internal.rs
+++ b/ggt-daemon/src/front/internal.rs
@@ -35,7 +35,7 @@
 
 async fn serve_connection(state: Rc<FrontState>, stream: TcpStream) {
     let service = service_fn(|request| {
-        let response = respond(&state, &request);
+        let response = respond(&state, &request).map(Full::new);
         async move { Ok::<_, Infallible>(response) }
     });
     if let Err(e) = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await {
@@ -43,7 +43,8 @@
     }
 }
 
-fn respond(state: &FrontState, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+/// Response to a readiness check, a request for the metrics or a peer's own request.
+pub fn respond(state: &FrontState, request: &Request<Incoming>) -> Response<Bytes> {
     let path = request.uri().path();
     let (status, body) = match path {
         READY_PATH if state.is_ready() => (StatusCode::OK, Bytes::from_static(b"ready\n")),
@@ -54,7 +55,7 @@
             None => (StatusCode::NOT_FOUND, Bytes::new()),
         },
     };
-    let mut response = Response::new(Full::new(body));
+    let mut response = Response::new(body);
     *response.status_mut() = status;
     response
 }
--- a/ggt-daemon/src/front/job.rs
+++ b/ggt-daemon/src/front/job.rs
@@ -8,6 +8,7 @@
 use http::Method;
 
 use crate::clock::mono_now;
+use crate::front::forward::Handover;
 use crate::front::state::FrontState;
 use crate::logging::quoted;
 use ggt_core::clock::MonoTime;
@@ -45,6 +46,8 @@
     pub body: Bytes,
     /// What may be to blame if a target crashes while it runs the request.
     pub suspects: RequestSuspects,
+    /// What the daemon that forwarded the request said about it; `None` for a caller's request.
+    pub handover: Option<Handover>,
     /// When the request's head was received.
     pub received_at: MonoTime,
     /// The earlier of the caller's deadline and the route's timeout.
@@ -80,13 +83,23 @@
     state: Rc<FrontState>,
     id: String,
     received_at: MonoTime,
+    /// Whether a peer forwarded the request, which logs and counts its end for the caller.
+    is_forwarded: bool,
     is_finished: Cell<bool>,
 }
 
 impl JobGuard {
     pub fn new(state: Rc<FrontState>, id: &str, received_at: MonoTime) -> Self {
         state.in_flight.set(state.in_flight.get() + 1);
-        Self { state, id: id.to_owned(), received_at, is_finished: Cell::new(false) }
+        let is_finished = Cell::new(false);
+        Self { state, id: id.to_owned(), received_at, is_forwarded: false, is_finished }
+    }
+
+    /// Guard of a request that a peer forwarded.
+    pub fn forwarded(state: Rc<FrontState>, id: &str, received_at: MonoTime) -> Self {
+        let mut guard = Self::new(state, id, received_at);
+        guard.is_forwarded = true;
+        guard
     }
 
     /// Logs and counts how the request ended; only the first call has an effect.
@@ -95,6 +108,15 @@
             return;
         }
         let millis = mono_now().millis_since(self.received_at);
+        if self.is_forwarded {
+            self.state.metrics.record_taken(outcome);
+            log::info!(
+                "event=taken request_id={} outcome={outcome} status={status} cause={} after_ms={millis}",
+                quoted(&self.id),
+                quoted(cause),
+            );
+            return;
+        }
         self.state.metrics.record_end(outcome, millis);
         if outcome == "refused" {
             self.state.metrics.record_refusal(cause);
--- a/ggt-daemon/src/front/metrics.rs
+++ b/ggt-daemon/src/front/metrics.rs
@@ -27,6 +27,8 @@
     store_calls: Counter<u64>,
     digests: Counter<u64>,
     crashes: Counter<u64>,
+    forwards: Counter<u64>,
+    taken: Counter<u64>,
     reply_ms: Histogram<f64>,
     first_event_ms: Histogram<f64>,
 }
@@ -49,6 +51,8 @@
             store_calls: meter.u64_counter("front_store_calls").build(),
             digests: meter.u64_counter("front_digests").build(),
             crashes: meter.u64_counter("front_crashes").build(),
+            forwards: meter.u64_counter("front_forwards").build(),
+            taken: meter.u64_counter("front_taken").build(),
             reply_ms: histogram("front_reply"),
             first_event_ms: histogram("front_first_event"),
             _provider: provider,
@@ -101,6 +105,16 @@
         self.crashes.add(count, &[KeyValue::new("change", change)]);
     }
 
+    /// Counts an offer of a request to a peer, by its outcome.
+    pub fn record_forward(&self, outcome: &'static str) {
+        self.forwards.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts the end of a request that a peer forwarded to this daemon.
+    pub fn record_taken(&self, outcome: &'static str) {
+        self.taken.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// All metrics in Prometheus text format.
     pub fn text(&self) -> String {
         registry_text(&self.registry)
--- a/ggt-daemon/src/front/origins/lookup.rs
+++ b/ggt-daemon/src/front/origins/lookup.rs
@@ -66,6 +66,9 @@
     state: &Rc<FrontState>,
     job: &FrontJob,
 ) -> Result<Option<SoftwareVersion>, FrontRefusal> {
+    if let Some(handover) = &job.handover {
+        return Ok(handover.version);
+    }
     if !job.is_resumption() {
         return Ok(None);
     }
--- a/ggt-daemon/src/front/prepare.rs
+++ b/ggt-daemon/src/front/prepare.rs
@@ -1,10 +1,13 @@
 //! Routes, authenticates and validates a caller's request.
 
+use std::cell::Cell;
+
 use bytes::Bytes;
 use http::StatusCode;
 use http::header;
 use http::request::Parts;
 
+use crate::front::forward::Handover;
 use crate::front::job::FrontJob;
 use crate::front::response::FrontRefusal;
 use crate::front::state::FrontState;
@@ -17,6 +20,7 @@
 use ggt_core::routes::RouteEntry;
 use ggt_core::routes::split_hash;
 use ggt_platform::RequestHeaders;
+use ggt_wire::forward::ForwardedRequest;
 
 /// `retry-after` in milliseconds while the daemon has no configuration yet.
 const STARTING_RETRY_MS: u64 = 500;
@@ -56,9 +60,7 @@
     let target_path =
         parts.uri.path_and_query().map_or(path, |path_and_query| path_and_query.as_str());
     let customer_name = customer.map(|customer| customer.name.clone());
-    let caller = customer_name.as_deref().unwrap_or_default();
-    let fingerprint = SuspectKey::of_request(&format!("{caller} {target_path}"), &body);
-    let suspects = RequestSuspects::new(fingerprint).with_parts(&headers.parts);
+    let suspects = request_suspects(customer_name.as_deref(), target_path, &headers, &body);
     Ok(FrontJob {
         id: attempt_id,
         route: route.clone(),
@@ -72,12 +74,108 @@
         raw_headers: parts.headers.clone(),
         body,
         suspects,
+        handover: None,
         received_at,
         deadline: received_at + wait_ms,
         headers,
     })
 }
 
+/// Builds the job of a request that a peer forwarded. If this daemon has a newer configuration than the
+/// peer, that decides; otherwise what the peer has decided holds.
+///
+/// # Errors
+/// [`FrontRefusal`] holds the response for a request that the newer configuration does not allow.
+pub fn prepare_forwarded(
+    state: &FrontState,
+    parts: &Parts,
+    headers: RequestHeaders,
+    body: Bytes,
+    received_at: MonoTime,
+    forwarded: ForwardedRequest,
+) -> Result<FrontJob, FrontRefusal> {
+    let Some(config) = state.route_config() else {
+        return Err(FrontRefusal::not_run("no-configuration", STARTING_RETRY_MS));
+    };
+    let ForwardedRequest { last_event, attempts, remaining_ms, .. } = forwarded;
+    let first_attempt = forwarded.first_attempt.clone();
+    let headers = RequestHeaders { last_event, first_attempt, ..headers };
+    let handover = Handover {
+        sender: forwarded.sender,
+        version: forwarded.version,
+        may_have_run: forwarded.may_have_run,
+        served_version: Cell::default(),
+    };
+    let mut job = match config.version() > forwarded.config_version {
+        true => prepare_job(state, parts, headers, body, received_at)?,
+        false => decided_job(parts, headers, body, received_at, &forwarded)?,
+    };
+    job.handover = Some(handover);
+    job.route.max_attempts = attempts;
+    job.deadline = received_at + remaining_ms;
+    Ok(job)
+}
+
+/// The job of a forwarded request as the peer has decided it.
+fn decided_job(
+    parts: &Parts,
+    headers: RequestHeaders,
+    body: Bytes,
+    received_at: MonoTime,
+    forwarded: &ForwardedRequest,
+) -> Result<FrontJob, FrontRefusal> {
+    let Some(id) = headers.attempt_id.clone() else {
+        return Err(FrontRefusal::new(StatusCode::BAD_REQUEST, "no-attempt-id"));
+    };
+    let route = RouteEntry {
+        name: forwarded.route.name.clone(),
+        host: String::new(),
+        path_prefix: String::new(),
+        is_stream: forwarded.route.is_stream,
+        is_idempotent: forwarded.route.is_idempotent,
+        timeout_ms: forwarded.remaining_ms,
+        goal_ms: forwarded.route.goal_ms,
+        max_gap_ms: forwarded.route.max_gap_ms,
+        priority: forwarded.priority,
+        max_attempts: forwarded.attempts,
+        is_public: true,
+        is_sticky: forwarded.route.is_sticky,
+        services: Vec::new(),
+    };
+    let path = parts.uri.path_and_query().map_or(parts.uri.path(), |path| path.as_str());
+    let chain = route.is_sticky.then(|| prefix_chain(&headers));
+    let suspects = request_suspects(forwarded.customer.as_deref(), path, &headers, &body);
+    Ok(FrontJob {
+        id,
+        route,
+        version: forwarded.config_version,
+        service: forwarded.service.clone(),
+        customer: forwarded.customer.clone(),
+        priority: forwarded.priority,
+        chain,
+        method: parts.method.clone(),
+        path: path.to_owned(),
+        raw_headers: parts.headers.clone(),
+        body,
+        suspects,
+        handover: None,
+        received_at,
+        deadline: received_at + forwarded.remaining_ms,
+        headers,
+    })
+}
+
+fn request_suspects(
+    customer: Option<&str>,
+    path: &str,
+    headers: &RequestHeaders,
+    body: &Bytes,
+) -> RequestSuspects {
+    let caller = customer.unwrap_or_default();
+    let fingerprint = SuspectKey::of_request(&format!("{caller} {path}"), body);
+    RequestSuspects::new(fingerprint).with_parts(&headers.parts)
+}
+
 fn find_customer<'a>(
     config: &'a RouteConfig,
     route: &RouteEntry,
--- a/ggt-daemon/src/front/reach.rs
+++ b/ggt-daemon/src/front/reach.rs
@@ -1,6 +1,11 @@
 //! Which services' targets accept connections of this daemon.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::task::JoinSet;
+use tokio::time::sleep;
 
 use crate::clock::mono_now;
 use crate::front::state::CONNECT_TIMEOUT;
@@ -8,9 +13,104 @@
 use crate::upstream::ConnectError;
 use crate::upstream::TargetConnection;
 use ggt_core::partition::ReachRegained;
+use ggt_core::targets::SendOutcome;
 use ggt_core::targets::TargetKey;
 
+/// Interval between probes of services that this daemon is cut off from.
+const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+/// Number of targets of a service that are probed at a time while the daemon is cut off from it.
+const CUT_PROBES: usize = 2;
+/// Number of targets that are probed at once when one did not respond.
+const SUSPECT_PROBES: usize = 4;
+/// Milliseconds without a reply of any target of a service after which its kept connections count as
+/// hanging.
+const HANG_MS: u64 = 300;
+
+/// Probes services that this daemon is or may be cut off from, until the task is dropped.
+pub async fn run_reach(state: Rc<FrontState>) {
+    let mut round = 0;
+    loop {
+        tokio::select! {
+            () = sleep(PROBE_INTERVAL) => {}
+            () = state.reach_suspected.notified() => {}
+        }
+        round += 1;
+        let mut probes = JoinSet::new();
+        for (key, address) in state.next_probes(round) {
+            probes.spawn_local(probe(state.clone(), key, address));
+        }
+        // A probe's outcome has been recorded.
+        while probes.join_next().await.is_some() {}
+    }
+}
+
+/// Opens a connection to a target, for later requests; returns whether the target accepts it.
+async fn probe(state: Rc<FrontState>, key: TargetKey, address: SocketAddr) -> bool {
+    match state.connect_target(key, address).await {
+        Ok(connection) => {
+            state.connections.keep(key, connection, None);
+            true
+        }
+        Err(e) => {
+            state.record_outcome(key, e.outcome());
+            false
+        }
+    }
+}
+
 impl FrontState {
+    /// Targets to probe now: some of each service that the daemon is cut off from, in turn, and of those
+    /// with a target that did not respond.
+    fn next_probes(&self, round: usize) -> Vec<(TargetKey, SocketAddr)> {
+        let suspects = std::mem::take(&mut *self.reach_suspects.borrow_mut());
+        let pool = self.pool.borrow();
+        let mut reach = self.reach.borrow_mut();
+        reach.retain_services(|service| pool.staying_targets(service).next().is_some());
+        let mut probes = Vec::new();
+        for service in reach.cut_services() {
+            let targets: Vec<_> = pool.staying_targets(service).collect();
+            let turn = targets.iter().cycle().skip(round * CUT_PROBES % targets.len());
+            let turn = turn.take(CUT_PROBES.min(targets.len()));
+            probes.extend(turn.map(|(key, state)| (*key, state.record.address)));
+        }
+        for service in suspects.iter().filter(|service| reach.cut_since(service).is_none()) {
+            let untried = pool.staying_targets(service).filter(|(key, state)| {
+                !reach.has_failed(service, *key) && !state.health.is_unreachable()
+            });
+            probes.extend(untried.take(SUSPECT_PROBES).map(|(key, s)| (key, s.record.address)));
+        }
+        probes
+    }
+
+    /// Has the targets of services probed at once: of the one of a target that did not respond, or of all
+    /// when the daemon is cut off from one.
+    fn suspect_services(&self, services: Vec<String>) {
+        self.reach_suspects.borrow_mut().extend(services);
+        self.reach_suspected.notify_one();
+    }
+
+    /// Keeps a connection whose reply has been read to its end, for requests to the same target or peer.
+    pub fn keep_connection(
+        &self,
+        key: TargetKey,
+        peer: Option<SocketAddr>,
+        connection: TargetConnection,
+        idle_seconds: Option<u64>,
+    ) {
+        match peer {
+            Some(peer) => self.peer_connections.keep(peer, connection, None),
+            None => self.connections.keep(key, connection, idle_seconds),
+        }
+    }
+
+    /// Whether this daemon is cut off from a service and kept connections bring nothing either.
+    pub fn is_cut_silent(&self, service: &str) -> bool {
+        let now = mono_now();
+        let pool = self.pool.borrow();
+        self.is_cut_off(service)
+            && pool.staying_targets(service).all(|(_, s)| now >= s.last_reply_at + HANG_MS)
+    }
+
     /// Opens a connection to a target, and records if it accepts.
     pub async fn connect_target(
         &self,
@@ -26,12 +126,17 @@
 
     /// Records that a target accepted no connection, and logs if this daemon is cut off from its service
     /// by that.
-    pub fn record_connect_failure(&self, key: TargetKey) {
+    pub fn record_connect_failure(&self, key: TargetKey, outcome: SendOutcome) {
         let Some((service, targets)) = self.service_of(key) else { return };
         let now = mono_now();
         let is_cut_off = self.reach.borrow_mut().record_failure(&service, key, targets, now);
         if is_cut_off {
             self.log_cut(&service, "cut-off");
+            self.digest_requested.notify_one();
+            let services = self.pool.borrow().services().map(str::to_owned).collect();
+            self.suspect_services(services);
+        } else if outcome == SendOutcome::Unresponsive && !self.is_cut_off(&service) {
+            self.suspect_services(vec![service]);
         }
     }
 
@@ -39,6 +144,8 @@
         let Some((service, _)) = self.service_of(key) else { return };
         let regained = self.reach.borrow_mut().record_accept(&service, key);
         if let Some(ReachRegained { cut_since, failed }) = regained {
+            self.digest_requested.notify_one();
+            self.pool.borrow_mut().record_regained(key, &failed);
             log::warn!(
                 "event=reach service={service} status=regained cut_ms={} failed={}",
                 mono_now().millis_since(cut_since),
--- a/ggt-daemon/src/front/response.rs
+++ b/ggt-daemon/src/front/response.rs
@@ -74,6 +74,36 @@
     }
 }
 
+/// Marks a response of the daemon's own, with what its text says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RefusalNote {
+    pub cause: &'static str,
+    pub retry_after_ms: Option<u64>,
+}
+
+/// Causes of refusals that a peer may state.
+const PEER_CAUSES: [&str; 14] = [
+    "body-broke-off",
+    "body-too-long",
+    "crashes-targets",
+    "deadline",
+    "malformed-header",
+    "no-attempt-id",
+    "no-room",
+    "no-route",
+    "no-version",
+    "over-share",
+    "rate-limited",
+    "target-lost",
+    "targets-full",
+    "unknown-key",
+];
+
+/// The known cause with this text; a peer of another build may state others.
+pub fn known_cause(text: &str) -> &'static str {
+    PEER_CAUSES.into_iter().find(|cause| *cause == text).unwrap_or("peer-refused")
+}
+
 /// Error response that the daemon generates itself.
 ///
 /// Statuses 429, 503, 408 and 421 guarantee that the request has not run and will not run; after
@@ -104,6 +134,8 @@
         let text = format!("{{\"cause\":\"{}\"}}", self.cause);
         let mut response = Response::new(ResponseBody::Complete(Some(text.into())));
         *response.status_mut() = self.status;
+        let Self { cause, retry_after_ms, .. } = self;
+        response.extensions_mut().insert(RefusalNote { cause, retry_after_ms });
         let head = response.headers_mut();
         set_header(head, "content-type", "application/json");
         if let Some(id) = attempt_id {
--- a/ggt-daemon/src/front/run.rs
+++ b/ggt-daemon/src/front/run.rs
@@ -21,10 +21,12 @@
 use crate::front::callers::serve_callers;
 use crate::front::digests::run_digests;
 use crate::front::digests::run_receiver;
+use crate::front::forward::serve_peers;
 use crate::front::internal::serve_internal;
 use crate::front::metrics::FrontMetrics;
 use crate::front::origins::run_origins;
 use crate::front::peers::run_fetch;
+use crate::front::reach::run_reach;
 use crate::front::settings::FrontSettings;
 use crate::front::settings::parse_front_settings;
 use crate::front::state::FrontState;
@@ -110,9 +112,11 @@
         settings.callers,
         settings.peer,
     );
-    for listener in [ready, admin, peers] {
+    for listener in [ready, admin] {
         spawn_local(serve_internal(state.clone(), listener));
     }
+    spawn_local(serve_peers(state.clone(), peers));
+    spawn_local(run_reach(state.clone()));
     for folder in StoreFolder::ALL {
         spawn_local(run_watch(state.clone(), folder));
     }
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -99,6 +100,14 @@
     pub pool: RefCell<TargetPool>,
     /// Which services' targets accept connections of this daemon.
     pub reach: RefCell<ReachTable>,
+    /// Services of which a target did not respond, to be checked at once.
+    pub reach_suspects: RefCell<BTreeSet<String>>,
+    /// Notified when there are such services.
+    pub reach_suspected: Notify,
+    /// Idle connections to other daemons, for forwarded requests.
+    pub peer_connections: ConnectionPool<SocketAddr>,
+    /// Peers that accepted no connection, and until when each is offered no request.
+    pub held_peers: RefCell<BTreeMap<SocketAddr, MonoTime>>,
     /// Idle connections to targets.
     pub connections: ConnectionPool<TargetKey>,
     /// The other daemons.
@@ -170,6 +179,10 @@
             started_at: mono_now(),
             pool: RefCell::default(),
             reach: RefCell::default(),
+            reach_suspects: RefCell::default(),
+            reach_suspected: Notify::new(),
+            peer_connections: ConnectionPool::default(),
+            held_peers: RefCell::default(),
             connections: ConnectionPool::default(),
             fleet: RefCell::new(fleet),
             crashes: RefCell::new(CrashTable::new(crash_options)),
@@ -217,13 +230,13 @@
     }
 
     /// Whether the daemon is ready for new connections: it has a configuration and targets, can
-    /// reach some of these, has been told by another daemon which requests crash targets or has
+    /// reach some of these or a peer that does, has been told by another daemon which requests crash targets or has
     /// waited for that, and is not draining.
     pub fn is_ready(&self) -> bool {
         let pool = self.pool.borrow();
         self.route_config.borrow().is_some()
             && !pool.is_empty()
-            && !pool.is_partitioned()
+            && (!pool.is_partitioned() || self.has_forward_peer())
             && self.has_waited_for_peers()
             && !self.is_draining()
     }
--- a/ggt-daemon/src/front/stream.rs
+++ b/ggt-daemon/src/front/stream.rs
@@ -140,6 +140,9 @@
         if let Some(version) = self.attempts.sent_version() {
             self.attempts.require_version(Some(version));
             self.state.record_origin(&self.job, version);
+            if let Some(handover) = &self.job.handover {
+                handover.served_version.set(Some(version));
+            }
         }
     }
 
@@ -292,13 +295,13 @@
     }
 
     fn finish(&self, reply: TargetReply) {
-        let TargetReply { key, status, headers, connection, guard, .. } = reply;
+        let TargetReply { key, peer, status, headers, connection, guard, .. } = reply;
         self.state.record_outcome(key, SendOutcome::Good);
-        if headers.is_framed {
+        if headers.is_framed && peer.is_none() {
             self.state.record_completion(&self.job, status);
         }
         if !headers.closes_connection && self.job.route.is_idempotent {
-            self.state.connections.keep(key, connection, headers.keep_alive_seconds);
+            self.state.keep_connection(key, peer, connection, headers.keep_alive_seconds);
         }
         drop(guard);
     }
--- a/ggt-wire/src/digest/mod.rs
+++ b/ggt-wire/src/digest/mod.rs
@@ -2,8 +2,9 @@
 
 use ggt_core::fleet::PeerDigest;
 
-/// Encoding of empty lists for the fields that earlier builds do not send, appended before decoding.
-const EMPTY_LISTS: [u8; 3] = [0; 3];
+/// Encoding of empty lists and zeros for the fields that earlier builds do not send, appended before
+/// decoding.
+const EMPTY_FIELDS: [u8; 5] = [0; 5];
 
 /// Encodes a digest.
 ///
@@ -21,6 +22,6 @@
 pub fn decode_digest(bytes: &[u8]) -> Result<PeerDigest, postcard::Error> {
     // The codec ignores bytes after the last field, so these only matter if fields are missing.
     let mut padded = bytes.to_vec();
-    padded.extend(EMPTY_LISTS);
+    padded.extend(EMPTY_FIELDS);
     postcard::from_bytes(&padded)
 }
--- a/ggt-wire/src/lib.rs
+++ b/ggt-wire/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod auth;
 pub mod datagram;
 pub mod digest;
+pub mod forward;
 pub mod headers;
 pub mod hint;
 pub mod origins;
--- a/ggt-wire/tests/codec.rs
+++ b/ggt-wire/tests/codec.rs
@@ -9,6 +9,7 @@
 use ggt_core::crashes::CrashId;
 use ggt_core::crashes::SuspectKey;
 use ggt_core::fleet::PeerDigest;
+use ggt_core::fleet::PeerReach;
 use ggt_core::fleet::RateReport;
 use ggt_core::ident::CustomerName;
 use ggt_core::ident::DaemonName;
@@ -25,6 +26,13 @@
 use ggt_wire::datagram::encode_datagram;
 use ggt_wire::digest::decode_digest;
 use ggt_wire::digest::encode_digest;
+use ggt_wire::forward::ForwardedReply;
+use ggt_wire::forward::ForwardedRequest;
+use ggt_wire::forward::ForwardedRoute;
+use ggt_wire::forward::decode_reply;
+use ggt_wire::forward::decode_request;
+use ggt_wire::forward::encode_reply;
+use ggt_wire::forward::encode_request;
 use ggt_wire::headers::format_load;
 use ggt_wire::headers::parse_load;
 use ggt_wire::hint::ChatHint;
@@ -192,6 +200,7 @@
             sent_age_ms: 200,
             received_age_ms: 100,
         }],
+        reach: PeerReach { protocol: 1, unreached: vec![14, u32::MAX] },
     }
 }
 
@@ -208,11 +217,12 @@
         crash_ages_ms: Vec::new(),
         exonerated: Vec::new(),
         rates: Vec::new(),
+        reach: PeerReach::default(),
         ..digest()
     };
     let mut bytes = encode_digest(&without_ages).expect("should encode");
-    for field in ["last", "one before it", "one before these"] {
-        assert_eq!(bytes.pop(), Some(0), "the {field} should be an empty list");
+    for field in ["last", "one before it", "third last", "fourth last", "fifth last"] {
+        assert_eq!(bytes.pop(), Some(0), "the {field} should be an empty list or zero");
     }
     assert_eq!(decode_digest(&bytes).expect("should decode"), without_ages);
     assert!(decode_digest(&bytes[..bytes.len() / 2]).is_err());
@@ -220,12 +230,81 @@
 
 #[test]
 fn digest_of_a_build_without_rates_decodes() {
-    let without_rates = PeerDigest { rates: Vec::new(), ..digest() };
+    let without_rates = PeerDigest { rates: Vec::new(), reach: PeerReach::default(), ..digest() };
     let mut bytes = encode_digest(&without_rates).expect("should encode");
-    assert_eq!(bytes.pop(), Some(0), "the last field should be an empty list");
+    for field in ["last", "one before it", "third last"] {
+        assert_eq!(bytes.pop(), Some(0), "the {field} should be an empty list or zero");
+    }
     assert_eq!(decode_digest(&bytes).expect("should decode"), without_rates);
 }
 
+// Guards against requests being forwarded to daemons of a build that does not know them.
+#[test]
+fn digest_of_a_build_that_takes_no_forwarded_requests_says_so() {
+    let without_reach = PeerDigest { reach: PeerReach::default(), ..digest() };
+    let mut bytes = encode_digest(&without_reach).expect("should encode");
+    assert_eq!((bytes.pop(), bytes.pop()), (Some(0), Some(0)));
+    let decoded = decode_digest(&bytes).expect("should decode");
+    assert_eq!(decoded, without_reach);
+    assert_eq!(decoded.reach.protocol, 0);
+}
+
+fn forwarded_request() -> ForwardedRequest {
+    ForwardedRequest {
+        protocol: 1,
+        sender: ([10, 0, 0, 1], 7_340).into(),
+        incarnation: 1_700_000_000_000,
+        config_version: 9,
+        route: ForwardedRoute {
+            name: "r".into(),
+            is_stream: true,
+            is_idempotent: true,
+            is_sticky: false,
+            goal_ms: 900,
+            max_gap_ms: 40,
+        },
+        service: "s".into(),
+        customer: Some("c".into()),
+        priority: 2,
+        attempts: 3,
+        remaining_ms: 12_000,
+        may_have_run: true,
+        last_event: Some(7),
+        first_attempt: Some("id-1".into()),
+        version: Some(SoftwareVersion::named("v1")),
+    }
+}
+
+// Guards against facts of a forwarded request that are lost or changed on the way to the peer.
+#[test]
+fn forwarded_requests_and_their_replies_round_trip_as_header_values() {
+    let plain = ForwardedRequest {
+        customer: None,
+        last_event: None,
+        first_attempt: None,
+        version: None,
+        ..forwarded_request()
+    };
+    for request in [forwarded_request(), plain] {
+        let value = encode_request(&request).expect("should encode");
+        assert!(value.bytes().all(|byte| byte.is_ascii_alphanumeric()), "{value}");
+        assert_eq!(decode_request(&value).expect("should decode"), request);
+        assert!(decode_request(&value[..value.len() / 2]).is_err());
+    }
+    let replies = [
+        ForwardedReply::Served { version: None },
+        ForwardedReply::Served { version: Some(SoftwareVersion::named("v2")) },
+        ForwardedReply::Refused { cause: "no-room".into(), retry_after_ms: Some(150) },
+    ];
+    for reply in replies {
+        let value = encode_reply(&reply).expect("should encode");
+        assert_eq!(decode_reply(&value).expect("should decode"), reply);
+    }
+    for malformed in ["", "0", "zz", "00ff", "é0"] {
+        assert!(decode_request(malformed).is_err(), "{malformed:?}");
+    }
+}
+
 #[test]
 fn earlier_builds_ignore_fields_at_the_end_of_a_digest() {
     let bytes = encode_digest(&digest()).expect("should encode");
