--- a/ggt-daemon/src/front/attempt/crash_check.rs
+++ b/ggt-daemon/src/front/attempt/crash_check.rs
@@ -113,9 +113,9 @@
 
     /// Applies a failure to connect to the target of the present send: replies that other requests
     /// lost at it count as crashes if it has ended.
-    pub(super) fn record_connect_failure(&self, error: &ConnectError) {
+    pub(super) async fn record_connect_failure(&self, error: &ConnectError) {
         if let Some(target) = self.sent_target {
-            judge_connect_failure(&self.state, target, error);
+            judge_connect_failure(&self.state, target, error).await;
         }
     }
 }
@@ -129,16 +129,16 @@
     if let Err(e) = &opened {
         state.record_outcome(target.key, e.outcome());
         state.connections.close_idle(target.key);
-        judge_connect_failure(&state, target, e);
+        judge_connect_failure(&state, target, e).await;
     }
     opened
 }
 
 /// Records the end of a target that refuses connections. One that does not respond may be sound, and is
 /// checked again in the background.
-fn judge_connect_failure(state: &Rc<FrontState>, target: SentTarget, error: &ConnectError) {
+async fn judge_connect_failure(state: &Rc<FrontState>, target: SentTarget, error: &ConnectError) {
     if error.is_refused() {
-        record_end(state, target, error);
+        record_end(state, target, error).await;
     } else if error.is_target_down()
         && !state.losses.borrow().has_ended(target.crash)
         && state.target_checks.borrow_mut().insert(target.crash)
@@ -161,14 +161,20 @@
     };
     state.target_checks.borrow_mut().remove(&target.crash);
     if let Some(error) = error.filter(ConnectError::is_target_down) {
-        record_end(&state, target, &error);
+        record_end(&state, target, &error).await;
     }
 }
 
 /// Records the end of a target that does not accept connections, unless its whole data centre seems
-/// to be partitioned from this daemon.
-fn record_end(state: &FrontState, target: SentTarget, error: &ConnectError) {
-    if state.pool.borrow().is_centre_unreachable(target.key) {
+/// to be partitioned from this daemon, or this daemon from all targets.
+async fn record_end(state: &Rc<FrontState>, target: SentTarget, error: &ConnectError) {
+    if state.losses.borrow().has_ended(target.crash) {
+        return;
+    }
+    state.record_outcome(target.key, error.outcome());
+    if state.pool.borrow().is_centre_unreachable(target.key)
+        || state.reaches_no_other(target.key).await
+    {
         log::info!("event=crash-unclear death={:016x} cause=partition", target.crash.0);
         return;
     }
--- a/ggt-daemon/src/front/attempt/send.rs
+++ b/ggt-daemon/src/front/attempt/send.rs
@@ -127,7 +127,7 @@
         let connection = match opened {
             Ok(connection) => connection,
             Err(e) => {
-                self.record_connect_failure(&e);
+                self.record_connect_failure(&e).await;
                 return Err(SendError::NotSent { cause: e.to_string(), outcome: e.outcome() });
             }
         };
--- a/ggt-daemon/src/front/reach.rs
+++ b/ggt-daemon/src/front/reach.rs
@@ -22,6 +22,10 @@
 const CUT_PROBES: usize = 2;
 /// Number of targets that are probed at once when one did not respond.
 const SUSPECT_PROBES: usize = 4;
+/// Number of other targets from which on the end of one can be told from a cut of this daemon.
+const MIN_OTHERS: usize = 2;
+/// Maximum number of other targets that are tried for that.
+const MAX_OTHERS: usize = 3;
 /// Milliseconds without a reply of any target of a service after which its kept connections count as
 /// hanging.
 const HANG_MS: u64 = 300;
@@ -103,6 +107,44 @@
         }
     }
 
+    /// Whether this daemon is cut off from all targets rather than that the one at hand has ended: several
+    /// others accept no connection either. With fewer others that are not known to have ended, it cannot
+    /// be told.
+    pub async fn reaches_no_other(self: &Rc<Self>, key: TargetKey) -> bool {
+        let others = self.other_targets(key);
+        if others.len() < MIN_OTHERS {
+            return false;
+        }
+        let mut probes = JoinSet::new();
+        for (other, address) in others {
+            let state = self.clone();
+            probes.spawn_local(async move { probe(state, other, address).await });
+        }
+        while let Some(is_reached) = probes.join_next().await {
+            if is_reached.unwrap_or_default() {
+                // The others' outcomes are still recorded.
+                probes.detach_all();
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Some targets but this one that are not known to have ended, those that replied last first.
+    fn other_targets(&self, key: TargetKey) -> Vec<(TargetKey, SocketAddr)> {
+        let pool = self.pool.borrow();
+        let losses = self.losses.borrow();
+        let mut others: Vec<_> = pool
+            .iter()
+            .filter(|(other, state)| *other != key && state.remove_at.is_none())
+            .filter(|(_, state)| !state.record.is_leaving && !losses.has_ended(state.crash_id()))
+            .map(|(other, state)| (state.last_reply_at, other, state.record.address))
+            .collect();
+        others.sort_by_key(|(last_reply_at, _, _)| std::cmp::Reverse(*last_reply_at));
+        others.truncate(MAX_OTHERS);
+        others.into_iter().map(|(_, other, address)| (other, address)).collect()
+    }
+
     /// Whether this daemon is cut off from a service and kept connections bring nothing either.
     pub fn is_cut_silent(&self, service: &str) -> bool {
         let now = mono_now();
