--- a/ggt-daemon/src/front/attempt/forward.rs
+++ b/ggt-daemon/src/front/attempt/forward.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::clock::mono_now;
+use crate::front::attempt::SentTarget;
 use crate::front::attempt::TargetReply;
 use crate::front::attempt::UpstreamAttempts;
 use crate::front::forward::PeerOutcome;
@@ -10,6 +11,7 @@
 use crate::front::job::SendGuard;
 use crate::front::response::FrontRefusal;
 use crate::logging::quoted;
+use ggt_core::crashes::CrashId;
 use ggt_core::fleet::PEER_PROTOCOL;
 use ggt_core::prompts::PrefixChain;
 use ggt_core::targets::TargetKey;
@@ -38,6 +40,7 @@
             return None;
         }
         self.moving_since.take();
+        self.has_reserved_forward.take();
         for peer in self.state.forward_peers(&self.job) {
             if mono_now() >= self.job.deadline {
                 return Some(Err(self.timeout_refusal()));
@@ -100,10 +103,13 @@
                 self.forwarded_version = version;
                 let (parts, body) = response.into_parts();
                 let headers = parse_reply_headers(parts.status, &parts.headers);
+                // No target of this daemon: what concerns one has no effect.
                 let key = TargetKey::default();
+                let version = version.unwrap_or_default();
+                let target = SentTarget { key, address: peer, crash: CrashId(0), version };
                 let guard = SendGuard::new(self.state.clone(), key, &PrefixChain::default(), false);
                 Some(Ok(TargetReply {
-                    key,
+                    target,
                     peer: Some(peer),
                     status: parts.status,
                     raw_headers: parts.headers,
--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -3,10 +3,13 @@
 mod admission;
 mod crash_check;
 mod forward;
+mod move_on;
 mod outcome;
 mod send;
 mod silence;
 
+pub use move_on::MovedReply;
+
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -42,7 +45,7 @@
 /// A reply whose head has been received and checked, with its body still to be read.
 pub struct TargetReply {
     /// The target; of no use if a peer forwards the reply.
-    pub key: TargetKey,
+    target: SentTarget,
     /// The peer that forwards the target's reply, if the request was forwarded.
     pub peer: Option<SocketAddr>,
     pub status: StatusCode,
@@ -56,6 +59,13 @@
     pub guard: SendGuard,
 }
 
+impl TargetReply {
+    /// The target that sent it.
+    pub const fn key(&self) -> TargetKey {
+        self.target.key
+    }
+}
+
 /// How a request failed after it was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FailureKind {
@@ -71,7 +81,7 @@
 }
 
 /// Why a send produced no usable reply.
-enum SendError {
+pub enum SendError {
     /// No byte of the request was written to a socket; the outcome is what that says about the target.
     NotSent { cause: String, outcome: SendOutcome },
     /// The target states that it did not run the request.
@@ -136,6 +146,10 @@
     /// Since when the last target has been silent, if the request is to leave it for another one and
     /// has a retry reserved.
     moving_since: Cell<Option<MonoTime>>,
+    /// The same, if the other target did not take the request over.
+    stayed_since: Cell<Option<MonoTime>>,
+    /// Whether a retry is reserved since the request is to leave a silent target for a peer.
+    has_reserved_forward: Cell<bool>,
     /// The only version that may serve the request, which goes on with a stream.
     version: Cell<Option<SoftwareVersion>>,
     /// Version of the target that has served the request at a peer.
@@ -169,6 +183,8 @@
             may_have_run,
             is_awaiting_reply: false,
             moving_since: Cell::default(),
+            stayed_since: Cell::default(),
+            has_reserved_forward: Cell::default(),
             version: Cell::default(),
             forwarded_version: None,
             permit: None,
@@ -188,7 +204,7 @@
     /// Whether the request may be sent to another target after a failure. Takes the retry from the
     /// service's retry budget; logs what denies it.
     pub fn try_next_send(&self) -> bool {
-        if self.moving_since.get().is_some() {
+        if self.moving_since.get().is_some() || self.has_reserved_forward.take() {
             return true;
         }
         let denial = self
@@ -240,9 +256,9 @@
                 return Err(self.send_failure_refusal());
             }
             let choice = self.choose()?;
-            match self.send(&choice, last_event).await {
-                Ok(reply) => return Ok(reply),
-                Err(error) => self.handle_failure(choice.key, error).await?,
+            let end = self.send(&choice, last_event).await;
+            if let Some(reply) = self.finish_send(choice.key, end, last_event).await? {
+                return Ok(reply);
             }
         }
     }
