--- a/ggt-daemon/src/front/attempt/send.rs
+++ b/ggt-daemon/src/front/attempt/send.rs
@@ -19,7 +19,6 @@
 use crate::front::attempt::TargetReply;
 use crate::front::attempt::UpstreamAttempts;
 use crate::front::job::SendGuard;
-use crate::front::state::CONNECT_TIMEOUT;
 use crate::upstream::SendFailure;
 use crate::upstream::TargetConnection;
 use ggt_core::clock::MonoTime;
@@ -131,6 +130,7 @@
         guard.record_start();
         SendEnd::Replied(Box::new(TargetReply {
             target,
+            peer: None,
             status: parts.status,
             raw_headers: parts.headers,
             headers,
@@ -187,11 +187,14 @@
         self.connects += 1;
         let address = self.state.pool.borrow().target(key).map(|target| target.record.address);
         let address = address.ok_or(not_sent("target gone"))?;
-        let opened = TargetConnection::open(address, CONNECT_TIMEOUT).await;
-        let connection = opened.map_err(|e| {
-            self.record_connect_failure(&e);
-            SendError::NotSent { cause: e.to_string(), outcome: e.outcome() }
-        })?;
+        let opened = self.state.connect_target(key, address).await;
+        let connection = match opened {
+            Ok(connection) => connection,
+            Err(e) => {
+                self.record_connect_failure(&e).await;
+                return Err(SendError::NotSent { cause: e.to_string(), outcome: e.outcome() });
+            }
+        };
         self.send_on_connection(choice, last_event, connection).await
     }
 
