--- a/ggt-core/src/targets/pool.rs
+++ b/ggt-core/src/targets/pool.rs
@@ -131,22 +131,26 @@
 }
 
 impl TargetPool {
-    /// Stores a registration; `true` when it is a new incarnation or differs in whether it is
-    /// leaving.
+    /// Stores a registration; `true` when it is a new incarnation or begins to leave.
     pub fn put(&mut self, mut record: TargetRecord) -> bool {
-        // The store may list it again from an older copy.
+        // The platform may list it again from an older copy, or not know yet what its replies state.
         let departed = self.departed.get(&record.id);
         record.is_leaving |= departed.is_some_and(|(departed, _)| *departed == record.incarnation);
+        let known = self.by_id.get(&record.id).and_then(|key| self.targets.get(*key));
+        let has_left = |state: &TargetState| {
+            state.record.is_leaving && state.record.incarnation == record.incarnation
+        };
+        // An incarnation that has announced that it leaves accepts no requests again.
+        let is_known_to_leave = known.is_some_and(has_left);
+        record.is_leaving |= is_known_to_leave;
         if let Some(key) = self.by_id.get(&record.id).copied() {
             let state = &mut self.targets[key];
             let is_same_incarnation = state.record.incarnation == record.incarnation
                 && state.record.address == record.address
                 && state.record.service == record.service;
             if is_same_incarnation {
-                let is_change = state.record.is_leaving != record.is_leaving;
-                // An incarnation that has announced that it leaves accepts no requests again.
-                let is_leaving = state.record.is_leaving || record.is_leaving;
-                state.record = TargetRecord { is_leaving, ..record };
+                let is_change = record.is_leaving && !is_known_to_leave;
+                state.record = record;
                 state.remove_at = None;
                 return is_change;
             }
@@ -344,9 +348,10 @@
         self.targets.get_mut(key)?.health.record(outcome, sibling_share, now)
     }
 
-    /// Marks a target as leaving; `true` when it was not marked before.
-    pub fn record_leaving(&mut self, key: TargetKey) -> bool {
+    /// Marks a target as leaving, as its own replies state; `true` when it was not marked before.
+    pub fn record_leaving(&mut self, key: TargetKey, now: MonoTime) -> bool {
         let Some(state) = self.targets.get_mut(key) else { return false };
+        state.leaving_since.get_or_insert(now);
         !std::mem::replace(&mut state.record.is_leaving, true)
     }
 
--- a/ggt-core/tests/targets.rs
+++ b/ggt-core/tests/targets.rs
@@ -135,7 +135,7 @@
 fn pattern_a_prefix_is_copied_from_a_leaving_target_instead_of_prefilled() {
     let mut pool = pool_of(ENGINES);
     let caching_target = send(&mut pool, 1, 1).key;
-    pool.record_leaving(caching_target);
+    pool.record_leaving(caching_target, at(0));
     let next = send(&mut pool, 1, 2);
     assert_ne!(next.key, caching_target);
     assert_eq!(next.source, Some(caching_target));
@@ -255,7 +255,7 @@
 #[test]
 fn leaving_removed_and_tried_targets_get_no_requests() {
     let mut pool = pool_of(3);
-    pool.record_leaving(key_of(&pool, 0));
+    pool.record_leaving(key_of(&pool, 0), at(0));
     pool.record_unlisted("t1", at(0));
     assert_eq!(pool.expire(at(0)).len(), 1);
     let remaining = key_of(&pool, 2);
@@ -287,6 +287,30 @@
     assert!(pool.choose(&query(None, &[]), at(0)).is_ok());
 }
 
+// Guards against a target that states in its replies that it leaves, and that its registration, which stays
+// as it was, brings back: at once, under another address, or after it was removed.
+#[test]
+fn target_that_says_that_it_leaves_does_not_return_with_its_registration() {
+    let mut pool = pool_of(1);
+    assert!(pool.record_leaving(key_of(&pool, 0), at(0)));
+    assert!(!pool.record_leaving(key_of(&pool, 0), at(500)), "it is known already");
+    let leaving_since = pool.target(key_of(&pool, 0)).and_then(|state| state.leaving_since);
+    assert_eq!(leaving_since, Some(at(0)));
+    assert!(!pool.put(record(0, 1)), "an unchanged registration is no change");
+    let elsewhere = TargetRecord { address: ([10, 9, 9, 9], 1).into(), ..record(0, 1) };
+    for registration in [record(0, 1), elsewhere] {
+        pool.put(registration);
+        assert!(pool.choose(&query(None, &[]), at(0)).is_err());
+    }
+    pool.record_unlisted("t0", at(10));
+    assert!(pool.choose(&query(None, &[]), at(5)).is_err(), "nor while it is unlisted");
+    assert_eq!(pool.expire(at(10)).len(), 1);
+    pool.put(record(0, 1));
+    assert!(pool.choose(&query(None, &[]), at(20)).is_err());
+    pool.put(record(0, 2));
+    assert!(pool.choose(&query(None, &[]), at(30)).is_ok());
+}
+
 #[test]
 fn a_new_incarnation_starts_without_load_cache_and_health() {
     let mut pool = pool_of(1);
--- a/ggt-core/tests/versions.rs
+++ b/ggt-core/tests/versions.rs
@@ -103,6 +103,8 @@
     pool.put(TargetRecord { is_leaving: true, ..record.clone() });
     pool.record_leaving_since(&record.id, at(0));
     assert!(pool.choose(&pinned(old(), 1), at(500)).is_ok());
+    let leaving = keys_of(&pool, old())[0];
+    assert!(!pool.record_leaving(leaving, at(700)), "its replies state it as well");
     pool.record_leaving_since(&record.id, at(800));
     assert_eq!(pool.choose(&pinned(old(), 1), at(1_500)), Err(ChoiceError::NoVersion));
     for hash in 0..50 {
--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -5,6 +5,7 @@
 mod outcome;
 mod send;
 mod silence;
+mod statements;
 
 use std::cell::Cell;
 use std::net::SocketAddr;
--- a/ggt-daemon/src/front/attempt/send.rs
+++ b/ggt-daemon/src/front/attempt/send.rs
@@ -76,8 +76,8 @@
         })
     }
 
-    /// Decodes a reply's head, records the load and the rate that it states, and checks that the reply
-    /// belongs to this request.
+    /// Decodes a reply's head, applies what it states about the target, and checks that the reply belongs
+    /// to this request.
     fn decode_reply(
         &self,
         key: TargetKey,
@@ -87,9 +87,7 @@
         let (parts, body) = response.into_parts();
         let headers = parse_reply_headers(parts.status, &parts.headers);
         self.state.pool.borrow_mut().record_reply(key, headers.load, mono_now());
-        if headers.attempt_id.as_ref() == Some(&self.job.id) && !headers.is_misdirected {
-            self.state.apply_rate_header(key, headers.rate_limit, sent_at);
-        }
+        self.apply_statements(key, sent_at, &headers);
         self.check_reply(&parts.status, &headers)?;
         Ok((parts, headers, body))
     }
--- a/ggt-daemon/src/front/buffered.rs
+++ b/ggt-daemon/src/front/buffered.rs
@@ -112,7 +112,7 @@
     let outcome = if status.is_server_error() { SendOutcome::Bad } else { SendOutcome::Good };
     state.record_outcome(key, outcome);
     if !headers.closes_connection && job.route.is_idempotent {
-        state.connections.keep(key, connection, headers.keep_alive_seconds);
+        state.keep_connection(key, connection, headers.keep_alive_seconds);
     }
     drop(guard);
     Ok((raw_headers, body))
--- a/ggt-daemon/src/front/mod.rs
+++ b/ggt-daemon/src/front/mod.rs
@@ -15,6 +15,7 @@
 mod health;
 mod internal;
 mod job;
+mod leaving;
 mod metrics;
 mod origins;
 mod pack;
--- a/ggt-daemon/src/front/stream.rs
+++ b/ggt-daemon/src/front/stream.rs
@@ -298,7 +298,7 @@
             self.state.record_completion(&self.job, status);
         }
         if !headers.closes_connection && self.job.route.is_idempotent {
-            self.state.connections.keep(key, connection, headers.keep_alive_seconds);
+            self.state.keep_connection(key, connection, headers.keep_alive_seconds);
         }
         drop(guard);
     }
--- a/ggt-testkit/tests/platform_leaving_header.rs
+++ b/ggt-testkit/tests/platform_leaving_header.rs
@@ -149,9 +149,10 @@
     assert_eq!(send(&fleet, 0, 0).status, 200);
     fleet.remove_registration("i-0");
     fleet.add_server("i-1");
-    let mut count = 1;
+    // Even numbers are plain requests, which the other servers answer by their usual script.
+    let mut count = 0;
     wait_until("the other server is used", || {
-        count += 1;
+        count += 2;
         send(&fleet, 0, count).status == 200
     });
     let before = fleet.servers[0].requests().len();
@@ -159,12 +160,12 @@
     fleet.store.put(&format!("{TARGET_PREFIX}i-0"), &registration);
     fleet.add_server("i-2");
     wait_until("the last server is used", || {
-        count += 1;
+        count += 2;
         send(&fleet, 0, count);
         !fleet.servers[2].requests().is_empty()
     });
     for number in 0..LATER_REQUESTS {
-        assert_eq!(send(&fleet, 0, count + 1 + number).status, 200);
+        assert_eq!(send(&fleet, 0, count + 2 * number).status, 200);
     }
     assert_eq!(fleet.servers[0].requests().len(), before);
 }
