--- a/ggt-core/src/targets/admission.rs
+++ b/ggt-core/src/targets/admission.rs
@@ -102,8 +102,8 @@
     /// should retry.
     ///
     /// An overload is expected to last as long again as it has lasted, and at least until a target
-    /// takes requests at its rate. More urgent callers retry first, and those of one priority are spread
-    /// over time.
+    /// takes requests at its rate, and again after it wanted none for some time. More urgent callers
+    /// retry first, and those of one priority are spread over time.
     pub fn record_overload(&mut self, query: &ChoiceQuery<'_>, now: MonoTime) -> OverloadEstimate {
         let closed_ms = self.millis_until_open(query, now);
         let admission = self.admission_mut(query.service);
@@ -119,16 +119,33 @@
         let spread_ms = mix_hash(query.spread_hash, now.as_millis()) % (expected_ms / 2).max(1);
         let retry_after_ms =
             (expected_ms + expected_ms * steps / 2 + spread_ms).min(MAX_RETRY_AFTER_MS);
+        let retry_after_ms = retry_after_ms.max(self.millis_until_reopened(query, now));
+        let admission = self.admission_of(query.service);
         OverloadEstimate { retry_after_ms, full_ms, slot_ms: admission.slot_ms }
     }
 
-    /// Milliseconds until the first of the service's targets takes a request at its rate.
+    /// Milliseconds until the first of the service's targets takes a request at its rate and is not closed.
     fn millis_until_open(&self, query: &ChoiceQuery<'_>, now: MonoTime) -> u64 {
         let more_urgent = self.more_urgent_priorities(query, now);
         let targets = self.of_service(query.service).iter().filter_map(|key| self.target(*key));
         let usable = targets.filter(|state| !state.record.is_leaving);
-        let open_at = usable.filter_map(|state| state.rate.open_at(more_urgent)).min();
-        open_at.map_or(0, |open_at| open_at.millis_since(now))
+        let open_at = usable.filter_map(|state| {
+            let open_at = state.rate.open_at(more_urgent)?;
+            Some(open_at.max(state.closing.opens_at()))
+        });
+        open_at.min().map_or(0, |open_at| open_at.millis_since(now))
+    }
+
+    /// Milliseconds until the first of the targets that could serve the request takes requests again, if all
+    /// have turned some away and want none now; otherwise zero.
+    pub fn millis_until_reopened(&self, query: &ChoiceQuery<'_>, now: MonoTime) -> u64 {
+        let targets = self.of_service(query.service).iter().filter_map(|key| self.target(*key));
+        let usable = targets
+            .filter(|state| !state.record.is_leaving && !state.health.is_unreachable())
+            .filter(|state| state.remove_at.is_none())
+            .filter(|state| query.version.is_none_or(|version| state.record.version == version));
+        let opens_at = usable.map(|state| state.closing.opens_at()).min();
+        opens_at.map_or(0, |opens_at| opens_at.millis_since(now))
     }
 
     /// Number of more urgent priorities with recent requests for the service.
@@ -140,8 +157,11 @@
     pub fn utilisation(&self, query: &ChoiceQuery<'_>, now: MonoTime) -> f64 {
         let keys = self.of_service(query.service).iter();
         let targets = keys.filter_map(|key| self.target(*key));
-        let usable =
-            targets.filter(|state| !state.record.is_leaving && !state.health.is_unreachable());
+        let usable = targets.filter(|state| {
+            !state.record.is_leaving
+                && !state.health.is_unreachable()
+                && !state.closing.is_closed(now)
+        });
         let (load, limit) = usable.fold((0.0, 0.0), |(load, limit), state| {
             let capacity =
                 self.max_in_flight(state, query, now).min(self.rate_capacity(state, query));
--- a/ggt-core/src/targets/choice.rs
+++ b/ggt-core/src/targets/choice.rs
@@ -103,6 +103,9 @@
     /// All usable targets have got as many requests as they say they take.
     #[snafu(display("every usable target of the service is at the rate that it takes"))]
     RateLimited,
+    /// All usable targets have turned requests away and want none for some time.
+    #[snafu(display("every usable target of the service wants no requests for some time"))]
+    Closed,
     /// The service has no usable target of the version that began the stream.
     #[snafu(display("no usable target has the version that began the stream"))]
     NoVersion,
@@ -163,7 +166,8 @@
         }
         let more_urgent = self.more_urgent_priorities(query, now);
         let is_open = |state: &TargetState| {
-            state.rate.open_at(more_urgent).is_some_and(|open_at| now >= open_at)
+            !state.closing.is_closed(now)
+                && state.rate.open_at(more_urgent).is_some_and(|open_at| now >= open_at)
         };
         if let Some(choice) = choose_trial(&listed, query, now, is_open) {
             return Ok(choice);
@@ -178,6 +182,9 @@
         if usable.is_empty() {
             return Err(ChoiceError::NoTarget);
         }
+        if usable.iter().all(|(_, state)| state.closing.is_closed(now)) {
+            return Err(ChoiceError::Closed);
+        }
         // Targets at their limits are idle by their load and would lower the mean.
         let usable: Vec<_> = usable.into_iter().filter(|(_, state)| is_open(state)).collect();
         if usable.is_empty() {
--- a/ggt-core/src/targets/mod.rs
+++ b/ggt-core/src/targets/mod.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod candidates;
 mod choice;
+mod closing;
 mod health;
 mod pool;
 mod prefixes;
@@ -16,6 +17,7 @@
 pub use choice::ChoiceQuery;
 pub use choice::ChoiceReason;
 pub use choice::TargetChoice;
+pub use closing::TargetClosing;
 pub use health::HealthState;
 pub use health::SendOutcome;
 pub use pool::SendRecord;
--- a/ggt-core/src/targets/pool.rs
+++ b/ggt-core/src/targets/pool.rs
@@ -17,6 +17,7 @@
 use crate::targets::RateShare;
 use crate::targets::RateStatement;
 use crate::targets::SendOutcome;
+use crate::targets::TargetClosing;
 use crate::targets::TargetRate;
 use crate::targets::TargetRecord;
 use crate::targets::admission::ServiceAdmission;
@@ -66,6 +67,8 @@
     pub health: HealthState,
     /// The rate that it says it takes, if any.
     pub rate: TargetRate,
+    /// Until when it wants no requests of this daemon.
+    pub closing: TargetClosing,
     /// When this daemon last received bytes of a reply from the target.
     pub last_reply_at: MonoTime,
     /// Since when the target has had requests of this daemon.
@@ -89,6 +92,7 @@
             report: None,
             health: HealthState::default(),
             rate: TargetRate::default(),
+            closing: TargetClosing::default(),
             last_reply_at: MonoTime::default(),
             busy_since: MonoTime::default(),
             leaving_since: None,
@@ -355,6 +359,17 @@
         !std::mem::replace(&mut state.record.is_leaving, true)
     }
 
+    /// Applies a target's statement that it wants no requests of this daemon for this time; returns the end
+    /// of the time if the target was open.
+    pub fn close_target(
+        &mut self,
+        key: TargetKey,
+        delay_ms: u64,
+        now: MonoTime,
+    ) -> Option<MonoTime> {
+        self.targets.get_mut(key)?.closing.close(delay_ms, now)
+    }
+
     /// Replaces the load that one other daemon reported for a target, by the target's short hash.
     pub fn replace_peer_load(&mut self, hash: u32, before: InFlightLoad, after: InFlightLoad) {
         let Some(key) = self.by_hash.get(&hash) else { return };
--- a/ggt-daemon/src/front/attempt/admission.rs
+++ b/ggt-daemon/src/front/attempt/admission.rs
@@ -89,15 +89,19 @@
 
     /// Final response when no target could be chosen.
     pub(super) fn choice_refusal(&self, error: ChoiceError) -> FrontRefusal {
+        let refuse_now = |cause: &'static str, retry_after_ms: u64| {
+            let settings = self.state.settings();
+            let query = self.query(&settings);
+            // Targets that have just turned the request away may be the only ones.
+            let closed_ms = self.state.pool.borrow().millis_until_reopened(&query, mono_now());
+            FrontRefusal::not_run(cause, retry_after_ms.max(closed_ms))
+        };
         match (self.may_have_run, error) {
             (true, _) => FrontRefusal::new(StatusCode::BAD_GATEWAY, "no-target"),
-            (false, ChoiceError::NoTarget) => {
-                FrontRefusal::not_run("no-target", NO_TARGET_RETRY_MS)
-            }
-            (false, ChoiceError::NoVersion) => {
-                FrontRefusal::not_run("no-version", NO_VERSION_RETRY_MS)
-            }
+            (false, ChoiceError::NoTarget) => refuse_now("no-target", NO_TARGET_RETRY_MS),
+            (false, ChoiceError::NoVersion) => refuse_now("no-version", NO_VERSION_RETRY_MS),
             (false, ChoiceError::Full) => self.overload_refusal("no-room"),
+            (false, ChoiceError::Closed) => self.overload_refusal("closed"),
             (false, ChoiceError::RateLimited) => self.overload_refusal("rate-limited"),
         }
     }
--- a/ggt-daemon/src/front/attempt/send.rs
+++ b/ggt-daemon/src/front/attempt/send.rs
@@ -142,7 +142,9 @@
         let connection = self.check_crash(&cause).await;
         match connection {
             Some(connection)
-                if self.refuse_crashing().is_none() && self.state.try_retry(&self.job.service) =>
+                if self.refuse_crashing().is_none()
+                    && self.is_open(key)
+                    && self.state.try_retry(&self.job.service) =>
             {
                 self.record_send(key, "stale-connection", &cause);
                 self.state.pool.borrow_mut().record_second_send(key, mono_now());
--- a/ggt-daemon/src/front/attempt/statements.rs
+++ b/ggt-daemon/src/front/attempt/statements.rs
@@ -1,6 +1,8 @@
 //! Applies what a target states about itself in the head of a reply.
 
+use crate::clock::mono_now;
 use crate::front::attempt::UpstreamAttempts;
+use crate::logging::quoted;
 use ggt_core::clock::MonoTime;
 use ggt_core::targets::TargetKey;
 use ggt_platform::ReplyHeaders;
@@ -24,5 +26,33 @@
         if headers.is_leaving {
             self.state.record_target_leaving(key);
         }
+        if headers.is_retry_after_malformed {
+            log::debug!("event=closed request_id={} outcome=malformed", quoted(&self.job.id));
+        }
+        if let Some(delay_ms) = headers.retry_after_ms {
+            self.close_target(key, delay_ms);
+        }
+    }
+
+    /// Leaves a target out until it takes requests again.
+    fn close_target(&self, key: TargetKey, delay_ms: u64) {
+        let now = mono_now();
+        let Some(opens_at) = self.state.pool.borrow_mut().close_target(key, delay_ms, now) else {
+            return;
+        };
+        let pool = self.state.pool.borrow();
+        let Some(target) = pool.target(key) else { return };
+        log::info!(
+            "event=closed target={} for_ms={} own={}",
+            target.record.id,
+            opens_at.millis_since(now),
+            target.own.requests,
+        );
+    }
+
+    /// Whether a request that was sent to a target before may be sent there a second time.
+    pub(super) fn is_open(&self, key: TargetKey) -> bool {
+        let pool = self.state.pool.borrow();
+        pool.target(key).is_some_and(|target| !target.closing.is_closed(mono_now()))
     }
 }
--- a/ggt-testkit/tests/platform_retry_after.rs
+++ b/ggt-testkit/tests/platform_retry_after.rs
@@ -114,30 +114,35 @@
 fn requests_are_refused_until_the_first_server_takes_them_again() {
     let fleet = FrontFleet::start(1, DAEMONS);
     let rejections = turn_away(&fleet, 0, false);
-    (0..DAEMONS).for_each(|daemon| assert_eq!(send(&fleet, daemon, "/once/", 0).status, 503));
+    let first = (0..DAEMONS).map(|daemon| (send(&fleet, daemon, "/once/", 0), Instant::now()));
+    let first: Vec<_> = first.collect();
     assert_eq!(lock(&rejections).len(), DAEMONS);
     let ends: Vec<_> = lock(&rejections).iter().map(|(_, at)| *at + CLOSED_TIME).collect();
+    let check_refusal = |response: &HttpResponse, received_at: Instant, end: Instant| {
+        assert_eq!(response.status, 503, "{}", response.body);
+        let seconds = response.header("retry-after").expect("header").parse().expect("number");
+        // The daemon may read the response a moment before the server notes its time.
+        let retry_at = received_at + Duration::from_secs_f64(seconds) + CALL_INTERVAL;
+        assert!(retry_at >= end, "{seconds} s");
+    };
+    first.iter().zip(&ends).for_each(|((response, at), end)| check_refusal(response, *at, *end));
     fleet.servers[0].set_script(|request, stream| respond(request, stream, 200, "whole"));
     for (daemon, end) in ends.iter().enumerate() {
-        let sent_at = Instant::now();
         let response = send(&fleet, daemon, "/once/", 1);
         if Instant::now() >= *end {
             // The machine was too busy to ask in time.
             continue;
         }
-        assert_eq!(response.status, 503, "{}", response.body);
-        let seconds = response.header("retry-after").expect("header").parse().expect("number");
-        // The daemon may read the response a moment before the server notes its time.
-        let retry_at = Instant::now() + Duration::from_secs_f64(seconds) + CALL_INTERVAL;
-        assert!(retry_at >= *end, "{seconds} s, {:?} left", *end - sent_at);
+        check_refusal(&response, Instant::now(), *end);
     }
     let mut count = 1;
     wait_until("both daemons are served again", || {
         count += 1;
         (0..DAEMONS).all(|daemon| send(&fleet, daemon, "/once/", count).status == 200)
     });
-    let first = fleet.servers[0].requests().len();
-    assert!(first > DAEMONS && Instant::now() + CALL_INTERVAL >= ends[0]);
+    assert!(
+        fleet.servers[0].requests().len() > DAEMONS && Instant::now() + CALL_INTERVAL >= ends[0]
+    );
 }
 
 // Guards against malformed values that close a server for all requests.
