--- a/ggt-testkit/tests/platform_retry_after.rs
+++ b/ggt-testkit/tests/platform_retry_after.rs
@@ -4,6 +4,7 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -145,6 +146,34 @@
     );
 }
 
+// Guards against the second send of a request whose reused connection broke, to a server that has turned
+// another request away meanwhile.
+#[test]
+fn request_on_a_broken_connection_is_not_sent_again_to_a_closed_server() {
+    let fleet = FrontFleet::start(1, 1);
+    assert_eq!(send(&fleet, 0, "/read/", 0).status, 200);
+    let is_over = Arc::new(AtomicBool::new(false));
+    let script_over = is_over.clone();
+    fleet.servers[0].set_script(move |request, stream| {
+        if request.path == "/once/" {
+            return reject(request, stream, CLOSED_LINE);
+        }
+        while !script_over.load(Ordering::SeqCst) {
+            thread::sleep(CALL_INTERVAL);
+        }
+        AfterResponse::Close
+    });
+    thread::scope(|scope| {
+        let held = scope.spawn(|| send(&fleet, 0, "/read/", 1));
+        wait_until("the request is at the server", || fleet.request_count("call-0-1") == 1);
+        assert_eq!(send(&fleet, 0, "/once/", 2).status, 503);
+        is_over.store(true, Ordering::SeqCst);
+        let response = held.join().expect("should not panic");
+        assert_eq!(response.status, 502, "{}", response.body);
+    });
+    assert_eq!(fleet.request_count("call-0-1"), 1);
+}
+
 // Guards against malformed values that close a server for all requests.
 #[test]
 fn malformed_times_leave_the_server_in_use() {
