--- a/ggt-core/src/targets/pool.rs
+++ b/ggt-core/src/targets/pool.rs
@@ -17,6 +17,7 @@
 use crate::targets::RateShare;
 use crate::targets::RateStatement;
 use crate::targets::SendOutcome;
+use crate::targets::TargetClosing;
 use crate::targets::TargetRate;
 use crate::targets::TargetRecord;
 use crate::targets::admission::ServiceAdmission;
@@ -66,6 +67,8 @@
     pub health: HealthState,
     /// The rate that it says it takes, if any.
     pub rate: TargetRate,
+    /// Until when it wants no requests of this daemon.
+    pub closing: TargetClosing,
     /// When this daemon last received bytes of a reply from the target.
     pub last_reply_at: MonoTime,
     /// Since when the target has had requests of this daemon.
@@ -89,6 +92,7 @@
             report: None,
             health: HealthState::default(),
             rate: TargetRate::default(),
+            closing: TargetClosing::default(),
             last_reply_at: MonoTime::default(),
             busy_since: MonoTime::default(),
             leaving_since: None,
@@ -131,22 +135,26 @@
 }
 
 impl TargetPool {
-    /// Stores a registration; `true` when it is a new incarnation or differs in whether it is
-    /// leaving.
+    /// Stores a registration; `true` when it is a new incarnation or begins to leave.
     pub fn put(&mut self, mut record: TargetRecord) -> bool {
-        // The store may list it again from an older copy.
+        // The platform may list it again from an older copy, or not know yet what its replies state.
         let departed = self.departed.get(&record.id);
         record.is_leaving |= departed.is_some_and(|(departed, _)| *departed == record.incarnation);
+        let known = self.by_id.get(&record.id).and_then(|key| self.targets.get(*key));
+        let has_left = |state: &TargetState| {
+            state.record.is_leaving && state.record.incarnation == record.incarnation
+        };
+        // An incarnation that has announced that it leaves accepts no requests again.
+        let is_known_to_leave = known.is_some_and(has_left);
+        record.is_leaving |= is_known_to_leave;
         if let Some(key) = self.by_id.get(&record.id).copied() {
             let state = &mut self.targets[key];
             let is_same_incarnation = state.record.incarnation == record.incarnation
                 && state.record.address == record.address
                 && state.record.service == record.service;
             if is_same_incarnation {
-                let is_change = state.record.is_leaving != record.is_leaving;
-                // An incarnation that has announced that it leaves accepts no requests again.
-                let is_leaving = state.record.is_leaving || record.is_leaving;
-                state.record = TargetRecord { is_leaving, ..record };
+                let is_change = record.is_leaving && !is_known_to_leave;
+                state.record = record;
                 state.remove_at = None;
                 return is_change;
             }
@@ -354,12 +362,24 @@
         }
     }
 
-    /// Marks a target as leaving; `true` when it was not marked before.
-    pub fn record_leaving(&mut self, key: TargetKey) -> bool {
+    /// Marks a target as leaving, as its own replies state; `true` when it was not marked before.
+    pub fn record_leaving(&mut self, key: TargetKey, now: MonoTime) -> bool {
         let Some(state) = self.targets.get_mut(key) else { return false };
+        state.leaving_since.get_or_insert(now);
         !std::mem::replace(&mut state.record.is_leaving, true)
     }
 
+    /// Applies a target's statement that it wants no requests of this daemon for this time; returns the end
+    /// of the time if the target was open.
+    pub fn close_target(
+        &mut self,
+        key: TargetKey,
+        delay_ms: u64,
+        now: MonoTime,
+    ) -> Option<MonoTime> {
+        self.targets.get_mut(key)?.closing.close(delay_ms, now)
+    }
+
     /// Replaces the load that one other daemon reported for a target, by the target's short hash.
     pub fn replace_peer_load(&mut self, hash: u32, before: InFlightLoad, after: InFlightLoad) {
         let Some(key) = self.by_hash.get(&hash) else { return };
--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -7,6 +7,7 @@
 mod outcome;
 mod send;
 mod silence;
+mod statements;
 
 pub use move_on::MovedReply;
 
--- a/ggt-daemon/src/front/mod.rs
+++ b/ggt-daemon/src/front/mod.rs
@@ -16,6 +16,7 @@
 mod health;
 mod internal;
 mod job;
+mod leaving;
 mod metrics;
 mod origins;
 mod pack;
--- a/ggt-daemon/src/front/reach.rs
+++ b/ggt-daemon/src/front/reach.rs
@@ -93,7 +93,8 @@
         self.reach_suspected.notify_one();
     }
 
-    /// Keeps a connection whose reply has been read to its end, for requests to the same target or peer.
+    /// Keeps a connection whose reply has been read to its end, for requests to the same target or peer,
+    /// unless the target leaves. `idle_seconds` is the target's own idle timeout, if it is known.
     pub fn keep_connection(
         &self,
         key: TargetKey,
@@ -103,6 +104,7 @@
     ) {
         match peer {
             Some(peer) => self.peer_connections.keep(peer, connection, None),
+            None if self.is_leaving(key) => {}
             None => self.connections.keep(key, connection, idle_seconds),
         }
     }
