fix: own interface: the end of a request is logged when its task panics

What callers saw: after the head, a response that breaks off; before it, 500 `internal`. The log had no line with the request's id in either case; before the head the edge's refusal named only the caller's id. A guard of the request's task logs `event=cut ... cause=panic` unless the request has logged its end; each line on an end marks the request, and the edge no longer logs the refusal of such a request a second time.

--- a/ggt-daemon/src/dispatch/exchange.rs
+++ b/ggt-daemon/src/dispatch/exchange.rs
@@ -338,6 +338,7 @@
         refusal.verdict,
         quoted(&refusal.detail),
     );
+    job.end.mark_logged();
     state.metrics.record_refusal(job.customer.as_str(), refusal.cause);
     state.metrics.record_request(job.workload.as_str(), refusal.verdict.as_str());
     let mut head = HeaderMap::new();
@@ -375,6 +376,7 @@
     verdict: RunVerdict,
     bytes: usize,
 ) {
+    job.end.mark_logged();
     state.metrics.record_request(job.workload.as_str(), verdict.as_str());
     log::info!(
         "event=done request_id={} customer={} workload={} target={} status={status} \
--- a/ggt-daemon/src/dispatch/idempotent.rs
+++ b/ggt-daemon/src/dispatch/idempotent.rs
@@ -10,6 +10,7 @@
 use crate::clock::mono_now;
 use crate::dispatch::Refusal;
 use crate::dispatch::RequestContext;
+use crate::dispatch::RequestEnd;
 use crate::dispatch::RequestJob;
 use crate::dispatch::ResponseSink;
 use crate::dispatch::exchange;
@@ -194,6 +195,7 @@
 
 /// Logs the end of a request whose response was not forwarded to its end.
 fn log_cut(job: &RequestJob, target: &AttemptTarget, forwarded: usize, caller_left: bool) {
+    job.end.mark_logged();
     log::info!(
         "event=cut request_id={} target={} bytes={forwarded} caller_left={caller_left}",
         job.request_id,
@@ -223,6 +225,7 @@
         workload_section: job.workload_section.clone(),
         hint: None,
         key: None,
+        end: RequestEnd::default(),
         ..*job
     };
     let head = exchange::target_headers(&resume_job);
--- a/ggt-daemon/src/dispatch/job.rs
+++ b/ggt-daemon/src/dispatch/job.rs
@@ -4,6 +4,7 @@
 use http::HeaderMap;
 use http::Method;
 
+use crate::dispatch::RequestEnd;
 use ggt_core::claims::ActionKey;
 use ggt_core::clock::MonoTime;
 use ggt_core::config::CustomerSection;
@@ -51,6 +52,8 @@
     pub key: Option<ActionKey>,
     /// Point at which the response must be complete.
     pub deadline: MonoTime,
+    /// Whether the end of the request is logged.
+    pub end: RequestEnd,
 }
 
 impl RequestJob {
--- a/ggt-daemon/src/dispatch/mod.rs
+++ b/ggt-daemon/src/dispatch/mod.rs
@@ -1,6 +1,7 @@
 //! Processes a validated request: admission, choice of targets, attempts and the response.
 
 mod context;
+mod end;
 mod exchange;
 mod failure;
 mod idempotent;
@@ -11,6 +12,8 @@
 mod spawner;
 
 pub use context::RequestContext;
+pub use end::EndGuard;
+pub use end::RequestEnd;
 pub(crate) use exchange::is_hop_by_hop;
 pub(crate) use exchange::set_header;
 pub use job::RequestJob;
--- a/ggt-daemon/src/dispatch/non_idempotent.rs
+++ b/ggt-daemon/src/dispatch/non_idempotent.rs
@@ -334,6 +334,7 @@
             self.request.key.text,
             stored.status,
         );
+        self.job.end.mark_logged();
         state.metrics.record_request(self.job.workload.as_str(), RunVerdict::Ran.as_str());
         let head = ResponseHead { status: stored.status, headers: head };
         exchange::respond(sink, head, body.clone().into(), self.job.deadline).await;
--- a/ggt-daemon/src/dispatch/spawner.rs
+++ b/ggt-daemon/src/dispatch/spawner.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
+use crate::dispatch::EndGuard;
 use crate::dispatch::RequestContext;
 use crate::dispatch::RequestJob;
 use crate::dispatch::ResponseSink;
@@ -56,6 +57,7 @@
 /// Serves one request; returns when its response and, where needed, its claim are finished.
 pub async fn serve_job(context: &RequestContext, job: RequestJob, sink: ResponseSink) {
     let state = context.state.clone();
+    let _end_guard = EndGuard::new(&job.request_id, &job.end);
     let _in_flight_guard = state.drain.register(job.number, &job.request_id);
     match job.key.clone() {
         Some(key) => serve_non_idempotent(context, &job, &key, sink).await,
--- a/ggt-daemon/src/edge/listen.rs
+++ b/ggt-daemon/src/edge/listen.rs
@@ -51,6 +51,8 @@
 const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
 /// Path of the load balancer's readiness check.
 const READY_PATH: &str = "/healthz";
+/// Cause of the refusal of a request whose task panicked, which the task has logged.
+const INTERNAL_CAUSE: &str = "internal";
 
 /// Dependencies of the callers' HTTP server.
 pub struct EdgeContext {
@@ -189,7 +191,7 @@
         return Err(Refusal::not_run(503, "too-many-requests", detail).retry_after(1_000));
     }
     let head = head.await.map_err(|_| {
-        Refusal::unknown(500, "internal", "the request's task ended without an answer")
+        Refusal::unknown(500, INTERNAL_CAUSE, "the request's task ended without an answer")
     })?;
     let mut response = Response::new(match parts.method {
         Method::HEAD => EdgeBody::Full(None),
@@ -210,16 +212,18 @@
     parts: &Parts,
     refusal: &Refusal,
 ) -> Response<EdgeBody> {
-    log::info!(
-        "event=refuse caller_id={} method={} path={} status={} cause={} verdict={} detail={}",
-        quoted(caller_id),
-        parts.method,
-        quoted(parts.uri.path()),
-        refusal.status,
-        refusal.cause,
-        refusal.verdict,
-        quoted(&refusal.detail),
-    );
+    if refusal.cause != INTERNAL_CAUSE {
+        log::info!(
+            "event=refuse caller_id={} method={} path={} status={} cause={} verdict={} detail={}",
+            quoted(caller_id),
+            parts.method,
+            quoted(parts.uri.path()),
+            refusal.status,
+            refusal.cause,
+            refusal.verdict,
+            quoted(&refusal.detail),
+        );
+    }
     state.metrics.record_refusal("-", refusal.cause);
     let mut response =
         full_response(refusal.status, "application/json", refusal.to_json(caller_id));
--- a/ggt-daemon/src/edge/prepare.rs
+++ b/ggt-daemon/src/edge/prepare.rs
@@ -9,6 +9,7 @@
 use crate::clock::mono_now;
 use crate::clock::wall_now;
 use crate::dispatch::Refusal;
+use crate::dispatch::RequestEnd;
 use crate::dispatch::RequestJob;
 use crate::state::ActiveConfig;
 use crate::state::SharedState;
@@ -151,6 +152,7 @@
         hint,
         key,
         deadline: mono_now() + deadline_ms(state, &parts.headers)?,
+        end: RequestEnd::default(),
         customer,
     })
 }
