--- a/ggt-core/tests/routing.rs
+++ b/ggt-core/tests/routing.rs
@@ -299,3 +299,16 @@
     assert_eq!(table.unreachable_centres().count(), 2);
     assert_eq!(choose(&table, 3, None, &[]), Err(RouteRefusal::NoTarget));
 }
+
+// Guards against refusals as over share, 429, at a daemon that reaches no target of the workload.
+#[test]
+fn a_workload_without_usable_targets_is_not_at_capacity() {
+    let mut table = table_of(4);
+    let options = RoutingOptions::default();
+    let keys: Vec<TargetKey> = table.iter().map(|(key, _)| key).collect();
+    for key in keys.iter().chain(&keys) {
+        table.record_failure(*key, &options.hold, SILENT_AT);
+    }
+    assert_eq!(choose(&table, 3, None, &[]), Err(RouteRefusal::NoTarget));
+    assert_eq!(table.utilisation(&WorkloadName::from("w"), &options, SILENT_AT + 2_000), 0.0);
+}
--- a/ggt-standin/src/proxy/mod.rs
+++ b/ggt-standin/src/proxy/mod.rs
@@ -32,12 +32,16 @@
 
 /// Size of the receive buffer; no UDP datagram is larger.
 const MAX_DATAGRAM_BYTES: usize = 65_536;
+/// Interval at which a route checks whether it is to be unreachable.
+const PLAN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Faults that a route injects.
 #[derive(Clone, Debug, Default)]
 pub struct FaultPlan {
     /// New connections are closed at once and datagrams are dropped.
     pub refuse: bool,
+    /// New connections are refused, since nothing listens, and open ones are closed.
+    pub unreachable: bool,
     /// No bytes are forwarded to the target, connections stay open, and datagrams are dropped.
     pub stall_up: bool,
     /// No bytes are forwarded from the target; connections stay open.
@@ -137,6 +141,7 @@
             let is_set = |name: &str| request.query(name).is_some();
             *plan = FaultPlan {
                 refuse: is_set("refuse"),
+                unreachable: is_set("unreachable"),
                 stall_up: is_set("stall") || is_set("stall_up"),
                 stall_down: is_set("stall") || is_set("stall_down"),
                 cut_up: number("cut_up"),
@@ -169,19 +174,54 @@
     let route =
         Arc::new(ProxyRoute { target, plan: Mutex::default(), connections: Mutex::default() });
     lock(routes).insert(listen, route.clone());
-    tokio::spawn(accept_connections(route.clone(), listener));
+    tokio::spawn(accept_connections(route.clone(), listen, listener));
     tokio::spawn(forward_datagrams(route, socket));
     Ok(())
 }
 
-async fn accept_connections(route: Arc<ProxyRoute>, listener: TcpListener) {
-    while let Ok((stream, peer)) = listener.accept().await {
+async fn accept_connections(route: Arc<ProxyRoute>, listen: SocketAddr, mut listener: TcpListener) {
+    loop {
+        if route.plan().unreachable {
+            drop(listener);
+            listener = listen_again(&route, listen).await;
+        }
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = wait_until_unreachable(&route) => continue,
+        };
+        let Ok((stream, peer)) = accepted else { return };
         let plan = route.plan();
         if plan.refuse || plan.blocked_sources.contains(&peer.ip()) {
             continue;
         }
         *lock(&route.connections) += 1;
-        tokio::spawn(forward_connection(route.clone(), stream, peer));
+        let route = route.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = forward_connection(route.clone(), stream, peer) => {}
+                () = wait_until_unreachable(&route) => {}
+            }
+        });
+    }
+}
+
+async fn wait_until_unreachable(route: &ProxyRoute) {
+    while !route.plan().unreachable {
+        sleep(PLAN_POLL_INTERVAL).await;
+    }
+}
+
+/// Listens again once the route is no longer unreachable.
+async fn listen_again(route: &ProxyRoute, listen: SocketAddr) -> TcpListener {
+    loop {
+        sleep(PLAN_POLL_INTERVAL).await;
+        if route.plan().unreachable {
+            continue;
+        }
+        match TcpListener::bind(listen).await {
+            Ok(listener) => return listener,
+            Err(e) => eprintln!("proxy: {listen}: {e}"),
+        }
     }
 }
 
@@ -229,13 +269,13 @@
         FlowDirection::Down,
     );
     // A cut in one direction closes the other; an ordinary end lets the other finish.
-    let (mut up, mut down) = (tokio::spawn(up), tokio::spawn(down));
+    let (mut up, mut down) = (Box::pin(up), Box::pin(down));
     tokio::select! {
-        ended = &mut up => {
-            if matches!(ended, Ok(true)) { down.abort() } else { let _ = down.await; }
+        is_cut = &mut up => {
+            if !is_cut { down.await; }
         }
-        ended = &mut down => {
-            if matches!(ended, Ok(true)) { up.abort() } else { let _ = up.await; }
+        is_cut = &mut down => {
+            if !is_cut { up.await; }
         }
     }
 }
--- a/ggt-testkit/src/fleet.rs
+++ b/ggt-testkit/src/fleet.rs
@@ -52,23 +52,55 @@
     target_processes: Vec<Option<ChildProcess>>,
     infrastructure: Vec<ChildProcess>,
     folder: PathBuf,
+    net: LoopbackNet,
+    own_routes: Option<OwnRoutes>,
+}
+
+/// How daemon 0 reaches the targets if it has routes of its own.
+#[derive(Debug)]
+struct OwnRoutes {
+    /// Platform stand-in that only this daemon reads.
+    platform: SocketAddr,
+    /// Route to each target, by the target's index.
+    targets: Vec<SocketAddr>,
 }
 
 impl TestFleet {
     /// Starts all processes and waits until each daemon is ready and may grant claims.
     pub fn start(options: FleetOptions) -> Self {
         let mut fleet = Self::prepare(options);
-        for index in 0..fleet.targets.len() {
+        fleet.start_all();
+        fleet
+    }
+
+    /// Like [`Self::start`], but daemon 0 reaches each target by a route of its own, on which
+    /// [`Self::set_own_fault_plan`] injects faults that the other daemons do not have. The routes are
+    /// those of the first host list.
+    pub fn start_with_own_routes(options: FleetOptions) -> Self {
+        // A daemon with seeds would get their host list.
+        let mut fleet = Self::prepare(FleetOptions { proxied: true, seeded: false, ..options });
+        let platform = fleet.net.port(PLATFORM_OCTET);
+        let listen = address_arg(platform);
+        fleet.infrastructure.push(ChildProcess::spawn_standin(&["platform", "--listen", &listen]));
+        fleet.daemons[0].platform = platform;
+        let addresses = fleet.targets.iter().map(|target| target.address);
+        let targets = addresses.map(|address| fleet.route_to(fleet.net, address)).collect();
+        fleet.own_routes = Some(OwnRoutes { platform, targets });
+        fleet.start_all();
+        fleet
+    }
+
+    fn start_all(&mut self) {
+        for index in 0..self.targets.len() {
             // Engines with `-farmed-` in their name already run in a shared process.
-            if !fleet.targets[index].name.contains("-farmed-") {
-                fleet.start_target(index);
+            if !self.targets[index].name.contains("-farmed-") {
+                self.start_target(index);
             }
         }
-        fleet.publish_hosts();
-        fleet.publish_config();
-        (0..fleet.daemons.len()).for_each(|index| fleet.start_daemon(index));
-        (0..fleet.daemons.len()).for_each(|index| fleet.await_ready(index));
-        fleet
+        self.publish_hosts();
+        self.publish_config();
+        (0..self.daemons.len()).for_each(|index| self.start_daemon(index));
+        (0..self.daemons.len()).for_each(|index| self.await_ready(index));
     }
 
     /// Assigns all addresses, but starts only the platform, the fault proxy and the shared engine processes.
@@ -96,6 +128,8 @@
             infrastructure,
             folder,
             options,
+            net,
+            own_routes: None,
         };
         fleet.add_daemons(net);
         fleet.add_targets(net);
@@ -207,6 +241,12 @@
         self.control_proxy(&format!("/control/plan?listen={advertised}&{plan}"));
     }
 
+    /// Replaces the fault plan of all routes that only daemon 0 uses to reach the targets.
+    pub fn set_own_fault_plan(&self, plan: &str) {
+        let routes = self.own_routes.iter().flat_map(|routes| &routes.targets);
+        routes.for_each(|route| self.set_fault_plan(*route, plan));
+    }
+
     /// Blocks all traffic between two groups of daemons, in both directions.
     pub fn partition(&self, left: &[usize], right: &[usize]) {
         for (from, to) in
@@ -226,12 +266,25 @@
 
     /// Publishes the configuration; returns its revision.
     pub fn publish_config(&self) -> u64 {
-        self.publish("config", &config_files(&self.daemons, &self.options.config), None)
+        let files = config_files(&self.daemons, &self.options.config);
+        let revision = self.publish("config", &files, None);
+        if let Some(routes) = &self.own_routes {
+            publish_to(routes.platform, "config", &files, Some(revision));
+        }
+        revision
     }
 
     /// Publishes the host list; returns its version.
     pub fn publish_hosts(&self) -> u64 {
-        self.publish("hosts", &host_files(&self.targets), None)
+        let revision = self.publish("hosts", &host_files(&self.targets), None);
+        if let Some(routes) = &self.own_routes {
+            let mut targets = self.targets.clone();
+            for (target, route) in targets.iter_mut().zip(&routes.targets) {
+                target.advertised_address = *route;
+            }
+            publish_to(routes.platform, "hosts", &host_files(&targets), Some(revision));
+        }
+        revision
     }
 
     /// Publishes files, at a given revision or at the next one; returns the revision.
@@ -244,13 +297,7 @@
         files: &BTreeMap<String, String>,
         revision: Option<u64>,
     ) -> u64 {
-        let query = revision.map_or_else(String::new, |revision| format!("?revision={revision}"));
-        let path = format!("/control/publish/{folder}{query}");
-        let body = serde_json::to_string(files).expect("files should serialize as JSON");
-        let response = HttpRequest::new("POST", self.platform, &path).body(&body).send();
-        response
-            .and_then(|response| response.json()["revision"].as_u64())
-            .expect("platform should return the revision")
+        publish_to(self.platform, folder, files, revision)
     }
 
     /// Publishes the current host list after `lag_ms` milliseconds, as the next version at that time.
@@ -440,6 +487,22 @@
     }
 }
 
+/// Publishes files on one platform stand-in; returns the revision.
+fn publish_to(
+    platform: SocketAddr,
+    folder: &str,
+    files: &BTreeMap<String, String>,
+    revision: Option<u64>,
+) -> u64 {
+    let query = revision.map_or_else(String::new, |revision| format!("?revision={revision}"));
+    let path = format!("/control/publish/{folder}{query}");
+    let body = serde_json::to_string(files).expect("files should serialize as JSON");
+    let response = HttpRequest::new("POST", platform, &path).body(&body).send();
+    response
+        .and_then(|response| response.json()["revision"].as_u64())
+        .expect("platform should return the revision")
+}
+
 /// A new idempotency key, a UUIDv7 with the current time.
 pub fn create_key() -> String {
     Uuid::now_v7().to_string()
