fix: own interface: a workload without usable targets is no overload

What callers saw: at a daemon that reaches no target, 17 of 115 lookups got 429 `over-share`, as if the customer were to blame, the others 503 `no-target`. Cause: the utilisation of a workload without usable targets was 1.0, so that shares were enforced and a customer's second request in flight was refused before a target was looked for. Evidence: the core test failed before (1.0). At 0.0 the request goes on to the choice of a target, which refuses it with 503.

--- a/ggt-core/src/routing/table.rs
+++ b/ggt-core/src/routing/table.rs
@@ -377,7 +377,8 @@
         self.targets.values_mut().for_each(|entry| entry.load.drop_report());
     }
 
-    /// Load of the workload's usable targets divided by their capacity; 1.0 if there is none.
+    /// Load of the workload's usable targets divided by their capacity; 0.0 if there is none, since
+    /// no customer is then refused for the others' sake.
     pub fn utilisation(
         &self,
         workload: &WorkloadName,
@@ -385,7 +386,7 @@
         now: MonoTime,
     ) -> f64 {
         let (load, capacity) = self.sum_usable(workload, &[], options, now);
-        if capacity > 0.0 { load / capacity } else { 1.0 }
+        if capacity > 0.0 { load / capacity } else { 0.0 }
     }
 
     /// Chooses the target of one request.
