fix: own interface: a peer's word takes no target out of use

What callers saw: a daemon that is cut off from the targets told its peers that they are down; a peer had four of six as down, and used none of them until its own probe succeeded (3 s at the default period; the flaps counted towards hold-downs). Cause: a report that a target is down was applied as if this daemon had found it. A reported target now counts as silent: it is avoided while another one is ready, probed at once like each silent target, and down only if this daemon does not reach it either. It is not a flap, so no hold-down outlives a cut.

--- a/ggt-core/src/routing/entry.rs
+++ b/ggt-core/src/routing/entry.rs
@@ -24,8 +24,8 @@
     Down,
     /// Its data centre is unreachable.
     Unreachable,
-    /// It has been silent for no longer than a sound target may be; it takes new work only if no
-    /// target is ready.
+    /// It has been silent for no longer than a sound target may be, or a peer reported it as down; it
+    /// takes new work only if no target is ready.
     Silent,
 }
 
@@ -56,10 +56,9 @@
     pub(super) hold: HoldDown,
     /// Failures since the last reply.
     pub(super) failures: u32,
-    /// First of the latest failures in a row that were only silence.
+    /// First of the latest failures in a row that were only silence, or a peer's report of them.
     pub(super) silent_since: Option<MonoTime>,
-    /// Whether the target counts as down, by failures here or by a prober's report; until it
-    /// replies or restarts.
+    /// Whether the target counts as down, by failures here; until it replies or restarts.
     pub(super) is_down: bool,
     /// Start of the slow start, which may be the end of a hold-down; `None` for targets of the
     /// first host list.
--- a/ggt-core/src/routing/table.rs
+++ b/ggt-core/src/routing/table.rs
@@ -361,15 +361,18 @@
         false
     }
 
-    /// Records a prober's report that the target is down; returns whether it is new.
-    pub fn record_down(&mut self, key: TargetKey, options: &HoldOptions, now: MonoTime) -> bool {
+    /// Records a peer's report that the target is down; returns whether it is new.
+    ///
+    /// The peer may be cut off from a target that this daemon reaches, so the target counts as silent
+    /// until this daemon has probed it.
+    pub fn record_reported_down(&mut self, key: TargetKey, now: MonoTime) -> bool {
         let Some(entry) = self.targets.get_mut(key) else { return false };
-        let is_new = !entry.is_down;
-        if is_new {
-            entry.is_down = true;
-            entry.hold.record_flap(options, now);
+        if entry.is_down || entry.silent_since.is_some() {
+            return false;
         }
-        is_new
+        entry.failures = entry.failures.max(FAILURES_TO_DOWN);
+        entry.silent_since = Some(now);
+        true
     }
 
     /// Drops all load reports, after a pause of this process that made them stale.
--- a/ggt-core/tests/routing.rs
+++ b/ggt-core/tests/routing.rs
@@ -312,3 +312,22 @@
     assert_eq!(choose(&table, 3, None, &[]), Err(RouteRefusal::NoTarget));
     assert_eq!(table.utilisation(&WorkloadName::from("w"), &options, SILENT_AT + 2_000), 0.0);
 }
+
+// Guards against a target that is out of use on a peer's word, or that stays in use beside ready ones.
+#[test]
+fn a_target_that_a_peer_reports_as_down_is_avoided_until_it_replies() {
+    let mut table = table_of(2);
+    let keys: Vec<TargetKey> = table.iter().map(|(key, _)| key).collect();
+    assert!(table.record_reported_down(keys[0], SILENT_AT));
+    assert!(!table.record_reported_down(keys[0], SILENT_AT + 1), "it is known");
+    for chat in 0..50 {
+        assert_eq!(choose(&table, chat, None, &[]).map(|x| x.0), Ok(keys[1]));
+    }
+    assert_eq!(choose(&table, 3, None, &[keys[1]]).map(|x| x.0), Ok(keys[0]), "no other is left");
+    // The daemon's own probe decides.
+    let mut refused = table.clone();
+    assert!(refused.record_failure(keys[0], &RoutingOptions::default().hold, SILENT_AT + 100));
+    assert_eq!(choose(&refused, 3, None, &[keys[1]]), Err(RouteRefusal::NoTarget));
+    table.record_reply(keys[0], SILENT_AT + 100);
+    assert!((0..50).any(|chat| choose(&table, chat, None, &[]).map(|x| x.0) == Ok(keys[0])));
+}
--- a/ggt-daemon/src/peers/gossip.rs
+++ b/ggt-daemon/src/peers/gossip.rs
@@ -243,12 +243,8 @@
             routing.apply_report(key, incarnation, report);
             let is_current =
                 routing.target(key).is_some_and(|entry| entry.host.incarnation == incarnation);
-            if let Some(config) = state.active_config()
-                && is_down
-                && is_current
-                && routing.record_down(key, &config.routing.hold, mono_now())
-            {
-                log::info!("event=target target={name} status=down cause=peer");
+            if is_down && is_current && routing.record_reported_down(key, mono_now()) {
+                log::info!("event=target target={name} status=silent cause=peer");
             }
         }
     }
