fix: own interface: a daemon's own cut is not blamed on requests

What callers saw: a sound request that was in flight at several targets when its daemon lost its connections to all of them was refused with 422 `crashing`, at every daemon, for ten minutes. Cause: a reply that broke off, followed by a probe that was refused, counted as a crash of the target. Three such targets reach the limit, and a cut looks like this at all targets at once. A refused probe now counts as a crash only if another target of the data centre replies (three are probed at once; of all data centres, if the target is alone in its own) and the target then refuses again, twice, 50 ms apart, since connections are not all lost at the same moment. Otherwise the target is probed in the background until it replies, which tells a restart from a cut by the incarnation, or until another one replies; after 60 s without either nobody is blamed. A retry after a crash starts some 50 ms later. Evidence: requests_in_flight_at_a_cut_are_not_blamed_for_crashes failed before (422, five of five runs). Without the second confirmation one target of four was still blamed in one run. What remains: targets that hang for over 2 s while no other replies are still taken for crashed (request_of_a_target_that_stays_silent_is_suspected demands it).

--- a/ggt-core/src/routing/table.rs
+++ b/ggt-core/src/routing/table.rs
@@ -13,6 +13,7 @@
 use crate::ident::CentreName;
 use crate::ident::TargetName;
 use crate::ident::WorkloadName;
+use crate::ident::mix_hash;
 use crate::ident::stable_hash;
 use crate::routing::ChoiceReason;
 use crate::routing::ChosenTarget;
@@ -39,6 +40,9 @@
 /// Lower limit of that number, so that a single failed target is not enough.
 const MIN_FAILED_TARGETS_TO_UNREACHABLE: usize = 2;
 
+/// Maximum number of other targets that are probed after a target could not be reached.
+const MAX_WITNESSES: usize = 3;
+
 new_key_type! {
     /// Identifies one target in a [`RoutingTable`].
     pub struct TargetKey;
@@ -375,6 +379,24 @@
         true
     }
 
+    /// Other targets of the target's data centre, or of all others if it is alone there: if none of
+    /// them is reached, a failure of the target shows nothing about it. Those in use come first.
+    pub fn witnesses_of(&self, key: TargetKey, now: MonoTime) -> Vec<TargetKey> {
+        let Some(failed) = self.targets.get(key) else { return Vec::new() };
+        let others = || self.targets.iter().filter(|(other, _)| *other != key);
+        let is_near = |entry: &TargetEntry| entry.host.data_centre == failed.host.data_centre;
+        let is_alone = !others().any(|(_, entry)| is_near(entry));
+        let mut witnesses: Vec<(bool, u64, TargetKey)> = others()
+            .filter(|(_, entry)| is_alone || is_near(entry))
+            .map(|(other, entry)| {
+                let is_in_use = self.status(entry, now) == TargetStatus::Ready;
+                (!is_in_use, mix_hash(failed.hash, entry.hash), other)
+            })
+            .collect();
+        witnesses.sort_unstable();
+        witnesses.into_iter().take(MAX_WITNESSES).map(|(_, _, other)| other).collect()
+    }
+
     /// Drops all load reports, after a pause of this process that made them stale.
     pub fn drop_reports(&mut self) {
         self.targets.values_mut().for_each(|entry| entry.load.drop_report());
--- a/ggt-core/tests/routing.rs
+++ b/ggt-core/tests/routing.rs
@@ -331,3 +331,20 @@
     table.record_reply(keys[0], SILENT_AT + 100);
     assert!((0..50).any(|chat| choose(&table, chat, None, &[]).map(|x| x.0) == Ok(keys[0])));
 }
+
+// Guards against a crash that is concluded from a failure although no other target was looked at.
+#[test]
+fn witnesses_of_a_target_are_others_of_its_data_centre() {
+    let table = table_of(8);
+    let (key, failed) = table.iter().next().expect("a target");
+    let witnesses = table.witnesses_of(key, SILENT_AT);
+    assert_eq!(witnesses.len(), 3);
+    let near = table.iter().filter(|(other, entry)| {
+        *other != key && entry.host.data_centre == failed.host.data_centre
+    });
+    let near: Vec<TargetKey> = near.map(|(other, _)| other).collect();
+    assert!(witnesses.iter().all(|other| near.contains(other)), "{witnesses:?} {near:?}");
+    let alone = table_of(2);
+    let keys: Vec<TargetKey> = alone.iter().map(|(key, _)| key).collect();
+    assert_eq!(alone.witnesses_of(keys[0], SILENT_AT), [keys[1]], "no other in its data centre");
+}
--- a/ggt-daemon/src/dispatch/failure.rs
+++ b/ggt-daemon/src/dispatch/failure.rs
@@ -1,8 +1,10 @@
 //! What a failed attempt shows about its target: its health, and whether it crashed.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 use crate::clock::mono_now;
@@ -19,8 +21,13 @@
 use ggt_core::crashes::SuspectKey;
 use ggt_core::silence::MAX_SOUND_SILENCE_MS;
 
-/// Pause between two probes of a silent target.
-const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(300);
+/// Pause between two probes of a target of which it is not known whether it has crashed.
+const CRASH_CHECK_INTERVAL: Duration = Duration::from_millis(300);
+/// Pause before a crash is confirmed, in which the connections to the other targets are lost as well
+/// if this daemon is being cut off.
+const CONFIRM_DELAY: Duration = Duration::from_millis(50);
+/// Milliseconds after which such a target is no longer probed.
+const CRASH_CHECK_MS: u64 = 60_000;
 
 /// Records a failure to reach a target, which may have been only silent.
 pub(super) fn record_unreached(
@@ -41,8 +48,8 @@
 }
 
 /// Records a failed attempt whose request was sent, and probes the target. One that has ended or
-/// restarted counts as a crash that this request may have caused; one that is silent is probed
-/// again in the background.
+/// restarted counts as a crash that this request may have caused; one that is silent, or that cannot
+/// be reached while no other target can, is probed again in the background.
 pub(super) async fn record_failure(
     state: &Arc<SharedState>,
     config: &ActiveConfig,
@@ -60,9 +67,10 @@
         }
         Err(failure) => {
             record_unreached(state, config, target, failure.is_silence);
-            match failure.is_silence {
-                true => check_silent_target(state, job, target),
-                false => report_crash(state, target, job.suspects().keys(), &job.request_id),
+            if !failure.is_silence && is_crash_confirmed(state, target).await {
+                report_crash(state, target, job.suspects().keys(), &job.request_id);
+            } else {
+                check_target(state, job, target);
             }
         }
     }
@@ -87,10 +95,47 @@
     }
 }
 
-/// Probes a silent target until it replies or has been silent for longer than a sound one may be,
-/// which counts as a crash like any other end. A target is probed by one task at a time, also when
-/// several requests wait for the result.
-fn check_silent_target(state: &Arc<SharedState>, job: &RequestJob, target: &AttemptTarget) {
+/// Whether a target that refused a probe is found to have crashed twice in a row.
+async fn is_crash_confirmed(state: &Arc<SharedState>, target: &AttemptTarget) -> bool {
+    if find_crash(state, target).await != Some(true) {
+        return false;
+    }
+    sleep(CONFIRM_DELAY).await;
+    find_crash(state, target).await == Some(true)
+}
+
+/// Whether a target that refused a probe has crashed; `None` if no other target is reached either,
+/// since this daemon is then more likely cut off.
+async fn find_crash(state: &Arc<SharedState>, target: &AttemptTarget) -> Option<bool> {
+    let witnesses: Vec<SocketAddr> = {
+        let routing = lock(&state.routing);
+        let keys = routing.witnesses_of(target.key, mono_now()).into_iter();
+        keys.filter_map(|key| Some(routing.target(key)?.address())).collect()
+    };
+    let is_only_target = witnesses.is_empty();
+    let mut probes: JoinSet<bool> = JoinSet::new();
+    for address in witnesses {
+        let state = state.clone();
+        probes.spawn(async move { probe_async(&state, address).await.is_ok() });
+    }
+    let mut is_reached = is_only_target;
+    while !is_reached && let Some(probed) = probes.join_next().await {
+        is_reached = probed.unwrap_or(false);
+    }
+    if !is_reached {
+        return None;
+    }
+    // Probed again, as the connections may have been restored since the first probe.
+    match probe_async(state, target.address).await {
+        Ok(reply) => Some(reply.incarnation != target.incarnation),
+        Err(failure) => (!failure.is_silence).then_some(true),
+    }
+}
+
+/// Probes a target in the background until it is known whether it has crashed: it replies, it has
+/// been silent for longer than a sound one may be, or it refuses probes while another target replies.
+/// A target is probed by one task at a time, also when several requests wait for the result.
+fn check_target(state: &Arc<SharedState>, job: &RequestJob, target: &AttemptTarget) {
     let crash = CrashId::of(target.hash, target.incarnation);
     let waiting = (job.request_id.clone(), job.suspects().keys().to_vec());
     let mut silent = lock(&state.silent_targets);
@@ -102,7 +147,7 @@
     }
     let (state, target) = (state.clone(), target.clone());
     tokio::spawn(async move {
-        let has_crashed = has_silent_target_crashed(&state, &target).await;
+        let has_crashed = has_target_crashed(&state, &target).await;
         let waiting = lock(&state.silent_targets).remove(&crash).unwrap_or_default();
         for (request_id, suspects) in waiting.iter().filter(|_| has_crashed) {
             report_crash(&state, &target, suspects, request_id);
@@ -110,22 +155,26 @@
     });
 }
 
-async fn has_silent_target_crashed(state: &Arc<SharedState>, target: &AttemptTarget) -> bool {
+async fn has_target_crashed(state: &Arc<SharedState>, target: &AttemptTarget) -> bool {
     let silent_until = mono_now() + MAX_SOUND_SILENCE_MS;
-    loop {
-        sleep(SILENCE_CHECK_INTERVAL).await;
+    let checked_until = mono_now() + CRASH_CHECK_MS;
+    while mono_now() < checked_until {
+        sleep(CRASH_CHECK_INTERVAL).await;
         match probe_async(state, target.address).await {
             Ok(reply) => return reply.incarnation != target.incarnation,
-            Err(failure) if !failure.is_silence || mono_now() >= silent_until => return true,
+            Err(failure) if failure.is_silence && mono_now() >= silent_until => return true,
+            Err(failure) if failure.is_silence => {}
+            Err(_) if is_crash_confirmed(state, target).await => return true,
             Err(_) => {}
         }
     }
+    false
 }
 
 /// Runs the blocking probe outside the async threads.
 async fn probe_async(
     state: &Arc<SharedState>,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
 ) -> Result<ProbeReply, ProbeFailure> {
     let state = state.clone();
     let probed = tokio::task::spawn_blocking(move || probe(&state, address)).await;
