--- a/ggt-testkit/tests/leaving.rs
+++ b/ggt-testkit/tests/leaving.rs
@@ -246,6 +246,43 @@
     response
 }
 
+// Guards against a request without a response on a reused connection, since the response before it began
+// before the shutdown, did not name the end of the connection, and outlasted the announcement.
+#[test]
+fn connection_of_a_response_that_outlasts_the_announcement_serves_the_next_request() {
+    let fleet = fleet();
+    let address = fleet.daemons[0].callers;
+    let request_for = |path: &str| {
+        format!(
+            "POST {path} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer \
+             contabil-key\r\ncontent-length: 1\r\n\r\nx"
+        )
+    };
+    let short = request_for("/chat?tokens=1&gap_ms=1");
+    let mut idle = TcpStream::connect(address).expect("should connect");
+    assert!(exchange(&mut idle, &short).starts_with("HTTP/1.1 200"));
+    let mut stream = TcpStream::connect(address).expect("should connect");
+    let long = request_for("/chat?tokens=2&hold_after=1&hold_as=long");
+    stream.write_all(long.as_bytes()).expect("should write");
+    let mut buffer = [0; 4_096];
+    let mut response = String::new();
+    while !response.contains("data:") {
+        let length = stream.read(&mut buffer).expect("should read");
+        response.push_str(&String::from_utf8_lossy(&buffer[..length]));
+    }
+    fleet.terminate_daemon(0);
+    // The daemon closes idle connections after the announcement.
+    assert_eq!(idle.read(&mut buffer).expect("should be closed"), 0);
+    for index in fleet.targets_of("intake") {
+        fleet.control_target(index, "release/long");
+    }
+    let rest = exchange(&mut stream, "");
+    assert!(rest.ends_with("0\r\n\r\n") && !response.contains("connection: close"), "{rest:?}");
+    let next = exchange(&mut stream, &short);
+    assert!(next.starts_with("HTTP/1.1 200") && next.ends_with("0\r\n\r\n"), "{next:?}");
+    assert!(next.contains("connection: close"), "{next:?}");
+}
+
 #[test]
 fn requests_cut_at_the_drain_deadline_are_logged() {
     let mut fleet = TestFleet::start(FleetOptions {
