fix: own interface: a connection outlives a response that began before the shutdown

What callers saw: during a rolling restart, a request on a reused connection got no response. Cause: in step 3 of the shutdown a connection with a request is closed right after its response. A response whose head was sent before the shutdown does not say so, and its caller may send the next request at once. This is no race for long streams: each that outlasts twice `drain_announce_ms` ends so. Such a connection now stays open for `drain_announce_ms` after its last response; the next response on it has `connection: close`. The drain deadline bounds all of it, as before.

--- a/ggt-daemon/src/edge/listen.rs
+++ b/ggt-daemon/src/edge/listen.rs
@@ -27,7 +27,9 @@
 use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::time::sleep;
 
+use crate::clock::mono_now;
 use crate::dispatch::CancelRequest;
 use crate::dispatch::IncompleteResponse;
 use crate::dispatch::Refusal;
@@ -35,6 +37,8 @@
 use crate::dispatch::ResponseBody;
 use crate::dispatch::response_channel;
 use crate::dispatch::set_header;
+use crate::edge::BusyGuard;
+use crate::edge::ConnectionActivity;
 use crate::edge::ConnectionGuard;
 use crate::edge::EdgeHandle;
 use crate::edge::RequestError;
@@ -42,6 +46,7 @@
 use crate::edge::prepare::caller_request_id;
 use crate::edge::prepare::find_customer;
 use crate::edge::prepare::prepare_job;
+use crate::lifecycle::RunningTimer;
 use crate::logging::quoted;
 use crate::state::SharedState;
 use ggt_core::verdict::RunVerdict;
@@ -49,6 +54,8 @@
 
 /// Maximum time for receiving the headers of a request.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
+/// Interval at which a connection with a request at the end of a shutdown checks whether it is idle.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Path of the load balancer's readiness check.
 const READY_PATH: &str = "/healthz";
 /// Cause of the refusal of a request whose task panicked, which the task has logged.
@@ -66,10 +73,11 @@
     pub handle: EdgeHandle,
 }
 
-/// Body of a response to a caller: complete in memory, or streamed from a target.
+/// Body of a response to a caller: complete in memory, or streamed from a target. The connection is
+/// busy until a streamed one is dropped.
 enum EdgeBody {
     Full(Option<Bytes>),
-    Streamed(ResponseBody),
+    Streamed(ResponseBody, #[expect(dead_code, reason = "held until it is dropped")] BusyGuard),
 }
 
 impl Body for EdgeBody {
@@ -82,7 +90,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, IncompleteResponse>>> {
         match self.get_mut() {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Streamed(body) => Pin::new(body).poll_frame(context),
+            Self::Streamed(body, _) => Pin::new(body).poll_frame(context),
         }
     }
 }
@@ -105,9 +113,10 @@
 ) {
     // Streams consist of small chunks, which Nagle's algorithm would delay.
     let _ = stream.set_nodelay(true);
+    let activity = ConnectionActivity::default();
     let service = service_fn(|request| {
-        let context = context.clone();
-        async move { Ok::<_, Infallible>(serve_request(&context, request).await) }
+        let (context, busy_guard) = (context.clone(), activity.begin_request());
+        async move { Ok::<_, Infallible>(serve_request(&context, request, busy_guard).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -119,7 +128,7 @@
         // Polled first, so that a request that has arrived is read before the shutdown.
         biased;
         outcome = connection.as_mut() => outcome,
-        () = context.handle.wait_for_end() => {
+        () = wait_for_close(&context, &activity) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -129,7 +138,29 @@
     }
 }
 
-async fn serve_request(context: &EdgeContext, request: Request<Incoming>) -> Response<EdgeBody> {
+/// Waits until a connection may be closed: at the end of a shutdown, and if a request is then in
+/// progress, once the connection has been idle for the time of the announcement after it. The head of
+/// its response may have been sent before the shutdown, without `connection: close`.
+async fn wait_for_close(context: &EdgeContext, activity: &ConnectionActivity) {
+    context.handle.wait_for_end().await;
+    if !activity.is_busy() {
+        return;
+    }
+    let announce_ms = context.state.settings.timing.drain_announce_ms;
+    let mut idle_timer = RunningTimer::new(announce_ms, mono_now());
+    while activity.is_busy() || !idle_timer.has_ended(mono_now()) {
+        if activity.is_busy() {
+            idle_timer = RunningTimer::new(announce_ms, mono_now());
+        }
+        sleep(IDLE_CHECK_INTERVAL).await;
+    }
+}
+
+async fn serve_request(
+    context: &EdgeContext,
+    request: Request<Incoming>,
+    busy_guard: BusyGuard,
+) -> Response<EdgeBody> {
     let state = &context.state;
     if request.uri().path() == READY_PATH {
         return readiness_response(state);
@@ -141,7 +172,13 @@
     let caller_id = caller_request_id(request.headers()).unwrap_or(&own_id).to_owned();
     let (parts, body) = request.into_parts();
     match start_request(context, number, [&own_id, &caller_id], &parts, body).await {
-        Ok(response) => close_if_draining(state, response),
+        Ok(response) => {
+            let response = response.map(|body| match body {
+                Some(body) => EdgeBody::Streamed(body, busy_guard),
+                None => EdgeBody::Full(None),
+            });
+            close_if_draining(state, response)
+        }
         Err(refusal) => {
             let refusal = adjust_verdict(&parts, refusal);
             close_if_draining(state, refuse(state, &caller_id, &parts, &refusal))
@@ -169,7 +206,7 @@
     [own_id, caller_id]: [&str; 2],
     parts: &Parts,
     body: Incoming,
-) -> Result<Response<EdgeBody>, Refusal> {
+) -> Result<Response<Option<ResponseBody>>, Refusal> {
     let state = &context.state;
     let config =
         state.active_config().filter(|_| state.bootstrapped.get().is_some()).ok_or_else(|| {
@@ -194,8 +231,8 @@
         Refusal::unknown(500, INTERNAL_CAUSE, "the request's task ended without an answer")
     })?;
     let mut response = Response::new(match parts.method {
-        Method::HEAD => EdgeBody::Full(None),
-        _ => EdgeBody::Streamed(body),
+        Method::HEAD => None,
+        _ => Some(body),
     });
     *response.status_mut() = status_of(head.status);
     *response.headers_mut() = head.headers;
--- a/ggt-daemon/src/edge/mod.rs
+++ b/ggt-daemon/src/edge/mod.rs
@@ -3,10 +3,13 @@
 //! Uses `hyper` instead of its wrapper `astra`, which cannot stream a body as its bytes arrive; see
 //! `docs/design/edge.md`.
 
+mod activity;
 mod handle;
 mod listen;
 mod prepare;
 
+pub use activity::BusyGuard;
+pub use activity::ConnectionActivity;
 pub use handle::ConnectionGuard;
 pub use handle::EdgeHandle;
 pub use handle::accept_connections;
