test: fault proxy: one control request sets the plan of several routes

A daemon's routes were cut one after the other, each with a request of its own; beside other builds a cut took longer than a real one.

--- a/ggt-standin/src/proxy/mod.rs
+++ b/ggt-standin/src/proxy/mod.rs
@@ -116,8 +116,24 @@
     .await
 }
 
+/// Runs a control request for each address of its comma-separated parameter `listen`.
 async fn respond(routes: &RouteTable, request: &BufferedRequest) -> StandinResponse {
-    let listen: Option<SocketAddr> = request.query("listen").and_then(|x| x.parse().ok());
+    let mut response = text_response(400, "listen is needed");
+    for listen in request.query("listen").unwrap_or_default().split(',') {
+        response = respond_for(routes, request, listen).await;
+        if response.status() != 200 {
+            break;
+        }
+    }
+    response
+}
+
+async fn respond_for(
+    routes: &RouteTable,
+    request: &BufferedRequest,
+    listen: &str,
+) -> StandinResponse {
+    let listen: Option<SocketAddr> = listen.parse().ok();
     let Some(listen) = listen else {
         return text_response(400, "listen is needed");
     };
--- a/ggt-testkit/src/fleet.rs
+++ b/ggt-testkit/src/fleet.rs
@@ -244,7 +244,8 @@
     /// Replaces the fault plan of all routes that only daemon 0 uses to reach the targets.
     pub fn set_own_fault_plan(&self, plan: &str) {
         let routes = self.own_routes.iter().flat_map(|routes| &routes.targets);
-        routes.for_each(|route| self.set_fault_plan(*route, plan));
+        let listen = routes.map(SocketAddr::to_string).collect::<Vec<_>>().join(",");
+        self.control_proxy(&format!("/control/plan?listen={listen}&{plan}"));
     }
 
     /// Blocks all traffic between two groups of daemons, in both directions.
