--- a/ggt-testkit/tests/cut_off_daemon.rs
+++ b/ggt-testkit/tests/cut_off_daemon.rs
@@ -65,6 +65,25 @@
     assert_eq!(refused, 0);
 }
 
+// Guards against a load balancer that sends callers to a daemon which cannot serve them, while others can.
+#[test]
+fn cut_off_daemon_is_not_ready_while_other_daemons_reach_the_targets() {
+    let fleet = fleet();
+    fleet.set_own_fault_plan("unreachable=1");
+    await_cut(&fleet);
+    let readiness = |daemon: usize| {
+        let response = fleet.request(daemon, "GET", "/healthz").send();
+        response.expect("should respond").status
+    };
+    wait_until("the cut daemon is not ready", || {
+        fleet.request(1, "GET", "/filings/1").send();
+        readiness(CUT) == 503
+    });
+    assert_eq!((readiness(1), readiness(2)), (200, 200));
+    fleet.set_own_fault_plan("");
+    wait_until("it is ready again", || readiness(CUT) == 200);
+}
+
 // Guards against sound requests that are refused as crashing, since they were in flight at several targets
 // when their daemon lost its connections to all of them.
 #[test]
