fix: own interface: a daemon that is cut off from the targets is not ready

What callers saw: a load balancer kept sending them to a daemon that served none of them, as its `/healthz` stayed 200. Cause: readiness looked at the configuration and the host list only. The daemon is not ready while it reaches none of several targets and a peer has reported news of one of them (a load report with higher counts than known, within 10 s). If the targets have ended, no peer has news, and all daemons stay ready.

--- a/ggt-core/src/routing/entry.rs
+++ b/ggt-core/src/routing/entry.rs
@@ -58,6 +58,8 @@
     pub(super) failures: u32,
     /// First of the latest failures in a row that were only silence, or a peer's report of them.
     pub(super) silent_since: Option<MonoTime>,
+    /// Latest report from a peer that was news of the target's load: the peer reaches it.
+    pub(super) reported_at: Option<MonoTime>,
     /// Whether the target counts as down, by failures here; until it replies or restarts.
     pub(super) is_down: bool,
     /// Start of the slow start, which may be the end of a hold-down; `None` for targets of the
--- a/ggt-core/src/routing/table.rs
+++ b/ggt-core/src/routing/table.rs
@@ -40,6 +40,8 @@
 /// Lower limit of that number, so that a single failed target is not enough.
 const MIN_FAILED_TARGETS_TO_UNREACHABLE: usize = 2;
 
+/// Milliseconds for which a peer's report shows that it reaches a target.
+const PEER_REPORT_TTL_MS: u64 = 10_000;
 /// Maximum number of other targets that are probed after a target could not be reached.
 const MAX_WITNESSES: usize = 3;
 
@@ -179,6 +181,7 @@
                 hold: HoldDown::default(),
                 failures: 0,
                 silent_since: None,
+                reported_at: None,
                 is_down: false,
                 slow_start_from: (!is_first).then_some(now),
                 host,
@@ -324,6 +327,34 @@
         })
     }
 
+    /// Applies a load report from a peer that reaches the target.
+    pub fn apply_peer_report(
+        &mut self,
+        key: TargetKey,
+        incarnation: u64,
+        report: LoadReport,
+        now: MonoTime,
+    ) {
+        // A report that is known already may be older than this daemon's failures.
+        if self.apply_report(key, incarnation, report)
+            && let Some(entry) = self.targets.get_mut(key)
+        {
+            entry.reported_at = Some(now);
+        }
+    }
+
+    /// Whether this daemon reaches none of several targets, while a peer reaches one of them.
+    pub fn is_cut_off(&self, now: MonoTime) -> bool {
+        let live = || self.targets.values().filter(|x| x.host.state == HostState::Live);
+        let is_unreached = |entry: &TargetEntry| {
+            matches!(self.status(entry, now), TargetStatus::Down | TargetStatus::Unreachable)
+        };
+        let is_reported = |entry: &TargetEntry| {
+            entry.reported_at.is_some_and(|reported_at| now <= reported_at + PEER_REPORT_TTL_MS)
+        };
+        live().count() > 1 && live().all(is_unreached) && live().any(is_reported)
+    }
+
     /// Records a reply of the target, which marks it as up; returns whether it was down.
     pub fn record_reply(&mut self, key: TargetKey, now: MonoTime) -> bool {
         let Some(entry) = self.targets.get_mut(key) else { return false };
--- a/ggt-core/tests/routing.rs
+++ b/ggt-core/tests/routing.rs
@@ -348,3 +348,25 @@
     let keys: Vec<TargetKey> = alone.iter().map(|(key, _)| key).collect();
     assert_eq!(alone.witnesses_of(keys[0], SILENT_AT), [keys[1]], "no other in its data centre");
 }
+
+// Guards against a daemon that is not ready though the targets have ended, or ready though only it is cut off.
+#[test]
+fn a_daemon_is_cut_off_if_it_reaches_no_target_and_a_peer_does() {
+    let mut table = table_of(4);
+    let hold = RoutingOptions::default().hold;
+    let keys: Vec<TargetKey> = table.iter().map(|(key, _)| key).collect();
+    let report = |started_total| LoadReport { started_total, finished_total: 0 };
+    table.apply_peer_report(keys[0], 1, report(1), MonoTime::from_millis(978_000));
+    for key in keys.iter().chain(&keys) {
+        assert!(!table.is_cut_off(SILENT_AT), "a target is in use");
+        table.record_failure(*key, &hold, SILENT_AT);
+    }
+    assert!(!table.is_cut_off(SILENT_AT), "no peer has reached a target lately");
+    table.apply_peer_report(keys[0], 1, report(1), SILENT_AT + 100);
+    assert!(!table.is_cut_off(SILENT_AT + 100), "the report is not new");
+    table.apply_peer_report(keys[0], 1, report(2), SILENT_AT + 100);
+    assert!(table.is_cut_off(SILENT_AT + 10_100));
+    assert!(!table.is_cut_off(SILENT_AT + 10_101), "the report is old");
+    table.record_reply(keys[3], SILENT_AT + 200);
+    assert!(!table.is_cut_off(SILENT_AT + 200), "a target replied");
+}
--- a/ggt-daemon/src/peers/gossip.rs
+++ b/ggt-daemon/src/peers/gossip.rs
@@ -240,7 +240,12 @@
         GossipItem::Load { target, incarnation, report, is_down } => {
             let mut routing = lock(&state.routing);
             let Some((key, name)) = target_by_hash(&routing, target) else { return };
-            routing.apply_report(key, incarnation, report);
+            match is_down {
+                true => {
+                    routing.apply_report(key, incarnation, report);
+                }
+                false => routing.apply_peer_report(key, incarnation, report, mono_now()),
+            }
             let is_current =
                 routing.target(key).is_some_and(|entry| entry.host.incarnation == incarnation);
             if is_down && is_current && routing.record_reported_down(key, mono_now()) {
--- a/ggt-daemon/src/state/mod.rs
+++ b/ggt-daemon/src/state/mod.rs
@@ -184,10 +184,13 @@
         }
     }
 
-    /// Whether a configuration and a host list are active and the daemon is not draining.
+    /// Whether a configuration and a host list are active, and the daemon is neither draining nor cut
+    /// off from the targets that its peers reach.
     pub fn is_ready(&self) -> bool {
-        self.active_config().is_some()
-            && lock(&self.routing).list_version() > 0
-            && !self.drain.is_draining()
+        if self.active_config().is_none() || self.drain.is_draining() {
+            return false;
+        }
+        let routing = lock(&self.routing);
+        routing.list_version() > 0 && !routing.is_cut_off(mono_now())
     }
 }
