--- a/ggt-core/tests/routing.rs
+++ b/ggt-core/tests/routing.rs
@@ -299,3 +299,74 @@
     assert_eq!(table.unreachable_centres().count(), 2);
     assert_eq!(choose(&table, 3, None, &[]), Err(RouteRefusal::NoTarget));
 }
+
+// Guards against refusals as over share, 429, at a daemon that reaches no target of the workload.
+#[test]
+fn a_workload_without_usable_targets_is_not_at_capacity() {
+    let mut table = table_of(4);
+    let options = RoutingOptions::default();
+    let keys: Vec<TargetKey> = table.iter().map(|(key, _)| key).collect();
+    for key in keys.iter().chain(&keys) {
+        table.record_failure(*key, &options.hold, SILENT_AT);
+    }
+    assert_eq!(choose(&table, 3, None, &[]), Err(RouteRefusal::NoTarget));
+    assert_eq!(table.utilisation(&WorkloadName::from("w"), &options, SILENT_AT + 2_000), 0.0);
+}
+
+// Guards against a target that is out of use on a peer's word, or that stays in use beside ready ones.
+#[test]
+fn a_target_that_a_peer_reports_as_down_is_avoided_until_it_replies() {
+    let mut table = table_of(2);
+    let keys: Vec<TargetKey> = table.iter().map(|(key, _)| key).collect();
+    assert!(table.record_reported_down(keys[0], SILENT_AT));
+    assert!(!table.record_reported_down(keys[0], SILENT_AT + 1), "it is known");
+    for chat in 0..50 {
+        assert_eq!(choose(&table, chat, None, &[]).map(|x| x.0), Ok(keys[1]));
+    }
+    assert_eq!(choose(&table, 3, None, &[keys[1]]).map(|x| x.0), Ok(keys[0]), "no other is left");
+    // The daemon's own probe decides.
+    let mut refused = table.clone();
+    assert!(refused.record_failure(keys[0], &RoutingOptions::default().hold, SILENT_AT + 100));
+    assert_eq!(choose(&refused, 3, None, &[keys[1]]), Err(RouteRefusal::NoTarget));
+    table.record_reply(keys[0], SILENT_AT + 100);
+    assert!((0..50).any(|chat| choose(&table, chat, None, &[]).map(|x| x.0) == Ok(keys[0])));
+}
+
+// Guards against a crash that is concluded from a failure although no other target was looked at.
+#[test]
+fn witnesses_of_a_target_are_others_of_its_data_centre() {
+    let table = table_of(8);
+    let (key, failed) = table.iter().next().expect("a target");
+    let witnesses = table.witnesses_of(key, SILENT_AT);
+    assert_eq!(witnesses.len(), 3);
+    let near = table.iter().filter(|(other, entry)| {
+        *other != key && entry.host.data_centre == failed.host.data_centre
+    });
+    let near: Vec<TargetKey> = near.map(|(other, _)| other).collect();
+    assert!(witnesses.iter().all(|other| near.contains(other)), "{witnesses:?} {near:?}");
+    let alone = table_of(2);
+    let keys: Vec<TargetKey> = alone.iter().map(|(key, _)| key).collect();
+    assert_eq!(alone.witnesses_of(keys[0], SILENT_AT), [keys[1]], "no other in its data centre");
+}
+
+// Guards against a daemon that is not ready though the targets have ended, or ready though only it is cut off.
+#[test]
+fn a_daemon_is_cut_off_if_it_reaches_no_target_and_a_peer_does() {
+    let mut table = table_of(4);
+    let hold = RoutingOptions::default().hold;
+    let keys: Vec<TargetKey> = table.iter().map(|(key, _)| key).collect();
+    let report = |started_total| LoadReport { started_total, finished_total: 0 };
+    table.apply_peer_report(keys[0], 1, report(1), MonoTime::from_millis(978_000));
+    for key in keys.iter().chain(&keys) {
+        assert!(!table.is_cut_off(SILENT_AT), "a target is in use");
+        table.record_failure(*key, &hold, SILENT_AT);
+    }
+    assert!(!table.is_cut_off(SILENT_AT), "no peer has reached a target lately");
+    table.apply_peer_report(keys[0], 1, report(1), SILENT_AT + 100);
+    assert!(!table.is_cut_off(SILENT_AT + 100), "the report is not new");
+    table.apply_peer_report(keys[0], 1, report(2), SILENT_AT + 100);
+    assert!(table.is_cut_off(SILENT_AT + 10_100));
+    assert!(!table.is_cut_off(SILENT_AT + 10_101), "the report is old");
+    table.record_reply(keys[3], SILENT_AT + 200);
+    assert!(!table.is_cut_off(SILENT_AT + 200), "a target replied");
+}
