--- a/ggt-core/src/fleet/forwarding.rs
+++ b/ggt-core/src/fleet/forwarding.rs
@@ -29,13 +29,6 @@
     /// configuration and targets, and have not said that they reach no target of the service. Requests
     /// are spread over them, with more for those of the own data centre.
     pub fn forward_candidates(&self, query: &ForwardQuery, now: MonoTime) -> Vec<SocketAddr> {
-        let takes_request = |peer: &&PeerState| {
-            let digest = &peer.digest;
-            digest.reach.protocol >= PEER_PROTOCOL
-                && digest.config_revision > 0
-                && digest.target_revision > 0
-                && !digest.reach.unreached.contains(&query.service_hash)
-        };
         let score = |peer: &PeerState| {
             let is_near = peer.digest.centre_hash == query.centre_hash;
             let weight = if is_near { OWN_CENTRE_WEIGHT } else { 1.0 };
@@ -43,13 +36,18 @@
         };
         let mut peers: Vec<_> = self
             .alive(now)
-            .filter(takes_request)
+            .filter(|peer| takes_requests(peer, query.service_hash))
             .map(|peer| (score(peer), peer.digest.address))
             .collect();
         peers.sort_by(|(a, _), (b, _)| b.total_cmp(a));
         peers.into_iter().map(|(_, address)| address).collect()
     }
 
+    /// Whether any peer takes forwarded requests of a service.
+    pub fn is_reached_by_peer(&self, service_hash: u32, now: MonoTime) -> bool {
+        self.alive(now).any(|peer| takes_requests(peer, service_hash))
+    }
+
     /// Whether any peer takes forwarded requests of all services.
     pub fn has_forward_peer(&self, now: MonoTime) -> bool {
         let reaches_all = |peer: &PeerState| {
@@ -58,3 +56,12 @@
         self.alive(now).any(reaches_all)
     }
 }
+
+/// Whether a peer takes requests of a service, as far as it has said.
+fn takes_requests(peer: &PeerState, service_hash: u32) -> bool {
+    let digest = &peer.digest;
+    digest.reach.protocol >= PEER_PROTOCOL
+        && digest.config_revision > 0
+        && digest.target_revision > 0
+        && !digest.reach.unreached.contains(&service_hash)
+}
--- a/ggt-core/tests/fleet.rs
+++ b/ggt-core/tests/fleet.rs
@@ -2,6 +2,8 @@
 
 mod digest_fixture;
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use crate::digest_fixture::empty_digest;
@@ -10,8 +12,13 @@
 use ggt_core::crashes::CrashReport;
 use ggt_core::crashes::SuspectKey;
 use ggt_core::fleet::FleetTable;
+use ggt_core::fleet::ForwardQuery;
+use ggt_core::fleet::PEER_PROTOCOL;
 use ggt_core::fleet::PeerDigest;
+use ggt_core::fleet::PeerReach;
 use ggt_core::fleet::WatchRole;
+use ggt_core::fleet::service_hash;
+use ggt_core::routes::split_hash;
 use ggt_core::targets::InFlightLoad;
 
 fn address(number: u8) -> SocketAddr {
@@ -184,3 +191,46 @@
     assert_eq!(sorted(ranks(1)), [0, 1, 2, 3, 4]);
     assert!((2..20).any(|hash| ranks(hash) != ranks(1)), "the order depends on the item");
 }
+
+// Guards against requests that are forwarded to daemons that cannot send them to a target either, or to
+// one peer only.
+#[test]
+fn forwarded_requests_spread_over_the_peers_that_reach_the_service() {
+    let mut table = FleetTable::new(address(1));
+    let reach = |unreached: &[&str]| PeerReach {
+        protocol: PEER_PROTOCOL,
+        unreached: unreached.iter().map(|service| service_hash(service)).collect(),
+    };
+    let ready = |from: u8, reach| PeerDigest {
+        centre_hash: u32::from(from % 2),
+        config_revision: 1,
+        target_revision: 1,
+        reach,
+        ..digest(from, 1, 1)
+    };
+    for from in [2, 3, 4] {
+        table.apply(ready(from, reach(&[])), at(0));
+    }
+    table.apply(ready(5, reach(&["s", "t"])), at(0));
+    table.apply(ready(6, PeerReach::default()), at(0));
+    table.apply(PeerDigest { is_leaving: true, ..ready(7, reach(&[])) }, at(0));
+    table.apply(PeerDigest { target_revision: 0, ..ready(8, reach(&[])) }, at(0));
+    let query =
+        |hash| ForwardQuery { service_hash: service_hash("s"), request_hash: hash, centre_hash: 0 };
+    let mut firsts = BTreeMap::new();
+    for number in 0..9_000_u64 {
+        let hash = split_hash(&format!("request {number}"));
+        let peers = table.forward_candidates(&query(hash), at(0));
+        assert_eq!(peers.iter().collect::<BTreeSet<_>>().len(), 3);
+        *firsts.entry(peers[0]).or_insert(0) += 1;
+    }
+    // Two peers are in the own data centre, with four times the weight.
+    for (from, expected) in [(2, 4_000), (3, 1_000), (4, 4_000)] {
+        let share = firsts.get(&address(from)).copied().unwrap_or(0_i32);
+        assert!((share - expected).abs() < 300, "daemon {from}: {share} of 9,000");
+    }
+    let other = ForwardQuery { service_hash: service_hash("u"), ..query(7) };
+    assert_eq!(table.forward_candidates(&other, at(0)).len(), 4);
+    assert!(table.has_forward_peer(at(0)) && table.is_reached_by_peer(service_hash("s"), at(0)));
+    assert!(table.forward_candidates(&query(7), at(5_000)).is_empty(), "none is alive");
+}
--- a/ggt-core/tests/partition.rs
+++ b/ggt-core/tests/partition.rs
@@ -1,12 +1,12 @@
 //! Whether a daemon is cut off from the targets of a service.
 
+use slotmap::SlotMap;
+
 use ggt_core::clock::MonoTime;
 use ggt_core::partition::ReachRegained;
 use ggt_core::partition::ReachTable;
 use ggt_core::targets::TargetKey;
 
-use slotmap::SlotMap;
-
 fn at(millis: u64) -> MonoTime {
     MonoTime::from_millis(millis)
 }
--- a/ggt-daemon/src/front/attempt/forward.rs
+++ b/ggt-daemon/src/front/attempt/forward.rs
@@ -31,7 +31,7 @@
 
     /// Whether the request can go to a peer.
     pub(super) fn can_forward(&self) -> bool {
-        self.must_forward() && !self.state.forward_peers(&self.job).is_empty()
+        self.must_forward() && self.state.reaches_by_peer(&self.job.service)
     }
 
     /// Offers the request to one peer after another until one takes it.
--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -252,7 +252,7 @@
             if let Some(result) = self.forward(last_event).await {
                 return result;
             }
-            if self.connects >= MAX_CONNECTS {
+            if self.connects >= MAX_CONNECTS && self.must_forward() {
                 return Err(self.send_failure_refusal());
             }
             let choice = self.choose()?;
--- a/ggt-daemon/src/front/forward/mod.rs
+++ b/ggt-daemon/src/front/forward/mod.rs
@@ -57,6 +57,11 @@
         peers
     }
 
+    /// Whether any peer reaches a service.
+    pub fn reaches_by_peer(&self, service: &str) -> bool {
+        self.fleet.borrow().is_reached_by_peer(service_hash(service), mono_now())
+    }
+
     /// Offers a peer that accepted no connection nothing for a while.
     pub fn hold_peer(&self, peer: SocketAddr) {
         self.held_peers.borrow_mut().insert(peer, mono_now() + PEER_HOLD_MS);
--- a/ggt-daemon/src/front/reach.rs
+++ b/ggt-daemon/src/front/reach.rs
@@ -24,6 +24,8 @@
 const SUSPECT_PROBES: usize = 4;
 /// Number of other targets from which on the end of one can be told from a cut of this daemon.
 const MIN_OTHERS: usize = 2;
+/// Time within which a cut reaches all targets.
+const SETTLE_TIME: Duration = Duration::from_millis(40);
 /// Maximum number of other targets that are tried for that.
 const MAX_OTHERS: usize = 3;
 /// Milliseconds without a reply of any target of a service after which its kept connections count as
@@ -48,13 +50,11 @@
     }
 }
 
-/// Opens a connection to a target, for later requests; returns whether the target accepts it.
+/// Opens a connection to a target and closes it again, as targets accept only so many; returns whether the
+/// target accepts it.
 async fn probe(state: Rc<FrontState>, key: TargetKey, address: SocketAddr) -> bool {
     match state.connect_target(key, address).await {
-        Ok(connection) => {
-            state.connections.keep(key, connection, None);
-            true
-        }
+        Ok(_) => true,
         Err(e) => {
             state.record_outcome(key, e.outcome());
             false
@@ -115,6 +115,8 @@
         if others.len() < MIN_OTHERS {
             return false;
         }
+        // The first connections to be reset may be noticed before the last target refuses new ones.
+        sleep(SETTLE_TIME).await;
         let mut probes = JoinSet::new();
         for (other, address) in others {
             let state = self.clone();
--- a/ggt-testkit/tests/platform_partition.rs
+++ b/ggt-testkit/tests/platform_partition.rs
@@ -1,16 +1,24 @@
 //! Daemons of the users' platform that are cut off from all targets, while callers, the store and the other
 //! daemons still reach them: what they get is served as at the others, and nothing runs twice.
 
+use std::io::ErrorKind;
+use std::io::Read;
 use std::io::Write;
 use std::net::TcpStream;
 use std::ops::Range;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::thread;
+use std::thread::JoinHandle;
 use std::time::Duration;
 use std::time::Instant;
 
 use ggt_standin::users_platform::AfterResponse;
 use ggt_standin::users_platform::LinkKind;
 use ggt_standin::users_platform::WireRequest;
+use ggt_standin::users_platform::caller_headers;
 use ggt_standin::users_platform::event_chunk;
 use ggt_standin::users_platform::respond;
 use ggt_standin::users_platform::stream_head;
@@ -336,3 +344,210 @@
         (0..2).all(|daemon| ready_status(&fleet.daemons[daemon]) == Some(503))
     });
 }
+
+/// Starts streams at the cut daemon 0, and waits until servers have all of them.
+fn start_streams(fleet: &FrontFleet, count: usize) -> Vec<JoinHandle<Option<HttpResponse>>> {
+    let id_of = |number: usize| format!("through-{number}");
+    let start = |number: usize| {
+        let request = fleet.request(0, STREAM.0, STREAM.1, &id_of(number)).body("x");
+        thread::spawn(move || request.send())
+    };
+    let streams = (0..count).map(start).collect();
+    let have_begun = || (0..count).all(|number| fleet.request_count(&id_of(number)) == 1);
+    wait_until("the streams have begun", have_begun);
+    streams
+}
+
+fn check_streams_whole(streams: Vec<JoinHandle<Option<HttpResponse>>>) {
+    for stream in streams {
+        let response = stream.join().expect("should not panic").expect("should respond");
+        assert!(response.is_complete, "cut short: {} {}", response.status, response.body);
+        assert_eq!((response.status, response.body), (200, events_text(LONG_EVENTS)));
+    }
+}
+
+/// A fleet whose daemon 0 is cut and knows it, and whose servers send long streams.
+fn start_cut_fleet(daemons: usize) -> FrontFleet {
+    let fleet = start_fleet(daemons);
+    warm_up(&fleet);
+    fleet.cut(0, LinkKind::Reset);
+    wait_until("peers serve for the daemon", || {
+        count_served(&fleet, 0, NON_IDEMPOTENT, "known", 0..1) == 1
+    });
+    set_scripts(&fleet, LONG_EVENTS, LONG_INTERVAL);
+    fleet
+}
+
+// Guards against a peer whose shutdown cuts what was forwarded to it, and against requests that are
+// forwarded to it while it drains.
+#[test]
+fn shutdown_of_a_peer_cuts_nothing_that_was_forwarded_to_it() {
+    let fleet = start_cut_fleet(3);
+    let streams = start_streams(&fleet, 8);
+    fleet.daemons[1].process.terminate();
+    assert_eq!(count_served(&fleet, 0, NON_IDEMPOTENT, "draining", 0..20), 20);
+    check_streams_whole(streams);
+    let sends: usize = (0..8).map(|number| fleet.request_count(&format!("through-{number}"))).sum();
+    assert_eq!(sends, 8, "a stream was sent again");
+}
+
+// Guards against streams that end with the peer to which they were forwarded.
+#[test]
+fn streams_of_a_killed_peer_go_on_through_another() {
+    let mut fleet = start_cut_fleet(3);
+    let streams = start_streams(&fleet, 8);
+    fleet.daemons[1].process.kill();
+    check_streams_whole(streams);
+}
+
+// Guards against a request that runs twice, or is said not to have run, because the peer that had it ended.
+#[test]
+fn request_of_a_killed_peer_runs_once_and_is_not_said_to_be_refused() {
+    const COUNT: usize = 8;
+    let mut fleet = start_cut_fleet(3);
+    let is_open = Arc::new(AtomicBool::new(false));
+    for server in &fleet.servers {
+        let is_open = is_open.clone();
+        server.set_script(move |request, stream| {
+            wait_until("the peer was killed", || is_open.load(Ordering::SeqCst));
+            respond(request, stream, 200, "whole")
+        });
+    }
+    let callers: Vec<_> = (0..COUNT)
+        .map(|number| {
+            let request =
+                fleet.request(0, "POST", NON_IDEMPOTENT.1, &format!("held-{number}")).body("x");
+            thread::spawn(move || request.send())
+        })
+        .collect();
+    let are_held = |fleet: &FrontFleet| {
+        (0..COUNT).all(|number| fleet.request_count(&format!("held-{number}")) == 1)
+    };
+    wait_until("the servers have the requests", || are_held(&fleet));
+    fleet.daemons[1].process.kill();
+    is_open.store(true, Ordering::SeqCst);
+    for caller in callers {
+        let response = caller.join().expect("should not panic").expect("should respond");
+        assert!(matches!(response.status, 200 | 502), "{} {}", response.status, response.body);
+    }
+    assert!(are_held(&fleet), "a request ran again");
+}
+
+// Guards against a peer that collects a stream before it passes it on.
+#[test]
+fn events_of_a_forwarded_stream_arrive_before_the_next_one_is_made() {
+    let fleet = start_cut_fleet(2);
+    let is_seen = Arc::new(AtomicBool::new(false));
+    for server in &fleet.servers {
+        let is_seen = is_seen.clone();
+        server.set_script(move |request, stream| {
+            let head = format!("{}{}", stream_head(request), event_chunk(1));
+            // Ignored: the caller's end of the stream shows it.
+            let _ = stream.write_all(head.as_bytes());
+            wait_until("the caller has the first event", || is_seen.load(Ordering::SeqCst));
+            let _ = stream.write_all(format!("{}0\r\n\r\n", event_chunk(2)).as_bytes());
+            AfterResponse::Keep
+        });
+    }
+    let request = fleet.request(0, STREAM.0, STREAM.1, "live").body("x");
+    let (response, mut reader) = request.open().expect("should respond");
+    assert_eq!(response.status, 200);
+    let mut first = vec![0; events_text(1).len()];
+    reader.read_exact(&mut first).expect("should read the first event");
+    is_seen.store(true, Ordering::SeqCst);
+    let mut rest = String::new();
+    reader.read_to_string(&mut rest).expect("should read the rest");
+    let text = String::from_utf8_lossy(&first).into_owned() + &rest;
+    assert_eq!(text, events_text(2));
+}
+
+// Guards against targets that go on working on what a peer sent for a caller who has left.
+#[test]
+fn target_is_left_when_the_caller_of_a_forwarded_request_leaves() {
+    let fleet = start_cut_fleet(2);
+    let left = Arc::new(AtomicUsize::new(0));
+    for server in &fleet.servers {
+        let left = left.clone();
+        server.set_script(move |request, stream| {
+            if request.path.starts_with(STREAM.1) {
+                // Ignored: the end of the connection shows below.
+                let _ = stream
+                    .write_all(format!("{}{}", stream_head(request), event_chunk(1)).as_bytes());
+            }
+            stream.set_read_timeout(Some(EVENT_INTERVAL)).expect("should set the timeout");
+            wait_until("the connection ends", || match stream.peek(&mut [0]) {
+                Ok(length) => length == 0,
+                Err(e) => !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut),
+            });
+            left.fetch_add(1, Ordering::SeqCst);
+            AfterResponse::Close
+        });
+    }
+    let stream = fleet.request(0, STREAM.0, STREAM.1, "left-stream").body("x");
+    let (_, mut reader) = stream.open().expect("should respond");
+    reader.read_exact(&mut [0]).expect("should read");
+    drop(reader);
+    wait_until("the stream's target is left", || left.load(Ordering::SeqCst) == 1);
+    let mut caller = TcpStream::connect(fleet.daemons[0].callers).expect("should connect");
+    let head = caller_headers("left-plain", 20_000)
+        .iter()
+        .map(|(name, value)| format!("{name}: {value}\r\n"))
+        .collect::<String>();
+    let text = format!("GET {} HTTP/1.1\r\n{head}\r\n", IDEMPOTENT.1);
+    caller.write_all(text.as_bytes()).expect("should write");
+    wait_until("a server has the request", || fleet.request_count("left-plain") == 1);
+    drop(caller);
+    wait_until("the request's target is left", || left.load(Ordering::SeqCst) == 2);
+}
+
+// Guards against requests that are lost or run twice because a cut comes and goes.
+#[test]
+fn requests_are_served_while_a_cut_comes_and_goes() {
+    for kind in [LinkKind::Reset, LinkKind::RefuseNew] {
+        let fleet = start_fleet(3);
+        warm_up(&fleet);
+        let is_over = AtomicBool::new(false);
+        thread::scope(|scope| {
+            scope.spawn(|| {
+                for _ in 0..10 {
+                    fleet.cut(0, kind);
+                    thread::sleep(Duration::from_millis(150));
+                    fleet.heal(0);
+                    thread::sleep(Duration::from_millis(250));
+                }
+                is_over.store(true, Ordering::SeqCst);
+            });
+            let mut number = 0;
+            while !is_over.load(Ordering::SeqCst) {
+                number += 1;
+                let prefix = format!("flap-{number}");
+                assert_eq!(count_served(&fleet, 0, IDEMPOTENT, &prefix, 0..8), 8, "{kind:?}");
+                // What is in flight when connections are reset may have run.
+                let served = count_served(&fleet, 0, NON_IDEMPOTENT, &prefix, 0..8);
+                assert!(served >= 4, "{kind:?}: {served} of 8 that run once");
+            }
+        });
+    }
+}
+
+// Guards against a daemon that does not use the targets that it reaches again, or refuses requests for those
+// that it does not.
+#[test]
+fn daemon_uses_the_only_target_that_it_reaches_again() {
+    let fleet = start_fleet(2);
+    warm_up(&fleet);
+    fleet.cut(0, LinkKind::Reset);
+    wait_until("peers serve for the daemon", || {
+        count_served(&fleet, 0, NON_IDEMPOTENT, "known", 0..1) == 1
+    });
+    let link = &fleet.links[0].links[2];
+    let before = link.counts.bytes_up();
+    link.set(LinkKind::Open);
+    let mut number = 0;
+    wait_until("the daemon sends to the target", || {
+        number += 1;
+        assert_eq!(count_served(&fleet, 0, NON_IDEMPOTENT, "partly", number..number + 1), 1);
+        link.counts.bytes_up() > before
+    });
+    assert_eq!(count_served(&fleet, 0, NON_IDEMPOTENT, "partly", 1_000..1_040), 40);
+}
