test: servers that fall over when they turn away too many

A stand-in with slots, a queue and true load reports names a maximum of rejections and falls over beyond it.

--- a/ggt-standin/src/users_platform/mod.rs
+++ b/ggt-standin/src/users_platform/mod.rs
@@ -4,6 +4,7 @@
 //! and inspect every request that was received.
 
 mod caller;
+mod fragile;
 mod request;
 mod server;
 mod silence;
@@ -15,6 +16,8 @@
 pub use caller::prompt_headers;
 pub use caller::prompt_headers_of;
 pub use caller::test_config;
+pub use fragile::FragileQueue;
+pub use fragile::QueueLimits;
 pub use request::WireRequest;
 pub use request::read_request;
 pub use server::AfterResponse;
--- a/ggt-standin/src/users_platform/server.rs
+++ b/ggt-standin/src/users_platform/server.rs
@@ -11,6 +11,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::thread::JoinHandle;
@@ -28,6 +29,8 @@
 
 /// Version of a server's software unless a test sets another one.
 const USUAL_VERSION: &str = "v1";
+/// Slots that a server registers unless a test sets another number.
+const USUAL_SLOTS: usize = 8;
 
 /// What happens to a connection after a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,6 +52,8 @@
     id: Mutex<String>,
     /// Version of its software.
     version: Mutex<String>,
+    /// Number of requests that it runs at a time, as registered.
+    slots: AtomicUsize,
     /// Number of times that it was started; the registration names it as the time of its start.
     starts: AtomicU64,
     requests: Mutex<Vec<WireRequest>>,
@@ -82,6 +87,7 @@
             address,
             id: Mutex::new(id.to_owned()),
             version: Mutex::new(USUAL_VERSION.to_owned()),
+            slots: AtomicUsize::new(USUAL_SLOTS),
             starts: AtomicU64::new(1),
             requests: Mutex::default(),
             closed_connections: Mutex::default(),
@@ -111,6 +117,11 @@
         version.clone_into(&mut lock(&self.state.version));
     }
 
+    /// Sets the number of slots that its next registrations name.
+    pub fn set_slots(&self, slots: usize) {
+        self.state.slots.store(slots, Ordering::SeqCst);
+    }
+
     /// Sets the script for requests that arrive from now on.
     pub fn set_script<F>(&self, script: F)
     where
@@ -191,8 +202,9 @@
     /// JSON value of the server's registration in the store.
     pub fn registration(&self, service: &str, zone: &str, state: &str) -> String {
         let (version, starts) = (self.version(), self.state.starts.load(Ordering::SeqCst));
+        let slots = self.state.slots.load(Ordering::SeqCst);
         format!(
-            r#"{{"Service":"{service}","Address":"{}","Zone":"{zone}","Version":"{version}","Slots":8,"State":"{state}","ColdLeftMs":0,"Seq":1,"born":{starts}}}"#,
+            r#"{{"Service":"{service}","Address":"{}","Zone":"{zone}","Version":"{version}","Slots":{slots},"State":"{state}","ColdLeftMs":0,"Seq":1,"born":{starts}}}"#,
             self.address
         )
     }
--- a/ggt-testkit/src/front.rs
+++ b/ggt-testkit/src/front.rs
@@ -130,6 +130,12 @@
         self.store.put(&format!("{TARGET_PREFIX}{id}"), &registration.unwrap_or_default());
     }
 
+    /// Registers the present instance of a server.
+    pub fn register(&self, server: &ServerStandin) {
+        let key = format!("{TARGET_PREFIX}{}", server.id());
+        self.store.put(&key, &server.registration("s", "a", "ready"));
+    }
+
     /// Restarts a crashed server as another instance, which replaces the old one in the store.
     ///
     /// # Panics
