fix: daemons together send fragile targets no more than these take

What callers saw: six servers that fall over when they turn away more than five requests a second fell 24 times in 12 s under 144 callers at six daemons, and none of the requests was served.

Cause: each daemon counted what it knew of the requests in flight, went from a full target to the next, and gave the others what a fallen one had served.

The maximum of rejections is decoded as a typed field and makes the service of the target fragile, by own replies or a peer's digest. While it is, the places of each target (its slots and few that wait) are divided over all members, a daemon has no more in flight than its part, and what finds no place is refused at once (targets-fragile). A target's places end with it, one that comes back begins with one request, rejections give up places, reports of free slots lend unused ones. Requests lost at a target that ended while it turned requests away are not suspected of crashing it.

The two tests were red before; they now also have a time before the statement and the users' 3 s from it until servers may fall.

--- a/ggt-core/src/fleet/digest.rs
+++ b/ggt-core/src/fleet/digest.rs
@@ -9,6 +9,8 @@
 use crate::crashes::CrashId;
 use crate::crashes::CrashReport;
 use crate::crashes::SuspectKey;
+use crate::targets::FragilityRecord;
+use crate::targets::FragilityStatement;
 use crate::targets::InFlightLoad;
 use crate::targets::RateStatement;
 
@@ -59,6 +61,50 @@
     pub exonerated: Vec<SuspectKey>,
     /// Rates that targets say they take. Digests of earlier builds end before this field.
     pub rates: Vec<RateReport>,
+    /// Services whose targets fall over when they turn away too many requests. Digests of earlier builds
+    /// end before this field.
+    pub fragile: Vec<FragilityReport>,
+}
+
+/// What the targets of a service told the sender of a digest about the rejections that they stand.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FragilityReport {
+    /// Short hash of the service's name.
+    pub service: u32,
+    /// Requests that each target may turn away in a second.
+    pub max_rejections: u32,
+    /// Milliseconds since that was last stated, when the digest was made.
+    pub named_age_ms: u32,
+    /// Milliseconds since a reply last came without that statement; `None` if none has.
+    pub unnamed_age_ms: Option<u32>,
+    /// Short hashes of targets that have lately turned away a request of the sender.
+    pub rejecting: Vec<u32>,
+}
+
+impl FragilityReport {
+    /// The report of a service's record; `None` if its targets have stated no maximum.
+    pub fn new(
+        service: u32,
+        record: &FragilityRecord,
+        rejecting: Vec<u32>,
+        now: MonoTime,
+    ) -> Option<Self> {
+        let age_ms = |time| u32::try_from(now.millis_since(time)).unwrap_or(u32::MAX);
+        let (max_rejections, named_at) = record.named?;
+        let (named_age_ms, unnamed_age_ms) = (age_ms(named_at), record.unnamed_at.map(age_ms));
+        Some(Self { service, max_rejections, named_age_ms, unnamed_age_ms, rejecting })
+    }
+
+    /// The statements, with their times on the receiver's clock.
+    pub fn statements(&self, now: MonoTime) -> impl Iterator<Item = FragilityStatement> {
+        let statement = |max_rejections, age_ms: u32| {
+            let millis = now.as_millis().saturating_sub(u64::from(age_ms));
+            FragilityStatement { max_rejections, stated_at: MonoTime::from_millis(millis) }
+        };
+        let named = statement(Some(self.max_rejections), self.named_age_ms);
+        let unnamed = self.unnamed_age_ms.map(|age_ms| statement(None, age_ms));
+        std::iter::once(named).chain(unnamed)
+    }
 }
 
 /// What a target stated in a reply to the sender of a digest about the rate that it takes.
--- a/ggt-core/src/fleet/members.rs
+++ b/ggt-core/src/fleet/members.rs
@@ -6,6 +6,7 @@
 use crate::clock::MonoTime;
 use crate::ident::mix_hash;
 use crate::ident::stable_hash;
+use crate::targets::DaemonRank;
 use crate::targets::RateShare;
 
 /// Milliseconds without a digest for which a daemon that has not announced its end still counts: it
@@ -55,6 +56,14 @@
         self.members.retain(|_, member| now < member.expires_at);
     }
 
+    /// Position of the daemon with hash `own_hash` in the order of all members for an item with this hash.
+    pub(super) fn rank(&self, own_hash: u64, item_hash: u64) -> DaemonRank {
+        let own_score = member_score(item_hash, own_hash);
+        let scores = self.members.values().map(|member| member_score(item_hash, member.hash));
+        let rank = scores.filter(|score| *score < own_score).count();
+        DaemonRank { rank, count: self.members.len() + 1 }
+    }
+
     /// The part of the daemon with hash `own_hash` in a limit of requests per second for the target with
     /// this hash.
     ///
@@ -62,10 +71,7 @@
     /// Daemons that cannot be reached keep theirs, so the parts on both sides of a cut add up to the
     /// limit.
     pub(super) fn rate_share(&self, own_hash: u64, target_hash: u64, limit: f64) -> RateShare {
-        let own_score = member_score(target_hash, own_hash);
-        let scores = self.members.values().map(|member| member_score(target_hash, member.hash));
-        let rank = scores.filter(|score| *score < own_score).count();
-        let members = self.members.len() + 1;
+        let DaemonRank { rank, count: members } = self.rank(own_hash, target_hash);
         // A limit beyond the range of integers is more than any number of daemons.
         let senders = members.min((limit as usize).saturating_add(EXTRA_SENDERS));
         if rank >= senders {
--- a/ggt-core/src/fleet/mod.rs
+++ b/ggt-core/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod digest;
 mod members;
 
+pub use digest::FragilityReport;
 pub use digest::PeerDigest;
 pub use digest::RateReport;
 
@@ -20,6 +21,7 @@
 use crate::fleet::members::member_hash;
 use crate::fleet::members::member_score;
 use crate::ident::stable_hash;
+use crate::targets::DaemonRank;
 use crate::targets::InFlightLoad;
 use crate::targets::RateShare;
 
@@ -210,6 +212,11 @@
         self.members.rate_share(member_hash(self.own_address), hash, limit)
     }
 
+    /// This daemon's position among all that share the targets of the service with this short hash.
+    pub fn service_rank(&self, hash: u32) -> DaemonRank {
+        self.members.rank(member_hash(self.own_address), u64::from(hash))
+    }
+
     /// Recipients of the next digest: discovered daemons, addresses listed in their digests, and
     /// the seeds.
     pub fn recipients(&self, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
--- a/ggt-core/src/targets/admission.rs
+++ b/ggt-core/src/targets/admission.rs
@@ -143,8 +143,11 @@
         let usable =
             targets.filter(|state| !state.record.is_leaving && !state.health.is_unreachable());
         let (load, limit) = usable.fold((0.0, 0.0), |(load, limit), state| {
-            let capacity =
-                self.max_in_flight(state, query, now).min(self.rate_capacity(state, query));
+            let places = self.fragile_places(state).map_or(f64::INFINITY, f64::from);
+            let capacity = self
+                .max_in_flight(state, query, now)
+                .min(self.rate_capacity(state, query))
+                .min(places);
             (load + f64::from(state.requests()), limit + capacity)
         });
         if limit > 0.0 { load / limit } else { 0.0 }
--- a/ggt-core/src/targets/choice.rs
+++ b/ggt-core/src/targets/choice.rs
@@ -13,6 +13,7 @@
 use crate::targets::candidates::is_silent;
 use crate::targets::candidates::of_version;
 use crate::targets::candidates::without_unlisted;
+use crate::targets::fragile::has_place;
 use crate::versions::SoftwareVersion;
 
 /// Inputs of the choice of a target.
@@ -103,6 +104,9 @@
     /// All usable targets have got as many requests as they say they take.
     #[snafu(display("every usable target of the service is at the rate that it takes"))]
     RateLimited,
+    /// All usable targets are fragile and have as many requests in flight as this daemon may send.
+    #[snafu(display("every usable target of the service has as many requests as it stands"))]
+    Fragile,
     /// The service has no usable target of the version that began the stream.
     #[snafu(display("no usable target has the version that began the stream"))]
     NoVersion,
@@ -165,7 +169,9 @@
         let is_open = |state: &TargetState| {
             state.rate.open_at(more_urgent).is_some_and(|open_at| now >= open_at)
         };
-        if let Some(choice) = choose_trial(&listed, query, now, is_open) {
+        let is_fragile = self.max_rejections(query.service).is_some();
+        let may_get_more = |state: &TargetState| is_open(state) && has_place(state, is_fragile);
+        if let Some(choice) = choose_trial(&listed, query, now, may_get_more) {
             return Ok(choice);
         }
         let reachable = self.reachable(&listed, now);
@@ -183,6 +189,11 @@
         if usable.is_empty() {
             return Err(ChoiceError::RateLimited);
         }
+        let usable: Vec<_> =
+            usable.into_iter().filter(|(_, state)| has_place(state, is_fragile)).collect();
+        if usable.is_empty() {
+            return Err(ChoiceError::Fragile);
+        }
         let has_capacity = |state| query.may_have_run || self.has_capacity(state, query, now);
         let with_capacity = usable.iter().filter(|(_, state)| has_capacity(state)).copied();
         let with_capacity: Vec<_> = with_capacity.collect();
--- a/ggt-core/src/targets/pool.rs
+++ b/ggt-core/src/targets/pool.rs
@@ -12,6 +12,7 @@
 use crate::ident::stable_hash;
 use crate::prompts::PrefixChain;
 use crate::targets::HealthState;
+use crate::targets::InFlightLimit;
 use crate::targets::InFlightLoad;
 use crate::targets::LoadReport;
 use crate::targets::RateShare;
@@ -20,6 +21,7 @@
 use crate::targets::TargetRate;
 use crate::targets::TargetRecord;
 use crate::targets::admission::ServiceAdmission;
+use crate::targets::fragile::ServiceFragility;
 use crate::targets::prefixes::short_prefix;
 
 new_key_type! {
@@ -66,6 +68,8 @@
     pub health: HealthState,
     /// The rate that it says it takes, if any.
     pub rate: TargetRate,
+    /// How many requests this daemon may have in flight there while its service is fragile.
+    pub in_flight_limit: InFlightLimit,
     /// When this daemon last received bytes of a reply from the target.
     pub last_reply_at: MonoTime,
     /// Since when the target has had requests of this daemon.
@@ -89,6 +93,7 @@
             report: None,
             health: HealthState::default(),
             rate: TargetRate::default(),
+            in_flight_limit: InFlightLimit::default(),
             last_reply_at: MonoTime::default(),
             busy_since: MonoTime::default(),
             leaving_since: None,
@@ -128,6 +133,10 @@
     /// come.
     pub(super) prefix_queue: VecDeque<(u32, u32, u8)>,
     pub(super) admissions: HashMap<String, ServiceAdmission>,
+    /// What targets said about the rejections that they stand, by service.
+    pub(super) fragilities: HashMap<String, ServiceFragility>,
+    /// Incarnations that fell over by turning away too many requests, and until when each is remembered.
+    pub(super) fallen: HashMap<CrashId, MonoTime>,
 }
 
 impl TargetPool {
@@ -228,6 +237,11 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// The names of all services.
+    pub fn services(&self) -> impl Iterator<Item = &str> {
+        self.by_service.keys().map(String::as_str)
+    }
+
     /// All targets.
     pub fn iter(&self) -> impl Iterator<Item = (TargetKey, &TargetState)> {
         self.targets.iter()
@@ -341,7 +355,11 @@
         let bad_shares = others.filter_map(|other| self.targets.get(*other));
         let bad_shares: Vec<_> = bad_shares.map(|state| state.health.bad_share()).collect();
         let sibling_share = bad_shares.iter().sum::<f64>() / bad_shares.len().max(1) as f64;
-        self.targets.get_mut(key)?.health.record(outcome, sibling_share, now)
+        let state = self.targets.get_mut(key)?;
+        if let SendOutcome::Unreachable | SendOutcome::Unresponsive = outcome {
+            state.in_flight_limit.record_unreachable();
+        }
+        state.health.record(outcome, sibling_share, now)
     }
 
     /// Marks a target as leaving; `true` when it was not marked before.
--- a/ggt-core/tests/digest_fixture/mod.rs
+++ b/ggt-core/tests/digest_fixture/mod.rs
@@ -25,5 +25,6 @@
         crash_ages_ms: Vec::new(),
         exonerated: Vec::new(),
         rates: Vec::new(),
+        fragile: Vec::new(),
     }
 }
--- a/ggt-daemon/src/front/attempt/admission.rs
+++ b/ggt-daemon/src/front/attempt/admission.rs
@@ -99,6 +99,7 @@
             }
             (false, ChoiceError::Full) => self.overload_refusal("no-room"),
             (false, ChoiceError::RateLimited) => self.overload_refusal("rate-limited"),
+            (false, ChoiceError::Fragile) => self.overload_refusal("targets-fragile"),
         }
     }
 }
--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -337,6 +337,9 @@
             SendError::Refused { status, is_misdirected } => {
                 self.record_send(key, "refused", status.as_str());
                 self.record_refusal(key, is_misdirected);
+                if self.is_service_fragile() {
+                    return Err(self.fragile_refusal());
+                }
                 if self.try_next_send() { Ok(()) } else { Err(self.targets_full_refusal()) }
             }
             SendError::Lost { cause, kind } => {
@@ -353,6 +356,19 @@
         }
     }
 
+    /// Whether the targets fall over if they turn away too many: one of them may be as full as the next.
+    fn is_service_fragile(&self) -> bool {
+        self.state.pool.borrow().max_rejections(&self.job.service).is_some()
+    }
+
+    /// Final response when a fragile target refused the request.
+    fn fragile_refusal(&self) -> FrontRefusal {
+        match self.may_have_run {
+            true => FrontRefusal::new(StatusCode::BAD_GATEWAY, "targets-fragile"),
+            false => self.overload_refusal("targets-fragile"),
+        }
+    }
+
     /// Final response when a target refused the request and no retry is allowed.
     fn targets_full_refusal(&self) -> FrontRefusal {
         match self.may_have_run {
--- a/ggt-daemon/src/front/attempt/send.rs
+++ b/ggt-daemon/src/front/attempt/send.rs
@@ -57,6 +57,10 @@
         if let Err(SendError::NotSent { .. } | SendError::Refused { .. }) = &result {
             guard.undo_send();
         }
+        if let Err(SendError::Refused { is_misdirected: false, .. }) = &result {
+            let sent_at = guard.sent_at();
+            self.state.pool.borrow_mut().record_rejection(key, sent_at, mono_now());
+        }
         let ((parts, headers, body), connection) = result?;
         // A reply that is no refusal means that the target has started the request, whatever its
         // status.
@@ -89,8 +93,10 @@
         self.state.pool.borrow_mut().record_reply(key, headers.load, mono_now());
         if headers.attempt_id.as_ref() == Some(&self.job.id) && !headers.is_misdirected {
             self.state.apply_rate_header(key, headers.rate_limit, sent_at);
+            self.state.apply_fragility_header(key, &headers);
         }
         self.check_reply(&parts.status, &headers)?;
+        self.state.pool.borrow_mut().record_accepted(key, headers.load, mono_now());
         Ok((parts, headers, body))
     }
 
--- a/ggt-daemon/src/front/crashes.rs
+++ b/ggt-daemon/src/front/crashes.rs
@@ -127,6 +127,14 @@
 
     /// Counts a crash against all suspects of a request whose reply was lost by it.
     fn record_crash(&self, reply: &LostReply, crash: CrashId, cause: &str) {
+        if self.has_fallen(crash) {
+            log::info!(
+                "event=crash-unclear request_id={} death={:016x} cause=fell-over",
+                quoted(&reply.request_id),
+                crash.0,
+            );
+            return;
+        }
         for suspect in reply.suspects.keys() {
             let report = CrashReport { suspect: *suspect, crash, noticed_at: mono_now() };
             let outcome = self.store_crash(report, CrashSource::Own);
--- a/ggt-daemon/src/front/digests.rs
+++ b/ggt-daemon/src/front/digests.rs
@@ -129,6 +129,7 @@
         crash_ages_ms: Vec::new(),
         exonerated: Vec::new(),
         rates: state.rate_reports(number),
+        fragile: state.fragility_reports(now),
     };
     digest.set_crashes(crashes, now);
     digest
--- a/ggt-daemon/src/front/mod.rs
+++ b/ggt-daemon/src/front/mod.rs
@@ -12,6 +12,7 @@
 mod changes;
 mod crashes;
 mod digests;
+mod fragile;
 mod health;
 mod internal;
 mod job;
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -290,6 +290,7 @@
         let now = mono_now();
         self.apply_peer_crashes(&digest);
         self.apply_peer_rates(&digest);
+        self.apply_peer_fragilities(&digest);
         self.has_heard_peer.set(true);
         let mut outage = self.outage.get();
         let age_ms = u64::from(digest.platform_age_ms);
@@ -315,6 +316,7 @@
         changes.iter().for_each(|c| pool.replace_peer_load(c.hash, c.before, c.after));
         drop(pool);
         self.update_rate_shares();
+        self.update_parts();
         self.update_versions();
         self.expire_crashes(now);
     }
--- a/ggt-testkit/tests/platform_fragile.rs
+++ b/ggt-testkit/tests/platform_fragile.rs
@@ -15,8 +15,13 @@
 
 /// Servers of the service.
 const SERVERS: usize = 6;
-/// Time for which callers send.
-const LOAD_TIME: Duration = Duration::from_secs(12);
+/// Time for which servers name no maximum of rejections, with callers that send.
+const USUAL_TIME: Duration = Duration::from_secs(2);
+/// Time from the first statement of a maximum until servers let fewer wait and may fall over (the users'
+/// `StableMs`).
+const STABLE_TIME: Duration = Duration::from_secs(3);
+/// Time for which they may.
+const FRAGILE_TIME: Duration = Duration::from_secs(10);
 /// Time for which a server that fell over is down.
 const DOWN_TIME: Duration = Duration::from_secs(3);
 /// Interval at which servers that fell over are checked.
@@ -35,6 +40,9 @@
     may_fall: true,
 };
 
+/// Requests that may wait at a server until it may fall over.
+const USUAL_WAITING: usize = 8;
+
 /// What servers and callers saw in one run.
 #[derive(Debug, Default)]
 struct LoadResult {
@@ -88,9 +96,11 @@
     response.header("x-server-stamp").is_some()
 }
 
-/// Lets `callers` callers send requests for `LOAD_TIME`, each the next one as soon as it has a response.
+/// Lets `callers` callers send requests, each the next one as soon as it has a response, before and while
+/// servers have these limits.
 fn press(daemons: usize, callers: usize, limits: QueueLimits) -> LoadResult {
-    let (fleet, queues) = start(daemons, limits);
+    let usual = QueueLimits { waiting: USUAL_WAITING, may_fall: false, ..limits };
+    let (fleet, queues) = start(daemons, QueueLimits { max_rejections: None, ..usual });
     let is_over = AtomicBool::new(false);
     let (numbers, refused, without_retry) =
         (AtomicUsize::new(0), AtomicUsize::new(0), AtomicUsize::new(0));
@@ -114,7 +124,11 @@
                 }
             });
         }
-        thread::sleep(LOAD_TIME);
+        thread::sleep(USUAL_TIME);
+        queues.iter().for_each(|queue| queue.set_limits(usual));
+        thread::sleep(STABLE_TIME);
+        queues.iter().for_each(|queue| queue.set_limits(limits));
+        thread::sleep(FRAGILE_TIME);
         is_over.store(true, Ordering::SeqCst);
     });
     let sum = |count: fn(&FragileQueue) -> usize| queues.iter().map(|queue| count(queue)).sum();
--- a/ggt-wire/src/digest/mod.rs
+++ b/ggt-wire/src/digest/mod.rs
@@ -3,7 +3,7 @@
 use ggt_core::fleet::PeerDigest;
 
 /// Encoding of empty lists for the fields that earlier builds do not send, appended before decoding.
-const EMPTY_LISTS: [u8; 3] = [0; 3];
+const EMPTY_LISTS: [u8; 4] = [0; 4];
 
 /// Encodes a digest.
 ///
--- a/ggt-wire/tests/codec.rs
+++ b/ggt-wire/tests/codec.rs
@@ -8,6 +8,7 @@
 use ggt_core::clock::WallTime;
 use ggt_core::crashes::CrashId;
 use ggt_core::crashes::SuspectKey;
+use ggt_core::fleet::FragilityReport;
 use ggt_core::fleet::PeerDigest;
 use ggt_core::fleet::RateReport;
 use ggt_core::ident::CustomerName;
@@ -192,6 +193,13 @@
             sent_age_ms: 200,
             received_age_ms: 100,
         }],
+        fragile: vec![FragilityReport {
+            service: 14,
+            max_rejections: 5,
+            named_age_ms: 40,
+            unnamed_age_ms: Some(900),
+            rejecting: vec![13],
+        }],
     }
 }
 
@@ -208,10 +216,11 @@
         crash_ages_ms: Vec::new(),
         exonerated: Vec::new(),
         rates: Vec::new(),
+        fragile: Vec::new(),
         ..digest()
     };
     let mut bytes = encode_digest(&without_ages).expect("should encode");
-    for field in ["last", "one before it", "one before these"] {
+    for field in ["last", "one before it", "one before these", "one before all these"] {
         assert_eq!(bytes.pop(), Some(0), "the {field} should be an empty list");
     }
     assert_eq!(decode_digest(&bytes).expect("should decode"), without_ages);
@@ -220,12 +229,22 @@
 
 #[test]
 fn digest_of_a_build_without_rates_decodes() {
-    let without_rates = PeerDigest { rates: Vec::new(), ..digest() };
+    let without_rates = PeerDigest { rates: Vec::new(), fragile: Vec::new(), ..digest() };
     let mut bytes = encode_digest(&without_rates).expect("should encode");
-    assert_eq!(bytes.pop(), Some(0), "the last field should be an empty list");
+    for field in ["last", "one before it"] {
+        assert_eq!(bytes.pop(), Some(0), "the {field} should be an empty list");
+    }
     assert_eq!(decode_digest(&bytes).expect("should decode"), without_rates);
 }
 
+#[test]
+fn digest_of_a_build_without_fragile_services_decodes() {
+    let without_fragile = PeerDigest { fragile: Vec::new(), ..digest() };
+    let mut bytes = encode_digest(&without_fragile).expect("should encode");
+    assert_eq!(bytes.pop(), Some(0), "the last field should be an empty list");
+    assert_eq!(decode_digest(&bytes).expect("should decode"), without_fragile);
+}
+
 #[test]
 fn earlier_builds_ignore_fields_at_the_end_of_a_digest() {
     let bytes = encode_digest(&digest()).expect("should encode");
