--- a/ggt-testkit/tests/platform_fragile.rs
+++ b/ggt-testkit/tests/platform_fragile.rs
@@ -96,9 +96,9 @@
     response.header("x-server-stamp").is_some()
 }
 
-/// Lets `callers` callers send requests, each the next one as soon as it has a response, before and while
+/// Lets `callers` callers send requests to the first `used` of the daemons, each the next one as soon as it has a response, before and while
 /// servers have these limits.
-fn press(daemons: usize, callers: usize, limits: QueueLimits) -> LoadResult {
+fn press(daemons: usize, used: usize, callers: usize, limits: QueueLimits) -> LoadResult {
     let usual = QueueLimits { waiting: USUAL_WAITING, may_fall: false, ..limits };
     let (fleet, queues) = start(daemons, QueueLimits { max_rejections: None, ..usual });
     let is_over = AtomicBool::new(false);
@@ -117,7 +117,7 @@
             scope.spawn(move || {
                 while !is_over.load(Ordering::SeqCst) {
                     let number = numbers.fetch_add(1, Ordering::SeqCst);
-                    if !call(fleet, caller % daemons, number, without_retry) {
+                    if !call(fleet, caller % used, number, without_retry) {
                         refused.fetch_add(1, Ordering::SeqCst);
                         thread::sleep(REFUSED_PAUSE);
                     }
@@ -148,10 +148,14 @@
 
 /// Checks the users' rule, and that the servers serve nearly as much as ones that cannot fall over and do
 /// not ask for anything.
-fn check(daemons: usize, callers: usize) {
-    let free =
-        press(daemons, callers, QueueLimits { max_rejections: None, may_fall: false, ..LIMITS });
-    let fragile = press(daemons, callers, LIMITS);
+fn check(daemons: usize, used: usize, callers: usize) {
+    let free = press(
+        daemons,
+        used,
+        callers,
+        QueueLimits { max_rejections: None, may_fall: false, ..LIMITS },
+    );
+    let fragile = press(daemons, used, callers, LIMITS);
     let allowed = 2.0 + SERVERS as f64 / 10.0;
     assert!(fragile.falls as f64 <= allowed, "{fragile:?}");
     assert!(fragile.served as f64 >= MIN_SERVED_PART * free.served as f64, "{fragile:?}, {free:?}");
@@ -163,13 +167,19 @@
 // another with what the others had served.
 #[test]
 fn fragile_servers_stand_half_more_load_than_fits() {
-    check(3, 54);
+    check(3, 3, 54);
 }
 
 // Guards against the same with several times the load, from more daemons.
 #[test]
 fn fragile_servers_stand_several_times_the_load_that_fits() {
-    check(6, 144);
+    check(6, 6, 144);
+}
+
+// Guards against parts that are lost because their daemons have no callers.
+#[test]
+fn parts_of_daemons_without_callers_are_used_by_the_others() {
+    check(3, 1, 54);
 }
 
 // Guards against limits that remain after the servers have stopped asking for them.
