--- a/ggt-core/src/ident/mod.rs
+++ b/ggt-core/src/ident/mod.rs
@@ -77,3 +77,8 @@
     mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
     mixed ^ (mixed >> 31)
 }
+
+/// Short hash of a service's name, as daemons exchange it.
+pub fn service_hash(service: &str) -> u32 {
+    stable_hash(service.as_bytes()) as u32
+}
--- a/ggt-core/src/targets/admission.rs
+++ b/ggt-core/src/targets/admission.rs
@@ -163,8 +163,11 @@
                 && !state.closing.is_closed(now)
         });
         let (load, limit) = usable.fold((0.0, 0.0), |(load, limit), state| {
-            let capacity =
-                self.max_in_flight(state, query, now).min(self.rate_capacity(state, query));
+            let places = self.fragile_places(state).map_or(f64::INFINITY, f64::from);
+            let capacity = self
+                .max_in_flight(state, query, now)
+                .min(self.rate_capacity(state, query))
+                .min(places);
             (load + f64::from(state.requests()), limit + capacity)
         });
         if limit > 0.0 { load / limit } else { 0.0 }
--- a/ggt-core/src/targets/choice.rs
+++ b/ggt-core/src/targets/choice.rs
@@ -13,6 +13,7 @@
 use crate::targets::candidates::is_silent;
 use crate::targets::candidates::of_version;
 use crate::targets::candidates::without_unlisted;
+use crate::targets::fragile::has_place;
 use crate::versions::SoftwareVersion;
 
 /// Inputs of the choice of a target.
@@ -106,6 +107,9 @@
     /// All usable targets have turned requests away and want none for some time.
     #[snafu(display("every usable target of the service wants no requests for some time"))]
     Closed,
+    /// All usable targets are fragile and have as many requests in flight as this daemon may send.
+    #[snafu(display("every usable target of the service has as many requests as it stands"))]
+    Fragile,
     /// The service has no usable target of the version that began the stream.
     #[snafu(display("no usable target has the version that began the stream"))]
     NoVersion,
@@ -169,7 +173,9 @@
             !state.closing.is_closed(now)
                 && state.rate.open_at(more_urgent).is_some_and(|open_at| now >= open_at)
         };
-        if let Some(choice) = choose_trial(&listed, query, now, is_open) {
+        let is_fragile = self.max_rejections(query.service).is_some();
+        let may_get_more = |state: &TargetState| is_open(state) && has_place(state, is_fragile);
+        if let Some(choice) = choose_trial(&listed, query, now, may_get_more) {
             return Ok(choice);
         }
         let reachable = self.reachable(&listed, now);
@@ -190,6 +196,11 @@
         if usable.is_empty() {
             return Err(ChoiceError::RateLimited);
         }
+        let usable: Vec<_> =
+            usable.into_iter().filter(|(_, state)| has_place(state, is_fragile)).collect();
+        if usable.is_empty() {
+            return Err(ChoiceError::Fragile);
+        }
         let has_capacity = |state| query.may_have_run || self.has_capacity(state, query, now);
         let with_capacity = usable.iter().filter(|(_, state)| has_capacity(state)).copied();
         let with_capacity: Vec<_> = with_capacity.collect();
--- a/ggt-core/tests/digest_fixture/mod.rs
+++ b/ggt-core/tests/digest_fixture/mod.rs
@@ -27,5 +27,6 @@
         exonerated: Vec::new(),
         rates: Vec::new(),
         reach: PeerReach::default(),
+        fragile: Vec::new(),
     }
 }
--- a/ggt-core/tests/fleet.rs
+++ b/ggt-core/tests/fleet.rs
@@ -17,7 +17,7 @@
 use ggt_core::fleet::PeerDigest;
 use ggt_core::fleet::PeerReach;
 use ggt_core::fleet::WatchRole;
-use ggt_core::fleet::service_hash;
+use ggt_core::ident::service_hash;
 use ggt_core::routes::split_hash;
 use ggt_core::targets::InFlightLoad;
 
--- a/ggt-daemon/src/front/attempt/admission.rs
+++ b/ggt-daemon/src/front/attempt/admission.rs
@@ -106,6 +106,7 @@
             (false, ChoiceError::Full) => self.overload_refusal("no-room"),
             (false, ChoiceError::Closed) => self.overload_refusal("closed"),
             (false, ChoiceError::RateLimited) => self.overload_refusal("rate-limited"),
+            (false, ChoiceError::Fragile) => self.overload_refusal("targets-fragile"),
         }
     }
 }
--- a/ggt-daemon/src/front/attempt/send.rs
+++ b/ggt-daemon/src/front/attempt/send.rs
@@ -120,6 +120,10 @@
                 if matches!(error, SendError::NotSent { .. } | SendError::Refused { .. }) {
                     guard.undo_send();
                 }
+                if matches!(error, SendError::Refused { is_misdirected: false, .. }) {
+                    let (sent_at, now) = (guard.sent_at(), mono_now());
+                    self.state.pool.borrow_mut().record_rejection(target.key, sent_at, now);
+                }
                 return SendEnd::Failed(error);
             }
         };
@@ -153,6 +157,7 @@
         self.state.pool.borrow_mut().record_reply(key, headers.load, mono_now());
         self.apply_statements(key, sent_at, &headers);
         self.check_reply(&parts.status, &headers)?;
+        self.state.pool.borrow_mut().record_accepted(key, headers.load, mono_now());
         Ok((parts, headers, body))
     }
 
--- a/ggt-daemon/src/front/attempt/statements.rs
+++ b/ggt-daemon/src/front/attempt/statements.rs
@@ -22,6 +22,7 @@
         }
         if id.is_some() {
             self.state.apply_rate_header(key, headers.rate_limit, sent_at);
+            self.state.apply_fragility_header(key, headers);
         }
         if headers.is_leaving {
             self.state.record_target_leaving(key);
--- a/ggt-daemon/src/front/digests.rs
+++ b/ggt-daemon/src/front/digests.rs
@@ -131,6 +131,7 @@
         exonerated: Vec::new(),
         rates: state.rate_reports(number),
         reach: state.peer_reach(),
+        fragile: state.fragility_reports(now),
     };
     digest.set_crashes(crashes, now);
     digest
--- a/ggt-daemon/src/front/forward/mod.rs
+++ b/ggt-daemon/src/front/forward/mod.rs
@@ -19,7 +19,7 @@
 use ggt_core::fleet::ForwardQuery;
 use ggt_core::fleet::PEER_PROTOCOL;
 use ggt_core::fleet::PeerReach;
-use ggt_core::fleet::service_hash;
+use ggt_core::ident::service_hash;
 use ggt_core::routes::split_hash;
 use ggt_core::versions::SoftwareVersion;
 
--- a/ggt-daemon/src/front/mod.rs
+++ b/ggt-daemon/src/front/mod.rs
@@ -13,6 +13,7 @@
 mod crashes;
 mod digests;
 mod forward;
+mod fragile;
 mod health;
 mod internal;
 mod job;
--- a/ggt-standin/src/users_platform/mod.rs
+++ b/ggt-standin/src/users_platform/mod.rs
@@ -5,6 +5,7 @@
 //! and inspect every request that was received.
 
 mod caller;
+mod fragile;
 mod link;
 mod request;
 mod server;
@@ -17,6 +18,8 @@
 pub use caller::prompt_headers;
 pub use caller::prompt_headers_of;
 pub use caller::test_config;
+pub use fragile::FragileQueue;
+pub use fragile::QueueLimits;
 pub use link::LinkCounts;
 pub use link::LinkKind;
 pub use link::LinkStandin;
--- a/ggt-testkit/src/front/mod.rs
+++ b/ggt-testkit/src/front/mod.rs
@@ -184,6 +184,12 @@
         self.register(self.servers.len() - 1, "ready");
     }
 
+    /// Registers the present instance of a server.
+    pub fn register(&self, server: &ServerStandin) {
+        let key = format!("{TARGET_PREFIX}{}", server.id());
+        self.store.put(&key, &server.registration("s", "a", "ready"));
+    }
+
     /// Restarts a crashed server as another instance, which replaces the old one in the store.
     ///
     /// # Panics
--- a/ggt-wire/tests/codec.rs
+++ b/ggt-wire/tests/codec.rs
@@ -8,6 +8,7 @@
 use ggt_core::clock::WallTime;
 use ggt_core::crashes::CrashId;
 use ggt_core::crashes::SuspectKey;
+use ggt_core::fleet::FragilityReport;
 use ggt_core::fleet::PeerDigest;
 use ggt_core::fleet::PeerReach;
 use ggt_core::fleet::RateReport;
@@ -201,6 +202,13 @@
             received_age_ms: 100,
         }],
         reach: PeerReach { protocol: 1, unreached: vec![14, u32::MAX] },
+        fragile: vec![FragilityReport {
+            service: 14,
+            max_rejections: 5,
+            named_age_ms: 40,
+            unnamed_age_ms: Some(900),
+            rejecting: vec![13],
+        }],
     }
 }
 
@@ -218,10 +226,12 @@
         exonerated: Vec::new(),
         rates: Vec::new(),
         reach: PeerReach::default(),
+        fragile: Vec::new(),
         ..digest()
     };
     let mut bytes = encode_digest(&without_ages).expect("should encode");
-    for field in ["last", "one before it", "third last", "fourth last", "fifth last"] {
+    for field in ["last", "one before it", "third last", "fourth last", "fifth last", "sixth last"]
+    {
         assert_eq!(bytes.pop(), Some(0), "the {field} should be an empty list or zero");
     }
     assert_eq!(decode_digest(&bytes).expect("should decode"), without_ages);
@@ -230,9 +240,14 @@
 
 #[test]
 fn digest_of_a_build_without_rates_decodes() {
-    let without_rates = PeerDigest { rates: Vec::new(), reach: PeerReach::default(), ..digest() };
+    let without_rates = PeerDigest {
+        rates: Vec::new(),
+        reach: PeerReach::default(),
+        fragile: Vec::new(),
+        ..digest()
+    };
     let mut bytes = encode_digest(&without_rates).expect("should encode");
-    for field in ["last", "one before it", "third last"] {
+    for field in ["last", "one before it", "third last", "fourth last"] {
         assert_eq!(bytes.pop(), Some(0), "the {field} should be an empty list or zero");
     }
     assert_eq!(decode_digest(&bytes).expect("should decode"), without_rates);
@@ -241,9 +256,9 @@
 // Guards against requests being forwarded to daemons of a build that does not know them.
 #[test]
 fn digest_of_a_build_that_takes_no_forwarded_requests_says_so() {
-    let without_reach = PeerDigest { reach: PeerReach::default(), ..digest() };
+    let without_reach = PeerDigest { reach: PeerReach::default(), fragile: Vec::new(), ..digest() };
     let mut bytes = encode_digest(&without_reach).expect("should encode");
-    assert_eq!((bytes.pop(), bytes.pop()), (Some(0), Some(0)));
+    assert_eq!([bytes.pop(), bytes.pop(), bytes.pop()], [Some(0); 3]);
     let decoded = decode_digest(&bytes).expect("should decode");
     assert_eq!(decoded, without_reach);
     assert_eq!(decoded.reach.protocol, 0);
@@ -305,6 +320,14 @@
     }
 }
 
+#[test]
+fn digest_of_a_build_without_fragile_services_decodes() {
+    let without_fragile = PeerDigest { fragile: Vec::new(), ..digest() };
+    let mut bytes = encode_digest(&without_fragile).expect("should encode");
+    assert_eq!(bytes.pop(), Some(0), "the last field should be an empty list");
+    assert_eq!(decode_digest(&bytes).expect("should decode"), without_fragile);
+}
+
 #[test]
 fn earlier_builds_ignore_fields_at_the_end_of_a_digest() {
     let bytes = encode_digest(&digest()).expect("should encode");
