test: soak: daemons that are cut off from all servers

Each daemon has its own links and store. From 3 s after a cut began, while another daemon reaches all servers undisrupted, callers' first tries at cut daemons must be served at least two thirds as often as the others', unless at most 10 + 1 in 50 fail. All other checks stay. Stores do not fail in these soaks: a daemon whose store fails reads entries, and so links, from other daemons; the soak fails if one did.

--- a/ggt-testkit/src/bin/ggt-soak.rs
+++ b/ggt-testkit/src/bin/ggt-soak.rs
@@ -41,9 +41,15 @@
     /// let sound servers fall silent for a second or so
     #[argh(switch)]
     silence: bool,
+    /// cut daemons off from all servers
+    #[argh(switch)]
+    cuts: bool,
     /// let servers run two versions and callers take up streams
     #[argh(switch)]
     versions: bool,
+    /// print the faults of all soaks, not only of those with violations
+    #[argh(switch)]
+    show_faults: bool,
     /// longest pause before each fault, in milliseconds (more than 60)
     #[argh(option, default = "500")]
     max_pause_ms: u64,
@@ -62,26 +68,28 @@
             has_crashing_caller: args.crashing,
             has_limits: args.limits,
             has_silence: args.silence,
+            has_cuts: args.cuts,
             has_versions: args.versions,
             max_fault_interval: Duration::from_millis(args.max_pause_ms),
         });
         println!(
             "seed {seed}: {} requests, {} answered, {} crashes ({} late), {} counted against limits, \
-             {} silences, {} miscounted ends, new streams begun {:?}, taken up that went on {:?}, {} faults, {} violations",
+             {} silences, {:?}, {} miscounted ends, new streams begun {:?}, taken up that went on {:?}, {} faults, {} violations",
             outcome.requests,
             outcome.answered,
             outcome.crashes,
             outcome.late_calls,
             outcome.limited_requests,
             outcome.silences,
+            outcome.cut_counts,
             outcome.miscounted_ends,
             outcome.new_streams,
             outcome.taken_up_streams,
             outcome.faults.len(),
             outcome.violations.len()
         );
-        if !outcome.violations.is_empty() {
-            has_violations = true;
+        has_violations |= !outcome.violations.is_empty();
+        if !outcome.violations.is_empty() || args.show_faults {
             outcome.faults.iter().for_each(|fault| println!("  fault: {fault}"));
             outcome.violations.iter().for_each(|what| println!("  VIOLATION: {what}"));
         }
--- a/ggt-testkit/src/front/links.rs
+++ b/ggt-testkit/src/front/links.rs
@@ -1,5 +1,7 @@
 //! Links of one daemon to all servers, and the store in which it finds the servers at its links.
 
+use std::net::SocketAddr;
+
 use ggt_platform::TARGET_PREFIX;
 use ggt_standin::users_platform::LinkKind;
 use ggt_standin::users_platform::LinkStandin;
@@ -29,17 +31,17 @@
         Self { store, links: Vec::new() }
     }
 
-    /// Adds an open link to the next server.
+    /// Adds an open link to the address of the next server.
     ///
     /// # Panics
     /// When it does not start.
-    pub(super) fn add(&mut self, net: LoopbackNet, server: &ServerStandin) {
-        let link = LinkStandin::start(net.port(LINK_OCTET), server.address);
+    pub(super) fn add(&mut self, net: LoopbackNet, server: SocketAddr) {
+        let link = LinkStandin::start(net.port(LINK_OCTET), server);
         self.links.push(link.expect("link should start"));
     }
 
     /// Writes the entry of a server, which is reached at its link.
-    pub(super) fn register(&self, number: usize, server: &ServerStandin, registration: &str) {
+    pub fn register(&self, number: usize, server: &ServerStandin, registration: &str) {
         let at_link = registration
             .replace(&server.address.to_string(), &self.links[number].address.to_string());
         self.store.put(&format!("{TARGET_PREFIX}{}", server.id()), &at_link);
--- a/ggt-testkit/src/front/mod.rs
+++ b/ggt-testkit/src/front/mod.rs
@@ -55,6 +55,8 @@
     pub store: StoreStandin,
     /// Links to the servers by index of the daemon; empty if the daemons reach the servers directly.
     pub links: Vec<DaemonLinks>,
+    /// Data centres; daemons and servers belong to them in turns by their numbers.
+    pub data_centres: Vec<&'static str>,
     /// Servers by index, registered or not.
     pub servers: Vec<ServerStandin>,
     /// Daemons by index.
@@ -88,6 +90,9 @@
     /// Starts a fleet like [`FrontFleet::start`], in which each daemon has its own links to the servers
     /// and its own store, all with the same configuration, server ids and instances.
     ///
+    /// Daemons whose stores fail read entries, and with them links, from other daemons; so do some
+    /// of 12 or more. [`LogBook::peer_entries`] tells.
+    ///
     /// # Panics
     /// When any of them does not start.
     pub fn start_linked(servers: usize, daemons: usize) -> Self {
@@ -110,6 +115,7 @@
         let linked_daemons = if is_linked { daemons } else { 0 };
         let mut fleet = Self {
             store,
+            data_centres: vec!["a"],
             links: (0..linked_daemons).map(|_| DaemonLinks::start(net)).collect(),
             servers: Vec::new(),
             daemons: Vec::new(),
@@ -147,8 +153,25 @@
         self.cut(daemon, LinkKind::Open);
     }
 
+    /// Gives each daemon its own links to these addresses, at which the servers are reached, and its own
+    /// store, which is empty.
+    ///
+    /// # Panics
+    /// When any of them does not start.
+    pub fn link_daemons(&mut self, daemons: usize, addresses: &[SocketAddr]) {
+        self.links = (0..daemons).map(|_| DaemonLinks::start(self.net)).collect();
+        for links in &mut self.links {
+            addresses.iter().for_each(|address| links.add(self.net, *address));
+        }
+    }
+
+    /// Data centre of the daemon or the server with this number.
+    pub fn data_centre(&self, number: usize) -> &'static str {
+        self.data_centres[number % self.data_centres.len()]
+    }
+
     /// The fleet's store and the stores of linked daemons.
-    fn stores(&self) -> impl Iterator<Item = &StoreStandin> {
+    pub fn stores(&self) -> impl Iterator<Item = &StoreStandin> {
         self.links.iter().map(|links| &links.store).chain([&self.store])
     }
 
@@ -163,14 +186,14 @@
     /// When it does not start.
     pub fn add_unregistered_server(&mut self, id: &str) {
         let server = ServerStandin::start(self.net.port(2), id).expect("server should start");
-        self.links.iter_mut().for_each(|links| links.add(self.net, &server));
+        self.links.iter_mut().for_each(|links| links.add(self.net, server.address));
         self.servers.push(server);
     }
 
     /// Registers the present instance of a server in all stores, in this state.
     pub fn register(&self, number: usize, state: &str) {
         let server = &self.servers[number];
-        let registration = server.registration("s", "a", state);
+        let registration = server.registration("s", self.data_centre(number), state);
         self.links.iter().for_each(|links| links.register(number, server, &registration));
         self.store.put(&format!("{TARGET_PREFIX}{}", server.id()), &registration);
     }
@@ -250,7 +273,7 @@
         let own_store = self.links.get(number).map_or(self.store.address, |own| own.store.address);
         let mut settings = json!({
             "name": format!("d-{number}"),
-            "data_centre": "a",
+            "data_centre": self.data_centre(number),
             "callers": callers,
             "ready": ready,
             "admin": admin,
--- a/ggt-testkit/src/log_book.rs
+++ b/ggt-testkit/src/log_book.rs
@@ -14,6 +14,10 @@
 const REQUEST_FIELD: &str = " request_id=";
 /// Beginning of the line that daemons log instead of lines that they dropped.
 const DROPPED_EVENT: &str = "event=log-lines-dropped";
+/// Part of the line about a changed entry of a server.
+const ENTRY_EVENT: &str = "event=target ";
+/// Field of that line that says that another daemon sent the entry.
+const PEER_SOURCE: &str = " source=peer";
 
 /// The lines that any daemon has logged about each request.
 #[derive(Debug, Default)]
@@ -21,6 +25,7 @@
     lines: Mutex<BTreeMap<String, Vec<String>>>,
     /// Lines that say that daemons dropped others.
     dropped: Mutex<usize>,
+    peer_entries: Mutex<usize>,
 }
 
 impl LogBook {
@@ -48,8 +53,15 @@
         *lock(&self.dropped) > 0
     }
 
+    /// Number of entries of servers that daemons have read from other daemons, not from the store.
+    pub fn peer_entries(&self) -> usize {
+        *lock(&self.peer_entries)
+    }
+
     fn add(&self, line: String) {
         *lock(&self.dropped) += usize::from(line.contains(DROPPED_EVENT));
+        let is_peer_entry = line.contains(ENTRY_EVENT) && line.contains(PEER_SOURCE);
+        *lock(&self.peer_entries) += usize::from(is_peer_entry);
         let Some((_, rest)) = line.split_once(REQUEST_FIELD) else { return };
         let id = rest.split(' ').next().unwrap_or_default().to_owned();
         lock(&self.lines).entry(id).or_default().push(line);
--- a/ggt-testkit/src/soak/caller.rs
+++ b/ggt-testkit/src/soak/caller.rs
@@ -23,6 +23,7 @@
 
 use crate::soak::SoakOptions;
 use crate::soak::crashing::CrashLog;
+use crate::soak::cuts::CutLog;
 use crate::soak::deployment::DisruptionState;
 use crate::soak::deployment::EVENTS;
 use crate::soak::deployment::body_of;
@@ -37,6 +38,8 @@
 const READ_TIMEOUT: Duration = Duration::from_secs(4);
 /// Deadline that callers send with each request.
 const DEADLINE_MS: u64 = 3_000;
+/// The same in soaks with cuts: short, so that callers that wait in vain try often.
+const CUT_DEADLINE_MS: u64 = 1_500;
 /// One in so many `chat` streams is left early by its caller, where servers run two versions.
 const LEAVE_SHARE: u32 = 3;
 /// Maximum number of times that a caller takes up a stream.
@@ -71,6 +74,11 @@
         }
     }
 
+    /// Whether the caller got all that it wanted.
+    fn is_served(&self) -> bool {
+        self.status == 200 && (self.is_complete || self.was_left)
+    }
+
     fn is_refused_as_crashing(&self) -> bool {
         self.status == 503 && String::from_utf8_lossy(&self.body).contains("crashes-targets")
     }
@@ -86,12 +94,17 @@
     pub(super) servers: Vec<Arc<DisruptionState>>,
     pub(super) serving: Arc<ServingVersions>,
     pub(super) crash_log: Arc<CrashLog>,
+    pub(super) cut_log: Arc<CutLog>,
     pub(super) checker: Arc<InvariantChecker>,
     pub(super) is_over: Arc<AtomicBool>,
     pub(super) options: SoakOptions,
 }
 
 impl CallerContext {
+    fn deadline_ms(&self) -> u64 {
+        if self.options.has_cuts { CUT_DEADLINE_MS } else { DEADLINE_MS }
+    }
+
     fn stable_servers(&self) -> Vec<Option<usize>> {
         self.servers.iter().map(|server| server.stable_version()).collect()
     }
@@ -117,7 +130,11 @@
         if connection.is_none() {
             daemon = random.random_range(0..daemons.len());
             kill_count = daemons[daemon].1.kill_count();
+            let side = context.cut_log.side_of(daemon);
             connection = connect(daemons[daemon].0);
+            if connection.is_none() {
+                context.cut_log.record_try(daemon, side, false);
+            }
         }
         let disruption = &daemons[daemon].1;
         let stable_version = disruption.stable_version();
@@ -128,10 +145,12 @@
         let id = format!("c{number}-{count}-{kind}-{daemon}");
         checker.record_request();
         let (sent_at, stable_servers) = (Instant::now(), context.stable_servers());
+        let side = context.cut_log.side_of(daemon);
         let has_versions = context.options.has_versions;
         let max_events =
             (has_versions && kind == "chat").then(|| leave_after(&mut random)).flatten();
-        let start = StreamStart { max_events, ..StreamStart::default() };
+        let deadline_ms = context.deadline_ms();
+        let start = StreamStart { max_events, resumes: None, deadline_ms };
         let response = send_request(open, kind, &id, &start);
         let was_left = response.as_ref().is_some_and(|response| response.was_left);
         // A stream may break off together with its server. Every other request gets a complete response
@@ -153,11 +172,13 @@
             && is_undisturbed
             && context.options.has_silence
             && !was_left
-            && sent_at.elapsed() < Duration::from_millis(DEADLINE_MS)
+            && sent_at.elapsed() < Duration::from_millis(deadline_ms)
         {
             let disrupted = context.disrupted_servers(&stable_servers);
-            checker.record_cut(&id, sent_at.elapsed(), disrupted);
+            checker.record_cut_stream(&id, sent_at.elapsed(), disrupted);
         }
+        let is_served = response.as_ref().is_some_and(SoakResponse::is_served);
+        context.cut_log.record_try(daemon, side, is_served);
         checker.record_sent(&id, daemon, kill_count, response.is_some());
         let is_reusable = response
             .as_ref()
@@ -168,9 +189,9 @@
         }
         if let Some(response) = response {
             context.crash_log.record_sound(response.is_refused_as_crashing());
-            let has_silence_only =
-                context.options.has_silence && !context.options.has_crashing_caller;
-            if has_silence_only && response.is_refused_as_crashing() {
+            let SoakOptions { has_silence, has_cuts, has_crashing_caller, .. } = context.options;
+            let is_never_blamed = (has_silence || has_cuts) && !has_crashing_caller;
+            if is_never_blamed && response.is_refused_as_crashing() {
                 checker
                     .record_violation(format!("{id} was refused as crashing, and nothing crashes"));
             }
@@ -216,8 +237,11 @@
             || held.versions.iter().all(|name| context.serving.can_go_on(name, &context.servers));
         let could_go_on = can_go_on();
         checker.record_request();
-        let start =
-            StreamStart { max_events: leave_after(random), resumes: Some((first_id, held.events)) };
+        let start = StreamStart {
+            max_events: leave_after(random),
+            resumes: Some((first_id, held.events)),
+            deadline_ms: context.deadline_ms(),
+        };
         let response = send_request(&mut connection, "chat", &id, &start);
         checker.record_sent(&id, daemon, kill_count, response.is_some());
         let is_counted = could_go_on
@@ -245,8 +269,9 @@
 }
 
 /// How a caller begins a stream, and when it leaves it.
-#[derive(Default)]
 struct StreamStart {
+    /// Deadline that the caller sends.
+    deadline_ms: u64,
     /// Number of events after which the caller closes its connection.
     max_events: Option<u64>,
     /// Attempt id that brought the stream's first event, and the last event that the caller holds.
@@ -261,7 +286,7 @@
 ) -> Option<SoakResponse> {
     let (method, body) = if kind == "read" { ("GET", "") } else { ("POST", "prompt") };
     let mut text = format!("{method} /{kind}/ HTTP/1.1\r\n");
-    for (name, value) in caller_headers(id, DEADLINE_MS).into_iter().chain(prompt_headers()) {
+    for (name, value) in caller_headers(id, start.deadline_ms).into_iter().chain(prompt_headers()) {
         text.push_str(&format!("{name}: {value}\r\n"));
     }
     if let Some((first_id, last_event)) = &start.resumes {
--- a/ggt-testkit/src/soak/deployment.rs
+++ b/ggt-testkit/src/soak/deployment.rs
@@ -13,11 +13,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rustix::process::Signal;
 use serde_json::json;
 
 use ggt_platform::TARGET_PREFIX;
 use ggt_standin::server::lock;
 use ggt_standin::users_platform::AfterResponse;
+use ggt_standin::users_platform::LinkKind;
 use ggt_standin::users_platform::SilenceGate;
 use ggt_standin::users_platform::SilenceKind;
 use ggt_standin::users_platform::WireRequest;
@@ -33,6 +35,7 @@
 use crate::soak::SoakOptions;
 use crate::soak::crashing::CrashLog;
 use crate::soak::crashing::is_crashing;
+use crate::soak::cuts::CutLog;
 use crate::soak::invariants::InvariantChecker;
 use crate::soak::limits::ServerLimit;
 use crate::soak::versions::ServingVersions;
@@ -48,6 +51,11 @@
 pub(super) const SOUND_NETWORK: &str = "delay_ms=0";
 /// Time for which the entry of a server must have been removed before it comes back under its id.
 const REMOVAL_TIME: Duration = Duration::from_secs(1);
+/// Maximum number of crashes of servers by no request in a soak: one fewer than daemons need to blame a
+/// request, as those of all callers are alike.
+const MAX_CRASHES: usize = 2;
+/// Data centres of soaks with cuts.
+const CUT_CENTRES: [&str; 2] = ["a", "b"];
 /// Time between two silences of one server.
 const SILENCE_SPACING: Duration = Duration::from_secs(2);
 
@@ -133,11 +141,14 @@
     /// Log lines of the daemons.
     pub(super) log_book: Arc<LogBook>,
     pub(super) crash_log: Arc<CrashLog>,
+    pub(super) cut_log: Arc<CutLog>,
     /// The limits that servers name, by server.
     pub(super) limits: Vec<Arc<ServerLimit>>,
     pub(super) serving: Arc<ServingVersions>,
     /// Whether servers run two versions and their events name them.
     has_versions: bool,
+    /// Number of crashes of servers by no request.
+    crashes: usize,
     /// Servers that are being replaced, and since when.
     replaced: Vec<(usize, Instant)>,
     checker: Arc<InvariantChecker>,
@@ -166,17 +177,21 @@
         let proxy_control = fleet.unused_address();
         let control = proxy_control.to_string();
         let proxy = ChildProcess::spawn_standin(&["proxy", "--control", &control]);
+        let disruptions: Vec<_> = (0..options.daemons).map(|_| Arc::default()).collect();
+        let server_disruptions: Vec<_> = (0..options.servers).map(|_| Arc::default()).collect();
         let mut deployment = Self {
+            cut_log: Arc::new(CutLog::new(&disruptions, &server_disruptions)),
             proxy_routes: Vec::new(),
             draining_servers: Vec::new(),
-            disruptions: (0..options.daemons).map(|_| Arc::default()).collect(),
+            disruptions,
             store_disruption: Arc::default(),
-            server_disruptions: (0..options.servers).map(|_| Arc::default()).collect(),
+            server_disruptions,
             log_book,
             crash_log: Arc::default(),
             limits: (0..options.servers).map(|_| Arc::default()).collect(),
             serving: Arc::default(),
             has_versions: options.has_versions,
+            crashes: 0,
             replaced: Vec::new(),
             checker: checker.clone(),
             proxy_control,
@@ -198,8 +213,13 @@
                 deployment.fleet.servers[number].set_version(VERSIONS[number % VERSIONS.len()]);
             }
             deployment.set_soak_script(number);
-            deployment.register(number, "ready");
         }
+        if options.has_cuts {
+            deployment.fleet.data_centres = CUT_CENTRES.to_vec();
+            deployment.fleet.link_daemons(options.daemons, &deployment.proxy_routes);
+            deployment.fleet.publish(&test_config(1));
+        }
+        (0..options.servers).for_each(|number| deployment.register(number, "ready"));
         (0..options.daemons).for_each(|number| deployment.fleet.add_daemon(number, None));
         deployment.fleet.daemons.iter().for_each(await_ready);
         deployment
@@ -248,9 +268,47 @@
         let was_running = self.fleet.daemons[daemon].process.is_running();
         self.disruptions[daemon].record_kill(was_running);
         self.fleet.restart_without_waiting(daemon);
+        self.cut_log.set_leaving(daemon, false);
         self.disruptions[daemon].set_disrupted(false);
     }
 
+    /// Begins to shut a daemon down.
+    pub(super) fn shut_down(&self, daemon: usize) {
+        self.cut_log.set_leaving(daemon, true);
+        self.fleet.daemons[daemon].process.signal(Signal::TERM);
+    }
+
+    /// Cuts daemons off from all servers.
+    pub(super) fn cut(&self, daemons: &[usize], kind: LinkKind) {
+        self.cut_log.begin(daemons);
+        daemons.iter().for_each(|daemon| self.fleet.cut(*daemon, kind));
+    }
+
+    /// Ends the cuts of daemons.
+    pub(super) fn end_cut(&self, daemons: &[usize]) {
+        daemons.iter().for_each(|daemon| self.fleet.heal(*daemon));
+        self.cut_log.end(daemons, &self.checker);
+    }
+
+    /// Crashes a server; false if it is down already, or if so many have crashed that daemons may
+    /// blame the requests which they had.
+    pub(super) fn crash_server(&mut self, number: usize) -> bool {
+        let server = &self.fleet.servers[number];
+        if server.is_down() || self.crashes >= MAX_CRASHES {
+            return false;
+        }
+        self.crashes += 1;
+        self.server_disruptions[number].set_disrupted(true);
+        server.crash();
+        true
+    }
+
+    /// Makes all stores respond with a status; `None` ends this.
+    pub(super) fn set_store_failure(&self, status: Option<u16>) {
+        self.fleet.stores().for_each(|store| store.set_failure(status));
+        self.store_disruption.set_disrupted(status.is_some());
+    }
+
     /// Kills a daemon.
     pub(super) fn kill(&mut self, daemon: usize) {
         let was_running = self.fleet.daemons[daemon].process.is_running();
@@ -285,7 +343,8 @@
     pub(super) fn register(&self, number: usize, state: &str) {
         let server = &self.fleet.servers[number];
         self.serving.set(number, (state == "ready").then(|| server.version()));
-        let registration = server.registration("s", "a", state);
+        let registration = server.registration("s", self.fleet.data_centre(number), state);
+        self.fleet.links.iter().for_each(|links| links.register(number, server, &registration));
         let registration = match self.is_direct(number) {
             true => registration,
             false => registration
@@ -368,8 +427,7 @@
     pub(super) fn heal(&mut self) {
         self.restart_crashed_servers();
         (0..self.proxy_routes.len()).for_each(|number| self.set_fault_plan(number, SOUND_NETWORK));
-        self.fleet.store.set_failure(None);
-        self.store_disruption.set_disrupted(false);
+        self.set_store_failure(None);
         for daemon in 0..self.fleet.daemons.len() {
             if self.fleet.daemons[daemon].process.is_running() {
                 self.fleet.daemons[daemon].process.resume();
--- a/ggt-testkit/src/soak/faults.rs
+++ b/ggt-testkit/src/soak/faults.rs
@@ -9,7 +9,9 @@
 use rand::rngs::SmallRng;
 use rustix::process::Signal;
 
+use ggt_standin::users_platform::LinkKind;
 use ggt_standin::users_platform::SilenceKind;
+use ggt_standin::users_platform::StoreStandin;
 
 use crate::soak::SoakOptions;
 use crate::soak::deployment::SOUND_NETWORK;
@@ -29,6 +31,14 @@
 const FAULT_KINDS: u32 = 12;
 /// Number of further choices in soaks with two versions.
 const VERSION_KINDS: u32 = 6;
+/// Number of further choices in soaks with cuts.
+const CUT_KINDS: u32 = 16;
+/// Range from which the time of a cut is drawn, in milliseconds.
+const CUT_MS: Range<u64> = 1_000..6_000;
+/// One in so many cuts may leave no daemon connected.
+const TOTAL_CUT_SHARE: u32 = 8;
+/// Ways in which daemons are cut off.
+const CUT_LINKS: [LinkKind; 3] = [LinkKind::Reset, LinkKind::Hang, LinkKind::RefuseNew];
 /// Number of further choices in soaks with silent servers.
 const SILENCE_KINDS: u32 = 10;
 
@@ -36,7 +46,7 @@
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(7_500);
 
 /// Action that ends a fault; numbers are indices of servers or daemons.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 enum FaultEnd {
     Network(usize),
     Resume(usize),
@@ -49,6 +59,10 @@
     /// Starts a daemon again that got SIGTERM; kills it first if it still runs.
     StartAfterShutdown(usize),
     Store,
+    Cut {
+        daemons: Vec<usize>,
+        time: Duration,
+    },
 }
 
 /// Injects faults, several of them at the same time, and restarts crashed servers for the time in the
@@ -59,7 +73,8 @@
     options: &SoakOptions,
     checker: &InvariantChecker,
 ) {
-    let until = Instant::now() + options.faults_for;
+    let started_at = Instant::now();
+    let until = started_at + options.faults_for;
     let mut pending_ends: Vec<(Instant, FaultEnd)> = Vec::new();
     while Instant::now() < until {
         let pause = random.random_range(MIN_FAULT_INTERVAL..options.max_fault_interval);
@@ -75,12 +90,13 @@
         due.into_iter().for_each(|(_, end)| end_fault(deployment, end));
         let duration = Duration::from_millis(random.random_range(200..MAX_FAULT_MS));
         if let Some((name, end)) = begin_fault(deployment, random, options, checker) {
-            let duration = if matches!(end, Some(FaultEnd::StartAfterShutdown(_))) {
-                SHUTDOWN_TIMEOUT
-            } else {
-                duration
+            let duration = match end {
+                Some(FaultEnd::StartAfterShutdown(_)) => SHUTDOWN_TIMEOUT,
+                Some(FaultEnd::Cut { time, .. }) => time,
+                _ => duration,
             };
-            checker.record_fault(format!("{name} for {} ms", duration.as_millis()));
+            let at_ms = (now - started_at).as_millis();
+            checker.record_fault(format!("{at_ms} ms: {name} for {} ms", duration.as_millis()));
             pending_ends.extend(end.map(|end| (now + duration, end)));
         }
     }
@@ -105,8 +121,19 @@
         Some((format!("network of server {server}: {plan}"), Some(FaultEnd::Network(server))))
     };
     let first_replacement = FAULT_KINDS + if options.has_silence { SILENCE_KINDS } else { 0 };
-    let kinds = first_replacement + if options.has_versions { VERSION_KINDS } else { 0 };
+    let first_cut = first_replacement + if options.has_versions { VERSION_KINDS } else { 0 };
+    let kinds = first_cut + if options.has_cuts { CUT_KINDS } else { 0 };
     match random.random_range(0..kinds) {
+        kind if kind >= first_cut => match kind - first_cut {
+            0 => {
+                deployment.crash_server(server).then(|| (format!("server {server} crashed"), None))
+            }
+            1 | 2 => {
+                deployment.publish_next();
+                Some(("next configuration published".to_owned(), None))
+            }
+            _ => begin_cut(deployment, random),
+        },
         kind if kind >= first_replacement => {
             let version = VERSIONS[random.random_range(0..VERSIONS.len())];
             let keeps_id = random.random_range(0..3) == 0;
@@ -132,21 +159,21 @@
             Some((format!("daemon {daemon} killed"), Some(FaultEnd::Restart(daemon))))
         }
         7 if deployment.fleet.daemons[daemon].process.is_running() => {
-            deployment.fleet.daemons[daemon].process.signal(Signal::TERM);
+            deployment.shut_down(daemon);
             Some((format!("daemon {daemon} shut down"), Some(FaultEnd::StartAfterShutdown(daemon))))
         }
         8 if deployment.fleet.daemons[daemon].process.is_running() => {
             deployment.fleet.daemons[daemon].process.signal(Signal::HUP);
             Some((format!("daemon {daemon} reloaded"), None))
         }
-        9 => {
+        // Daemons whose stores fail would read the links of other daemons.
+        9 if !options.has_cuts => {
             let status = [429, 503][random.random_range(0..2)];
-            deployment.fleet.store.set_failure(Some(status));
-            deployment.store_disruption.set_disrupted(true);
+            deployment.set_store_failure(Some(status));
             Some((format!("store responds with status {status}"), Some(FaultEnd::Store)))
         }
         10 => {
-            deployment.fleet.store.compact();
+            deployment.fleet.stores().for_each(StoreStandin::compact);
             deployment.publish_next();
             Some(("store drops its history, next configuration published".to_owned(), None))
         }
@@ -171,6 +198,37 @@
     }
 }
 
+/// Cuts daemons that are not cut off yet from all servers: one, several, all but one, or those of a data
+/// centre. One stays connected, but for one time in `TOTAL_CUT_SHARE`.
+fn begin_cut(
+    deployment: &SoakDeployment,
+    random: &mut SmallRng,
+) -> Option<(String, Option<FaultEnd>)> {
+    let count = deployment.fleet.daemons.len();
+    let first = random.random_range(0..count);
+    let several = random.random_range(1..count);
+    let cut_count = [1, 1, 1, several, count - 1, count][random.random_range(0..6)];
+    let centre = deployment.fleet.data_centre(first);
+    let is_chosen = |daemon: &usize| match cut_count == count {
+        true => deployment.fleet.data_centre(*daemon) == centre,
+        false => (daemon + count - first) % count < cut_count,
+    };
+    let (mut daemons, connected): (Vec<_>, Vec<_>) =
+        (0..count).filter(|daemon| !deployment.cut_log.is_cut(*daemon)).partition(is_chosen);
+    let is_total = random.random_range(0..TOTAL_CUT_SHARE) == 0;
+    if connected.is_empty() && !is_total {
+        daemons.pop();
+    }
+    let kind = CUT_LINKS[random.random_range(0..CUT_LINKS.len())];
+    let time = Duration::from_millis(random.random_range(CUT_MS));
+    if daemons.is_empty() {
+        return None;
+    }
+    deployment.cut(&daemons, kind);
+    let what = format!("daemons {daemons:?} cut off from all servers, {kind:?},");
+    Some((what, Some(FaultEnd::Cut { daemons, time })))
+}
+
 /// Makes servers silent, which ends by itself.
 fn begin_silence(
     deployment: &mut SoakDeployment,
@@ -205,9 +263,7 @@
         FaultEnd::Replacement { server, version, keeps_id } => {
             deployment.end_replacement(server, version, keeps_id);
         }
-        FaultEnd::Store => {
-            deployment.fleet.store.set_failure(None);
-            deployment.store_disruption.set_disrupted(false);
-        }
+        FaultEnd::Store => deployment.set_store_failure(None),
+        FaultEnd::Cut { daemons, .. } => deployment.end_cut(&daemons),
     }
 }
--- a/ggt-testkit/src/soak/invariants.rs
+++ b/ggt-testkit/src/soak/invariants.rs
@@ -11,6 +11,7 @@
 
 use crate::log_book::LogBook;
 use crate::soak::SoakOutcome;
+use crate::soak::cuts::CutCounts;
 use crate::soak::deployment::DisruptionState;
 
 /// Time after the last request within which the daemons' lines about its end must arrive.
@@ -24,7 +25,7 @@
     runs: Mutex<BTreeMap<String, usize>>,
     not_executed: Mutex<BTreeMap<String, u16>>,
     sent: Mutex<Vec<SentRequest>>,
-    cuts: Mutex<Vec<CutStream>>,
+    cut_streams: Mutex<Vec<CutStream>>,
     outcome: Mutex<SoakOutcome>,
 }
 
@@ -105,8 +106,13 @@
     }
 
     /// Records a stream that ended early.
-    pub(super) fn record_cut(&self, id: &str, after: Duration, disrupted_servers: Vec<usize>) {
-        lock(&self.cuts).push(CutStream { id: id.to_owned(), after, disrupted_servers });
+    pub(super) fn record_cut_stream(
+        &self,
+        id: &str,
+        after: Duration,
+        disrupted_servers: Vec<usize>,
+    ) {
+        lock(&self.cut_streams).push(CutStream { id: id.to_owned(), after, disrupted_servers });
     }
 
     /// Checks that the daemons have logged exactly one end of each request that they had read, unless
@@ -142,8 +148,8 @@
     }
 
     /// Checks that streams that ended early had been sent to a server that was disrupted.
-    pub(super) fn check_cuts(&self, book: &LogBook) {
-        for CutStream { id, after, disrupted_servers } in lock(&self.cuts).iter() {
+    pub(super) fn check_cut_streams(&self, book: &LogBook) {
+        for CutStream { id, after, disrupted_servers } in lock(&self.cut_streams).iter() {
             let lines = book.lines_of(id);
             let is_excused = |line: &String| {
                 server_of(line).is_some_and(|server| disrupted_servers.contains(&server))
@@ -158,6 +164,14 @@
         }
     }
 
+    /// Checks that daemons have used their own links; otherwise the cuts of this soak prove nothing.
+    pub(super) fn check_links(&self, book: &LogBook) {
+        let count = book.peer_entries();
+        if count > 0 {
+            self.record_violation(format!("daemons read {count} entries with the links of others"));
+        }
+    }
+
     /// Records whether a new stream began.
     pub(super) fn record_new_stream(&self, has_begun: bool) {
         let (begun, all) = &mut lock(&self.outcome).new_streams;
@@ -170,6 +184,12 @@
         (*gone_on, *all) = (*gone_on + usize::from(went_on), *all + 1);
     }
 
+    pub(super) fn record_cut_counts(&self, counts: CutCounts) {
+        let total = &mut lock(&self.outcome).cut_counts;
+        total.cut.merge(counts.cut);
+        total.others.merge(counts.others);
+    }
+
     pub(super) fn record_silences(&self, count: usize) {
         lock(&self.outcome).silences += count;
     }
--- a/ggt-testkit/src/soak/mod.rs
+++ b/ggt-testkit/src/soak/mod.rs
@@ -3,6 +3,7 @@
 
 mod caller;
 mod crashing;
+mod cuts;
 mod deployment;
 mod faults;
 mod invariants;
@@ -22,6 +23,8 @@
 use crate::soak::caller::CallerContext;
 use crate::soak::caller::run_caller;
 use crate::soak::crashing::run_crashing_caller;
+pub use crate::soak::cuts::CutCounts;
+pub use crate::soak::cuts::TryCounts;
 use crate::soak::deployment::SoakDeployment;
 use crate::soak::faults::run_faults;
 use crate::soak::invariants::InvariantChecker;
@@ -47,6 +50,9 @@
     /// Whether sound servers fall silent for a second or so and continue; every other server is then
     /// reached without the fault proxy.
     pub has_silence: bool,
+    /// Whether daemons are cut off from all servers, each by links of its own, while the others and
+    /// callers reach them.
+    pub has_cuts: bool,
     /// Whether servers run two versions, are replaced back and forth between them, and callers take
     /// up `chat` streams that ended early.
     pub has_versions: bool,
@@ -65,6 +71,7 @@
             has_crashing_caller: false,
             has_limits: false,
             has_silence: false,
+            has_cuts: false,
             has_versions: false,
             max_fault_interval: Duration::from_millis(500),
         }
@@ -89,6 +96,8 @@
     /// Streams taken up that went on, and all, at undisrupted daemons while two servers of their
     /// version served.
     pub taken_up_streams: (usize, usize),
+    /// Callers' first tries at daemons that were cut off and at the others meanwhile.
+    pub cut_counts: CutCounts,
     /// Silences of servers.
     pub silences: usize,
     /// Requests that a daemon had read, not killed later, without exactly one line about their end.
@@ -116,6 +125,7 @@
                 servers: deployment.server_disruptions.clone(),
                 serving: deployment.serving.clone(),
                 crash_log: deployment.crash_log.clone(),
+                cut_log: deployment.cut_log.clone(),
                 checker: checker.clone(),
                 is_over: is_over.clone(),
                 options: *options,
@@ -147,7 +157,10 @@
     join_callers(callers, &checker);
     deployment.check_draining_servers(&checker);
     checker.check_ends(&deployment.disruptions, &deployment.log_book);
-    checker.check_cuts(&deployment.log_book);
+    checker.check_cut_streams(&deployment.log_book);
+    if options.has_cuts {
+        checker.check_links(&deployment.log_book);
+    }
     checker.outcome()
 }
 
--- a/ggt-testkit/tests/soak.rs
+++ b/ggt-testkit/tests/soak.rs
@@ -82,6 +82,21 @@
     });
 }
 
+/// Daemons that are cut off from all servers and serve none of their callers, while other daemons reach all
+/// servers.
+#[test]
+fn callers_of_daemons_cut_off_from_all_servers_are_served() {
+    run(&SoakOptions {
+        seed: 9_201,
+        faults_for: Duration::from_secs(14),
+        daemons: 5,
+        callers: 24,
+        has_cuts: true,
+        max_fault_interval: Duration::from_millis(1_500),
+        ..SoakOptions::default()
+    });
+}
+
 /// Daemons that exit after a shutdown before they have written the log lines of their last 100 ms, so that
 /// requests they had read have no end in the logs.
 #[test]
--- a/ggt-testkit/tests/standin_links.rs
+++ b/ggt-testkit/tests/standin_links.rs
@@ -150,7 +150,9 @@
 // Guards against a fleet whose daemons share links, or do not use their own.
 #[test]
 fn linked_daemons_reach_the_servers_by_their_own_links_alone() {
-    let fleet = FrontFleet::start_linked(2, 2);
+    let mut fleet = FrontFleet::start_linked(2, 2);
+    // A daemon that starts beside others must not read their entries.
+    fleet.restart(1);
     let serve = |daemon: usize, id: &str| {
         let request: HttpRequest = fleet.request(daemon, "GET", "/read/", id);
         request.send().is_some_and(|response| response.status == 200)
