--- a/ggt-testkit/src/front/mod.rs
+++ b/ggt-testkit/src/front/mod.rs
@@ -191,7 +191,7 @@
     }
 
     /// Registers the present instance of a server in all stores, in this state.
-    pub fn register(&self, number: usize, state: &str) {
+    pub fn register_in_state(&self, number: usize, state: &str) {
         let server = &self.servers[number];
         let registration = server.registration("s", self.data_centre(number), state);
         self.links.iter().for_each(|links| links.register(number, server, &registration));
@@ -204,7 +204,13 @@
     /// When it does not start.
     pub fn add_server(&mut self, id: &str) {
         self.add_unregistered_server(id);
-        self.register(self.servers.len() - 1, "ready");
+        self.register_in_state(self.servers.len() - 1, "ready");
+    }
+
+    /// Registers the present instance of one of the fleet's servers as ready.
+    pub fn register(&self, server: &ServerStandin) {
+        let number = self.servers.iter().position(|other| other.address == server.address);
+        number.into_iter().for_each(|number| self.register_in_state(number, "ready"));
     }
 
     /// Restarts a crashed server as another instance, which replaces the old one in the store.
@@ -218,7 +224,7 @@
 
     /// Registers the present instance of a server, and removes all other registrations.
     pub fn register_only(&self, number: usize) {
-        self.register(number, "ready");
+        self.register_in_state(number, "ready");
         let key = format!("{TARGET_PREFIX}{}", self.servers[number].id());
         let others = self.store.keys(TARGET_PREFIX).into_iter().filter(|other| *other != key);
         others.for_each(|other| self.stores().for_each(|store| store.remove(&other)));
