--- a/ggt-daemon/src/front/attempt/silence.rs
+++ b/ggt-daemon/src/front/attempt/silence.rs
@@ -7,9 +7,7 @@
 use crate::clock::mono_now;
 use crate::front::attempt::RetryDenial;
 use crate::front::attempt::UpstreamAttempts;
-use crate::front::state::CONNECT_TIMEOUT;
 use crate::logging::quoted;
-use crate::upstream::TargetConnection;
 use ggt_core::clock::MonoTime;
 use ggt_core::silence::MAX_SOUND_SILENCE_MS;
 use ggt_core::silence::ReplyStage;
@@ -33,20 +31,21 @@
         if !route.is_idempotent {
             return std::future::pending().await;
         }
-        let silent_since = mono_now();
+        let stayed_since = self.stayed_since.take();
+        let silent_since = stayed_since.unwrap_or_else(mono_now);
         let limit = SilenceLimit::new(stage, route.goal_ms, route.max_gap_ms);
-        let mut last_denial = None;
+        let mut last_denial = stayed_since.map(|_| RetryDenial::NoTarget);
         loop {
             sleep(if last_denial.is_some() { DENIED_INTERVAL } else { CHECK_INTERVAL }).await;
             if !self.is_silent_for_too_long(stage, limit, silent_since) {
                 continue;
             }
             let Err(denial) = self.reserve_move(silent_since).await else {
-                self.log_silence(silent_since, None);
+                self.log_silence(silent_since, "moved", "-");
                 return;
             };
             if last_denial != Some(denial) {
-                self.log_silence(silent_since, Some(denial));
+                self.log_silence(silent_since, "waiting", denial.as_str());
             }
             if last_denial.replace(denial).is_none() {
                 self.record_silence();
@@ -67,7 +66,8 @@
     ) -> bool {
         let Some(target) = self.sent_target else { return false };
         let now = mono_now();
-        if now >= silent_since + limit.ended_ms && self.has_target_ended() {
+        let cannot_reply = self.has_target_ended() || self.is_cut_silent();
+        if now >= silent_since + limit.ended_ms && cannot_reply {
             return true;
         }
         // A target that replies to other requests is busy with the prompt rather than hung.
@@ -90,6 +90,13 @@
         if may_be_decisive || self.state.is_suspected(&self.job) {
             return Err(RetryDenial::Crashing);
         }
+        if self.is_cut_silent() {
+            if !self.state.try_retry(&self.job.service) {
+                return Err(RetryDenial::Budget);
+            }
+            self.has_reserved_forward.set(true);
+            return Ok(());
+        }
         let settings = self.state.settings();
         let query = ChoiceQuery {
             may_have_run: false,
@@ -106,12 +113,18 @@
         Ok(())
     }
 
+    /// Whether this daemon is cut off from the service, kept connections bring nothing either, and a peer
+    /// can take the request.
+    fn is_cut_silent(&self) -> bool {
+        self.state.is_cut_silent(&self.job.service) && self.can_forward()
+    }
+
     /// Opens a connection to the next target, for the send that follows, so that the reply of the silent
     /// one is not given up for a target that is silent as well.
     async fn connect_ahead(&self, key: TargetKey) -> Result<(), RetryDenial> {
         let address = self.state.pool.borrow().target(key).map(|target| target.record.address);
         let address = address.ok_or(RetryDenial::NoTarget)?;
-        match TargetConnection::open(address, CONNECT_TIMEOUT).await {
+        match self.state.connect_target(key, address).await {
             Ok(connection) => {
                 self.state.connections.keep(key, connection, None);
                 Ok(())
@@ -124,23 +137,22 @@
     }
 
     /// Counts the silence against the target, whose requests cannot leave it.
-    fn record_silence(&self) {
+    pub(super) fn record_silence(&self) {
         if let Some(target) = self.sent_target {
             self.state.record_outcome(target.key, SendOutcome::Bad);
         }
     }
 
-    fn log_silence(&self, silent_since: MonoTime, denial: Option<RetryDenial>) {
+    pub(super) fn log_silence(&self, silent_since: MonoTime, outcome: &'static str, cause: &str) {
         let pool = self.state.pool.borrow();
         let target = self.sent_target.and_then(|target| pool.target(target.key));
         log::info!(
-            "event=silent request_id={} target={} unreachable={} silent_ms={} outcome={} cause={}",
+            "event=silent request_id={} target={} unreachable={} silent_ms={} outcome={outcome} cause={}",
             quoted(&self.job.id),
             target.map_or("gone", |state| state.record.id.as_str()),
             target.is_none_or(|state| state.health.is_unreachable()),
             mono_now().millis_since(silent_since),
-            if denial.is_some() { "waiting" } else { "moved" },
-            denial.map_or("-", RetryDenial::as_str),
+            quoted(cause),
         );
     }
 }
