test: soak: cut-off daemons serve their callers by way of peers

A daemon that was paused or busy does so; that violates no guarantee, so it is counted and printed instead.

--- a/ggt-testkit/src/bin/ggt-soak.rs
+++ b/ggt-testkit/src/bin/ggt-soak.rs
@@ -74,7 +74,7 @@
         });
         println!(
             "seed {seed}: {} requests, {} answered, {} crashes ({} late), {} counted against limits, \
-             {} silences, {:?}, {} miscounted ends, new streams begun {:?}, taken up that went on {:?}, {} faults, {} violations",
+             {} silences, {:?}, {} foreign links, {} miscounted ends, new streams begun {:?}, taken up that went on {:?}, {} faults, {} violations",
             outcome.requests,
             outcome.answered,
             outcome.crashes,
@@ -82,6 +82,7 @@
             outcome.limited_requests,
             outcome.silences,
             outcome.cut_counts,
+            outcome.foreign_links,
             outcome.miscounted_ends,
             outcome.new_streams,
             outcome.taken_up_streams,
