--- a/ggt-testkit/src/soak/caller.rs
+++ b/ggt-testkit/src/soak/caller.rs
@@ -172,6 +172,8 @@
             && is_undisturbed
             && context.options.has_silence
             && !was_left
+            // Streams that may not be sent twice end with a connection that is reset.
+            && !(kind == "talk" && context.cut_log.has_begun_since(sent_at))
             && sent_at.elapsed() < Duration::from_millis(deadline_ms)
         {
             let disrupted = context.disrupted_servers(&stable_servers);
--- a/ggt-testkit/src/soak/cuts.rs
+++ b/ggt-testkit/src/soak/cuts.rs
@@ -92,6 +92,8 @@
 struct CutState {
     daemons: Vec<DaemonReach>,
     counts: CutCounts,
+    /// When the last cut began.
+    begun_at: Option<Instant>,
 }
 
 /// The daemons that are cut off from all servers, and what became of their callers' tries.
@@ -105,7 +107,7 @@
 impl CutLog {
     pub(super) fn new(daemons: &[Arc<DisruptionState>], servers: &[Arc<DisruptionState>]) -> Self {
         let reaches = vec![DaemonReach::default(); daemons.len()];
-        let state = CutState { daemons: reaches, counts: CutCounts::default() };
+        let state = CutState { daemons: reaches, ..CutState::default() };
         Self { state: Mutex::new(state), daemons: daemons.to_vec(), servers: servers.to_vec() }
     }
 
@@ -114,6 +116,11 @@
         lock(&self.state).daemons[daemon].is_cut
     }
 
+    /// Whether a cut of any daemon has begun since this time.
+    pub(super) fn has_begun_since(&self, time: Instant) -> bool {
+        lock(&self.state).begun_at.is_some_and(|begun_at| begun_at >= time)
+    }
+
     /// Records that a daemon begins or ends to shut down.
     pub(super) fn set_leaving(&self, daemon: usize, is_leaving: bool) {
         let reach = &mut lock(&self.state).daemons[daemon];
@@ -122,6 +129,7 @@
 
     /// Records that cuts begin.
     pub(super) fn begin(&self, daemons: &[usize]) {
+        lock(&self.state).begun_at = Some(Instant::now());
         self.set_cut(daemons, true);
     }
 
