--- a/ggt-daemon/src/front/attempt/crash_check.rs
+++ b/ggt-daemon/src/front/attempt/crash_check.rs
@@ -181,6 +181,7 @@
 /// to be partitioned from this daemon, or this daemon from all targets.
 async fn record_end(state: &Rc<FrontState>, target: SentTarget, error: &ConnectError) {
     if state.losses.borrow().has_ended(target.crash) {
+        state.record_target_end(target.crash, &error.to_string());
         return;
     }
     state.record_outcome(target.key, error.outcome());
--- a/ggt-daemon/src/front/attempt/forward.rs
+++ b/ggt-daemon/src/front/attempt/forward.rs
@@ -41,7 +41,12 @@
         }
         self.moving_since.take();
         self.has_reserved_forward.take();
-        for peer in self.state.forward_peers(&self.job) {
+        let mut peers = self.state.forward_peers(&self.job);
+        // A peer whose reply was lost may have ended and still accept a connection.
+        if let Some(last) = self.last_peer.filter(|_| peers.len() > 1) {
+            peers.retain(|peer| *peer != last);
+        }
+        for peer in peers {
             if mono_now() >= self.job.deadline {
                 return Some(Err(self.timeout_refusal()));
             }
@@ -90,6 +95,7 @@
             PeerOutcome::Lost { cause } => {
                 log("lost", &cause);
                 self.sends += attempts;
+                self.last_peer = Some(peer);
                 self.may_have_run = true;
                 match self.try_next_send() {
                     true => None,
@@ -101,6 +107,7 @@
                 self.sends += attempts;
                 self.may_have_run = true;
                 self.forwarded_version = version;
+                self.last_peer = Some(peer);
                 let (parts, body) = response.into_parts();
                 let headers = parse_reply_headers(parts.status, &parts.headers);
                 // No target of this daemon: what concerns one has no effect.
--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -152,6 +152,8 @@
     has_reserved_forward: Cell<bool>,
     /// The only version that may serve the request, which goes on with a stream.
     version: Cell<Option<SoftwareVersion>>,
+    /// The last peer that took the request.
+    last_peer: Option<SocketAddr>,
     /// Version of the target that has served the request at a peer.
     forwarded_version: Option<SoftwareVersion>,
     permit: Option<SharePermit<(String, u32)>>,
@@ -186,6 +188,7 @@
             stayed_since: Cell::default(),
             has_reserved_forward: Cell::default(),
             version: Cell::default(),
+            last_peer: None,
             forwarded_version: None,
             permit: None,
         }
