--- a/ggt-daemon/src/front/reach.rs
+++ b/ggt-daemon/src/front/reach.rs
@@ -108,7 +108,7 @@
     }
 
     /// Whether this daemon is cut off from all targets rather than that the one at hand has ended: several
-    /// others accept no connection either. With fewer others that are not known to have ended, it cannot
+    /// others accept no connection either, or all accept again. With fewer others that are not known to have ended, it cannot
     /// be told.
     pub async fn reaches_no_other(self: &Rc<Self>, key: TargetKey) -> bool {
         let others = self.other_targets(key);
@@ -126,12 +126,22 @@
             if is_reached.unwrap_or_default() {
                 // The others' outcomes are still recorded.
                 probes.detach_all();
-                return false;
+                return self.accepts_again(key).await;
             }
         }
         true
     }
 
+    /// Whether a target that refused a connection accepts one now: a cut that is over by the time the others
+    /// are tried.
+    async fn accepts_again(self: &Rc<Self>, key: TargetKey) -> bool {
+        let address = self.pool.borrow().target(key).map(|target| target.record.address);
+        match address {
+            Some(address) => self.connect_target(key, address).await.is_ok(),
+            None => false,
+        }
+    }
+
     /// Some targets but this one that are not known to have ended, those that replied last first.
     fn other_targets(&self, key: TargetKey) -> Vec<(TargetKey, SocketAddr)> {
         let pool = self.pool.borrow();
