--- a/ggt-testkit/tests/platform_silence.rs
+++ b/ggt-testkit/tests/platform_silence.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -310,3 +311,67 @@
     check_whole(&[request.send().expect("should respond")]);
     assert_eq!(fleet.request_count("id-1"), 2);
 }
+
+/// Time for which a server works on a request before its response's head, longer than it is kept at two
+/// servers.
+const LONG_WORK: Duration = Duration::from_millis(400);
+
+/// Makes the server that gets the first request serve it with `serve`, which gets the number of requests
+/// so far; the others refuse the request, after [`LONG_WORK`].
+fn set_slowly_refusing_scripts<S>(fleet: &FrontFleet, serve: S)
+where
+    S: Fn(&AtomicUsize, &WireRequest, &mut TcpStream) -> AfterResponse
+        + Clone
+        + Send
+        + Sync
+        + 'static,
+{
+    let count: Arc<AtomicUsize> = Arc::default();
+    for server in &fleet.servers {
+        let (count, serve) = (count.clone(), serve.clone());
+        server.set_script(move |request, stream| {
+            if count.fetch_add(1, Ordering::SeqCst) == 0 {
+                return serve(&count, request, stream);
+            }
+            thread::sleep(LONG_WORK);
+            refuse(request, stream)
+        });
+    }
+}
+
+/// Sends the stream's head and the first events, waits until another server has the stream, and goes on.
+fn go_on_once_sent_elsewhere(
+    count: &AtomicUsize,
+    request: &WireRequest,
+    stream: &mut TcpStream,
+) -> AfterResponse {
+    let first: String = (1..=SILENT_AFTER).map(event_chunk).collect();
+    let rest: String = (SILENT_AFTER + 1..=EVENTS).map(event_chunk).collect();
+    // The daemon may have closed the connection.
+    let _ = stream.write_all([stream_head(request), first].concat().as_bytes());
+    wait_until("another server has the stream", || count.load(Ordering::SeqCst) > 1);
+    let _ = stream.write_all([rest, "0\r\n\r\n".to_owned()].concat().as_bytes());
+    AfterResponse::Keep
+}
+
+// Guards against a stream that is cut because its server goes on while another one is tried, and is left
+// nevertheless for that one, which then refuses the stream.
+#[test]
+fn stream_of_a_server_that_goes_on_while_the_next_one_hesitates_is_complete() {
+    let fleet = FrontFleet::start(3, 1);
+    set_slowly_refusing_scripts(&fleet, go_on_once_sent_elsewhere);
+    let request = fleet.request(0, "POST", "/chat/", "id-1").body("x");
+    check_whole(&[request.send().expect("should respond")]);
+}
+
+// Guards against an error in place of a response for the same cause, before the response's head.
+#[test]
+fn idempotent_request_answered_while_the_next_server_hesitates_gets_its_response() {
+    let fleet = FrontFleet::start(3, 1);
+    set_slowly_refusing_scripts(&fleet, |count, request, stream| {
+        wait_until("another server has the request", || count.load(Ordering::SeqCst) > 1);
+        respond(request, stream, 200, "whole")
+    });
+    let response = fleet.request(0, "GET", "/read/", "id-1").send().expect("should respond");
+    assert_eq!((response.status, response.body.as_str()), (200, "whole"));
+}
