--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -13,8 +13,11 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use bytes::Bytes;
 use http::HeaderMap;
 use http::StatusCode;
+use http_body_util::BodyExt;
+use hyper::body::Frame;
 use hyper::body::Incoming;
 
 use crate::clock::mono_now;
@@ -41,6 +44,9 @@
 /// `retry-after` in milliseconds for a request that no target has run.
 const NOT_RUN_RETRY_MS: u64 = 150;
 
+/// A frame of a body; `None` at its end.
+type BodyFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
+
 /// A reply whose head has been received and checked, with its body still to be read.
 pub struct TargetReply {
     target: SentTarget,
@@ -49,6 +55,8 @@
     /// The platform's headers, decoded from `raw_headers`.
     pub headers: ReplyHeaders,
     pub body: Incoming,
+    /// The next frame of the body, or its end, if it was read while another target was tried.
+    next_frame: Option<BodyFrame>,
     /// Connection that carries the body; it can be reused once the body has been read.
     pub connection: TargetConnection,
     /// Counts the send as in flight until it is dropped.
@@ -60,6 +68,23 @@
     pub const fn key(&self) -> TargetKey {
         self.target.key
     }
+
+    /// The next frame of the body, or `None` at its end.
+    pub async fn frame(&mut self) -> BodyFrame {
+        match self.next_frame.take() {
+            Some(frame) => frame,
+            None => self.body.frame().await,
+        }
+    }
+
+    /// Returns once a frame of the body has arrived, which is kept.
+    async fn wait_for_frame(&mut self) {
+        let frame = self.frame().await;
+        let frame = self.next_frame.insert(frame);
+        if !matches!(frame, Some(Ok(_))) {
+            std::future::pending().await
+        }
+    }
 }
 
 /// How a request failed after it was sent.
--- a/ggt-daemon/src/front/attempt/move_on.rs
+++ b/ggt-daemon/src/front/attempt/move_on.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::timeout;
+use tokio::time::sleep;
 
 use crate::clock::mono_now;
 use crate::front::attempt::SendError;
@@ -31,18 +31,29 @@
 trait SilentSend {
     /// The silent target.
     fn target(&self) -> SentTarget;
+
+    /// Returns once the silent target has gone on with the request.
+    async fn wait_until_it_goes_on(&mut self);
 }
 
 impl SilentSend for PendingSend {
     fn target(&self) -> SentTarget {
         self.target
     }
+
+    async fn wait_until_it_goes_on(&mut self) {
+        self.wait_for_success().await;
+    }
 }
 
 impl SilentSend for TargetReply {
     fn target(&self) -> SentTarget {
         self.target
     }
+
+    async fn wait_until_it_goes_on(&mut self) {
+        self.wait_for_frame().await;
+    }
 }
 
 /// Where a request is after an attempt to move it.
@@ -53,6 +64,16 @@
     Stayed(S),
 }
 
+/// How a send beside a silent one ended.
+enum BesideEnd<S> {
+    /// The silent send had to be dropped, as the other target had not replied within `MAX_OVERLAP`.
+    Left(SendEnd),
+    /// The other send has ended; the silent one is kept.
+    Replied(S, SendEnd),
+    /// The silent target went on with the request, and the other send was dropped.
+    WentOn(S),
+}
+
 /// The reply to read on from after an attempt to move a request.
 pub enum MovedReply {
     /// Another target's reply, which begins after the caller's last event.
@@ -130,7 +151,8 @@
     }
 
     /// Sends the request to another target. Drops the silent send once that has taken the request over,
-    /// or has neither done so nor refused it within `MAX_OVERLAP`.
+    /// or has neither done so nor refused it within `MAX_OVERLAP`. Drops the other send if the silent target
+    /// goes on first.
     async fn move_send<S>(&mut self, silent: S, last_event: Option<u64>) -> MoveEnd<S>
     where
         S: SilentSend,
@@ -140,43 +162,47 @@
         let Ok(choice) = self.choose() else {
             return self.stay(silent, silent_since, "no-target");
         };
-        let (end, silent) = self.send_beside(silent, &choice, last_event).await;
-        match silent {
-            None => MoveEnd::Moved(choice.key, end),
-            Some(silent) if has_taken_over(&end) => {
+        match self.send_beside(silent, &choice, last_event).await {
+            BesideEnd::Left(end) => MoveEnd::Moved(choice.key, end),
+            BesideEnd::WentOn(silent) => {
+                self.is_awaiting_reply = false;
+                self.record_send(choice.key, "dropped", "the silent target went on");
+                self.stay(silent, silent_since, "went-on")
+            }
+            BesideEnd::Replied(silent, end) if has_taken_over(&end) => {
                 drop(silent);
                 leave_silent(&self.state, &self.job, target);
                 MoveEnd::Moved(choice.key, end)
             }
-            Some(silent) => {
+            BesideEnd::Replied(silent, end) => {
                 let cause = self.record_failed_move(choice.key, end).await;
                 self.stay(silent, silent_since, &cause)
             }
         }
     }
 
-    /// Sends the request to the chosen target. Returns the silent send too, unless that had to be dropped
-    /// because the chosen target had not replied within `MAX_OVERLAP`.
+    /// Sends the request to the chosen target while the silent send is kept.
     async fn send_beside<S>(
         &mut self,
-        silent: S,
+        mut silent: S,
         choice: &TargetChoice,
         last_event: Option<u64>,
-    ) -> (SendEnd, Option<S>)
+    ) -> BesideEnd<S>
     where
         S: SilentSend,
     {
         let target = silent.target();
         let (state, job) = (self.state.clone(), self.job.clone());
         let mut sending = pin!(self.send(choice, last_event));
-        match timeout(MAX_OVERLAP, sending.as_mut()).await {
-            Ok(end) => (end, Some(silent)),
-            Err(_) => {
-                drop(silent);
-                leave_silent(&state, &job, target);
-                (sending.await, None)
-            }
+        tokio::select! {
+            biased;
+            end = sending.as_mut() => return BesideEnd::Replied(silent, end),
+            () = silent.wait_until_it_goes_on() => return BesideEnd::WentOn(silent),
+            () = sleep(MAX_OVERLAP) => {}
         }
+        drop(silent);
+        leave_silent(&state, &job, target);
+        BesideEnd::Left(sending.await)
     }
 
     /// Waits on for the silent target, as no other one has taken the request over.
--- a/ggt-daemon/src/front/attempt/send.rs
+++ b/ggt-daemon/src/front/attempt/send.rs
@@ -58,14 +58,44 @@
 }
 
 /// The exchange of a request and the head of its reply; dropping it closes the connection.
-struct SendTask(JoinHandle<SendResult>);
+struct SendTask {
+    handle: JoinHandle<SendResult>,
+    /// How the exchange ended, if that is known already.
+    ended: Option<Box<Result<SendResult, JoinError>>>,
+}
 
 /// The head of a reply, and the connection on which it was awaited.
 type SendResult = (Result<Response<Incoming>, SendFailure>, TargetConnection);
 
 impl Drop for SendTask {
     fn drop(&mut self) {
-        self.0.abort();
+        self.handle.abort();
+    }
+}
+
+impl SendTask {
+    /// Waits until the exchange ends.
+    async fn end(&mut self) -> Result<SendResult, JoinError> {
+        match self.ended.take() {
+            Some(ended) => *ended,
+            None => (&mut self.handle).await,
+        }
+    }
+
+    /// Returns once the head of a reply with success has arrived, which is kept.
+    async fn wait_for_success(&mut self) {
+        let ended = self.end().await;
+        let ended = self.ended.insert(Box::new(ended));
+        if !matches!(ended.as_ref(), Ok((Ok(response), _)) if response.status().is_success()) {
+            std::future::pending().await
+        }
+    }
+}
+
+impl PendingSend {
+    /// Returns once the head of a reply with success has arrived, which is kept.
+    pub(super) async fn wait_for_success(&mut self) {
+        self.task.wait_for_success().await;
     }
 }
 
@@ -135,6 +165,7 @@
             raw_headers: parts.headers,
             headers,
             body,
+            next_frame: None,
             connection,
             guard,
         }))
@@ -228,11 +259,11 @@
         let deadline = self.job.deadline;
         self.sends += 1;
         // A task of its own, so that the exchange goes on while another target is tried.
-        self.wait_for_head(SendTask(spawn_local(async move {
+        let handle = spawn_local(async move {
             let sent = connection.send(request, deadline).await;
             (sent, connection)
-        })))
-        .await
+        });
+        self.wait_for_head(SendTask { handle, ended: None }).await
     }
 
     /// Waits until the head of a reply arrives, or the request should leave the silent target.
@@ -242,7 +273,7 @@
         let sent = tokio::select! {
             // A reply that has arrived goes before a silence that has been too long.
             biased;
-            sent = &mut task.0 => Some(sent),
+            sent = task.end() => Some(sent),
             () = sleep(time_until(deadline)) => return Err(self.end_wait(SendError::Deadline)),
             () = self.wait_for_move(ReplyStage::Head) => None,
         };
--- a/ggt-daemon/src/front/stream.rs
+++ b/ggt-daemon/src/front/stream.rs
@@ -4,8 +4,6 @@
 
 use bytes::Bytes;
 use http::Response;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use tokio::sync::mpsc::Sender;
 use tokio::sync::mpsc::channel;
 use tokio::task::spawn_local;
@@ -32,7 +30,6 @@
 use ggt_core::events::EventSplitter;
 use ggt_core::silence::ReplyStage;
 use ggt_core::targets::SendOutcome;
-use ggt_core::targets::TargetKey;
 
 /// Maximum number of batches of events that are buffered for a slow caller.
 const MAX_BUFFERED_BATCHES: usize = 16;
@@ -311,7 +308,7 @@
     /// Reads like [`Self::read`]; the end of a reply without a length is its completion only if the
     /// caller has got an event and the target has not crashed.
     async fn read_checked(&mut self, reply: &mut TargetReply) -> ReadOutcome {
-        let outcome = self.read(reply.key(), &mut reply.body).await;
+        let outcome = self.read(reply).await;
         if reply.headers.is_framed || !matches!(outcome, ReadOutcome::Complete) {
             return outcome;
         }
@@ -338,13 +335,14 @@
     }
 
     /// Reads until complete events have arrived or the reply has ended.
-    async fn read(&mut self, key: TargetKey, body: &mut Incoming) -> ReadOutcome {
+    async fn read(&mut self, reply: &mut TargetReply) -> ReadOutcome {
+        let key = reply.key();
         loop {
             let frame = tokio::select! {
                 // Bytes that have arrived go before a silence that has been too long.
                 biased;
                 () = sleep(time_until(self.job.deadline)) => return ReadOutcome::Deadline,
-                frame = body.frame() => frame,
+                frame = reply.frame() => frame,
                 () = self.attempts.wait_for_move(ReplyStage::Event) => return ReadOutcome::Timeout,
             };
             let bytes = match frame {
