--- a/ggt-daemon/src/front/attempt/forward.rs
+++ b/ggt-daemon/src/front/attempt/forward.rs
@@ -122,6 +122,7 @@
                     raw_headers: parts.headers,
                     headers,
                     body,
+                    next_frame: None,
                     connection,
                     guard,
                 }))
