--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -376,6 +376,8 @@
         drop(pool);
         state.metrics.record_choice(choice.reason.as_str());
         self.sent_target = Some(sent_target);
+        // The silence of an earlier target says nothing about this one.
+        self.stayed_since.take();
         self.tried.push(choice.key);
         Ok(choice)
     }
