--- a/ggt-daemon/src/front/peers.rs
+++ b/ggt-daemon/src/front/peers.rs
@@ -90,7 +90,7 @@
             }
             if lag_ms >= PEER_FETCH_DELAY_MS {
                 let peer = ahead[rand::rng().random_range(0..ahead.len())];
-                fetch(&state, folder, peer).await;
+                fetch(&state, folder, peer, lag_ms).await;
             }
         }
     }
@@ -107,10 +107,20 @@
     ahead.map(|peer| peer.digest.address).collect()
 }
 
-async fn fetch(state: &FrontState, folder: StoreFolder, peer: SocketAddr) {
+async fn fetch(state: &FrontState, folder: StoreFolder, peer: SocketAddr, lag_ms: u64) {
+    let sent_at = mono_now();
     let fetched = timeout(FETCH_TIMEOUT, fetch_untimed(state, folder, peer)).await;
     match fetched.unwrap_or(Err(FetchError::Timeout)) {
-        Ok(batch) => state.apply_batch(folder, batch, "peer"),
+        Ok(batch) => {
+            log::info!(
+                "event=fetch folder={} peer={peer} revision={} lag_ms={lag_ms} after_ms={} \
+                 outcome=applied",
+                folder.as_str(),
+                batch.revision,
+                mono_now().millis_since(sent_at),
+            );
+            state.apply_batch(folder, batch, "peer")
+        }
         Err(e) => log_failure(folder, peer, &e),
     }
 }
--- a/ggt-daemon/src/front/store.rs
+++ b/ggt-daemon/src/front/store.rs
@@ -71,6 +71,7 @@
         }
         // Both folders come from one store: when the other watch finds it unreachable or reachable
         // again, this one reconnects.
+        let sent_at = mono_now();
         let result = tokio::select! {
             result = watch_once(&state, folder, &mut client) => result,
             () = state.platform_status_changed.notified() => {
@@ -79,8 +80,13 @@
             }
         };
         state.metrics.record_store_call(folder.as_str(), result.is_ok());
+        let waited_ms = mono_now().millis_since(sent_at);
         match result {
             Ok(batch) => {
+                if failures > 0 || waited_ms > WATCH_HOLD_MS + REPLY_MARGIN_MS / 2 {
+                    let outcome = if failures > 0 { "resumed" } else { "late" };
+                    log_watch(&state, folder, outcome, waited_ms, failures, "-");
+                }
                 failures = 0;
                 state.set_watching(folder, true);
                 state.set_behind(folder, false);
@@ -100,6 +106,7 @@
             Err(e) => {
                 client.connection = None;
                 failures += 1;
+                log_watch(&state, folder, "failed", waited_ms, failures, &e.to_string());
                 state.set_watching(folder, false);
                 state.record_platform_failure(&e.to_string());
                 sleep(backoff(failures)).await;
@@ -108,6 +115,25 @@
     }
 }
 
+/// Logs how a request to the store ended that did not go as usual: how long it took, after how many
+/// failures in a row, and up to which revision the folder is known.
+fn log_watch(
+    state: &FrontState,
+    folder: StoreFolder,
+    outcome: &str,
+    waited_ms: u64,
+    failures: u32,
+    cause: &str,
+) {
+    log::info!(
+        "event=watch folder={} outcome={outcome} waited_ms={waited_ms} failures={failures} \
+         revision={} cause={}",
+        folder.as_str(),
+        state.cache(folder).borrow().revision(),
+        quoted(cause),
+    );
+}
+
 /// Role of this daemon for a folder. It always watches the store itself for a folder that it has
 /// not read yet or for which it has lagged behind its peers for too long.
 fn watch_role(state: &FrontState, folder: StoreFolder) -> WatchRole {
