--- a/ggt-core/src/partition/mod.rs
+++ b/ggt-core/src/partition/mod.rs
@@ -1,5 +1,5 @@
-//! Whether this daemon is cut off from the targets of a service: the targets that it tried accept no
-//! connection, and none has accepted one since.
+//! Whether this daemon is cut off from the targets of a service: several in a row accept no connection, or
+//! none of them accepted the last one.
 //!
 //! The end of all targets of a service looks the same to one daemon. Peers that reach the service tell the
 //! two apart.
@@ -16,17 +16,32 @@
 /// Milliseconds for which a failure counts: longer than the longest hold-down, after which it repeats.
 const FAILURE_WINDOW_MS: u64 = 6_000;
 
+/// The last connection to a target, which it did not accept.
+#[derive(Clone, Copy, Debug)]
+struct ReachFailure {
+    failed_at: MonoTime,
+    /// Whether no target of the service has accepted a connection since.
+    is_in_row: bool,
+}
+
 /// What this daemon's last connections to the targets of one service show.
 #[derive(Clone, Debug, Default)]
 struct ServiceReach {
-    /// Targets that accepted no connection since any of the service last did, and when each last failed.
-    failed: BTreeMap<TargetKey, MonoTime>,
-    /// The first of these failures.
+    /// Targets that did not accept their last connection.
+    failed: BTreeMap<TargetKey, ReachFailure>,
+    /// The first of the failures in a row.
     failing_since: MonoTime,
     /// Since when this daemon has been cut off from the service, if it is.
     cut_since: Option<MonoTime>,
 }
 
+impl ServiceReach {
+    /// Number of targets that accepted no connection since any of the service last did.
+    fn failures_in_row(&self) -> usize {
+        self.failed.values().filter(|failure| failure.is_in_row).count()
+    }
+}
+
 /// The end of a cut.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReachRegained {
@@ -43,13 +58,13 @@
 }
 
 impl ReachTable {
-    /// Records that a target accepted no connection; `targets` is the number of targets of its service.
+    /// Records that a target accepted no connection; `targets` are those of its service.
     /// Returns whether the daemon is cut off from the service by that.
     pub fn record_failure(
         &mut self,
         service: &str,
         target: TargetKey,
-        targets: usize,
+        targets: &[TargetKey],
         now: MonoTime,
     ) -> bool {
         let reach = match self.services.get_mut(service) {
@@ -57,13 +72,14 @@
             None => self.services.entry(service.to_owned()).or_default(),
         };
         if reach.cut_since.is_none() {
-            reach.failed.retain(|_, failed_at| now < *failed_at + FAILURE_WINDOW_MS);
+            reach.failed.retain(|_, failure| now < failure.failed_at + FAILURE_WINDOW_MS);
         }
-        if reach.failed.is_empty() {
+        if reach.failures_in_row() == 0 {
             reach.failing_since = now;
         }
-        reach.failed.insert(target, now);
-        let is_cut_off = reach.failed.len() >= targets.clamp(1, MAX_FAILED_TARGETS);
+        reach.failed.insert(target, ReachFailure { failed_at: now, is_in_row: true });
+        let is_cut_off = reach.failures_in_row() >= targets.len().clamp(1, MAX_FAILED_TARGETS)
+            || targets.iter().all(|target| reach.failed.contains_key(target));
         if reach.cut_since.is_some() || !is_cut_off {
             return false;
         }
@@ -73,10 +89,12 @@
 
     /// Records that a target accepted a connection. Returns the cut that this ends, if there was one.
     pub fn record_accept(&mut self, service: &str, target: TargetKey) -> Option<ReachRegained> {
-        let reach = self.services.remove(service)?;
+        let reach = self.services.get_mut(service)?;
+        reach.failed.remove(&target);
+        reach.failed.values_mut().for_each(|failure| failure.is_in_row = false);
         let cut_since = reach.cut_since?;
-        let failed = reach.failed.into_keys().filter(|failed| *failed != target).collect();
-        Some(ReachRegained { cut_since, failed })
+        let reach = self.services.remove(service)?;
+        Some(ReachRegained { cut_since, failed: reach.failed.into_keys().collect() })
     }
 
     /// Since when this daemon has been cut off from a service, if it is.
@@ -86,7 +104,8 @@
 
     /// Whether a target is among those of its service that accepted no connection since any last did.
     pub fn has_failed(&self, service: &str, target: TargetKey) -> bool {
-        self.services.get(service).is_some_and(|reach| reach.failed.contains_key(&target))
+        let failure = self.services.get(service).and_then(|reach| reach.failed.get(&target));
+        failure.is_some_and(|failure| failure.is_in_row)
     }
 
     /// The services that this daemon is cut off from.
@@ -99,7 +118,9 @@
     /// of these failures.
     pub fn failures(&self, service: &str) -> (usize, MonoTime) {
         let reach = self.services.get(service);
-        reach.map_or((0, MonoTime::default()), |reach| (reach.failed.len(), reach.failing_since))
+        reach.map_or((0, MonoTime::default()), |reach| {
+            (reach.failures_in_row(), reach.failing_since)
+        })
     }
 
     /// Drops services that have no target any more.
--- a/ggt-daemon/src/front/reach.rs
+++ b/ggt-daemon/src/front/reach.rs
@@ -185,7 +185,7 @@
     pub fn record_connect_failure(&self, key: TargetKey, outcome: SendOutcome) {
         let Some((service, targets)) = self.service_of(key) else { return };
         let now = mono_now();
-        let is_cut_off = self.reach.borrow_mut().record_failure(&service, key, targets, now);
+        let is_cut_off = self.reach.borrow_mut().record_failure(&service, key, &targets, now);
         if is_cut_off {
             self.log_cut(&service, "cut-off");
             self.digest_requested.notify_one();
@@ -215,11 +215,11 @@
         self.reach.borrow().cut_since(service).is_some()
     }
 
-    /// Name of a target's service, and the number of targets there.
-    fn service_of(&self, key: TargetKey) -> Option<(String, usize)> {
+    /// Name of a target's service, and the targets there.
+    fn service_of(&self, key: TargetKey) -> Option<(String, Vec<TargetKey>)> {
         let pool = self.pool.borrow();
         let service = pool.target(key)?.record.service.clone();
-        let targets = pool.staying_targets(&service).count();
+        let targets = pool.staying_targets(&service).map(|(key, _)| key).collect();
         Some((service, targets))
     }
 
