--- a/ggt-daemon/src/front/settings.rs
+++ b/ggt-daemon/src/front/settings.rs
@@ -45,6 +45,12 @@
     pub first_start: bool,
     /// Seconds from the stop signal until the process is killed.
     pub grace_s: f64,
+    /// Milliseconds from the acknowledgement of a configuration until it must be in force at every daemon.
+    #[serde(default = "default_change_delay_ms")]
+    pub config_delay_ms: u64,
+    /// Milliseconds from the acknowledgement that a target leaves until it must get no new requests.
+    #[serde(default = "default_change_delay_ms")]
+    pub leaving_delay_ms: u64,
     /// Seconds for which requests are refused after the crash of a target that they are blamed for;
     /// longer after each trial that crashes another one.
     #[serde(default = "default_crash_refusal_s")]
@@ -101,6 +107,10 @@
     1_000.0
 }
 
+fn default_change_delay_ms() -> u64 {
+    2_000
+}
+
 fn default_log_level() -> String {
     "info".to_owned()
 }
--- a/ggt-daemon/src/front/store.rs
+++ b/ggt-daemon/src/front/store.rs
@@ -41,6 +41,13 @@
 pub const WATCH_TIMEOUT_MS: u64 = WATCH_HOLD_MS + REPLY_MARGIN_MS;
 /// The same as a duration.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(WATCH_TIMEOUT_MS);
+/// Longest time in milliseconds from a change until this daemon has it while the store serves new
+/// connections: the change comes during the pause before a watch that hangs.
+pub const LONGEST_CHANGE_DELAY_MS: u64 = CHANGE_DELAY.as_millis() as u64
+    + WATCH_TIMEOUT_MS
+    + 2 * BASE_BACKOFF_MS
+    + CONNECT_TIMEOUT.as_millis() as u64
+    + REPLY_MARGIN_MS;
 /// Timeout of one page of a folder.
 const READ_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Time in milliseconds for which the store holds open the watch that completes a full read.
--- a/ggt-daemon/tests/front.rs
+++ b/ggt-daemon/tests/front.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 
+use ggt_daemon::front::LONGEST_CHANGE_DELAY_MS;
 use ggt_daemon::front::WATCH_TIMEOUT_MS;
 use ggt_daemon::front::is_front_settings;
 use ggt_daemon::front::parse_front_settings;
@@ -18,6 +19,14 @@
     const { assert!(WATCH_TIMEOUT_MS < MIN_RECOVERY_MS + MIN_APPLY_MS) };
 }
 
+// Guards against a configuration that is in force too late because the watch hangs that should bring it.
+#[test]
+fn change_is_known_in_time_although_a_watch_hangs() {
+    let settings = parse_front_settings(Path::new("s.json"), SETTINGS).expect("good settings");
+    let allowed_ms = settings.config_delay_ms.min(settings.leaving_delay_ms);
+    assert!(LONGEST_CHANGE_DELAY_MS < allowed_ms, "{LONGEST_CHANGE_DELAY_MS} of {allowed_ms} ms");
+}
+
 const SETTINGS: &str = r#"{
   "name": "edge-1", "data_centre": "a", "callers": "10.0.0.1:80", "ready": "10.0.0.1:81",
   "admin": "10.0.0.1:82", "peer": "10.0.0.1:83", "seeds": ["10.0.0.2:9"], "store": "10.0.9.1:80",
--- a/ggt-standin/src/users_platform/store.rs
+++ b/ggt-standin/src/users_platform/store.rs
@@ -37,6 +37,8 @@
     failure_status: Option<u16>,
     /// Number of calls of `stop_responding`; connections opened before the last one get no response.
     silence_count: u64,
+    /// Whether connections that are used now get no response, then or later.
+    is_silent: bool,
     request_count: u64,
     continuation_pages: u64,
     linearizable_pages: u64,
@@ -109,6 +111,20 @@
         lock(&self.state).silence_count += 1;
     }
 
+    /// Falls silent: no connection that is open or used until `resume` gets a response, then or later.
+    pub fn fall_silent(&self) {
+        let mut state = lock(&self.state);
+        state.silence_count += 1;
+        state.is_silent = true;
+    }
+
+    /// Ends the silence for connections that are opened from now on.
+    pub fn resume(&self) {
+        let mut state = lock(&self.state);
+        state.silence_count += 1;
+        state.is_silent = false;
+    }
+
     /// Drops the history of changes; a watch from an earlier revision then gets status 410.
     pub fn compact(&self) {
         let mut state = lock(&self.state);
@@ -177,7 +193,11 @@
         let silence_count_at_open = lock(&self.state).silence_count;
         while let Some(request) = read_request(&mut reader) {
             let (status, body) = self.respond(&request);
-            if lock(&self.state).silence_count > silence_count_at_open {
+            let is_unanswered = {
+                let state = lock(&self.state);
+                state.is_silent || state.silence_count > silence_count_at_open
+            };
+            if is_unanswered {
                 continue;
             }
             let (body, era) = (body.to_string(), lock(&self.state).era);
--- a/ggt-testkit/src/bench/mod.rs
+++ b/ggt-testkit/src/bench/mod.rs
@@ -2,6 +2,7 @@
 
 mod availability;
 mod capacity;
+mod changes;
 mod latency;
 mod reference_config;
 mod state;
@@ -12,6 +13,9 @@
 pub use capacity::CapacityOptions;
 pub use capacity::CapacityOutcome;
 pub use capacity::measure_capacity;
+pub use changes::ChangeOutcome;
+pub use changes::StoreFault;
+pub use changes::measure_changes;
 pub use latency::LatencyOutcome;
 pub use latency::measure_latency;
 pub use state::StateOutcome;
--- a/ggt-testkit/src/bin/ggt-bench.rs
+++ b/ggt-testkit/src/bin/ggt-bench.rs
@@ -11,6 +11,7 @@
 use ggt_testkit::bench::CapacityOptions;
 use ggt_testkit::bench::measure_availability;
 use ggt_testkit::bench::measure_capacity;
+use ggt_testkit::bench::measure_changes;
 use ggt_testkit::bench::measure_latency;
 use ggt_testkit::bench::measure_state;
 
@@ -28,6 +29,7 @@
     Availability(AvailabilityArgs),
     State(StateArgs),
     Latency(LatencyArgs),
+    Changes(ChangesArgs),
 }
 
 /// latency that a daemon adds to the first token and to the gaps between tokens
@@ -42,6 +44,19 @@
     rounds: usize,
 }
 
+/// time until a change of the configuration is in force at all daemons while the store does not answer;
+/// fails if that takes longer than allowed
+#[derive(FromArgs)]
+#[argh(subcommand, name = "changes")]
+struct ChangesArgs {
+    /// number of daemons
+    #[argh(option, default = "6")]
+    daemons: usize,
+    /// milliseconds that a change may take
+    #[argh(option, default = "2000")]
+    max_ms: u64,
+}
+
 /// memory per claim, target and suspected request
 #[derive(FromArgs)]
 #[argh(subcommand, name = "state")]
@@ -102,6 +117,13 @@
             println!("{}", json!(measure_latency(args.callers, args.rounds)));
         }
         BenchKind::State(_) => println!("{}", json!(measure_state())),
+        BenchKind::Changes(args) => {
+            let outcomes = measure_changes(args.daemons);
+            outcomes.iter().for_each(|outcome| println!("{}", json!(outcome)));
+            if outcomes.iter().any(|outcome| outcome.latest_ms > args.max_ms) {
+                return ExitCode::FAILURE;
+            }
+        }
         BenchKind::Availability(args) => {
             for (scenario, outcome) in measure_availability(args.seconds) {
                 println!("{}", json!({ "scenario": scenario, "outcome": outcome }));
