--- a/ggt-core/src/fleet/mod.rs
+++ b/ggt-core/src/fleet/mod.rs
@@ -25,6 +25,7 @@
 use crate::fleet::members::member_hash;
 use crate::fleet::members::member_score;
 use crate::ident::stable_hash;
+use crate::store_watch::WatchPeers;
 use crate::targets::DaemonRank;
 use crate::targets::InFlightLoad;
 use crate::targets::RateShare;
@@ -192,9 +193,13 @@
         ahead.count() < WATCHERS_PER_CENTRE || !same_centre().any(|digest| digest.is_watching)
     }
 
-    /// Whether the fleet is so large that some daemons hear of changes from others only.
-    pub fn has_followers(&self, now: MonoTime) -> bool {
-        self.alive(now).count() >= MAX_SMALL_FLEET
+    /// Who else hears of changes from the platform.
+    pub fn watch_peers(&self, now: MonoTime) -> WatchPeers {
+        match self.alive(now).count() {
+            0 => WatchPeers::None,
+            alive if alive < MAX_SMALL_FLEET => WatchPeers::Watchers,
+            _ => WatchPeers::Followers,
+        }
     }
 
     /// This daemon's rank for an item with this hash among all that are alive, in an order that is the
--- a/ggt-core/src/store_watch/mod.rs
+++ b/ggt-core/src/store_watch/mod.rs
@@ -9,6 +9,7 @@
 pub use timing::FETCH_DELAY_MS;
 pub use timing::FETCH_HEDGE_MS;
 pub use timing::FETCH_INTERVAL_MS;
+pub use timing::WatchPeers;
 pub use timing::WatchTiming;
 
 /// Number of requests without a reply, in a row, of which the last waits longer, since the platform may only
--- a/ggt-core/src/store_watch/timing.rs
+++ b/ggt-core/src/store_watch/timing.rs
@@ -24,26 +24,37 @@
 /// Time in milliseconds after which a second peer is asked for a change, if the first has not replied.
 pub const FETCH_HEDGE_MS: u64 = 100;
 
+/// Who else hears of changes, beside a daemon that watches the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatchPeers {
+    /// Nobody.
+    None,
+    /// Daemons that all watch too, at other moments, and tell each other.
+    Watchers,
+    /// Also daemons that hear of changes from others only.
+    Followers,
+}
+
 /// Times of the watches in a fleet in which a change has to be known everywhere within a given time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct WatchTiming {
     /// Milliseconds from the acknowledgement of a change until every daemon has to know it.
     allowed_ms: u64,
-    /// Whether some daemons hear of changes from others only.
-    has_followers: bool,
+    peers: WatchPeers,
 }
 
 impl WatchTiming {
     /// The times with which every daemon knows a change within `allowed_ms` of its acknowledgement.
-    pub const fn within(allowed_ms: u64, has_followers: bool) -> Self {
-        Self { allowed_ms, has_followers }
+    pub const fn within(allowed_ms: u64, peers: WatchPeers) -> Self {
+        Self { allowed_ms, peers }
     }
 
     /// Milliseconds for which the platform holds a watch while there is no change.
     pub const fn hold_ms(self) -> u64 {
-        let hold_ms = match self.has_followers {
-            true => self.allowed_ms * 7 / 20,
-            false => self.allowed_ms / 2,
+        let hold_ms = match self.peers {
+            WatchPeers::None => self.allowed_ms / 2,
+            WatchPeers::Watchers => self.allowed_ms * 3 / 5,
+            WatchPeers::Followers => self.allowed_ms * 7 / 20,
         };
         min(hold_ms, MAX_HOLD_MS)
     }
--- a/ggt-core/tests/store_watch.rs
+++ b/ggt-core/tests/store_watch.rs
@@ -5,6 +5,7 @@
 
 use ggt_core::store_watch::FailureMeaning;
 use ggt_core::store_watch::WatchFailure;
+use ggt_core::store_watch::WatchPeers;
 use ggt_core::store_watch::WatchSchedule;
 use ggt_core::store_watch::WatchTiming;
 
@@ -12,7 +13,7 @@
 const ALLOWED_MS: u64 = 2_000;
 /// Milliseconds that a sound platform takes for a reply.
 const REPLY_MS: u64 = 4;
-const TIMING: WatchTiming = WatchTiming::within(ALLOWED_MS, false);
+const TIMING: WatchTiming = WatchTiming::within(ALLOWED_MS, WatchPeers::Watchers);
 
 /// What the platform does with requests from one point in time to another.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -150,8 +151,12 @@
 fn longest_delays_are_within_every_bound_that_can_be_kept() {
     fn is_kept(allowed_ms: u16) -> bool {
         let allowed_ms = u64::from(allowed_ms).max(1_500);
-        WatchTiming::within(allowed_ms, false).longest_watcher_ms() < allowed_ms
-            && WatchTiming::within(allowed_ms, true).longest_follower_ms() < allowed_ms
+        let is_watched = [WatchPeers::None, WatchPeers::Watchers, WatchPeers::Followers]
+            .map(|peers| WatchTiming::within(allowed_ms, peers))
+            .iter()
+            .all(|timing| timing.longest_watcher_ms() < allowed_ms);
+        let followed = WatchTiming::within(allowed_ms, WatchPeers::Followers);
+        is_watched && followed.longest_follower_ms() < allowed_ms
     }
     QuickCheck::new().tests(2_000).quickcheck(is_kept as fn(u16) -> bool);
 }
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -30,6 +30,7 @@
 use ggt_core::crashes::LossTable;
 use ggt_core::fleet::FleetTable;
 use ggt_core::fleet::PeerDigest;
+use ggt_core::fleet::WatchRole;
 use ggt_core::ident::stable_hash;
 use ggt_core::limits::ShareTable;
 use ggt_core::partition::ReachTable;
@@ -267,10 +268,17 @@
         self.watching.set(is_watching);
     }
 
+    /// How this daemon hears of changes, by its place in the fleet.
+    pub fn fleet_role(&self) -> WatchRole {
+        let link_mbps = self.settings().link_mbps as u32;
+        let fleet = self.fleet.borrow();
+        fleet.watch_role(self.centre_hash, link_mbps, self.started_at, mono_now())
+    }
+
     /// Times of this daemon's requests to the platform, by the settings and the size of the fleet.
     pub fn watch_timing(&self) -> WatchTiming {
-        let has_followers = self.fleet.borrow().has_followers(mono_now());
-        WatchTiming::within(self.settings().change_delay_ms(), has_followers)
+        let peers = self.fleet.borrow().watch_peers(mono_now());
+        WatchTiming::within(self.settings().change_delay_ms(), peers)
     }
 
     /// Sets whether peers have a newer revision of a folder that could not be fetched from them.
--- a/ggt-daemon/tests/front.rs
+++ b/ggt-daemon/tests/front.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 
+use ggt_core::store_watch::WatchPeers;
 use ggt_core::store_watch::WatchTiming;
 use ggt_daemon::front::is_front_settings;
 use ggt_daemon::front::parse_front_settings;
@@ -11,11 +12,11 @@
 fn change_is_known_in_time_although_a_watch_hangs() {
     let settings = parse_front_settings(Path::new("s.json"), SETTINGS).expect("good settings");
     let (config_ms, leaving_ms) = (settings.config_delay_ms, settings.leaving_delay_ms);
-    for has_followers in [false, true] {
-        let timing = WatchTiming::within(settings.change_delay_ms(), has_followers);
-        let longest_ms = match has_followers {
-            true => timing.longest_follower_ms(),
-            false => timing.longest_watcher_ms(),
+    for peers in [WatchPeers::None, WatchPeers::Watchers, WatchPeers::Followers] {
+        let timing = WatchTiming::within(settings.change_delay_ms(), peers);
+        let longest_ms = match peers {
+            WatchPeers::Followers => timing.longest_follower_ms(),
+            WatchPeers::None | WatchPeers::Watchers => timing.longest_watcher_ms(),
         };
         assert!(longest_ms < config_ms, "{longest_ms} of {config_ms} ms");
         assert!(longest_ms < leaving_ms, "{longest_ms} of {leaving_ms} ms");
