--- a/ggt-core/src/versions/history.rs
+++ b/ggt-core/src/versions/history.rs
@@ -8,6 +8,7 @@
 
 use crate::clock::MonoTime;
 use crate::ident::stable_hash;
+use crate::versions::PastVersions;
 use crate::versions::SoftwareVersion;
 
 /// Identifies a service: a hash of its name.
@@ -40,18 +41,48 @@
     services: HashMap<ServiceKey, BTreeMap<SoftwareVersion, MonoTime>>,
     /// Since when this daemon has had a current view of the registrations without a gap.
     current_since: Option<MonoTime>,
+    /// Since when this daemon knows the versions, apart from gaps in its view.
+    known_since: Option<MonoTime>,
 }
 
 impl VersionHistory {
     /// Records that no stream can have begun before this daemon started.
     pub fn record_first_start(&mut self) {
         self.current_since = Some(MonoTime::default());
+        self.known_since = self.current_since;
+    }
+
+    /// Records the versions that the targets have had since `since`, as the store's history shows.
+    pub fn record_past(&mut self, past: &PastVersions, since: MonoTime, now: MonoTime) {
+        for (service, version) in past.versions() {
+            self.record_target(*service, *version, now);
+        }
+        self.current_since = Some(self.current_since.map_or(since, |current| current.min(since)));
+        self.known_since = Some(self.known_since.map_or(since, |known| known.min(since)));
+    }
+
+    /// The version of a service that this daemon has seen, if it knows of no other over the last
+    /// `memory_ms`. Its view may have had gaps.
+    pub fn only_seen(
+        &self,
+        service: ServiceKey,
+        memory_ms: u64,
+        now: MonoTime,
+    ) -> Option<SoftwareVersion> {
+        let is_known = self.known_since.is_some_and(|since| since + memory_ms <= now);
+        match self.state(service, memory_ms, now) {
+            VersionState::Single(version) => Some(version),
+            VersionState::Open { listed } => listed.filter(|_| is_known),
+        }
     }
 
     /// Records whether this daemon's view of the registrations is current.
     pub fn record_view(&mut self, is_current: bool, now: MonoTime) {
         match is_current {
-            true => _ = self.current_since.get_or_insert(now),
+            true => {
+                self.current_since.get_or_insert(now);
+                self.known_since.get_or_insert(now);
+            }
             false => self.current_since = None,
         }
     }
--- a/ggt-core/src/versions/mod.rs
+++ b/ggt-core/src/versions/mod.rs
@@ -6,6 +6,7 @@
 
 mod history;
 mod origins;
+mod past;
 mod version;
 
 pub use history::ServiceKey;
@@ -14,4 +15,7 @@
 pub use origins::OriginTable;
 pub use origins::StreamKey;
 pub use origins::StreamOrigin;
+pub use past::PastChange;
+pub use past::PastState;
+pub use past::PastVersions;
 pub use version::SoftwareVersion;
--- a/ggt-daemon/src/front/origins/lookup.rs
+++ b/ggt-daemon/src/front/origins/lookup.rs
@@ -9,7 +9,6 @@
 use tokio::time::timeout;
 
 use crate::clock::mono_now;
-use crate::clock::wall_now;
 use crate::front::job::FrontJob;
 use crate::front::peers::fetch_origin;
 use crate::front::response::FrontRefusal;
@@ -26,8 +25,8 @@
 const ASKED_HOLDERS: usize = 3;
 /// Maximum time for the replies of the daemons that are asked.
 const ASK_TIMEOUT: Duration = Duration::from_millis(150);
-/// Milliseconds after the start of the youngest target for which a release may still be under way.
-const RELEASE_MS: u64 = 20_000;
+/// Stands for the stream of a caller that names no attempt, which no daemon knows.
+const NO_STREAM: StreamKey = StreamKey(0);
 /// `retry-after` in milliseconds of a stream of unknown origin: another daemon may know it.
 const UNKNOWN_RETRY_MS: u64 = 200;
 
@@ -40,8 +39,7 @@
     Own,
     /// Another daemon knows the stream, or knows that the service has had one version only.
     Peer,
-    /// This daemon has seen one version only; the caller names no attempt, or all daemons have restarted
-    /// and no release is under way.
+    /// This daemon has seen one version only, though its view had gaps, and the caller names no attempt.
     Assumed,
 }
 
@@ -105,17 +103,15 @@
     };
     // A caller that names no attempt cannot be told from others by any daemon, so what this one has seen
     // decides.
-    let Some(key) = key else {
-        return listed.map(|version| (OriginSource::Assumed, version));
-    };
+    if key.is_none()
+        && let Some(version) = state.only_seen_version(service)
+    {
+        return Some((OriginSource::Assumed, version));
+    }
+    let key = key.unwrap_or(NO_STREAM);
     let asked = state.fleet.borrow().holders(key.0, ASKED_HOLDERS, mono_now());
     let replies = ask(&asked, key, service).await;
-    if let Some(version) = agreed_version(&replies, listed) {
-        return Some((OriginSource::Peer, version));
-    }
-    let assumed = listed.filter(|_| state.has_whole_fleet_restarted());
-    let version = assumed.filter(|_| !state.may_be_releasing(&job.service))?;
-    Some((OriginSource::Assumed, version))
+    agreed_version(&replies, listed).map(|version| (OriginSource::Peer, version))
 }
 
 /// The version that the replies agree on. A reply that the service has had one version only counts if
@@ -159,26 +155,3 @@
     let _ = timeout(ASK_TIMEOUT, collect).await;
     replies
 }
-
-impl FrontState {
-    /// Whether no daemon can know the streams of before: this one and all that it hears have started
-    /// since, and its view is current.
-    fn has_whole_fleet_restarted(&self) -> bool {
-        let now = mono_now();
-        let memory_ms = self.stream_memory_ms.get();
-        let fleet = self.fleet.borrow();
-        now.millis_since(self.started_at) < memory_ms
-            && fleet.alive(now).all(|peer| peer.digest.age_ms < memory_ms)
-            && self.has_current_view(now)
-    }
-
-    /// Whether a target of a service has started so recently, or may have, that it may replace one of
-    /// another version.
-    fn may_be_releasing(&self, service: &str) -> bool {
-        let pool = self.pool.borrow();
-        let targets = pool.of_service(service).iter().filter_map(|key| pool.target(*key));
-        let mut started_at = targets.map(|target| target.record.incarnation);
-        let now = wall_now().as_millis();
-        started_at.any(|started_at| started_at == 0 || now < started_at + RELEASE_MS)
-    }
-}
--- a/ggt-daemon/src/front/origins/mod.rs
+++ b/ggt-daemon/src/front/origins/mod.rs
@@ -96,6 +96,12 @@
         self.versions.borrow().state(service, self.stream_memory_ms.get(), mono_now())
     }
 
+    /// The version of a service that this daemon has seen for as long as a stream can last, if it is the
+    /// only one.
+    pub(super) fn only_seen_version(&self, service: ServiceKey) -> Option<SoftwareVersion> {
+        self.versions.borrow().only_seen(service, self.stream_memory_ms.get(), mono_now())
+    }
+
     pub(super) fn open_services(&self) -> Vec<ServiceKey> {
         self.versions.borrow().open_services(self.stream_memory_ms.get(), mono_now())
     }
--- a/ggt-daemon/src/front/settings.rs
+++ b/ggt-daemon/src/front/settings.rs
@@ -34,6 +34,9 @@
     pub seeds: Vec<SocketAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Seconds of changes that the store keeps, unless it drops them sooner; 0 if that is not known.
+    #[serde(default)]
+    pub store_history_s: f64,
     /// The fleet's retry budget for each service.
     pub retries: RetrySettings,
     /// Bandwidth of the host's link in megabits per second.
@@ -88,6 +91,11 @@
         }
     }
 
+    /// Milliseconds of changes that the store keeps, unless it drops them sooner.
+    pub fn store_history_ms(&self) -> u64 {
+        (self.store_history_s * MILLIS_PER_SECOND) as u64
+    }
+
     /// Milliseconds from the acknowledgement of any change until every daemon must know it.
     pub fn change_delay_ms(&self) -> u64 {
         self.config_delay_ms.min(self.leaving_delay_ms)
@@ -141,6 +149,7 @@
         ("name", settings.name.is_empty(), "must not be empty"),
         ("data_centre", settings.data_centre.is_empty(), "must not be empty"),
         ("peer", settings.peer.ip().is_unspecified(), "must be an address that peers can reach"),
+        ("store_history_s", settings.store_history_s < 0.0, "must not be negative"),
         ("retries.ratio", !(0.0..=1.0).contains(&retries.ratio), "must lie between 0 and 1"),
         ("retries.slack", retries.slack < 0.0, "must not be negative"),
         ("retries.window_s", retries.window_s <= 0.0, "must be more than 0"),
--- a/ggt-daemon/src/front/store/client.rs
+++ b/ggt-daemon/src/front/store/client.rs
@@ -9,10 +9,9 @@
 use crate::front::call::CallReply;
 use crate::front::call::get;
 use crate::front::state::CONNECT_TIMEOUT;
-use crate::front::store::into_store_change;
 use crate::upstream::TargetConnection;
-use ggt_core::store_cache::StoreBatch;
 use ggt_core::store_watch::WatchRequest;
+use ggt_platform::StoreReply;
 use ggt_platform::is_same_history;
 use ggt_platform::parse_era;
 use ggt_platform::parse_watch;
@@ -44,15 +43,14 @@
         &mut self,
         after: u64,
         request: WatchRequest,
-    ) -> Result<StoreBatch, CallError> {
+    ) -> Result<StoreReply, CallError> {
         let path = watch_path(after, request.hold_ms);
         let reply = self.call(&path, request.timeout_ms).await?;
         let reply = parse_watch(&reply.body, parse_era(&reply.headers))?;
-        if !is_same_history(reply.revision, after) {
-            return Err(CallError::StoreRestored);
+        match is_same_history(reply.revision, after) {
+            true => Ok(reply),
+            false => Err(CallError::StoreRestored),
         }
-        let changes = reply.changes.into_iter().map(into_store_change).collect();
-        Ok(StoreBatch { revision: reply.revision, is_snapshot: false, changes })
     }
 
     /// Sends a request and waits for the complete reply, for at most `timeout_ms` once connected.
--- a/ggt-daemon/src/front/store/mod.rs
+++ b/ggt-daemon/src/front/store/mod.rs
@@ -1,6 +1,7 @@
 //! Keeps a local copy of the platform's store: full reads, then one watch for the changes of all folders.
 
 mod client;
+mod past;
 mod snapshot;
 
 use std::rc::Rc;
@@ -15,6 +16,7 @@
 use crate::front::state::FrontState;
 use crate::front::state::StoreFolder;
 use crate::front::store::client::StoreClient;
+use crate::front::store::past::PastReading;
 use crate::front::store::snapshot::read_folders;
 use crate::logging::quoted;
 use ggt_core::fleet::WatchRole;
@@ -27,6 +29,7 @@
 use ggt_core::store_watch::WatchTiming;
 use ggt_platform::ReadMode;
 use ggt_platform::StoreItem;
+use ggt_platform::StoreReply;
 
 /// Interval in milliseconds at which a daemon that does not watch re-evaluates its role.
 const ROLE_CHECK_INTERVAL_MS: u64 = 250;
@@ -53,14 +56,13 @@
 /// Role of this daemon. It always watches the store itself while it lacks a folder, or has lagged behind its
 /// peers in one for too long.
 fn watch_role(state: &FrontState) -> WatchRole {
-    let link_mbps = state.settings().link_mbps as u32;
     let must_read =
         |folder| state.cache(folder).borrow().revision() == 0 || state.is_behind(folder);
     if StoreFolder::ALL.into_iter().any(must_read) {
-        return WatchRole::Watcher;
+        WatchRole::Watcher
+    } else {
+        state.fleet_role()
     }
-    let fleet = state.fleet.borrow();
-    fleet.watch_role(state.centre_hash, link_mbps, state.started_at, mono_now())
 }
 
 /// A random pause between half of `max_ms` and `max_ms`, so that daemons do not send requests at
@@ -76,6 +78,7 @@
     /// Whether the store no longer has the history since the last known revision, so that all folders
     /// must be read again in full.
     is_history_lost: bool,
+    past: PastReading,
 }
 
 impl StoreWatch {
@@ -84,6 +87,7 @@
             client: StoreClient::new(state.settings().store),
             schedule: WatchSchedule::new(state.watch_timing()),
             is_history_lost: false,
+            past: PastReading::new(state),
         }
     }
 
@@ -95,7 +99,10 @@
         state.metrics.record_store_call(result.is_ok());
         let waited_ms = mono_now().millis_since(sent_at);
         match result {
-            Ok(batches) => self.apply(state, batches, waited_ms).await,
+            Ok(batches) => {
+                self.apply(state, batches, waited_ms).await;
+                self.past.advance(state, &mut self.client, timing).await;
+            }
             Err(e @ (CallError::Status { status: 410 } | CallError::StoreRestored)) => {
                 let cause = quoted(&e.to_string());
                 log::info!("event=history-lost outcome=read-anew cause={cause}");
@@ -132,10 +139,10 @@
         }
         let request = self.schedule.next_request(timing, rand::rng().random());
         let sent_at = mono_now();
-        let changes = self.client.watch(known_revision(state, &batches), request).await?;
+        let reply = self.client.watch(known_revision(state, &batches), request).await?;
         let waited_ms = mono_now().millis_since(sent_at);
-        self.record_reply(state, timing, request, &changes, waited_ms);
-        add_changes(&mut batches, changes);
+        self.record_reply(state, timing, request, &reply, waited_ms);
+        add_changes(&mut batches, reply);
         Ok(batches)
     }
 
@@ -144,7 +151,7 @@
         state: &FrontState,
         timing: WatchTiming,
         request: WatchRequest,
-        changes: &StoreBatch,
+        reply: &StoreReply,
         waited_ms: u64,
     ) {
         let failures = self.schedule.failures();
@@ -153,7 +160,7 @@
         } else if waited_ms > request.hold_ms + timing.reply_ms() {
             log_watch(state, "late", waited_ms, failures, "-");
         }
-        let has_changes = !changes.changes.is_empty();
+        let has_changes = !reply.changes.is_empty();
         self.schedule.record_reply(timing, request, waited_ms, has_changes);
     }
 
@@ -212,16 +219,16 @@
 }
 
 /// Adds changes of any folder to the batches of the folders; keys of no folder are left out.
-fn add_changes(batches: &mut FolderBatches, changes: StoreBatch) {
+fn add_changes(batches: &mut FolderBatches, reply: StoreReply) {
     for batch in batches.iter_mut() {
         let batch = batch.get_or_insert_default();
-        batch.revision = batch.revision.max(changes.revision);
+        batch.revision = batch.revision.max(reply.revision);
     }
-    for change in changes.changes {
-        if let Some(folder) = StoreFolder::of_key(&change.key)
+    for item in reply.changes {
+        if let Some(folder) = StoreFolder::of_key(&item.key)
             && let Some(batch) = &mut batches[folder as usize]
         {
-            batch.changes.push(change);
+            batch.changes.push(into_store_change(item));
         }
     }
 }
--- a/ggt-standin/src/users_platform/store.rs
+++ b/ggt-standin/src/users_platform/store.rs
@@ -22,12 +22,22 @@
 use crate::users_platform::request::WireRequest;
 use crate::users_platform::request::read_request;
 
+/// An item after a change.
+#[derive(Clone, Debug)]
+struct StoredItem {
+    /// Revision at which the item was created.
+    created: u64,
+    /// Revision of its last change.
+    revision: u64,
+    value: Vec<u8>,
+}
+
 #[derive(Default)]
 struct StoreState {
-    /// Revision of the last change and value, by key.
-    items: BTreeMap<String, (u64, Vec<u8>)>,
-    /// Changes as revision, key and value; the value of a removal is `None`.
-    log: Vec<(u64, String, Option<Vec<u8>>)>,
+    /// Items by key.
+    items: BTreeMap<String, StoredItem>,
+    /// Changes as revision, key and item, which is `None` after a removal.
+    log: Vec<(u64, String, Option<StoredItem>)>,
     revision: u64,
     /// Last revision whose changes are no longer in the log.
     compacted_revision: u64,
@@ -49,8 +59,8 @@
 /// Copy of a store's data.
 #[derive(Clone, Debug)]
 pub struct StoreCopy {
-    items: BTreeMap<String, (u64, Vec<u8>)>,
-    log: Vec<(u64, String, Option<Vec<u8>>)>,
+    items: BTreeMap<String, StoredItem>,
+    log: Vec<(u64, String, Option<StoredItem>)>,
     revision: u64,
 }
 
@@ -180,11 +190,13 @@
         let mut state = lock(&self.state);
         state.revision += 1;
         let revision = state.revision;
-        match &value {
-            Some(value) => state.items.insert(key.to_owned(), (revision, value.clone())),
+        let created = state.items.get(key).map_or(revision, |item| item.created);
+        let item = value.map(|value| StoredItem { created, revision, value });
+        match &item {
+            Some(item) => state.items.insert(key.to_owned(), item.clone()),
             None => state.items.remove(key),
         };
-        state.log.push((revision, key.to_owned(), value));
+        state.log.push((revision, key.to_owned(), item));
         self.changed.notify_all();
     }
 
@@ -235,7 +247,7 @@
         let page: Vec<_> = rest
             .by_ref()
             .take(PAGE_ITEMS)
-            .map(|(key, (revision, value))| item_json(key, *revision, Some(value)))
+            .map(|(key, item)| item_json(key, item.revision, Some(item)))
             .collect();
         let has_more = rest.next().is_some();
         json!({ "Items": page, "HasMore": has_more, "StoreRevision": state.revision })
@@ -248,7 +260,7 @@
             state.era
         };
         let is_unchanged = |state: &mut StoreState| {
-            let is_new = |(revision, key, _): &(u64, String, Option<Vec<u8>>)| {
+            let is_new = |(revision, key, _): &(u64, String, Option<StoredItem>)| {
                 *revision > after && key.starts_with(prefix)
             };
             state.failure_status.is_none()
@@ -269,18 +281,17 @@
             .log
             .iter()
             .filter(|(revision, key, _)| *revision > after && key.starts_with(prefix));
-        let events: Vec<_> = changes
-            .map(|(revision, key, value)| item_json(key, *revision, value.as_ref()))
-            .collect();
+        let events: Vec<_> =
+            changes.map(|(revision, key, item)| item_json(key, *revision, item.as_ref())).collect();
         (200, json!({ "events": events, "StoreRevision": state.revision }))
     }
 }
 
-fn item_json(key: &str, revision: u64, value: Option<&Vec<u8>>) -> Value {
-    match value {
-        Some(value) => json!({
-            "Key": key, "Value": STANDARD.encode(value), "Rev": revision, "Created": revision,
-            "Lease": 0,
+fn item_json(key: &str, revision: u64, item: Option<&StoredItem>) -> Value {
+    match item {
+        Some(item) => json!({
+            "Key": key, "Value": STANDARD.encode(&item.value), "Rev": revision,
+            "Created": item.created, "Lease": 0,
         }),
         None => json!({ "Key": key, "Rev": revision, "Deleted": true }),
     }
--- a/ggt-testkit/src/front/mod.rs
+++ b/ggt-testkit/src/front/mod.rs
@@ -31,6 +31,8 @@
 
 /// Deadline that callers send with each request.
 const DEADLINE_MS: u64 = 20_000;
+/// Seconds of changes that the store keeps unless a test makes it drop them.
+const STORE_HISTORY_S: u64 = 20;
 /// Last octet of the address of the daemon with number 0.
 const FIRST_DAEMON_OCTET: usize = 100;
 /// Port for gossip and calls between daemons, the same on each daemon's address.
@@ -287,6 +289,7 @@
             // Only the IP address counts: seeds are contacted at the peer port.
             "seeds": [SocketAddr::new(self.net.ip(octet_of(seed)), 1)],
             "store": store.unwrap_or(own_store),
+            "store_history_s": STORE_HISTORY_S,
             "retries": { "ratio": 0.2, "slack": 50.0, "window_s": 10.0 },
             "grace_s": 8.0,
         });
--- a/ggt-testkit/tests/platform_versions.rs
+++ b/ggt-testkit/tests/platform_versions.rs
@@ -341,3 +341,66 @@
     let versions = begin_cut_streams(&fleet, 0);
     (0..3).for_each(|daemon| check_taken_up(&fleet, daemon, &versions));
 }
+
+/// Age of servers that have run for longer than any stream.
+const LONG_AGE_MS: u128 = 60_000;
+/// Age of servers that a release has just started.
+const SHORT_AGE_MS: u128 = 5_000;
+
+/// Registers all servers as started this long ago.
+fn register_with_age(fleet: &FrontFleet, age_ms: u128) {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("clock is set").as_millis();
+    for (number, server) in fleet.servers.iter().enumerate() {
+        let entry = server.registration("s", "a", "ready");
+        let entry = entry.replace(r#""born":1"#, &format!(r#""born":{}"#, now - age_ms));
+        let version = format!(r#""Version":"{}""#, version_of(number));
+        let entry = entry.replace(r#""Version":"v1""#, &version);
+        fleet.store.put(&format!("{TARGET_PREFIX}{}", server.id()), &entry);
+    }
+}
+
+/// Begins streams at servers of both versions, restarts all daemons while the servers of the first version
+/// leave, and takes the streams up: what goes on must be of one version, all else is refused.
+fn check_version_that_left(age_ms: u128, is_named: bool, says_so: bool) {
+    let mut fleet = start(3);
+    register_with_age(&fleet, age_ms);
+    let versions = begin_cut_streams(&fleet, 0);
+    (0..3).for_each(|daemon| fleet.daemons[daemon].process.kill());
+    for number in (0..SERVERS).filter(|number| version_of(*number) == "v1") {
+        let server = &fleet.servers[number];
+        if says_so {
+            register(&fleet, server, "v1", "draining");
+        }
+        fleet.remove_registration(&server.id());
+    }
+    (0..3).for_each(|daemon| fleet.restart(daemon));
+    for (number, version) in versions.iter().enumerate() {
+        let (id, origin) = (format!("next-{number}"), format!("first-{number}"));
+        let origin = is_named.then_some(origin.as_str());
+        let response = take_up(&fleet, number % 3, &id, origin, CUT_AFTER);
+        match response.status {
+            200 => assert_eq!(versions_in(&response.body), BTreeSet::from([version.as_str()])),
+            status => assert_eq!((status, fleet.request_count(&id)), (503, 0), "{id}"),
+        }
+    }
+}
+
+// Guards against streams joined from two versions after all daemons were killed while one of the versions
+// left: the daemons took the only listed version for the only one that there was.
+#[test]
+fn streams_of_a_version_that_left_while_all_daemons_were_down_are_refused() {
+    check_version_that_left(LONG_AGE_MS, true, true);
+}
+
+// Guards against the same when the servers have left without having said so.
+#[test]
+fn streams_of_a_version_that_left_silently_while_all_daemons_were_down_are_refused() {
+    check_version_that_left(LONG_AGE_MS, true, false);
+}
+
+// Guards against the same for callers that name no attempt, at servers of any age.
+#[test]
+fn unnamed_streams_of_a_version_that_left_while_all_daemons_were_down_are_refused() {
+    check_version_that_left(LONG_AGE_MS, false, true);
+    check_version_that_left(SHORT_AGE_MS, false, false);
+}
