--- a/ggt-core/src/targets/fragile.rs
+++ b/ggt-core/src/targets/fragile.rs
@@ -313,7 +313,8 @@
         let is_used = state.own.requests >= limit.requests();
         let slots = state.record.slots;
         let has_free_slots = report.is_some_and(|report| {
-            report.waiting == 0 && report.running + MIN_FREE_SLOTS <= slots.min(report.slots)
+            report.waiting == 0
+                && report.running.saturating_add(MIN_FREE_SLOTS) <= slots.min(report.slots)
         });
         if report.is_some_and(|report| report.waiting > 0) {
             limit.shrink(now);
--- a/ggt-daemon/src/front/origins/mod.rs
+++ b/ggt-daemon/src/front/origins/mod.rs
@@ -88,7 +88,7 @@
 
     /// Keeps origins for as long as a stream with this timeout can last.
     pub fn extend_stream_memory(&self, timeout_ms: u64) {
-        let memory_ms = (timeout_ms + MEMORY_MARGIN_MS).min(MAX_MEMORY_MS);
+        let memory_ms = timeout_ms.saturating_add(MEMORY_MARGIN_MS).min(MAX_MEMORY_MS);
         self.stream_memory_ms.set(self.stream_memory_ms.get().max(memory_ms));
     }
 
--- a/ggt-daemon/src/front/run.rs
+++ b/ggt-daemon/src/front/run.rs
@@ -34,6 +34,7 @@
 use crate::front::store::run_watch;
 use crate::front::warmup::run_warmup;
 use crate::lifecycle::RunningTimer;
+use crate::lifecycle::spawn_loop;
 use crate::logging::quoted;
 use crate::metrics::MetricsError;
 
@@ -116,14 +117,20 @@
         spawn_local(serve_internal(state.clone(), listener));
     }
     spawn_local(serve_peers(state.clone(), peers));
-    spawn_local(run_reach(state.clone()));
-    spawn_local(run_watch(state.clone()));
+    let looped = state.clone();
+    spawn_loop("reach", move || run_reach(looped.clone()));
+    let looped = state.clone();
+    spawn_loop("watch", move || run_watch(looped.clone()));
     for folder in StoreFolder::ALL {
-        spawn_local(run_fetch(state.clone(), folder));
+        let looped = state.clone();
+        spawn_loop("fetch", move || run_fetch(looped.clone(), folder));
     }
-    spawn_local(run_digests(state.clone(), socket.clone()));
-    spawn_local(run_receiver(state.clone(), socket.clone()));
-    spawn_local(run_origins(state.clone(), socket));
+    let looped = (state.clone(), socket.clone());
+    spawn_loop("digests", move || run_digests(looped.0.clone(), looped.1.clone()));
+    let looped = (state.clone(), socket.clone());
+    spawn_loop("receiver", move || run_receiver(looped.0.clone(), looped.1.clone()));
+    let looped = (state.clone(), socket);
+    spawn_loop("origins", move || run_origins(looped.0.clone(), looped.1.clone()));
     spawn_local(run_warmup(state.clone()));
     spawn_local(run_reload(state.clone(), file, reload_signals));
     spawn_local(serve_callers(state.clone(), callers));
--- a/ggt-daemon/src/front/store/client.rs
+++ b/ggt-daemon/src/front/store/client.rs
@@ -1,13 +1,10 @@
 //! Requests to the store on one connection, which is replaced after a failure.
 
 use std::net::SocketAddr;
-use std::time::Duration;
-
-use tokio::time::timeout;
 
 use crate::front::call::CallError;
 use crate::front::call::CallReply;
-use crate::front::call::get;
+use crate::front::call::get_within;
 use crate::front::state::CONNECT_TIMEOUT;
 use crate::upstream::TargetConnection;
 use ggt_core::store_watch::WatchRequest;
@@ -53,7 +50,8 @@
         }
     }
 
-    /// Sends a request and waits for the complete reply, for at most `timeout_ms` once connected.
+    /// Sends a request and waits for the head of the reply, for at most `timeout_ms` once connected, and for its
+    /// body for as long as it arrives.
     pub(super) async fn call(
         &mut self,
         path: &str,
@@ -63,10 +61,8 @@
             Some(connection) if !connection.is_closed() => connection,
             _ => TargetConnection::open(self.address, CONNECT_TIMEOUT).await?,
         };
-        // Dropping the connection closes it, so that a late reply is not taken for the next one.
-        let reply = get(&mut connection, self.address, path);
-        let reply = timeout(Duration::from_millis(timeout_ms), reply).await;
-        let reply = reply.unwrap_or(Err(CallError::Timeout))?;
+        // A failure closes the connection, so that a late reply is not taken for the next one.
+        let reply = get_within(&mut connection, self.address, path, timeout_ms).await?;
         self.connection = Some(connection);
         match reply.status {
             200 => Ok(reply),
--- a/ggt-daemon/src/front/store/mod.rs
+++ b/ggt-daemon/src/front/store/mod.rs
@@ -27,6 +27,7 @@
 use ggt_core::store_watch::WatchRequest;
 use ggt_core::store_watch::WatchSchedule;
 use ggt_core::store_watch::WatchTiming;
+use ggt_platform::MAX_REGISTRATION_BYTES;
 use ggt_platform::ReadMode;
 use ggt_platform::StoreItem;
 use ggt_platform::StoreReply;
@@ -75,9 +76,9 @@
 struct StoreWatch {
     client: StoreClient,
     schedule: WatchSchedule,
-    /// Whether the store no longer has the history since the last known revision, so that all folders
-    /// must be read again in full.
-    is_history_lost: bool,
+    /// Whether the changes since the last known revision cannot be had, so that all folders must be read
+    /// again in full.
+    must_read_anew: bool,
     past: PastReading,
 }
 
@@ -86,7 +87,7 @@
         Self {
             client: StoreClient::new(state.settings().store),
             schedule: WatchSchedule::new(state.watch_timing()),
-            is_history_lost: false,
+            must_read_anew: false,
             past: PastReading::new(state),
         }
     }
@@ -103,10 +104,15 @@
                 self.apply(state, batches, waited_ms).await;
                 self.past.advance(state, &mut self.client, timing).await;
             }
-            Err(e @ (CallError::Status { status: 410 } | CallError::StoreRestored)) => {
+            Err(
+                e @ (CallError::Status { status: 410 }
+                | CallError::StoreRestored
+                | CallError::TooLarge),
+            ) if !self.must_read_anew => {
                 let cause = quoted(&e.to_string());
                 log::info!("event=history-lost outcome=read-anew cause={cause}");
-                self.is_history_lost = true;
+                self.client.disconnect();
+                self.must_read_anew = true;
             }
             Err(e) => self.handle_failure(state, timing, &e, waited_ms).await,
         }
@@ -118,12 +124,12 @@
         timing: WatchTiming,
     ) -> Result<FolderBatches, CallError> {
         let read_timeout_ms = self.schedule.read_timeout_ms(timing);
-        if self.is_history_lost {
+        if self.must_read_anew {
             let all = StoreFolder::ALL;
             let read =
                 read_folders(state, &mut self.client, &all, ReadMode::Exact, read_timeout_ms);
             let batches = read.await?;
-            self.is_history_lost = false;
+            self.must_read_anew = false;
             self.schedule.record_read();
             return Ok(batches);
         }
@@ -233,9 +239,22 @@
     }
 }
 
+/// The change that an item shows. An entry that is too large for a target's is emptied, so that many of them do
+/// not fill the memory.
 fn into_store_change(item: StoreItem) -> StoreChange {
-    let value = item.value.map(Arc::new);
-    StoreChange { key: item.key, revision: item.revision, value }
+    let StoreItem { key, revision, mut value, .. } = item;
+    if let Some(value) = &mut value
+        && StoreFolder::of_key(&key) == Some(StoreFolder::Targets)
+        && value.len() > MAX_REGISTRATION_BYTES
+    {
+        log::warn!(
+            "event=target-refused key={} revision={revision} bytes={} outcome=emptied",
+            quoted(&key),
+            value.len()
+        );
+        *value = Vec::new();
+    }
+    StoreChange { key, revision, value: value.map(Arc::new) }
 }
 
 /// Logs how a request to the store ended that did not go as usual: how long it took, after how many
--- a/ggt-daemon/src/lifecycle/mod.rs
+++ b/ggt-daemon/src/lifecycle/mod.rs
@@ -1,5 +1,9 @@
 //! State of a graceful shutdown.
 
+mod restart;
+
+pub use restart::spawn_loop;
+
 use std::collections::BTreeMap;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
--- a/ggt-daemon/src/logging/mod.rs
+++ b/ggt-daemon/src/logging/mod.rs
@@ -82,9 +82,16 @@
     Ok(queue)
 }
 
+/// Longest value in bytes that is logged; what others sent is cut there.
+const MAX_VALUE_BYTES: usize = 1_024;
+
 /// Quotes a value if it is empty or contains a space, quote, `=` or character outside printable
-/// ASCII, so that a line can be split into `key=value` pairs.
+/// ASCII, so that a line can be split into `key=value` pairs, and cuts a long one.
 pub fn quoted(value: &str) -> String {
+    let value = match value.len() {
+        0..=MAX_VALUE_BYTES => value,
+        _ => &value[..value.floor_char_boundary(MAX_VALUE_BYTES)],
+    };
     let is_plain =
         !value.is_empty() && value.chars().all(|c| c.is_ascii_graphic() && c != '"' && c != '=');
     if is_plain { value.to_owned() } else { format!("{value:?}") }
--- a/ggt-daemon/src/upstream/connection.rs
+++ b/ggt-daemon/src/upstream/connection.rs
@@ -169,8 +169,8 @@
     /// the target's own idle timeout, if it is known. A connection beyond `MAX_IDLE_CONNECTIONS`
     /// is closed instead.
     pub fn keep(&self, key: K, mut connection: TargetConnection, idle_seconds: Option<u64>) {
-        let target_idle_ms =
-            idle_seconds.map(|seconds| (seconds * 1_000).saturating_sub(IDLE_MARGIN_MS));
+        let target_idle_ms = idle_seconds
+            .map(|seconds| seconds.saturating_mul(1_000).saturating_sub(IDLE_MARGIN_MS));
         let idle_ms = target_idle_ms.unwrap_or(MAX_IDLE_MS).min(MAX_IDLE_MS);
         connection.is_reused = true;
         let mut pool = lock(&self.idle);
--- a/ggt-standin/src/users_platform/request.rs
+++ b/ggt-standin/src/users_platform/request.rs
@@ -50,6 +50,28 @@
         pairs.filter(|(key, _)| *key == name).map(|(_, value)| value).next()
     }
 
+    /// Value of a query parameter, percent-decoded.
+    pub fn decoded_query(&self, name: &str) -> String {
+        let text = self.query(name).unwrap_or_default();
+        let mut bytes = Vec::with_capacity(text.len());
+        let mut rest = text.as_bytes();
+        while let [first, tail @ ..] = rest {
+            let code = tail.get(..2).filter(|_| *first == b'%');
+            let code = code.and_then(|code| std::str::from_utf8(code).ok());
+            match code.and_then(|code| u8::from_str_radix(code, 16).ok()) {
+                Some(byte) => {
+                    bytes.push(byte);
+                    rest = &tail[2..];
+                }
+                None => {
+                    bytes.push(if *first == b'+' { b' ' } else { *first });
+                    rest = tail;
+                }
+            }
+        }
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+
     /// Numeric query parameter; zero if it is absent or not a number.
     pub fn number(&self, name: &str) -> u64 {
         self.query(name).and_then(|text| text.parse().ok()).unwrap_or_default()
--- a/ggt-standin/src/users_platform/store.rs
+++ b/ggt-standin/src/users_platform/store.rs
@@ -66,6 +66,8 @@
 
 /// Maximum number of items on a page.
 const PAGE_ITEMS: usize = 500;
+/// Number of bytes of values from which on a page takes no further item.
+const PAGE_BYTES: usize = 1_000_000;
 
 /// Key-value store that a test writes to and daemons read.
 #[derive(Clone)]
@@ -229,7 +231,8 @@
         if let Some(status) = lock(&self.state).failure_status {
             return (status, json!({}));
         }
-        let prefix = request.query("PathPrefix").unwrap_or_default();
+        let prefix = request.decoded_query("PathPrefix");
+        let prefix = prefix.as_str();
         match request.path.split('?').next().unwrap_or_default() {
             "/v1/kv-range" => (200, self.range(prefix, request)),
             "/v1/kv-watch" => self.watch(prefix, request.number("After"), request.number("WaitMs")),
@@ -239,17 +242,19 @@
 
     fn range(&self, prefix: &str, request: &WireRequest) -> Value {
         let mut state = lock(&self.state);
-        let after = request.query("After").unwrap_or_default();
+        let after = request.decoded_query("After");
         state.continuation_pages += u64::from(!after.is_empty());
         state.linearizable_pages += u64::from(request.query("Serializable").is_none());
         let matching = state.items.iter().filter(|(key, _)| key.starts_with(prefix));
-        let mut rest = matching.filter(|(key, _)| key.as_str() > after);
-        let page: Vec<_> = rest
-            .by_ref()
-            .take(PAGE_ITEMS)
-            .map(|(key, item)| item_json(key, item.revision, Some(item)))
-            .collect();
-        let has_more = rest.next().is_some();
+        let mut rest = matching.filter(|(key, _)| key.as_str() > after.as_str()).peekable();
+        let (mut page, mut bytes) = (Vec::new(), 0);
+        while let Some((key, item)) =
+            rest.next_if(|_| page.len() < PAGE_ITEMS && bytes < PAGE_BYTES)
+        {
+            bytes += item.value.len();
+            page.push(item_json(key, item.revision, Some(item)));
+        }
+        let has_more = rest.peek().is_some();
         json!({ "Items": page, "HasMore": has_more, "StoreRevision": state.revision })
     }
 
