--- a/ggt-daemon/src/front/attempt/send.rs
+++ b/ggt-daemon/src/front/attempt/send.rs
@@ -175,8 +175,8 @@
         }))
     }
 
-    /// Decodes a reply's head, applies what it states about the target, and checks that the reply belongs
-    /// to this request.
+    /// Decodes a reply's head, checks that the reply belongs to this request, and applies what it states
+    /// about the target.
     fn decode_reply(
         &self,
         key: TargetKey,
@@ -185,9 +185,10 @@
     ) -> Result<(Parts, ReplyHeaders, Incoming), SendError> {
         let (parts, body) = response.into_parts();
         let headers = parse_reply_headers(parts.status, &parts.headers);
+        self.check_id(&headers)?;
         self.state.pool.borrow_mut().record_reply(key, headers.load, mono_now());
         self.apply_statements(key, sent_at, &headers);
-        self.check_reply(&parts.status, &headers)?;
+        check_content(parts.status, &headers)?;
         self.state.pool.borrow_mut().record_accepted(key, headers.load, mono_now());
         Ok((parts, headers, body))
     }
@@ -327,30 +328,31 @@
         Ok(request)
     }
 
-    fn check_reply(&self, status: &StatusCode, headers: &ReplyHeaders) -> Result<(), SendError> {
-        let failed = |cause: &str| SendError::Lost {
-            cause: cause.to_owned(),
-            kind: FailureKind::InvalidReply,
-        };
+    /// Checks that a reply names this request. A faulty target may write an earlier reply once more; taken
+    /// for this request's, a refusal would say that it has not run.
+    fn check_id(&self, headers: &ReplyHeaders) -> Result<(), SendError> {
         match &headers.attempt_id {
-            Some(id) if *id != self.job.id => return Err(failed("reply to another request")),
-            None if status.is_success() => return Err(failed("reply without the request's id")),
-            _ => {}
-        }
-        if headers.is_refusal && !headers.is_stamped {
-            let is_misdirected = headers.is_misdirected;
-            return Err(SendError::Refused { status: *status, is_misdirected });
-        }
-        if !headers.is_stamped {
-            return Err(failed("reply without stamp"));
+            Some(id) if *id == self.job.id => Ok(()),
+            Some(_) => Err(invalid_reply("reply to another request")),
+            None => Err(invalid_reply("reply without the request's id")),
         }
-        if headers.is_encoded {
-            return Err(failed("encoded reply"));
-        }
-        Ok(())
     }
 }
 
+/// Checks that a reply to this request can be forwarded.
+fn check_content(status: StatusCode, headers: &ReplyHeaders) -> Result<(), SendError> {
+    if headers.is_refusal && !headers.is_stamped {
+        return Err(SendError::Refused { status, is_misdirected: headers.is_misdirected });
+    }
+    if !headers.is_stamped {
+        return Err(invalid_reply("reply without stamp"));
+    }
+    if headers.is_encoded {
+        return Err(invalid_reply("encoded reply"));
+    }
+    Ok(())
+}
+
 /// The head of a reply, or what its absence says about the request.
 fn sent_head(sent: Result<SendResult, JoinError>) -> Result<HeadWait, SendError> {
     let lost = |cause, kind| Err(SendError::Lost { cause, kind });
@@ -366,6 +368,10 @@
     }
 }
 
+fn invalid_reply(cause: &str) -> SendError {
+    SendError::Lost { cause: cause.to_owned(), kind: FailureKind::InvalidReply }
+}
+
 fn not_sent(cause: &str) -> SendError {
     SendError::NotSent { cause: cause.to_owned(), outcome: SendOutcome::Unreachable }
 }
--- a/ggt-daemon/src/front/attempt/statements.rs
+++ b/ggt-daemon/src/front/attempt/statements.rs
@@ -8,22 +8,19 @@
 use ggt_platform::ReplyHeaders;
 
 impl UpstreamAttempts {
-    /// Applies what a target states in its reply to a request that was sent at `sent_at`. A statement of
-    /// another instance, or in a reply to another request, says nothing about the target.
+    /// Applies what a target states in its reply to this request, which was sent at `sent_at`. A statement of
+    /// another instance says nothing about the target.
     pub(super) fn apply_statements(
         &self,
         key: TargetKey,
         sent_at: MonoTime,
         headers: &ReplyHeaders,
     ) {
-        let id = headers.attempt_id.as_ref();
-        if headers.is_misdirected || id.is_some_and(|id| *id != self.job.id) {
+        if headers.is_misdirected {
             return;
         }
-        if id.is_some() {
-            self.state.apply_rate_header(key, headers.rate_limit, sent_at);
-            self.state.apply_fragility_header(key, headers);
-        }
+        self.state.apply_rate_header(key, headers.rate_limit, sent_at);
+        self.state.apply_fragility_header(key, headers);
         if headers.is_leaving {
             self.state.record_target_leaving(key);
         }
--- a/ggt-standin/src/users_platform/server.rs
+++ b/ggt-standin/src/users_platform/server.rs
@@ -284,8 +284,10 @@
         let expected = request.header("x-expect-instance");
         if expected.is_some_and(|expected| expected != id) {
             state.gate.pass();
+            let attempt = request.attempt_id();
             let head = format!(
-                "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+                "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: {attempt}\r\nX-Instance-Id: {id}\r\n\
+                 Content-Length: 0\r\n\r\n"
             );
             if writer.write_all(head.as_bytes()).is_err() {
                 return;
