--- a/ggt-testkit/tests/platform_requests.rs
+++ b/ggt-testkit/tests/platform_requests.rs
@@ -13,8 +13,11 @@
 use ggt_testkit::http::HttpRequest;
 use ggt_testkit::wait::wait_until;
 
-fn refuse(_: &WireRequest, stream: &mut TcpStream) -> AfterResponse {
-    let head = "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+fn refuse(request: &WireRequest, stream: &mut TcpStream) -> AfterResponse {
+    let id = request.attempt_id();
+    let head = format!(
+        "HTTP/1.1 503 Busy\r\nX-Attempt-Id: {id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+    );
     match stream.write_all(head.as_bytes()) {
         Ok(()) => AfterResponse::Keep,
         Err(_) => AfterResponse::Close,
