--- a/ggt-daemon/src/settings/mod.rs
+++ b/ggt-daemon/src/settings/mod.rs
@@ -110,6 +110,9 @@
     }
 }
 
+/// Time in milliseconds that a reply of the platform may take, in addition to the waiting time of a long poll.
+pub const PLATFORM_REPLY_MS: u64 = 2_000;
+
 /// Timeouts and intervals, in milliseconds.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -153,7 +156,7 @@
             connect_ms: 1_000,
             gossip_ms: 1_000,
             probe_ms: 3_000,
-            watch_ms: 30_000,
+            watch_ms: 8_000,
             backoff_ms: 200,
             backoff_max_ms: 10_000,
             bootstrap_ms: 3_000,
@@ -166,6 +169,15 @@
     }
 }
 
+impl TimingSettings {
+    /// Longest time in milliseconds from a change until a daemon that watches the platform reads it, while the
+    /// platform replies on new connections: the change comes just after a watch that hangs was sent.
+    pub const fn longest_change_ms(&self) -> u64 {
+        let overdue_ms = self.connect_ms + self.watch_ms + PLATFORM_REPLY_MS;
+        overdue_ms + self.backoff_ms + self.connect_ms + PLATFORM_REPLY_MS
+    }
+}
+
 fn default_log_level() -> String {
     "info".to_owned()
 }
--- a/ggt-daemon/src/sync/watch.rs
+++ b/ggt-daemon/src/sync/watch.rs
@@ -15,6 +15,7 @@
 
 use crate::lock::lock;
 use crate::metrics::TrafficKind;
+use crate::settings::PLATFORM_REPLY_MS;
 use crate::state::SharedState;
 use crate::sync::apply_folder;
 use crate::upstream::CallFailure;
@@ -32,7 +33,7 @@
 /// Interval at which a starting daemon checks whether the bootstrap from its seeds is finished.
 const BOOTSTRAP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Timeout of a request to the platform, in addition to the waiting time of a long poll.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(2_000);
+const REPLY_TIMEOUT: Duration = Duration::from_millis(PLATFORM_REPLY_MS);
 
 /// Error of a read from the platform.
 #[derive(Debug, Snafu)]
