--- a/ggt-testkit/src/front/mod.rs
+++ b/ggt-testkit/src/front/mod.rs
@@ -138,7 +138,10 @@
         self.log_book.get_or_insert_default().clone()
     }
 
-    fn spawn_daemon(&self, settings: &Path) -> ChildProcess {
+    fn spawn_daemon(&self, number: usize, settings: &Path) -> ChildProcess {
+        if let Some(program) = older_program(number) {
+            return ChildProcess::spawn_other_daemon(&program, settings);
+        }
         match &self.log_book {
             Some(book) => ChildProcess::spawn_logged_daemon(settings, book),
             None => ChildProcess::spawn_daemon(settings),
@@ -293,10 +296,15 @@
             "retries": { "ratio": 0.2, "slack": 50.0, "window_s": 10.0 },
             "grace_s": 8.0,
         });
+        if older_program(number).is_some()
+            && let Some(fields) = settings.as_object_mut()
+        {
+            fields.remove("store_history_s");
+        }
         merge(&mut settings, &self.settings);
         let file = self.folder.join(format!("d-{number}.json"));
         std::fs::write(&file, settings.to_string()).expect("should write the settings file");
-        let process = self.spawn_daemon(&file);
+        let process = self.spawn_daemon(number, &file);
         self.daemons.push(FrontDaemon { process, callers, ready, admin, settings: file });
     }
 
@@ -314,7 +322,7 @@
     /// Kills a daemon and starts it again without waiting until it is ready.
     pub fn restart_without_waiting(&mut self, number: usize) {
         self.daemons[number].process.kill();
-        let process = self.spawn_daemon(&self.daemons[number].settings);
+        let process = self.spawn_daemon(number, &self.daemons[number].settings);
         self.daemons[number].process = process;
     }
 
@@ -340,6 +348,13 @@
     }
 }
 
+/// Program of the daemon with this number if it is of an earlier build, for runs by hand: each second daemon is, if
+/// the environment names one.
+fn older_program(number: usize) -> Option<PathBuf> {
+    let program = std::env::var_os("GGT_OLDER_DAEMON")?;
+    (!number.is_multiple_of(2)).then(|| program.into())
+}
+
 /// Waits until a daemon's readiness check succeeds.
 pub fn await_ready(daemon: &FrontDaemon) {
     wait_until("the daemon is ready", || ready_status(daemon) == Some(200));
--- a/ggt-testkit/src/process.rs
+++ b/ggt-testkit/src/process.rs
@@ -68,7 +68,15 @@
     /// # Panics
     /// When the process cannot be started.
     pub fn spawn_daemon(settings: &Path) -> Self {
-        Self::spawn_daemon_with_output(settings, log_output())
+        Self::spawn_program(&binary_path("greengageturnd"), settings, log_output())
+    }
+
+    /// Starts the daemon of another build with a settings file; does not wait until it is ready.
+    ///
+    /// # Panics
+    /// When the process cannot be started.
+    pub fn spawn_other_daemon(program: &Path, settings: &Path) -> Self {
+        Self::spawn_program(program, settings, log_output())
     }
 
     /// Starts a daemon like [`ChildProcess::spawn_daemon`], whose log lines are kept in a book.
@@ -76,13 +84,14 @@
     /// # Panics
     /// When the process cannot be started.
     pub fn spawn_logged_daemon(settings: &Path, book: &Arc<LogBook>) -> Self {
-        let mut process = Self::spawn_daemon_with_output(settings, Stdio::piped());
+        let program = binary_path("greengageturnd");
+        let mut process = Self::spawn_program(&program, settings, Stdio::piped());
         process.child.stdout.take().into_iter().for_each(|output| book.read_from(output));
         process
     }
 
-    fn spawn_daemon_with_output(settings: &Path, output: Stdio) -> Self {
-        let child = Command::new(binary_path("greengageturnd"))
+    fn spawn_program(program: &Path, settings: &Path, output: Stdio) -> Self {
+        let child = Command::new(program)
             .arg("--settings")
             .arg(settings)
             .stdin(Stdio::null())
