--- a/ggt-core/src/store_watch/mod.rs
+++ b/ggt-core/src/store_watch/mod.rs
@@ -6,6 +6,8 @@
 
 mod timing;
 
+pub use timing::ANNOUNCE_MS;
+pub use timing::CONNECT_MS;
 pub use timing::FETCH_DELAY_MS;
 pub use timing::FETCH_HEDGE_MS;
 pub use timing::FETCH_INTERVAL_MS;
--- a/ggt-core/src/store_watch/timing.rs
+++ b/ggt-core/src/store_watch/timing.rs
@@ -11,12 +11,12 @@
 /// Time in milliseconds for which the platform holds a request that is to be answered at once.
 const SHORT_HOLD_MS: u64 = 1;
 /// Longest time in milliseconds in which a connection is opened.
-const CONNECT_MS: u64 = 200;
+pub const CONNECT_MS: u64 = 200;
 /// First pause after a failure in milliseconds; it doubles with each further one.
 const FIRST_PAUSE_MS: u64 = 100;
 
 /// Delay in milliseconds from a change until a digest announces it to the peers.
-const ANNOUNCE_MS: u64 = 20;
+pub const ANNOUNCE_MS: u64 = 20;
 /// Interval in milliseconds at which a daemon checks if a peer is ahead of it.
 pub const FETCH_INTERVAL_MS: u64 = 60;
 /// Time in milliseconds that a change has to arrive from the platform before it is fetched from a peer.
--- a/ggt-daemon/src/front/digests.rs
+++ b/ggt-daemon/src/front/digests.rs
@@ -15,6 +15,7 @@
 use crate::logging::quoted;
 use ggt_core::crashes::CrashReport;
 use ggt_core::fleet::PeerDigest;
+use ggt_core::store_watch::ANNOUNCE_MS;
 use ggt_wire::digest::decode_digest;
 use ggt_wire::digest::encode_digest;
 use ggt_wire::origins::is_origins;
@@ -30,7 +31,7 @@
 /// Maximum number of exonerated requests that a digest reports.
 const MAX_EXONERATED: usize = 8;
 /// Delay before an early digest, so that changes in quick succession go into one.
-const DIGEST_DELAY: Duration = Duration::from_millis(20);
+const DIGEST_DELAY: Duration = Duration::from_millis(ANNOUNCE_MS);
 /// Pause after an error of the socket.
 const ERROR_INTERVAL: Duration = Duration::from_millis(60);
 
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -38,6 +38,7 @@
 use ggt_core::routes::RouteConfig;
 use ggt_core::store_cache::PlatformOutage;
 use ggt_core::store_cache::StoreCache;
+use ggt_core::store_watch::CONNECT_MS;
 use ggt_core::store_watch::WatchTiming;
 use ggt_core::targets::TargetKey;
 use ggt_core::targets::TargetPool;
@@ -50,7 +51,7 @@
 const PEER_WAIT_MS: u64 = 300;
 
 /// Connect timeout for targets, peers and the platform.
-pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(CONNECT_MS);
 
 /// A folder of the platform's store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/ggt-daemon/src/front/store/mod.rs
+++ b/ggt-daemon/src/front/store/mod.rs
@@ -47,6 +47,7 @@
             role => {
                 if role == WatchRole::Follower {
                     state.set_watching(false);
+                    watch.suspend();
                 }
                 sleep(jittered(ROLE_CHECK_INTERVAL_MS)).await;
             }
@@ -92,6 +93,12 @@
         }
     }
 
+    /// Ends the watch for some time; the next request goes on a new connection and is answered at once.
+    fn suspend(&mut self) {
+        self.client.disconnect();
+        self.schedule.record_read();
+    }
+
     /// Sends one request, or the few of a full read, and applies what it brings; waits after a failure.
     async fn run_once(&mut self, state: &FrontState) {
         let timing = state.watch_timing();
--- a/ggt-daemon/src/front/store/past.rs
+++ b/ggt-daemon/src/front/store/past.rs
@@ -94,7 +94,7 @@
     timing: WatchTiming,
 ) -> Result<StoreHistory, CallError> {
     let hold_ms = timing.short_hold_ms();
-    let request = WatchRequest { hold_ms, timeout_ms: timing.max_reply_ms() };
+    let request = WatchRequest { hold_ms, timeout_ms: timing.doubtful_reply_ms() };
     let revision = state.cache(StoreFolder::Targets).borrow().revision();
     let mut unknown = history_start(revision);
     if let Some(reply) = changes_after(client, unknown, request).await? {
