--- a/ggt-testkit/src/bin/ggt-soak.rs
+++ b/ggt-testkit/src/bin/ggt-soak.rs
@@ -47,6 +47,9 @@
     /// let servers run two versions and callers take up streams
     #[argh(switch)]
     versions: bool,
+    /// let the store fail with changes of the configuration around, and check that these are obeyed in time
+    #[argh(switch)]
+    changes: bool,
     /// print the faults of all soaks, not only of those with violations
     #[argh(switch)]
     show_faults: bool,
@@ -70,11 +73,12 @@
             has_silence: args.silence,
             has_cuts: args.cuts,
             has_versions: args.versions,
+            has_changes: args.changes,
             max_fault_interval: Duration::from_millis(args.max_pause_ms),
         });
         println!(
             "seed {seed}: {} requests, {} answered, {} crashes ({} late), {} counted against limits, \
-             {} silences, {:?}, {} foreign links, {} miscounted ends, new streams begun {:?}, taken up that went on {:?}, {} faults, {} violations",
+             {} silences, {:?}, {} foreign links, {} miscounted ends, {} checks of changes, new streams begun {:?}, taken up that went on {:?}, {} faults, {} violations",
             outcome.requests,
             outcome.answered,
             outcome.crashes,
@@ -84,6 +88,7 @@
             outcome.cut_counts,
             outcome.foreign_links,
             outcome.miscounted_ends,
+            outcome.change_checks,
             outcome.new_streams,
             outcome.taken_up_streams,
             outcome.faults.len(),
--- a/ggt-testkit/src/soak/deployment.rs
+++ b/ggt-testkit/src/soak/deployment.rs
@@ -33,6 +33,7 @@
 use crate::log_book::LogBook;
 use crate::process::ChildProcess;
 use crate::soak::SoakOptions;
+use crate::soak::changes::ChangeLog;
 use crate::soak::crashing::CrashLog;
 use crate::soak::crashing::is_crashing;
 use crate::soak::cuts::CutLog;
@@ -159,8 +160,8 @@
     /// Whether every other server is reached without the proxy, whose own listener would accept
     /// connections for a server that does not.
     has_direct_servers: bool,
-    /// Version of the configuration published last.
-    version: u64,
+    /// The configuration published last.
+    pub(super) change_log: Arc<ChangeLog>,
     _proxy: ChildProcess,
 }
 
@@ -198,7 +199,7 @@
             proxy_control,
             silent_until: vec![Instant::now(); options.servers],
             has_direct_servers: options.has_silence,
-            version: 1,
+            change_log: Arc::default(),
             _proxy: proxy,
             fleet: {
                 (0..options.servers).for_each(|n| fleet.add_unregistered_server(&format!("i-{n}")));
@@ -420,8 +421,8 @@
 
     /// Publishes the configuration with a higher version.
     pub(super) fn publish_next(&mut self) {
-        self.version += 3;
-        self.fleet.publish(&test_config(self.version));
+        let stores: Vec<_> = self.fleet.stores().cloned().collect();
+        self.change_log.publish_next(&stores);
     }
 
     /// Ends all faults.
--- a/ggt-testkit/src/soak/faults.rs
+++ b/ggt-testkit/src/soak/faults.rs
@@ -166,8 +166,9 @@
             deployment.fleet.daemons[daemon].process.signal(Signal::HUP);
             Some((format!("daemon {daemon} reloaded"), None))
         }
-        // Daemons whose stores fail would read the links of other daemons.
-        9 if !options.has_cuts => {
+        // Daemons whose stores fail would read the links of other daemons; with changes, the store's outages are
+        // those of their check.
+        9 if !options.has_cuts && !options.has_changes => {
             let status = [429, 503][random.random_range(0..2)];
             deployment.set_store_failure(Some(status));
             Some((format!("store responds with status {status}"), Some(FaultEnd::Store)))
--- a/ggt-testkit/src/soak/invariants.rs
+++ b/ggt-testkit/src/soak/invariants.rs
@@ -89,6 +89,10 @@
         lock(&self.outcome).late_calls += 1;
     }
 
+    pub(super) fn record_change_check(&self) {
+        lock(&self.outcome).change_checks += 1;
+    }
+
     pub(super) fn record_limited_request(&self) {
         lock(&self.outcome).limited_requests += 1;
     }
--- a/ggt-testkit/src/soak/mod.rs
+++ b/ggt-testkit/src/soak/mod.rs
@@ -2,6 +2,7 @@
 //! the guarantees to callers are checked against what callers and servers observe.
 
 mod caller;
+mod changes;
 mod crashing;
 mod cuts;
 mod deployment;
@@ -22,6 +23,8 @@
 
 use crate::soak::caller::CallerContext;
 use crate::soak::caller::run_caller;
+use crate::soak::changes::ChangeContext;
+use crate::soak::changes::run_changes;
 use crate::soak::crashing::run_crashing_caller;
 pub use crate::soak::cuts::CutCounts;
 pub use crate::soak::cuts::TryCounts;
@@ -56,6 +59,9 @@
     /// Whether servers run two versions, are replaced back and forth between them, and callers take
     /// up `chat` streams that ended early.
     pub has_versions: bool,
+    /// Whether the store fails again and again, with changes of the configuration around, and daemons are
+    /// checked to obey these in time.
+    pub has_changes: bool,
     /// Upper bound (exclusive) of the pause before each fault.
     pub max_fault_interval: Duration,
 }
@@ -73,6 +79,7 @@
             has_silence: false,
             has_cuts: false,
             has_versions: false,
+            has_changes: false,
             max_fault_interval: Duration::from_millis(500),
         }
     }
@@ -91,6 +98,8 @@
     pub late_calls: usize,
     /// Requests that were counted against the limit that their server had named.
     pub limited_requests: usize,
+    /// Requests that checked whether a daemon obeyed the newest configuration.
+    pub change_checks: usize,
     /// New streams whose callers saw them begin, and all, at undisrupted daemons.
     pub new_streams: (usize, usize),
     /// Streams taken up that went on, and all, at undisrupted daemons while two servers of their
@@ -145,6 +154,18 @@
             run_crashing_caller(seed, &daemons, &store, &log, &checker, &is_over);
         })
     });
+    let changes = options.has_changes.then(|| {
+        let context = ChangeContext {
+            seed: options.seed,
+            store: deployment.fleet.store.clone(),
+            store_disruption: deployment.store_disruption.clone(),
+            daemons: deployment.callers(),
+            log: deployment.change_log.clone(),
+            checker: checker.clone(),
+            is_over: are_faults_over.clone(),
+        };
+        thread::spawn(move || run_changes(&context))
+    });
     let limits = options.has_limits.then(|| {
         let (seed, is_over) = (options.seed, are_faults_over.clone());
         let limits = deployment.limits.clone();
@@ -153,7 +174,7 @@
     let mut random = SmallRng::seed_from_u64(options.seed);
     run_faults(&mut deployment, &mut random, options, &checker);
     are_faults_over.store(true, Ordering::SeqCst);
-    join_callers(crashing_caller.into_iter().chain(limits), &checker);
+    join_callers(crashing_caller.into_iter().chain(limits).chain(changes), &checker);
     deployment.heal();
     deployment.await_service(&checker);
     is_over.store(true, Ordering::SeqCst);
