--- a/ggt-testkit/src/front/mod.rs
+++ b/ggt-testkit/src/front/mod.rs
@@ -139,13 +139,8 @@
     }
 
     fn spawn_daemon(&self, number: usize, settings: &Path) -> ChildProcess {
-        if let Some(program) = older_program(number) {
-            return ChildProcess::spawn_other_daemon(&program, settings);
-        }
-        match &self.log_book {
-            Some(book) => ChildProcess::spawn_logged_daemon(settings, book),
-            None => ChildProcess::spawn_daemon(settings),
-        }
+        let program = older_program(number);
+        ChildProcess::spawn_daemon_of(program.as_deref(), settings, self.log_book.as_ref())
     }
 
     /// Cuts a daemon off from all servers in this way, and returns when that is in force.
--- a/ggt-testkit/src/process.rs
+++ b/ggt-testkit/src/process.rs
@@ -71,22 +71,22 @@
         Self::spawn_program(&binary_path("greengageturnd"), settings, log_output())
     }
 
-    /// Starts the daemon of another build with a settings file; does not wait until it is ready.
+    /// Starts the daemon of another build with a settings file, or of this one if `program` is `None`; does not
+    /// wait until it is ready. Its log lines are kept if there is a book.
     ///
     /// # Panics
     /// When the process cannot be started.
-    pub fn spawn_other_daemon(program: &Path, settings: &Path) -> Self {
-        Self::spawn_program(program, settings, log_output())
-    }
-
-    /// Starts a daemon like [`ChildProcess::spawn_daemon`], whose log lines are kept in a book.
-    ///
-    /// # Panics
-    /// When the process cannot be started.
-    pub fn spawn_logged_daemon(settings: &Path, book: &Arc<LogBook>) -> Self {
-        let program = binary_path("greengageturnd");
-        let mut process = Self::spawn_program(&program, settings, Stdio::piped());
-        process.child.stdout.take().into_iter().for_each(|output| book.read_from(output));
+    pub fn spawn_daemon_of(
+        program: Option<&Path>,
+        settings: &Path,
+        book: Option<&Arc<LogBook>>,
+    ) -> Self {
+        let own = binary_path("greengageturnd");
+        let output = book.map_or_else(log_output, |_| Stdio::piped());
+        let mut process = Self::spawn_program(program.unwrap_or(&own), settings, output);
+        if let Some(book) = book {
+            process.child.stdout.take().into_iter().for_each(|output| book.read_from(output));
+        }
         process
     }
 
--- a/ggt-testkit/src/soak/changes.rs
+++ b/ggt-testkit/src/soak/changes.rs
@@ -21,7 +21,7 @@
 use ggt_standin::users_platform::test_config;
 
 use crate::http::HttpRequest;
-use crate::soak::deployment::DisruptionState;
+use crate::soak::disruption::DisruptionState;
 use crate::soak::invariants::InvariantChecker;
 
 /// Time from the end of a disruption until the users' bounds hold again (their `StableMs`).
--- a/ggt-testkit/src/soak/crashing.rs
+++ b/ggt-testkit/src/soak/crashing.rs
@@ -22,7 +22,7 @@
 use ggt_standin::users_platform::prompt_headers_of;
 
 use crate::http::HttpRequest;
-use crate::soak::deployment::DisruptionState;
+use crate::soak::disruption::DisruptionState;
 use crate::soak::invariants::InvariantChecker;
 
 /// Part of the path by which servers recognise a request that crashes them.
--- a/ggt-testkit/src/soak/cuts.rs
+++ b/ggt-testkit/src/soak/cuts.rs
@@ -7,7 +7,7 @@
 
 use ggt_standin::server::lock;
 
-use crate::soak::deployment::DisruptionState;
+use crate::soak::disruption::DisruptionState;
 use crate::soak::invariants::InvariantChecker;
 
 /// Time after the beginning of a cut from which on callers must be served (the users' `StableMs`), and
--- a/ggt-testkit/src/soak/invariants.rs
+++ b/ggt-testkit/src/soak/invariants.rs
@@ -12,7 +12,7 @@
 use crate::log_book::LogBook;
 use crate::soak::SoakOutcome;
 use crate::soak::cuts::CutCounts;
-use crate::soak::deployment::DisruptionState;
+use crate::soak::disruption::DisruptionState;
 
 /// Time after the last request within which the daemons' lines about its end must arrive.
 const END_TIMEOUT: Duration = Duration::from_secs(10);
--- a/ggt-testkit/src/soak/limits.rs
+++ b/ggt-testkit/src/soak/limits.rs
@@ -17,7 +17,7 @@
 use ggt_standin::server::lock;
 use ggt_standin::users_platform::limit_line;
 
-use crate::soak::deployment::DisruptionState;
+use crate::soak::disruption::DisruptionState;
 use crate::soak::invariants::InvariantChecker;
 
 /// Time from the first naming of a limit until the users' rule counts, and for which a daemon must have
--- a/ggt-testkit/src/soak/mod.rs
+++ b/ggt-testkit/src/soak/mod.rs
@@ -6,6 +6,7 @@
 mod crashing;
 mod cuts;
 mod deployment;
+mod disruption;
 mod faults;
 mod invariants;
 mod limits;
--- a/ggt-testkit/src/soak/versions.rs
+++ b/ggt-testkit/src/soak/versions.rs
@@ -6,7 +6,7 @@
 
 use ggt_standin::server::lock;
 
-use crate::soak::deployment::DisruptionState;
+use crate::soak::disruption::DisruptionState;
 
 /// The versions that servers may run.
 pub(super) const VERSIONS: [&str; 2] = ["v1", "v1.1"];
--- a/ggt-testkit/tests/platform_versions.rs
+++ b/ggt-testkit/tests/platform_versions.rs
@@ -64,12 +64,30 @@
 
 /// A fleet of `daemons` daemons and six servers of two versions.
 fn start(daemons: usize) -> FrontFleet {
+    let fleet = start_servers();
+    for (number, server) in fleet.servers.iter().enumerate() {
+        register(&fleet, server, version_of(number), "ready");
+    }
+    with_daemons(fleet, daemons)
+}
+
+/// The same with servers that started this long ago.
+fn start_with_age(daemons: usize, age_ms: u128) -> FrontFleet {
+    let fleet = start_servers();
+    register_with_age(&fleet, age_ms);
+    with_daemons(fleet, daemons)
+}
+
+fn start_servers() -> FrontFleet {
     let mut fleet = FrontFleet::start(0, 0);
     for number in 0..SERVERS {
         fleet.add_unregistered_server(&format!("i-{number}"));
         set_script(&fleet.servers[number], version_of(number));
-        register(&fleet, &fleet.servers[number], version_of(number), "ready");
     }
+    fleet
+}
+
+fn with_daemons(mut fleet: FrontFleet, daemons: usize) -> FrontFleet {
     (0..daemons).for_each(|number| fleet.add_daemon(number, None));
     fleet.daemons.iter().for_each(ggt_testkit::front::await_ready);
     fleet
@@ -362,8 +380,7 @@
 /// Begins streams at servers of both versions, restarts all daemons while the servers of the first version
 /// leave, and takes the streams up: what goes on must be of one version, all else is refused.
 fn check_version_that_left(age_ms: u128, is_named: bool, says_so: bool) {
-    let mut fleet = start(3);
-    register_with_age(&fleet, age_ms);
+    let mut fleet = start_with_age(3, age_ms);
     let versions = begin_cut_streams(&fleet, 0);
     (0..3).for_each(|daemon| fleet.daemons[daemon].process.kill());
     for number in (0..SERVERS).filter(|number| version_of(*number) == "v1") {
