--- a/ggt-testkit/tests/platform_odd_entries.rs
+++ b/ggt-testkit/tests/platform_odd_entries.rs
@@ -1,13 +1,20 @@
 //! Entries of other writers among those of the servers, and odd numbers in servers' replies: no daemon may end, fail
 //! requests for them, or stop following the store.
 
+use std::io::Write;
+use std::net::TcpStream;
+
 use rustix::process::Signal;
 use serde_json::json;
 
 use ggt_platform::TARGET_PREFIX;
 use ggt_standin::users_platform::AfterResponse;
+use ggt_standin::users_platform::WireRequest;
 use ggt_standin::users_platform::caller_headers;
+use ggt_standin::users_platform::event_chunk;
+use ggt_standin::users_platform::respond;
 use ggt_standin::users_platform::respond_with;
+use ggt_standin::users_platform::stream_head;
 use ggt_standin::users_platform::test_config;
 use ggt_testkit::front::FrontFleet;
 use ggt_testkit::front::await_ready;
@@ -26,6 +33,15 @@
     fleet.request(daemon, "GET", path, "id-status").send().map(|response| response.status)
 }
 
+/// Writes a stream of one event.
+fn send_event(request: &WireRequest, stream: &mut TcpStream, id: u64) -> AfterResponse {
+    let text = format!("{}{}0\r\n\r\n", stream_head(request), event_chunk(id));
+    match stream.write_all(text.as_bytes()) {
+        Ok(()) => AfterResponse::Keep,
+        Err(_) => AfterResponse::Close,
+    }
+}
+
 /// Publishes a route and waits until all daemons serve it; requests are served all the while.
 fn check_following(fleet: &FrontFleet, version: u64) {
     let mut config = test_config(version);
@@ -98,6 +114,12 @@
 #[test]
 fn daemons_go_on_with_any_entry_among_those_of_the_servers() {
     let fleet = FrontFleet::start(3, DAEMONS);
+    for server in &fleet.servers {
+        server.set_script(|request, stream| match request.last_event_id() {
+            Some(last) => send_event(request, stream, last + 1),
+            None => respond(request, stream, 200, "whole"),
+        });
+    }
     for (number, entry) in odd_entries(&fleet).iter().enumerate() {
         // In the place of a good entry, which then comes back, and beside the good ones.
         fleet.store.put(&format!("{TARGET_PREFIX}i-2"), entry);
