--- a/ggt-core/src/store_watch/mod.rs
+++ b/ggt-core/src/store_watch/mod.rs
@@ -133,6 +133,6 @@
 
     fn reply_allowance_ms(&self, timing: WatchTiming) -> u64 {
         let is_patient = self.failures > 0 && self.failures.is_multiple_of(PATIENT_EACH);
-        if is_patient { timing.max_reply_ms() } else { self.reply_ms }
+        if is_patient { timing.patient_reply_ms().max(self.reply_ms) } else { self.reply_ms }
     }
 }
--- a/ggt-core/src/store_watch/timing.rs
+++ b/ggt-core/src/store_watch/timing.rs
@@ -80,6 +80,12 @@
         min(self.allowed_ms / 4, MAX_USUAL_REPLY_MS)
     }
 
+    /// Milliseconds that every few requests wait while it is not known, so that a platform that has become slow is
+    /// heard.
+    pub const fn patient_reply_ms(self) -> u64 {
+        min(self.allowed_ms / 2, MAX_USUAL_REPLY_MS)
+    }
+
     /// Milliseconds that a reply may take at most.
     pub const fn max_reply_ms(self) -> u64 {
         MAX_REPLY_MS
