--- a/ggt-core/src/store_watch/mod.rs
+++ b/ggt-core/src/store_watch/mod.rs
@@ -86,9 +86,9 @@
         WatchRequest { hold_ms, timeout_ms: hold_ms + self.reply_allowance_ms(timing) }
     }
 
-    /// Milliseconds from the sending of a read of a folder's page after which it has failed.
+    /// Milliseconds from the sending of a read of a folder's page until its reply has to begin.
     pub fn read_timeout_ms(&self, timing: WatchTiming) -> u64 {
-        timing.max_reply_ms().max(self.reply_allowance_ms(timing))
+        timing.doubtful_reply_ms().max(self.reply_allowance_ms(timing))
     }
 
     /// Records a reply to `request` that arrived after `waited_ms`.
