fix: front: a daemon that hears neither its store nor its peers takes up no stream of unknown origin

Cause: a view of the registrations counted as current for 4 s after the last word of the store, and a daemon that had seen one software version within it answered for any stream without asking anyone. While its store hung and its peers were silent, targets of a new version joined and streams that began there went on at the old one. Callers that name no attempt were served by the same word also after the 4 s.

Change: a stream that this daemon does not know goes on only if most of the daemons that are told of streams confirm that there has been one version, or the store answers a read at that moment; otherwise 503, not run. A daemon that is alone decides by itself as before. The judgement of the replies is in ggt-core.

Not covered: a data centre that is cut off as a whole, if two of the three daemons that are asked are in it.

--- a/ggt-core/src/fleet/mod.rs
+++ b/ggt-core/src/fleet/mod.rs
@@ -156,6 +156,11 @@
             .filter(move |peer| peer.received_at + timeout_ms >= now && !peer.digest.is_leaving)
     }
 
+    /// Whether no other daemon has been heard of in the last 30 s.
+    pub fn is_empty(&self) -> bool {
+        self.peers.is_empty() && self.candidates.is_empty()
+    }
+
     /// Decides whether this daemon, which started at `started_at`, watches the platform itself.
     ///
     /// It does not until it has had time to discover the others, since otherwise all daemons of a
--- a/ggt-core/src/versions/mod.rs
+++ b/ggt-core/src/versions/mod.rs
@@ -7,6 +7,7 @@
 mod history;
 mod origins;
 mod past;
+mod replies;
 mod version;
 
 pub use history::ServiceKey;
@@ -18,4 +19,7 @@
 pub use past::PastChange;
 pub use past::PastState;
 pub use past::PastVersions;
+pub use replies::OriginReply;
+pub use replies::OriginVerdict;
+pub use replies::judge_replies;
 pub use version::SoftwareVersion;
--- a/ggt-core/tests/versions.rs
+++ b/ggt-core/tests/versions.rs
@@ -13,7 +13,9 @@
 use ggt_core::targets::TargetKey;
 use ggt_core::targets::TargetPool;
 use ggt_core::targets::TargetRecord;
+use ggt_core::versions::OriginReply;
 use ggt_core::versions::OriginTable;
+use ggt_core::versions::OriginVerdict;
 use ggt_core::versions::PastChange;
 use ggt_core::versions::PastState;
 use ggt_core::versions::PastVersions;
@@ -23,6 +25,7 @@
 use ggt_core::versions::StreamOrigin;
 use ggt_core::versions::VersionHistory;
 use ggt_core::versions::VersionState;
+use ggt_core::versions::judge_replies;
 
 const MEMORY_MS: u64 = 20_000;
 
@@ -289,3 +292,37 @@
     let unreadable = PastChange { target_id: "i-2".to_owned(), state: PastState::Unreadable };
     assert_eq!(PastVersions::review(&[unreadable], &[], BEGINS_AT), None);
 }
+
+fn knows(version: SoftwareVersion) -> OriginReply {
+    OriginReply { version: Some(version), only_version: None }
+}
+
+fn only(version: SoftwareVersion) -> OriginReply {
+    OriginReply { version: None, only_version: Some(version) }
+}
+
+// Guards against a daemon that has heard nothing of a new version and takes the one that it knows for the only
+// one.
+#[test]
+fn pattern_a_daemon_out_of_step_does_not_vouch_for_its_own_version() {
+    let view = VersionState::Single(old());
+    let judge = |replies: &[OriginReply]| judge_replies(replies, 3, view);
+    assert_eq!(judge(&[]), OriginVerdict::Unknown, "all peers are silent");
+    assert_eq!(judge(&[only(old())]), OriginVerdict::Unknown, "one may be as much out of step");
+    assert_eq!(judge(&[only(old()), only(old())]), OriginVerdict::Known(old()));
+    assert_eq!(judge(&[only(old()), knows(new())]), OriginVerdict::Known(new()));
+    assert_eq!(judge(&[knows(old()), knows(new())]), OriginVerdict::Conflict);
+    assert_eq!(judge(&[only(new())]), OriginVerdict::Conflict);
+    let restarted = OriginReply::default();
+    assert_eq!(judge(&[restarted; 3]), OriginVerdict::Unknown, "nor do those that know nothing");
+}
+
+// Guards against the refusal of streams after a restart where another daemon has seen one version only.
+#[test]
+fn one_peer_vouches_for_the_listed_version_to_a_daemon_that_has_just_started() {
+    let view = VersionState::Open { listed: Some(old()) };
+    assert_eq!(judge_replies(&[only(old())], 3, view), OriginVerdict::Known(old()));
+    assert_eq!(judge_replies(&[only(new())], 3, view), OriginVerdict::Conflict);
+    let mixed = VersionState::Open { listed: None };
+    assert_eq!(judge_replies(&[only(old())], 3, mixed), OriginVerdict::Unknown);
+}
--- a/ggt-daemon/src/front/origins/lookup.rs
+++ b/ggt-daemon/src/front/origins/lookup.rs
@@ -13,12 +13,15 @@
 use crate::front::peers::fetch_origin;
 use crate::front::response::FrontRefusal;
 use crate::front::state::FrontState;
+use crate::front::store::refresh_targets;
 use crate::logging::quoted;
+use ggt_core::versions::OriginReply;
+use ggt_core::versions::OriginVerdict;
 use ggt_core::versions::ServiceKey;
 use ggt_core::versions::SoftwareVersion;
 use ggt_core::versions::StreamKey;
 use ggt_core::versions::VersionState;
-use ggt_wire::origins::OriginReply;
+use ggt_core::versions::judge_replies;
 
 /// Number of daemons that are asked; more than are told, since one of those may be the asking daemon or
 /// have ended.
@@ -33,7 +36,8 @@
 /// Where the version of a stream is known from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum OriginSource {
-    /// The service has had one version only.
+    /// The service has had one version only, by this daemon's view, which the platform has confirmed or no other
+    /// daemon can contradict.
     Single,
     /// This daemon has served the stream or was told of it.
     Own,
@@ -97,35 +101,60 @@
     if let Some(version) = own {
         return Some((OriginSource::Own, version));
     }
-    let listed = match state.version_state(service) {
-        VersionState::Single(version) => return Some((OriginSource::Single, version)),
-        VersionState::Open { listed } => listed,
-    };
-    // A caller that names no attempt cannot be told from others by any daemon, so what this one has seen
-    // decides.
-    if key.is_none()
-        && let Some(version) = state.only_seen_version(service)
+    let view = state.version_state(service);
+    if let VersionState::Single(version) = view
+        && state.is_alone()
     {
-        return Some((OriginSource::Assumed, version));
+        return Some((OriginSource::Single, version));
     }
+    let is_named = key.is_some();
     let key = key.unwrap_or(NO_STREAM);
     let asked = state.fleet.borrow().holders(key.0, ASKED_HOLDERS, mono_now());
     let replies = ask(&asked, key, service).await;
-    agreed_version(&replies, listed).map(|version| (OriginSource::Peer, version))
+    match judge_replies(&replies, asked.len(), view) {
+        OriginVerdict::Known(version) => Some((OriginSource::Peer, version)),
+        OriginVerdict::Conflict => None,
+        OriginVerdict::Unknown if is_named => confirm_single(state, service, view).await,
+        OriginVerdict::Unknown => {
+            let hears_peers = replies.len() * 2 > asked.len();
+            assume_version(state, service, view, hears_peers).await
+        }
+    }
+}
+
+/// The only version of a service, if the platform shows that none has joined that this daemon does not know
+/// of: its own word may be old, and its peers have not confirmed it.
+async fn confirm_single(
+    state: &FrontState,
+    service: ServiceKey,
+    view: VersionState,
+) -> Option<(OriginSource, SoftwareVersion)> {
+    if !matches!(view, VersionState::Single(_)) || !refresh_targets(state).await {
+        return None;
+    }
+    match state.version_state(service) {
+        VersionState::Single(version) => Some((OriginSource::Single, version)),
+        VersionState::Open { .. } => None,
+    }
 }
 
-/// The version that the replies agree on. A reply that the service has had one version only counts if
-/// this daemon has seen no other.
-fn agreed_version(
-    replies: &[OriginReply],
-    listed: Option<SoftwareVersion>,
-) -> Option<SoftwareVersion> {
-    let mut known = replies.iter().filter_map(|reply| reply.version);
-    if let Some(version) = known.next() {
-        return known.all(|other| other == version).then_some(version);
+/// The version of a stream whose caller names no attempt. No daemon can tell it from others, so what this one
+/// has seen decides, unless it may have missed something: it hears neither its peers nor the platform.
+async fn assume_version(
+    state: &FrontState,
+    service: ServiceKey,
+    view: VersionState,
+    hears_peers: bool,
+) -> Option<(OriginSource, SoftwareVersion)> {
+    if matches!(view, VersionState::Single(_)) {
+        return confirm_single(state, service, view).await;
+    }
+    state.only_seen_version(service)?;
+    if !hears_peers && !refresh_targets(state).await {
+        return None;
     }
-    let only = replies.iter().filter_map(|reply| reply.only_version);
-    only.into_iter().find(|version| listed == Some(*version))
+    let version = state.only_seen_version(service)?;
+    Some((OriginSource::Assumed, version))
 }
 
 /// Asks daemons for the origin of a stream; returns the replies up to the first that knows it.
--- a/ggt-daemon/src/front/origins/mod.rs
+++ b/ggt-daemon/src/front/origins/mod.rs
@@ -12,12 +12,12 @@
 use crate::front::state::FrontState;
 use crate::front::state::StoreFolder;
 use ggt_core::clock::MonoTime;
+use ggt_core::versions::OriginReply;
 use ggt_core::versions::ServiceKey;
 use ggt_core::versions::SoftwareVersion;
 use ggt_core::versions::StreamKey;
 use ggt_core::versions::StreamOrigin;
 use ggt_core::versions::VersionState;
-use ggt_wire::origins::OriginReply;
 use ggt_wire::origins::decode_origins;
 
 /// Maximum number of streams whose origins are kept.
@@ -102,6 +102,13 @@
         self.versions.borrow().only_seen(service, self.stream_memory_ms.get(), mono_now())
     }
 
+    /// Whether there is no other daemon, as far as the seeds and the digests of others show.
+    pub(super) fn is_alone(&self) -> bool {
+        let settings = self.settings();
+        let has_other_seed = settings.seed_peers().iter().any(|seed| *seed != settings.peer);
+        !has_other_seed && self.fleet.borrow().is_empty()
+    }
+
     pub(super) fn open_services(&self) -> Vec<ServiceKey> {
         self.versions.borrow().open_services(self.stream_memory_ms.get(), mono_now())
     }
--- a/ggt-daemon/src/front/peers.rs
+++ b/ggt-daemon/src/front/peers.rs
@@ -33,9 +33,9 @@
 use ggt_core::store_watch::FETCH_DELAY_MS;
 use ggt_core::store_watch::FETCH_HEDGE_MS;
 use ggt_core::store_watch::FETCH_INTERVAL_MS;
+use ggt_core::versions::OriginReply;
 use ggt_core::versions::ServiceKey;
 use ggt_core::versions::StreamKey;
-use ggt_wire::origins::OriginReply;
 
 /// Path at which peers fetch all cached prefixes.
 const PREFIXES_PATH: &str = "/reads";
--- a/ggt-daemon/src/front/store/mod.rs
+++ b/ggt-daemon/src/front/store/mod.rs
@@ -10,9 +10,11 @@
 
 use rand::Rng;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::clock::mono_now;
 use crate::front::call::CallError;
+use crate::front::state::CONNECT_TIMEOUT;
 use crate::front::state::FrontState;
 use crate::front::state::StoreFolder;
 use crate::front::store::client::StoreClient;
@@ -32,6 +34,12 @@
 use ggt_platform::StoreItem;
 use ggt_platform::StoreReply;
 
+/// Time in milliseconds for which the store holds a request that it is to answer at once.
+const NO_HOLD_MS: u64 = 1;
+/// Maximum time in milliseconds for the store's reply when a request of a caller waits for it.
+const REFRESH_TIMEOUT_MS: u64 = 200;
+/// The same.
+const REFRESH_TIMEOUT: Duration = Duration::from_millis(REFRESH_TIMEOUT_MS);
 /// Interval in milliseconds at which a daemon that does not watch re-evaluates its role.
 const ROLE_CHECK_INTERVAL_MS: u64 = 250;
 
@@ -73,6 +81,30 @@
     Duration::from_millis(rand::rng().random_range(max_ms / 2..=max_ms))
 }
 
+/// Reads the latest registrations of targets, beside the watch, whose silence may mean that nothing has changed
+/// or that its connection hangs. Returns whether all are known now.
+pub async fn refresh_targets(state: &FrontState) -> bool {
+    let known = state.cache(StoreFolder::Targets).borrow().revision();
+    let mut client = StoreClient::new(state.settings().store);
+    let request = WatchRequest { hold_ms: NO_HOLD_MS, timeout_ms: REFRESH_TIMEOUT_MS };
+    let reply = timeout(CONNECT_TIMEOUT + REFRESH_TIMEOUT, client.watch(known, request)).await;
+    let reply = reply.unwrap_or(Err(CallError::Timeout));
+    state.metrics.record_store_call(reply.is_ok());
+    match reply {
+        Ok(reply) => {
+            let mut batches = FolderBatches::default();
+            add_changes(&mut batches, reply);
+            let targets = batches[StoreFolder::Targets as usize].take().unwrap_or_default();
+            state.apply_batch(StoreFolder::Targets, targets, "platform");
+            true
+        }
+        Err(e) => {
+            log::info!("event=refresh folder=targets cause={}", quoted(&e.to_string()));
+            false
+        }
+    }
+}
+
 /// The watch of one daemon.
 struct StoreWatch {
     client: StoreClient,
--- a/ggt-wire/src/origins/mod.rs
+++ b/ggt-wire/src/origins/mod.rs
@@ -1,23 +1,10 @@
 //! Encoding of the origins of streams that daemons on the users' platform tell each other.
 
-use serde::Deserialize;
-use serde::Serialize;
-
-use ggt_core::versions::SoftwareVersion;
 use ggt_core::versions::StreamOrigin;
 
 /// First byte of a datagram with origins. Digests begin with 0 or 1, the kind of an address.
 const ORIGINS_MARK: u8 = 0xb7;
 
-/// Reply of a daemon that is asked which version began a stream.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct OriginReply {
-    /// The version, if the daemon knows the stream.
-    pub version: Option<SoftwareVersion>,
-    /// The only version that the service has had for as long as a stream can last, if there is one.
-    pub only_version: Option<SoftwareVersion>,
-}
-
 /// Whether a datagram holds origins rather than a digest.
 pub fn is_origins(bytes: &[u8]) -> bool {
     bytes.first() == Some(&ORIGINS_MARK)
