fix: front: requests that peers report for a target before this daemon knows it are added up

Cause: the load of a target is kept as the sum of what peers report, by differences. A peer's report of a target that this daemon did not know yet was dropped, but the end of these requests was subtracted later, from those of other peers.

Change: the load of a target that joins is set to the sum of the peers' latest reports.

The mean that daemons see still falls, more slowly: a second cause, not found yet.

--- a/ggt-core/src/fleet/mod.rs
+++ b/ggt-core/src/fleet/mod.rs
@@ -133,6 +133,16 @@
         changes
     }
 
+    /// The load that the other daemons together have last reported for the target with this short hash.
+    pub fn reported_load(&self, hash: u32) -> InFlightLoad {
+        let loads = self.peers.values().flat_map(|peer| &peer.digest.loads);
+        let loads = loads.filter(|(target, _)| *target == hash);
+        loads.fold(InFlightLoad::default(), |sum, (_, load)| InFlightLoad {
+            requests: sum.requests + load.requests,
+            backlog_tokens: sum.backlog_tokens + load.backlog_tokens,
+        })
+    }
+
     /// Clears the loads of daemons that are no longer alive and returns these changes; drops
     /// daemons that have sent no digest for a longer time.
     pub fn expire(&mut self, now: MonoTime) -> Vec<LoadChange> {
--- a/ggt-core/src/targets/pool.rs
+++ b/ggt-core/src/targets/pool.rs
@@ -302,6 +302,12 @@
         self.targets.get_mut(key).is_some_and(|state| state.rate.apply(statement, is_own))
     }
 
+    /// The short hash of the target with this id.
+    pub fn short_hash_of(&self, id: &str) -> Option<u32> {
+        let key = self.by_id.get(id)?;
+        self.targets.get(*key).map(|state| state.short_hash)
+    }
+
     /// The target with this short hash.
     pub fn by_short_hash(&self, hash: u32) -> Option<TargetKey> {
         self.by_hash.get(&hash).copied()
@@ -393,6 +399,15 @@
         self.targets.get_mut(key)?.closing.close(delay_ms, now)
     }
 
+    /// Sets the load that all other daemons have reported for a target, by the target's short hash: that of a
+    /// target that the pool did not know yet was not added up.
+    pub fn set_peer_load(&mut self, hash: u32, load: InFlightLoad) {
+        let key = self.by_hash.get(&hash);
+        if let Some(state) = key.and_then(|key| self.targets.get_mut(*key)) {
+            state.peers = load;
+        }
+    }
+
     /// Replaces the load that one other daemon reported for a target, by the target's short hash.
     pub fn replace_peer_load(&mut self, hash: u32, before: InFlightLoad, after: InFlightLoad) {
         let Some(key) = self.by_hash.get(&hash) else { return };
--- a/ggt-daemon/src/front/changes.rs
+++ b/ggt-daemon/src/front/changes.rs
@@ -57,6 +57,7 @@
                     self.pool.borrow_mut().record_leaving_since(id, mono_now());
                 }
                 if has_changed {
+                    self.add_reported_load(id);
                     let status = if is_leaving { "leaving" } else { "ready" };
                     log::info!(
                         "event=target target={id} status={status} software={version} \
@@ -86,6 +87,13 @@
         }
     }
 
+    /// Adds up what peers have reported for a target, which they may have known before this daemon.
+    fn add_reported_load(&self, id: &str) {
+        let mut pool = self.pool.borrow_mut();
+        let Some(hash) = pool.short_hash_of(id) else { return };
+        pool.set_peer_load(hash, self.fleet.borrow().reported_load(hash));
+    }
+
     fn apply_config(&self, change: &StoreChange, source: &str) {
         let Some(value) = &change.value else {
             log::warn!("event=config-removed revision={} outcome=kept", change.revision);
--- a/ggt-testkit/tests/platform_versions.rs
+++ b/ggt-testkit/tests/platform_versions.rs
@@ -203,6 +203,18 @@
     check_taken_up(&fleet, 0, &versions);
 }
 
+// Guards against streams that no daemon knows any more once all but one are killed.
+#[test]
+fn streams_are_known_to_the_last_daemon_of_a_small_fleet() {
+    const LAST: usize = 4;
+    let mut fleet = start(LAST + 1);
+    let versions = begin_cut_streams(&fleet, 0);
+    // A stream's version is told to other daemons within moments of its first event.
+    check_taken_up(&fleet, 1, &versions);
+    (0..LAST).for_each(|daemon| fleet.daemons[daemon].process.kill());
+    check_taken_up(&fleet, LAST, &versions);
+}
+
 // Guards against a stream of unknown origin that goes on at any of two versions: after a restart of all
 // daemons, and if its caller names no attempt or one that is not known.
 #[test]
