--- a/ggt-core/src/fleet/mod.rs
+++ b/ggt-core/src/fleet/mod.rs
@@ -44,6 +44,8 @@
 const MAX_SMALL_FLEET: usize = 12;
 /// Number of daemons of each data centre that watch the platform in a larger fleet.
 const WATCHERS_PER_CENTRE: usize = 2;
+/// Number of daemons of a larger fleet that are told which version began a stream.
+const ORIGIN_HOLDERS: usize = 2;
 /// Milliseconds after its start in which a daemon discovers others before it decides whether to
 /// watch.
 const DISCOVERY_MS: u64 = 1_000;
@@ -235,6 +237,15 @@
         holders
     }
 
+    /// The number of daemons that are told which version began a stream: all of a small fleet, so that the last
+    /// one that lives knows it, and a few of a large one.
+    pub fn origin_holders(&self, now: MonoTime) -> usize {
+        match self.alive(now).count() {
+            alive if alive < MAX_SMALL_FLEET => alive,
+            _ => ORIGIN_HOLDERS,
+        }
+    }
+
     /// This daemon's part of a limit of requests per second that the target with this hash takes from
     /// all daemons together.
     pub fn rate_share(&self, hash: u64, limit: f64) -> RateShare {
--- a/ggt-daemon/src/front/origins/tell.rs
+++ b/ggt-daemon/src/front/origins/tell.rs
@@ -14,8 +14,6 @@
 use ggt_core::versions::StreamOrigin;
 use ggt_wire::origins::encode_origins;
 
-/// Number of daemons that are told of a stream.
-const TOLD_HOLDERS: usize = 2;
 /// Delay before origins are told, so that several go into one datagram.
 const TELL_DELAY: Duration = Duration::from_millis(25);
 /// Maximum number of origins in one datagram.
@@ -37,7 +35,8 @@
     let now = mono_now();
     let mut by_peer: BTreeMap<SocketAddr, Vec<StreamOrigin>> = BTreeMap::new();
     for origin in origins {
-        for peer in state.fleet.borrow().holders(origin.key.0, TOLD_HOLDERS, now) {
+        let fleet = state.fleet.borrow();
+        for peer in fleet.holders(origin.key.0, fleet.origin_holders(now), now) {
             by_peer.entry(peer).or_default().push(*origin);
         }
     }
