fix: front: a digest is sent at the pace of the host's link, to the daemons in random order

Cause: a digest went to all daemons at once, in the order of their addresses. With 195 daemons that is 270 KB, more than a link of 20 Mbit/s and its queue take as soon as there is load, so the last recipients got none, the same ones of every sender. Such a daemon knows neither loads nor cached prefixes, nor crashes, limits and how many others share a limit.

Change: batches every 5 ms, which take half of the link: 245 ms for 194 full digests at 20 Mbit/s, 80 ms for 63, at once at 1,000 Mbit/s. The order is random, so what is lost does not always hit the same daemons.

--- a/ggt-core/src/fleet/mod.rs
+++ b/ggt-core/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod digest;
 mod forwarding;
 mod members;
+mod pace;
 
 pub use digest::FragilityReport;
 pub use digest::PeerDigest;
@@ -14,6 +15,8 @@
 pub use digest::RateReport;
 pub use forwarding::ForwardQuery;
 pub use forwarding::PEER_PROTOCOL;
+pub use pace::BATCH_INTERVAL_MS;
+pub use pace::batch_size;
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
--- a/ggt-daemon/src/front/digests.rs
+++ b/ggt-daemon/src/front/digests.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use rand::Rng;
+use rand::seq::SliceRandom;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
@@ -14,7 +15,9 @@
 use crate::front::state::StoreFolder;
 use crate::logging::quoted;
 use ggt_core::crashes::CrashReport;
+use ggt_core::fleet::BATCH_INTERVAL_MS;
 use ggt_core::fleet::PeerDigest;
+use ggt_core::fleet::batch_size;
 use ggt_core::store_watch::ANNOUNCE_MS;
 use ggt_wire::digest::decode_digest;
 use ggt_wire::digest::encode_digest;
@@ -32,6 +35,8 @@
 const MAX_EXONERATED: usize = 8;
 /// Delay before an early digest, so that changes in quick succession go into one.
 const DIGEST_DELAY: Duration = Duration::from_millis(ANNOUNCE_MS);
+/// Pause between two batches of datagrams of one digest.
+const BATCH_INTERVAL: Duration = Duration::from_millis(BATCH_INTERVAL_MS);
 /// Pause after an error of the socket.
 const ERROR_INTERVAL: Duration = Duration::from_millis(60);
 
@@ -53,7 +58,9 @@
 }
 
 async fn send_digests(state: &FrontState, socket: &UdpSocket) {
-    let recipients = state.fleet.borrow().recipients(&state.settings().seed_peers());
+    let mut recipients = state.fleet.borrow().recipients(&state.settings().seed_peers());
+    // If datagrams are lost, they are not always those to the same daemons.
+    recipients.shuffle(&mut rand::rng());
     let cached_prefixes = state.pool.borrow_mut().recent_prefixes(MAX_PREFIXES);
     let crashes = state.crashes.borrow_mut().next_reports(MAX_CRASHES);
     let exonerated = state.crashes.borrow_mut().next_exonerated(MAX_EXONERATED);
@@ -75,9 +82,15 @@
     digest: PeerDigest,
 ) {
     let Some(bytes) = encode(digest) else { return };
-    for address in recipients {
-        if let Err(e) = socket.send_to(&bytes, address).await {
-            log::debug!("event=digest peer={address} cause=\"{e}\"");
+    let batch = batch_size(state.settings().link_mbps, bytes.len());
+    for (number, addresses) in recipients.chunks(batch).enumerate() {
+        if number > 0 {
+            sleep(BATCH_INTERVAL).await;
+        }
+        for address in addresses {
+            if let Err(e) = socket.send_to(&bytes, address).await {
+                log::debug!("event=digest peer={address} cause=\"{e}\"");
+            }
         }
     }
     state.metrics.record_digests(recipients.len() as u64);
