feat: front: daemons of a large fleet pass on the load that targets state in their replies

Cause: with 195 daemons digests are 2.4 s apart, so what they add up to for a target is 1.2 s old on average, about as long as a request lasts. A target's reply states the load of all daemons together, and 11 such replies a second come from each target, but only the daemon that got one knew, and only logged it.

Change: a digest also carries the loads that targets have just stated to its sender, with their age. For the mean age of the digests the latest statement goes before the sum of what peers report; in a small fleet, whose digests are 0.1 s apart, nothing changes. The field is the last of a digest: earlier builds ignore it, and a digest without it decodes.

--- a/ggt-core/src/fleet/digest.rs
+++ b/ggt-core/src/fleet/digest.rs
@@ -12,6 +12,8 @@
 use crate::targets::FragilityRecord;
 use crate::targets::FragilityStatement;
 use crate::targets::InFlightLoad;
+use crate::targets::LoadReport;
+use crate::targets::LoadStatement;
 use crate::targets::RateStatement;
 
 /// State that a daemon sends to all others. Encoded with postcard: the order of the fields is part
@@ -67,6 +69,8 @@
     /// Services whose targets fall over when they turn away too many requests. Digests of earlier builds
     /// end before this field.
     pub fragile: Vec<FragilityReport>,
+    /// Loads that targets have lately stated to the sender. Digests of earlier builds end before this field.
+    pub stated_loads: Vec<StatedLoadReport>,
 }
 
 /// What a daemon can do with requests that peers forward to it.
@@ -156,6 +160,31 @@
     }
 }
 
+/// What a target stated in a reply to the sender of a digest about the load that all daemons cause.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StatedLoadReport {
+    /// Short hash of the target.
+    pub target: u32,
+    /// Requests running and queued there.
+    pub requests: u32,
+    /// Milliseconds since the reply was received, when the digest was made.
+    pub age_ms: u32,
+}
+
+impl StatedLoadReport {
+    /// The report of what a target stated at `stated_at`.
+    pub fn new(target: u32, load: &LoadReport, stated_at: MonoTime, now: MonoTime) -> Self {
+        let age_ms = u32::try_from(now.millis_since(stated_at)).unwrap_or(u32::MAX);
+        Self { target, requests: load.requests(), age_ms }
+    }
+
+    /// The statement, with its time on the receiver's clock.
+    pub fn statement(&self, now: MonoTime) -> LoadStatement {
+        let stated_ms = now.as_millis().saturating_sub(u64::from(self.age_ms));
+        LoadStatement { requests: self.requests, stated_at: MonoTime::from_millis(stated_ms) }
+    }
+}
+
 impl PeerDigest {
     /// Sets the crashes that the digest reports, with their ages at `now`.
     pub fn set_crashes(&mut self, reports: &[CrashReport], now: MonoTime) {
--- a/ggt-core/src/fleet/mod.rs
+++ b/ggt-core/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 pub use digest::PeerDigest;
 pub use digest::PeerReach;
 pub use digest::RateReport;
+pub use digest::StatedLoadReport;
 pub use forwarding::ForwardQuery;
 pub use forwarding::PEER_PROTOCOL;
 pub use pace::BATCH_INTERVAL_MS;
@@ -291,6 +292,15 @@
         period_ms.max(MIN_PERIOD_MS)
     }
 
+    /// Milliseconds for which what a target has stated about its load goes before the sum of what the daemons
+    /// report: the mean age of their reports. Zero if digests are so frequent that the sum is the newer one.
+    pub fn load_statement_ttl_ms(&self) -> u64 {
+        match self.period_ms() {
+            MIN_PERIOD_MS => 0,
+            period_ms => period_ms / 2,
+        }
+    }
+
     fn timeout_ms(&self) -> u64 {
         (self.period_ms() * MAX_MISSED_DIGESTS).max(MIN_PEER_TIMEOUT_MS)
     }
--- a/ggt-core/src/targets/admission.rs
+++ b/ggt-core/src/targets/admission.rs
@@ -168,7 +168,7 @@
                 .max_in_flight(state, query, now)
                 .min(self.rate_capacity(state, query))
                 .min(places);
-            (load + f64::from(state.requests()), limit + capacity)
+            (load + f64::from(state.requests(now)), limit + capacity)
         });
         if limit > 0.0 { load / limit } else { 0.0 }
     }
@@ -181,7 +181,7 @@
         query: &ChoiceQuery<'_>,
         now: MonoTime,
     ) -> bool {
-        let load = f64::from(state.requests());
+        let load = f64::from(state.requests(now));
         let admission = self.admission_of(query.service);
         let more_urgent = admission.more_urgent_priorities(query.priority, now);
         let max_backlog_ms = query.goal_ms as f64 * BACKLOG_FACTOR.powi(more_urgent);
--- a/ggt-core/src/targets/choice.rs
+++ b/ggt-core/src/targets/choice.rs
@@ -212,18 +212,18 @@
         if with_capacity.is_empty() {
             return Err(ChoiceError::Full);
         }
-        let mean = usable.iter().map(|(_, s)| load_of(s)).sum::<f64>() / usable.len() as f64;
+        let mean = usable.iter().map(|(_, s)| load_of(s, now)).sum::<f64>() / usable.len() as f64;
         let bound = LOAD_FACTOR * (mean + 1.0) + LOAD_SLACK;
         let Some(anchor) = query.chain.and_then(PrefixChain::placement_prefix) else {
-            return Ok(choose_by_free_slots(&with_capacity, query, bound));
+            return Ok(choose_by_free_slots(&with_capacity, query, bound, now));
         };
         let cached_bound = CACHED_LOAD_FACTOR * mean + CACHED_LOAD_SLACK;
         let max_wait_ms = MAX_WAIT_FRACTION * query.goal_ms as f64;
-        let cached = choose_cached(&with_capacity, anchor.hash, cached_bound, max_wait_ms);
+        let cached = choose_cached(&with_capacity, anchor.hash, cached_bound, max_wait_ms, now);
         if let Some(choice) = cached {
             return Ok(choice);
         }
-        let choice = choose_in_order(&with_capacity, anchor.hash, bound);
+        let choice = choose_in_order(&with_capacity, anchor.hash, bound, now);
         Ok(TargetChoice { source: self.copy_source(query, anchor, choice.key, now), ..choice })
     }
 }
@@ -290,7 +290,7 @@
             && is_open(state)
     };
     let (key, state) = listed.iter().find(|(_, state)| is_due(state))?;
-    let load = load_of(state);
+    let load = load_of(state, now);
     Some(TargetChoice { key: *key, reason: ChoiceReason::Trial, load, bound: load, source: None })
 }
 
@@ -301,16 +301,17 @@
     anchor: u64,
     cached_bound: f64,
     max_wait_ms: f64,
+    now: MonoTime,
 ) -> Option<TargetChoice> {
     let is_within_limits = |state: &TargetState| {
-        f64::from(state.requests()) + 1.0 <= cached_bound
+        f64::from(state.requests(now)) + 1.0 <= cached_bound
             && f64::from(state.backlog_tokens()) / PREFILL_TOKENS_PER_MS <= max_wait_ms
     };
     let candidates =
         usable.iter().filter(|(_, state)| state.has_cached(anchor) && is_within_limits(state));
-    let least = candidates.min_by(|(_, a), (_, b)| load_of(a).total_cmp(&load_of(b)));
+    let least = candidates.min_by(|(_, a), (_, b)| load_of(a, now).total_cmp(&load_of(b, now)));
     least.map(|(key, state)| {
-        let load = load_of(state);
+        let load = load_of(state, now);
         TargetChoice {
             key: *key,
             reason: ChoiceReason::Cached,
@@ -323,11 +324,16 @@
 
 /// The first target in the prefix's rendezvous order that is within the load bound, or the least
 /// loaded one if there is none.
-fn choose_in_order(usable: &[(TargetKey, &TargetState)], anchor: u64, bound: f64) -> TargetChoice {
+fn choose_in_order(
+    usable: &[(TargetKey, &TargetState)],
+    anchor: u64,
+    bound: f64,
+    now: MonoTime,
+) -> TargetChoice {
     let mut order: Vec<_> = usable
         .iter()
         .map(|(key, state)| {
-            (rendezvous_score(anchor, state.location_hash, 1.0), *key, load_of(state))
+            (rendezvous_score(anchor, state.location_hash, 1.0), *key, load_of(state, now))
         })
         .collect();
     order.sort_by(|a, b| b.0.total_cmp(&a.0));
@@ -352,10 +358,11 @@
     usable: &[(TargetKey, &TargetState)],
     query: &ChoiceQuery<'_>,
     bound: f64,
+    now: MonoTime,
 ) -> TargetChoice {
     let weight = |state: &TargetState| {
         let slots = f64::from(state.record.slots.max(1));
-        let free = ((slots - load_of(state)) / slots).max(MIN_FREE_FRACTION);
+        let free = ((slots - load_of(state, now)) / slots).max(MIN_FREE_FRACTION);
         let is_local = state.record.data_centre == query.data_centre;
         free * free * if is_local { OWN_CENTRE_WEIGHT } else { 1.0 }
     };
@@ -364,11 +371,11 @@
     };
     let chosen = usable.iter().max_by(|(_, a), (_, b)| score(a).total_cmp(&score(b)));
     let (key, state) = chosen.unwrap_or(&usable[0]);
-    let load = load_of(state);
+    let load = load_of(state, now);
     TargetChoice { key: *key, reason: ChoiceReason::Free, load, bound, source: None }
 }
 
 /// Load in requests, with the prefill backlog converted to requests.
-fn load_of(state: &TargetState) -> f64 {
-    f64::from(state.requests()) + f64::from(state.backlog_tokens()) / PREFILL_TOKENS_PER_REQUEST
+fn load_of(state: &TargetState, now: MonoTime) -> f64 {
+    f64::from(state.requests(now)) + f64::from(state.backlog_tokens()) / PREFILL_TOKENS_PER_REQUEST
 }
--- a/ggt-core/src/targets/mod.rs
+++ b/ggt-core/src/targets/mod.rs
@@ -1,7 +1,7 @@
 //! The targets of all services as one daemon sees them: registration, load and health.
 //!
-//! Load is this daemon's own requests in flight, counted exactly, plus those that its peers last
-//! reported. Health is derived from the outcomes of requests, not from reports of the targets.
+//! Load is this daemon's own requests in flight, counted exactly, plus those of its peers: what the
+//! target has just stated in a reply to one of the daemons, else what the peers last reported. Health is derived from the outcomes of requests, not from reports of the targets.
 
 mod admission;
 mod candidates;
@@ -12,6 +12,7 @@
 mod pool;
 mod prefixes;
 mod rate;
+mod stated_load;
 
 pub use admission::OverloadEstimate;
 pub use candidates::ReachCounts;
@@ -33,6 +34,8 @@
 pub use rate::RateShare;
 pub use rate::RateStatement;
 pub use rate::TargetRate;
+pub use stated_load::LoadStatement;
+pub use stated_load::StatedLoad;
 
 use std::net::SocketAddr;
 
@@ -73,6 +76,13 @@
     pub slots: u32,
 }
 
+impl LoadReport {
+    /// Requests running and queued.
+    pub const fn requests(&self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+}
+
 /// Load of one daemon's requests in flight at one target.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InFlightLoad {
--- a/ggt-core/src/targets/pool.rs
+++ b/ggt-core/src/targets/pool.rs
@@ -15,9 +15,11 @@
 use crate::targets::InFlightLimit;
 use crate::targets::InFlightLoad;
 use crate::targets::LoadReport;
+use crate::targets::LoadStatement;
 use crate::targets::RateShare;
 use crate::targets::RateStatement;
 use crate::targets::SendOutcome;
+use crate::targets::StatedLoad;
 use crate::targets::TargetClosing;
 use crate::targets::TargetRate;
 use crate::targets::TargetRecord;
@@ -65,6 +67,8 @@
     pub peers: InFlightLoad,
     /// Load that the target last reported, and when.
     pub report: Option<(LoadReport, MonoTime)>,
+    /// The load that it last stated to any daemon.
+    pub stated: StatedLoad,
     /// Health, from the outcomes of its requests.
     pub health: HealthState,
     /// The rate that it says it takes, if any.
@@ -94,6 +98,7 @@
             own: InFlightLoad::default(),
             peers: InFlightLoad::default(),
             report: None,
+            stated: StatedLoad::default(),
             health: HealthState::default(),
             rate: TargetRate::default(),
             closing: TargetClosing::default(),
@@ -113,8 +118,8 @@
     }
 
     /// Requests in flight from all daemons.
-    pub fn requests(&self) -> u32 {
-        self.own.requests + self.peers.requests
+    pub fn requests(&self, now: MonoTime) -> u32 {
+        self.own.requests + self.stated.others(now).unwrap_or(self.peers.requests)
     }
 
     /// Uncached prompt tokens not yet prefilled, for the requests of all daemons.
@@ -285,7 +290,7 @@
         let new_prefixes =
             prefixes.clone().filter(|prefix| !state.prefixes.contains_key(prefix)).collect();
         prefixes.for_each(|prefix| state.record_prefix(prefix, now));
-        let load = state.requests();
+        let load = state.requests(now);
         self.queue_prefixes(key, chain);
         SendRecord { backlog_tokens: uncached, new_prefixes, load, sent_at: now }
     }
@@ -352,6 +357,13 @@
         }
     }
 
+    /// Applies what a target stated about its load to this daemon or to a peer, which counts for `ttl_ms`.
+    pub fn apply_load(&mut self, key: TargetKey, statement: LoadStatement, ttl_ms: u64) {
+        if let Some(state) = self.targets.get_mut(key) {
+            state.stated.apply(statement, state.own.requests, ttl_ms);
+        }
+    }
+
     /// Records a request's outcome; returns the end of the hold-down if one begins.
     pub fn record_outcome(
         &mut self,
--- a/ggt-core/tests/digest_fixture/mod.rs
+++ b/ggt-core/tests/digest_fixture/mod.rs
@@ -28,5 +28,6 @@
         rates: Vec::new(),
         reach: PeerReach::default(),
         fragile: Vec::new(),
+        stated_loads: Vec::new(),
     }
 }
--- a/ggt-core/tests/targets.rs
+++ b/ggt-core/tests/targets.rs
@@ -125,7 +125,7 @@
         let subject = if number % 4 == 0 { 9_999 } else { number };
         send(&mut pool, subject, number);
     }
-    let loads: Vec<_> = pool.iter().map(|(_, state)| state.requests()).collect();
+    let loads: Vec<_> = pool.iter().map(|(_, state)| state.requests(at(0))).collect();
     let mean = 180.0 / ENGINES as f64;
     let most = loads.iter().copied().max().unwrap_or_default();
     assert!(f64::from(most) <= 1.5 * mean + 3.0, "highest load {most}, mean {mean}");
@@ -318,7 +318,7 @@
     pool.record_outcome(key_of(&pool, 0), SendOutcome::Unreachable, at(0));
     pool.put(record(0, 2));
     let state = pool.target(key_of(&pool, 0)).expect("listed");
-    assert_eq!(state.requests(), 0);
+    assert_eq!(state.requests(at(0)), 0);
     assert_eq!(state.uncached_tokens(&chain(1, 1)), 11_800);
     assert!(!state.health.is_unreachable());
 }
--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -363,7 +363,7 @@
             choice.bound,
             target.own.requests,
             target.peers.requests,
-            report.0.running.saturating_add(report.0.waiting),
+            report.0.requests(),
             now.millis_since(report.1),
             target.rate.limit().map_or("-".to_owned(), |limit| format!("{limit:.2}")),
             source.map_or("-", |source| source.record.id.as_str()),
--- a/ggt-daemon/src/front/attempt/outcome.rs
+++ b/ggt-daemon/src/front/attempt/outcome.rs
@@ -24,7 +24,7 @@
         }
         let has_free_slots = {
             let pool = self.state.pool.borrow();
-            pool.target(key).is_some_and(|target| target.requests() < target.record.slots)
+            pool.target(key).is_some_and(|target| target.requests(mono_now()) < target.record.slots)
         };
         if has_free_slots {
             self.state.record_outcome(key, SendOutcome::Bad);
--- a/ggt-daemon/src/front/attempt/send.rs
+++ b/ggt-daemon/src/front/attempt/send.rs
@@ -187,6 +187,7 @@
         let headers = parse_reply_headers(parts.status, &parts.headers);
         self.check_id(&headers)?;
         self.state.pool.borrow_mut().record_reply(key, headers.load, mono_now());
+        self.state.apply_load_header(key, headers.load);
         self.apply_statements(key, sent_at, &headers);
         check_content(parts.status, &headers)?;
         self.state.pool.borrow_mut().record_accepted(key, headers.load, mono_now());
--- a/ggt-daemon/src/front/digests.rs
+++ b/ggt-daemon/src/front/digests.rs
@@ -146,6 +146,7 @@
         rates: state.rate_reports(number),
         reach: state.peer_reach(),
         fragile: state.fragility_reports(now),
+        stated_loads: state.stated_load_reports(now),
     };
     digest.set_crashes(crashes, now);
     digest
--- a/ggt-daemon/src/front/mod.rs
+++ b/ggt-daemon/src/front/mod.rs
@@ -18,6 +18,7 @@
 mod internal;
 mod job;
 mod leaving;
+mod loads;
 mod metrics;
 mod origins;
 mod pack;
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -325,6 +325,7 @@
         self.apply_peer_crashes(&digest);
         self.apply_peer_rates(&digest);
         self.apply_peer_fragilities(&digest);
+        self.apply_peer_loads(&digest);
         self.has_heard_peer.set(true);
         let mut outage = self.outage.get();
         let age_ms = u64::from(digest.platform_age_ms);
--- a/ggt-wire/tests/codec.rs
+++ b/ggt-wire/tests/codec.rs
@@ -12,6 +12,7 @@
 use ggt_core::fleet::PeerDigest;
 use ggt_core::fleet::PeerReach;
 use ggt_core::fleet::RateReport;
+use ggt_core::fleet::StatedLoadReport;
 use ggt_core::ident::CustomerName;
 use ggt_core::ident::DaemonName;
 use ggt_core::membership::DatagramHeader;
@@ -209,6 +210,7 @@
             unnamed_age_ms: Some(900),
             rejecting: vec![13],
         }],
+        stated_loads: vec![StatedLoadReport { target: 13, requests: 21, age_ms: 350 }],
     }
 }
 
@@ -227,11 +229,11 @@
         rates: Vec::new(),
         reach: PeerReach::default(),
         fragile: Vec::new(),
+        stated_loads: Vec::new(),
         ..digest()
     };
     let mut bytes = encode_digest(&without_ages).expect("should encode");
-    for field in ["last", "one before it", "third last", "fourth last", "fifth last", "sixth last"]
-    {
+    for field in ["last", "2nd last", "3rd last", "4th last", "5th last", "6th last", "7th last"] {
         assert_eq!(bytes.pop(), Some(0), "the {field} should be an empty list or zero");
     }
     assert_eq!(decode_digest(&bytes).expect("should decode"), without_ages);
@@ -244,10 +246,11 @@
         rates: Vec::new(),
         reach: PeerReach::default(),
         fragile: Vec::new(),
+        stated_loads: Vec::new(),
         ..digest()
     };
     let mut bytes = encode_digest(&without_rates).expect("should encode");
-    for field in ["last", "one before it", "third last", "fourth last"] {
+    for field in ["last", "2nd last", "3rd last", "4th last", "5th last"] {
         assert_eq!(bytes.pop(), Some(0), "the {field} should be an empty list or zero");
     }
     assert_eq!(decode_digest(&bytes).expect("should decode"), without_rates);
@@ -256,9 +259,14 @@
 // Guards against requests being forwarded to daemons of a build that does not know them.
 #[test]
 fn digest_of_a_build_that_takes_no_forwarded_requests_says_so() {
-    let without_reach = PeerDigest { reach: PeerReach::default(), fragile: Vec::new(), ..digest() };
+    let without_reach = PeerDigest {
+        reach: PeerReach::default(),
+        fragile: Vec::new(),
+        stated_loads: Vec::new(),
+        ..digest()
+    };
     let mut bytes = encode_digest(&without_reach).expect("should encode");
-    assert_eq!([bytes.pop(), bytes.pop(), bytes.pop()], [Some(0); 3]);
+    assert_eq!([bytes.pop(), bytes.pop(), bytes.pop(), bytes.pop()], [Some(0); 4]);
     let decoded = decode_digest(&bytes).expect("should decode");
     assert_eq!(decoded, without_reach);
     assert_eq!(decoded.reach.protocol, 0);
@@ -322,12 +330,20 @@
 
 #[test]
 fn digest_of_a_build_without_fragile_services_decodes() {
-    let without_fragile = PeerDigest { fragile: Vec::new(), ..digest() };
+    let without_fragile = PeerDigest { fragile: Vec::new(), stated_loads: Vec::new(), ..digest() };
     let mut bytes = encode_digest(&without_fragile).expect("should encode");
-    assert_eq!(bytes.pop(), Some(0), "the last field should be an empty list");
+    assert_eq!([bytes.pop(), bytes.pop()], [Some(0); 2], "the last fields should be empty lists");
     assert_eq!(decode_digest(&bytes).expect("should decode"), without_fragile);
 }
 
+#[test]
+fn digest_of_a_build_without_stated_loads_decodes() {
+    let without_loads = PeerDigest { stated_loads: Vec::new(), ..digest() };
+    let mut bytes = encode_digest(&without_loads).expect("should encode");
+    assert_eq!(bytes.pop(), Some(0), "the last field should be an empty list");
+    assert_eq!(decode_digest(&bytes).expect("should decode"), without_loads);
+}
+
 #[test]
 fn earlier_builds_ignore_fields_at_the_end_of_a_digest() {
     let bytes = encode_digest(&digest()).expect("should encode");
