fix: front: an event without an id interrupts a stream whose events have ids

Change: once an event with an id has been passed on, only comments may come without one; anything else breaks the stream off. An empty 200 that goes on with a stream is still passed on: the break may have come after the last event, and nobody but the target knows how many there are.

Tests: stream_that_goes_on_with_an_event_without_id_is_visibly_truncated (complete before), and an_event_without_an_id_interrupts_a_stream_whose_events_have_ids.

--- a/ggt-core/src/events/mod.rs
+++ b/ggt-core/src/events/mod.rs
@@ -9,6 +9,14 @@
     pub bytes: Vec<u8>,
 }
 
+impl StreamEvent {
+    /// Whether it consists of comments only, as a server sends them to keep a connection open.
+    pub fn is_comment(&self) -> bool {
+        let lines = self.bytes.split(|byte| *byte == b'\n').map(|line| line.trim_ascii_end());
+        lines.filter(|line| !line.is_empty()).all(|line| line.starts_with(b":"))
+    }
+}
+
 /// Why a stream cannot be split further.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SplitError {
@@ -75,7 +83,7 @@
     Pass,
     /// Drop it: the caller has it already.
     Skip,
-    /// Interrupt the stream: an event before this one is missing.
+    /// Interrupt the stream: an event before this one is missing, or may be.
     Gap,
 }
 
@@ -96,9 +104,15 @@
         self.last
     }
 
-    /// Decides on the event with this id; events without an id are forwarded.
-    pub fn check(&mut self, id: Option<u64>) -> EventAction {
-        let Some(id) = id else { return EventAction::Pass };
+    /// Decides on an event. One without an id has no place in a stream whose events have ids, and may stand for
+    /// events that are missing; before the first id, and if it is only a comment, it is forwarded.
+    pub fn check(&mut self, event: &StreamEvent) -> EventAction {
+        let Some(id) = event.id else {
+            return match self.last {
+                Some(_) if !event.is_comment() => EventAction::Gap,
+                _ => EventAction::Pass,
+            };
+        };
         match self.last {
             Some(last) if id <= last => EventAction::Skip,
             Some(last) if id > last + 1 => EventAction::Gap,
--- a/ggt-core/tests/events.rs
+++ b/ggt-core/tests/events.rs
@@ -5,6 +5,7 @@
 use ggt_core::events::EventAction;
 use ggt_core::events::EventOrder;
 use ggt_core::events::EventSplitter;
+use ggt_core::events::StreamEvent;
 
 fn stream_of(count: u64) -> Vec<u8> {
     let events = (1..=count).map(|id| format!("id: {id}\ndata: part {id}\n\n"));
@@ -48,12 +49,31 @@
     assert_eq!(events[0].id, Some(9));
 }
 
+fn event(text: &str) -> StreamEvent {
+    let events = EventSplitter::default().push(text.as_bytes()).expect("a short event");
+    events.into_iter().next().expect("a complete event")
+}
+
+fn event_with_id(id: u64) -> StreamEvent {
+    event(&format!("id: {id}\ndata: a\n\n"))
+}
+
 #[test]
 fn a_resumed_stream_continues_with_the_next_event() {
     let mut order = EventOrder::after(Some(4));
-    assert_eq!(order.check(Some(4)), EventAction::Skip);
-    assert_eq!(order.check(Some(5)), EventAction::Pass);
-    assert_eq!(order.check(Some(5)), EventAction::Skip);
-    assert_eq!(order.check(Some(7)), EventAction::Gap);
+    assert_eq!(order.check(&event_with_id(4)), EventAction::Skip);
+    assert_eq!(order.check(&event_with_id(5)), EventAction::Pass);
+    assert_eq!(order.check(&event_with_id(5)), EventAction::Skip);
+    assert_eq!(order.check(&event_with_id(7)), EventAction::Gap);
     assert_eq!(order.last(), Some(5));
 }
+
+// Guards against an event of which nobody knows where it belongs in place of those that are missing.
+#[test]
+fn an_event_without_an_id_interrupts_a_stream_whose_events_have_ids() {
+    let mut order = EventOrder::after(Some(4));
+    assert_eq!(order.check(&event("data: a\n\n")), EventAction::Gap);
+    assert_eq!(order.check(&event(": keep-alive\n\n")), EventAction::Pass);
+    let mut order = EventOrder::after(None);
+    assert_eq!(order.check(&event("data: a\n\n")), EventAction::Pass);
+}
--- a/ggt-daemon/src/front/stream.rs
+++ b/ggt-daemon/src/front/stream.rs
@@ -372,7 +372,7 @@
         let events = self.splitter.push(bytes).map_err(|_| "event too long")?;
         let mut forwarded = Vec::new();
         for event in events {
-            match self.order.check(event.id) {
+            match self.order.check(&event) {
                 EventAction::Pass => forwarded.extend_from_slice(&event.bytes),
                 EventAction::Skip => {}
                 EventAction::Gap => return Err("an event is missing"),
--- a/ggt-testkit/tests/platform_streams.rs
+++ b/ggt-testkit/tests/platform_streams.rs
@@ -67,6 +67,34 @@
     assert!(resumed.iter().any(|request| request.header("last-event-id") == Some("7")));
 }
 
+// Guards against a stream that ends as complete although the server that went on with it sent something else.
+#[test]
+fn stream_that_goes_on_with_an_event_without_id_is_visibly_truncated() {
+    let fleet = FrontFleet::start(2, 1);
+    for server in &fleet.servers {
+        server.set_script(|request, stream| {
+            let is_resumption = request.last_event_id().is_some();
+            let events = match is_resumption {
+                true => {
+                    let event = "data: other\n\n";
+                    format!("{:x}\r\n{event}\r\n0\r\n\r\n", event.len())
+                }
+                false => (1..=5).map(event_chunk).collect(),
+            };
+            // The daemon may have closed the connection already.
+            let _ = stream.write_all(format!("{}{events}", stream_head(request)).as_bytes());
+            if is_resumption { AfterResponse::Keep } else { AfterResponse::Close }
+        });
+    }
+    for number in 0..8 {
+        let id = format!("id-{number}");
+        let response =
+            fleet.request(0, "POST", "/chat/", &id).body("x").send().expect("should respond");
+        assert!(!response.is_complete, "{}", response.body);
+        assert_eq!(response.body, events_text(5));
+    }
+}
+
 #[test]
 fn non_resumable_stream_is_visibly_truncated_and_runs_once() {
     let fleet = FrontFleet::start(2, 1);
