fix: a prompt goes to one of the targets with its prefix at random, by their room, not to the least loaded one

Cause: all daemons chose the least loaded target that has the prefix cached.

Change: a random choice in proportion to the square of the room below the load bound.

--- a/ggt-core/src/targets/choice.rs
+++ b/ggt-core/src/targets/choice.rs
@@ -135,14 +135,16 @@
 const MAX_WAIT_FRACTION: f64 = 0.4;
 /// Weight of targets in the daemon's own data centre relative to equally free ones elsewhere.
 const OWN_CENTRE_WEIGHT: f64 = 8.0;
+/// Minimum room below the load bound, in requests, that is assumed for a target with the prefix cached.
+const MIN_ROOM: f64 = 0.5;
 /// Minimum free fraction assumed for a target, so that even a busy one is chosen now and then.
 const MIN_FREE_FRACTION: f64 = 0.02;
 
 impl TargetPool {
     /// Chooses a target.
     ///
-    /// A prompt goes to the least loaded target that has its shared prefix cached, within a load
-    /// bound. If there is none, it goes to the first target within the bound in the prefix's
+    /// A prompt goes to a target that has its shared prefix cached, within a load bound, the rather
+    /// the less loaded it is. If there is none, it goes to the first target within the bound in the prefix's
     /// rendezvous order, which is the same on all daemons, so that a popular prefix spreads over as
     /// many targets as its load needs. Requests without a prompt are spread by free slots.
     ///
@@ -218,8 +220,7 @@
             return Ok(choose_by_free_slots(&with_capacity, query, bound, now));
         };
         let cached_bound = CACHED_LOAD_FACTOR * mean + CACHED_LOAD_SLACK;
-        let max_wait_ms = MAX_WAIT_FRACTION * query.goal_ms as f64;
-        let cached = choose_cached(&with_capacity, anchor.hash, cached_bound, max_wait_ms, now);
+        let cached = choose_cached(&with_capacity, query, anchor.hash, cached_bound, now);
         if let Some(choice) = cached {
             return Ok(choice);
         }
@@ -294,31 +295,36 @@
     Some(TargetChoice { key: *key, reason: ChoiceReason::Trial, load, bound: load, source: None })
 }
 
-/// The least loaded target that has the shared prefix cached, is within the load bound and has a
-/// short prefill backlog.
+/// A target at random among those that have the shared prefix cached, are within the load bound and have a
+/// short prefill backlog, in proportion to the square of the room below the bound.
+///
+/// Loads are as old as the digests of the peers. If all daemons chose the least loaded target, it would get
+/// all requests with the prefix until the next digests.
 fn choose_cached(
     usable: &[(TargetKey, &TargetState)],
+    query: &ChoiceQuery<'_>,
     anchor: u64,
     cached_bound: f64,
-    max_wait_ms: f64,
     now: MonoTime,
 ) -> Option<TargetChoice> {
+    let max_wait_ms = MAX_WAIT_FRACTION * query.goal_ms as f64;
     let is_within_limits = |state: &TargetState| {
         f64::from(state.requests(now)) + 1.0 <= cached_bound
             && f64::from(state.backlog_tokens()) / PREFILL_TOKENS_PER_MS <= max_wait_ms
     };
     let candidates =
         usable.iter().filter(|(_, state)| state.has_cached(anchor) && is_within_limits(state));
-    let least = candidates.min_by(|(_, a), (_, b)| load_of(a, now).total_cmp(&load_of(b, now)));
-    least.map(|(key, state)| {
-        let load = load_of(state, now);
-        TargetChoice {
-            key: *key,
-            reason: ChoiceReason::Cached,
-            load,
-            bound: cached_bound,
-            source: None,
-        }
+    let score = |state: &TargetState| {
+        let room = (cached_bound - load_of(state, now)).max(MIN_ROOM);
+        rendezvous_score(query.spread_hash, state.location_hash, room * room)
+    };
+    let chosen = candidates.max_by(|(_, a), (_, b)| score(a).total_cmp(&score(b)));
+    chosen.map(|(key, state)| TargetChoice {
+        key: *key,
+        reason: ChoiceReason::Cached,
+        load: load_of(state, now),
+        bound: cached_bound,
+        source: None,
     })
 }
 
--- a/ggt-core/tests/targets.rs
+++ b/ggt-core/tests/targets.rs
@@ -117,6 +117,36 @@
     }
 }
 
+// Guards against hundreds of daemons that all send the requests with a popular prefix to the one target that
+// was the least loaded when they last heard of it.
+#[test]
+fn pattern_daemons_with_the_same_old_loads_do_not_all_choose_the_same_target() {
+    const REQUESTS: u64 = 400;
+    let mut pool = pool_of(ENGINES);
+    let chain = chain(1, 1);
+    let anchor = chain.placement_prefix().expect("has a shared prefix").hash;
+    let holders: Vec<_> = (0..4).map(|number| key_of(&pool, number)).collect();
+    let all: Vec<_> = pool.iter().map(|(key, _)| key).collect();
+    for key in all.iter().cycle().take(5 * ENGINES) {
+        pool.record_send(*key, &PrefixChain::default(), false, at(0));
+    }
+    for (more, key) in holders.iter().enumerate() {
+        pool.record_listed_prefix(*key, anchor, at(0));
+        for _ in 0..more {
+            pool.record_send(*key, &PrefixChain::default(), false, at(0));
+        }
+    }
+    let chosen = |spread_hash| {
+        let query = ChoiceQuery { spread_hash, ..query(Some(&chain), &[]) };
+        pool.choose(&query, at(0)).expect("a target").key
+    };
+    let choices: Vec<_> = (0..REQUESTS).map(chosen).collect();
+    let count_of = |key| choices.iter().filter(|choice| *choice == key).count() as u64;
+    let counts: Vec<_> = holders.iter().map(count_of).collect();
+    assert!(counts.iter().all(|count| *count <= REQUESTS * 6 / 10), "{counts:?}");
+    assert!(counts[0] > counts[1], "the less loaded one gets more: {counts:?}");
+}
+
 #[test]
 fn pattern_one_hot_prefix_spreads_before_a_target_is_overloaded() {
     let mut pool = pool_of(ENGINES);
