feat: front: the log tells which settings a daemon runs, and what a reload changes

Cause: a reload wrote that it was in force, but not what; from outside nobody could tell which settings a daemon ran when it answered, nor whether two daemons ran the same.

Change: event=start and event=reload carry settings=, a short hash of all settings but name, place and addresses, and event=reload the names of the settings that are in force from now on (changed=) and of those that only a restart puts in force (after_restart=). No value is logged.

Tests: settings_digest_differs_with_the_settings_but_not_with_the_host, reload_names_what_changes_and_what_needs_a_restart. Not done: the same in the metrics and in the status of the tool.

--- a/ggt-daemon/src/front/run.rs
+++ b/ggt-daemon/src/front/run.rs
@@ -29,6 +29,8 @@
 use crate::front::reach::run_reach;
 use crate::front::settings::FrontSettings;
 use crate::front::settings::parse_front_settings;
+use crate::front::settings_change::SettingsChange;
+use crate::front::settings_change::settings_digest;
 use crate::front::state::FrontState;
 use crate::front::state::StoreFolder;
 use crate::front::store::run_watch;
@@ -106,12 +108,13 @@
     let context = BindSnafu { role: "peer", address: settings.peer };
     let socket = Rc::new(UdpSocket::bind(settings.peer).await.context(context)?);
     log::info!(
-        "event=start name={} data_centre={} incarnation={} callers={} peer={}",
+        "event=start name={} data_centre={} incarnation={} callers={} peer={} settings={:08x}",
         quoted(&settings.name),
         quoted(&settings.data_centre),
         state.incarnation,
         settings.callers,
         settings.peer,
+        settings_digest(&settings),
     );
     for listener in [ready, admin] {
         spawn_local(serve_internal(state.clone(), listener));
@@ -190,7 +193,15 @@
         match parse_front_settings(&file, &text) {
             Ok(settings) if settings == *state.settings() => {}
             Ok(settings) => {
-                log::info!("event=reload file={} outcome=in-force", file.display());
+                let SettingsChange { in_force, after_restart } =
+                    SettingsChange::between(&state.settings(), &settings);
+                log::info!(
+                    "event=reload file={} outcome=in-force settings={:08x} changed={} after_restart={}",
+                    file.display(),
+                    settings_digest(&settings),
+                    quoted(&in_force.join(",")),
+                    quoted(&after_restart.join(",")),
+                );
                 *state.settings.borrow_mut() = Rc::new(settings);
             }
             Err(e) => {
--- a/ggt-daemon/tests/front.rs
+++ b/ggt-daemon/tests/front.rs
@@ -4,8 +4,11 @@
 
 use ggt_core::store_watch::WatchPeers;
 use ggt_core::store_watch::WatchTiming;
+use ggt_daemon::front::FrontSettings;
+use ggt_daemon::front::SettingsChange;
 use ggt_daemon::front::is_front_settings;
 use ggt_daemon::front::parse_front_settings;
+use ggt_daemon::front::settings_digest;
 
 // Guards against a configuration that is in force too late because the watch hangs that should bring it.
 #[test]
@@ -29,6 +32,33 @@
   "retries": { "ratio": 0.2, "slack": 58, "window_s": 10 }, "grace_s": 8
 }"#;
 
+fn with_settings(from: &str, to: &str) -> FrontSettings {
+    let text = SETTINGS.replace(from, to);
+    parse_front_settings(Path::new("s.json"), &text).expect("good settings")
+}
+
+// Guards against daemons of which nobody can tell whether they run the same settings.
+#[test]
+fn settings_digest_differs_with_the_settings_but_not_with_the_host() {
+    let digest = |from, to| settings_digest(&with_settings(from, to));
+    let usual = digest("", "");
+    assert_eq!(digest("edge-1", "edge-2"), usual);
+    assert_eq!(digest("10.0.0.1:80", "10.0.0.7:80"), usual);
+    assert_ne!(digest("\"slack\": 58", "\"slack\": 59"), usual);
+    assert_ne!(digest("10.0.0.2:9", "10.0.0.3:9"), usual);
+}
+
+// Guards against a reload that takes settings without a word although only a restart puts them in force.
+#[test]
+fn reload_names_what_changes_and_what_needs_a_restart() {
+    let before = with_settings("", "");
+    assert_eq!(SettingsChange::between(&before, &before), SettingsChange::default());
+    let after = with_settings("\"grace_s\": 8", "\"grace_s\": 9, \"log_level\": \"warn\"");
+    let change = SettingsChange::between(&before, &after);
+    assert_eq!(change.in_force, ["grace_s"]);
+    assert_eq!(change.after_restart, ["log_level"]);
+}
+
 #[test]
 fn settings_for_the_platform_are_detected() {
     assert!(is_front_settings(SETTINGS));
