--- a/ggt-core/src/targets/choice.rs
+++ b/ggt-core/src/targets/choice.rs
@@ -143,8 +143,8 @@
 impl TargetPool {
     /// Chooses a target.
     ///
-    /// A prompt goes to a target that has its shared prefix cached, within a load bound, the rather
-    /// the less loaded it is. If there is none, it goes to the first target within the bound in the prefix's
+    /// A prompt goes to a target that has its shared prefix cached, within a load bound; less loaded
+    /// ones are preferred. If there is none, it goes to the first target within the bound in the prefix's
     /// rendezvous order, which is the same on all daemons, so that a popular prefix spreads over as
     /// many targets as its load needs. Requests without a prompt are spread by free slots.
     ///
--- a/ggt-core/src/targets/mod.rs
+++ b/ggt-core/src/targets/mod.rs
@@ -1,7 +1,8 @@
 //! The targets of all services as one daemon sees them: registration, load and health.
 //!
 //! Load is this daemon's own requests in flight, counted exactly, plus those of its peers: what the
-//! target has just stated in a reply to one of the daemons, else what the peers last reported. Health is derived from the outcomes of requests, not from reports of the targets.
+//! target has just stated in a reply to one of the daemons, else what the peers last reported. Health is
+//! derived from the outcomes of requests, not from reports of the targets.
 
 mod admission;
 mod candidates;
--- a/ggt-core/src/versions/replies.rs
+++ b/ggt-core/src/versions/replies.rs
@@ -30,8 +30,8 @@
 ///
 /// A daemon that has seen one version only may be out of step with the fleet: without hearing the platform or
 /// its peers, it does not notice that targets of another version have joined, nor streams that began there.
-/// So most of the daemons that are told of streams have to confirm that there has been no other version. If
-/// this daemon knows that its view is incomplete, one of them is enough, as it was told by the platform later.
+/// So most of the daemons that are told of streams have to confirm that there has been no other version. A
+/// daemon whose view does not reach back far enough, since it has just started, takes the word of one of them.
 pub fn judge_replies(replies: &[OriginReply], asked: usize, view: VersionState) -> OriginVerdict {
     let mut known = replies.iter().filter_map(|reply| reply.version);
     if let Some(version) = known.next() {
--- a/ggt-testkit/tests/platform_silence.rs
+++ b/ggt-testkit/tests/platform_silence.rs
@@ -11,6 +11,7 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use serde_json::json;
 
@@ -218,6 +219,43 @@
     });
 }
 
+/// Interval between two bytes of a server that stalls.
+const BYTE_INTERVAL: Duration = Duration::from_millis(300);
+/// Bytes that a stalled server sends, one by one, of an event that it does not complete.
+const STALLED_BYTES: usize = 20;
+
+// Guards against a stream that waits until its deadline at a server that sends a byte now and then, but completes
+// no event.
+#[test]
+fn stream_leaves_a_server_that_completes_no_event_though_it_sends_bytes() {
+    let fleet = FrontFleet::start(2, 1);
+    for server in &fleet.servers {
+        server.set_script(|request, stream| {
+            if request.last_event_id().is_some() {
+                return match send_with_pause(request, stream, EVENTS, Duration::ZERO) {
+                    Ok(()) => AfterResponse::Keep,
+                    Err(_) => AfterResponse::Close,
+                };
+            }
+            let started = format!("{}{}", stream_head(request), event_chunk(1));
+            // The daemon closes the connection once it has left.
+            let mut has_left = stream.write_all(started.as_bytes()).is_err();
+            for _ in 0..STALLED_BYTES {
+                thread::sleep(BYTE_INTERVAL);
+                has_left = has_left || stream.write_all(b"1\r\n:\r\n").is_err();
+            }
+            AfterResponse::Close
+        });
+    }
+    let started_at = Instant::now();
+    let response = fleet.request(0, "POST", "/chat/", "id-1").body("x").send();
+    let response = response.expect("should respond");
+    let stalled = BYTE_INTERVAL * u32::try_from(STALLED_BYTES).expect("a small number");
+    assert!(started_at.elapsed() < stalled, "{:?}", started_at.elapsed());
+    assert!(response.is_complete);
+    assert_eq!(response.body, events_text());
+}
+
 /// Response with which a server states that it has no capacity for a request.
 fn refuse(request: &WireRequest, stream: &mut TcpStream) -> AfterResponse {
     let text = format!(
