fix: front: bytes that complete no event do not end a target's silence

Cause: waiting for the next event began anew with each frame of the body, so a target that sent a byte now and then kept a stream until its deadline; its caller, who gets complete events only, left before.

Change: the silence lasts from the last complete event to the next.

--- a/ggt-daemon/src/front/stream.rs
+++ b/ggt-daemon/src/front/stream.rs
@@ -1,5 +1,6 @@
 //! Requests whose reply is a stream of server-sent events, resumed at another target if necessary.
 
+use std::pin::pin;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -337,47 +338,55 @@
         drop(guard);
     }
 
-    /// Reads until complete events have arrived or the reply has ended.
+    /// Reads until complete events have arrived or the reply has ended. Bytes that complete no event do not
+    /// end the target's silence, since the caller gets nothing of them.
     async fn read(&mut self, reply: &mut TargetReply) -> ReadOutcome {
+        let Self { state, job, attempts, splitter, order } = self;
         let key = reply.key();
+        let mut silence = pin!(attempts.wait_for_move(ReplyStage::Event));
         loop {
             let frame = tokio::select! {
                 // Bytes that have arrived go before a silence that has been too long.
                 biased;
-                () = sleep(time_until(self.job.deadline)) => return ReadOutcome::Deadline,
+                () = sleep(time_until(job.deadline)) => return ReadOutcome::Deadline,
                 frame = reply.frame() => frame,
-                () = self.attempts.wait_for_move(ReplyStage::Event) => return ReadOutcome::Timeout,
+                () = silence.as_mut() => return ReadOutcome::Timeout,
             };
             let bytes = match frame {
-                None if self.splitter.has_partial_event() => {
+                None if splitter.has_partial_event() => {
                     return ReadOutcome::Interrupted("ended within an event".to_owned());
                 }
                 None => return ReadOutcome::Complete,
                 Some(Err(e)) => return ReadOutcome::Interrupted(e.to_string()),
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
-            self.attempts.end_silence();
-            self.state.pool.borrow_mut().record_reply(key, None, mono_now());
-            match self.push_bytes(&bytes) {
+            state.pool.borrow_mut().record_reply(key, None, mono_now());
+            match next_events(splitter, order, &bytes) {
                 Ok(events) if events.is_empty() => {}
-                Ok(events) => return ReadOutcome::Events(events),
+                Ok(events) => {
+                    attempts.end_silence();
+                    return ReadOutcome::Events(events);
+                }
                 Err(cause) => return ReadOutcome::Interrupted(cause.to_owned()),
             }
         }
     }
+}
 
-    /// Adds `bytes` to the stream and returns the completed events that the caller does not have
-    /// yet.
-    fn push_bytes(&mut self, bytes: &[u8]) -> Result<Bytes, &'static str> {
-        let events = self.splitter.push(bytes).map_err(|_| "event too long")?;
-        let mut forwarded = Vec::new();
-        for event in events {
-            match self.order.check(&event) {
-                EventAction::Pass => forwarded.extend_from_slice(&event.bytes),
-                EventAction::Skip => {}
-                EventAction::Gap => return Err("an event is missing"),
-            }
+/// Adds `bytes` to the stream and returns the completed events that the caller does not have yet.
+fn next_events(
+    splitter: &mut EventSplitter,
+    order: &mut EventOrder,
+    bytes: &[u8],
+) -> Result<Bytes, &'static str> {
+    let events = splitter.push(bytes).map_err(|_| "event too long")?;
+    let mut forwarded = Vec::new();
+    for event in events {
+        match order.check(&event) {
+            EventAction::Pass => forwarded.extend_from_slice(&event.bytes),
+            EventAction::Skip => {}
+            EventAction::Gap => return Err("an event is missing"),
         }
-        Ok(forwarded.into())
     }
+    Ok(forwarded.into())
 }
