--- a/ggt-core/src/fleet/mod.rs
+++ b/ggt-core/src/fleet/mod.rs
@@ -33,6 +33,7 @@
 use crate::targets::DaemonRank;
 use crate::targets::InFlightLoad;
 use crate::targets::RateShare;
+use crate::targets::ReportPace;
 
 /// Approximate maximum number of datagrams that a daemon sends per second.
 const MAX_SENDS_PER_SECOND: u64 = 80;
@@ -292,6 +293,11 @@
         period_ms.max(MIN_PERIOD_MS)
     }
 
+    /// How the other daemons report what they send.
+    pub fn report_pace(&self, now: MonoTime) -> ReportPace {
+        ReportPace { peers: self.alive(now).count(), interval_ms: self.period_ms() }
+    }
+
     /// Milliseconds for which what a target has stated about its load goes before the sum of what the daemons
     /// report: the mean age of their reports. Zero if digests are so frequent that the sum is the newer one.
     pub fn load_statement_ttl_ms(&self) -> u64 {
--- a/ggt-core/src/targets/choice.rs
+++ b/ggt-core/src/targets/choice.rs
@@ -90,6 +90,21 @@
     pub bound: f64,
     /// Another target with the shared prefix cached, from which the chosen one may copy it.
     pub source: Option<TargetKey>,
+    /// What the choice was made from.
+    pub figures: ChoiceFigures,
+}
+
+/// What a choice was made from, for logs.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ChoiceFigures {
+    /// Number of targets that could be chosen, apart from their loads.
+    pub usable: usize,
+    /// Mean load of these, in requests.
+    pub mean: f64,
+    /// How many of these have the prompt's shared prefix cached.
+    pub cached_at: usize,
+    /// Requests with that prefix that the other daemons are expected to send until this daemon hears of them.
+    pub unreported: f64,
 }
 
 /// Why no target can take a request.
@@ -216,16 +231,22 @@
         }
         let mean = usable.iter().map(|(_, s)| load_of(s, now)).sum::<f64>() / usable.len() as f64;
         let bound = LOAD_FACTOR * (mean + 1.0) + LOAD_SLACK;
+        let figures = ChoiceFigures { usable: usable.len(), mean, ..ChoiceFigures::default() };
         let Some(anchor) = query.chain.and_then(PrefixChain::placement_prefix) else {
-            return Ok(choose_by_free_slots(&with_capacity, query, bound, now));
+            let choice = choose_by_free_slots(&with_capacity, query, bound, now);
+            return Ok(TargetChoice { figures, ..choice });
         };
+        let unreported = self.unreported_requests(anchor.hash, now);
+        let cached_at = usable.iter().filter(|(_, state)| state.has_cached(anchor.hash)).count();
+        let figures = ChoiceFigures { cached_at, unreported, ..figures };
         let cached_bound = CACHED_LOAD_FACTOR * mean + CACHED_LOAD_SLACK;
         let cached = choose_cached(&with_capacity, query, anchor.hash, cached_bound, now);
         if let Some(choice) = cached {
-            return Ok(choice);
+            return Ok(TargetChoice { figures, ..choice });
         }
         let choice = choose_in_order(&with_capacity, anchor.hash, bound, now);
-        Ok(TargetChoice { source: self.copy_source(query, anchor, choice.key, now), ..choice })
+        let source = self.copy_source(query, anchor, choice.key, now);
+        Ok(TargetChoice { source, figures, ..choice })
     }
 }
 
@@ -292,7 +313,14 @@
     };
     let (key, state) = listed.iter().find(|(_, state)| is_due(state))?;
     let load = load_of(state, now);
-    Some(TargetChoice { key: *key, reason: ChoiceReason::Trial, load, bound: load, source: None })
+    Some(TargetChoice {
+        key: *key,
+        reason: ChoiceReason::Trial,
+        load,
+        bound: load,
+        source: None,
+        figures: ChoiceFigures::default(),
+    })
 }
 
 /// A target at random among those that have the shared prefix cached, are within the load bound and have a
@@ -325,6 +353,7 @@
         load: load_of(state, now),
         bound: cached_bound,
         source: None,
+        figures: ChoiceFigures::default(),
     })
 }
 
@@ -353,7 +382,7 @@
         }
     };
     let (_, key, load) = order[position];
-    TargetChoice { key, reason, load, bound, source: None }
+    TargetChoice { key, reason, load, bound, source: None, figures: ChoiceFigures::default() }
 }
 
 /// A target at random, in proportion to the square of its free slots.
@@ -378,7 +407,14 @@
     let chosen = usable.iter().max_by(|(_, a), (_, b)| score(a).total_cmp(&score(b)));
     let (key, state) = chosen.unwrap_or(&usable[0]);
     let load = load_of(state, now);
-    TargetChoice { key: *key, reason: ChoiceReason::Free, load, bound, source: None }
+    TargetChoice {
+        key: *key,
+        reason: ChoiceReason::Free,
+        load,
+        bound,
+        source: None,
+        figures: ChoiceFigures::default(),
+    }
 }
 
 /// Load in requests, with the prefill backlog converted to requests.
--- a/ggt-core/src/targets/pool.rs
+++ b/ggt-core/src/targets/pool.rs
@@ -18,6 +18,7 @@
 use crate::targets::LoadStatement;
 use crate::targets::RateShare;
 use crate::targets::RateStatement;
+use crate::targets::ReportPace;
 use crate::targets::SendOutcome;
 use crate::targets::StatedLoad;
 use crate::targets::TargetClosing;
@@ -25,6 +26,7 @@
 use crate::targets::TargetRecord;
 use crate::targets::admission::ServiceAdmission;
 use crate::targets::fragile::ServiceFragility;
+use crate::targets::prefix_rates::PrefixRates;
 use crate::targets::prefixes::short_prefix;
 
 new_key_type! {
@@ -141,6 +143,9 @@
     /// Queue for digests: short hashes of prefix and target, and the number of digests still to
     /// come.
     pub(super) prefix_queue: VecDeque<(u32, u32, u8)>,
+    /// How often this daemon sends requests with each prefix by which targets are chosen.
+    prefix_rates: PrefixRates,
+    report_pace: ReportPace,
     pub(super) admissions: HashMap<String, ServiceAdmission>,
     /// What targets said about the rejections that they stand, by service.
     pub(super) fragilities: HashMap<String, ServiceFragility>,
@@ -280,6 +285,9 @@
         let last = chain.prefixes().last().map_or(0, |prefix| prefix.tokens);
         let uncached = state.uncached_tokens(chain);
         let uncached = if is_copied { uncached.min(last) } else { uncached };
+        if let Some(anchor) = chain.placement_prefix() {
+            self.prefix_rates.record(anchor.hash, now);
+        }
         if state.own.requests == 0 {
             state.busy_since = now;
         }
@@ -331,6 +339,18 @@
         }
     }
 
+    /// Sets how the other daemons report what they send.
+    pub fn set_report_pace(&mut self, pace: ReportPace) {
+        self.report_pace = pace;
+    }
+
+    /// Requests with this prefix that the other daemons are expected to send until this daemon hears of
+    /// them: callers are spread over the daemons, so each sends about as many as this one.
+    pub(super) fn unreported_requests(&self, prefix: u64, now: MonoTime) -> f64 {
+        let ReportPace { peers, interval_ms } = self.report_pace;
+        self.prefix_rates.per_ms(prefix, now) * interval_ms as f64 * peers as f64
+    }
+
     /// Records that a target has prefilled this many tokens of a request's prompt.
     pub fn record_prefill(&mut self, key: TargetKey, tokens: u32) {
         if let Some(state) = self.targets.get_mut(key) {
--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -32,6 +32,7 @@
 use ggt_core::clock::MonoTime;
 use ggt_core::crashes::CrashId;
 use ggt_core::limits::SharePermit;
+use ggt_core::prompts::PrefixChain;
 use ggt_core::targets::ChoiceError;
 use ggt_core::targets::ChoiceQuery;
 use ggt_core::targets::SendOutcome;
@@ -343,9 +344,11 @@
         };
         let report = target.report.unwrap_or_default();
         let source = choice.source.and_then(|source| pool.target(source));
+        let anchor = job.chain.as_ref().and_then(PrefixChain::placement_prefix);
         log::info!(
             "event=route request_id={} print={:016x} route={} version={} customer={} service={} target={} \
-             incarnation={} software={} last_event={} first_attempt={} reason={} load={:.1} bound={:.1} own={} peers={} told={} told_age_ms={} \
+             incarnation={} software={} last_event={} first_attempt={} reason={} load={:.1} bound={:.1} \
+             mean={:.1} usable={} prefix={} cached_at={} unreported={:.1} own={} peers={} told={} told_age_ms={} \
              rate_limit={} copy_from={} send={} left_ms={}",
             quoted(&job.id),
             job.suspects.request().0,
@@ -361,6 +364,11 @@
             choice.reason.as_str(),
             choice.load,
             choice.bound,
+            choice.figures.mean,
+            choice.figures.usable,
+            anchor.map_or("-".to_owned(), |anchor| format!("{:016x}", anchor.hash)),
+            choice.figures.cached_at,
+            choice.figures.unreported,
             target.own.requests,
             target.peers.requests,
             report.0.requests(),
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -348,6 +348,7 @@
         }
         let changes = self.fleet.borrow_mut().expire(now);
         let mut pool = self.pool.borrow_mut();
+        pool.set_report_pace(self.fleet.borrow().report_pace(now));
         changes.iter().for_each(|c| pool.replace_peer_load(c.hash, c.before, c.after));
         drop(pool);
         self.update_rate_shares();
