--- /dev/null
+++ b/ggt-core/tests/fleet_model/mod.rs
@@ -0,0 +1,348 @@
+//! A model of many daemons before the engines of one service, without network: each daemon chooses by its own
+//! view, which the others' digests update, and each engine runs requests in slots and caches prompts.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::collections::VecDeque;
+
+use ggt_core::clock::MonoTime;
+use ggt_core::ident::mix_hash;
+use ggt_core::prompts::PrefixChain;
+use ggt_core::prompts::PromptPart;
+use ggt_core::targets::ChoiceQuery;
+use ggt_core::targets::InFlightLoad;
+use ggt_core::targets::LoadStatement;
+use ggt_core::targets::ReportPace;
+use ggt_core::targets::SendRecord;
+use ggt_core::targets::TargetKey;
+use ggt_core::targets::TargetPool;
+use ggt_core::targets::TargetRecord;
+use ggt_core::versions::SoftwareVersion;
+
+/// Daemons of the fleet.
+pub const DAEMONS: usize = 58;
+/// Engines of the service.
+pub const ENGINES: usize = 90;
+/// Requests that an engine runs at once.
+const SLOTS: u32 = 16;
+/// Milliseconds between two digests of a daemon: 57 peers at 80 datagrams a second.
+const DIGEST_INTERVAL_MS: u64 = 712;
+/// Milliseconds for which a stated load goes before the sum of the reports.
+const STATEMENT_TTL_MS: u64 = DIGEST_INTERVAL_MS / 2;
+/// Maximum number of cached prefixes and of stated loads in a digest.
+const MAX_PREFIXES: usize = 64;
+const MAX_STATED_LOADS: usize = 24;
+/// Prompt tokens that an engine prefills per millisecond.
+const PREFILL_TOKENS_PER_MS: f64 = 112.0;
+/// Requests that callers send at the same moment.
+const CLUMP: usize = 3;
+/// Milliseconds for one output token at an idle engine, and how much each running request adds to it.
+const STEP_MS: f64 = 3.23;
+const STEP_GROWTH: f64 = 0.02;
+
+/// A class of requests.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestClass {
+    pub per_second: f64,
+    pub shared_tokens: u32,
+    pub own_tokens: u32,
+    pub output_tokens: u32,
+    /// Number of different shared prefixes.
+    pub subjects: u64,
+    pub goal_ms: u64,
+    pub priority: u32,
+}
+
+/// The requests of one span of time.
+#[derive(Clone, Copy, Debug)]
+pub struct TrafficPhase {
+    pub ends_at_ms: u64,
+    /// Factor on the usual rate of all classes.
+    pub factor: f64,
+    /// Share of the last class's requests that have the same shared prefix.
+    pub hot_share: f64,
+}
+
+/// A request as it reached an engine.
+#[derive(Clone, Copy, Debug)]
+pub struct ArrivalRecord {
+    pub at_ms: u64,
+    /// Requests that the engine held, and their mean over all engines.
+    pub held: u32,
+    pub mean: f64,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum ModelEvent {
+    Caller,
+    Arrival(usize),
+    Started(usize),
+    Ended(usize),
+    Digest(usize),
+}
+
+struct ModelRequest {
+    daemon: usize,
+    engine: usize,
+    chain: PrefixChain,
+    output_tokens: u32,
+    key: TargetKey,
+    record: SendRecord,
+}
+
+#[derive(Default)]
+struct ModelEngine {
+    running: u32,
+    waiting: VecDeque<usize>,
+    cached: HashSet<u64>,
+}
+
+impl ModelEngine {
+    fn held(&self) -> u32 {
+        self.running + self.waiting.len() as u32
+    }
+}
+
+/// The fleet, its engines and what is under way.
+pub struct FleetModel {
+    classes: Vec<RequestClass>,
+    phases: Vec<TrafficPhase>,
+    pools: Vec<TargetPool>,
+    engines: Vec<ModelEngine>,
+    numbers: HashMap<TargetKey, usize>,
+    reported: Vec<HashMap<u32, InFlightLoad>>,
+    stated: Vec<HashMap<u32, LoadStatement>>,
+    requests: Vec<ModelRequest>,
+    events: BinaryHeap<Reverse<(u64, u64, ModelEvent)>>,
+    sequence: u64,
+    random: u64,
+    arrivals: Vec<ArrivalRecord>,
+    refused: usize,
+}
+
+fn at(micros: u64) -> MonoTime {
+    MonoTime::from_millis(100_000 + micros / 1_000)
+}
+
+impl FleetModel {
+    /// A fleet at rest.
+    pub fn new(classes: &[RequestClass], phases: &[TrafficPhase], seed: u64) -> Self {
+        let mut pool = TargetPool::default();
+        for number in 0..ENGINES {
+            pool.put(TargetRecord {
+                id: format!("t{number}"),
+                incarnation: 1,
+                service: "engines".to_owned(),
+                address: ([10, 0, 1, number as u8], 8_000).into(),
+                data_centre: ["a", "b", "c"][number % 3].to_owned(),
+                version: SoftwareVersion::named("v1"),
+                slots: SLOTS,
+                is_leaving: false,
+            });
+        }
+        pool.set_report_pace(ReportPace { peers: DAEMONS - 1, interval_ms: DIGEST_INTERVAL_MS });
+        let keys: Vec<_> = pool.of_service("engines").to_vec();
+        let numbers = keys.iter().enumerate().map(|(number, key)| (*key, number)).collect();
+        let mut model = Self {
+            classes: classes.to_vec(),
+            phases: phases.to_vec(),
+            pools: vec![pool; DAEMONS],
+            engines: (0..ENGINES).map(|_| ModelEngine::default()).collect(),
+            numbers,
+            reported: vec![HashMap::new(); DAEMONS],
+            stated: vec![HashMap::new(); DAEMONS],
+            requests: Vec::new(),
+            events: BinaryHeap::new(),
+            sequence: 0,
+            random: seed,
+            arrivals: Vec::new(),
+            refused: 0,
+        };
+        model.schedule(0, ModelEvent::Caller);
+        for daemon in 0..DAEMONS {
+            let phase = (model.unit() * DIGEST_INTERVAL_MS as f64 * 1_000.0) as u64;
+            model.schedule(phase, ModelEvent::Digest(daemon));
+        }
+        model
+    }
+
+    /// Plays all phases; returns the requests that reached engines, and how many were refused.
+    pub fn play(mut self) -> (Vec<ArrivalRecord>, usize) {
+        let ends_at = self.phases.last().map_or(0, |phase| phase.ends_at_ms) * 1_000;
+        while let Some(Reverse((micros, _, event))) = self.events.pop() {
+            if micros >= ends_at {
+                break;
+            }
+            match event {
+                ModelEvent::Caller => self.receive(micros),
+                ModelEvent::Arrival(request) => self.arrive(request, micros),
+                ModelEvent::Started(request) => self.start(request, micros),
+                ModelEvent::Ended(request) => self.end(request, micros),
+                ModelEvent::Digest(daemon) => self.send_digest(daemon, micros),
+            }
+        }
+        (self.arrivals, self.refused)
+    }
+
+    fn schedule(&mut self, micros: u64, event: ModelEvent) {
+        self.sequence += 1;
+        self.events.push(Reverse((micros, self.sequence, event)));
+    }
+
+    fn unit(&mut self) -> f64 {
+        self.random = mix_hash(self.random, 1);
+        ((self.random >> 11) as f64 + 0.5) / (1_u64 << 53) as f64
+    }
+
+    /// Several callers' requests reach daemons at once.
+    fn receive(&mut self, micros: u64) {
+        let phase = self.phases.iter().find(|phase| micros < phase.ends_at_ms * 1_000);
+        let Some(phase) = phase.copied() else { return };
+        let per_second: f64 = self.classes.iter().map(|class| class.per_second).sum();
+        let gap_ms = -self.unit().ln() * 1_000.0 / (per_second * phase.factor) * CLUMP as f64;
+        self.schedule(micros + (gap_ms * 1_000.0) as u64, ModelEvent::Caller);
+        (0..CLUMP).for_each(|_| self.send(phase, per_second, micros));
+    }
+
+    /// A daemon sends a caller's request to an engine.
+    fn send(&mut self, phase: TrafficPhase, per_second: f64, micros: u64) {
+        let mut point = self.unit() * per_second;
+        let mut is_beyond = |class: &RequestClass| {
+            point -= class.per_second;
+            point >= 0.0
+        };
+        let number = self.classes.iter().take_while(|class| is_beyond(class)).count();
+        let number = number.min(self.classes.len() - 1);
+        let class = self.classes[number];
+        let is_hot = number + 1 == self.classes.len() && self.unit() < phase.hot_share;
+        let drawn = 1 + (self.unit() * class.subjects as f64) as u64;
+        let subject = if is_hot { 0 } else { drawn };
+        let daemon = (self.unit() * DAEMONS as f64) as usize;
+        let id = self.requests.len() as u64;
+        let part = |hash, tokens| PromptPart { hash, tokens };
+        let chain = PrefixChain::new(
+            "m",
+            &[
+                part(mix_hash(number as u64, subject), class.shared_tokens),
+                part(mix_hash(1 << 40, id), class.own_tokens),
+            ],
+        );
+        let query = ChoiceQuery {
+            service: "engines",
+            chain: Some(&chain),
+            spread_hash: mix_hash(id, 7),
+            goal_ms: class.goal_ms,
+            priority: class.priority,
+            data_centre: ["a", "b", "c"][daemon % 3],
+            tried: &[],
+            may_have_run: false,
+            is_idempotent: true,
+            silent_since: None,
+            version: None,
+        };
+        let pool = &mut self.pools[daemon];
+        let Ok(choice) = pool.choose(&query, at(micros)) else {
+            self.refused += 1;
+            return;
+        };
+        let record = pool.record_send(choice.key, &chain, choice.source.is_some(), at(micros));
+        let engine = self.numbers[&choice.key];
+        let key = choice.key;
+        let output_tokens = class.output_tokens;
+        self.requests.push(ModelRequest { daemon, engine, chain, output_tokens, key, record });
+        self.schedule(micros + 2_000, ModelEvent::Arrival(id as usize));
+    }
+
+    fn arrive(&mut self, request: usize, micros: u64) {
+        let engine = self.requests[request].engine;
+        let held: u32 = self.engines.iter().map(ModelEngine::held).sum();
+        self.arrivals.push(ArrivalRecord {
+            at_ms: micros / 1_000,
+            held: self.engines[engine].held(),
+            mean: f64::from(held) / ENGINES as f64,
+        });
+        match self.engines[engine].running < SLOTS {
+            true => self.run(request, micros),
+            false => self.engines[engine].waiting.push_back(request),
+        }
+    }
+
+    fn run(&mut self, request: usize, micros: u64) {
+        let ModelRequest { engine, ref chain, output_tokens, .. } = self.requests[request];
+        let engine = &mut self.engines[engine];
+        engine.running += 1;
+        let uncached =
+            chain.prefixes().iter().filter(|prefix| !engine.cached.contains(&prefix.hash));
+        let uncached: u32 = uncached.map(|prefix| prefix.tokens).sum();
+        engine.cached.extend(chain.prefixes().iter().map(|prefix| prefix.hash));
+        let prefill_ms = f64::from(uncached) / PREFILL_TOKENS_PER_MS;
+        let step_ms = STEP_MS * (1.0 + STEP_GROWTH * f64::from(engine.running));
+        let total_ms = prefill_ms + step_ms * f64::from(output_tokens);
+        let micros_of = |ms: f64| micros + (ms * 1_000.0) as u64;
+        let (started_at, ended_at) = (micros_of(prefill_ms + step_ms), micros_of(total_ms));
+        self.schedule(started_at, ModelEvent::Started(request));
+        self.schedule(ended_at.max(started_at), ModelEvent::Ended(request));
+    }
+
+    /// The first event of the reply, whose head states the engine's load.
+    fn start(&mut self, request: usize, micros: u64) {
+        let ModelRequest { daemon, engine, key, ref record, .. } = self.requests[request];
+        let pool = &mut self.pools[daemon];
+        pool.record_prefill(key, record.backlog_tokens);
+        let requests = self.engines[engine].held();
+        let statement = LoadStatement { requests, stated_at: at(micros) };
+        pool.apply_load(key, statement, STATEMENT_TTL_MS);
+        if let Some(hash) = pool.target(key).map(|state| state.short_hash) {
+            self.stated[daemon].insert(hash, statement);
+        }
+    }
+
+    fn end(&mut self, request: usize, micros: u64) {
+        let ModelRequest { daemon, engine, key, ref record, .. } = self.requests[request];
+        let pool = &mut self.pools[daemon];
+        pool.record_end(key);
+        pool.record_slot_time(key, record.load, at(micros).millis_since(record.sent_at));
+        self.engines[engine].running -= 1;
+        if let Some(next) = self.engines[engine].waiting.pop_front() {
+            self.run(next, micros);
+        }
+    }
+
+    fn send_digest(&mut self, daemon: usize, micros: u64) {
+        let pause_ms = DIGEST_INTERVAL_MS as f64 * (1.0 + self.unit() / 5.0);
+        self.schedule(micros + (pause_ms * 1_000.0) as u64, ModelEvent::Digest(daemon));
+        let now = at(micros);
+        let pool = &mut self.pools[daemon];
+        let prefixes = pool.recent_prefixes(MAX_PREFIXES);
+        let busy = pool.iter().filter(|(_, state)| state.own.requests > 0);
+        let loads: HashMap<_, _> = busy.map(|(_, state)| (state.short_hash, state.own)).collect();
+        let before = std::mem::replace(&mut self.reported[daemon], loads.clone());
+        let stated = &mut self.stated[daemon];
+        stated.retain(|_, statement| now < statement.stated_at + STATEMENT_TTL_MS);
+        let mut statements: Vec<_> = stated.iter().map(|(hash, stated)| (*hash, *stated)).collect();
+        statements.sort_by_key(|(hash, statement)| (Reverse(statement.stated_at), *hash));
+        statements.truncate(MAX_STATED_LOADS);
+        let hashes: HashSet<_> = before.keys().chain(loads.keys()).copied().collect();
+        let load_of = |loads: &HashMap<u32, InFlightLoad>, hash| {
+            loads.get(&hash).copied().unwrap_or_default()
+        };
+        for (number, pool) in self.pools.iter_mut().enumerate() {
+            if number == daemon {
+                continue;
+            }
+            for hash in &hashes {
+                pool.replace_peer_load(*hash, load_of(&before, *hash), load_of(&loads, *hash));
+            }
+            for (prefix, target) in &prefixes {
+                pool.record_peer_prefix(*target, *prefix, now);
+            }
+            for (hash, statement) in &statements {
+                if let Some(key) = pool.by_short_hash(*hash) {
+                    pool.apply_load(key, *statement, STATEMENT_TTL_MS);
+                }
+            }
+        }
+    }
+}
