fix: a popular prefix goes to as many targets as have room for what all daemons send until they hear of it

Cause: between two digests (0.7 s at 58 daemons) no daemon knows what the others send. All of them sent requests with the popular prefix to the engines that had it and room by their last views: as soon as most of these looked full, all to the one or two that did not, 150 to 400 requests a second, until the next digests; then to the next.

Change: each daemon counts its own sends by prefix over 2 s. Times the other daemons and the interval of their digests, that is what all of them send until it hears of them. A request goes to one of the targets with the prefix at random in proportion to their room; if their room is less than that demand, the next targets of the prefix's rendezvous order, which all daemons share, are added until it is enough. So each gets about as much as it has room for, whatever the others do. The part of the choice that concerns prompts has a module of its own, placement.rs.

--- a/ggt-core/src/targets/choice.rs
+++ b/ggt-core/src/targets/choice.rs
@@ -14,6 +14,8 @@
 use crate::targets::candidates::of_version;
 use crate::targets::candidates::without_unlisted;
 use crate::targets::fragile::has_place;
+use crate::targets::placement::PlacementBounds;
+use crate::targets::placement::choose_by_prefix;
 use crate::versions::SoftwareVersion;
 
 /// Inputs of the choice of a target.
@@ -135,23 +137,14 @@
 const LOAD_FACTOR: f64 = 1.25;
 /// Requests added to that bound, so that it does not restrict a nearly idle service.
 const LOAD_SLACK: f64 = 1.0;
-/// Factor by which the load of a target may exceed the mean when it has the shared prefix cached.
-const CACHED_LOAD_FACTOR: f64 = 1.5;
-/// Requests added to the bound for cached prefixes.
-const CACHED_LOAD_SLACK: f64 = 2.0;
 /// Uncached prompt tokens that count as much as one running request.
 const PREFILL_TOKENS_PER_REQUEST: f64 = 4_000.0;
 /// Prompt tokens that an engine prefills per millisecond.
 pub(super) const PREFILL_TOKENS_PER_MS: f64 = 100.0;
 /// Prompt tokens from which on a copy from another target's cache is faster than prefill.
 const MIN_COPY_TOKENS: u32 = 512;
-/// Fraction of the latency objective for which a request may wait for the prefill backlog of a
-/// target with its prefix cached; beyond it, another target prefills the prefix anew.
-const MAX_WAIT_FRACTION: f64 = 0.4;
 /// Weight of targets in the daemon's own data centre relative to equally free ones elsewhere.
 const OWN_CENTRE_WEIGHT: f64 = 8.0;
-/// Minimum room below the load bound, in requests, that is assumed for a target with the prefix cached.
-const MIN_ROOM: f64 = 0.5;
 /// Minimum free fraction assumed for a target, so that even a busy one is chosen now and then.
 const MIN_FREE_FRACTION: f64 = 0.02;
 
@@ -160,8 +153,9 @@
     ///
     /// A prompt goes to a target that has its shared prefix cached, within a load bound; less loaded
     /// ones are preferred. If there is none, it goes to the first target within the bound in the prefix's
-    /// rendezvous order, which is the same on all daemons, so that a popular prefix spreads over as
-    /// many targets as its load needs. Requests without a prompt are spread by free slots.
+    /// rendezvous order, which is the same on all daemons. If the targets with a popular prefix have too
+    /// little room for what all daemons send until they hear of each other, the next ones in that order
+    /// are chosen, too. Requests without a prompt are spread by free slots.
     ///
     /// # Errors
     /// [`ChoiceError`] when no target is usable, or all are at capacity.
@@ -237,15 +231,14 @@
             return Ok(TargetChoice { figures, ..choice });
         };
         let unreported = self.unreported_requests(anchor.hash, now);
+        let bounds = PlacementBounds { mean, uncached: bound, unreported };
+        let choice = choose_by_prefix(&with_capacity, query, anchor.hash, bounds, now);
         let cached_at = usable.iter().filter(|(_, state)| state.has_cached(anchor.hash)).count();
         let figures = ChoiceFigures { cached_at, unreported, ..figures };
-        let cached_bound = CACHED_LOAD_FACTOR * mean + CACHED_LOAD_SLACK;
-        let cached = choose_cached(&with_capacity, query, anchor.hash, cached_bound, now);
-        if let Some(choice) = cached {
-            return Ok(TargetChoice { figures, ..choice });
-        }
-        let choice = choose_in_order(&with_capacity, anchor.hash, bound, now);
-        let source = self.copy_source(query, anchor, choice.key, now);
+        let source = match choice.reason {
+            ChoiceReason::Cached => None,
+            _ => self.copy_source(query, anchor, choice.key, now),
+        };
         Ok(TargetChoice { source, figures, ..choice })
     }
 }
@@ -323,68 +316,6 @@
     })
 }
 
-/// A target at random among those that have the shared prefix cached, are within the load bound and have a
-/// short prefill backlog, in proportion to the square of the room below the bound.
-///
-/// Loads are as old as the digests of the peers. If all daemons chose the least loaded target, it would get
-/// all requests with the prefix until the next digests.
-fn choose_cached(
-    usable: &[(TargetKey, &TargetState)],
-    query: &ChoiceQuery<'_>,
-    anchor: u64,
-    cached_bound: f64,
-    now: MonoTime,
-) -> Option<TargetChoice> {
-    let max_wait_ms = MAX_WAIT_FRACTION * query.goal_ms as f64;
-    let is_within_limits = |state: &TargetState| {
-        f64::from(state.requests(now)) + 1.0 <= cached_bound
-            && f64::from(state.backlog_tokens()) / PREFILL_TOKENS_PER_MS <= max_wait_ms
-    };
-    let candidates =
-        usable.iter().filter(|(_, state)| state.has_cached(anchor) && is_within_limits(state));
-    let score = |state: &TargetState| {
-        let room = (cached_bound - load_of(state, now)).max(MIN_ROOM);
-        rendezvous_score(query.spread_hash, state.location_hash, room * room)
-    };
-    let chosen = candidates.max_by(|(_, a), (_, b)| score(a).total_cmp(&score(b)));
-    chosen.map(|(key, state)| TargetChoice {
-        key: *key,
-        reason: ChoiceReason::Cached,
-        load: load_of(state, now),
-        bound: cached_bound,
-        source: None,
-        figures: ChoiceFigures::default(),
-    })
-}
-
-/// The first target in the prefix's rendezvous order that is within the load bound, or the least
-/// loaded one if there is none.
-fn choose_in_order(
-    usable: &[(TargetKey, &TargetState)],
-    anchor: u64,
-    bound: f64,
-    now: MonoTime,
-) -> TargetChoice {
-    let mut order: Vec<_> = usable
-        .iter()
-        .map(|(key, state)| {
-            (rendezvous_score(anchor, state.location_hash, 1.0), *key, load_of(state, now))
-        })
-        .collect();
-    order.sort_by(|a, b| b.0.total_cmp(&a.0));
-    let within_bound = order.iter().position(|(_, _, load)| load + 1.0 <= bound);
-    let (position, reason) = match within_bound {
-        Some(0) => (0, ChoiceReason::Home),
-        Some(position) => (position, ChoiceReason::Spill),
-        None => {
-            let least = order.iter().enumerate().min_by(|a, b| a.1.2.total_cmp(&b.1.2));
-            (least.map_or(0, |(position, _)| position), ChoiceReason::Least)
-        }
-    };
-    let (_, key, load) = order[position];
-    TargetChoice { key, reason, load, bound, source: None, figures: ChoiceFigures::default() }
-}
-
 /// A target at random, in proportion to the square of its free slots.
 ///
 /// If all daemons chose the least loaded target, they would overload it together until the next
@@ -418,6 +349,6 @@
 }
 
 /// Load in requests, with the prefill backlog converted to requests.
-fn load_of(state: &TargetState, now: MonoTime) -> f64 {
+pub(super) fn load_of(state: &TargetState, now: MonoTime) -> f64 {
     f64::from(state.requests(now)) + f64::from(state.backlog_tokens()) / PREFILL_TOKENS_PER_REQUEST
 }
--- a/ggt-core/src/targets/mod.rs
+++ b/ggt-core/src/targets/mod.rs
@@ -10,6 +10,7 @@
 mod closing;
 mod fragile;
 mod health;
+mod placement;
 mod pool;
 mod prefix_rates;
 mod prefixes;
