fix: front: a planned stop takes nothing that may run once only and would outlast it, and answers what it cuts

Possible here: the listener stays open for 2.8 s, a request was taken whatever its deadline, also one whose body came in late, and at the end of the grace time the process ended with what was in flight; the log said that the callers had left.

Change: while it drains a daemon refuses a one-time request whose deadline lies after its end (503, not run, with retry-after); once it has closed its listener, any request whose deadline does. 200 ms before it ends, requests in flight get a final response: 502 if a send has begun, else 503, and streams end visibly incomplete; event=cut tells how many. The same holds for requests that peers forwarded. Repeatable requests and streams are still taken while callers have not noticed the stop: nearly all of them end in time, and callers can repeat the rest.

--- a/ggt-daemon/src/edge/handle.rs
+++ b/ggt-daemon/src/edge/handle.rs
@@ -33,6 +33,8 @@
     Closed,
     /// Each connection is closed once it has no request in progress.
     Ending,
+    /// Requests that are still in progress are ended.
+    Cut,
 }
 
 /// Counts a connection, or a listener, as open until it is dropped.
@@ -65,6 +67,16 @@
         self.phase.send_replace(EdgePhase::Ending);
     }
 
+    /// Ends the requests that are still in progress.
+    pub fn cut(&self) {
+        self.phase.send_replace(EdgePhase::Cut);
+    }
+
+    /// Whether [`EdgeHandle::end`] has been called.
+    pub fn is_ending(&self) -> bool {
+        *self.phase.borrow() >= EdgePhase::Ending
+    }
+
     /// Number of open connections. Once the edge is closed, a listener counts as one until the
     /// connections in its accept queue have been accepted.
     pub fn open_connections(&self) -> usize {
@@ -84,6 +96,11 @@
         self.wait_for_phase(EdgePhase::Ending).await;
     }
 
+    /// Waits until [`EdgeHandle::cut`] is called.
+    pub async fn wait_for_cut(&self) {
+        self.wait_for_phase(EdgePhase::Cut).await;
+    }
+
     async fn wait_for_phase(&self, phase: EdgePhase) {
         // Cannot fail, as `self` holds the sender.
         let _ = self.phase.subscribe().wait_for(|current| *current >= phase).await;
--- a/ggt-daemon/src/front/attempt/forward.rs
+++ b/ggt-daemon/src/front/attempt/forward.rs
@@ -65,6 +65,7 @@
         let sent_at = mono_now();
         // What happens at the peer says nothing about the target of an earlier send.
         self.sent_target = None;
+        self.job.has_begun_send.set(true);
         let outcome = send_to_peer(&self.state, peer, &self.job, &forwarded).await;
         let after_ms = mono_now().millis_since(sent_at);
         let log = |outcome: &'static str, cause: &str| {
--- a/ggt-daemon/src/front/attempt/send.rs
+++ b/ggt-daemon/src/front/attempt/send.rs
@@ -268,6 +268,7 @@
         let request = self.build_request(choice, last_event)?;
         let deadline = self.job.deadline;
         self.sends += 1;
+        self.job.has_begun_send.set(true);
         // A task of its own, so that the exchange goes on while another target is tried.
         let handle = spawn_local(async move {
             let sent = connection.send(request, deadline).await;
--- a/ggt-daemon/src/front/callers.rs
+++ b/ggt-daemon/src/front/callers.rs
@@ -27,13 +27,12 @@
 use crate::clock::mono_now;
 use crate::edge::ConnectionGuard;
 use crate::edge::accept_connections;
-use crate::front::buffered::serve_buffered;
 use crate::front::job::JobGuard;
 use crate::front::prepare::prepare_job;
 use crate::front::response::FrontRefusal;
 use crate::front::response::ResponseBody;
 use crate::front::state::FrontState;
-use crate::front::stream::serve_stream;
+use crate::front::stopping::serve_job;
 use crate::logging::quoted;
 use ggt_core::routes::CallerLimits;
 use ggt_platform::ATTEMPT_HEADER;
@@ -132,11 +131,7 @@
         }
     };
     state.record_request(&job.service);
-    if job.route.is_stream {
-        serve_stream(&state, job, guard).await
-    } else {
-        serve_buffered(&state, job, &guard).await
-    }
+    serve_job(&state, job, guard).await
 }
 
 async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, FrontRefusal> {
--- a/ggt-daemon/src/front/forward/serve.rs
+++ b/ggt-daemon/src/front/forward/serve.rs
@@ -25,7 +25,6 @@
 use crate::clock::mono_now;
 use crate::edge::ConnectionGuard;
 use crate::edge::accept_connections;
-use crate::front::buffered::serve_buffered;
 use crate::front::internal::respond;
 use crate::front::job::FrontJob;
 use crate::front::job::JobGuard;
@@ -34,7 +33,7 @@
 use crate::front::response::RefusalNote;
 use crate::front::response::ResponseBody;
 use crate::front::state::FrontState;
-use crate::front::stream::serve_stream;
+use crate::front::stopping::serve_job;
 use crate::logging::quoted;
 use ggt_core::clock::MonoTime;
 use ggt_platform::parse_request_headers;
@@ -48,8 +47,6 @@
 /// Maximum size in bytes of a forwarded request's body; the forwarding daemon has applied the configured
 /// limit.
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
-/// `retry-after` in milliseconds of a daemon that drains.
-const DRAINING_RETRY_MS: u64 = 200;
 
 /// Serves the port for peers until the edge is closed.
 pub async fn serve_peers(state: Rc<FrontState>, listener: TcpListener) {
@@ -127,10 +124,7 @@
         job.version,
         job.remaining_ms(),
     );
-    let response = match job.route.is_stream {
-        true => serve_stream(state, job.clone(), guard).await,
-        false => serve_buffered(state, job.clone(), &guard).await,
-    };
+    let response = serve_job(state, job.clone(), guard).await;
     add_reply_header(response, Some(&job))
 }
 
@@ -140,8 +134,8 @@
     body: Incoming,
     received_at: MonoTime,
 ) -> Result<FrontJob, FrontRefusal> {
-    if state.is_draining() {
-        return Err(FrontRefusal::not_run("draining", DRAINING_RETRY_MS));
+    if let Some(refusal) = state.draining_refusal() {
+        return Err(refusal);
     }
     let forwarded = take_envelope(parts)
         .ok_or(FrontRefusal::new(StatusCode::BAD_REQUEST, "malformed-header"))?;
--- a/ggt-daemon/src/front/job.rs
+++ b/ggt-daemon/src/front/job.rs
@@ -52,6 +52,8 @@
     pub received_at: MonoTime,
     /// The earlier of the caller's deadline and the route's timeout.
     pub deadline: MonoTime,
+    /// Whether a send to a target or a peer has begun.
+    pub has_begun_send: Cell<bool>,
 }
 
 impl FrontJob {
@@ -71,6 +73,12 @@
         Some(StreamKey::new(customer, &self.service, first_attempt))
     }
 
+    /// Whether the request may have been sent to a target, by this daemon or by the one that forwarded it.
+    pub fn may_have_been_sent(&self) -> bool {
+        let may_have_run = self.handover.as_ref().is_some_and(|handover| handover.may_have_run);
+        self.has_begun_send.get() || may_have_run
+    }
+
     /// Milliseconds until the deadline.
     pub fn remaining_ms(&self) -> u64 {
         self.deadline.millis_since(mono_now())
--- a/ggt-daemon/src/front/mod.rs
+++ b/ggt-daemon/src/front/mod.rs
@@ -32,6 +32,7 @@
 mod settings;
 mod settings_change;
 mod state;
+mod stopping;
 mod store;
 mod stream;
 mod warmup;
--- a/ggt-daemon/src/front/prepare.rs
+++ b/ggt-daemon/src/front/prepare.rs
@@ -77,6 +77,7 @@
         handover: None,
         received_at,
         deadline: received_at + wait_ms,
+        has_begun_send: Cell::new(false),
         headers,
     })
 }
@@ -161,6 +162,7 @@
         handover: None,
         received_at,
         deadline: received_at + forwarded.remaining_ms,
+        has_begun_send: Cell::new(false),
         headers,
     })
 }
--- a/ggt-daemon/src/front/run.rs
+++ b/ggt-daemon/src/front/run.rs
@@ -45,6 +45,9 @@
 const DRAIN_ANNOUNCE_MS: u64 = 2_800;
 /// Milliseconds before the end of the grace period at which the process exits.
 const GRACE_MARGIN_MS: u64 = 150;
+/// Milliseconds before the exit at which the requests still in flight are ended, so that their callers get a
+/// final response.
+const CUT_MARGIN_MS: u64 = 200;
 /// Interval at which a stopping daemon checks its open connections.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// Interval at which the settings file is read again.
@@ -150,13 +153,14 @@
 ///
 /// First the daemon only reports that it is not ready and continues to serve, since the platform
 /// and the callers notice with a delay. Then it closes its listener and idle connections, and waits
-/// for the requests in flight.
+/// for the requests in flight. Those that outlast the grace period get a final response.
 async fn shut_down(state: &FrontState) {
     let grace_ms = state.settings().grace_ms();
     let stopped_at = mono_now();
     let deadline = stopped_at + grace_ms.saturating_sub(GRACE_MARGIN_MS);
+    let cut_at = stopped_at + grace_ms.saturating_sub(GRACE_MARGIN_MS + CUT_MARGIN_MS);
     let mut announcement = RunningTimer::new(DRAIN_ANNOUNCE_MS.min(grace_ms / 2), stopped_at);
-    state.start_draining();
+    state.start_draining(cut_at);
     log::info!(
         "event=stop in_flight={} connections={}",
         state.in_flight.get(),
@@ -169,6 +173,13 @@
     // Connections already in the listener's backlog are served before idle ones are closed.
     sleep(DRAIN_CHECK_INTERVAL).await;
     state.edge.end();
+    while mono_now() < cut_at && state.edge.open_connections() > 0 {
+        sleep(DRAIN_CHECK_INTERVAL).await;
+    }
+    if state.in_flight.get() > 0 {
+        log::warn!("event=cut in_flight={}", state.in_flight.get());
+    }
+    state.edge.cut();
     while mono_now() < deadline && state.edge.open_connections() > 0 {
         sleep(DRAIN_CHECK_INTERVAL).await;
     }
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -155,7 +155,8 @@
     pub(super) route_config: RefCell<Option<Rc<RouteConfig>>>,
     /// Requests and retries of each service.
     pub(super) retry_windows: RefCell<HashMap<String, RetryWindow>>,
-    is_draining: Cell<bool>,
+    /// Until when requests in flight may go on; `None` unless the daemon is shutting down.
+    pub drain_ends_at: Cell<Option<MonoTime>>,
     /// When the platform was last unreachable.
     pub(super) outage: Cell<PlatformOutage>,
     /// Whether changes are received from the platform itself.
@@ -211,7 +212,7 @@
             config: RefCell::default(),
             route_config: RefCell::default(),
             retry_windows: RefCell::default(),
-            is_draining: Cell::new(false),
+            drain_ends_at: Cell::default(),
             outage: Cell::default(),
             watching: Cell::default(),
             behind: Cell::default(),
@@ -253,17 +254,6 @@
         self.has_heard_peer.get() || mono_now() >= self.started_at + PEER_WAIT_MS
     }
 
-    /// Whether the daemon is shutting down.
-    pub fn is_draining(&self) -> bool {
-        self.is_draining.get()
-    }
-
-    /// Starts the shutdown: the daemon reports that it is not ready, and responses close their
-    /// connections.
-    pub fn start_draining(&self) {
-        self.is_draining.set(true);
-    }
-
     /// Sets whether this daemon receives changes from the platform itself.
     pub fn set_watching(&self, is_watching: bool) {
         self.watching.set(is_watching);
--- a/ggt-daemon/src/front/stream.rs
+++ b/ggt-daemon/src/front/stream.rs
@@ -26,6 +26,7 @@
 use crate::front::response::StreamInterrupted;
 use crate::front::response::forwarded_response;
 use crate::front::state::FrontState;
+use crate::front::stopping::DRAINING_CAUSE;
 use ggt_core::events::EventAction;
 use ggt_core::events::EventOrder;
 use ggt_core::events::EventSplitter;
@@ -52,7 +53,7 @@
 pub async fn serve_stream(
     state: &Rc<FrontState>,
     job: Rc<FrontJob>,
-    guard: JobGuard,
+    guard: Rc<JobGuard>,
 ) -> Response<ResponseBody> {
     let mut relay = StreamRelay::new(state, &job);
     match required_version(state, &job).await {
@@ -76,7 +77,20 @@
     let (status, raw_headers) = (reply.status, reply.raw_headers.clone());
     state.metrics.record_first_event(mono_now().millis_since(job.received_at));
     let (sender, receiver) = channel(MAX_BUFFERED_BATCHES);
-    let task = spawn_local(async move { relay.forward_events(reply, first, sender, guard).await });
+    let state = state.clone();
+    let task = spawn_local(async move {
+        let (cut_sender, cut_guard) = (sender.clone(), guard.clone());
+        tokio::select! {
+            biased;
+            () = relay.forward_events(reply, first, sender, guard) => {}
+            () = state.edge.wait_for_cut() => {
+                let cause = DRAINING_CAUSE;
+                cut_guard.end("broken-off", status.as_u16(), cause);
+                // Without room in the buffer the stream ends with the process, incomplete as well.
+                let _ = cut_sender.try_send(Err(StreamInterrupted { cause }));
+            }
+        }
+    });
     forwarded_response(status, &raw_headers, ResponseBody::Events(receiver, task.abort_handle()))
 }
 
@@ -198,7 +212,7 @@
         first_reply: TargetReply,
         first: ReadOutcome,
         sender: Sender<Result<Bytes, StreamInterrupted>>,
-        guard: JobGuard,
+        guard: Rc<JobGuard>,
     ) {
         let mut reply = first_reply;
         let mut outcome = first;
