--- a/ggt-standin/src/users_platform/server.rs
+++ b/ggt-standin/src/users_platform/server.rs
@@ -39,6 +39,8 @@
     Keep,
     /// It is closed; unread bytes from the client cause a TCP reset.
     Close,
+    /// It is reset, also if all bytes from the client have been read.
+    Reset,
     /// The server crashes: it closes its listener and then all of its connections.
     Crash,
 }
@@ -304,6 +306,11 @@
                 let _ = writer.shutdown(Shutdown::Both);
                 return;
             }
+            AfterResponse::Reset => {
+                // With no time to linger, closing the socket resets the connection.
+                let _ = SockRef::from(&writer).set_linger(Some(Duration::ZERO));
+                return;
+            }
             AfterResponse::Crash => return crash(state),
         }
     }
--- a/ggt-testkit/tests/response_integrity.rs
+++ b/ggt-testkit/tests/response_integrity.rs
@@ -167,6 +167,19 @@
     }
 }
 
+// Guards against a reply whose head broke off and that reaches the caller as a success with an empty or short body.
+#[test]
+fn reply_whose_head_breaks_off_is_no_success() {
+    let fleet = fleet();
+    for cut_down in (0..280).step_by(20) {
+        set_engine_plans(&fleet, &format!("cut_down={cut_down}"));
+        let (prompt, response) = chat(&fleet, 0, cut_down);
+        let Some(response) = response.filter(|response| response.status == 200) else { continue };
+        assert!(!response.is_complete, "cut_down={cut_down}: {}", response.body);
+        assert!(expected(&prompt).starts_with(&response.body), "cut_down={cut_down}");
+    }
+}
+
 #[test]
 fn requests_move_to_another_target_before_the_first_byte() {
     let fleet = fleet();
