fix: a planned stop on the own interface takes no one-time action that would outlast it, and answers what it cuts

Possible here, too: a keyed request was taken whatever its deadline, and at the drain deadline requests without a response ended with their connections.

Change: while a daemon drains it refuses a keyed request whose deadline lies after its end (503 draining, not run unless an earlier submission of the key may have); 200 ms before the drain deadline requests without a response get 502 with the verdict unknown.

--- a/ggt-daemon/src/daemon.rs
+++ b/ggt-daemon/src/daemon.rs
@@ -49,6 +49,9 @@
 const MAX_FETCH_HINTS: usize = 64;
 /// Capacity of the queue of requests to cancel at targets.
 const MAX_CANCELS: usize = 1_024;
+/// Milliseconds before the drain deadline at which requests in flight are ended, so that their callers get a
+/// final response.
+const CUT_MARGIN_MS: u64 = 200;
 /// Poll interval of the shutdown; also the time that remaining tasks get at its end.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval at which expired claims, crash records, idle connections and gossip items are dropped.
@@ -226,7 +229,8 @@
     }
 }
 
-/// Shuts down without aborting requests that end before the drain deadline.
+/// Shuts down without aborting requests that end before the drain deadline. The others get a final response
+/// unless their response has begun.
 ///
 /// The daemon first only announces its departure and still accepts connections, as the balancer
 /// and the callers react with a delay. Then it closes its listener, and finally its idle
@@ -235,25 +239,30 @@
     let timing = &state.settings.timing;
     let mut announce_timer = RunningTimer::new(timing.drain_announce_ms, mono_now());
     let deadline = mono_now() + timing.drain_ms;
+    let cut_at = mono_now() + timing.drain_ms.saturating_sub(CUT_MARGIN_MS);
     state.drain.start();
+    state.drain.set_end(cut_at);
     announce_departure(state);
     log::info!("event=draining in_flight={}", state.drain.count());
-    while !announce_timer.has_ended(mono_now()) && mono_now() < deadline {
+    while !announce_timer.has_ended(mono_now()) && mono_now() < cut_at {
         thread::sleep(DRAIN_CHECK_INTERVAL);
     }
     edge.close();
     // Waits for another `drain_announce_ms`, as the next response on a kept-alive connection carries
     // `connection: close`. Connections that are idle after that are closed.
     let mut idle_timer = RunningTimer::new(timing.drain_announce_ms, mono_now());
-    while !idle_timer.has_ended(mono_now()) && mono_now() < deadline && edge.open_connections() > 0
-    {
+    while !idle_timer.has_ended(mono_now()) && mono_now() < cut_at && edge.open_connections() > 0 {
         thread::sleep(DRAIN_CHECK_INTERVAL);
     }
     edge.end();
-    while mono_now() < deadline && (state.drain.count() > 0 || edge.open_connections() > 0) {
+    while mono_now() < cut_at && (state.drain.count() > 0 || edge.open_connections() > 0) {
         thread::sleep(DRAIN_CHECK_INTERVAL);
     }
     let aborted = state.drain.request_ids();
+    edge.cut();
+    while mono_now() < deadline && edge.open_connections() > 0 {
+        thread::sleep(DRAIN_CHECK_INTERVAL);
+    }
     aborted.iter().for_each(|id| log::warn!("event=cut-by-drain request_id={id}"));
     log::info!("event=stopped cut={}", aborted.len());
     StopOutcome { aborted }
--- a/ggt-daemon/src/edge/listen.rs
+++ b/ggt-daemon/src/edge/listen.rs
@@ -58,6 +58,10 @@
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Path of the load balancer's readiness check.
 const READY_PATH: &str = "/healthz";
+/// Cause of what a shutdown refuses or ends.
+const DRAINING_CAUSE: &str = "draining";
+/// `retry-after` in milliseconds of a daemon that drains; other daemons take the request at once.
+const DRAINING_RETRY_MS: u64 = 200;
 /// Cause of the refusal of a request whose task panicked, which the task has logged.
 const INTERNAL_CAUSE: &str = "internal";
 
@@ -171,7 +175,15 @@
     let own_id = format!("{}-{:x}-{number:x}", state.settings.name, state.incarnation);
     let caller_id = caller_request_id(request.headers()).unwrap_or(&own_id).to_owned();
     let (parts, body) = request.into_parts();
-    match start_request(context, number, [&own_id, &caller_id], &parts, body).await {
+    let started = tokio::select! {
+        biased;
+        started = start_request(context, number, [&own_id, &caller_id], &parts, body) => started,
+        () = context.handle.wait_for_cut() => {
+            let detail = "the daemon ends before the request has a response";
+            Err(Refusal::unknown(502, DRAINING_CAUSE, detail))
+        }
+    };
+    match started {
         Ok(response) => {
             let response = response.map(|body| match body {
                 Some(body) => EdgeBody::Streamed(body, busy_guard),
@@ -222,6 +234,11 @@
         }
     })?;
     let job = prepare_job(state, &config, number, own_id, caller_id, parts, body.to_bytes())?;
+    // Other requests can be repeated if they are cut.
+    if job.key.is_some() && state.drain.ends_before(job.deadline) {
+        let detail = "the daemon ends before the request's deadline";
+        return Err(Refusal::not_run(503, DRAINING_CAUSE, detail).retry_after(DRAINING_RETRY_MS));
+    }
     let (sink, head, body) = response_channel(context.cancels.clone());
     if !context.spawner.submit(job, sink) {
         let detail = "the daemon serves as many requests as it may";
--- a/ggt-daemon/src/lifecycle/mod.rs
+++ b/ggt-daemon/src/lifecycle/mod.rs
@@ -19,6 +19,8 @@
 #[derive(Debug, Default)]
 pub struct DrainState {
     is_draining: AtomicBool,
+    /// When requests in flight are ended; `None` until that is known.
+    ends_at: Mutex<Option<MonoTime>>,
     in_flight: Mutex<BTreeMap<u64, String>>,
 }
 
@@ -40,6 +42,16 @@
         self.is_draining.load(Ordering::SeqCst)
     }
 
+    /// Sets when requests that are still in flight are ended.
+    pub fn set_end(&self, ends_at: MonoTime) {
+        *lock(&self.ends_at) = Some(ends_at);
+    }
+
+    /// Whether the daemon ends requests in flight before this deadline.
+    pub fn ends_before(&self, deadline: MonoTime) -> bool {
+        lock(&self.ends_at).is_some_and(|ends_at| ends_at < deadline)
+    }
+
     /// Registers a request as in flight until the guard is dropped.
     pub fn register(&self, number: u64, request_id: &str) -> InFlightGuard<'_> {
         lock(&self.in_flight).insert(number, request_id.to_owned());
--- a/ggt-testkit/tests/leaving.rs
+++ b/ggt-testkit/tests/leaving.rs
@@ -355,3 +355,37 @@
     assert!(fleet.log(2).contains("event=pause "));
     assert_eq!(started(&fleet, index), before, "the daemon routed by its outdated host list");
 }
+
+// Guards against a planned stop that takes a one-time action and cuts it, and against requests that end without a
+// response when the stop ends.
+#[test]
+fn stop_refuses_one_time_actions_that_would_outlast_it_and_answers_what_it_cuts() {
+    let mut fleet = TestFleet::start(FleetOptions {
+        proxied: true,
+        settings: json!({ "timing": { "drain_ms": 3_000, "drain_announce_ms": 1_500 } }),
+        ..FleetOptions::default()
+    });
+    let engines = fleet.targets_of("intake");
+    for index in &engines {
+        fleet.set_fault_plan(fleet.targets[*index].advertised_address, "stall_down=1");
+    }
+    let unanswered = fleet.request(0, "POST", "/chat?tokens=1").body("x");
+    let caller = thread::spawn(move || unanswered.send());
+    wait_until("an engine has the request", || {
+        engines.iter().any(|index| started(&fleet, *index) > 0)
+    });
+    fleet.terminate_daemon(0);
+    fleet.await_status("the daemon is draining", 0, |status| status["draining"] == true);
+    let filing = |deadline_ms: &str| {
+        let request = fleet.request(0, "POST", "/filings").header("x-deadline-ms", deadline_ms);
+        let request = request.header("idempotency-key", &create_key()).body("a filing");
+        request.send().expect("should respond")
+    };
+    let long = filing("60000");
+    assert_eq!((long.status, long.json()["error"].as_str()), (503, Some("draining")));
+    assert!(long.header("retry-after").is_some(), "says when to come back");
+    assert_eq!(filing("1000").status, 200);
+    let cut = caller.join().expect("should not panic").expect("should respond");
+    assert_eq!((cut.status, cut.verdict()), (502, "unknown"));
+    assert_eq!(fleet.daemon_process(0).wait().code(), Some(3));
+}
