--- a/ggt-core/tests/fleet_model/mod.rs
+++ b/ggt-core/tests/fleet_model/mod.rs
@@ -1,12 +1,18 @@
 //! A model of many daemons before the engines of one service, without network: each daemon chooses by its own
 //! view, which the others' digests update, and each engine runs requests in slots and caches prompts.
 
+mod engine;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::collections::HashMap;
 use std::collections::HashSet;
-use std::collections::VecDeque;
 
+use crate::fleet_model::engine::ModelEngine;
+use crate::fleet_model::engine::RunTimes;
+use crate::fleet_model::engine::SLOTS;
+use crate::pool_fixture::pool_of;
+use crate::pool_fixture::query;
 use ggt_core::clock::MonoTime;
 use ggt_core::ident::mix_hash;
 use ggt_core::prompts::PrefixChain;
@@ -19,28 +25,21 @@
 use ggt_core::targets::TargetKey;
 use ggt_core::targets::TargetPool;
 use ggt_core::targets::TargetRecord;
-use ggt_core::versions::SoftwareVersion;
 
 /// Daemons of the fleet.
 pub const DAEMONS: usize = 58;
 /// Engines of the service.
 pub const ENGINES: usize = 90;
-/// Requests that an engine runs at once.
-const SLOTS: u32 = 16;
 /// Milliseconds between two digests of a daemon: 57 peers at 80 datagrams a second.
 const DIGEST_INTERVAL_MS: u64 = 712;
 /// Milliseconds for which a stated load goes before the sum of the reports.
 const STATEMENT_TTL_MS: u64 = DIGEST_INTERVAL_MS / 2;
-/// Maximum number of cached prefixes and of stated loads in a digest.
+/// Maximum number of cached prefixes in a digest.
 const MAX_PREFIXES: usize = 64;
+/// Maximum number of stated loads in a digest.
 const MAX_STATED_LOADS: usize = 24;
-/// Prompt tokens that an engine prefills per millisecond.
-const PREFILL_TOKENS_PER_MS: f64 = 112.0;
 /// Requests that callers send at the same moment.
 const CLUMP: usize = 3;
-/// Milliseconds for one output token at an idle engine, and how much each running request adds to it.
-const STEP_MS: f64 = 3.23;
-const STEP_GROWTH: f64 = 0.02;
 
 /// A class of requests.
 #[derive(Clone, Copy, Debug)]
@@ -92,19 +91,6 @@
     record: SendRecord,
 }
 
-#[derive(Default)]
-struct ModelEngine {
-    running: u32,
-    waiting: VecDeque<usize>,
-    cached: HashSet<u64>,
-}
-
-impl ModelEngine {
-    fn held(&self) -> u32 {
-        self.running + self.waiting.len() as u32
-    }
-}
-
 /// The fleet, its engines and what is under way.
 pub struct FleetModel {
     classes: Vec<RequestClass>,
@@ -130,20 +116,11 @@
     /// A fleet at rest.
     pub fn new(classes: &[RequestClass], phases: &[TrafficPhase], seed: u64) -> Self {
         let mut pool = TargetPool::default();
-        for number in 0..ENGINES {
-            pool.put(TargetRecord {
-                id: format!("t{number}"),
-                incarnation: 1,
-                service: "engines".to_owned(),
-                address: ([10, 0, 1, number as u8], 8_000).into(),
-                data_centre: ["a", "b", "c"][number % 3].to_owned(),
-                version: SoftwareVersion::named("v1"),
-                slots: SLOTS,
-                is_leaving: false,
-            });
+        for (_, state) in pool_of(ENGINES).iter() {
+            pool.put(TargetRecord { slots: SLOTS, ..state.record.clone() });
         }
         pool.set_report_pace(ReportPace { peers: DAEMONS - 1, interval_ms: DIGEST_INTERVAL_MS });
-        let keys: Vec<_> = pool.of_service("engines").to_vec();
+        let keys: Vec<_> = pool.of_service("s").to_vec();
         let numbers = keys.iter().enumerate().map(|(number, key)| (*key, number)).collect();
         let mut model = Self {
             classes: classes.to_vec(),
@@ -230,17 +207,9 @@
             ],
         );
         let query = ChoiceQuery {
-            service: "engines",
             chain: Some(&chain),
-            spread_hash: mix_hash(id, 7),
             goal_ms: class.goal_ms,
-            priority: class.priority,
-            data_centre: ["a", "b", "c"][daemon % 3],
-            tried: &[],
-            may_have_run: false,
-            is_idempotent: true,
-            silent_since: None,
-            version: None,
+            ..query(class.priority, mix_hash(id, 7))
         };
         let pool = &mut self.pools[daemon];
         let Ok(choice) = pool.choose(&query, at(micros)) else {
@@ -263,27 +232,16 @@
             held: self.engines[engine].held(),
             mean: f64::from(held) / ENGINES as f64,
         });
-        match self.engines[engine].running < SLOTS {
-            true => self.run(request, micros),
-            false => self.engines[engine].waiting.push_back(request),
+        if self.engines[engine].accept(request) {
+            self.run(request, micros);
         }
     }
 
     fn run(&mut self, request: usize, micros: u64) {
         let ModelRequest { engine, ref chain, output_tokens, .. } = self.requests[request];
-        let engine = &mut self.engines[engine];
-        engine.running += 1;
-        let uncached =
-            chain.prefixes().iter().filter(|prefix| !engine.cached.contains(&prefix.hash));
-        let uncached: u32 = uncached.map(|prefix| prefix.tokens).sum();
-        engine.cached.extend(chain.prefixes().iter().map(|prefix| prefix.hash));
-        let prefill_ms = f64::from(uncached) / PREFILL_TOKENS_PER_MS;
-        let step_ms = STEP_MS * (1.0 + STEP_GROWTH * f64::from(engine.running));
-        let total_ms = prefill_ms + step_ms * f64::from(output_tokens);
-        let micros_of = |ms: f64| micros + (ms * 1_000.0) as u64;
-        let (started_at, ended_at) = (micros_of(prefill_ms + step_ms), micros_of(total_ms));
-        self.schedule(started_at, ModelEvent::Started(request));
-        self.schedule(ended_at.max(started_at), ModelEvent::Ended(request));
+        let RunTimes { first_event, end } = self.engines[engine].run(chain, output_tokens);
+        self.schedule(micros + first_event, ModelEvent::Started(request));
+        self.schedule(micros + end, ModelEvent::Ended(request));
     }
 
     /// The first event of the reply, whose head states the engine's load.
@@ -304,8 +262,7 @@
         let pool = &mut self.pools[daemon];
         pool.record_end(key);
         pool.record_slot_time(key, record.load, at(micros).millis_since(record.sent_at));
-        self.engines[engine].running -= 1;
-        if let Some(next) = self.engines[engine].waiting.pop_front() {
+        if let Some(next) = self.engines[engine].end() {
             self.run(next, micros);
         }
     }
--- a/ggt-core/tests/hot_prefix.rs
+++ b/ggt-core/tests/hot_prefix.rs
@@ -1,14 +1,16 @@
 //! Popular prefixes in a fleet whose daemons hear of each other's requests with a delay.
 
 mod fleet_model;
+mod pool_fixture;
 
 use crate::fleet_model::ArrivalRecord;
 use crate::fleet_model::FleetModel;
 use crate::fleet_model::RequestClass;
 use crate::fleet_model::TrafficPhase;
 
-/// Milliseconds over which the rule counts, and in which the model warms up.
+/// Milliseconds over which the users' rule counts.
 const WINDOW_MS: u64 = 5_000;
+/// Milliseconds in which the engines' caches fill.
 const WARM_UP_MS: u64 = 3_000;
 /// The users' rule: so many requests in a window, and so many in a hundred, may not be above the bound.
 const MIN_ABOVE: usize = 20;
