--- a/ggt-daemon/src/edge/listen.rs
+++ b/ggt-daemon/src/edge/listen.rs
@@ -234,7 +234,7 @@
         }
     })?;
     let job = prepare_job(state, &config, number, own_id, caller_id, parts, body.to_bytes())?;
-    // Other requests can be repeated if they are cut.
+    // A one-time action must not be cut; other requests can be repeated.
     if job.key.is_some() && state.drain.ends_before(job.deadline) {
         let detail = "the daemon ends before the request's deadline";
         return Err(Refusal::not_run(503, DRAINING_CAUSE, detail).retry_after(DRAINING_RETRY_MS));
