fix: one earlier send of a daemon is no sign of a popular prefix, and other prefixes are placed as before

Cause: what all daemons send is estimated as this daemon's own sends times the others. At 195 daemons, with digests 2.4 s apart, a single earlier send in 2 s stood for 235 requests, so a prefix that two requests of one caller had brought to the same daemon was spread over a third of the engines, which prefilled it. The model of the test did not show it: its callers choose a daemon at random for each request.

Change: one send less counts; the window covers two intervals of the digests, so that a popular prefix shows at a daemon of a large fleet, too; and while a prefix's targets have room enough, the choice among them is by the square of the room, as it was before.

The model takes the number of daemons.

--- a/ggt-core/src/targets/choice.rs
+++ b/ggt-core/src/targets/choice.rs
@@ -230,7 +230,7 @@
             let choice = choose_by_free_slots(&with_capacity, query, bound, now);
             return Ok(TargetChoice { figures, ..choice });
         };
-        let unreported = self.unreported_requests(anchor.hash, now);
+        let unreported = self.prefix_rates.unreported(anchor.hash, now);
         let bounds = PlacementBounds { mean, uncached: bound, unreported };
         let choice = choose_by_prefix(&with_capacity, query, anchor.hash, bounds, now);
         let cached_at = usable.iter().filter(|(_, state)| state.has_cached(anchor.hash)).count();
--- a/ggt-core/src/targets/placement.rs
+++ b/ggt-core/src/targets/placement.rs
@@ -63,9 +63,11 @@
     }
 }
 
-/// A target at random, in proportion to their room, among those that have the prefix cached and, if these
-/// have too little room for the demand, the next ones in the prefix's rendezvous order; the least loaded one
-/// if all exceed their bounds.
+/// A target at random among those that have the prefix cached or, if there is none, the first one in the
+/// prefix's rendezvous order that is within its bound; the least loaded one if all exceed it.
+///
+/// While the demand exceeds their room, the next ones in that order are added, and each gets requests in
+/// proportion to its room. Otherwise less loaded ones are preferred more than that.
 pub(super) fn choose_by_prefix(
     usable: &[(TargetKey, &TargetState)],
     query: &ChoiceQuery<'_>,
@@ -74,10 +76,11 @@
     now: MonoTime,
 ) -> TargetChoice {
     let mut placements = cached_placements(usable, query, anchor, bounds, now);
-    let mut room: f64 = placements.iter().map(Placement::room).sum();
-    if placements.is_empty() || room < bounds.unreported {
-        let others = ordered_placements(usable, anchor, bounds, now);
-        for other in others {
+    let cached_room: f64 = placements.iter().map(Placement::room).sum();
+    let is_popular = cached_room < bounds.unreported;
+    if placements.is_empty() || is_popular {
+        let mut room = cached_room;
+        for other in ordered_placements(usable, anchor, bounds, now) {
             if placements.iter().any(|placement| placement.key == other.key) {
                 continue;
             }
@@ -88,8 +91,10 @@
             }
         }
     }
+    let weight = |room: f64| if is_popular { room } else { room * room };
     let score = |placement: &Placement<'_>| {
-        rendezvous_score(query.spread_hash, placement.state.location_hash, placement.room())
+        let weight = weight(placement.room());
+        rendezvous_score(query.spread_hash, placement.state.location_hash, weight)
     };
     let chosen = placements.iter().max_by(|a, b| score(a).total_cmp(&score(b)));
     chosen.map_or_else(|| least_loaded(usable, bounds, now), Placement::choice)
--- a/ggt-core/src/targets/pool.rs
+++ b/ggt-core/src/targets/pool.rs
@@ -144,8 +144,7 @@
     /// come.
     pub(super) prefix_queue: VecDeque<(u32, u32, u8)>,
     /// How often this daemon sends requests with each prefix by which targets are chosen.
-    prefix_rates: PrefixRates,
-    report_pace: ReportPace,
+    pub(super) prefix_rates: PrefixRates,
     pub(super) admissions: HashMap<String, ServiceAdmission>,
     /// What targets said about the rejections that they stand, by service.
     pub(super) fragilities: HashMap<String, ServiceFragility>,
@@ -341,14 +340,7 @@
 
     /// Sets how the other daemons report what they send.
     pub fn set_report_pace(&mut self, pace: ReportPace) {
-        self.report_pace = pace;
-    }
-
-    /// Requests with this prefix that the other daemons are expected to send until this daemon hears of
-    /// them: callers are spread over the daemons, so each sends about as many as this one.
-    pub(super) fn unreported_requests(&self, prefix: u64, now: MonoTime) -> f64 {
-        let ReportPace { peers, interval_ms } = self.report_pace;
-        self.prefix_rates.per_ms(prefix, now) * interval_ms as f64 * peers as f64
+        self.prefix_rates.set_pace(pace);
     }
 
     /// Records that a target has prefilled this many tokens of a request's prompt.
--- a/ggt-core/tests/fleet_model/mod.rs
+++ b/ggt-core/tests/fleet_model/mod.rs
@@ -26,14 +26,10 @@
 use ggt_core::targets::TargetPool;
 use ggt_core::targets::TargetRecord;
 
-/// Daemons of the fleet.
-pub const DAEMONS: usize = 58;
 /// Engines of the service.
 pub const ENGINES: usize = 90;
-/// Milliseconds between two digests of a daemon: 57 peers at 80 datagrams a second.
-const DIGEST_INTERVAL_MS: u64 = 712;
-/// Milliseconds for which a stated load goes before the sum of the reports.
-const STATEMENT_TTL_MS: u64 = DIGEST_INTERVAL_MS / 2;
+/// Datagrams that a daemon sends in a second.
+const SENDS_PER_SECOND: u64 = 80;
 /// Maximum number of cached prefixes in a digest.
 const MAX_PREFIXES: usize = 64;
 /// Maximum number of stated loads in a digest.
@@ -93,6 +89,8 @@
 
 /// The fleet, its engines and what is under way.
 pub struct FleetModel {
+    /// Milliseconds between two digests of a daemon.
+    interval_ms: u64,
     classes: Vec<RequestClass>,
     phases: Vec<TrafficPhase>,
     pools: Vec<TargetPool>,
@@ -113,23 +111,31 @@
 }
 
 impl FleetModel {
-    /// A fleet at rest.
-    pub fn new(classes: &[RequestClass], phases: &[TrafficPhase], seed: u64) -> Self {
+    /// A fleet of this many daemons, at rest.
+    pub fn new(
+        daemons: usize,
+        classes: &[RequestClass],
+        phases: &[TrafficPhase],
+        seed: u64,
+    ) -> Self {
+        let peers = daemons - 1;
+        let interval_ms = peers as u64 * 1_000 / SENDS_PER_SECOND;
         let mut pool = TargetPool::default();
         for (_, state) in pool_of(ENGINES).iter() {
             pool.put(TargetRecord { slots: SLOTS, ..state.record.clone() });
         }
-        pool.set_report_pace(ReportPace { peers: DAEMONS - 1, interval_ms: DIGEST_INTERVAL_MS });
+        pool.set_report_pace(ReportPace { peers, interval_ms });
         let keys: Vec<_> = pool.of_service("s").to_vec();
         let numbers = keys.iter().enumerate().map(|(number, key)| (*key, number)).collect();
         let mut model = Self {
+            interval_ms,
             classes: classes.to_vec(),
             phases: phases.to_vec(),
-            pools: vec![pool; DAEMONS],
+            pools: vec![pool; daemons],
             engines: (0..ENGINES).map(|_| ModelEngine::default()).collect(),
             numbers,
-            reported: vec![HashMap::new(); DAEMONS],
-            stated: vec![HashMap::new(); DAEMONS],
+            reported: vec![HashMap::new(); daemons],
+            stated: vec![HashMap::new(); daemons],
             requests: Vec::new(),
             events: BinaryHeap::new(),
             sequence: 0,
@@ -138,8 +144,8 @@
             refused: 0,
         };
         model.schedule(0, ModelEvent::Caller);
-        for daemon in 0..DAEMONS {
-            let phase = (model.unit() * DIGEST_INTERVAL_MS as f64 * 1_000.0) as u64;
+        for daemon in 0..daemons {
+            let phase = (model.unit() * interval_ms as f64 * 1_000.0) as u64;
             model.schedule(phase, ModelEvent::Digest(daemon));
         }
         model
@@ -163,6 +169,11 @@
         (self.arrivals, self.refused)
     }
 
+    /// Milliseconds for which a stated load goes before the sum of the reports.
+    fn statement_ttl_ms(&self) -> u64 {
+        self.interval_ms / 2
+    }
+
     fn schedule(&mut self, micros: u64, event: ModelEvent) {
         self.sequence += 1;
         self.events.push(Reverse((micros, self.sequence, event)));
@@ -196,7 +207,7 @@
         let is_hot = number + 1 == self.classes.len() && self.unit() < phase.hot_share;
         let drawn = 1 + (self.unit() * class.subjects as f64) as u64;
         let subject = if is_hot { 0 } else { drawn };
-        let daemon = (self.unit() * DAEMONS as f64) as usize;
+        let daemon = (self.unit() * self.pools.len() as f64) as usize;
         let id = self.requests.len() as u64;
         let part = |hash, tokens| PromptPart { hash, tokens };
         let chain = PrefixChain::new(
@@ -247,11 +258,12 @@
     /// The first event of the reply, whose head states the engine's load.
     fn start(&mut self, request: usize, micros: u64) {
         let ModelRequest { daemon, engine, key, ref record, .. } = self.requests[request];
+        let ttl_ms = self.statement_ttl_ms();
         let pool = &mut self.pools[daemon];
         pool.record_prefill(key, record.backlog_tokens);
         let requests = self.engines[engine].held();
         let statement = LoadStatement { requests, stated_at: at(micros) };
-        pool.apply_load(key, statement, STATEMENT_TTL_MS);
+        pool.apply_load(key, statement, ttl_ms);
         if let Some(hash) = pool.target(key).map(|state| state.short_hash) {
             self.stated[daemon].insert(hash, statement);
         }
@@ -268,16 +280,16 @@
     }
 
     fn send_digest(&mut self, daemon: usize, micros: u64) {
-        let pause_ms = DIGEST_INTERVAL_MS as f64 * (1.0 + self.unit() / 5.0);
+        let pause_ms = self.interval_ms as f64 * (1.0 + self.unit() / 5.0);
         self.schedule(micros + (pause_ms * 1_000.0) as u64, ModelEvent::Digest(daemon));
-        let now = at(micros);
+        let (now, ttl_ms) = (at(micros), self.statement_ttl_ms());
         let pool = &mut self.pools[daemon];
         let prefixes = pool.recent_prefixes(MAX_PREFIXES);
         let busy = pool.iter().filter(|(_, state)| state.own.requests > 0);
         let loads: HashMap<_, _> = busy.map(|(_, state)| (state.short_hash, state.own)).collect();
         let before = std::mem::replace(&mut self.reported[daemon], loads.clone());
         let stated = &mut self.stated[daemon];
-        stated.retain(|_, statement| now < statement.stated_at + STATEMENT_TTL_MS);
+        stated.retain(|_, statement| now < statement.stated_at + ttl_ms);
         let mut statements: Vec<_> = stated.iter().map(|(hash, stated)| (*hash, *stated)).collect();
         statements.sort_by_key(|(hash, statement)| (Reverse(statement.stated_at), *hash));
         statements.truncate(MAX_STATED_LOADS);
@@ -297,7 +309,7 @@
             }
             for (hash, statement) in &statements {
                 if let Some(key) = pool.by_short_hash(*hash) {
-                    pool.apply_load(key, *statement, STATEMENT_TTL_MS);
+                    pool.apply_load(key, *statement, ttl_ms);
                 }
             }
         }
--- a/ggt-core/tests/hot_prefix.rs
+++ b/ggt-core/tests/hot_prefix.rs
@@ -7,6 +7,14 @@
 use crate::fleet_model::FleetModel;
 use crate::fleet_model::RequestClass;
 use crate::fleet_model::TrafficPhase;
+use crate::pool_fixture::pool_of;
+use crate::pool_fixture::query;
+use ggt_core::clock::MonoTime;
+use ggt_core::prompts::PrefixChain;
+use ggt_core::prompts::PromptPart;
+use ggt_core::targets::ChoiceQuery;
+use ggt_core::targets::ReportPace;
+use ggt_core::targets::TargetPool;
 
 /// Milliseconds over which the users' rule counts.
 const WINDOW_MS: u64 = 5_000;
@@ -57,20 +65,54 @@
     windows.max_by_key(|(above, _)| *above).unwrap_or_default()
 }
 
-// Guards against engines that get far more than the mean load when many callers ask about one thing at once: all
-// daemons sent what has that prefix to the one or two engines that had it and room by their last digests.
-#[test]
-fn pattern_a_surge_of_one_prefix_overloads_no_engine_before_daemons_hear_of_each_other() {
+/// A surge of one prefix at a fleet of this many daemons; fails if the users' rule is broken.
+fn check_surge(daemons: usize) {
     let phases = [
         TrafficPhase { ends_at_ms: 4_000, factor: 1.0, hot_share: 0.0 },
         TrafficPhase { ends_at_ms: 7_000, factor: 1.0, hot_share: 0.5 },
         TrafficPhase { ends_at_ms: 9_000, factor: 2.0, hot_share: 0.8 },
     ];
     for seed in 1..=2 {
-        let (arrivals, refused) = FleetModel::new(&[DOSSIERS, HELP, TAGS], &phases, seed).play();
+        let model = FleetModel::new(daemons, &[DOSSIERS, HELP, TAGS], &phases, seed);
+        let (arrivals, refused) = model.play();
         let (above, all) = worst_window(&arrivals);
         let is_kept = above < MIN_ABOVE || above * 100 <= MAX_ABOVE_PER_CENT * all;
         assert!(is_kept, "seed {seed}: {above} of {all} requests above twice the mean load");
         assert_eq!(refused, 0, "seed {seed}: there is room for all");
     }
 }
+
+// Guards against engines that get far more than the mean load when many callers ask about one thing at once: all
+// daemons sent what has that prefix to the one or two engines that had it and room by their last digests.
+#[test]
+fn pattern_a_surge_of_one_prefix_overloads_no_engine_before_daemons_hear_of_each_other() {
+    check_surge(58);
+}
+
+// The same where digests are so far apart that a request lasts less than they do.
+#[test]
+fn pattern_a_surge_of_one_prefix_overloads_no_engine_of_a_fleet_of_195_daemons() {
+    check_surge(195);
+}
+
+// Guards against prefixes that are spread over engines which have to prefill them, since one caller sent two
+// requests to the same daemon: in a large fleet one send stood for hundreds.
+#[test]
+fn one_earlier_send_of_a_daemon_does_not_spread_a_prefix() {
+    let now = MonoTime::from_millis(100_000);
+    let parts = [PromptPart { hash: 1, tokens: 10_000 }, PromptPart { hash: 2, tokens: 1_000 }];
+    let chain = PrefixChain::new("m", &parts);
+    let mut pool = pool_of(20);
+    pool.set_report_pace(ReportPace { peers: 194, interval_ms: 2_425 });
+    let choose = |pool: &TargetPool, hash| {
+        let query = ChoiceQuery { chain: Some(&chain), ..query(0, hash) };
+        pool.choose(&query, now).expect("should choose")
+    };
+    let first = choose(&pool, 0);
+    pool.record_send(first.key, &chain, false, now);
+    let next: Vec<_> = (1..200).map(|hash| choose(&pool, hash)).collect();
+    assert!(next.iter().all(|choice| choice.key == first.key && choice.figures.unreported == 0.0));
+    (0..4).for_each(|_| drop(pool.record_send(first.key, &chain, false, now)));
+    let next: Vec<_> = (1..200).map(|hash| choose(&pool, hash)).collect();
+    assert!(next.iter().any(|choice| choice.key != first.key), "five sends show a popular prefix");
+}
