review: case 1: answers that end with a leaving server look complete

Cause: a reply without a length counts as complete if its server is leaving or unlisted, without a check whether the server has ended. Change: a script that plays it, with its stand-ins; nothing outside review/.

--- /dev/null
+++ b/review/harness/src/cases/mod.rs
@@ -0,0 +1,15 @@
+//! The cases by their numbers.
+
+mod ended_while_leaving;
+
+use std::io;
+
+use crate::record::Record;
+
+/// Plays a case; returns how often the rule was broken.
+pub fn run(number: &str, record: &Record, has_trouble: bool) -> io::Result<usize> {
+    match number {
+        "1" => ended_while_leaving::run(record, has_trouble),
+        _ => Err(io::Error::other("no such case")),
+    }
+}
--- /dev/null
+++ b/review/harness/src/fleet.rs
@@ -0,0 +1,260 @@
+//! A small deployment: the store, servers and daemons, the latter two as processes.
+
+use std::fs::File;
+use std::io;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Write;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::UdpSocket;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use crate::http::Answer;
+use crate::http::FullSpeed;
+use crate::http::exchange;
+use crate::record::Record;
+use crate::store::Store;
+
+/// Host name of all routes.
+const HOST: &str = "desk.example";
+/// Key of the only tenant.
+const KEY: &str = "n2ctnfzs989anu6wsjnb";
+/// Name of the only service.
+const SERVICE: &str = "assistente";
+/// Zone of all processes.
+const ZONE: &str = "recife-a";
+/// Time for which a daemon may start.
+const START_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A server process.
+pub struct Server {
+    /// Id under which it registers.
+    pub id: String,
+    /// Version of its software.
+    pub version: String,
+    /// Address that it listens on.
+    pub address: SocketAddr,
+    child: Child,
+    born: u128,
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+impl Server {
+    /// Kills the process, as a crash or the end of its machine does.
+    pub fn kill(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Has its answers say from now on that it leaves.
+    pub fn leave(&mut self) {
+        let input = self.child.stdin.as_mut();
+        // A server that has ended needs no news.
+        input.into_iter().for_each(|input| drop(writeln!(input, "leave")));
+    }
+}
+
+/// A daemon process.
+pub struct Daemon {
+    /// Address for clients.
+    pub front: SocketAddr,
+    ready: SocketAddr,
+    child: Child,
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Daemon {
+    /// Sends a signal.
+    pub fn signal(&self, name: &str) -> io::Result<()> {
+        let id = self.child.id().to_string();
+        Command::new("/bin/sh").args(["-c", "kill -$0 $1", name, &id]).status().map(drop)
+    }
+
+    /// Whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+}
+
+/// The store, and how daemons and servers are started.
+pub struct Fleet {
+    /// The platform's store.
+    pub store: Store,
+    /// The record of the case.
+    pub record: Record,
+    folder: PathBuf,
+    /// First two parts of the daemons' addresses and the third, which is this case's own.
+    net: [u8; 3],
+    peer_port: u16,
+    daemons: u8,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if std::env::var_os("KEEP_LOGS").is_none() {
+            // A leftover folder in the temporary directory does no harm.
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+/// A route of the configuration.
+pub struct Route {
+    pub name: &'static str,
+    pub kind: &'static str,
+    pub can_resume: bool,
+    pub attempts: u32,
+    pub timeout_ms: u64,
+}
+
+impl Fleet {
+    /// A store with this configuration.
+    pub fn start(record: &Record, routes: &[Route]) -> io::Result<Self> {
+        let process = std::process::id();
+        let folder = std::env::temp_dir().join(format!("review-case-{process}"));
+        std::fs::create_dir_all(&folder)?;
+        let net = [127, 77, u8::try_from(process % 250).unwrap_or_default() + 1];
+        let own_port = SocketAddr::new(address_of(net, 200), 0);
+        let peer_port = TcpListener::bind(own_port)?.local_addr()?.port();
+        let store = Store::start()?;
+        let routes: Vec<_> = routes.iter().map(route_json).collect();
+        let routes = routes.join(",");
+        let config = format!(
+            r#"{{"Version":7,"Routes":[{routes}],"Services":[{{"Name":"{SERVICE}","HealthPath":"/health","MaxConns":310,"Protocol":"h1","Tls":false}}],"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}},"Tenants":[{{"Name":"hule930","ApiKeys":["{KEY}"],"Priority":1}}]}}"#
+        );
+        store.put("op/config", &config);
+        Ok(Self { store, record: record.clone(), folder, net, peer_port, daemons: 0 })
+    }
+
+    /// Starts a server; it is not registered yet.
+    pub fn start_server(
+        &self,
+        id: &str,
+        version: &str,
+        address: Option<SocketAddr>,
+    ) -> io::Result<Server> {
+        let free = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        let address = address.unwrap_or(free);
+        let program = std::env::current_exe()?;
+        let mut command = Command::new(program);
+        command.args(["server", &address.to_string(), id, version]);
+        command.stdin(Stdio::piped()).stdout(Stdio::piped());
+        let mut child = command.spawn()?;
+        let output = child.stdout.take().ok_or(io::Error::other("no output"))?;
+        let mut lines = BufReader::new(output).lines();
+        let first = lines.next().transpose()?.unwrap_or_default();
+        let name = format!("server {id} {version}");
+        self.record.add(&format!("{name}: {first} on {address}"));
+        if first != "listening" {
+            return Err(io::Error::other(format!("{name} does not start")));
+        }
+        let record = self.record.clone();
+        thread::spawn(move || {
+            lines.map_while(Result::ok).for_each(|line| record.add(&format!("{name}: {line}")));
+        });
+        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+        Ok(Server { id: id.to_owned(), version: version.to_owned(), address, child, born })
+    }
+
+    /// Writes a server's entry to the store, with its state.
+    pub fn register(&self, server: &Server, state: &str) {
+        let Server { id, version, address, born, .. } = server;
+        let entry = format!(
+            r#"{{"Service":"{SERVICE}","Address":"{address}","Zone":"{ZONE}","Version":"{version}","Slots":48,"State":"{state}","ColdLeftMs":0,"Seq":1,"born":{born}}}"#
+        );
+        self.store.put(&format!("servers/{id}"), &entry);
+        self.record.add(&format!("store: servers/{id} is {state}, version {version}"));
+    }
+
+    /// Starts a daemon as the deploy file does, and waits until it is ready.
+    pub fn start_daemon(&mut self) -> io::Result<Daemon> {
+        self.daemons += 1;
+        let number = self.daemons;
+        let ip = address_of(self.net, number);
+        let peer = SocketAddr::new(ip, self.peer_port);
+        drop((TcpListener::bind(peer)?, UdpSocket::bind(peer)?));
+        let port = || TcpListener::bind(SocketAddr::new(ip, 0))?.local_addr();
+        let (front, ready, admin) = (port()?, port()?, port()?);
+        let seed = SocketAddr::new(address_of(self.net, 1), admin.port());
+        let settings = format!(
+            r#"{{"name":"edge-{ZONE}-{number}","data_centre":"{ZONE}","callers":"{front}","ready":"{ready}","admin":"{admin}","peer":"{peer}","seeds":["{seed}"],"store":"{}","store_history_s":20,"retries":{{"ratio":0.2,"slack":58,"window_s":10}},"link_mbps":1000.0,"first_start":true,"config_delay_ms":2000,"leaving_delay_ms":2000,"grace_s":8}}"#,
+            self.store.address
+        );
+        let file = self.folder.join(format!("settings-{number}.json"));
+        std::fs::write(&file, settings)?;
+        let log = File::create(self.folder.join(format!("daemon-{number}.log")))?;
+        let mut command = Command::new("target/release/greengageturnd");
+        command.env("GREENGAGETURN_BOOT", &file).stdin(Stdio::null()).stdout(log);
+        let child = command.spawn()?;
+        let daemon = Daemon { front, ready, child };
+        let begun = Instant::now();
+        while ready_status(&daemon) != 200 {
+            if begun.elapsed() > START_TIMEOUT {
+                return Err(io::Error::other("the daemon does not become ready"));
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        self.record.add(&format!("daemon {number}: ready, clients at {front}"));
+        Ok(daemon)
+    }
+}
+
+fn address_of(net: [u8; 3], last: u8) -> IpAddr {
+    IpAddr::from([net[0], net[1], net[2], last])
+}
+
+fn ready_status(daemon: &Daemon) -> u16 {
+    let request = "GET /v1/ready HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n";
+    exchange(daemon.ready, request, Duration::from_secs(1), FullSpeed).status
+}
+
+fn route_json(route: &Route) -> String {
+    let Route { name, kind, can_resume, attempts, timeout_ms } = route;
+    format!(
+        r#"{{"Name":"r-{name}","Host":"{HOST}","PathPrefix":"/{name}/","Kind":"{kind}","TimeoutMs":{timeout_ms},"GoalMs":600,"Priority":1,"Service":"{SERVICE}","Attempts":{attempts},"Public":false,"Sticky":false,"CanResume":{can_resume},"GapTargetMs":300}}"#
+    )
+}
+
+/// The text of a request.
+pub fn request(method: &str, path: &str, id: &str, deadline_ms: u64, lines: &str) -> String {
+    let length = if method == "POST" { "Content-Length: 4\r\n" } else { "" };
+    let body = if method == "POST" { "form" } else { "" };
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\n\
+         Authorization: Token {KEY}\r\n{lines}{length}\r\n{body}"
+    )
+}
+
+/// The events of a stream: id, version and id of the server that sent it.
+pub fn events(answer: &Answer) -> Vec<(u64, String, String)> {
+    let text = answer.text();
+    let events = text.split("\n\n").filter_map(|event| {
+        let id = event.strip_prefix("id: ")?.lines().next()?.parse().ok()?;
+        let mut words = event.split_once("data: ")?.1.split(' ');
+        Some((id, words.next()?.to_owned(), words.next()?.to_owned()))
+    });
+    events.collect()
+}
