review: case 2: streams that a planned stop cuts look complete to slow clients

Cause: the error that ends a cut stream is lost if the body's channel is full, and the body then ends without one. Change: a script that plays it.

--- a/review/harness/src/cases/mod.rs
+++ b/review/harness/src/cases/mod.rs
@@ -1,6 +1,8 @@
 //! The cases by their numbers.
 
 mod ended_while_leaving;
+mod slow_client_at_stop;
+mod version_of_restarted;
 
 use std::io;
 
@@ -10,6 +12,8 @@
 pub fn run(number: &str, record: &Record, has_trouble: bool) -> io::Result<usize> {
     match number {
         "1" => ended_while_leaving::run(record, has_trouble),
+        "2" => slow_client_at_stop::run(record, has_trouble),
+        "3" => version_of_restarted::run(record, has_trouble),
         _ => Err(io::Error::other("no such case")),
     }
 }
