review: case 4: two daemons that are cut off together confirm a wrong version

Cause: a stream of unknown origin goes on if most of the daemons that are alive in this daemon's view have seen one version; behind a cut those are the ones that are cut off, too. Change: a script that plays it, with links that it cuts.

--- a/review/harness/src/cases/mod.rs
+++ b/review/harness/src/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases by their numbers.
 
+mod cut_pair;
 mod ended_while_leaving;
 mod slow_client_at_stop;
 mod version_of_restarted;
@@ -14,6 +15,7 @@
         "1" => ended_while_leaving::run(record, has_trouble),
         "2" => slow_client_at_stop::run(record, has_trouble),
         "3" => version_of_restarted::run(record, has_trouble),
+        "4" => cut_pair::run(record, has_trouble),
         _ => Err(io::Error::other("no such case")),
     }
 }
--- a/review/harness/src/fleet.rs
+++ b/review/harness/src/fleet.rs
@@ -31,8 +31,8 @@
 const KEY: &str = "n2ctnfzs989anu6wsjnb";
 /// Name of the only service.
 const SERVICE: &str = "assistente";
-/// Zone of all processes.
-const ZONE: &str = "recife-a";
+/// Zone of all processes, unless a case names others.
+pub const ZONE: &str = "recife-a";
 /// Time for which a daemon may start.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -80,9 +80,7 @@
 
 impl Drop for Daemon {
     fn drop(&mut self) {
-        // It may have ended already.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
     }
 }
 
@@ -93,9 +91,11 @@
         Command::new("/bin/sh").args(["-c", "kill -$0 $1", name, &id]).status().map(drop)
     }
 
-    /// Whether the process has ended.
-    pub fn has_ended(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(Some(_)))
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
     }
 }
 
@@ -103,6 +103,8 @@
 pub struct Fleet {
     /// The platform's store.
     pub store: Store,
+    /// The operator's configuration.
+    pub config: String,
     /// The record of the case.
     pub record: Record,
     folder: PathBuf,
@@ -146,7 +148,8 @@
             r#"{{"Version":7,"Routes":[{routes}],"Services":[{{"Name":"{SERVICE}","HealthPath":"/health","MaxConns":310,"Protocol":"h1","Tls":false}}],"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}},"Tenants":[{{"Name":"hule930","ApiKeys":["{KEY}"],"Priority":1}}]}}"#
         );
         store.put("op/config", &config);
-        Ok(Self { store, record: record.clone(), folder, net, peer_port, daemons: 0 })
+        let record = record.clone();
+        Ok(Self { store, config, record, folder, net, peer_port, daemons: 0 })
     }
 
     /// Starts a server; it is not registered yet.
@@ -181,16 +184,39 @@
 
     /// Writes a server's entry to the store, with its state.
     pub fn register(&self, server: &Server, state: &str) {
-        let Server { id, version, address, born, .. } = server;
+        self.register_at(&self.store, server, server.address, ZONE, state);
+        let Server { id, version, .. } = server;
+        self.record.add(&format!("store: servers/{id} is {state}, version {version}"));
+    }
+
+    /// Writes a server's entry to a store, with the address under which it is reached from there.
+    pub fn register_at(
+        &self,
+        store: &Store,
+        server: &Server,
+        address: SocketAddr,
+        zone: &str,
+        state: &str,
+    ) {
+        let Server { id, version, born, .. } = server;
         let entry = format!(
-            r#"{{"Service":"{SERVICE}","Address":"{address}","Zone":"{ZONE}","Version":"{version}","Slots":48,"State":"{state}","ColdLeftMs":0,"Seq":1,"born":{born}}}"#
+            r#"{{"Service":"{SERVICE}","Address":"{address}","Zone":"{zone}","Version":"{version}","Slots":48,"State":"{state}","ColdLeftMs":0,"Seq":1,"born":{born}}}"#
         );
-        self.store.put(&format!("servers/{id}"), &entry);
-        self.record.add(&format!("store: servers/{id} is {state}, version {version}"));
+        store.put(&format!("servers/{id}"), &entry);
     }
 
     /// Starts a daemon as the deploy file does, and waits until it is ready.
     pub fn start_daemon(&mut self) -> io::Result<Daemon> {
+        self.start_daemon_in(ZONE, self.store.address, 1)
+    }
+
+    /// Starts a daemon in a zone, which reaches the store and its seed, the daemon with this number, at these.
+    pub fn start_daemon_in(
+        &mut self,
+        zone: &str,
+        store: SocketAddr,
+        seed: u8,
+    ) -> io::Result<Daemon> {
         self.daemons += 1;
         let number = self.daemons;
         let ip = address_of(self.net, number);
@@ -198,10 +224,9 @@
         drop((TcpListener::bind(peer)?, UdpSocket::bind(peer)?));
         let port = || TcpListener::bind(SocketAddr::new(ip, 0))?.local_addr();
         let (front, ready, admin) = (port()?, port()?, port()?);
-        let seed = SocketAddr::new(address_of(self.net, 1), admin.port());
+        let seed = SocketAddr::new(address_of(self.net, seed), admin.port());
         let settings = format!(
-            r#"{{"name":"edge-{ZONE}-{number}","data_centre":"{ZONE}","callers":"{front}","ready":"{ready}","admin":"{admin}","peer":"{peer}","seeds":["{seed}"],"store":"{}","store_history_s":20,"retries":{{"ratio":0.2,"slack":58,"window_s":10}},"link_mbps":1000.0,"first_start":true,"config_delay_ms":2000,"leaving_delay_ms":2000,"grace_s":8}}"#,
-            self.store.address
+            r#"{{"name":"edge-{zone}-{number}","data_centre":"{zone}","callers":"{front}","ready":"{ready}","admin":"{admin}","peer":"{peer}","seeds":["{seed}"],"store":"{store}","store_history_s":20,"retries":{{"ratio":0.2,"slack":58,"window_s":10}},"link_mbps":1000.0,"first_start":true,"config_delay_ms":2000,"leaving_delay_ms":2000,"grace_s":8}}"#
         );
         let file = self.folder.join(format!("settings-{number}.json"));
         std::fs::write(&file, settings)?;
--- a/review/harness/src/http.rs
+++ b/review/harness/src/http.rs
@@ -24,11 +24,6 @@
         self.headers.get(name).map_or("", String::as_str)
     }
 
-    /// Method of a request.
-    pub fn method(&self) -> &str {
-        self.first_line.split(' ').next().unwrap_or_default()
-    }
-
     /// Path and query of a request.
     pub fn path(&self) -> &str {
         self.first_line.split(' ').nth(1).unwrap_or_default()
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod http;
 mod record;
+mod relay;
 mod server;
 mod store;
 
--- a/review/harness/src/store.rs
+++ b/review/harness/src/store.rs
@@ -32,10 +32,6 @@
     /// Changes in order; `None` after a removal.
     log: Vec<(u64, String, Option<Item>)>,
     revision: u64,
-    /// While it is set, nothing is answered, and what came meanwhile is never answered.
-    is_silent: bool,
-    /// Number of silences so far.
-    silences: u64,
 }
 
 /// The platform's store.
@@ -78,31 +74,12 @@
         self.changed.notify_all();
     }
 
-    /// Falls silent: connections that are open or used until `resume` get no answer.
-    pub fn fall_silent(&self) {
-        let mut state = lock(&self.state);
-        state.is_silent = true;
-        state.silences += 1;
-    }
-
-    /// Ends the silence, for new connections.
-    pub fn resume(&self) {
-        lock(&self.state).is_silent = false;
-    }
-
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
-        let silences = lock(&self.state).silences;
         let mut writer = stream.try_clone()?;
         let mut reader = BufReader::new(stream);
         while let Some(head) = read_head(&mut reader)? {
             read_request_body(&mut reader, &head)?;
             let body = self.respond(&head);
-            {
-                let state = lock(&self.state);
-                if state.is_silent || state.silences != silences {
-                    continue;
-                }
-            }
             let status = if body.is_empty() { 404 } else { 200 };
             let body = if body.is_empty() { "{}" } else { body.as_str() };
             let length = body.len();
