review: case 5: a discarded history hides a version that has just left

Cause: a restarted daemon takes what the store still has for 19 s of history, however short it is. Change: a script that plays it.

--- a/review/harness/src/fleet.rs
+++ b/review/harness/src/fleet.rs
@@ -9,10 +9,13 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::UdpSocket;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -46,6 +49,8 @@
     pub address: SocketAddr,
     child: Child,
     born: u128,
+    /// Number of the last heartbeat.
+    seq: AtomicU64,
 }
 
 impl Drop for Server {
@@ -76,6 +81,9 @@
     pub front: SocketAddr,
     ready: SocketAddr,
     child: Child,
+    /// Path of its settings, and the program's output.
+    settings: PathBuf,
+    log: PathBuf,
 }
 
 impl Drop for Daemon {
@@ -91,6 +99,15 @@
         Command::new("/bin/sh").args(["-c", "kill -$0 $1", name, &id]).status().map(drop)
     }
 
+    /// Starts the process again after its end, and waits until it is ready.
+    pub fn restart(&mut self) -> io::Result<()> {
+        let settings = std::fs::read_to_string(&self.settings)?;
+        let settings = settings.replace("\"first_start\":true", "\"first_start\":false");
+        std::fs::write(&self.settings, settings)?;
+        self.child = spawn_daemon(&self.settings, &self.log)?;
+        await_ready(self)
+    }
+
     /// Kills the process.
     pub fn kill(&mut self) {
         // It may have ended already.
@@ -179,7 +196,8 @@
             lines.map_while(Result::ok).for_each(|line| record.add(&format!("{name}: {line}")));
         });
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
-        Ok(Server { id: id.to_owned(), version: version.to_owned(), address, child, born })
+        let (id, version) = (id.to_owned(), version.to_owned());
+        Ok(Server { id, version, address, child, born, seq: AtomicU64::new(0) })
     }
 
     /// Writes a server's entry to the store, with its state.
@@ -189,6 +207,12 @@
         self.record.add(&format!("store: servers/{id} is {state}, version {version}"));
     }
 
+    /// Removes a server's entry.
+    pub fn unregister(&self, server: &Server) {
+        self.store.remove(&format!("servers/{}", server.id));
+        self.record.add(&format!("store: servers/{} is removed", server.id));
+    }
+
     /// Writes a server's entry to a store, with the address under which it is reached from there.
     pub fn register_at(
         &self,
@@ -199,8 +223,9 @@
         state: &str,
     ) {
         let Server { id, version, born, .. } = server;
+        let seq = server.seq.fetch_add(1, Ordering::SeqCst);
         let entry = format!(
-            r#"{{"Service":"{SERVICE}","Address":"{address}","Zone":"{zone}","Version":"{version}","Slots":48,"State":"{state}","ColdLeftMs":0,"Seq":1,"born":{born}}}"#
+            r#"{{"Service":"{SERVICE}","Address":"{address}","Zone":"{zone}","Version":"{version}","Slots":48,"State":"{state}","ColdLeftMs":0,"Seq":{seq},"born":{born}}}"#
         );
         store.put(&format!("servers/{id}"), &entry);
     }
@@ -230,23 +255,33 @@
         );
         let file = self.folder.join(format!("settings-{number}.json"));
         std::fs::write(&file, settings)?;
-        let log = File::create(self.folder.join(format!("daemon-{number}.log")))?;
-        let mut command = Command::new("target/release/greengageturnd");
-        command.env("GREENGAGETURN_BOOT", &file).stdin(Stdio::null()).stdout(log);
-        let child = command.spawn()?;
-        let daemon = Daemon { front, ready, child };
-        let begun = Instant::now();
-        while ready_status(&daemon) != 200 {
-            if begun.elapsed() > START_TIMEOUT {
-                return Err(io::Error::other("the daemon does not become ready"));
-            }
-            thread::sleep(Duration::from_millis(20));
-        }
+        let log = self.folder.join(format!("daemon-{number}.log"));
+        let child = spawn_daemon(&file, &log)?;
+        let daemon = Daemon { front, ready, child, settings: file, log };
+        await_ready(&daemon)?;
         self.record.add(&format!("daemon {number}: ready, clients at {front}"));
         Ok(daemon)
     }
 }
 
+/// Starts the program as the deploy file does.
+fn spawn_daemon(settings: &Path, log: &Path) -> io::Result<Child> {
+    let log = File::options().create(true).append(true).open(log)?;
+    let mut command = Command::new("target/release/greengageturnd");
+    command.env("GREENGAGETURN_BOOT", settings).stdin(Stdio::null()).stdout(log).spawn()
+}
+
+fn await_ready(daemon: &Daemon) -> io::Result<()> {
+    let begun = Instant::now();
+    while ready_status(daemon) != 200 {
+        if begun.elapsed() > START_TIMEOUT {
+            return Err(io::Error::other("the daemon does not become ready"));
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    Ok(())
+}
+
 fn address_of(net: [u8; 3], last: u8) -> IpAddr {
     IpAddr::from([net[0], net[1], net[2], last])
 }
--- a/review/harness/src/store.rs
+++ b/review/harness/src/store.rs
@@ -32,6 +32,8 @@
     /// Changes in order; `None` after a removal.
     log: Vec<(u64, String, Option<Item>)>,
     revision: u64,
+    /// Revision up to which the history has been discarded.
+    discarded: u64,
 }
 
 /// The platform's store.
@@ -74,14 +76,29 @@
         self.changed.notify_all();
     }
 
+    /// Removes an item.
+    pub fn remove(&self, key: &str) {
+        let mut state = lock(&self.state);
+        state.revision += 1;
+        let revision = state.revision;
+        state.items.remove(key);
+        state.log.push((revision, key.to_owned(), None));
+        self.changed.notify_all();
+    }
+
+    /// Discards the history.
+    pub fn discard_history(&self) {
+        let mut state = lock(&self.state);
+        state.discarded = state.revision;
+        state.log.clear();
+    }
+
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
         let mut writer = stream.try_clone()?;
         let mut reader = BufReader::new(stream);
         while let Some(head) = read_head(&mut reader)? {
             read_request_body(&mut reader, &head)?;
-            let body = self.respond(&head);
-            let status = if body.is_empty() { 404 } else { 200 };
-            let body = if body.is_empty() { "{}" } else { body.as_str() };
+            let (status, body) = self.respond(&head);
             let length = body.len();
             let answer = format!(
                 "HTTP/1.1 {status} Store\r\nStore-Era: 1\r\nContent-Type: application/json\r\n\
@@ -92,7 +109,7 @@
         Ok(())
     }
 
-    fn respond(&self, head: &Head) -> String {
+    fn respond(&self, head: &Head) -> (u16, String) {
         let (path, query) = head.path().split_once('?').unwrap_or((head.path(), ""));
         let parameter = |name: &str| {
             let fields = query.split('&').filter_map(|field| field.split_once('='));
@@ -101,12 +118,12 @@
         let prefix = parameter("PathPrefix").unwrap_or_default();
         let after = parameter("After").unwrap_or_default();
         match path {
-            "/v1/kv-range" => self.range(&prefix, &after),
+            "/v1/kv-range" => (200, self.range(&prefix, &after)),
             "/v1/kv-watch" => {
                 let wait_ms = parameter("WaitMs").and_then(|text| text.parse().ok());
                 self.watch(&prefix, after.parse().unwrap_or_default(), wait_ms.unwrap_or_default())
             }
-            _ => String::new(),
+            _ => (404, "{}".to_owned()),
         }
     }
 
@@ -120,13 +137,16 @@
         format!(r#"{{"Items":[{items}],"HasMore":false,"StoreRevision":{}}}"#, state.revision)
     }
 
-    fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> String {
+    fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> (u16, String) {
         let is_unchanged = |state: &mut StoreState| {
-            !state.log.iter().any(|(at, key, _)| *at > after && key.starts_with(prefix))
+            after >= state.discarded && !state.log.iter().any(|(at, key, _)| *at > after && key.starts_with(prefix))
         };
         let wait = Duration::from_millis(wait_ms);
         let waited = self.changed.wait_timeout_while(lock(&self.state), wait, is_unchanged);
         let (state, _) = waited.unwrap_or_else(PoisonError::into_inner);
+        if after < state.discarded {
+            return (410, "{}".to_owned());
+        }
         let later = state.log.iter().filter(|(at, key, _)| *at > after && key.starts_with(prefix));
         let events: Vec<_> = later
             .map(|(at, key, item)| match item {
@@ -135,7 +155,7 @@
             })
             .collect();
         let events = events.join(",");
-        format!(r#"{{"events":[{events}],"StoreRevision":{}}}"#, state.revision)
+        (200, format!(r#"{{"events":[{events}],"StoreRevision":{}}}"#, state.revision))
     }
 }
 
