--- a/review/harness/src/cases/mod.rs
+++ b/review/harness/src/cases/mod.rs
@@ -1,8 +1,8 @@
 //! The cases by their numbers.
 
-mod cut_pair;
 mod discarded_history;
 mod ended_while_leaving;
+mod many_lost;
 mod slow_client_at_stop;
 mod version_of_restarted;
 
@@ -17,7 +17,7 @@
         "2" => slow_client_at_stop::run(record, has_trouble),
         "3" => discarded_history::run(record, has_trouble),
         "4" => version_of_restarted::run(record, has_trouble),
-        "5" => cut_pair::run(record, has_trouble),
+        "5" => many_lost::run(record, has_trouble),
         _ => Err(io::Error::other("no such case")),
     }
 }
