--- a/review/harness/src/cases/many_lost.rs
+++ b/review/harness/src/cases/many_lost.rs
@@ -28,7 +28,8 @@
 const CALM: Duration = Duration::from_millis(4_000);
 /// Time from the last stream's begin until the daemons are killed.
 const LOSS_DELAY: Duration = Duration::from_millis(2_000);
-/// Time from then until the platform sends clients to the other zone: two readiness checks.
+/// Time from then until they are started again. By then two readiness checks have failed, and the platform sends
+/// clients to the other zone.
 const ROTATION: Duration = Duration::from_millis(2_000);
 /// How long clients wait in all.
 const DEADLINE: Duration = Duration::from_millis(12_000);
@@ -93,6 +94,12 @@
     }
     thread::sleep(ROTATION);
     is_rotated.store(true, Ordering::SeqCst);
+    if has_trouble {
+        for daemon in &mut lost {
+            daemon.start_again()?;
+        }
+        record.add("they are started again");
+    }
     let mut new = Share::default();
     for number in 0..NEW_STREAMS {
         let id = format!("new-{number}");
--- a/review/harness/src/cases/slow_client_at_stop.rs
+++ b/review/harness/src/cases/slow_client_at_stop.rs
@@ -15,12 +15,12 @@
 use crate::record::Record;
 
 /// Streams at the daemon.
-const STREAMS: usize = 6;
+const STREAMS: usize = 4;
 /// Events of a stream, and bytes of each: more than a client reads until the daemon ends.
-const EVENTS: u64 = 90_000;
-const EVENT_BYTES: usize = 1_000;
+const EVENTS: u64 = 30_000;
+const EVENT_BYTES: usize = 4_000;
 /// Bytes a second that a client reads.
-const BYTES_PER_S: f64 = 6_000_000.0;
+const BYTES_PER_S: f64 = 8_000_000.0;
 /// Time from the first request until the stop.
 const STOP_DELAY: Duration = Duration::from_millis(1_000);
 /// How long clients wait.
--- a/review/harness/src/fleet.rs
+++ b/review/harness/src/fleet.rs
@@ -101,11 +101,17 @@
 
     /// Starts the process again after its end, and waits until it is ready.
     pub fn restart(&mut self) -> io::Result<()> {
+        self.start_again()?;
+        await_ready(self)
+    }
+
+    /// Starts the process again after its end.
+    pub fn start_again(&mut self) -> io::Result<()> {
         let settings = std::fs::read_to_string(&self.settings)?;
         let settings = settings.replace("\"first_start\":true", "\"first_start\":false");
         std::fs::write(&self.settings, settings)?;
         self.child = spawn_daemon(&self.settings, &self.log)?;
-        await_ready(self)
+        Ok(())
     }
 
     /// Kills the process.
