--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -1,7 +1,7 @@
-//! Cases of the review that are no days: `review-case N FOLDER` plays case N and writes its record there.
+//! Cases of the review that are no days: `review-case N FOLDER TROUBLE` plays case N and writes its record there.
 //!
-//! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With `TROUBLE=0` in
-//! the environment, the case does the same without the disruption.
+//! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. If `TROUBLE` is 0, the
+//! case does the same without the disruption.
 
 mod cases;
 mod fleet;
@@ -26,17 +26,16 @@
             Ok(()) => ExitCode::SUCCESS,
             Err(e) => fail(&e),
         },
-        [number, folder] => play(number, Path::new(folder)),
-        _ => fail(&"usage: review-case N FOLDER"),
+        [number, folder, trouble] => play(number, Path::new(folder), *trouble != "0"),
+        _ => fail(&"usage: review-case N FOLDER TROUBLE"),
     }
 }
 
-fn play(number: &str, folder: &Path) -> ExitCode {
+fn play(number: &str, folder: &Path, has_trouble: bool) -> ExitCode {
     let record = match Record::create(folder) {
         Ok(record) => record,
         Err(e) => return fail(&e),
     };
-    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     record.add(&format!("case {number}, disruption: {has_trouble}"));
     match cases::run(number, &record, has_trouble) {
         Ok(0) => {
