review: case 3: a daemon is killed for memory in a burst of large bodies

Cause: request bodies are collected in memory without a budget. Change: a script with bodies of the configured limit, a burst of 1.7 times the traffic, and a platform that kills what exceeds the machine's memory; it takes the place of the case of the restarted server, whose first heartbeat comes 1.1 s after its start, which a sound server may do at once.

--- a/review/harness/src/cases/mod.rs
+++ b/review/harness/src/cases/mod.rs
@@ -2,9 +2,9 @@
 
 mod ended_while_leaving;
 mod late_write;
+mod memory_at_burst;
 mod power_at_release;
 mod slow_client_at_stop;
-mod version_of_restarted;
 
 use std::io;
 
@@ -15,7 +15,7 @@
     match number {
         "1" => ended_while_leaving::run(record, has_trouble),
         "2" => slow_client_at_stop::run(record, has_trouble),
-        "3" => version_of_restarted::run(record, has_trouble),
+        "3" => memory_at_burst::run(record, has_trouble),
         "4" => late_write::run(record, has_trouble),
         "5" => power_at_release::run(record, has_trouble),
         _ => Err(io::Error::other("no such case")),
--- a/review/harness/src/record.rs
+++ b/review/harness/src/record.rs
@@ -1,5 +1,6 @@
 //! The record of a case: what was sent, answered and run, with the time of each.
 
+use std::collections::BTreeSet;
 use std::fs::File;
 use std::io::Write;
 use std::path::Path;
@@ -18,6 +19,8 @@
 #[derive(Clone)]
 pub struct Record {
     file: Arc<Mutex<File>>,
+    /// Ids of the attempts that servers have run.
+    ran: Arc<Mutex<BTreeSet<String>>>,
     started_at: Instant,
 }
 
@@ -25,7 +28,11 @@
     /// Begins the record in this folder.
     pub fn create(folder: &Path) -> std::io::Result<Self> {
         let file = File::create(folder.join("record.txt"))?;
-        Ok(Self { file: Arc::new(Mutex::new(file)), started_at: Instant::now() })
+        Ok(Self {
+            file: Arc::new(Mutex::new(file)),
+            ran: Arc::default(),
+            started_at: Instant::now(),
+        })
     }
 
     /// Milliseconds since the case began.
@@ -39,6 +46,16 @@
         let _ = writeln!(lock(&self.file), "{:>6} ms  {text}", self.now_ms());
     }
 
+    /// Notes that a server runs an attempt.
+    pub fn note_run(&self, id: &str) {
+        lock(&self.ran).insert(id.to_owned());
+    }
+
+    /// Whether a server has run an attempt.
+    pub fn has_run(&self, id: &str) -> bool {
+        lock(&self.ran).contains(id)
+    }
+
     /// Adds a line and prints it.
     pub fn say(&self, text: &str) {
         self.add(text);
