--- a/review/harness/src/cases/memory_at_burst.rs
+++ b/review/harness/src/cases/memory_at_burst.rs
@@ -32,9 +32,9 @@
 /// Pieces in which a client sends a body, and the pause after each: 4 s for a body, 8.4 Mbit/s.
 const PIECES: usize = 64;
 const PIECE_PAUSE: Duration = Duration::from_millis(62);
-/// Clients that send such bodies, one after the other: 14 requests a second.
+/// Clients that send such bodies, one after the other: some 16 requests a second.
 const CLIENTS: usize = 68;
-/// Clients that come in the burst, with one such body each, evenly within `BURST`: 1.7 times the traffic.
+/// Clients that come in the burst, with one such body each, evenly within `BURST`: 1.6 times the traffic.
 const BURST_CLIENTS: usize = 29;
 const BURST: Duration = Duration::from_millis(3_000);
 /// Clients that send small requests on kept channels, one after the other.
