feat: a benchmark of replies that do not end

It reports the memory that the daemon allocates, the times of sound requests beside it, and how long the callers of such replies wait.

--- a/ggt-standin/src/users_platform/mod.rs
+++ b/ggt-standin/src/users_platform/mod.rs
@@ -5,6 +5,7 @@
 //! and inspect every request that was received.
 
 mod caller;
+mod endless;
 mod fragile;
 mod link;
 mod request;
@@ -18,6 +19,8 @@
 pub use caller::prompt_headers;
 pub use caller::prompt_headers_of;
 pub use caller::test_config;
+pub use endless::EndlessKind;
+pub use endless::send_without_end;
 pub use fragile::FragileQueue;
 pub use fragile::QueueLimits;
 pub use link::LinkCounts;
--- a/ggt-testkit/src/bench/usage.rs
+++ b/ggt-testkit/src/bench/usage.rs
@@ -22,18 +22,24 @@
     // The second field, the program name in parentheses, may contain spaces: count fields after it.
     let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split(' ').collect();
     let ticks = |at: usize| fields.get(at).and_then(|x| x.parse::<f64>().ok()).unwrap_or(0.0);
-    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
-    let resident = status
-        .lines()
-        .find_map(|line| line.strip_prefix("VmRSS:"))
-        .and_then(|text| text.split_ascii_whitespace().next())
-        .and_then(|text| text.parse::<u64>().ok());
     ProcessUsage {
         cpu_seconds: (ticks(12) + ticks(13)) / TICKS_PER_SECOND,
-        resident_bytes: resident.unwrap_or_default() * BYTES_PER_KIB,
+        resident_bytes: status_bytes(pid, "VmRSS:"),
     }
 }
 
+/// Resident memory that a process has allocated, without the pages of files; zero if there is no such process.
+pub fn allocated_bytes_of(pid: u32) -> u64 {
+    status_bytes(pid, "RssAnon:")
+}
+
+fn status_bytes(pid: u32, field: &str) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix(field));
+    let kib = line.and_then(|text| text.split_ascii_whitespace().next()?.parse::<u64>().ok());
+    kib.unwrap_or_default() * BYTES_PER_KIB
+}
+
 /// Bytes of control traffic by kind in a status report, sent and received summed.
 pub(super) fn traffic_of(status: &Value) -> BTreeMap<String, u64> {
     let kinds = status["traffic"].as_array().map(Vec::as_slice).unwrap_or_default();
--- a/ggt-testkit/src/bin/ggt-bench.rs
+++ b/ggt-testkit/src/bin/ggt-bench.rs
@@ -8,13 +8,20 @@
 use argh::FromArgs;
 use serde_json::json;
 
+use ggt_standin::users_platform::EndlessKind;
 use ggt_testkit::bench::CapacityOptions;
+use ggt_testkit::bench::EndlessOptions;
 use ggt_testkit::bench::measure_availability;
 use ggt_testkit::bench::measure_capacity;
 use ggt_testkit::bench::measure_changes;
+use ggt_testkit::bench::measure_endless;
 use ggt_testkit::bench::measure_latency;
 use ggt_testkit::bench::measure_state;
 
+/// Routes on which `endless` measures if none is given.
+const ENDLESS_ROUTES: [&str; 3] = ["once", "read", "chat"];
+const BYTES_PER_MEGABYTE: u64 = 1_000_000;
+
 /// Measures a fleet of real processes; prints a JSON line for each run.
 #[derive(FromArgs)]
 struct BenchArgs {
@@ -30,6 +37,28 @@
     State(StateArgs),
     Latency(LatencyArgs),
     Changes(ChangesArgs),
+    Endless(EndlessArgs),
+}
+
+/// memory of a daemon, and times of sound requests, beside servers whose replies do not end
+#[derive(FromArgs)]
+#[argh(subcommand, name = "endless")]
+struct EndlessArgs {
+    /// concurrent callers of such replies
+    #[argh(option, default = "16")]
+    callers: usize,
+    /// megabytes that each of these replies brings per second
+    #[argh(option, default = "6")]
+    rate: u64,
+    /// part of the replies that does not end, by its name in the outcome; all if not given
+    #[argh(option)]
+    kind: Option<String>,
+    /// route of the requests, such as `chat`; `once`, `read` and `chat` one after the other if not given
+    #[argh(option)]
+    route: Option<String>,
+    /// callers read nothing beyond the head of a response
+    #[argh(switch)]
+    stalled: bool,
 }
 
 /// latency that a daemon adds to the first token and to the gaps between tokens
@@ -124,6 +153,7 @@
                 return ExitCode::FAILURE;
             }
         }
+        BenchKind::Endless(args) => run_endless(&args),
         BenchKind::Availability(args) => {
             for (scenario, outcome) in measure_availability(args.seconds) {
                 println!("{}", json!({ "scenario": scenario, "outcome": outcome }));
@@ -135,3 +165,23 @@
     }
     ExitCode::SUCCESS
 }
+
+/// Measures each kind of reply on each route that the arguments select.
+fn run_endless(args: &EndlessArgs) {
+    let is_selected = |name: &str, selected: &Option<String>| {
+        selected.as_ref().is_none_or(|selected| name.eq_ignore_ascii_case(selected))
+    };
+    let kinds = EndlessKind::ALL.into_iter();
+    for kind in kinds.filter(|kind| is_selected(&format!("{kind:?}"), &args.kind)) {
+        for route in ENDLESS_ROUTES.into_iter().filter(|route| is_selected(route, &args.route)) {
+            let outcome = measure_endless(EndlessOptions {
+                kind,
+                route,
+                callers: args.callers,
+                bytes_per_second: args.rate * BYTES_PER_MEGABYTE,
+                are_read: !args.stalled,
+            });
+            println!("{}", json!(outcome));
+        }
+    }
+}
--- a/ggt-testkit/src/front/mod.rs
+++ b/ggt-testkit/src/front/mod.rs
@@ -323,9 +323,7 @@
 
     /// A request to a daemon with the test customer's key and the attempt id `id`.
     pub fn request(&self, daemon: usize, method: &str, path: &str, id: &str) -> HttpRequest {
-        let request = HttpRequest::new(method, self.daemons[daemon].callers, path);
-        let headers = caller_headers(id, DEADLINE_MS);
-        headers.iter().fold(request, |request, (name, value)| request.header(name, value))
+        caller_request(self.daemons[daemon].callers, method, path, (id, DEADLINE_MS))
     }
 
     /// Number of requests with this attempt id that reached any server.
@@ -343,6 +341,19 @@
     }
 }
 
+/// A request to an address for callers with the test customer's key, and with an attempt id and a deadline in
+/// milliseconds.
+pub fn caller_request(
+    callers: SocketAddr,
+    method: &str,
+    path: &str,
+    (id, deadline_ms): (&str, u64),
+) -> HttpRequest {
+    let request = HttpRequest::new(method, callers, path);
+    let headers = caller_headers(id, deadline_ms);
+    headers.iter().fold(request, |request, (name, value)| request.header(name, value))
+}
+
 /// Program of the daemon with this number if it is of an earlier build, for runs by hand: each second daemon is, if
 /// the environment names one.
 fn older_program(number: usize) -> Option<PathBuf> {
