fix: splitting a stream into events costs memory and time linear in its bytes

Seen by callers: one faulty server that sends short comments, or events without an id, without end took 380 MB at 1 MB/s, so that the platform kills the daemon with all of its requests, and delayed all other requests by up to 2.7 s.

Cause: each event was split off the buffer together with the capacity of the whole buffer, and the rest was copied each time, so that a chunk of n bytes in events of k bytes cost n^2/2k bytes of memory and as much copying.

The splitter now keeps its bytes in place and returns each event as a part of them.

--- a/ggt-core/tests/events.rs
+++ b/ggt-core/tests/events.rs
@@ -5,6 +5,7 @@
 use ggt_core::events::EventAction;
 use ggt_core::events::EventOrder;
 use ggt_core::events::EventSplitter;
+use ggt_core::events::SplitError;
 use ggt_core::events::StreamEvent;
 
 fn stream_of(count: u64) -> Vec<u8> {
@@ -12,32 +13,129 @@
     events.collect::<String>().into_bytes()
 }
 
+/// The ids and bytes of the events that these bytes complete.
+fn push(splitter: &mut EventSplitter, bytes: &[u8]) -> Vec<(Option<u64>, Vec<u8>)> {
+    splitter.push(bytes);
+    let mut events = Vec::new();
+    while let Some(event) = splitter.next_event().expect("short events") {
+        events.push((event.id, event.bytes.to_vec()));
+    }
+    events
+}
+
+/// The events of a stream that is pushed in pieces of these lengths, then of 7 bytes.
+fn push_pieces(
+    splitter: &mut EventSplitter,
+    bytes: &[u8],
+    lengths: &[u8],
+) -> Vec<(Option<u64>, Vec<u8>)> {
+    let mut events = Vec::new();
+    let mut start = 0;
+    for length in lengths.iter().copied().chain(std::iter::repeat(7)) {
+        if start == bytes.len() {
+            break;
+        }
+        let end = (start + usize::from(length)).min(bytes.len());
+        events.extend(push(splitter, &bytes[start..end]));
+        start = end;
+    }
+    events
+}
+
 #[test]
 fn events_are_complete_for_any_chunking() {
     fn splits_into_events(chunk_lengths: Vec<u8>) -> bool {
         let bytes = stream_of(20);
         let mut splitter = EventSplitter::default();
-        let (mut start, mut ids, mut forwarded) = (0, Vec::new(), Vec::new());
-        for length in chunk_lengths.iter().copied().chain(std::iter::repeat(7)) {
-            if start == bytes.len() {
-                break;
-            }
-            let end = (start + usize::from(length)).min(bytes.len());
-            for event in splitter.push(&bytes[start..end]).expect("short events") {
-                ids.extend(event.id);
-                forwarded.extend(event.bytes);
-            }
-            start = end;
-        }
-        ids == (1..=20).collect::<Vec<_>>() && forwarded == bytes && !splitter.has_partial_event()
+        let events = push_pieces(&mut splitter, &bytes, &chunk_lengths);
+        let (ids, forwarded): (Vec<_>, Vec<_>) = events.into_iter().unzip();
+        let ids: Vec<_> = ids.into_iter().flatten().collect();
+        ids == (1..=20).collect::<Vec<_>>()
+            && forwarded.concat() == bytes
+            && !splitter.has_partial_event()
     }
     QuickCheck::new().tests(500).quickcheck(splits_into_events as fn(Vec<u8>) -> bool);
 }
 
+/// Texts of which any sequence is a stream, well-formed or not.
+const FRAGMENTS: [&str; 12] =
+    ["\n", "\n", "\r\n", "\r", "id: 7", "id:", "i", ": c", "data: a", "event", " ", "\u{e9}"];
+
+/// The events of a stream, found line by line in the whole of it.
+fn reference_events(bytes: &[u8]) -> Vec<Vec<u8>> {
+    let mut events = Vec::new();
+    let mut event = Vec::new();
+    for line in bytes.split_inclusive(|byte| *byte == b'\n') {
+        let is_blank = line == b"\n" || line == b"\r\n";
+        let is_end = is_blank && !event.is_empty();
+        event.extend_from_slice(line);
+        if is_end {
+            events.push(std::mem::take(&mut event));
+        }
+    }
+    events
+}
+
+#[test]
+fn any_division_of_any_stream_gives_the_same_events() {
+    fn gives_the_same_events(fragments: Vec<u8>, lengths: Vec<u8>) -> bool {
+        let fragments = fragments.iter().map(|number| FRAGMENTS[usize::from(*number) % 12]);
+        let bytes = fragments.collect::<String>().into_bytes();
+        let mut splitter = EventSplitter::default();
+        let events = push_pieces(&mut splitter, &bytes, &lengths);
+        let events: Vec<_> = events.into_iter().map(|(_, bytes)| bytes).collect();
+        let expected = reference_events(&bytes);
+        let is_partial = expected.iter().map(Vec::len).sum::<usize>() < bytes.len();
+        events == expected && splitter.has_partial_event() == is_partial
+    }
+    QuickCheck::new()
+        .tests(3_000)
+        .quickcheck(gives_the_same_events as fn(Vec<u8>, Vec<u8>) -> bool);
+}
+
+// Guards against a stream of short events in large chunks that fills a daemon's memory: each event held a
+// buffer of the size of its chunk.
+#[test]
+fn memory_is_linear_in_the_bytes_of_a_chunk() {
+    const CHUNK_BYTES: usize = 64 * 1024;
+    for event in [": c\n\n", "data: noid\n\n", "id: 1\ndata: a\n\n"] {
+        let chunk = event.repeat(CHUNK_BYTES / event.len() + 1);
+        let mut splitter = EventSplitter::default();
+        let mut held_bytes = 0;
+        for _ in 0..100 {
+            let events = push(&mut splitter, chunk.as_bytes());
+            held_bytes = held_bytes.max(splitter.held_bytes());
+            let forwarded: Vec<_> = events.into_iter().flat_map(|(_, bytes)| bytes).collect();
+            assert_eq!(forwarded, chunk.as_bytes());
+        }
+        assert!(held_bytes <= 4 * CHUNK_BYTES, "{event:?}: {held_bytes} bytes held");
+    }
+}
+
+#[test]
+fn memory_of_a_long_event_is_freed_after_it() {
+    let mut splitter = EventSplitter::default();
+    let line = vec![b'x'; 500_000];
+    push(&mut splitter, &line);
+    assert!(splitter.held_bytes() >= line.len());
+    push(&mut splitter, b"\n\nid: 2\n\n");
+    push(&mut splitter, b"id: 3\n\n");
+    assert!(splitter.held_bytes() < 10_000, "{} bytes held", splitter.held_bytes());
+}
+
+#[test]
+fn an_event_beyond_the_maximum_length_is_an_error() {
+    let mut splitter = EventSplitter::default();
+    push(&mut splitter, b"id: 1\n\n");
+    push(&mut splitter, &vec![b'x'; 1024 * 1024]);
+    splitter.push(b"x");
+    assert_eq!(splitter.next_event(), Err(SplitError::TooLong));
+}
+
 #[test]
 fn a_stream_that_ends_within_an_event_has_a_partial_event() {
     let mut splitter = EventSplitter::default();
-    let events = splitter.push(b"id: 1\ndata: a\n\nid: 2\nda").expect("short events");
+    let events = push(&mut splitter, b"id: 1\ndata: a\n\nid: 2\nda");
     assert_eq!(events.len(), 1);
     assert!(splitter.has_partial_event());
 }
@@ -45,26 +143,21 @@
 #[test]
 fn lines_may_end_with_crlf_and_other_fields_may_precede_the_id() {
     let mut splitter = EventSplitter::default();
-    let events = splitter.push(b"version: 4\r\nid: 9\r\ndata: a\r\n\r\n").expect("short events");
-    assert_eq!(events[0].id, Some(9));
-}
-
-fn event(text: &str) -> StreamEvent {
-    let events = EventSplitter::default().push(text.as_bytes()).expect("a short event");
-    events.into_iter().next().expect("a complete event")
+    let events = push(&mut splitter, b"version: 4\r\nid: 9\r\ndata: a\r\n\r\n");
+    assert_eq!(events[0].0, Some(9));
 }
 
-fn event_with_id(id: u64) -> StreamEvent {
-    event(&format!("id: {id}\ndata: a\n\n"))
+fn event_with_id(order: &mut EventOrder, id: u64) -> EventAction {
+    order.check(StreamEvent::new(format!("id: {id}\ndata: a\n\n").as_bytes()))
 }
 
 #[test]
 fn a_resumed_stream_continues_with_the_next_event() {
     let mut order = EventOrder::after(Some(4));
-    assert_eq!(order.check(&event_with_id(4)), EventAction::Skip);
-    assert_eq!(order.check(&event_with_id(5)), EventAction::Pass);
-    assert_eq!(order.check(&event_with_id(5)), EventAction::Skip);
-    assert_eq!(order.check(&event_with_id(7)), EventAction::Gap);
+    assert_eq!(event_with_id(&mut order, 4), EventAction::Skip);
+    assert_eq!(event_with_id(&mut order, 5), EventAction::Pass);
+    assert_eq!(event_with_id(&mut order, 5), EventAction::Skip);
+    assert_eq!(event_with_id(&mut order, 7), EventAction::Gap);
     assert_eq!(order.last(), Some(5));
 }
 
@@ -72,8 +165,8 @@
 #[test]
 fn an_event_without_an_id_interrupts_a_stream_whose_events_have_ids() {
     let mut order = EventOrder::after(Some(4));
-    assert_eq!(order.check(&event("data: a\n\n")), EventAction::Gap);
-    assert_eq!(order.check(&event(": keep-alive\n\n")), EventAction::Pass);
+    assert_eq!(order.check(StreamEvent::new(b"data: a\n\n")), EventAction::Gap);
+    assert_eq!(order.check(StreamEvent::new(b": keep-alive\n\n")), EventAction::Pass);
     let mut order = EventOrder::after(None);
-    assert_eq!(order.check(&event("data: a\n\n")), EventAction::Pass);
+    assert_eq!(order.check(StreamEvent::new(b"data: a\n\n")), EventAction::Pass);
 }
--- a/ggt-daemon/src/front/stream.rs
+++ b/ggt-daemon/src/front/stream.rs
@@ -393,11 +393,11 @@
     order: &mut EventOrder,
     bytes: &[u8],
 ) -> Result<Bytes, &'static str> {
-    let events = splitter.push(bytes).map_err(|_| "event too long")?;
+    splitter.push(bytes);
     let mut forwarded = Vec::new();
-    for event in events {
-        match order.check(&event) {
-            EventAction::Pass => forwarded.extend_from_slice(&event.bytes),
+    while let Some(event) = splitter.next_event().map_err(|_| "event too long")? {
+        match order.check(event) {
+            EventAction::Pass => forwarded.extend_from_slice(event.bytes),
             EventAction::Skip => {}
             EventAction::Gap => return Err("an event is missing"),
         }
