fix: events that arrive in one piece with an event after a gap are forwarded

Seen by callers: a stream that can be resumed ends as complete with events missing from its middle (ORDER). A chunk of a faulty server held events 1, 2 and 4; the stream was resumed at another server after event 2, and callers got 3 to 20.

Cause: the events of a chunk were collected and dropped together when a later one could not be forwarded, but the position in the stream had advanced past them. The same for a chunk whose last event is too long.

EventRelay (ggt-core) joins the splitter and the order. It returns the events before the error and the error; the daemon forwards the former and then leaves the reply.

Test: events_before_a_gap_in_the_same_chunk_are_forwarded (a daemon, two servers) failed on the code before: id-3 got events 3 to 20 of 20. events_before_a_gap_in_the_same_bytes_are_forwarded is the same without network.

--- a/ggt-core/tests/events.rs
+++ b/ggt-core/tests/events.rs
@@ -4,7 +4,9 @@
 
 use ggt_core::events::EventAction;
 use ggt_core::events::EventOrder;
+use ggt_core::events::EventRelay;
 use ggt_core::events::EventSplitter;
+use ggt_core::events::RelayError;
 use ggt_core::events::SplitError;
 use ggt_core::events::StreamEvent;
 
@@ -170,3 +172,14 @@
     let mut order = EventOrder::after(None);
     assert_eq!(order.check(StreamEvent::new(b"data: a\n\n")), EventAction::Pass);
 }
+
+// Guards against events that are lost because they arrive in one piece with an event after a gap.
+#[test]
+fn events_before_a_gap_in_the_same_bytes_are_forwarded() {
+    let mut relay = EventRelay::after(Some(1));
+    let mut forwarded = Vec::new();
+    let result = relay.push(b"id: 2\n\nid: 3\n\nid: 5\n\n", &mut forwarded);
+    assert_eq!(result, Err(RelayError::Gap));
+    assert_eq!(forwarded, b"id: 2\n\nid: 3\n\n");
+    assert_eq!(relay.last(), Some(3));
+}
--- a/ggt-daemon/src/front/stream.rs
+++ b/ggt-daemon/src/front/stream.rs
@@ -27,9 +27,8 @@
 use crate::front::response::forwarded_response;
 use crate::front::state::FrontState;
 use crate::front::stopping::DRAINING_CAUSE;
-use ggt_core::events::EventAction;
-use ggt_core::events::EventOrder;
-use ggt_core::events::EventSplitter;
+use ggt_core::events::EventRelay;
+use ggt_core::events::RelayError;
 use ggt_core::silence::ReplyStage;
 use ggt_core::targets::SendOutcome;
 
@@ -107,8 +106,9 @@
     state: Rc<FrontState>,
     job: Rc<FrontJob>,
     attempts: UpstreamAttempts,
-    splitter: EventSplitter,
-    order: EventOrder,
+    events: EventRelay,
+    /// Why nothing of the present reply can be forwarded after the events that have been.
+    failure: Option<RelayError>,
 }
 
 impl StreamRelay {
@@ -117,8 +117,8 @@
             state: state.clone(),
             job: job.clone(),
             attempts: UpstreamAttempts::new(state.clone(), job.clone()),
-            splitter: EventSplitter::default(),
-            order: EventOrder::after(job.headers.last_event),
+            events: EventRelay::after(job.headers.last_event),
+            failure: None,
         }
     }
 
@@ -201,8 +201,13 @@
     }
 
     async fn next_reply(&mut self) -> Result<TargetReply, FrontRefusal> {
-        self.splitter = EventSplitter::default();
-        self.attempts.next_reply(self.order.last()).await
+        self.begin_reply();
+        self.attempts.next_reply(self.events.last()).await
+    }
+
+    fn begin_reply(&mut self) {
+        self.events.begin_reply();
+        self.failure = None;
     }
 
     /// Forwards all events. If they end early, the body ends with an error, which closes the
@@ -262,7 +267,7 @@
                 log::info!(
                     "event=resume request_id={} after_event={} outcome=begun",
                     self.job.id,
-                    self.order.last().unwrap_or_default()
+                    self.events.last().unwrap_or_default()
                 );
                 return Ok(reply);
             }
@@ -287,9 +292,9 @@
             self.handle_interruption(reply, outcome).await?;
             return Ok(MovedReply::None);
         }
-        let moved = self.attempts.move_reply(reply, self.order.last()).await?;
+        let moved = self.attempts.move_reply(reply, self.events.last()).await?;
         if matches!(moved, MovedReply::Next(_)) {
-            self.splitter = EventSplitter::default();
+            self.begin_reply();
         }
         Ok(moved)
     }
@@ -330,7 +335,7 @@
         if reply.headers.is_framed || !matches!(outcome, ReadOutcome::Complete) {
             return outcome;
         }
-        if self.order.last().is_none() {
+        if self.events.last().is_none() {
             return ReadOutcome::Interrupted("ended before the first event".to_owned());
         }
         match self.attempts.has_outlived_reply().await {
@@ -355,7 +360,10 @@
     /// Reads until complete events have arrived or the reply has ended. Bytes that complete no event do not
     /// end the target's silence, since the caller gets nothing of them.
     async fn read(&mut self, reply: &mut TargetReply) -> ReadOutcome {
-        let Self { state, job, attempts, splitter, order } = self;
+        let Self { state, job, attempts, events, failure } = self;
+        if let Some(failure) = failure.take() {
+            return ReadOutcome::Interrupted(failure.to_string());
+        }
         let key = reply.key();
         let mut silence = pin!(attempts.wait_for_move(ReplyStage::Event));
         loop {
@@ -367,7 +375,7 @@
                 () = silence.as_mut() => return ReadOutcome::Timeout,
             };
             let bytes = match frame {
-                None if splitter.has_partial_event() => {
+                None if events.has_partial_event() => {
                     return ReadOutcome::Interrupted("ended within an event".to_owned());
                 }
                 None => return ReadOutcome::Complete,
@@ -375,32 +383,15 @@
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
             state.pool.borrow_mut().record_reply(key, None, mono_now());
-            match next_events(splitter, order, &bytes) {
-                Ok(events) if events.is_empty() => {}
-                Ok(events) => {
-                    attempts.end_silence();
-                    return ReadOutcome::Events(events);
-                }
-                Err(cause) => return ReadOutcome::Interrupted(cause.to_owned()),
+            let mut forwarded = Vec::new();
+            *failure = events.push(&bytes, &mut forwarded).err();
+            if !forwarded.is_empty() {
+                attempts.end_silence();
+                return ReadOutcome::Events(forwarded.into());
+            }
+            if let Some(failure) = failure.take() {
+                return ReadOutcome::Interrupted(failure.to_string());
             }
         }
     }
 }
-
-/// Adds `bytes` to the stream and returns the completed events that the caller does not have yet.
-fn next_events(
-    splitter: &mut EventSplitter,
-    order: &mut EventOrder,
-    bytes: &[u8],
-) -> Result<Bytes, &'static str> {
-    splitter.push(bytes);
-    let mut forwarded = Vec::new();
-    while let Some(event) = splitter.next_event().map_err(|_| "event too long")? {
-        match order.check(event) {
-            EventAction::Pass => forwarded.extend_from_slice(event.bytes),
-            EventAction::Skip => {}
-            EventAction::Gap => return Err("an event is missing"),
-        }
-    }
-    Ok(forwarded.into())
-}
--- a/ggt-testkit/tests/platform_streams.rs
+++ b/ggt-testkit/tests/platform_streams.rs
@@ -132,6 +132,28 @@
     assert_eq!(response.body, events_text(1));
 }
 
+// Guards against events that are lost because they arrive in one piece with an event after a gap.
+#[test]
+fn events_before_a_gap_in_the_same_chunk_are_forwarded() {
+    let fleet = FrontFleet::start(2, 1);
+    fleet.servers[0].set_script(|request, stream| {
+        let events: String = [1, 2, 4].map(|id| format!("id: {id}\ndata: piece {id}\n\n")).concat();
+        let text = format!("{}{:x}\r\n{events}\r\n0\r\n\r\n", stream_head(request), events.len());
+        // The daemon may have closed the connection already.
+        let _ = stream.write_all(text.as_bytes());
+        AfterResponse::Keep
+    });
+    set_event_script(&fleet.servers[1], 20, None);
+    for number in 0..8 {
+        let id = format!("id-{number}");
+        let response =
+            fleet.request(0, "POST", "/chat/", &id).body("x").send().expect("should respond");
+        assert!(response.is_complete, "{id}");
+        assert_eq!(response.body, events_text(20), "{id}");
+    }
+    assert!(!fleet.servers[0].requests().is_empty());
+}
+
 #[test]
 fn events_arrive_before_the_stream_ends() {
     let fleet = FrontFleet::start(1, 1);
