fix: interim replies without end are no reply; a reply that is too long is logged with its kind and bytes

Cause: the HTTP layer skips interim replies in a loop that has no limit of its own: it reads on as long as bytes are there, and the head that it limits is empty after each of them.

A target may now send 256 KiB before the head of its reply is complete. The stream below the HTTP layer counts (it sits below, so that it sees the bytes of each read), and SendFailure tells such a reply from a broken connection: the target is not checked for a crash. What is read of a reply at a time, and its head, is at most 64 KiB (400 KiB before). Bodies of requests are written from where they are: without vectored writes the HTTP layer copied each of them.

ReplyFailure takes the place of pairs of a kind and a text; 'event=send outcome=lost' names the kind and the bytes received, and causes name the errors behind them.

--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod crash_check;
+mod failure;
 mod forward;
 mod move_on;
 mod outcome;
@@ -9,6 +10,9 @@
 mod silence;
 mod statements;
 
+pub use failure::FailureKind;
+pub use failure::ReplyFailure;
+pub use failure::SendError;
 pub use move_on::MovedReply;
 
 use std::cell::Cell;
@@ -35,7 +39,6 @@
 use ggt_core::prompts::PrefixChain;
 use ggt_core::targets::ChoiceError;
 use ggt_core::targets::ChoiceQuery;
-use ggt_core::targets::SendOutcome;
 use ggt_core::targets::TargetChoice;
 use ggt_core::targets::TargetKey;
 use ggt_core::targets::TargetRecord;
@@ -93,32 +96,6 @@
     }
 }
 
-/// How a request failed after it was sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum FailureKind {
-    /// The target sent nothing for too long.
-    Timeout,
-    /// A reused connection broke, and no second send on a new one followed; the target has been
-    /// checked for a crash.
-    StaleConnection,
-    /// A new connection broke; the target may have crashed.
-    Reset,
-    /// The reply cannot be forwarded to the caller.
-    InvalidReply,
-}
-
-/// Why a send produced no usable reply.
-pub enum SendError {
-    /// No byte of the request was written to a socket; the outcome is what that says about the target.
-    NotSent { cause: String, outcome: SendOutcome },
-    /// The target states that it did not run the request.
-    Refused { status: StatusCode, is_misdirected: bool },
-    /// The request was sent and may have run.
-    Lost { cause: String, kind: FailureKind },
-    /// The deadline passed; the request may have run.
-    Deadline,
-}
-
 /// Why a request may not be sent to another target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum RetryDenial {
@@ -294,9 +271,9 @@
     }
 
     /// Records that a target's reply was interrupted or cannot be forwarded.
-    pub async fn record_interruption(&mut self, key: TargetKey, cause: &str, kind: FailureKind) {
+    pub async fn record_interruption(&mut self, key: TargetKey, failure: &ReplyFailure) {
         self.may_have_run = true;
-        self.record_failure(key, cause, kind).await;
+        self.record_failure(key, failure).await;
     }
 
     /// Final response when a send failed and no retry is allowed.
@@ -412,9 +389,9 @@
                 }
                 if self.try_next_send() { Ok(()) } else { Err(self.targets_full_refusal()) }
             }
-            SendError::Lost { cause, kind } => {
+            SendError::Lost(failure) => {
                 self.may_have_run = true;
-                self.record_failure(key, &cause, kind).await;
+                self.record_failure(key, &failure).await;
                 if self.try_next_send() { Ok(()) } else { Err(self.send_failure_refusal()) }
             }
             SendError::Deadline => {
--- a/ggt-daemon/src/front/attempt/move_on.rs
+++ b/ggt-daemon/src/front/attempt/move_on.rs
@@ -240,9 +240,9 @@
                 self.state.record_outcome(key, outcome);
                 cause
             }
-            SendEnd::Failed(SendError::Lost { cause, kind }) => {
-                self.record_failure(key, &cause, kind).await;
-                cause
+            SendEnd::Failed(SendError::Lost(failure)) => {
+                self.record_failure(key, &failure).await;
+                failure.cause
             }
             SendEnd::Failed(SendError::Deadline) => "deadline".to_owned(),
         }
--- a/ggt-daemon/src/front/attempt/outcome.rs
+++ b/ggt-daemon/src/front/attempt/outcome.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::mono_now;
 use crate::front::attempt::FailureKind;
+use crate::front::attempt::ReplyFailure;
 use crate::front::attempt::UpstreamAttempts;
 use crate::logging::quoted;
 use ggt_core::targets::SendOutcome;
@@ -32,23 +33,29 @@
     }
 
     /// Applies the failure of a request that may have run.
-    pub(super) async fn record_failure(&self, key: TargetKey, cause: &str, kind: FailureKind) {
-        self.record_send(key, "lost", cause);
+    pub(super) async fn record_failure(&self, key: TargetKey, failure: &ReplyFailure) {
+        let ReplyFailure { kind, cause, received_bytes } = failure;
+        let detail = format!(" kind={} bytes={received_bytes}", kind.as_str());
+        self.log_send(key, "lost", cause, &detail);
         self.state.record_outcome(key, SendOutcome::Bad);
         match kind {
             FailureKind::Reset => drop(self.check_crash(cause).await),
             FailureKind::Timeout => self.check_silent_target(cause).await,
-            FailureKind::StaleConnection | FailureKind::InvalidReply => {}
+            FailureKind::StaleConnection | FailureKind::InvalidReply | FailureKind::TooLong => {}
         }
     }
 
     /// Counts and logs a send that produced no usable reply.
     pub(super) fn record_send(&self, key: TargetKey, outcome: &'static str, cause: &str) {
+        self.log_send(key, outcome, cause, "");
+    }
+
+    fn log_send(&self, key: TargetKey, outcome: &'static str, cause: &str, detail: &str) {
         self.state.metrics.record_send(outcome);
         let pool = self.state.pool.borrow();
         let id = pool.target(key).map_or("gone", |target| target.record.id.as_str());
         log::info!(
-            "event=send request_id={} target={id} outcome={outcome} cause={} send={} after_ms={}",
+            "event=send request_id={} target={id} outcome={outcome} cause={} send={} after_ms={}{detail}",
             quoted(&self.job.id),
             quoted(cause),
             self.sends,
--- a/ggt-daemon/src/front/attempt/send.rs
+++ b/ggt-daemon/src/front/attempt/send.rs
@@ -14,6 +14,7 @@
 use crate::clock::mono_now;
 use crate::clock::time_until;
 use crate::front::attempt::FailureKind;
+use crate::front::attempt::ReplyFailure;
 use crate::front::attempt::SendError;
 use crate::front::attempt::SentTarget;
 use crate::front::attempt::TargetReply;
@@ -210,8 +211,8 @@
             match self.send_on_connection(choice, last_event, connection).await {
                 // The target closed the connection while it was idle.
                 Err(SendError::NotSent { .. }) => {}
-                Err(SendError::Lost { cause, kind: FailureKind::StaleConnection }) => {
-                    let connection = self.replace_connection(key, cause).await?;
+                Err(SendError::Lost(failure)) if failure.kind == FailureKind::StaleConnection => {
+                    let connection = self.replace_connection(key, failure).await?;
                     self.sends = sends_before;
                     return self.send_on_connection(choice, last_event, connection).await;
                 }
@@ -241,21 +242,21 @@
     async fn replace_connection(
         &mut self,
         key: TargetKey,
-        cause: String,
+        failure: ReplyFailure,
     ) -> Result<TargetConnection, SendError> {
         self.may_have_run = true;
-        let connection = self.check_crash(&cause).await;
+        let connection = self.check_crash(&failure.cause).await;
         match connection {
             Some(connection)
                 if self.refuse_crashing().is_none()
                     && self.is_open(key)
                     && self.state.try_retry(&self.job.service) =>
             {
-                self.record_send(key, "stale-connection", &cause);
+                self.record_send(key, "stale-connection", &failure.cause);
                 self.state.pool.borrow_mut().record_second_send(key, mono_now());
                 Ok(connection)
             }
-            _ => Err(SendError::Lost { cause, kind: FailureKind::StaleConnection }),
+            _ => Err(SendError::Lost(failure)),
         }
     }
 
@@ -292,10 +293,7 @@
         match sent {
             Some(sent) => sent_head(sent),
             None if self.is_moving() => Ok(HeadWait::Silent(task)),
-            None => {
-                let cause = "silent".to_owned();
-                Err(SendError::Lost { cause, kind: FailureKind::Timeout })
-            }
+            None => Err(SendError::Lost(ReplyFailure::new(FailureKind::Timeout, "silent"))),
         }
     }
 
@@ -357,21 +355,25 @@
 
 /// The head of a reply, or what its absence says about the request.
 fn sent_head(sent: Result<SendResult, JoinError>) -> Result<HeadWait, SendError> {
-    let lost = |cause, kind| Err(SendError::Lost { cause, kind });
-    match sent {
-        Ok((Ok(response), connection)) => Ok(HeadWait::Arrived(response, connection)),
-        Ok((Err(SendFailure::NotSent { cause }), _)) => Err(not_sent(&cause)),
-        Ok((Err(SendFailure::Lost { cause }), connection)) if connection.is_reused() => {
-            lost(cause, FailureKind::StaleConnection)
-        }
-        Ok((Err(SendFailure::Lost { cause }), _)) => lost(cause, FailureKind::Reset),
+    let (failure, connection) = match sent {
+        Ok((Ok(response), connection)) => return Ok(HeadWait::Arrived(response, connection)),
+        Ok((Err(failure), connection)) => (failure, connection),
         // The task panicked; whether the request was written is not known.
-        Err(e) => lost(e.to_string(), FailureKind::InvalidReply),
-    }
+        Err(e) => return Err(invalid_reply(&e.to_string())),
+    };
+    let (kind, cause) = match failure {
+        SendFailure::NotSent { cause } => return Err(not_sent(&cause)),
+        SendFailure::TooLong { cause } => (FailureKind::TooLong, cause),
+        SendFailure::Lost { cause } if connection.is_reused() => {
+            (FailureKind::StaleConnection, cause)
+        }
+        SendFailure::Lost { cause } => (FailureKind::Reset, cause),
+    };
+    Err(SendError::Lost(ReplyFailure { kind, cause, received_bytes: connection.received_bytes() }))
 }
 
 fn invalid_reply(cause: &str) -> SendError {
-    SendError::Lost { cause: cause.to_owned(), kind: FailureKind::InvalidReply }
+    SendError::Lost(ReplyFailure::new(FailureKind::InvalidReply, cause))
 }
 
 fn not_sent(cause: &str) -> SendError {
--- a/ggt-daemon/src/front/buffered.rs
+++ b/ggt-daemon/src/front/buffered.rs
@@ -10,8 +10,10 @@
 
 use crate::clock::time_until;
 use crate::front::attempt::FailureKind;
+use crate::front::attempt::ReplyFailure;
 use crate::front::attempt::TargetReply;
 use crate::front::attempt::UpstreamAttempts;
+use crate::front::buffers::ReadError;
 use crate::front::buffers::read_body;
 use crate::front::job::FrontJob;
 use crate::front::job::JobGuard;
@@ -39,7 +41,7 @@
         let is_forwarded = reply.peer.is_some();
         let mut complete = read_complete(state, &job, reply).await;
         if complete.is_ok() && !is_framed && !attempts.has_outlived_reply().await {
-            complete = Err((FailureKind::Reset, "target ended with its reply".to_owned()));
+            complete = Err(ReplyFailure::new(FailureKind::Reset, "target ended with its reply"));
         }
         match complete {
             Ok((raw_headers, body)) if is_retryable(&job, status) && attempts.try_next_send() => {
@@ -57,7 +59,7 @@
                     ResponseBody::Complete(Some(body)),
                 );
             }
-            Err((kind, cause)) => attempts.record_interruption(key, &cause, kind).await,
+            Err(failure) => attempts.record_interruption(key, &failure).await,
         }
         if !attempts.try_next_send() {
             return final_response(&job, error_reply, attempts.send_failure_refusal(), guard);
@@ -96,21 +98,17 @@
     status.is_server_error() && job.route.is_idempotent
 }
 
-/// Reads a reply to its end and keeps its connection for reuse if the target allows it. Otherwise
-/// returns how the reply failed, and the cause.
+/// Reads a reply to its end and keeps its connection for reuse if the target allows it.
 async fn read_complete(
     state: &FrontState,
     job: &FrontJob,
     reply: TargetReply,
-) -> Result<(HeaderMap, Bytes), (FailureKind, String)> {
+) -> Result<(HeaderMap, Bytes), ReplyFailure> {
     let key = reply.key();
     let TargetReply { peer, status, raw_headers, headers, body, connection, guard, .. } = reply;
     let body = timeout(time_until(job.deadline), read_body(&state.buffers, body)).await;
-    let body = match body {
-        Err(_) => return Err((FailureKind::Timeout, "deadline".to_owned())),
-        Ok(Err(e)) => return Err((e.kind(), e.to_string())),
-        Ok(Ok(body)) => body,
-    };
+    let body = body.unwrap_or(Err(ReadError::Deadline));
+    let body = body.map_err(|e| e.into_failure().with_bytes(connection.received_bytes()))?;
     let outcome = if status.is_server_error() { SendOutcome::Bad } else { SendOutcome::Good };
     state.record_outcome(key, outcome);
     if !headers.closes_connection && job.route.is_idempotent {
--- a/ggt-daemon/src/front/buffers.rs
+++ b/ggt-daemon/src/front/buffers.rs
@@ -11,6 +11,8 @@
 use snafu::Snafu;
 
 use crate::front::attempt::FailureKind;
+use crate::front::attempt::ReplyFailure;
+use crate::upstream::error_chain;
 
 /// Maximum size in bytes of one buffered reply.
 const MAX_REPLY_BYTES: usize = 16 * 1024 * 1024;
@@ -92,11 +94,14 @@
 #[derive(Debug, Snafu)]
 pub enum ReadError {
     /// The connection broke.
-    #[snafu(display("{source}"))]
+    #[snafu(display("{}", error_chain(source)))]
     Broken {
         /// Error of the connection.
         source: hyper::Error,
     },
+    /// The request's deadline passed.
+    #[snafu(display("deadline"))]
+    Deadline,
     /// The body is too long.
     #[snafu(display("{source}"), context(false))]
     TooLong {
@@ -107,11 +112,13 @@
 
 impl ReadError {
     /// How the reply failed.
-    pub const fn kind(&self) -> FailureKind {
-        match self {
+    pub fn into_failure(self) -> ReplyFailure {
+        let kind = match &self {
             Self::Broken { .. } => FailureKind::Reset,
-            Self::TooLong { .. } => FailureKind::InvalidReply,
-        }
+            Self::Deadline => FailureKind::Timeout,
+            Self::TooLong { .. } => FailureKind::TooLong,
+        };
+        ReplyFailure::new(kind, self.to_string())
     }
 }
 
--- a/ggt-daemon/src/front/forward/send.rs
+++ b/ggt-daemon/src/front/forward/send.rs
@@ -83,7 +83,9 @@
     match sent {
         Ok(response) => judge_response(response, connection),
         Err(SendFailure::NotSent { cause }) => PeerOutcome::NotTaken { cause },
-        Err(SendFailure::Lost { cause }) => PeerOutcome::Lost { cause },
+        Err(SendFailure::Lost { cause } | SendFailure::TooLong { cause }) => {
+            PeerOutcome::Lost { cause }
+        }
     }
 }
 
--- a/ggt-daemon/src/front/stream.rs
+++ b/ggt-daemon/src/front/stream.rs
@@ -15,8 +15,10 @@
 use crate::clock::time_until;
 use crate::front::attempt::FailureKind;
 use crate::front::attempt::MovedReply;
+use crate::front::attempt::ReplyFailure;
 use crate::front::attempt::TargetReply;
 use crate::front::attempt::UpstreamAttempts;
+use crate::front::buffers::ReadError;
 use crate::front::buffers::read_body;
 use crate::front::job::FrontJob;
 use crate::front::job::JobGuard;
@@ -27,6 +29,7 @@
 use crate::front::response::forwarded_response;
 use crate::front::state::FrontState;
 use crate::front::stopping::DRAINING_CAUSE;
+use crate::upstream::error_chain;
 use ggt_core::events::EventRelay;
 use ggt_core::events::RelayError;
 use ggt_core::silence::ReplyStage;
@@ -40,8 +43,8 @@
     Events(Bytes),
     /// The stream is complete.
     Complete,
-    /// The reply was interrupted or cannot be forwarded; holds the cause.
-    Interrupted(String),
+    /// The reply was interrupted or cannot be forwarded.
+    Interrupted(ReplyFailure),
     /// The target sent nothing for too long, and a retry at another one is reserved.
     Timeout,
     /// The request's deadline passed.
@@ -173,14 +176,14 @@
         reply: TargetReply,
     ) -> Result<Option<StartError>, StartError> {
         let key = reply.key();
-        let TargetReply { status, raw_headers, body, .. } = reply;
+        let TargetReply { status, raw_headers, body, connection, .. } = reply;
         let outcome = if status.is_server_error() { SendOutcome::Bad } else { SendOutcome::Good };
         self.state.record_outcome(key, outcome);
         let time_left = time_until(self.job.deadline);
         let collected = timeout(time_left, read_body(&self.state.buffers, body)).await;
         let is_retryable = status.is_server_error() && self.job.route.is_idempotent;
-        match collected {
-            Ok(Ok(body)) => {
+        match collected.unwrap_or(Err(ReadError::Deadline)) {
+            Ok(body) => {
                 let error_reply = StartError::ErrorReply((status, raw_headers), body);
                 if is_retryable && self.attempts.try_next_send() {
                     Ok(Some(error_reply))
@@ -188,10 +191,9 @@
                     Err(error_reply)
                 }
             }
-            _ => {
-                self.attempts
-                    .record_interruption(key, "error reply interrupted", FailureKind::InvalidReply)
-                    .await;
+            Err(e) => {
+                let failure = e.into_failure().with_bytes(connection.received_bytes());
+                self.attempts.record_interruption(key, &failure).await;
                 match self.attempts.try_next_send() {
                     true => Ok(None),
                     false => Err(StartError::Refused(self.attempts.send_failure_refusal())),
@@ -273,9 +275,9 @@
             }
             let key = reply.key();
             drop(reply);
-            self.attempts
-                .record_interruption(key, "error reply to resumption", FailureKind::InvalidReply)
-                .await;
+            let cause = "error reply to resumption";
+            let failure = ReplyFailure::new(FailureKind::InvalidReply, cause);
+            self.attempts.record_interruption(key, &failure).await;
             if !self.attempts.try_next_send() {
                 return Err("resumption-failed");
             }
@@ -307,17 +309,18 @@
         outcome: &ReadOutcome,
     ) -> Result<(), FrontRefusal> {
         let key = reply.key();
+        let received_bytes = reply.connection.received_bytes();
         drop(reply);
+        let silence = ReplyFailure::new(FailureKind::Timeout, "silent").with_bytes(received_bytes);
         match outcome {
             ReadOutcome::Deadline => {
-                self.attempts.record_interruption(key, "silent", FailureKind::Timeout).await;
+                self.attempts.record_interruption(key, &silence).await;
                 return Err(self.attempts.send_failure_refusal());
             }
-            ReadOutcome::Timeout => {
-                self.attempts.record_interruption(key, "silent", FailureKind::Timeout).await
-            }
-            ReadOutcome::Interrupted(cause) => {
-                self.attempts.record_interruption(key, cause, FailureKind::Reset).await
+            ReadOutcome::Timeout => self.attempts.record_interruption(key, &silence).await,
+            ReadOutcome::Interrupted(failure) => {
+                let failure = failure.clone().with_bytes(received_bytes);
+                self.attempts.record_interruption(key, &failure).await;
             }
             ReadOutcome::Events(_) | ReadOutcome::Complete => {}
         }
@@ -336,11 +339,11 @@
             return outcome;
         }
         if self.events.last().is_none() {
-            return ReadOutcome::Interrupted("ended before the first event".to_owned());
+            return interrupted(FailureKind::Reset, "ended before the first event");
         }
         match self.attempts.has_outlived_reply().await {
             true => ReadOutcome::Complete,
-            false => ReadOutcome::Interrupted("target ended with its reply".to_owned()),
+            false => interrupted(FailureKind::Reset, "target ended with its reply"),
         }
     }
 
@@ -362,7 +365,7 @@
     async fn read(&mut self, reply: &mut TargetReply) -> ReadOutcome {
         let Self { state, job, attempts, events, failure } = self;
         if let Some(failure) = failure.take() {
-            return ReadOutcome::Interrupted(failure.to_string());
+            return ReadOutcome::Interrupted(into_failure(failure));
         }
         let key = reply.key();
         let mut silence = pin!(attempts.wait_for_move(ReplyStage::Event));
@@ -376,10 +379,10 @@
             };
             let bytes = match frame {
                 None if events.has_partial_event() => {
-                    return ReadOutcome::Interrupted("ended within an event".to_owned());
+                    return interrupted(FailureKind::Reset, "ended within an event");
                 }
                 None => return ReadOutcome::Complete,
-                Some(Err(e)) => return ReadOutcome::Interrupted(e.to_string()),
+                Some(Err(e)) => return interrupted(FailureKind::Reset, error_chain(&e)),
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
             state.pool.borrow_mut().record_reply(key, None, mono_now());
@@ -390,8 +393,24 @@
                 return ReadOutcome::Events(forwarded.into());
             }
             if let Some(failure) = failure.take() {
-                return ReadOutcome::Interrupted(failure.to_string());
+                return ReadOutcome::Interrupted(into_failure(failure));
             }
         }
     }
 }
+
+fn interrupted<C>(kind: FailureKind, cause: C) -> ReadOutcome
+where
+    C: Into<String>,
+{
+    ReadOutcome::Interrupted(ReplyFailure::new(kind, cause))
+}
+
+/// How a reply failed whose events cannot be forwarded any further.
+fn into_failure(error: RelayError) -> ReplyFailure {
+    let kind = match error {
+        RelayError::Split { .. } => FailureKind::TooLong,
+        RelayError::Gap => FailureKind::InvalidReply,
+    };
+    ReplyFailure::new(kind, error.to_string())
+}
--- a/ggt-daemon/src/upstream/call.rs
+++ b/ggt-daemon/src/upstream/call.rs
@@ -56,8 +56,8 @@
         /// Whether the target was only silent for the time given to it.
         is_silence: bool,
     },
-    /// The reply has the id of another request, or has no marked end, so that a truncated one could
-    /// not be detected.
+    /// The reply has the id of another request, has no marked end, so that a truncated one could not be
+    /// detected, or is longer than a reply may be.
     #[snafu(display("reply dropped: {cause}"))]
     WrongReply {
         /// Which check failed.
@@ -97,6 +97,7 @@
         match failure {
             SendFailure::NotSent { cause } => Self::NotSent { cause, is_silence: false },
             SendFailure::Lost { cause } => Self::NoReply { cause, is_silence: false },
+            SendFailure::TooLong { cause } => Self::WrongReply { cause },
         }
     }
 }
--- a/ggt-daemon/src/upstream/connection.rs
+++ b/ggt-daemon/src/upstream/connection.rs
@@ -23,6 +23,9 @@
 use crate::upstream::ConnectError;
 use crate::upstream::SendTracker;
 use crate::upstream::connect_tcp;
+use crate::upstream::error_chain;
+use crate::upstream::errors::is_caused_by;
+use crate::upstream::tracker::HeadTooLong;
 use crate::upstream::tracker::TrackedStream;
 use ggt_core::clock::MonoTime;
 
@@ -32,6 +35,8 @@
 const IDLE_MARGIN_MS: u64 = 700;
 /// Maximum number of idle connections per target.
 const MAX_IDLE_CONNECTIONS: usize = 8;
+/// Maximum size in bytes of a reply's head, and of what is read of a reply at a time.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
 
 /// Why a request on a connection got no reply.
 #[derive(Debug, Snafu)]
@@ -48,6 +53,23 @@
         /// Text of the underlying error.
         cause: String,
     },
+    /// The same, and the target has sent more bytes than the head of a reply may have.
+    #[snafu(display("{cause}"))]
+    TooLong {
+        /// Text of the underlying error.
+        cause: String,
+    },
+}
+
+impl SendFailure {
+    /// What an error of the HTTP layer means, if any byte of the request has been written.
+    fn of_written(error: &hyper::Error) -> Self {
+        let cause = error_chain(error);
+        match error.is_parse_too_large() || is_caused_by::<HeadTooLong>(error) {
+            true => Self::TooLong { cause },
+            false => Self::Lost { cause },
+        }
+    }
 }
 
 /// A connection to a target; dropping it closes the socket.
@@ -75,8 +97,9 @@
     ) -> Result<Self, ConnectError> {
         let stream = connect_tcp(address, connect_timeout).await?;
         let tracker = SendTracker::new(mono_now(), Duration::MAX, None);
-        let stream = TrackedStream::new(TokioIo::new(stream), tracker.clone());
-        let handshake = http1::handshake(stream).await;
+        let stream = TokioIo::new(TrackedStream::new(stream, tracker.clone()));
+        let handshake =
+            http1::Builder::new().max_buf_size(MAX_BUFFER_BYTES).handshake(stream).await;
         let (sender, driver) =
             handshake.map_err(|source| ConnectError::Handshake { address, source })?;
         let task = tokio::spawn(async move {
@@ -109,7 +132,12 @@
     /// [`SendFailure::NotSent`] when the connection is closed.
     pub async fn ready(&mut self) -> Result<(), SendFailure> {
         let ready = self.sender.ready().await;
-        ready.map_err(|e| SendFailure::NotSent { cause: e.to_string() })
+        ready.map_err(|e| SendFailure::NotSent { cause: error_chain(&e) })
+    }
+
+    /// Bytes of the reply to the last request that have been received.
+    pub fn received_bytes(&self) -> u64 {
+        self.tracker.received_bytes()
     }
 
     /// Sends a request and waits for the head of the reply. Nothing is sent if the first byte
@@ -125,9 +153,10 @@
     ) -> Result<Response<Incoming>, SendFailure> {
         self.tracker.begin(send_deadline);
         let result = self.sender.send_request(request).await;
+        self.tracker.record_head();
         result.map_err(|e| match self.has_written() {
-            true => SendFailure::Lost { cause: e.to_string() },
-            false => SendFailure::NotSent { cause: e.to_string() },
+            true => SendFailure::of_written(&e),
+            false => SendFailure::NotSent { cause: error_chain(&e) },
         })
     }
 }
--- a/ggt-daemon/src/upstream/mod.rs
+++ b/ggt-daemon/src/upstream/mod.rs
@@ -3,6 +3,7 @@
 mod call;
 mod connect;
 mod connection;
+mod errors;
 mod tracker;
 
 pub use call::CallFailure;
@@ -16,4 +17,5 @@
 pub use connection::ConnectionPool;
 pub use connection::SendFailure;
 pub use connection::TargetConnection;
+pub use errors::error_chain;
 pub use tracker::SendTracker;
--- a/ggt-daemon/src/upstream/tracker.rs
+++ b/ggt-daemon/src/upstream/tracker.rs
@@ -2,6 +2,7 @@
 //! after the request's send deadline.
 
 use std::io;
+use std::io::IoSlice;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -9,11 +10,13 @@
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 use std::time::Duration;
 
-use hyper::rt::Read;
-use hyper::rt::ReadBufCursor;
-use hyper::rt::Write;
+use snafu::Snafu;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
 use ureq::Error;
 use ureq::unversioned::transport::Buffers;
 use ureq::unversioned::transport::ConnectionDetails;
@@ -25,10 +28,26 @@
 use crate::metrics::ByteCounter;
 use ggt_core::clock::MonoTime;
 
-/// Tracks one request: whether it has been written, its send deadline and its idle timeout.
+/// Maximum number of bytes that a target may send before the head of its reply is complete, interim replies
+/// included. The head itself is limited by the read buffer, of which up to two may hold the beginning of the body.
+const MAX_HEAD_BYTES: u64 = 256 * 1024;
+
+/// A target has sent too many bytes that are no head of a reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("no reply within {received_bytes} bytes"))]
+pub struct HeadTooLong {
+    /// Bytes that it has sent.
+    pub received_bytes: u64,
+}
+
+/// Tracks one request: whether it has been written, what was received since, its send deadline and its idle timeout.
 #[derive(Debug)]
 pub struct SendTracker {
     has_written: AtomicBool,
+    /// Whether the head of the reply has arrived.
+    has_head: AtomicBool,
+    /// Bytes received since the request began.
+    received_bytes: AtomicU64,
     /// Deadline for writing the first byte, in milliseconds of the monotonic clock.
     send_deadline: AtomicU64,
     idle_timeout: Duration,
@@ -46,6 +65,8 @@
     ) -> Arc<Self> {
         Arc::new(Self {
             has_written: AtomicBool::new(false),
+            has_head: AtomicBool::new(false),
+            received_bytes: AtomicU64::new(0),
             send_deadline: AtomicU64::new(send_deadline.as_millis()),
             idle_timeout,
             counter,
@@ -56,9 +77,34 @@
     /// `send_deadline`.
     pub fn begin(&self, send_deadline: MonoTime) {
         self.send_deadline.store(send_deadline.as_millis(), Ordering::SeqCst);
+        self.has_head.store(false, Ordering::SeqCst);
+        self.received_bytes.store(0, Ordering::SeqCst);
         self.has_written.store(false, Ordering::SeqCst);
     }
 
+    /// Records that the head of the reply has arrived.
+    pub fn record_head(&self) {
+        self.has_head.store(true, Ordering::SeqCst);
+    }
+
+    /// Bytes that have been received since the request began.
+    pub fn received_bytes(&self) -> u64 {
+        self.received_bytes.load(Ordering::SeqCst)
+    }
+
+    fn record_read(&self, length: usize) {
+        self.received_bytes.fetch_add(length as u64, Ordering::SeqCst);
+    }
+
+    /// Whether more bytes may be read, or the target has sent too many without the head of a reply.
+    fn start_read(&self) -> io::Result<()> {
+        let received_bytes = self.received_bytes();
+        if received_bytes < MAX_HEAD_BYTES || self.has_head.load(Ordering::SeqCst) {
+            return Ok(());
+        }
+        Err(io::Error::new(io::ErrorKind::InvalidData, HeadTooLong { received_bytes }))
+    }
+
     /// Whether any byte of the request may have been written.
     pub fn has_written(&self) -> bool {
         self.has_written.load(Ordering::SeqCst)
@@ -140,7 +186,7 @@
     }
 }
 
-/// A `hyper` connection with a [`SendTracker`].
+/// A TCP stream of a `hyper` connection with a [`SendTracker`].
 ///
 /// It reads nothing before the first byte of a request has been written, so that a reply that
 /// arrives early is taken as a reply and not as unexpected data on an idle connection.
@@ -155,39 +201,55 @@
     }
 }
 
-impl<T> Read for TrackedStream<T>
+impl<T> AsyncRead for TrackedStream<T>
 where
-    T: Read + Unpin,
+    T: AsyncRead + Unpin,
 {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-        buffer: ReadBufCursor<'_>,
+        buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         if !self.tracker.has_written() {
             // `poll_write` wakes the task when the first byte is written.
             return Poll::Pending;
         }
-        Pin::new(&mut self.inner).poll_read(context, buffer)
+        self.tracker.start_read()?;
+        let filled_before = buffer.filled().len();
+        ready!(Pin::new(&mut self.inner).poll_read(context, buffer))?;
+        self.tracker.record_read(buffer.filled().len() - filled_before);
+        Poll::Ready(Ok(()))
     }
 }
 
-impl<T> Write for TrackedStream<T>
+impl<T> AsyncWrite for TrackedStream<T>
 where
-    T: Write + Unpin,
+    T: AsyncWrite + Unpin,
 {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        if let Err(e) = self.tracker.start_write() {
-            return Poll::Ready(Err(e));
-        }
+        self.tracker.start_write()?;
         context.waker().wake_by_ref();
         Pin::new(&mut self.inner).poll_write(context, bytes)
     }
 
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.tracker.start_write()?;
+        context.waker().wake_by_ref();
+        Pin::new(&mut self.inner).poll_write_vectored(context, slices)
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.inner).poll_flush(context)
     }
--- a/ggt-daemon/tests/upstream.rs
+++ b/ggt-daemon/tests/upstream.rs
@@ -265,3 +265,34 @@
     assert!(!failed(std::io::ErrorKind::Other).is_refused(), "too many open files");
     assert!(!ConnectError::Timeout { address, timeout_ms: 200 }.is_refused());
 }
+
+// Guards against a target that sends interim replies without end: they held the caller to its deadline, and the
+// daemon's thread for as long as they arrived.
+#[test]
+fn interim_replies_without_end_are_no_reply() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let served = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let block = "HTTP/1.1 100 Continue\r\n\r\n".repeat(1_000);
+        let mut sent_bytes = 0;
+        while stream.write_all(block.as_bytes()).is_ok() {
+            sent_bytes += block.len();
+        }
+        sent_bytes
+    });
+    let failure = call(address, mono_now() + 10_000).expect_err("no reply");
+    assert!(!failure.is_silence(), "{failure}");
+    assert_eq!(failure.verdict(), RunVerdict::Unknown);
+    // What the buffers of the sockets hold comes on top of the 256 KiB that the daemon reads.
+    let sent_bytes = served.join().expect("no panic");
+    assert!(sent_bytes < 16 * 1024 * 1024, "{sent_bytes} bytes sent");
+}
+
+#[test]
+fn interim_replies_before_a_reply_are_skipped() {
+    let interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n";
+    let reply: &'static str = Box::leak(format!("{}{GOOD}", interim.repeat(20)).into_boxed_str());
+    let (address, _served) = start_target(reply);
+    assert_eq!(call(address, mono_now() + 10_000).expect("a reply"), 200);
+}
