fix: a stream without numbered events ends

Seen by callers: a target that sends comments, or events without an id, without end got its caller nothing up to the deadline (8 s), and the target stayed in the choice.

Cause: each comment ended the target's silence, and nothing else bounds a reply whose events bring the stream no further.

A reply may have 1 MiB of comments and events without an id in a row (the length that one event may have); then it is given up as too long, which counts as the target's failure. Servers send a few bytes every few seconds to keep a connection open.

Test: a_reply_without_numbered_events_ends; comments_between_events_do_not_end_a_reply shows 5,000 comments after each of 100 events forwarded.

--- a/ggt-core/src/events/relay.rs
+++ b/ggt-core/src/events/relay.rs
@@ -19,13 +19,22 @@
     /// An event is missing, or may be.
     #[snafu(display("an event is missing"))]
     Gap,
+    /// The reply has too many bytes of comments or events without an id in a row.
+    #[snafu(display("no numbered event within {MAX_UNNUMBERED_BYTES} bytes"))]
+    Unnumbered,
 }
 
+/// Maximum number of bytes of comments and events without an id in a row. Servers send comments of a few bytes
+/// every few seconds to keep a connection open.
+const MAX_UNNUMBERED_BYTES: usize = 1024 * 1024;
+
 /// The events of one stream, from one reply after the other.
 #[derive(Clone, Debug, Default)]
 pub struct EventRelay {
     splitter: EventSplitter,
     order: EventOrder,
+    /// Bytes of comments and events without an id since the last numbered one of the reply.
+    unnumbered_bytes: usize,
 }
 
 impl EventRelay {
@@ -42,6 +51,7 @@
     /// Begins with the next reply; a partial event of the one before is dropped.
     pub fn begin_reply(&mut self) {
         self.splitter = EventSplitter::default();
+        self.unnumbered_bytes = 0;
     }
 
     /// Takes bytes of the reply, and appends the events that they complete to `forwarded`, also if an error
@@ -52,6 +62,13 @@
     pub fn push(&mut self, bytes: &[u8], forwarded: &mut Vec<u8>) -> Result<(), RelayError> {
         self.splitter.push(bytes);
         while let Some(event) = self.splitter.next_event()? {
+            self.unnumbered_bytes = match event.id {
+                Some(_) => 0,
+                None => self.unnumbered_bytes + event.bytes.len(),
+            };
+            if self.unnumbered_bytes > MAX_UNNUMBERED_BYTES {
+                return Err(RelayError::Unnumbered);
+            }
             match self.order.check(event) {
                 EventAction::Pass => forwarded.extend_from_slice(event.bytes),
                 EventAction::Skip => {}
--- a/ggt-core/tests/events.rs
+++ b/ggt-core/tests/events.rs
@@ -183,3 +183,32 @@
     assert_eq!(forwarded, b"id: 2\n\nid: 3\n\n");
     assert_eq!(relay.last(), Some(3));
 }
+
+// Guards against a target that sends comments, or events of which nobody knows the place, without end: the
+// caller gets nothing of its stream, up to its deadline.
+#[test]
+fn a_reply_without_numbered_events_ends() {
+    for event in [": c\n\n", "data: noid\n\n"] {
+        let mut relay = EventRelay::after(None);
+        let chunk = event.repeat(10_000);
+        let mut forwarded = Vec::new();
+        let mut result = Ok(());
+        while result.is_ok() && forwarded.len() < 10_000_000 {
+            result = relay.push(chunk.as_bytes(), &mut forwarded);
+        }
+        assert_eq!(result, Err(RelayError::Unnumbered), "{event:?}");
+        assert!(forwarded.len() <= 1024 * 1024, "{event:?}: {} bytes", forwarded.len());
+    }
+}
+
+#[test]
+fn comments_between_events_do_not_end_a_reply() {
+    let mut relay = EventRelay::after(None);
+    let mut forwarded = Vec::new();
+    for id in 0..100 {
+        let text = format!("id: {id}\ndata: a\n\n{}", ": keep-alive\n\n".repeat(5_000));
+        forwarded.clear();
+        assert_eq!(relay.push(text.as_bytes(), &mut forwarded), Ok(()));
+        assert_eq!(forwarded, text.as_bytes());
+    }
+}
--- a/ggt-daemon/src/front/stream.rs
+++ b/ggt-daemon/src/front/stream.rs
@@ -409,7 +409,7 @@
 /// How a reply failed whose events cannot be forwarded any further.
 fn into_failure(error: RelayError) -> ReplyFailure {
     let kind = match error {
-        RelayError::Split { .. } => FailureKind::TooLong,
+        RelayError::Split { .. } | RelayError::Unnumbered => FailureKind::TooLong,
         RelayError::Gap => FailureKind::InvalidReply,
     };
     ReplyFailure::new(kind, error.to_string())
