fix: an interruption ends a stream whatever its queue holds

Cause: events went through a channel of 16 batches. The error that ends the body was put into it with try_send, which fails while the channel is full, and the dropped sender then ended the body without an error. The same would follow from any other way in which the relay's task ends early, such as a panic.

The queue of a stream is now a type of its own with an explicit end: complete, or interrupted with a cause. An interruption is recorded beside the queued events, and a relay that is dropped has interrupted its stream.

Looked for the class, every try_send and every sender whose drop ends what its receiver reads: the body of the own interface is complete only after finish(); replies to a question about a stream's origin are counted; the queues of cancellations and log lines count what they drop. None takes an end for success.

--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -16,6 +16,7 @@
 pub use move_on::MovedReply;
 
 use std::cell::Cell;
+use std::future::ready;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -86,6 +87,22 @@
         }
     }
 
+    /// The next bytes of the body if they have arrived already.
+    pub async fn arrived_data(&mut self) -> Option<Bytes> {
+        let frame = tokio::select! {
+            biased;
+            frame = self.frame() => frame,
+            () = ready(()) => return None,
+        };
+        match frame {
+            Some(Ok(frame)) => Some(frame.into_data().unwrap_or_default()),
+            end => {
+                self.next_frame = Some(end);
+                None
+            }
+        }
+    }
+
     /// Returns once a frame of the body has arrived, which is kept.
     async fn wait_for_frame(&mut self) {
         let frame = self.frame().await;
--- a/ggt-daemon/src/front/response.rs
+++ b/ggt-daemon/src/front/response.rs
@@ -13,27 +13,18 @@
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
-use snafu::Snafu;
-use tokio::sync::mpsc::Receiver;
 use tokio::task::AbortHandle;
 
+use crate::front::stream::EventReceiver;
+use crate::front::stream::StreamInterrupted;
 use ggt_platform::ATTEMPT_HEADER;
 
-/// A stream that ends before its last event. The caller's connection is closed without the final
-/// chunk, so that the caller notices.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
-#[snafu(display("stream interrupted: {cause}"))]
-pub struct StreamInterrupted {
-    /// Cause as logged in `event=end`.
-    pub cause: &'static str,
-}
-
 /// Body of a response.
 pub enum ResponseBody {
     /// A complete body; `None` once it has been sent.
     Complete(Option<Bytes>),
     /// Events as they arrive; dropping the body aborts the task that relays them.
-    Events(Receiver<Result<Bytes, StreamInterrupted>>, AbortHandle),
+    Events(EventReceiver, AbortHandle),
 }
 
 impl Drop for ResponseBody {
@@ -55,13 +46,16 @@
         match &mut *self {
             Self::Complete(body) => Poll::Ready(body.take().map(|bytes| Ok(Frame::data(bytes)))),
             Self::Events(events, _) => {
-                events.poll_recv(context).map(|event| event.map(|event| event.map(Frame::data)))
+                events.poll_next(context).map(|event| event.map(|event| event.map(Frame::data)))
             }
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Complete(None))
+        match self {
+            Self::Complete(body) => body.is_none(),
+            Self::Events(..) => false,
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/ggt-daemon/src/front/stream.rs
+++ b/ggt-daemon/src/front/stream/mod.rs
@@ -1,12 +1,16 @@
 //! Requests whose reply is a stream of server-sent events, resumed at another target if necessary.
 
+mod queue;
+mod received;
+
+pub use queue::EventReceiver;
+pub use queue::EventSender;
+pub use queue::StreamInterrupted;
+
 use std::pin::pin;
 use std::rc::Rc;
 
-use bytes::Bytes;
 use http::Response;
-use tokio::sync::mpsc::Sender;
-use tokio::sync::mpsc::channel;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -25,22 +29,21 @@
 use crate::front::origins::required_version;
 use crate::front::response::FrontRefusal;
 use crate::front::response::ResponseBody;
-use crate::front::response::StreamInterrupted;
 use crate::front::response::forwarded_response;
 use crate::front::state::FrontState;
 use crate::front::stopping::DRAINING_CAUSE;
+use crate::front::stream::queue::event_queue;
+use crate::front::stream::received::ReceivedEvents;
 use crate::upstream::error_chain;
-use ggt_core::events::EventRelay;
-use ggt_core::events::RelayError;
 use ggt_core::silence::ReplyStage;
 use ggt_core::targets::SendOutcome;
 
-/// Maximum number of batches of events that are buffered for a slow caller.
-const MAX_BUFFERED_BATCHES: usize = 16;
+/// Number of bytes from which events that have arrived go into another batch.
+const MAX_BATCH_BYTES: usize = 16 * 1024;
 /// Result of reading from a target's reply.
 enum ReadOutcome {
     /// Events to be forwarded; empty if the caller has them already.
-    Events(Bytes),
+    Events(Vec<u8>),
     /// The stream is complete.
     Complete,
     /// The reply was interrupted or cannot be forwarded.
@@ -78,18 +81,15 @@
     };
     let (status, raw_headers) = (reply.status, reply.raw_headers.clone());
     state.metrics.record_first_event(mono_now().millis_since(job.received_at));
-    let (sender, receiver) = channel(MAX_BUFFERED_BATCHES);
+    let (sender, receiver) = event_queue();
     let state = state.clone();
     let task = spawn_local(async move {
-        let (cut_sender, cut_guard) = (sender.clone(), guard.clone());
         tokio::select! {
             biased;
-            () = relay.forward_events(reply, first, sender, guard) => {}
+            () = relay.forward_events(reply, first, &sender, &guard) => {}
             () = state.edge.wait_for_cut() => {
-                let cause = DRAINING_CAUSE;
-                cut_guard.end("broken-off", status.as_u16(), cause);
-                // Without room in the buffer the stream ends with the process, incomplete as well.
-                let _ = cut_sender.try_send(Err(StreamInterrupted { cause }));
+                guard.end("broken-off", status.as_u16(), DRAINING_CAUSE);
+                sender.interrupt(DRAINING_CAUSE);
             }
         }
     });
@@ -101,7 +101,7 @@
     /// The daemon's own final response.
     Refused(crate::front::response::FrontRefusal),
     /// Error reply of a target: status, headers and complete body.
-    ErrorReply((http::StatusCode, http::HeaderMap), Bytes),
+    ErrorReply((http::StatusCode, http::HeaderMap), bytes::Bytes),
 }
 
 /// Relays a stream to the caller, resuming it at other targets where the route allows it.
@@ -109,9 +109,7 @@
     state: Rc<FrontState>,
     job: Rc<FrontJob>,
     attempts: UpstreamAttempts,
-    events: EventRelay,
-    /// Why nothing of the present reply can be forwarded after the events that have been.
-    failure: Option<RelayError>,
+    events: ReceivedEvents,
 }
 
 impl StreamRelay {
@@ -120,8 +118,7 @@
             state: state.clone(),
             job: job.clone(),
             attempts: UpstreamAttempts::new(state.clone(), job.clone()),
-            events: EventRelay::after(job.headers.last_event),
-            failure: None,
+            events: ReceivedEvents::after(job.headers.last_event),
         }
     }
 
@@ -203,13 +200,8 @@
     }
 
     async fn next_reply(&mut self) -> Result<TargetReply, FrontRefusal> {
-        self.begin_reply();
-        self.attempts.next_reply(self.events.last()).await
-    }
-
-    fn begin_reply(&mut self) {
         self.events.begin_reply();
-        self.failure = None;
+        self.attempts.next_reply(self.events.last()).await
     }
 
     /// Forwards all events. If they end early, the body ends with an error, which closes the
@@ -218,29 +210,29 @@
         mut self,
         first_reply: TargetReply,
         first: ReadOutcome,
-        sender: Sender<Result<Bytes, StreamInterrupted>>,
-        guard: Rc<JobGuard>,
+        sender: &EventSender,
+        guard: &JobGuard,
     ) {
         let mut reply = first_reply;
         let mut outcome = first;
         loop {
             match outcome {
                 ReadOutcome::Events(events) => {
-                    if sender.send(Ok(events)).await.is_err() {
+                    if sender.send(&events).await.is_err() {
                         return;
                     }
                 }
                 ReadOutcome::Complete => {
                     self.finish(reply);
                     guard.end("answered", 200, "whole");
+                    sender.finish();
                     return;
                 }
                 interrupted => match self.resume(reply, &interrupted).await {
                     Ok(next) => reply = next,
                     Err(cause) => {
                         guard.end("broken-off", 200, cause);
-                        // The caller may have disconnected.
-                        let _ = sender.send(Err(StreamInterrupted { cause })).await;
+                        sender.interrupt(cause);
                         return;
                     }
                 },
@@ -296,7 +288,7 @@
         }
         let moved = self.attempts.move_reply(reply, self.events.last()).await?;
         if matches!(moved, MovedReply::Next(_)) {
-            self.begin_reply();
+            self.events.begin_reply();
         }
         Ok(moved)
     }
@@ -363,13 +355,10 @@
     /// Reads until complete events have arrived or the reply has ended. Bytes that complete no event do not
     /// end the target's silence, since the caller gets nothing of them.
     async fn read(&mut self, reply: &mut TargetReply) -> ReadOutcome {
-        let Self { state, job, attempts, events, failure } = self;
-        if let Some(failure) = failure.take() {
-            return ReadOutcome::Interrupted(into_failure(failure));
-        }
-        let key = reply.key();
+        let Self { state, job, attempts, events } = self;
+        let mut forwarded = Vec::new();
         let mut silence = pin!(attempts.wait_for_move(ReplyStage::Event));
-        loop {
+        while forwarded.is_empty() && !events.has_failed() {
             let frame = tokio::select! {
                 // Bytes that have arrived go before a silence that has been too long.
                 biased;
@@ -385,16 +374,21 @@
                 Some(Err(e)) => return interrupted(FailureKind::Reset, error_chain(&e)),
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
-            state.pool.borrow_mut().record_reply(key, None, mono_now());
-            let mut forwarded = Vec::new();
-            *failure = events.push(&bytes, &mut forwarded).err();
-            if !forwarded.is_empty() {
-                attempts.end_silence();
-                return ReadOutcome::Events(forwarded.into());
-            }
-            if let Some(failure) = failure.take() {
-                return ReadOutcome::Interrupted(into_failure(failure));
-            }
+            state.pool.borrow_mut().record_reply(reply.key(), None, mono_now());
+            events.take(&bytes, &mut forwarded);
+        }
+        // Events that have arrived with them go into the same batch.
+        while forwarded.len() < MAX_BATCH_BYTES && !events.has_failed() {
+            let Some(bytes) = reply.arrived_data().await else { break };
+            events.take(&bytes, &mut forwarded);
+        }
+        if !forwarded.is_empty() {
+            attempts.end_silence();
+            return ReadOutcome::Events(forwarded);
+        }
+        match events.take_failure() {
+            Some(failure) => ReadOutcome::Interrupted(failure),
+            None => ReadOutcome::Events(forwarded),
         }
     }
 }
@@ -405,12 +399,3 @@
 {
     ReadOutcome::Interrupted(ReplyFailure::new(kind, cause))
 }
-
-/// How a reply failed whose events cannot be forwarded any further.
-fn into_failure(error: RelayError) -> ReplyFailure {
-    let kind = match error {
-        RelayError::Split { .. } | RelayError::Unnumbered => FailureKind::TooLong,
-        RelayError::Gap => FailureKind::InvalidReply,
-    };
-    ReplyFailure::new(kind, error.to_string())
-}
--- a/ggt-standin/src/users_platform/endless.rs
+++ b/ggt-standin/src/users_platform/endless.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use crate::users_platform::request::WireRequest;
+use crate::users_platform::server::stream_head;
 
 /// Bytes of a repeated block, at least.
 const BLOCK_BYTES: usize = 60 * 1024;
@@ -144,6 +145,19 @@
     format!("{:x}\r\n{text}\r\n", text.len())
 }
 
+/// Sends a stream of numbered events of `event_bytes` bytes, or a few more, in a chunk each, as fast as the client
+/// reads, until that closes the connection.
+pub fn send_events(request: &WireRequest, stream: &mut TcpStream, event_bytes: usize) {
+    let mut is_open = stream.write_all(stream_head(request).as_bytes()).is_ok();
+    let mut id = request.last_event_id().unwrap_or_default();
+    while is_open {
+        id += 1;
+        let text = "x".repeat(event_bytes.saturating_sub(16));
+        is_open =
+            stream.write_all(text_chunk(&format!("id: {id}\ndata: {text}\n\n")).as_bytes()).is_ok();
+    }
+}
+
 /// Sends a reply that does not end until the client closes the connection, at `bytes_per_second` at most; returns the
 /// number of bytes written.
 pub fn send_without_end(
--- a/ggt-standin/src/users_platform/mod.rs
+++ b/ggt-standin/src/users_platform/mod.rs
@@ -20,6 +20,7 @@
 pub use caller::prompt_headers_of;
 pub use caller::test_config;
 pub use endless::EndlessKind;
+pub use endless::send_events;
 pub use endless::send_without_end;
 pub use fragile::FragileQueue;
 pub use fragile::QueueLimits;
--- a/ggt-testkit/tests/platform_planned_stop.rs
+++ b/ggt-testkit/tests/platform_planned_stop.rs
@@ -13,8 +13,10 @@
 use ggt_standin::users_platform::caller_headers;
 use ggt_standin::users_platform::event_chunk;
 use ggt_standin::users_platform::respond;
+use ggt_standin::users_platform::send_events;
 use ggt_standin::users_platform::stream_head;
 use ggt_testkit::front::FrontFleet;
+use ggt_testkit::front::await_ready;
 use ggt_testkit::front::ready_status;
 use ggt_testkit::http::HttpRequest;
 use ggt_testkit::http::HttpResponse;
@@ -24,6 +26,10 @@
 const GRACE_S: f64 = 4.0;
 /// Time for which the server works on each request: longer than the daemon lives.
 const WORK: Duration = Duration::from_secs(8);
+/// Length of an event of callers that do not read their streams.
+const EVENT_BYTES: usize = 60_000;
+/// Callers that do not read their streams.
+const STALLED_CALLERS: usize = 6;
 /// Deadline of callers that wait for longer than the daemon lives.
 const LONG_DEADLINE_MS: u64 = 20_000;
 /// Deadline of callers that have their response before the daemon ends.
@@ -104,6 +110,41 @@
     assert!(fleet.daemons[0].process.wait().success());
 }
 
+// Guards against a stream that looks complete although a planned stop has cut it: the error that ends it was lost if
+// its caller, behind a slow link, had events waiting.
+#[test]
+fn stream_that_a_stop_cuts_looks_incomplete_to_a_caller_that_has_events_waiting() {
+    let mut fleet = FrontFleet::start_with(1, 0, json!({ "grace_s": GRACE_S }));
+    let log_book = fleet.keep_logs();
+    fleet.add_daemon(0, None);
+    await_ready(&fleet.daemons[0]);
+    fleet.servers[0].set_script(|request, stream| {
+        send_events(request, stream, EVENT_BYTES);
+        AfterResponse::Close
+    });
+    let callers: Vec<_> = (0..STALLED_CALLERS)
+        .map(|number| {
+            let id = format!("id-{number}");
+            let request = request(&fleet, "POST", "/talk/", &id, LONG_DEADLINE_MS).body("x");
+            let log_book = log_book.clone();
+            thread::spawn(move || {
+                let (response, mut reader) = request.open().expect("a response");
+                assert_eq!(response.status, 200, "{id}");
+                wait_until("the stream is cut", || {
+                    log_book.lines_of(&id).iter().any(|line| line.contains("outcome=broken-off"))
+                });
+                let mut events = Vec::new();
+                let is_complete = reader.read_to_end(&mut events).is_ok();
+                assert!(!is_complete, "{id} looks complete after {} bytes", events.len());
+            })
+        })
+        .collect();
+    wait_until("all streams have begun", || fleet.servers[0].requests().len() == STALLED_CALLERS);
+    stop(&fleet);
+    callers.into_iter().for_each(|caller| caller.join().expect("a stream that looks incomplete"));
+    assert!(fleet.daemons[0].process.wait().success());
+}
+
 // Guards against a request that is read late in a planned stop, since its body was slow, and is passed on though
 // little time is left.
 #[test]
