feat: daemons log when the versions that may have begun a service's streams change

Whether the refusing daemons had seen one version or two when a stream was taken up, and when that changed, could not be read from the logs: event=origin says only that the origin is unknown. Each change of that view is now a line, event=versions, with its outcome (single, uncertain or several).

--- a/ggt-daemon/src/front/origins/mod.rs
+++ b/ggt-daemon/src/front/origins/mod.rs
@@ -7,6 +7,8 @@
 pub use lookup::required_version;
 pub use tell::run_origins;
 
+use std::collections::BTreeMap;
+
 use crate::clock::mono_now;
 use crate::front::job::FrontJob;
 use crate::front::state::FrontState;
@@ -71,13 +73,19 @@
     pub fn update_versions(&self) {
         let now = mono_now();
         let memory_ms = self.stream_memory_ms.get();
+        let pool = self.pool.borrow();
+        let mut services = BTreeMap::new();
         let mut versions = self.versions.borrow_mut();
         versions.record_view(self.has_current_view(now), now);
-        for (_, target) in self.pool.borrow().iter() {
+        for (_, target) in pool.iter() {
             let service = ServiceKey::named(&target.record.service);
             versions.record_target(service, target.record.version, now);
+            services.insert(service, target.record.service.as_str());
         }
         versions.expire(memory_ms, now);
+        for (service, name) in services {
+            self.log_version_state(service, name, versions.state(service, memory_ms, now));
+        }
         let is_any_open = !versions.open_services(memory_ms, now).is_empty();
         drop(versions);
         self.origins.borrow_mut().expire(now);
@@ -86,6 +94,23 @@
         }
     }
 
+    /// Logs the versions that may have begun streams of a service, when they change.
+    fn log_version_state(&self, service: ServiceKey, name: &str, state: VersionState) {
+        let before = self.version_states.borrow_mut().insert(service, state);
+        if before == Some(state) {
+            return;
+        }
+        let (outcome, version) = match state {
+            VersionState::Single(version) => ("single", Some(version)),
+            VersionState::Open { listed: Some(version) } => ("uncertain", Some(version)),
+            VersionState::Open { listed: None } => ("several", None),
+        };
+        log::info!(
+            "event=versions service={name} outcome={outcome} software={}",
+            version.map_or("-".to_owned(), |version| version.to_string()),
+        );
+    }
+
     /// Keeps origins for as long as a stream with this timeout can last.
     pub fn extend_stream_memory(&self, timeout_ms: u64) {
         let memory_ms = timeout_ms.saturating_add(MEMORY_MARGIN_MS).min(MAX_MEMORY_MS);
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -43,7 +43,9 @@
 use ggt_core::targets::TargetKey;
 use ggt_core::targets::TargetPool;
 use ggt_core::versions::OriginTable;
+use ggt_core::versions::ServiceKey;
 use ggt_core::versions::VersionHistory;
+use ggt_core::versions::VersionState;
 use ggt_platform::CONFIG_KEY;
 use ggt_platform::TARGET_PREFIX;
 
@@ -133,6 +135,8 @@
     pub target_probes: RefCell<BTreeMap<CrashId, MonoTime>>,
     /// The versions that the targets of each service have had.
     pub versions: RefCell<VersionHistory>,
+    /// For each service, which versions may have begun its streams, as last logged.
+    pub version_states: RefCell<BTreeMap<ServiceKey, VersionState>>,
     /// Which version began each stream.
     pub origins: RefCell<OriginTable>,
     /// Notified when streams have begun that other daemons have to be told of.
@@ -200,6 +204,7 @@
             target_probes: RefCell::default(),
             losses: RefCell::new(LossTable::new(CRASH_OPTIONS.capacity)),
             versions: RefCell::new(versions),
+            version_states: RefCell::default(),
             origins: RefCell::new(OriginTable::new(MAX_ORIGINS)),
             origins_untold: Notify::new(),
             stream_memory_ms: Cell::new(MIN_MEMORY_MS),
