fix: streams of a daemon that is lost before a release go on

Cause: others were told which version began a stream only while several versions serve, by the daemon that began it. That one was dark when the second version showed. event=versions shows it: the daemons that live turn to several within 1 ms, the lost one never does, and no datagram with origins leaves anybody. Ruled out: that those told are not the ones asked (nobody was told), replies that come too late (no such line, three tries).

Change: each stream is told, always, to eight daemons that all compute from its hash (rendezvous over those alive): 0.1 s after its first event, 0.025 s while several versions are possible. A daemon that takes one up asks those of its own view that may have been told, whoever has joined, restarted or begun to drain since: three first, the others if these do not know it within 60 ms.

Streams that began within 0.1 s of the loss stay unknown.

--- a/ggt-core/src/fleet/forwarding.rs
+++ b/ggt-core/src/fleet/forwarding.rs
@@ -5,7 +5,6 @@
 use crate::clock::MonoTime;
 use crate::fleet::FleetTable;
 use crate::fleet::PeerState;
-use crate::fleet::members::member_hash;
 use crate::routing::rendezvous_score;
 
 /// Version of the protocol for forwarded requests that this build speaks.
@@ -32,7 +31,7 @@
         let score = |peer: &PeerState| {
             let is_near = peer.digest.centre_hash == query.centre_hash;
             let weight = if is_near { OWN_CENTRE_WEIGHT } else { 1.0 };
-            rendezvous_score(query.request_hash, member_hash(peer.digest.address), weight)
+            rendezvous_score(query.request_hash, peer.member_hash, weight)
         };
         let mut peers: Vec<_> = self
             .alive(now)
--- a/ggt-core/src/fleet/mod.rs
+++ b/ggt-core/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod digest;
 mod forwarding;
 mod members;
+mod origin_holders;
 mod pace;
 
 pub use digest::FragilityReport;
@@ -16,6 +17,7 @@
 pub use digest::StatedLoadReport;
 pub use forwarding::ForwardQuery;
 pub use forwarding::PEER_PROTOCOL;
+pub use origin_holders::ORIGIN_HOLDERS;
 pub use pace::BATCH_INTERVAL_MS;
 pub use pace::batch_size;
 
@@ -49,8 +51,6 @@
 const MAX_SMALL_FLEET: usize = 12;
 /// Number of daemons of each data centre that watch the platform in a larger fleet.
 const WATCHERS_PER_CENTRE: usize = 2;
-/// Number of daemons of a larger fleet that are told which version began a stream.
-const ORIGIN_HOLDERS: usize = 2;
 /// Milliseconds after its start in which a daemon discovers others before it decides whether to
 /// watch.
 const DISCOVERY_MS: u64 = 1_000;
@@ -64,6 +64,15 @@
     pub digest: PeerDigest,
     /// When that digest arrived.
     pub received_at: MonoTime,
+    /// Hash of its address for orders of daemons.
+    member_hash: u64,
+}
+
+impl PeerState {
+    /// Milliseconds since the daemon started.
+    fn age_ms(&self, now: MonoTime) -> u64 {
+        self.digest.age_ms.saturating_add(now.millis_since(self.received_at))
+    }
 }
 
 /// Change of the load that one peer reports for a target.
@@ -136,7 +145,8 @@
         }
         self.members.record(digest.address, digest.is_leaving, now);
         let changes = load_changes(before.map_or(&[], |before| &before.loads), &digest.loads);
-        self.peers.insert(digest.address, PeerState { digest, received_at: now });
+        let member_hash = member_hash(digest.address);
+        self.peers.insert(digest.address, PeerState { digest, received_at: now, member_hash });
         changes
     }
 
@@ -167,10 +177,13 @@
 
     /// Other daemons that are alive, by their recent digests, and not draining.
     pub fn alive(&self, now: MonoTime) -> impl Iterator<Item = &PeerState> {
+        self.running(now).filter(|peer| !peer.digest.is_leaving)
+    }
+
+    /// Other daemons whose processes run, by their recent digests; some may be draining.
+    fn running(&self, now: MonoTime) -> impl Iterator<Item = &PeerState> {
         let timeout_ms = self.timeout_ms();
-        self.peers
-            .values()
-            .filter(move |peer| peer.received_at + timeout_ms >= now && !peer.digest.is_leaving)
+        self.peers.values().filter(move |peer| peer.received_at + timeout_ms >= now)
     }
 
     /// Whether no other daemon has been heard of in the last 30 s.
@@ -227,28 +240,8 @@
     /// This daemon's rank for an item with this hash among all that are alive, in an order that is the
     /// same on all daemons with the same view; 0 is the first.
     pub fn rank(&self, hash: u64, now: MonoTime) -> usize {
-        let score = |address: SocketAddr| member_score(hash, member_hash(address));
-        let own = score(self.own_address);
-        self.alive(now).filter(|peer| score(peer.digest.address) < own).count()
-    }
-
-    /// The other daemons that hold an item with this hash: the first `count` that are alive, in an order
-    /// that is the same on all daemons with the same view.
-    pub fn holders(&self, hash: u64, count: usize, now: MonoTime) -> Vec<SocketAddr> {
-        let addresses = self.alive(now).map(|peer| peer.digest.address);
-        let mut holders: Vec<_> = addresses.collect();
-        holders.sort_by_cached_key(|address| member_score(hash, member_hash(*address)));
-        holders.truncate(count);
-        holders
-    }
-
-    /// The number of daemons that are told which version began a stream: all of a small fleet, so that the last
-    /// one that lives knows it, and a few of a large one.
-    pub fn origin_holders(&self, now: MonoTime) -> usize {
-        match self.alive(now).count() {
-            alive if alive < MAX_SMALL_FLEET => alive,
-            _ => ORIGIN_HOLDERS,
-        }
+        let own = member_score(hash, member_hash(self.own_address));
+        self.alive(now).filter(|peer| member_score(hash, peer.member_hash) < own).count()
     }
 
     /// This daemon's part of a limit of requests per second that the target with this hash takes from
--- a/ggt-core/src/versions/history.rs
+++ b/ggt-core/src/versions/history.rs
@@ -107,12 +107,12 @@
         }
     }
 
-    /// The services that may have streams of several versions.
-    pub fn open_services(&self, memory_ms: u64, now: MonoTime) -> Vec<ServiceKey> {
+    /// Whether the streams of any service may have begun at several versions.
+    pub fn has_open_service(&self, memory_ms: u64, now: MonoTime) -> bool {
         let is_open = |key: &ServiceKey| {
             matches!(self.state(*key, memory_ms, now), VersionState::Open { .. })
         };
-        self.services.keys().copied().filter(is_open).collect()
+        self.services.keys().any(is_open)
     }
 
     /// Drops versions that no target has had for `memory_ms`.
--- a/ggt-core/src/versions/mod.rs
+++ b/ggt-core/src/versions/mod.rs
@@ -8,6 +8,7 @@
 mod origins;
 mod past;
 mod replies;
+mod timing;
 mod version;
 
 pub use history::ServiceKey;
@@ -22,4 +23,10 @@
 pub use replies::OriginReply;
 pub use replies::OriginVerdict;
 pub use replies::judge_replies;
+pub use timing::ASK_MS;
+pub use timing::FIRST_ASK_MS;
+pub use timing::OPEN_TELL_DELAY_MS;
+pub use timing::TELL_DELAY_MS;
+pub use timing::longest_ask_ms;
+pub use timing::longest_tell_ms;
 pub use version::SoftwareVersion;
--- a/ggt-core/src/versions/origins.rs
+++ b/ggt-core/src/versions/origins.rs
@@ -8,7 +8,6 @@
 
 use crate::clock::MonoTime;
 use crate::ident::stable_hash;
-use crate::versions::ServiceKey;
 use crate::versions::SoftwareVersion;
 
 /// Identifies a stream: a hash of customer, service and the caller's attempt that brought its first event.
@@ -37,8 +36,6 @@
     /// `None` if the stream was recorded with two versions.
     version: Option<SoftwareVersion>,
     expires_at: MonoTime,
-    /// The service of a stream of this daemon's own that other daemons have not been told of yet.
-    untold_service: Option<ServiceKey>,
 }
 
 /// The origins of streams that this daemon has begun, gone on with, or been told of.
@@ -47,24 +44,32 @@
     entries: HashMap<StreamKey, OriginEntry>,
     /// Keys with the times at which their entries may have expired.
     expiries: VecDeque<(MonoTime, StreamKey)>,
+    /// Streams of this daemon's own that other daemons have not been told of yet, the oldest first.
+    untold: VecDeque<StreamKey>,
     capacity: usize,
 }
 
 impl OriginTable {
     /// A table of at most `capacity` streams; beyond it, the oldest are dropped.
     pub fn new(capacity: usize) -> Self {
-        Self { entries: HashMap::new(), expiries: VecDeque::new(), capacity }
+        Self {
+            entries: HashMap::new(),
+            expiries: VecDeque::new(),
+            untold: VecDeque::new(),
+            capacity,
+        }
     }
 
-    /// Records a stream of this daemon's own that other daemons have to be told of if its service runs
-    /// several versions.
-    pub fn record_own(&mut self, origin: StreamOrigin, service: ServiceKey, expires_at: MonoTime) {
-        self.record(origin, Some(service), expires_at);
+    /// Records a stream of this daemon's own, which other daemons have to be told of.
+    pub fn record_own(&mut self, origin: StreamOrigin, expires_at: MonoTime) {
+        if self.record(origin, expires_at) {
+            self.untold.push_back(origin.key);
+        }
     }
 
     /// Records a stream that another daemon has told of.
     pub fn record_told(&mut self, origin: StreamOrigin, expires_at: MonoTime) {
-        self.record(origin, None, expires_at);
+        self.record(origin, expires_at);
     }
 
     /// The version that began a stream; `None` if it is not known.
@@ -73,20 +78,19 @@
         entry.version
     }
 
-    /// The origins that other daemons have to be told of now: those of services for which `needs_telling`
-    /// returns `true`.
-    pub fn take_untold<F>(&mut self, needs_telling: F) -> Vec<StreamOrigin>
-    where
-        F: Fn(ServiceKey) -> bool,
-    {
-        let mut origins = Vec::new();
-        for (key, entry) in &mut self.entries {
-            if entry.untold_service.is_some_and(&needs_telling) {
-                entry.untold_service = None;
-                origins.extend(entry.version.map(|version| StreamOrigin { key: *key, version }));
-            }
-        }
-        origins
+    /// Whether there are streams that other daemons have not been told of yet.
+    pub fn has_untold(&self) -> bool {
+        !self.untold.is_empty()
+    }
+
+    /// The origins that other daemons have not been told of yet; they count as told from now on.
+    pub fn take_untold(&mut self) -> Vec<StreamOrigin> {
+        let Self { entries, untold, .. } = self;
+        let origin = |key: StreamKey| {
+            let version = entries.get(&key)?.version?;
+            Some(StreamOrigin { key, version })
+        };
+        untold.drain(..).filter_map(origin).collect()
     }
 
     /// Drops expired entries.
@@ -97,6 +101,7 @@
                 _ => drop(self.entries.remove(&key)),
             }
         }
+        self.drop_untold();
     }
 
     /// The number of streams.
@@ -109,27 +114,30 @@
         self.entries.is_empty()
     }
 
-    fn record(
-        &mut self,
-        origin: StreamOrigin,
-        untold_service: Option<ServiceKey>,
-        expires_at: MonoTime,
-    ) {
+    /// Records an origin; returns whether its stream was not known.
+    fn record(&mut self, origin: StreamOrigin, expires_at: MonoTime) -> bool {
         let StreamOrigin { key, version } = origin;
         if let Some(entry) = self.entries.get_mut(&key) {
             if entry.version != Some(version) {
                 entry.version = None;
             }
             entry.expires_at = entry.expires_at.max(expires_at);
-            return;
+            return false;
         }
         if self.entries.len() >= self.capacity
             && let Some((_, oldest)) = self.expiries.pop_front()
         {
             self.entries.remove(&oldest);
+            self.drop_untold();
         }
         self.expiries.push_back((expires_at, key));
-        self.entries
-            .insert(key, OriginEntry { version: Some(version), expires_at, untold_service });
+        self.entries.insert(key, OriginEntry { version: Some(version), expires_at });
+        true
+    }
+
+    /// Drops streams from the untold ones that are no longer kept.
+    fn drop_untold(&mut self) {
+        let Self { entries, untold, .. } = self;
+        while untold.pop_front_if(|key| !entries.contains_key(key)).is_some() {}
     }
 }
--- /dev/null
+++ b/ggt-core/src/versions/timing.rs
@@ -0,0 +1,22 @@
+//! Times within which other daemons hear of a stream, and reply to the question which version began it.
+
+/// Delay in milliseconds before others are told of a stream, so that several go into one datagram.
+pub const TELL_DELAY_MS: u64 = 100;
+/// The same while streams may have begun at several versions, so that other daemons cannot go on with a stream
+/// before they are told.
+pub const OPEN_TELL_DELAY_MS: u64 = 25;
+/// Maximum time in milliseconds for the replies of the daemons that are asked first.
+pub const FIRST_ASK_MS: u64 = 60;
+/// Maximum time in milliseconds for the replies of all others.
+pub const ASK_MS: u64 = 150;
+
+/// Longest time in milliseconds from a stream's first event until those that are told know its version, with
+/// `delivery_ms` for a datagram on the way.
+pub const fn longest_tell_ms(delivery_ms: u64) -> u64 {
+    TELL_DELAY_MS + delivery_ms
+}
+
+/// Longest time in milliseconds until all daemons that may know a stream have been asked.
+pub const fn longest_ask_ms() -> u64 {
+    FIRST_ASK_MS + ASK_MS
+}
--- a/ggt-daemon/src/front/metrics.rs
+++ b/ggt-daemon/src/front/metrics.rs
@@ -26,6 +26,7 @@
     choices: Counter<u64>,
     store_calls: Counter<u64>,
     digests: Counter<u64>,
+    origins: Counter<u64>,
     crashes: Counter<u64>,
     forwards: Counter<u64>,
     taken: Counter<u64>,
@@ -50,6 +51,7 @@
             choices: meter.u64_counter("front_choices").build(),
             store_calls: meter.u64_counter("front_store_calls").build(),
             digests: meter.u64_counter("front_digests").build(),
+            origins: meter.u64_counter("front_origins").build(),
             crashes: meter.u64_counter("front_crashes").build(),
             forwards: meter.u64_counter("front_forwards").build(),
             taken: meter.u64_counter("front_taken").build(),
@@ -97,6 +99,12 @@
         self.digests.add(count, &[]);
     }
 
+    /// Counts origins of streams that other daemons were `told` of, once for each of them, or that this one has
+    /// `heard` from others.
+    pub fn record_origins(&self, change: &'static str, count: u64) {
+        self.origins.add(count, &[KeyValue::new("change", change)]);
+    }
+
     /// Counts a record about requests that were in flight when a target crashed: `seen` by this
     /// daemon, `told` by a peer, `cleared` by a complete reply, `dropped` from a full table, or
     /// `expired`.
--- a/ggt-daemon/src/front/origins/lookup.rs
+++ b/ggt-daemon/src/front/origins/lookup.rs
@@ -1,33 +1,27 @@
 //! Finds out which version began a stream that a caller takes up.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::sync::mpsc;
-use tokio::task::spawn_local;
-use tokio::time::timeout;
-
 use crate::clock::mono_now;
 use crate::front::job::FrontJob;
-use crate::front::peers::fetch_origin;
+use crate::front::origins::inquiry::OriginInquiry;
 use crate::front::response::FrontRefusal;
 use crate::front::state::FrontState;
 use crate::front::store::refresh_targets;
 use crate::logging::quoted;
-use ggt_core::versions::OriginReply;
+use ggt_core::versions::ASK_MS;
+use ggt_core::versions::FIRST_ASK_MS;
 use ggt_core::versions::OriginVerdict;
 use ggt_core::versions::ServiceKey;
 use ggt_core::versions::SoftwareVersion;
 use ggt_core::versions::StreamKey;
 use ggt_core::versions::VersionState;
-use ggt_core::versions::judge_replies;
 
-/// Number of daemons that are asked; more than are told, since one of those may be the asking daemon or
-/// have ended.
-const ASKED_HOLDERS: usize = 3;
-/// Maximum time for the replies of the daemons that are asked.
-const ASK_TIMEOUT: Duration = Duration::from_millis(150);
+/// Number of daemons that are asked first. If none of them knows the stream, all others that may are asked.
+const FIRST_ASKED: usize = 3;
+const FIRST_ASK_TIMEOUT: Duration = Duration::from_millis(FIRST_ASK_MS);
+const ASK_TIMEOUT: Duration = Duration::from_millis(ASK_MS);
 /// Stands for the stream of a caller that names no attempt, which no daemon knows.
 const NO_STREAM: StreamKey = StreamKey(0);
 /// `retry-after` in milliseconds of a stream of unknown origin: another daemon may know it.
@@ -75,14 +69,19 @@
         return Ok(None);
     }
     let started_at = mono_now();
-    let found = find_origin(state, job).await;
+    let key = job.stream_key().unwrap_or(NO_STREAM);
+    let mut inquiry = OriginInquiry::new(key, ServiceKey::named(&job.service));
+    let found = find_origin(state, job, &mut inquiry).await;
     log::info!(
-        "event=origin request_id={} first_attempt={} service={} outcome={} software={} after_ms={}",
+        "event=origin request_id={} first_attempt={} service={} outcome={} software={} asked={} \
+         replied={} after_ms={}",
         quoted(&job.id),
         quoted(job.headers.first_attempt.as_deref().unwrap_or("-")),
         job.service,
         found.map_or("unknown", |(source, _)| source.as_str()),
         found.map_or("-".to_owned(), |(_, version)| version.to_string()),
+        inquiry.asked(),
+        inquiry.replied(),
         mono_now().millis_since(started_at),
     );
     match found {
@@ -94,6 +93,7 @@
 async fn find_origin(
     state: &Rc<FrontState>,
     job: &FrontJob,
+    inquiry: &mut OriginInquiry,
 ) -> Option<(OriginSource, SoftwareVersion)> {
     let service = ServiceKey::named(&job.service);
     let key = job.stream_key();
@@ -107,21 +107,38 @@
     {
         return Some((OriginSource::Single, version));
     }
-    let is_named = key.is_some();
-    let key = key.unwrap_or(NO_STREAM);
-    let asked = state.fleet.borrow().holders(key.0, ASKED_HOLDERS, mono_now());
-    let replies = ask(&asked, key, service).await;
-    match judge_replies(&replies, asked.len(), view) {
+    match ask_peers(state, key, inquiry, view).await {
         OriginVerdict::Known(version) => Some((OriginSource::Peer, version)),
         OriginVerdict::Conflict => None,
-        OriginVerdict::Unknown if is_named => confirm_single(state, service, view).await,
+        OriginVerdict::Unknown if key.is_some() => confirm_single(state, service, view).await,
         OriginVerdict::Unknown => {
-            let hears_peers = replies.len() * 2 > asked.len();
+            let hears_peers = inquiry.replied() * 2 > inquiry.asked();
             assume_version(state, service, view, hears_peers).await
         }
     }
 }
 
+/// Asks the daemons that may know a stream. For a caller that names none, a few are asked which versions they have
+/// seen.
+async fn ask_peers(
+    state: &FrontState,
+    key: Option<StreamKey>,
+    inquiry: &mut OriginInquiry,
+    view: VersionState,
+) -> OriginVerdict {
+    let candidates = state.origin_candidates(key.unwrap_or(NO_STREAM));
+    let (first, others) = candidates.split_at(candidates.len().min(FIRST_ASKED));
+    if key.is_none() || others.is_empty() {
+        inquiry.ask(first, ASK_TIMEOUT).await;
+        return inquiry.verdict(view);
+    }
+    inquiry.ask(first, FIRST_ASK_TIMEOUT).await;
+    if !matches!(inquiry.verdict(view), OriginVerdict::Known(_)) {
+        inquiry.ask(others, ASK_TIMEOUT).await;
+    }
+    inquiry.verdict(view)
+}
+
 /// The only version of a service, if the platform shows that none has joined that this daemon does not know
 /// of: its own word may be old, and its peers have not confirmed it.
 async fn confirm_single(
@@ -156,31 +173,3 @@
     let version = state.only_seen_version(service)?;
     Some((OriginSource::Assumed, version))
 }
-
-/// Asks daemons for the origin of a stream; returns the replies up to the first that knows it.
-async fn ask(asked: &[SocketAddr], key: StreamKey, service: ServiceKey) -> Vec<OriginReply> {
-    let (sender, mut receiver) = mpsc::channel(asked.len().max(1));
-    for peer in asked.iter().copied() {
-        let sender = sender.clone();
-        spawn_local(async move {
-            match fetch_origin(peer, key, service).await {
-                // The receiver may have stopped waiting.
-                Ok(reply) => drop(sender.send(reply).await),
-                Err(e) => log::info!("event=origin peer={peer} cause={}", quoted(&e.to_string())),
-            }
-        });
-    }
-    drop(sender);
-    let mut replies = Vec::new();
-    let collect = async {
-        while let Some(reply) = receiver.recv().await {
-            replies.push(reply);
-            if reply.version.is_some() {
-                return;
-            }
-        }
-    };
-    // A daemon that does not reply in time knows as little as one that has ended.
-    let _ = timeout(ASK_TIMEOUT, collect).await;
-    replies
-}
--- a/ggt-daemon/src/front/origins/mod.rs
+++ b/ggt-daemon/src/front/origins/mod.rs
@@ -1,6 +1,10 @@
 //! Which version began a stream that a caller takes up: recorded for the daemon's own streams, told to other
 //! daemons, and asked of them.
+//!
+//! Others are told of each stream, also while there is one version only: when a second one joins, the daemon that
+//! would have to tell them may have been lost.
 
+mod inquiry;
 mod lookup;
 mod tell;
 
@@ -8,6 +12,7 @@
 pub use tell::run_origins;
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use crate::clock::mono_now;
 use crate::front::job::FrontJob;
@@ -38,13 +43,9 @@
     /// Records which version began the stream of a request, once its first event has arrived.
     pub fn record_origin(&self, job: &FrontJob, version: SoftwareVersion) {
         let Some(key) = job.stream_key() else { return };
-        let service = ServiceKey::named(&job.service);
         let expires_at = mono_now() + self.stream_memory_ms.get();
-        let origin = StreamOrigin { key, version };
-        self.origins.borrow_mut().record_own(origin, service, expires_at);
-        if matches!(self.version_state(service), VersionState::Open { .. }) {
-            self.origins_untold.notify_one();
-        }
+        self.origins.borrow_mut().record_own(StreamOrigin { key, version }, expires_at);
+        self.origins_untold.notify_one();
     }
 
     /// Applies a datagram of another daemon with origins of streams.
@@ -52,6 +53,7 @@
         let expires_at = mono_now() + self.stream_memory_ms.get();
         match decode_origins(bytes) {
             Ok(origins) => {
+                self.metrics.record_origins("heard", origins.len() as u64);
                 let mut table = self.origins.borrow_mut();
                 origins.into_iter().for_each(|origin| table.record_told(origin, expires_at));
             }
@@ -86,10 +88,10 @@
         for (service, name) in services {
             self.log_version_state(service, name, versions.state(service, memory_ms, now));
         }
-        let is_any_open = !versions.open_services(memory_ms, now).is_empty();
-        drop(versions);
-        self.origins.borrow_mut().expire(now);
-        if is_any_open {
+        let mut origins = self.origins.borrow_mut();
+        origins.expire(now);
+        // Those that could not be told, as no other daemon was known.
+        if origins.has_untold() {
             self.origins_untold.notify_one();
         }
     }
@@ -134,8 +136,15 @@
         !has_other_seed && self.fleet.borrow().is_empty()
     }
 
-    pub(super) fn open_services(&self) -> Vec<ServiceKey> {
-        self.versions.borrow().open_services(self.stream_memory_ms.get(), mono_now())
+    /// Whether the streams of any service may have begun at several versions.
+    pub(super) fn has_open_service(&self) -> bool {
+        self.versions.borrow().has_open_service(self.stream_memory_ms.get(), mono_now())
+    }
+
+    /// Other daemons that may have been told which version began a stream.
+    pub(super) fn origin_candidates(&self, key: StreamKey) -> Vec<SocketAddr> {
+        let memory_ms = self.stream_memory_ms.get();
+        self.fleet.borrow().origin_candidates(key, memory_ms, mono_now())
     }
 
     /// Whether this daemon has all registrations up to a few seconds ago.
--- a/ggt-daemon/src/front/origins/tell.rs
+++ b/ggt-daemon/src/front/origins/tell.rs
@@ -11,23 +11,27 @@
 use crate::clock::mono_now;
 use crate::front::state::FrontState;
 use crate::logging::quoted;
+use ggt_core::versions::OPEN_TELL_DELAY_MS;
 use ggt_core::versions::StreamOrigin;
+use ggt_core::versions::TELL_DELAY_MS;
 use ggt_wire::origins::encode_origins;
 
-/// Delay before origins are told, so that several go into one datagram.
-const TELL_DELAY: Duration = Duration::from_millis(25);
 /// Maximum number of origins in one datagram.
 const MAX_TOLD: usize = 50;
 
-/// Tells other daemons of the streams that have begun at a service with several versions, until the task is
-/// dropped.
+/// Tells other daemons of the streams that have begun, until the task is dropped.
 pub async fn run_origins(state: Rc<FrontState>, socket: Rc<UdpSocket>) {
     loop {
         state.origins_untold.notified().await;
-        sleep(TELL_DELAY).await;
-        let open = state.open_services();
-        let untold = state.origins.borrow_mut().take_untold(|service| open.contains(&service));
-        tell(&state, &socket, &untold).await;
+        let delay_ms = match state.has_open_service() {
+            true => OPEN_TELL_DELAY_MS,
+            false => TELL_DELAY_MS,
+        };
+        sleep(Duration::from_millis(delay_ms)).await;
+        if state.fleet.borrow().alive(mono_now()).next().is_some() {
+            let untold = state.origins.borrow_mut().take_untold();
+            tell(&state, &socket, &untold).await;
+        }
     }
 }
 
@@ -35,8 +39,7 @@
     let now = mono_now();
     let mut by_peer: BTreeMap<SocketAddr, Vec<StreamOrigin>> = BTreeMap::new();
     for origin in origins {
-        let fleet = state.fleet.borrow();
-        for peer in fleet.holders(origin.key.0, fleet.origin_holders(now), now) {
+        for peer in state.fleet.borrow().origin_holders(origin.key, now) {
             by_peer.entry(peer).or_default().push(*origin);
         }
     }
@@ -46,8 +49,12 @@
                 Ok(bytes) => socket.send_to(&bytes, peer).await.map_err(|e| e.to_string()),
                 Err(e) => Err(e.to_string()),
             };
-            if let Err(e) = sent {
-                log::info!("event=origins peer={peer} count={} cause={}", batch.len(), quoted(&e));
+            match sent {
+                Ok(_) => state.metrics.record_origins("told", batch.len() as u64),
+                Err(e) => {
+                    let (count, cause) = (batch.len(), quoted(&e));
+                    log::info!("event=origins peer={peer} count={count} cause={cause}");
+                }
             }
         }
     }
--- a/ggt-testkit/src/log_book.rs
+++ b/ggt-testkit/src/log_book.rs
@@ -19,10 +19,12 @@
 /// Field of that line that says that another daemon sent the entry.
 const PEER_SOURCE: &str = " source=peer";
 
-/// The lines that any daemon has logged about each request.
+/// The lines that any daemon has logged about each request, and numbers of others.
 #[derive(Debug, Default)]
 pub struct LogBook {
     lines: Mutex<BTreeMap<String, Vec<String>>>,
+    /// Number of lines by their event and outcome.
+    counts: Mutex<BTreeMap<(String, String), usize>>,
     /// Lines that say that daemons dropped others.
     dropped: Mutex<usize>,
     peer_entries: Mutex<usize>,
@@ -53,6 +55,12 @@
         *lock(&self.dropped) > 0
     }
 
+    /// Number of lines of this event with this outcome.
+    pub fn count(&self, event: &str, outcome: &str) -> usize {
+        let key = (event.to_owned(), outcome.to_owned());
+        lock(&self.counts).get(&key).copied().unwrap_or_default()
+    }
+
     /// Number of entries of servers that daemons have read from other daemons, not from the store.
     pub fn peer_entries(&self) -> usize {
         *lock(&self.peer_entries)
@@ -62,8 +70,16 @@
         *lock(&self.dropped) += usize::from(line.contains(DROPPED_EVENT));
         let is_peer_entry = line.contains(ENTRY_EVENT) && line.contains(PEER_SOURCE);
         *lock(&self.peer_entries) += usize::from(is_peer_entry);
+        if let (Some(event), Some(outcome)) = (field(&line, "event="), field(&line, "outcome=")) {
+            *lock(&self.counts).entry((event, outcome)).or_default() += 1;
+        }
         let Some((_, rest)) = line.split_once(REQUEST_FIELD) else { return };
         let id = rest.split(' ').next().unwrap_or_default().to_owned();
         lock(&self.lines).entry(id).or_default().push(line);
     }
 }
+
+/// Value of the field of a line that begins with `name` and the equals sign.
+fn field(line: &str, name: &str) -> Option<String> {
+    line.split(' ').find_map(|field| field.strip_prefix(name)).map(str::to_owned)
+}
