--- a/ggt-testkit/src/front/mod.rs
+++ b/ggt-testkit/src/front/mod.rs
@@ -2,6 +2,7 @@
 //! threads of the test.
 
 mod links;
+mod versions;
 
 use std::net::SocketAddr;
 use std::path::Path;
@@ -21,6 +22,8 @@
 use ggt_standin::users_platform::test_config;
 
 pub use crate::front::links::DaemonLinks;
+pub use crate::front::versions::VersionScript;
+pub use crate::front::versions::versions_in;
 
 use crate::address::LoopbackNet;
 use crate::http::HttpRequest;
--- a/ggt-testkit/tests/platform_versions.rs
+++ b/ggt-testkit/tests/platform_versions.rs
@@ -2,17 +2,14 @@
 //! within one response and over a caller's attempts, at any daemon.
 
 use std::collections::BTreeSet;
-use std::io::Write;
-use std::net::TcpStream;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
 use ggt_platform::TARGET_PREFIX;
-use ggt_standin::users_platform::AfterResponse;
 use ggt_standin::users_platform::ServerStandin;
-use ggt_standin::users_platform::WireRequest;
-use ggt_standin::users_platform::stream_head;
 use ggt_testkit::front::FrontFleet;
+use ggt_testkit::front::VersionScript;
+use ggt_testkit::front::versions_in;
 use ggt_testkit::http::HttpResponse;
 use ggt_testkit::wait::wait_until;
 
@@ -30,44 +27,26 @@
     VERSIONS[server % VERSIONS.len()]
 }
 
-/// Registers a server with a software version.
-fn register(fleet: &FrontFleet, server: &ServerStandin, version: &str, state: &str) {
-    let entry = server.registration("s", "a", state);
-    let entry = entry.replace(r#""Version":"v1""#, &format!(r#""Version":"{version}""#));
-    fleet.store.put(&format!("{TARGET_PREFIX}{}", server.id()), &entry);
-}
-
-/// Sends events that name the version, up to the last one or, if `is_cut`, up to `CUT_AFTER`.
-fn send_events(request: &WireRequest, stream: &mut TcpStream, version: &str, is_cut: bool) {
-    let end = if is_cut { CUT_AFTER } else { EVENTS };
-    let mut text = stream_head(request);
-    for id in request.last_event_id().unwrap_or(0) + 1..=end {
-        let event = format!("id: {id}\ndata: {version}\n\n");
-        text.push_str(&format!("{:x}\r\n{event}\r\n", event.len()));
-    }
-    if !is_cut {
-        text.push_str("0\r\n\r\n");
-    }
-    // The daemon may have closed the connection already.
-    let _ = stream.write_all(text.as_bytes());
+/// Replies with the events up to `last` that the caller lacks.
+fn script(server: usize, last: u64) -> VersionScript {
+    VersionScript { version: version_of(server), events: 1..=last, is_cut: last < EVENTS }
 }
 
-/// Makes a server send events of its version; it cuts the streams that it begins, but not those that it
-/// goes on with.
+/// Makes a server cut the streams that it begins, but not those that it goes on with.
 fn set_script(server: &ServerStandin, version: &'static str) {
-    server.set_script(move |request, stream| {
-        let is_cut = request.last_event_id().is_none();
-        send_events(request, stream, version, is_cut);
-        if is_cut { AfterResponse::Close } else { AfterResponse::Keep }
+    let whole = VersionScript { version, events: 1..=EVENTS, is_cut: false };
+    let cut = VersionScript { events: 1..=CUT_AFTER, is_cut: true, ..whole.clone() };
+    server.set_version(version);
+    server.set_script(move |request, stream| match request.last_event_id() {
+        None => cut.send(request, stream),
+        Some(_) => whole.send(request, stream),
     });
 }
 
 /// A fleet of `daemons` daemons and six servers of two versions.
 fn start(daemons: usize) -> FrontFleet {
     let fleet = start_servers();
-    for (number, server) in fleet.servers.iter().enumerate() {
-        register(&fleet, server, version_of(number), "ready");
-    }
+    (0..SERVERS).for_each(|number| fleet.register_in_state(number, "ready"));
     with_daemons(fleet, daemons)
 }
 
@@ -87,17 +66,19 @@
     fleet
 }
 
+/// Registers a server as started at this Unix time in milliseconds.
+fn register_as_born(fleet: &FrontFleet, server: &ServerStandin, born: u128) {
+    let entry = server.registration("s", "a", "ready");
+    let entry = entry.replace(r#""born":1"#, &format!(r#""born":{born}"#));
+    fleet.store.put(&format!("{TARGET_PREFIX}{}", server.id()), &entry);
+}
+
 fn with_daemons(mut fleet: FrontFleet, daemons: usize) -> FrontFleet {
     (0..daemons).for_each(|number| fleet.add_daemon(number, None));
     fleet.daemons.iter().for_each(ggt_testkit::front::await_ready);
     fleet
 }
 
-/// The versions of the events in a response's body.
-fn versions_in(body: &str) -> BTreeSet<&str> {
-    body.lines().filter_map(|line| line.strip_prefix("data: ")).collect()
-}
-
 /// Begins a resumable stream, of which the caller may get a part only.
 fn begin(fleet: &FrontFleet, daemon: usize, id: &str) -> HttpResponse {
     fleet.request(daemon, "POST", "/chat/", id).body("x").send().expect("should respond")
@@ -124,11 +105,7 @@
 /// first attempt ends there for its caller.
 fn set_cutting_scripts(fleet: &FrontFleet) {
     for (number, server) in fleet.servers.iter().enumerate() {
-        let version = version_of(number);
-        server.set_script(move |request, stream| {
-            send_events(request, stream, version, true);
-            AfterResponse::Close
-        });
+        script(number, CUT_AFTER).set_on(server);
     }
 }
 
@@ -299,21 +276,9 @@
     let versions = begin_cut_streams(&fleet, 0);
     // These servers cut streams two events after the caller's last one.
     for (number, server) in fleet.servers.iter().enumerate() {
-        let version = version_of(number);
-        server.set_script(move |request, stream| {
-            let last = request.last_event_id().unwrap_or(0);
-            if last >= CUT_AFTER + 2 {
-                send_events(request, stream, version, false);
-                return AfterResponse::Keep;
-            }
-            let mut text = stream_head(request);
-            for id in last + 1..=last + 2 {
-                let event = format!("id: {id}\ndata: {version}\n\n");
-                text.push_str(&format!("{:x}\r\n{event}\r\n", event.len()));
-            }
-            // The daemon may have closed the connection already.
-            let _ = stream.write_all(text.as_bytes());
-            AfterResponse::Close
+        server.set_script(move |request, stream| match request.last_event_id().unwrap_or(0) {
+            last if last < CUT_AFTER + 2 => script(number, last + 2).send(request, stream),
+            _ => script(number, EVENTS).send(request, stream),
         });
     }
     for (number, version) in versions.iter().enumerate() {
@@ -338,11 +303,8 @@
     let versions = begin_cut_streams(&fleet, 0);
     // All servers of the first version come back under their ids with the second one, and the reverse.
     for (number, server) in fleet.servers.iter().enumerate() {
-        let version = version_of(number + 1);
-        set_script(server, version);
-        let entry = server.registration("s", "a", "ready").replace(r#""born":1"#, r#""born":2"#);
-        let entry = entry.replace(r#""Version":"v1""#, &format!(r#""Version":"{version}""#));
-        fleet.store.put(&format!("{TARGET_PREFIX}{}", server.id()), &entry);
+        set_script(server, version_of(number + 1));
+        register_as_born(&fleet, server, 2);
     }
     wait_until("both daemons have the new registrations", || {
         (0..2).all(|daemon| {
@@ -358,14 +320,7 @@
 #[test]
 fn stream_begun_after_a_restart_of_all_daemons_goes_on_while_servers_are_young() {
     let mut fleet = start(3);
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("clock is set").as_millis();
-    for (number, server) in fleet.servers.iter().enumerate() {
-        let entry = server.registration("s", "a", "ready");
-        let entry = entry.replace(r#""born":1"#, &format!(r#""born":{now}"#));
-        let version = format!(r#""Version":"{}""#, version_of(number));
-        let entry = entry.replace(r#""Version":"v1""#, &version);
-        fleet.store.put(&format!("{TARGET_PREFIX}{}", server.id()), &entry);
-    }
+    register_with_age(&fleet, 0);
     (0..3).for_each(|daemon| fleet.daemons[daemon].process.kill());
     (0..3).for_each(|daemon| fleet.restart(daemon));
     let versions = begin_cut_streams(&fleet, 0);
@@ -380,13 +335,7 @@
 /// Registers all servers as started this long ago.
 fn register_with_age(fleet: &FrontFleet, age_ms: u128) {
     let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("clock is set").as_millis();
-    for (number, server) in fleet.servers.iter().enumerate() {
-        let entry = server.registration("s", "a", "ready");
-        let entry = entry.replace(r#""born":1"#, &format!(r#""born":{}"#, now - age_ms));
-        let version = format!(r#""Version":"{}""#, version_of(number));
-        let entry = entry.replace(r#""Version":"v1""#, &version);
-        fleet.store.put(&format!("{TARGET_PREFIX}{}", server.id()), &entry);
-    }
+    fleet.servers.iter().for_each(|server| register_as_born(fleet, server, now - age_ms));
 }
 
 /// Begins streams at servers of both versions, restarts all daemons while the servers of the first version
@@ -398,7 +347,7 @@
     for number in (0..SERVERS).filter(|number| version_of(*number) == "v1") {
         let server = &fleet.servers[number];
         if says_so {
-            register(&fleet, server, "v1", "draining");
+            fleet.register_in_state(number, "draining");
         }
         fleet.remove_registration(&server.id());
     }
