fix: a stream numbered from 0 stays at its version after its first event

Cause: is_resumption took event 0 for none, so the request counted as a new stream. Ruled out by reading: the order of events, the forwarded request and the header to targets keep none apart from 0.

Change: with event 0 a request takes a stream up if it names the attempt that brought it. Without a name it may come from a client that has nothing, and begins a stream as before.

Test: stream_numbered_from_zero_stays_at_its_version_after_its_first_event fails on the code before (next-0: v1.1, begun at v1).

--- a/ggt-daemon/src/front/job.rs
+++ b/ggt-daemon/src/front/job.rs
@@ -57,9 +57,15 @@
 }
 
 impl FrontJob {
-    /// Whether the caller has events of the stream already and takes it up.
+    /// Whether the caller has events of the stream already and takes it up. Event 0 may be the first one, or stand
+    /// for none; a caller that has it names the attempt that brought it.
     pub fn is_resumption(&self) -> bool {
-        self.route.is_stream && self.headers.last_event.is_some_and(|event| event > 0)
+        let has_events = match self.headers.last_event {
+            None => false,
+            Some(0) => self.headers.first_attempt.is_some(),
+            Some(_) => true,
+        };
+        self.route.is_stream && has_events
     }
 
     /// Identifies the stream that the request begins or takes up; `None` if it takes one up without naming
--- a/ggt-testkit/tests/platform_versions.rs
+++ b/ggt-testkit/tests/platform_versions.rs
@@ -2,6 +2,7 @@
 //! within one response and over a caller's attempts, at any daemon.
 
 use std::collections::BTreeSet;
+use std::ops::RangeInclusive;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -180,6 +181,30 @@
     check_taken_up(&fleet, 0, &versions);
 }
 
+// Guards against a stream whose events are numbered from 0: a caller that has got the first one only goes on at any
+// version, as if it had none.
+#[test]
+fn stream_numbered_from_zero_stays_at_its_version_after_its_first_event() {
+    let fleet = start(2);
+    let set_scripts = |events: RangeInclusive<u64>, is_cut| {
+        for (number, server) in fleet.servers.iter().enumerate() {
+            let version = version_of(number);
+            VersionScript { version, events: events.clone(), is_cut }.set_on(server);
+        }
+    };
+    set_scripts(0..=0, true);
+    let begin_one = |number| begin(&fleet, 0, &format!("first-{number}")).body;
+    let bodies: Vec<_> = (0..STREAMS).map(begin_one).collect();
+    set_scripts(0..=EVENTS, false);
+    for (number, body) in bodies.iter().enumerate() {
+        let (id, origin) = (format!("next-{number}"), format!("first-{number}"));
+        let response = take_up(&fleet, 1, &id, Some(&origin), 0);
+        assert_eq!(response.status, 200, "{id}: {}", response.body);
+        assert_eq!(versions_in(&response.body), versions_in(body), "{id}");
+        assert!(response.body.starts_with("id: 1\n"), "{id}: {}", response.body);
+    }
+}
+
 // Guards against streams that no daemon knows any more once all but one are killed.
 #[test]
 fn streams_are_known_to_the_last_daemon_of_a_small_fleet() {
