fix: an entry that a server's former incarnation writes late changes nothing

A heartbeat of its former incarnation, carried out by the store 3.3 s late, had named the old version again.

Cause: TargetPool::put replaced the known incarnation by any other, older or newer; ended_by even counted the one that serves as ended. Change: an older incarnation of a known or removed target is ignored and logged; an entry ends only older incarnations, and owners of its address that are not younger; an entry with a start more than an hour ahead is refused, since it would outdate all true ones. Looked for elsewhere: digests, configurations and the targets of the native interface go only forward already.

What remains: a server that is back with another version before its own entry arrives (listed), and a daemon that starts while the late entry is listed.

--- a/ggt-core/src/targets/pool.rs
+++ b/ggt-core/src/targets/pool.rs
@@ -34,8 +34,8 @@
     pub struct TargetKey;
 }
 
-/// Milliseconds for which an incarnation that announced its end and was removed stays known: longer
-/// than the age of a copy from which the store may come back.
+/// Milliseconds for which an incarnation that was removed stays known: longer than the age of a copy from
+/// which the store may come back.
 const DEPARTED_TTL_MS: u64 = 120_000;
 
 /// Number of other targets in a data centre from which a partition can be told from crashes.
@@ -130,6 +130,16 @@
     }
 }
 
+/// An incarnation that was removed.
+#[derive(Clone, Copy, Debug)]
+struct DepartedTarget {
+    incarnation: u64,
+    /// Whether it had announced that it leaves.
+    has_announced: bool,
+    /// Until when it is remembered.
+    expires_at: MonoTime,
+}
+
 /// All registered targets, and those that the platform has stopped listing but may list again.
 #[derive(Clone, Debug, Default)]
 pub struct TargetPool {
@@ -137,9 +147,8 @@
     by_id: HashMap<String, TargetKey>,
     pub(super) by_hash: HashMap<u32, TargetKey>,
     pub(super) by_service: HashMap<String, Vec<TargetKey>>,
-    /// Incarnations that announced that they leave and were removed, by id, and until when they are
-    /// remembered.
-    departed: HashMap<String, (u64, MonoTime)>,
+    /// The latest incarnations of removed targets, by id.
+    departed: HashMap<String, DepartedTarget>,
     /// Queue for digests: short hashes of prefix and target, and the number of digests still to
     /// come.
     pub(super) prefix_queue: VecDeque<(u32, u32, u8)>,
@@ -153,11 +162,24 @@
 }
 
 impl TargetPool {
-    /// Stores a registration; `true` when it is a new incarnation or begins to leave.
+    /// Whether a registration is of a former incarnation of its target: one that was written late, or comes from
+    /// an older copy of the store.
+    pub fn is_outdated(&self, record: &TargetRecord) -> bool {
+        let known = self.by_id.get(&record.id).and_then(|key| self.targets.get(*key));
+        let known = known.map(|state| state.record.incarnation);
+        let departed = self.departed.get(&record.id).map(|target| target.incarnation);
+        known.max(departed).is_some_and(|latest| record.incarnation < latest)
+    }
+
+    /// Stores a registration, unless it is outdated; `true` when it is a new incarnation or begins to leave.
     pub fn put(&mut self, mut record: TargetRecord) -> bool {
+        if self.is_outdated(&record) {
+            return false;
+        }
         // The platform may list it again from an older copy, or not know yet what its replies state.
         let departed = self.departed.get(&record.id);
-        record.is_leaving |= departed.is_some_and(|(departed, _)| *departed == record.incarnation);
+        record.is_leaving |= departed
+            .is_some_and(|target| target.has_announced && target.incarnation == record.incarnation);
         let known = self.by_id.get(&record.id).and_then(|key| self.targets.get(*key));
         let has_left = |state: &TargetState| {
             state.record.is_leaving && state.record.incarnation == record.incarnation
@@ -189,13 +211,13 @@
     }
 
     /// Crash ids of the incarnations that a registration shows to have ended: the target has
-    /// started again, or another one has its address.
+    /// started again, or another one has got its address since.
     pub fn ended_by(&self, record: &TargetRecord) -> Vec<CrashId> {
         let has_ended = |state: &&TargetState| {
-            let is_same_target = state.record.id == record.id;
-            let is_same_incarnation =
-                is_same_target && state.record.incarnation == record.incarnation;
-            (is_same_target || state.record.address == record.address) && !is_same_incarnation
+            if state.record.id == record.id {
+                return state.record.incarnation < record.incarnation;
+            }
+            state.record.address == record.address && state.record.incarnation <= record.incarnation
         };
         self.targets.values().filter(has_ended).map(TargetState::crash_id).collect()
     }
@@ -233,14 +255,17 @@
         let removed = self.targets.iter().filter(|(_, state)| is_due(state));
         let removed: Vec<_> = removed.map(|(key, state)| (key, state.record.id.clone())).collect();
         for (key, id) in &removed {
-            if let Some(record) = self.targets.get(*key).map(|state| &state.record)
-                && record.is_leaving
-            {
-                self.departed.insert(id.clone(), (record.incarnation, now + DEPARTED_TTL_MS));
+            if let Some(record) = self.targets.get(*key).map(|state| &state.record) {
+                let departed = DepartedTarget {
+                    incarnation: record.incarnation,
+                    has_announced: record.is_leaving,
+                    expires_at: now + DEPARTED_TTL_MS,
+                };
+                self.departed.insert(id.clone(), departed);
             }
             self.remove(*key);
         }
-        self.departed.retain(|_, (_, expires_at)| now < *expires_at);
+        self.departed.retain(|_, target| now < target.expires_at);
         removed
     }
 
--- a/ggt-daemon/src/front/changes.rs
+++ b/ggt-daemon/src/front/changes.rs
@@ -3,18 +3,24 @@
 use std::rc::Rc;
 
 use crate::clock::mono_now;
+use crate::clock::wall_now;
 use crate::front::state::FrontState;
 use crate::front::state::StoreFolder;
 use crate::logging::quoted;
 use ggt_core::routes::RouteConfig;
 use ggt_core::store_cache::StoreBatch;
 use ggt_core::store_cache::StoreChange;
+use ggt_core::targets::TargetRecord;
 use ggt_core::versions::ServiceKey;
 use ggt_platform::is_same_history;
 use ggt_platform::parse_config;
 use ggt_platform::parse_registration;
 use ggt_platform::target_id;
 
+/// Milliseconds by which a target's clock may be ahead of this host's. An entry that claims to be younger would
+/// outdate all true ones of its target.
+const MAX_AHEAD_MS: u64 = 3_600_000;
+
 impl FrontState {
     /// Applies changes of one folder that came from the platform or from a peer; `source` is
     /// logged.
@@ -46,25 +52,20 @@
         let revision = change.revision;
         let record = change.value.as_ref().map(|value| parse_registration(id, value));
         match record {
-            Some(Ok(record)) => {
-                let (is_leaving, version) = (record.is_leaving, record.version);
-                let service = ServiceKey::named(&record.service);
-                self.versions.borrow_mut().record_target(service, version, mono_now());
-                let ended = self.pool.borrow().ended_by(&record);
-                ended.iter().for_each(|crash| self.record_target_end(*crash, "replaced"));
-                let has_changed = self.pool.borrow_mut().put(record);
-                if is_leaving {
-                    self.pool.borrow_mut().record_leaving_since(id, mono_now());
-                }
-                if has_changed {
-                    self.add_reported_load(id);
-                    let status = if is_leaving { "leaving" } else { "ready" };
-                    log::info!(
-                        "event=target target={id} status={status} software={version} \
-                         revision={revision} source={source}"
-                    );
-                }
+            Some(Ok(record)) if self.pool.borrow().is_outdated(&record) => log::info!(
+                "event=target target={id} status=outdated incarnation={} software={} \
+                 revision={revision} source={source}",
+                record.incarnation,
+                record.version,
+            ),
+            Some(Ok(record)) if record.incarnation > wall_now().as_millis() + MAX_AHEAD_MS => {
+                log::warn!(
+                    "event=target-refused target={id} revision={revision} incarnation={} \
+                     cause=\"started in the future\"",
+                    record.incarnation,
+                );
             }
+            Some(Ok(record)) => self.put_target(record, revision, source),
             Some(Err(e)) => {
                 log::warn!(
                     "event=target-refused target={id} revision={revision} cause={}",
@@ -87,6 +88,27 @@
         }
     }
 
+    fn put_target(&self, record: TargetRecord, revision: u64, source: &str) {
+        let id = record.id.clone();
+        let (is_leaving, version) = (record.is_leaving, record.version);
+        let service = ServiceKey::named(&record.service);
+        self.versions.borrow_mut().record_target(service, version, mono_now());
+        let ended = self.pool.borrow().ended_by(&record);
+        ended.iter().for_each(|crash| self.record_target_end(*crash, "replaced"));
+        let has_changed = self.pool.borrow_mut().put(record);
+        if is_leaving {
+            self.pool.borrow_mut().record_leaving_since(&id, mono_now());
+        }
+        if has_changed {
+            self.add_reported_load(&id);
+            let status = if is_leaving { "leaving" } else { "ready" };
+            log::info!(
+                "event=target target={id} status={status} software={version} \
+                 revision={revision} source={source}"
+            );
+        }
+    }
+
     /// Adds up what peers have reported for a target, which they may have known before this daemon.
     fn add_reported_load(&self, id: &str) {
         let mut pool = self.pool.borrow_mut();
--- a/ggt-testkit/src/log_book.rs
+++ b/ggt-testkit/src/log_book.rs
@@ -23,7 +23,7 @@
 #[derive(Debug, Default)]
 pub struct LogBook {
     lines: Mutex<BTreeMap<String, Vec<String>>>,
-    /// Number of lines by their event and outcome.
+    /// Number of lines by their event and its outcome or status.
     counts: Mutex<BTreeMap<(String, String), usize>>,
     /// Lines that say that daemons dropped others.
     dropped: Mutex<usize>,
@@ -55,7 +55,7 @@
         *lock(&self.dropped) > 0
     }
 
-    /// Number of lines of this event with this outcome.
+    /// Number of lines of this event with this outcome or status.
     pub fn count(&self, event: &str, outcome: &str) -> usize {
         let key = (event.to_owned(), outcome.to_owned());
         lock(&self.counts).get(&key).copied().unwrap_or_default()
@@ -70,7 +70,8 @@
         *lock(&self.dropped) += usize::from(line.contains(DROPPED_EVENT));
         let is_peer_entry = line.contains(ENTRY_EVENT) && line.contains(PEER_SOURCE);
         *lock(&self.peer_entries) += usize::from(is_peer_entry);
-        if let (Some(event), Some(outcome)) = (field(&line, "event="), field(&line, "outcome=")) {
+        let outcome = field(&line, "outcome=").or_else(|| field(&line, "status="));
+        if let (Some(event), Some(outcome)) = (field(&line, "event="), outcome) {
             *lock(&self.counts).entry((event, outcome)).or_default() += 1;
         }
         let Some((_, rest)) = line.split_once(REQUEST_FIELD) else { return };
