fix: a stream that goes on is not refused for its customer's share

Cause: a request that goes on with a stream was admitted like a new one. Its customer's callers come back all at once to the daemons that are left, where it is over its share. Ruled out: no room at the targets (1), no target of the version (24, true: the old version's servers were leaving).

Change: if a daemon has recorded that the stream began, it counts against the share but is not refused for it. Where only the absence of other versions speaks for it (event=origin outcome=agreed, single, assumed), it is admitted like a new one, so a customer cannot evade its share by naming a last event.

--- a/ggt-core/src/versions/replies.rs
+++ b/ggt-core/src/versions/replies.rs
@@ -18,8 +18,10 @@
 /// What the replies show together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OriginVerdict {
-    /// This version began the stream.
+    /// A daemon knows that this version began the stream.
     Known(SoftwareVersion),
+    /// There has been this version only, as far as those that were asked have seen.
+    Only(SoftwareVersion),
     /// They contradict each other, or what this daemon knows.
     Conflict,
     /// They do not show it.
@@ -47,7 +49,7 @@
     let only = || replies.iter().filter_map(|reply| reply.only_version);
     let confirmations = only().filter(|version| Some(*version) == listed).count();
     match listed {
-        Some(version) if confirmations >= needed => OriginVerdict::Known(version),
+        Some(version) if confirmations >= needed => OriginVerdict::Only(version),
         Some(version) if only().any(|other| other != version) => OriginVerdict::Conflict,
         _ => OriginVerdict::Unknown,
     }
--- a/ggt-daemon/src/front/attempt/admission.rs
+++ b/ggt-daemon/src/front/attempt/admission.rs
@@ -46,7 +46,11 @@
         let settings = self.state.settings();
         let now = mono_now();
         self.state.pool.borrow_mut().record_request(&self.job.service, self.job.priority, now);
-        let utilisation = self.state.pool.borrow().utilisation(&self.query(&settings), now);
+        // A stream that goes on was admitted when it began, so it is not refused for its customer's share.
+        let utilisation = match self.has_begun_before {
+            true => 0.0,
+            false => self.state.pool.borrow().utilisation(&self.query(&settings), now),
+        };
         let customer = self.job.customer.clone().unwrap_or_default();
         let mut shares = self.state.shares.borrow_mut();
         let pool = (self.job.service.clone(), self.job.priority);
--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -30,6 +30,7 @@
 use crate::clock::mono_now;
 use crate::front::job::FrontJob;
 use crate::front::job::SendGuard;
+use crate::front::origins::StreamStart;
 use crate::front::response::FrontRefusal;
 use crate::front::state::FrontState;
 use crate::logging::quoted;
@@ -162,6 +163,8 @@
     sends: u32,
     connects: u32,
     may_have_run: bool,
+    /// Whether the request goes on with a stream that is known to have begun.
+    has_begun_before: bool,
     /// Whether a request has been sent and the head of its reply has not arrived.
     is_awaiting_reply: bool,
     /// Since when the last target has been silent, if the request is to leave it for another one and
@@ -204,6 +207,7 @@
             sends: 0,
             connects: 0,
             may_have_run,
+            has_begun_before: false,
             is_awaiting_reply: false,
             moving_since: Cell::default(),
             stayed_since: Cell::default(),
@@ -220,6 +224,12 @@
         self.version.set(version);
     }
 
+    /// Goes on with a stream that may have begun before.
+    pub fn go_on_with(&mut self, start: StreamStart) {
+        self.version.set(start.version);
+        self.has_begun_before = start.has_begun;
+    }
+
     /// The version of the target of the last send.
     pub fn sent_version(&self) -> Option<SoftwareVersion> {
         self.sent_target.map(|target| target.version).or(self.forwarded_version)
--- a/ggt-daemon/src/front/origins/lookup.rs
+++ b/ggt-daemon/src/front/origins/lookup.rs
@@ -35,8 +35,10 @@
     Single,
     /// This daemon has served the stream or was told of it.
     Own,
-    /// Another daemon knows the stream, or knows that the service has had one version only.
+    /// Another daemon knows the stream.
     Peer,
+    /// Other daemons know that the service has had one version only.
+    Agreed,
     /// This daemon has seen one version only, though its view had gaps, and the caller names no attempt.
     Assumed,
 }
@@ -48,25 +50,34 @@
             Self::Single => "single",
             Self::Own => "own",
             Self::Peer => "peer",
+            Self::Agreed => "agreed",
             Self::Assumed => "assumed",
         }
     }
 }
 
-/// The version that must serve a request: that which began the stream that the request goes on with, or
-/// `None` for a new stream.
+/// What a request has to go on with.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StreamStart {
+    /// The version that must serve the request; `None` if any may.
+    pub version: Option<SoftwareVersion>,
+    /// Whether a daemon knows that the stream has begun.
+    pub has_begun: bool,
+}
+
+/// Finds out what a request has to go on with: the version that began its stream, or nothing for a new stream.
 ///
 /// # Errors
 /// [`FrontRefusal`] when several versions are possible and it is not known which began the stream.
-pub async fn required_version(
+pub async fn find_start(
     state: &Rc<FrontState>,
     job: &FrontJob,
-) -> Result<Option<SoftwareVersion>, FrontRefusal> {
+) -> Result<StreamStart, FrontRefusal> {
     if let Some(handover) = &job.handover {
-        return Ok(handover.version);
+        return Ok(StreamStart { version: handover.version, has_begun: false });
     }
     if !job.is_resumption() {
-        return Ok(None);
+        return Ok(StreamStart::default());
     }
     let started_at = mono_now();
     let key = job.stream_key().unwrap_or(NO_STREAM);
@@ -85,7 +96,10 @@
         mono_now().millis_since(started_at),
     );
     match found {
-        Some((_, version)) => Ok(Some(version)),
+        Some((source, version)) => {
+            let has_begun = matches!(source, OriginSource::Own | OriginSource::Peer);
+            Ok(StreamStart { version: Some(version), has_begun })
+        }
         None => Err(FrontRefusal::not_run("unknown-origin", UNKNOWN_RETRY_MS)),
     }
 }
@@ -109,6 +123,7 @@
     }
     match ask_peers(state, key, inquiry, view).await {
         OriginVerdict::Known(version) => Some((OriginSource::Peer, version)),
+        OriginVerdict::Only(version) => Some((OriginSource::Agreed, version)),
         OriginVerdict::Conflict => None,
         OriginVerdict::Unknown if key.is_some() => confirm_single(state, service, view).await,
         OriginVerdict::Unknown => {
@@ -133,7 +148,7 @@
         return inquiry.verdict(view);
     }
     inquiry.ask(first, FIRST_ASK_TIMEOUT).await;
-    if !matches!(inquiry.verdict(view), OriginVerdict::Known(_)) {
+    if !matches!(inquiry.verdict(view), OriginVerdict::Known(_) | OriginVerdict::Only(_)) {
         inquiry.ask(others, ASK_TIMEOUT).await;
     }
     inquiry.verdict(view)
--- a/ggt-daemon/src/front/origins/mod.rs
+++ b/ggt-daemon/src/front/origins/mod.rs
@@ -9,7 +9,8 @@
 mod tell;
 
 pub use inquiry::InquiryTable;
-pub use lookup::required_version;
+pub use lookup::StreamStart;
+pub use lookup::find_start;
 pub use tell::run_origins;
 
 use std::collections::BTreeMap;
--- a/ggt-daemon/src/front/stream/mod.rs
+++ b/ggt-daemon/src/front/stream/mod.rs
@@ -26,7 +26,7 @@
 use crate::front::buffers::read_body;
 use crate::front::job::FrontJob;
 use crate::front::job::JobGuard;
-use crate::front::origins::required_version;
+use crate::front::origins::find_start;
 use crate::front::response::FrontRefusal;
 use crate::front::response::ResponseBody;
 use crate::front::response::forwarded_response;
@@ -61,8 +61,8 @@
     guard: Rc<JobGuard>,
 ) -> Response<ResponseBody> {
     let mut relay = StreamRelay::new(state, &job);
-    match required_version(state, &job).await {
-        Ok(version) => relay.attempts.require_version(version),
+    match find_start(state, &job).await {
+        Ok(start) => relay.attempts.go_on_with(start),
         Err(refusal) => {
             guard.end("refused", refusal.status.as_u16(), refusal.cause);
             return refusal.into_response(Some(&job.id));
