fix: starting daemons fetch their view from all that have one, within a part of their links

The link of 10 Mbit/s is full for seconds; of the six that are left, some neither reply nor get a reply for 0.25 s. Ruled out: too few copies (88 % of the streams have a holder left, 67 % were found), processor time (the trial charges none).

Change: daemons with a filled view are taken in a random order by the bandwidth of their links, another one on each starting daemon; a view is given on a tenth of the link only, else 503, and is asked for again within a second while the daemon is cold.

--- a/ggt-core/src/fleet/mod.rs
+++ b/ggt-core/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod members;
 mod origin_holders;
 mod pace;
+mod warmup;
 
 pub use digest::FragilityReport;
 pub use digest::PeerDigest;
@@ -23,6 +24,8 @@
 pub use origin_holders::OriginCandidate;
 pub use pace::BATCH_INTERVAL_MS;
 pub use pace::batch_size;
+pub use warmup::MIN_WARM_AGE_MS;
+pub use warmup::ViewPace;
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
--- a/ggt-core/src/fleet/pace.rs
+++ b/ggt-core/src/fleet/pace.rs
@@ -3,7 +3,7 @@
 /// Part of the host's link that a digest may take while it is being sent; the rest is for requests.
 const LINK_FRACTION: f64 = 0.5;
 /// Bytes per millisecond on a link of one megabit per second.
-const BYTES_PER_MS: f64 = 125.0;
+pub(super) const BYTES_PER_MS: f64 = 125.0;
 
 /// Milliseconds between two batches of datagrams.
 pub const BATCH_INTERVAL_MS: u64 = 5;
--- a/ggt-daemon/src/front/internal.rs
+++ b/ggt-daemon/src/front/internal.rs
@@ -18,6 +18,7 @@
 
 use crate::edge::EdgeHandle;
 use crate::edge::accept_connections;
+use crate::front::peers::PeerReply;
 use crate::front::peers::peer_reply;
 use crate::front::state::FrontState;
 use ggt_platform::READY_PATH;
@@ -51,8 +52,9 @@
         READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"not ready\n")),
         METRICS_PATH => (StatusCode::OK, state.metrics.text().into()),
         _ => match peer_reply(state, path) {
-            Some(body) => (StatusCode::OK, body),
-            None => (StatusCode::NOT_FOUND, Bytes::new()),
+            PeerReply::Body(body) => (StatusCode::OK, body),
+            PeerReply::Busy => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+            PeerReply::Unknown => (StatusCode::NOT_FOUND, Bytes::new()),
         },
     };
     let mut response = Response::new(body);
--- a/ggt-daemon/src/front/peers.rs
+++ b/ggt-daemon/src/front/peers.rs
@@ -76,6 +76,13 @@
     Status { status: u16 },
 }
 
+impl FetchError {
+    /// Whether the peer may reply later.
+    pub const fn is_busy(&self) -> bool {
+        matches!(self, Self::Status { status: 503 })
+    }
+}
+
 /// Fetches changes of a folder from peers that have newer revisions, until the task is dropped.
 pub async fn run_fetch(state: Rc<FrontState>, folder: StoreFolder) {
     let mut lagging_since: Option<MonoTime> = None;
@@ -247,15 +254,42 @@
     into_reply(path, pack(&reply))
 }
 
-/// Packed reply body for a peer that requests a folder's changes after a revision, the cached
-/// prefixes, or the origin of a stream; `None` for an unknown path.
-pub fn peer_reply(state: &FrontState, path: &str) -> Option<Bytes> {
-    if let Some(stream) = path.strip_prefix(ORIGIN_PATH) {
-        return origin_reply(state, stream);
-    }
+/// Reply to a peer's request.
+pub enum PeerReply {
+    /// A packed value.
+    Body(Bytes),
+    /// The daemon has given as much as it can for now.
+    Busy,
+    /// There is no such path.
+    Unknown,
+}
+
+/// Reply to a peer that requests a folder's changes after a revision, the cached prefixes, or the origin of a stream.
+pub fn peer_reply(state: &FrontState, path: &str) -> PeerReply {
     if path == PREFIXES_PATH {
-        return into_reply(path, pack(&state.pool.borrow().all_prefixes()));
+        return prefixes_reply(state);
     }
+    let body = match path.strip_prefix(ORIGIN_PATH) {
+        Some(stream) => origin_reply(state, stream),
+        None => folder_reply(state, path),
+    };
+    body.map_or(PeerReply::Unknown, PeerReply::Body)
+}
+
+fn prefixes_reply(state: &FrontState) -> PeerReply {
+    let (mut pace, now) = (state.view_pace.get(), mono_now());
+    if !pace.is_open(now) {
+        return PeerReply::Busy;
+    }
+    let body = into_reply(PREFIXES_PATH, pack(&state.pool.borrow().all_prefixes()));
+    if let Some(body) = &body {
+        pace.record(body.len(), state.settings().link_mbps, now);
+        state.view_pace.set(pace);
+    }
+    body.map_or(PeerReply::Unknown, PeerReply::Body)
+}
+
+fn folder_reply(state: &FrontState, path: &str) -> Option<Bytes> {
     let (name, after) = path.strip_prefix("/facts/")?.split_once('/')?;
     let folder = StoreFolder::ALL.into_iter().find(|folder| folder.as_str() == name)?;
     let cache = state.cache(folder).borrow();
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -34,6 +34,7 @@
 use ggt_core::crashes::LossTable;
 use ggt_core::fleet::FleetTable;
 use ggt_core::fleet::PeerDigest;
+use ggt_core::fleet::ViewPace;
 use ggt_core::fleet::WatchRole;
 use ggt_core::ident::stable_hash;
 use ggt_core::limits::ShareTable;
@@ -175,6 +176,8 @@
     watching: Cell<bool>,
     /// For each folder, whether peers have a newer revision that could not be fetched from them.
     behind: Cell<[bool; 2]>,
+    /// When starting daemons may be given the view of the prefix caches.
+    pub view_pace: Cell<ViewPace>,
     /// The last packed reply to peers.
     pub packed_reply: RefCell<PackedReply>,
 }
@@ -231,6 +234,7 @@
             outage: Cell::default(),
             watching: Cell::default(),
             behind: Cell::default(),
+            view_pace: Cell::default(),
             packed_reply: RefCell::default(),
         }
     }
--- a/ggt-daemon/src/front/warmup.rs
+++ b/ggt-daemon/src/front/warmup.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rand::Rng;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -19,6 +20,7 @@
 use crate::front::state::FrontState;
 use crate::logging::quoted;
 use crate::upstream::TargetConnection;
+use ggt_core::fleet::MIN_WARM_AGE_MS;
 use ggt_core::ident::stable_hash;
 use ggt_core::prompts::prefix_hash;
 use ggt_core::routing::rendezvous_score;
@@ -30,10 +32,8 @@
 const READY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Time allowed for the first digests of other daemons to arrive.
 const PEER_DISCOVERY_DELAY: Duration = Duration::from_millis(300);
-/// Uptime in milliseconds from which a daemon's view is considered filled by its own traffic.
-const MIN_WARM_AGE_MS: u64 = 5_000;
-/// Maximum number of daemons that are queried.
-const MAX_PEERS: usize = 3;
+/// Longest pause in milliseconds before busy daemons are queried again.
+const MAX_BUSY_PAUSE_MS: u64 = 1_000;
 /// Timeout of one engine's cache list.
 const LIST_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -43,7 +43,35 @@
         sleep(READY_CHECK_INTERVAL).await;
     }
     sleep(PEER_DISCOVERY_DELAY).await;
-    for peer in warm_peers(&state) {
+    let mut fetched = fetch_view(&state).await;
+    while fetched == ViewFetch::Busy && is_cold(&state) {
+        let pause_ms = rand::rng().random_range(MAX_BUSY_PAUSE_MS / 2..=MAX_BUSY_PAUSE_MS);
+        sleep(Duration::from_millis(pause_ms)).await;
+        fetched = fetch_view(&state).await;
+    }
+    if fetched == ViewFetch::Failed && !state.settings().first_start {
+        for (key, address) in assigned_engines(&state) {
+            load_cache_list(&state, key, address).await;
+        }
+    }
+}
+
+/// What became of an attempt to fetch the view of another daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ViewFetch {
+    /// It was fetched.
+    Done,
+    /// Those that have one cannot give it now.
+    Busy,
+    /// There is no daemon that has one.
+    Failed,
+}
+
+/// Fetches the view of one of the daemons that have run long enough to have a filled one.
+async fn fetch_view(state: &FrontState) -> ViewFetch {
+    let mut outcome = ViewFetch::Failed;
+    let peers = state.fleet.borrow().warm_peers(mono_now());
+    for peer in peers {
         match fetch_prefixes(peer).await {
             Ok(prefixes) => {
                 let now = mono_now();
@@ -52,26 +80,22 @@
                     .iter()
                     .for_each(|(prefix, target)| pool.record_peer_prefix(*target, *prefix, now));
                 log::info!("event=warmup source=peer peer={peer} reads={}", prefixes.len());
-                return;
+                return ViewFetch::Done;
             }
             Err(e) => {
+                if e.is_busy() {
+                    outcome = ViewFetch::Busy;
+                }
                 log::info!("event=warmup source=peer peer={peer} cause={}", quoted(&e.to_string()));
             }
         }
     }
-    if !state.settings().first_start {
-        for (key, address) in assigned_engines(&state) {
-            load_cache_list(&state, key, address).await;
-        }
-    }
+    outcome
 }
 
-/// Peers that have run long enough to have a filled view.
-fn warm_peers(state: &FrontState) -> Vec<SocketAddr> {
-    let fleet = state.fleet.borrow();
-    let alive = fleet.alive(mono_now()).map(|peer| &peer.digest);
-    let warm = alive.filter(|digest| digest.age_ms >= MIN_WARM_AGE_MS);
-    warm.map(|digest| digest.address).take(MAX_PEERS).collect()
+/// Whether this daemon's own traffic has not filled its view yet.
+fn is_cold(state: &FrontState) -> bool {
+    mono_now().millis_since(state.started_at) < MIN_WARM_AGE_MS
 }
 
 /// Engines that this daemon queries; rendezvous hashing assigns each engine to one daemon that is
