refactor: one module says whether a target may get a request, why not, and until when

Cause: choice asked closing, rate and fragility one after the other, and so did admission; each new reason would have entered both. Change: targets/access answers for all of them with one type, and choice, admission and second sends ask it. The order of the reasons decides the refusal when targets are denied for different ones, as before.

--- a/ggt-core/src/targets/admission.rs
+++ b/ggt-core/src/targets/admission.rs
@@ -10,6 +10,7 @@
 use crate::targets::TargetKey;
 use crate::targets::TargetPool;
 use crate::targets::TargetState;
+use crate::targets::access::opens_at;
 use crate::targets::choice::PREFILL_TOKENS_PER_MS;
 
 /// Fraction of the latency objective for which a request may always queue for a slot.
@@ -129,10 +130,7 @@
         let more_urgent = self.more_urgent_priorities(query, now);
         let targets = self.of_service(query.service).iter().filter_map(|key| self.target(*key));
         let usable = targets.filter(|state| !state.record.is_leaving);
-        let open_at = usable.filter_map(|state| {
-            let open_at = state.rate.open_at(more_urgent)?;
-            Some(open_at.max(state.closing.opens_at()))
-        });
+        let open_at = usable.filter_map(|state| opens_at(state, more_urgent));
         open_at.min().map_or(0, |open_at| open_at.millis_since(now))
     }
 
--- a/ggt-core/src/targets/choice.rs
+++ b/ggt-core/src/targets/choice.rs
@@ -9,11 +9,12 @@
 use crate::targets::TargetKey;
 use crate::targets::TargetPool;
 use crate::targets::TargetState;
+use crate::targets::access::AccessQuery;
+use crate::targets::access::DenialReason;
 use crate::targets::candidates::is_healthy;
 use crate::targets::candidates::is_silent;
 use crate::targets::candidates::of_version;
 use crate::targets::candidates::without_unlisted;
-use crate::targets::fragile::has_place;
 use crate::targets::placement::PlacementBounds;
 use crate::targets::placement::choose_by_prefix;
 use crate::versions::SoftwareVersion;
@@ -132,6 +133,16 @@
     NoVersion,
 }
 
+impl From<DenialReason> for ChoiceError {
+    fn from(reason: DenialReason) -> Self {
+        match reason {
+            DenialReason::Closed => Self::Closed,
+            DenialReason::RateLimited => Self::RateLimited,
+            DenialReason::Fragile => Self::Fragile,
+        }
+    }
+}
+
 /// Factor by which the load of a target may exceed its service's mean when the prompt is not
 /// cached.
 const LOAD_FACTOR: f64 = 1.25;
@@ -179,13 +190,11 @@
         if query.version.is_some() && listed.is_empty() {
             return Err(ChoiceError::NoVersion);
         }
-        let more_urgent = self.more_urgent_priorities(query, now);
-        let is_open = |state: &TargetState| {
-            !state.closing.is_closed(now)
-                && state.rate.open_at(more_urgent).is_some_and(|open_at| now >= open_at)
+        let access = AccessQuery {
+            more_urgent: self.more_urgent_priorities(query, now),
+            is_fragile: self.max_rejections(query.service).is_some(),
         };
-        let is_fragile = self.max_rejections(query.service).is_some();
-        let may_get_more = |state: &TargetState| is_open(state) && has_place(state, is_fragile);
+        let may_get_more = |state: &TargetState| self.check_access(state, access, now).is_ok();
         if let Some(choice) = choose_trial(&listed, query, now, may_get_more) {
             return Ok(choice);
         }
@@ -199,19 +208,8 @@
         if usable.is_empty() {
             return Err(ChoiceError::NoTarget);
         }
-        if usable.iter().all(|(_, state)| state.closing.is_closed(now)) {
-            return Err(ChoiceError::Closed);
-        }
-        // Targets at their limits are idle by their load and would lower the mean.
-        let usable: Vec<_> = usable.into_iter().filter(|(_, state)| is_open(state)).collect();
-        if usable.is_empty() {
-            return Err(ChoiceError::RateLimited);
-        }
-        let usable: Vec<_> =
-            usable.into_iter().filter(|(_, state)| has_place(state, is_fragile)).collect();
-        if usable.is_empty() {
-            return Err(ChoiceError::Fragile);
-        }
+        // Targets that may get none are idle by their load and would lower the mean.
+        let usable = self.with_access(usable, access, now)?;
         let has_capacity = |state| query.may_have_run || self.has_capacity(state, query, now);
         let with_capacity = usable.iter().filter(|(_, state)| has_capacity(state)).copied();
         let with_capacity: Vec<_> = with_capacity.collect();
@@ -244,6 +242,27 @@
 }
 
 impl TargetPool {
+    /// The targets that may get a request now.
+    fn with_access<'a>(
+        &self,
+        usable: Vec<(TargetKey, &'a TargetState)>,
+        access: AccessQuery,
+        now: MonoTime,
+    ) -> Result<Vec<(TargetKey, &'a TargetState)>, ChoiceError> {
+        let mut denied = None;
+        let mut open = Vec::with_capacity(usable.len());
+        for (key, state) in usable {
+            match self.check_access(state, access, now) {
+                Ok(()) => open.push((key, state)),
+                Err(denial) => denied = denied.max(Some(denial.reason)),
+            }
+        }
+        match denied {
+            Some(reason) if open.is_empty() => Err(reason.into()),
+            _ => Ok(open),
+        }
+    }
+
     /// Whether a stream goes on at its version although the targets of that are full: other versions serve
     /// new streams at the same time. A stream that leaves a silent target waits instead.
     fn must_exceed_capacity(&self, query: &ChoiceQuery<'_>) -> bool {
--- a/ggt-core/src/targets/mod.rs
+++ b/ggt-core/src/targets/mod.rs
@@ -4,6 +4,7 @@
 //! target has just stated in a reply to one of the daemons, else what the peers last reported. Health is
 //! derived from the outcomes of requests, not from reports of the targets.
 
+mod access;
 mod admission;
 mod candidates;
 mod choice;
@@ -17,6 +18,8 @@
 mod rate;
 mod stated_load;
 
+pub use access::AccessDenial;
+pub use access::DenialReason;
 pub use admission::OverloadEstimate;
 pub use candidates::ReachCounts;
 pub use choice::ChoiceError;
--- a/ggt-daemon/src/front/attempt/send.rs
+++ b/ggt-daemon/src/front/attempt/send.rs
@@ -249,7 +249,7 @@
         match connection {
             Some(connection)
                 if self.refuse_crashing().is_none()
-                    && self.is_open(key)
+                    && self.state.pool.borrow().may_resend(key, mono_now())
                     && self.state.try_retry(&self.job.service) =>
             {
                 self.record_send(key, "stale-connection", &failure.cause);
--- a/ggt-daemon/src/front/attempt/statements.rs
+++ b/ggt-daemon/src/front/attempt/statements.rs
@@ -47,10 +47,4 @@
             target.own.requests,
         );
     }
-
-    /// Whether a request that was sent to a target before may be sent there a second time.
-    pub(super) fn is_open(&self, key: TargetKey) -> bool {
-        let pool = self.state.pool.borrow();
-        pool.target(key).is_some_and(|target| !target.closing.is_closed(mono_now()))
-    }
 }
