feat: data centres that the operator evacuates get no new requests

Cause: the store was read for the configuration and the targets only. Change: the folder of the configuration holds the operator's evacuations, too, so they are in force at every daemon as a configuration is, without a further call to the store or field in a digest. Choice leaves evacuated targets out for sends of every kind, admission and retry-after count only the rest, and a daemon counts as cut off from a service by the rest alone. A service that stands only there is refused at once. Prompts are copied from there for 5 s.

--- a/ggt-core/src/lib.rs
+++ b/ggt-core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod clock;
 pub mod config;
 pub mod crashes;
+pub mod evacuation;
 pub mod events;
 pub mod fleet;
 pub mod hosts;
--- a/ggt-core/src/targets/access.rs
+++ b/ggt-core/src/targets/access.rs
@@ -47,7 +47,13 @@
 impl TargetPool {
     /// Whether a request that was sent to a target before may be sent there a second time.
     pub fn may_resend(&self, key: TargetKey, now: MonoTime) -> bool {
-        self.target(key).is_some_and(|state| !state.closing.is_closed(now))
+        self.target(key)
+            .is_some_and(|state| !self.is_evacuated(state) && !state.closing.is_closed(now))
+    }
+
+    /// Whether a target's data centre is evacuated, so that it gets no new requests of any kind.
+    pub(super) fn is_evacuated(&self, state: &TargetState) -> bool {
+        !self.evacuations.is_empty() && self.evacuations.contains(&state.record.data_centre)
     }
 
     /// Whether a target may get a request now.
--- a/ggt-core/src/targets/admission.rs
+++ b/ggt-core/src/targets/admission.rs
@@ -129,7 +129,7 @@
     fn millis_until_open(&self, query: &ChoiceQuery<'_>, now: MonoTime) -> u64 {
         let more_urgent = self.more_urgent_priorities(query, now);
         let targets = self.of_service(query.service).iter().filter_map(|key| self.target(*key));
-        let usable = targets.filter(|state| !state.record.is_leaving);
+        let usable = targets.filter(|state| !state.record.is_leaving && !self.is_evacuated(state));
         let open_at = usable.filter_map(|state| opens_at(state, more_urgent));
         open_at.min().map_or(0, |open_at| open_at.millis_since(now))
     }
@@ -140,7 +140,7 @@
         let targets = self.of_service(query.service).iter().filter_map(|key| self.target(*key));
         let usable = targets
             .filter(|state| !state.record.is_leaving && !state.health.is_unreachable())
-            .filter(|state| state.remove_at.is_none())
+            .filter(|state| state.remove_at.is_none() && !self.is_evacuated(state))
             .filter(|state| query.version.is_none_or(|version| state.record.version == version));
         let opens_at = usable.map(|state| state.closing.opens_at()).min();
         opens_at.map_or(0, |opens_at| opens_at.millis_since(now))
@@ -158,6 +158,7 @@
         let usable = targets.filter(|state| {
             !state.record.is_leaving
                 && !state.health.is_unreachable()
+                && !self.is_evacuated(state)
                 && !state.closing.is_closed(now)
         });
         let (load, limit) = usable.fold((0.0, 0.0), |(load, limit), state| {
--- a/ggt-core/src/targets/candidates.rs
+++ b/ggt-core/src/targets/candidates.rs
@@ -106,14 +106,16 @@
         }
     }
 
-    /// The targets of a service that may get new requests.
+    /// The targets of a service that stay: they do not leave, and their data centre is not evacuated.
     pub fn staying_targets<'a>(
         &'a self,
         service: &str,
     ) -> impl Iterator<Item = (TargetKey, &'a TargetState)> {
         let targets = self.of_service(service).iter();
         let targets = targets.filter_map(|key| self.target(*key).map(|state| (*key, state)));
-        targets.filter(|(_, state)| !state.record.is_leaving && state.remove_at.is_none())
+        targets.filter(|(_, state)| {
+            !state.record.is_leaving && state.remove_at.is_none() && !self.is_evacuated(state)
+        })
     }
 
     /// The services with targets.
--- a/ggt-core/src/targets/choice.rs
+++ b/ggt-core/src/targets/choice.rs
@@ -116,6 +116,9 @@
     /// The service has no usable target.
     #[snafu(display("the service has no usable target"))]
     NoTarget,
+    /// All targets of the service are in evacuated data centres.
+    #[snafu(display("every target of the service is in an evacuated data centre"))]
+    Evacuated,
     /// All usable targets are at capacity.
     #[snafu(display("every usable target of the service is at capacity"))]
     Full,
@@ -154,6 +157,8 @@
 pub(super) const PREFILL_TOKENS_PER_MS: f64 = 100.0;
 /// Prompt tokens from which on a copy from another target's cache is faster than prefill.
 const MIN_COPY_TOKENS: u32 = 512;
+/// Milliseconds for which the caches of an evacuated data centre are copied from: it may go down soon.
+const EVACUATED_SOURCE_MS: u64 = 5_000;
 /// Weight of targets in the daemon's own data centre relative to equally free ones elsewhere.
 const OWN_CENTRE_WEIGHT: f64 = 8.0;
 /// Minimum free fraction assumed for a target, so that even a busy one is chosen now and then.
@@ -176,8 +181,14 @@
         now: MonoTime,
     ) -> Result<TargetChoice, ChoiceError> {
         let keys = self.of_service(query.service).iter();
-        let untried: Vec<_> = keys
-            .filter_map(|key| self.target(*key).map(|state| (*key, state)))
+        let all = keys.filter_map(|key| self.target(*key).map(|state| (*key, state)));
+        let (evacuated, elsewhere): (Vec<_>, Vec<_>) =
+            all.partition(|(_, state)| self.is_evacuated(state));
+        if elsewhere.is_empty() && !evacuated.is_empty() {
+            return Err(ChoiceError::Evacuated);
+        }
+        let untried: Vec<_> = elsewhere
+            .into_iter()
             .filter(|(key, _)| !query.tried.contains(key))
             .filter(|(_, state)| query.silent_since.is_none_or(|since| !is_silent(state, since)))
             .collect();
@@ -273,6 +284,13 @@
         targets.filter(|state| !state.record.is_leaving).any(|s| s.record.version != version)
     }
 
+    /// Whether other targets may copy what a target has cached. One in an evacuated data centre may for a short
+    /// time, in which the prompts that it served move elsewhere.
+    fn may_be_source(&self, state: &TargetState, now: MonoTime) -> bool {
+        let began_at = self.evacuations.began_at(&state.record.data_centre);
+        began_at.is_none_or(|began_at| now < began_at + EVACUATED_SOURCE_MS)
+    }
+
     /// A target from whose cache the chosen one may copy the shared prefix, if that is faster than
     /// prefill.
     ///
@@ -293,6 +311,7 @@
         let version = self.target(chosen)?.record.version;
         let sources = others
             .filter_map(|key| self.target(*key).map(|state| (*key, state)))
+            .filter(|(_, state)| self.may_be_source(state, now))
             .filter(|(_, state)| state.record.version == version)
             .filter(|(_, state)| state.has_cached(anchor.hash) && is_healthy(state, now));
         sources.max_by_key(|(_, state)| state.last_reply_at).map(|(key, _)| key)
--- a/ggt-core/src/targets/pool.rs
+++ b/ggt-core/src/targets/pool.rs
@@ -8,6 +8,7 @@
 
 use crate::clock::MonoTime;
 use crate::crashes::CrashId;
+use crate::evacuation::EvacuationTable;
 use crate::ident::mix_hash;
 use crate::ident::stable_hash;
 use crate::prompts::PrefixChain;
@@ -157,6 +158,8 @@
     pub(super) admissions: HashMap<String, ServiceAdmission>,
     /// What targets said about the rejections that they stand, by service.
     pub(super) fragilities: HashMap<String, ServiceFragility>,
+    /// The data centres whose targets get no new requests.
+    pub evacuations: EvacuationTable,
     /// Incarnations that fell over by turning away too many requests, and until when each is remembered.
     pub(super) fallen: HashMap<CrashId, MonoTime>,
 }
--- a/ggt-core/tests/pool_fixture/mod.rs
+++ b/ggt-core/tests/pool_fixture/mod.rs
@@ -10,20 +10,25 @@
 /// Latency objective of each request in milliseconds.
 pub const GOAL_MS: u64 = 300;
 
+/// Registration of the target with this number, of the service `s` in data centre `a`.
+pub fn record(number: usize) -> TargetRecord {
+    TargetRecord {
+        id: format!("t{number}"),
+        incarnation: 1,
+        service: "s".to_owned(),
+        address: ([10, 0, 1, number as u8], 8_000).into(),
+        data_centre: "a".to_owned(),
+        version: SoftwareVersion::named("v1"),
+        slots: SLOTS,
+        is_leaving: false,
+    }
+}
+
 /// A pool with `count` targets of the service `s`.
 pub fn pool_of(count: usize) -> TargetPool {
     let mut pool = TargetPool::default();
     for number in 0..count {
-        pool.put(TargetRecord {
-            id: format!("t{number}"),
-            incarnation: 1,
-            service: "s".to_owned(),
-            address: ([10, 0, 1, number as u8], 8_000).into(),
-            data_centre: "a".to_owned(),
-            version: SoftwareVersion::named("v1"),
-            slots: SLOTS,
-            is_leaving: false,
-        });
+        pool.put(record(number));
     }
     pool
 }
--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -346,14 +346,16 @@
         let Some(target) = pool.target(choice.key) else {
             return Err(self.choice_refusal(ChoiceError::NoTarget));
         };
-        let report = target.report.unwrap_or_default();
+        let told = target.report.map(|(report, told_at)| {
+            format!("{} told_age_ms={}", report.requests(), now.millis_since(told_at))
+        });
         let source = choice.source.and_then(|source| pool.target(source));
         let anchor = job.chain.as_ref().and_then(PrefixChain::placement_prefix);
         log::info!(
             "event=route request_id={} print={:016x} route={} version={} customer={} service={} target={} \
              incarnation={} software={} last_event={} first_attempt={} reason={} load={:.1} bound={:.1} \
-             mean={:.1} usable={} prefix={} cached_at={} unreported={:.1} own={} peers={} told={} told_age_ms={} \
-             rate_limit={} copy_from={} send={} left_ms={}",
+             mean={:.1} usable={} prefix={} cached_at={} unreported={:.1} own={} peers={} told={} \
+             rate_limit={} copy_from={} evacuations={} send={} left_ms={}",
             quoted(&job.id),
             job.suspects.request().0,
             job.route.name,
@@ -375,10 +377,10 @@
             choice.figures.unreported,
             target.own.requests,
             target.peers.requests,
-            report.0.requests(),
-            now.millis_since(report.1),
+            told.as_deref().unwrap_or("- told_age_ms=-"),
             target.rate.limit().map_or("-".to_owned(), |limit| format!("{limit:.2}")),
             source.map_or("-", |source| source.record.id.as_str()),
+            pool.evacuations.len(),
             self.sends + 1,
             job.remaining_ms(),
         );
--- a/ggt-daemon/src/front/changes.rs
+++ b/ggt-daemon/src/front/changes.rs
@@ -12,6 +12,7 @@
 use ggt_core::store_cache::StoreChange;
 use ggt_core::targets::TargetRecord;
 use ggt_core::versions::ServiceKey;
+use ggt_platform::evacuated_centre;
 use ggt_platform::is_same_history;
 use ggt_platform::parse_config;
 use ggt_platform::parse_registration;
@@ -42,7 +43,10 @@
         for change in &changes {
             match folder {
                 StoreFolder::Targets => self.apply_target(change, source),
-                StoreFolder::Config => self.apply_config(change, source),
+                StoreFolder::Config => match evacuated_centre(&change.key) {
+                    Some(data_centre) => self.apply_evacuation(data_centre, change, source),
+                    None => self.apply_config(change, source),
+                },
             }
         }
     }
@@ -89,7 +93,7 @@
     }
 
     fn put_target(&self, record: TargetRecord, revision: u64, source: &str) {
-        let id = record.id.clone();
+        let (id, data_centre) = (record.id.clone(), record.data_centre.clone());
         let (is_leaving, version) = (record.is_leaving, record.version);
         let service = ServiceKey::named(&record.service);
         self.versions.borrow_mut().record_target(service, version, mono_now());
@@ -103,8 +107,9 @@
             self.add_reported_load(&id);
             let status = if is_leaving { "leaving" } else { "ready" };
             log::info!(
-                "event=target target={id} status={status} software={version} \
-                 revision={revision} source={source}"
+                "event=target target={id} status={status} data_centre={} software={version} \
+                 revision={revision} source={source}",
+                quoted(&data_centre),
             );
         }
     }
--- a/ggt-daemon/src/front/metrics.rs
+++ b/ggt-daemon/src/front/metrics.rs
@@ -2,6 +2,7 @@
 
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
 use opentelemetry::metrics::Histogram;
 use opentelemetry::metrics::MeterProvider;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -30,6 +31,7 @@
     crashes: Counter<u64>,
     forwards: Counter<u64>,
     taken: Counter<u64>,
+    evacuations: Gauge<u64>,
     reply_ms: Histogram<f64>,
     first_event_ms: Histogram<f64>,
 }
@@ -55,6 +57,7 @@
             crashes: meter.u64_counter("front_crashes").build(),
             forwards: meter.u64_counter("front_forwards").build(),
             taken: meter.u64_counter("front_taken").build(),
+            evacuations: meter.u64_gauge("front_evacuations").build(),
             reply_ms: histogram("front_reply"),
             first_event_ms: histogram("front_first_event"),
             _provider: provider,
@@ -122,6 +125,11 @@
         self.taken.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records the number of evacuated data centres.
+    pub fn record_evacuations(&self, count: u64) {
+        self.evacuations.record(count, &[]);
+    }
+
     /// All metrics in Prometheus text format.
     pub fn text(&self) -> String {
         registry_text(&self.registry)
--- a/ggt-daemon/src/front/mod.rs
+++ b/ggt-daemon/src/front/mod.rs
@@ -12,6 +12,7 @@
 mod changes;
 mod crashes;
 mod digests;
+mod evacuations;
 mod forward;
 mod fragile;
 mod health;
--- a/ggt-daemon/src/front/settings.rs
+++ b/ggt-daemon/src/front/settings.rs
@@ -54,6 +54,9 @@
     /// Milliseconds from the acknowledgement that a target leaves until it must get no new requests.
     #[serde(default = "default_change_delay_ms")]
     pub leaving_delay_ms: u64,
+    /// Milliseconds from the acknowledgement of an evacuation until its data centre must get no new requests.
+    #[serde(default = "default_evacuation_delay_ms")]
+    pub evacuation_delay_ms: u64,
     /// Seconds for which requests are refused after the crash of a target that they are blamed for;
     /// longer after each trial that crashes another one.
     #[serde(default = "default_crash_refusal_s")]
@@ -98,7 +101,7 @@
 
     /// Milliseconds from the acknowledgement of any change until every daemon must know it.
     pub fn change_delay_ms(&self) -> u64 {
-        self.config_delay_ms.min(self.leaving_delay_ms)
+        self.config_delay_ms.min(self.leaving_delay_ms).min(self.evacuation_delay_ms)
     }
 
     /// Milliseconds of the first refusal of requests that are blamed for crashes.
@@ -124,6 +127,10 @@
     2_000
 }
 
+fn default_evacuation_delay_ms() -> u64 {
+    5_000
+}
+
 fn default_log_level() -> String {
     "info".to_owned()
 }
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -52,7 +52,9 @@
 use ggt_core::versions::VersionHistory;
 use ggt_core::versions::VersionState;
 use ggt_platform::CONFIG_KEY;
+use ggt_platform::OPERATOR_PREFIX;
 use ggt_platform::TARGET_PREFIX;
+use ggt_platform::evacuated_centre;
 
 /// Milliseconds after its start for which a daemon waits for a digest before it is ready.
 const PEER_WAIT_MS: u64 = 300;
@@ -65,7 +67,7 @@
 pub enum StoreFolder {
     /// Registrations of targets.
     Targets,
-    /// The operator's configuration.
+    /// What the operator writes: the configuration and evacuations.
     Config,
 }
 
@@ -82,17 +84,17 @@
 
     /// The folder that a key of the store belongs to; `None` for other keys.
     pub fn of_key(key: &str) -> Option<Self> {
-        if key == CONFIG_KEY {
+        if key == CONFIG_KEY || evacuated_centre(key).is_some() {
             return Some(Self::Config);
         }
         key.starts_with(TARGET_PREFIX).then_some(Self::Targets)
     }
 
-    /// Prefix of the folder's keys in the store.
+    /// Prefix of the folder's keys in the store; other keys may have it, too.
     pub const fn prefix(self) -> &'static str {
         match self {
             Self::Targets => TARGET_PREFIX,
-            Self::Config => CONFIG_KEY,
+            Self::Config => OPERATOR_PREFIX,
         }
     }
 }
@@ -369,6 +371,7 @@
         pool.set_report_pace(self.fleet.borrow().report_pace(now));
         changes.iter().for_each(|c| pool.replace_peer_load(c.hash, c.before, c.after));
         drop(pool);
+        self.expire_evacuations(now);
         self.update_rate_shares();
         self.update_parts();
         self.update_versions();
--- a/ggt-daemon/src/front/store/snapshot.rs
+++ b/ggt-daemon/src/front/store/snapshot.rs
@@ -9,6 +9,7 @@
 use crate::front::store::into_store_change;
 use ggt_core::store_cache::StoreBatch;
 use ggt_platform::ReadMode;
+use ggt_platform::StoreItem;
 use ggt_platform::is_same_history;
 use ggt_platform::parse_era;
 use ggt_platform::parse_range;
@@ -54,7 +55,9 @@
         // Pages may have different revisions: the result is valid at the oldest one, and the watch
         // returns the changes after it.
         snapshot.revision = snapshot.revision.min(page.revision);
-        snapshot.changes.extend(page.changes.into_iter().map(into_store_change));
+        let of_folder = |item: &StoreItem| StoreFolder::of_key(&item.key) == Some(folder);
+        let items = page.changes.into_iter().filter(of_folder);
+        snapshot.changes.extend(items.map(into_store_change));
         if is_last {
             return Ok(snapshot);
         }
