feat: targets get requests by how long work takes there

Cause: the fourth figure of a load, how long work takes at a target now, was dropped, so plain targets that turn slow for a moment got as many requests as before, and admission counted on the usual time. Change: each daemon knows a relative work time of each target, from what that states to any daemon and, where the settings ask for it, from the durations of its own requests. The weight in the choice falls with it, and admission counts with it.

--- a/ggt-core/src/fleet/digest.rs
+++ b/ggt-core/src/fleet/digest.rs
@@ -15,6 +15,7 @@
 use crate::targets::LoadReport;
 use crate::targets::LoadStatement;
 use crate::targets::RateStatement;
+use crate::targets::WorkTimeStatement;
 
 /// State that a daemon sends to all others. Encoded with postcard: the order of the fields is part
 /// of the format.
@@ -71,6 +72,8 @@
     pub fragile: Vec<FragilityReport>,
     /// Loads that targets have lately stated to the sender. Digests of earlier builds end before this field.
     pub stated_loads: Vec<StatedLoadReport>,
+    /// Work times that targets have lately stated to the sender. Digests of earlier builds end before this field.
+    pub work_times: Vec<WorkTimeReport>,
 }
 
 /// What a daemon can do with requests that peers forward to it.
@@ -185,6 +188,32 @@
     }
 }
 
+/// What a target stated in a reply to the sender of a digest about how long work takes there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkTimeReport {
+    /// Short hash of the target.
+    pub target: u32,
+    /// Percent of the usual time.
+    pub percent: u32,
+    /// Milliseconds since the reply was received, when the digest was made.
+    pub age_ms: u32,
+}
+
+impl WorkTimeReport {
+    /// The report of a target's statement.
+    pub fn new(target: u32, statement: &WorkTimeStatement, now: MonoTime) -> Self {
+        let age_ms = now.millis_since(statement.stated_at);
+        let age_ms = u32::try_from(age_ms).unwrap_or(u32::MAX);
+        Self { target, percent: statement.percent, age_ms }
+    }
+
+    /// The statement, with its time on the receiver's clock.
+    pub fn statement(&self, now: MonoTime) -> WorkTimeStatement {
+        let stated_ms = now.as_millis().saturating_sub(u64::from(self.age_ms));
+        WorkTimeStatement { percent: self.percent, stated_at: MonoTime::from_millis(stated_ms) }
+    }
+}
+
 impl PeerDigest {
     /// A digest that reports nothing, of a daemon that does not watch the platform.
     pub fn new(address: SocketAddr, incarnation: u64, number: u64) -> Self {
@@ -210,6 +239,7 @@
             reach: PeerReach::default(),
             fragile: Vec::new(),
             stated_loads: Vec::new(),
+            work_times: Vec::new(),
         }
     }
 
--- a/ggt-core/src/fleet/mod.rs
+++ b/ggt-core/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 pub use digest::PeerReach;
 pub use digest::RateReport;
 pub use digest::StatedLoadReport;
+pub use digest::WorkTimeReport;
 pub use forwarding::FORWARD_PROTOCOL;
 pub use forwarding::ForwardQuery;
 pub use forwarding::PEER_PROTOCOL;
--- a/ggt-core/src/targets/admission.rs
+++ b/ggt-core/src/targets/admission.rs
@@ -12,6 +12,7 @@
 use crate::targets::TargetState;
 use crate::targets::access::opens_at;
 use crate::targets::choice::PREFILL_TOKENS_PER_MS;
+use crate::targets::work_time::DurationMean;
 
 /// Fraction of the latency objective for which a request may always queue for a slot.
 const MIN_WAIT_FRACTION: f64 = 0.4;
@@ -50,11 +51,24 @@
     pub slot_ms: Option<f64>,
 }
 
+/// How long a request was at its target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SlotDuration {
+    /// Requests in flight at the target when it was sent, including it.
+    pub load: u32,
+    /// Milliseconds from the send to the end of the reply.
+    pub total_ms: u64,
+    /// Whether the request had a prompt, so that its duration says little about the target.
+    pub has_prompt: bool,
+}
+
 /// Admission state of one service at one daemon.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) struct ServiceAdmission {
     /// Moving average of the time that a request occupies a slot, in milliseconds.
     slot_ms: Option<f64>,
+    /// Mean duration of requests without a prompt, if the targets' work times are measured.
+    plain_durations: DurationMean,
     /// Start of the current or latest overload.
     overload_started_at: MonoTime,
     /// Time of the latest refusal for lack of capacity.
@@ -83,16 +97,25 @@
         self.admission_mut(service).requested_at[priority_index(priority)] = Some(now);
     }
 
-    /// Records how long a request took at its target, which had `load` requests in flight with it.
+    /// Records how long a request took at its target.
     ///
     /// If the load exceeded the target's slots, the request queued first; that part of the time is
-    /// not counted.
-    pub fn record_slot_time(&mut self, key: TargetKey, load: u32, total_ms: u64) {
-        let Some(state) = self.target(key) else { return };
+    /// not counted, and neither is what the target states to take longer than usual.
+    pub fn record_slot_time(&mut self, key: TargetKey, duration: SlotDuration, now: MonoTime) {
+        let SlotDuration { load, total_ms, has_prompt } = duration;
+        let measures_work_times = self.measures_work_times && !has_prompt;
+        let Some(state) = self.targets.get_mut(key) else { return };
         let slots = state.record.slots.max(1);
         let service = state.record.service.clone();
-        let slot_ms = total_ms as f64 * f64::from(slots) / f64::from(slots.max(load));
+        let relative = state.work_time.stated(now).unwrap_or(1.0);
+        let slot_ms = total_ms as f64 * f64::from(slots) / f64::from(slots.max(load)) / relative;
+        if measures_work_times {
+            state.work_time.record_duration(slot_ms, now);
+        }
         let admission = self.admission_mut(&service);
+        if measures_work_times {
+            admission.plain_durations.record(slot_ms, now);
+        }
         let mean_ms = admission
             .slot_ms
             .map_or(slot_ms, |mean_ms| mean_ms + SLOT_TIME_WEIGHT * (slot_ms - mean_ms));
@@ -203,7 +226,8 @@
     /// time.
     fn max_in_flight(&self, state: &TargetState, query: &ChoiceQuery<'_>, now: MonoTime) -> f64 {
         let admission = self.admission_of(query.service);
-        let Some(slot_ms) = admission.slot_ms else { return f64::INFINITY };
+        let Some(usual_ms) = admission.slot_ms else { return f64::INFINITY };
+        let slot_ms = usual_ms * self.work_time(state, now);
         let slots = f64::from(state.record.slots.max(1));
         let goal_ms = query.goal_ms as f64;
         // A refused caller loses at least the minimum retry delay, so a reply that late is no
@@ -216,6 +240,23 @@
         ((slots + queued) * (1.0 - reserve)).max(1.0)
     }
 
+    /// How long work takes at the target with this key, relative to the usual time of its service.
+    pub fn relative_work_time(&self, key: TargetKey, now: MonoTime) -> f64 {
+        self.target(key).map_or(1.0, |state| self.work_time(state, now))
+    }
+
+    /// How long work takes at a target, relative to the usual time of its service.
+    pub(super) fn work_time(&self, state: &TargetState, now: MonoTime) -> f64 {
+        let measured = match self.measures_work_times {
+            true => {
+                let service_ms = self.admission_of(&state.record.service).plain_durations.millis();
+                state.work_time.measured(service_ms, now)
+            }
+            false => 1.0,
+        };
+        state.work_time.stated(now).unwrap_or(1.0) * measured
+    }
+
     fn admission_of(&self, service: &str) -> ServiceAdmission {
         self.admissions.get(service).copied().unwrap_or_default()
     }
--- a/ggt-core/src/targets/choice.rs
+++ b/ggt-core/src/targets/choice.rs
@@ -17,6 +17,7 @@
 use crate::targets::candidates::without_unlisted;
 use crate::targets::placement::PlacementBounds;
 use crate::targets::placement::choose_by_prefix;
+use crate::targets::work_time::weight_factor;
 use crate::versions::SoftwareVersion;
 
 /// Inputs of the choice of a target.
@@ -236,7 +237,7 @@
         let bound = LOAD_FACTOR * (mean + 1.0) + LOAD_SLACK;
         let figures = ChoiceFigures { usable: usable.len(), mean, ..ChoiceFigures::default() };
         let Some(anchor) = query.chain.and_then(PrefixChain::placement_prefix) else {
-            let choice = choose_by_free_slots(&with_capacity, query, bound, now);
+            let choice = self.choose_by_free_slots(&with_capacity, query, bound, now);
             return Ok(TargetChoice { figures, ..choice });
         };
         let unreported = self.prefix_rates.unreported(anchor.hash, now);
@@ -354,35 +355,40 @@
     })
 }
 
-/// A target at random, in proportion to the square of its free slots.
-///
-/// If all daemons chose the least loaded target, they would overload it together until the next
-/// load reports arrive.
-fn choose_by_free_slots(
-    usable: &[(TargetKey, &TargetState)],
-    query: &ChoiceQuery<'_>,
-    bound: f64,
-    now: MonoTime,
-) -> TargetChoice {
-    let weight = |state: &TargetState| {
-        let slots = f64::from(state.record.slots.max(1));
-        let free = ((slots - load_of(state, now)) / slots).max(MIN_FREE_FRACTION);
-        let is_local = state.record.data_centre == query.data_centre;
-        free * free * if is_local { OWN_CENTRE_WEIGHT } else { 1.0 }
-    };
-    let score = |state: &TargetState| {
-        rendezvous_score(query.spread_hash, state.location_hash, weight(state))
-    };
-    let chosen = usable.iter().max_by(|(_, a), (_, b)| score(a).total_cmp(&score(b)));
-    let (key, state) = chosen.unwrap_or(&usable[0]);
-    let load = load_of(state, now);
-    TargetChoice {
-        key: *key,
-        reason: ChoiceReason::Free,
-        load,
-        bound,
-        source: None,
-        figures: ChoiceFigures::default(),
+impl TargetPool {
+    /// A target at random, in proportion to the square of its free slots, and less often the longer work takes
+    /// there.
+    ///
+    /// If all daemons chose the least loaded or the fastest target, they would overload it together until the
+    /// next load reports arrive.
+    fn choose_by_free_slots(
+        &self,
+        usable: &[(TargetKey, &TargetState)],
+        query: &ChoiceQuery<'_>,
+        bound: f64,
+        now: MonoTime,
+    ) -> TargetChoice {
+        let weight = |state: &TargetState| {
+            let slots = f64::from(state.record.slots.max(1));
+            let free = ((slots - load_of(state, now)) / slots).max(MIN_FREE_FRACTION);
+            let is_local = state.record.data_centre == query.data_centre;
+            let centre_weight = if is_local { OWN_CENTRE_WEIGHT } else { 1.0 };
+            free * free * centre_weight * weight_factor(self.work_time(state, now))
+        };
+        let score = |state: &TargetState| {
+            rendezvous_score(query.spread_hash, state.location_hash, weight(state))
+        };
+        let chosen = usable.iter().max_by(|(_, a), (_, b)| score(a).total_cmp(&score(b)));
+        let (key, state) = chosen.unwrap_or(&usable[0]);
+        let load = load_of(state, now);
+        TargetChoice {
+            key: *key,
+            reason: ChoiceReason::Free,
+            load,
+            bound,
+            source: None,
+            figures: ChoiceFigures::default(),
+        }
     }
 }
 
--- a/ggt-core/src/targets/mod.rs
+++ b/ggt-core/src/targets/mod.rs
@@ -18,10 +18,12 @@
 mod prefixes;
 mod rate;
 mod stated_load;
+mod work_time;
 
 pub use access::AccessDenial;
 pub use access::DenialReason;
 pub use admission::OverloadEstimate;
+pub use admission::SlotDuration;
 pub use candidates::ReachCounts;
 pub use choice::ChoiceError;
 pub use choice::ChoiceFigures;
@@ -49,6 +51,9 @@
 pub use rate::TargetRate;
 pub use stated_load::LoadStatement;
 pub use stated_load::StatedLoad;
+pub use work_time::TargetWorkTime;
+pub use work_time::WORK_TIME_TTL_MS;
+pub use work_time::WorkTimeStatement;
 
 use std::net::SocketAddr;
 
@@ -89,6 +94,8 @@
     pub waiting: u32,
     /// Number of requests that can run concurrently.
     pub slots: u32,
+    /// How long work takes there now, in percent of the usual time; more than 0. `None` if it is not stated.
+    pub work_time_percent: Option<u32>,
 }
 
 impl LoadReport {
--- a/ggt-core/src/targets/pool.rs
+++ b/ggt-core/src/targets/pool.rs
@@ -27,6 +27,8 @@
 use crate::targets::TargetClosing;
 use crate::targets::TargetRate;
 use crate::targets::TargetRecord;
+use crate::targets::TargetWorkTime;
+use crate::targets::WorkTimeStatement;
 use crate::targets::admission::ServiceAdmission;
 use crate::targets::fragile::ServiceFragility;
 use crate::targets::prefix_rates::PrefixRates;
@@ -74,6 +76,8 @@
     pub report: Option<(LoadReport, MonoTime)>,
     /// The load that it last stated to any daemon.
     pub stated: StatedLoad,
+    /// How long work takes there.
+    pub work_time: TargetWorkTime,
     /// Health, from the outcomes of its requests.
     pub health: HealthState,
     /// The rate that it says it takes, if any.
@@ -104,6 +108,7 @@
             peers: InFlightLoad::default(),
             report: None,
             stated: StatedLoad::default(),
+            work_time: TargetWorkTime::default(),
             health: HealthState::default(),
             rate: TargetRate::default(),
             closing: TargetClosing::default(),
@@ -160,6 +165,8 @@
     pub(super) admissions: HashMap<String, ServiceAdmission>,
     /// What targets said about the rejections that they stand, by service.
     pub(super) fragilities: HashMap<String, ServiceFragility>,
+    /// Whether the durations of requests show how fast targets are that do not state it.
+    pub measures_work_times: bool,
     /// What the targets of each service take while they are cold.
     pub(super) cold_start_limits: HashMap<String, ColdStartLimit>,
     /// The data centres whose targets get no new requests.
@@ -420,6 +427,13 @@
         }
     }
 
+    /// Applies what a target stated about its work time to this daemon, or to a peer.
+    pub fn apply_work_time(&mut self, key: TargetKey, statement: WorkTimeStatement, is_own: bool) {
+        if let Some(state) = self.targets.get_mut(key) {
+            state.work_time.apply(statement, is_own);
+        }
+    }
+
     /// Records a request's outcome; returns the end of the hold-down if one begins.
     pub fn record_outcome(
         &mut self,
--- a/ggt-core/tests/admission.rs
+++ b/ggt-core/tests/admission.rs
@@ -15,6 +15,7 @@
 use ggt_core::prompts::PromptPart;
 use ggt_core::targets::ChoiceError;
 use ggt_core::targets::ChoiceQuery;
+use ggt_core::targets::SlotDuration;
 use ggt_core::targets::TargetKey;
 use ggt_core::targets::TargetPool;
 
@@ -31,7 +32,11 @@
 fn pool_with_slot_time(count: usize) -> TargetPool {
     let mut pool = pool_of(count);
     let key = pool.iter().next().map(|(key, _)| key).expect("a target");
-    pool.record_slot_time(key, 1, SLOT_TIME_MS);
+    pool.record_slot_time(
+        key,
+        SlotDuration { load: 1, total_ms: SLOT_TIME_MS, has_prompt: true },
+        at(0),
+    );
     pool
 }
 
@@ -63,7 +68,11 @@
         while running.peek().is_some_and(|Reverse((ends_at, ..))| *ends_at <= now) {
             let Some(Reverse((ends_at, key, sent_at, load))) = running.pop() else { break };
             pool.record_end(key);
-            pool.record_slot_time(key, load, ends_at - sent_at);
+            pool.record_slot_time(
+                key,
+                SlotDuration { load, total_ms: ends_at - sent_at, has_prompt: true },
+                at(ends_at),
+            );
         }
         let query = query(0, now.wrapping_mul(0x9e37_79b9_7f4a_7c15));
         let Ok(choice) = pool.choose(&query, at(now)) else {
@@ -126,7 +135,13 @@
     let mut pool = pool_of(1);
     let key = pool.iter().next().map(|(key, _)| key).expect("a target");
     // Each queues behind nine times as many requests as run concurrently.
-    (0..100).for_each(|_| pool.record_slot_time(key, 10 * SLOTS, 10 * RUN_MS));
+    (0..100).for_each(|_| {
+        pool.record_slot_time(
+            key,
+            SlotDuration { load: 10 * SLOTS, total_ms: 10 * RUN_MS, has_prompt: true },
+            at(0),
+        )
+    });
     fill(&mut pool, 3 * SLOTS);
     assert!(
         pool.choose(&query(0, 1), at(0)).is_ok(),
--- a/ggt-core/tests/closings.rs
+++ b/ggt-core/tests/closings.rs
@@ -11,6 +11,7 @@
 use ggt_core::targets::RateShare;
 use ggt_core::targets::RateStatement;
 use ggt_core::targets::SendOutcome;
+use ggt_core::targets::SlotDuration;
 use ggt_core::targets::TargetClosing;
 use ggt_core::targets::TargetKey;
 use ggt_core::targets::TargetPool;
@@ -118,7 +119,11 @@
 fn closed_targets_do_not_count_as_capacity() {
     let mut pool = pool_of(2);
     let keys = keys_of(&pool);
-    pool.record_slot_time(keys[0], 1, 1_000);
+    pool.record_slot_time(
+        keys[0],
+        SlotDuration { load: 1, total_ms: 1_000, has_prompt: true },
+        at(0),
+    );
     for _ in 0..4 {
         pool.record_send(keys[1], &Default::default(), false, at(0));
     }
--- a/ggt-core/tests/evacuation.rs
+++ b/ggt-core/tests/evacuation.rs
@@ -12,6 +12,7 @@
 use ggt_core::targets::ChoiceError;
 use ggt_core::targets::ChoiceQuery;
 use ggt_core::targets::SendOutcome;
+use ggt_core::targets::SlotDuration;
 use ggt_core::targets::TargetKey;
 use ggt_core::targets::TargetPool;
 use ggt_core::targets::TargetRecord;
@@ -136,7 +137,11 @@
     let mut pool = two_centres();
     let empty = PrefixChain::default();
     for key in pool.iter().map(|(key, _)| key).collect::<Vec<_>>() {
-        pool.record_slot_time(key, 1, 100);
+        pool.record_slot_time(
+            key,
+            SlotDuration { load: 1, total_ms: 100, has_prompt: true },
+            at(0),
+        );
     }
     for key in keys_in(&pool, "b") {
         (0..8).for_each(|_| drop(pool.record_send(key, &empty, false, at(0))));
--- a/ggt-core/tests/fleet_model/mod.rs
+++ b/ggt-core/tests/fleet_model/mod.rs
@@ -22,6 +22,7 @@
 use ggt_core::targets::LoadStatement;
 use ggt_core::targets::ReportPace;
 use ggt_core::targets::SendRecord;
+use ggt_core::targets::SlotDuration;
 use ggt_core::targets::TargetKey;
 use ggt_core::targets::TargetPool;
 use ggt_core::targets::TargetRecord;
@@ -273,7 +274,15 @@
         let ModelRequest { daemon, engine, key, ref record, .. } = self.requests[request];
         let pool = &mut self.pools[daemon];
         pool.record_end(key);
-        pool.record_slot_time(key, record.load, at(micros).millis_since(record.sent_at));
+        pool.record_slot_time(
+            key,
+            SlotDuration {
+                load: record.load,
+                total_ms: at(micros).millis_since(record.sent_at),
+                has_prompt: true,
+            },
+            at(micros),
+        );
         if let Some(next) = self.engines[engine].end() {
             self.run(next, micros);
         }
--- a/ggt-core/tests/fragile.rs
+++ b/ggt-core/tests/fragile.rs
@@ -72,7 +72,7 @@
 
 /// Report of a target with this many running and waiting requests.
 fn report(running: u32, waiting: u32) -> Option<LoadReport> {
-    Some(LoadReport { running, waiting, slots: SLOTS })
+    Some(LoadReport { running, waiting, slots: SLOTS, work_time_percent: None })
 }
 
 // Guards against limits where no target asked for them.
--- a/ggt-core/tests/versions.rs
+++ b/ggt-core/tests/versions.rs
@@ -10,6 +10,7 @@
 use ggt_core::targets::ChoiceQuery;
 use ggt_core::targets::ChoiceReason;
 use ggt_core::targets::SendOutcome;
+use ggt_core::targets::SlotDuration;
 use ggt_core::targets::TargetKey;
 use ggt_core::targets::TargetPool;
 use ggt_core::targets::TargetRecord;
@@ -91,7 +92,11 @@
         for _ in 0..4 * SLOTS {
             pool.record_send(key, &Default::default(), false, at(0));
         }
-        pool.record_slot_time(key, 1, 1_000);
+        pool.record_slot_time(
+            key,
+            SlotDuration { load: 1, total_ms: 1_000, has_prompt: true },
+            at(0),
+        );
     }
     assert!(pool.choose(&query(0, 1), at(0)).is_ok(), "new streams begin");
     assert!(pool.choose(&pinned(old(), 1), at(0)).is_ok());
--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -355,7 +355,7 @@
             "event=route request_id={} print={:016x} route={} version={} customer={} service={} target={} \
              incarnation={} software={} last_event={} first_attempt={} reason={} load={:.1} bound={:.1} \
              mean={:.1} usable={} prefix={} cached_at={} unreported={:.1} own={} peers={} told={} \
-             rate_limit={} cold={} copy_from={} evacuations={} send={} left_ms={}",
+             work_time={:.2} rate_limit={} cold={} copy_from={} evacuations={} send={} left_ms={}",
             quoted(&job.id),
             job.suspects.request().0,
             job.route.name,
@@ -378,6 +378,7 @@
             target.own.requests,
             target.peers.requests,
             told.as_deref().unwrap_or("- told_age_ms=-"),
+            pool.relative_work_time(choice.key, now),
             target
                 .rate
                 .limit(now)
--- a/ggt-daemon/src/front/attempt/send.rs
+++ b/ggt-daemon/src/front/attempt/send.rs
@@ -189,6 +189,7 @@
         self.check_id(&headers)?;
         self.state.pool.borrow_mut().record_reply(key, headers.load, mono_now());
         self.state.apply_load_header(key, headers.load);
+        self.state.apply_work_time_header(key, &headers);
         self.apply_statements(key, sent_at, &headers);
         check_content(parts.status, &headers)?;
         self.state.pool.borrow_mut().record_accepted(key, headers.load, mono_now());
--- a/ggt-daemon/src/front/digests.rs
+++ b/ggt-daemon/src/front/digests.rs
@@ -141,6 +141,7 @@
         reach: state.peer_reach(),
         fragile: state.fragility_reports(now),
         stated_loads: state.stated_load_reports(now),
+        work_times: state.work_time_reports(now),
         ..PeerDigest::new(state.settings().peer, state.incarnation, number)
     };
     digest.set_crashes(crashes, now);
--- a/ggt-daemon/src/front/job.rs
+++ b/ggt-daemon/src/front/job.rs
@@ -16,6 +16,7 @@
 use ggt_core::prompts::PrefixChain;
 use ggt_core::routes::RouteEntry;
 use ggt_core::targets::SendRecord;
+use ggt_core::targets::SlotDuration;
 use ggt_core::targets::TargetKey;
 use ggt_core::versions::StreamKey;
 use ggt_platform::RequestHeaders;
@@ -160,6 +161,7 @@
     key: TargetKey,
     backlog_tokens: Cell<u32>,
     record: SendRecord,
+    has_prompt: bool,
     has_started: Cell<bool>,
 }
 
@@ -174,7 +176,8 @@
     ) -> Self {
         let record = state.pool.borrow_mut().record_send(key, chain, is_copied, mono_now());
         let backlog_tokens = Cell::new(record.backlog_tokens);
-        Self { state, key, backlog_tokens, record, has_started: Cell::new(false) }
+        let has_prompt = !chain.prefixes().is_empty();
+        Self { state, key, backlog_tokens, record, has_prompt, has_started: Cell::new(false) }
     }
 
     /// When the target was chosen for the send.
@@ -207,8 +210,13 @@
         let mut pool = self.state.pool.borrow_mut();
         pool.record_end(self.key);
         if self.has_started.get() {
-            let duration_ms = mono_now().millis_since(self.record.sent_at);
-            pool.record_slot_time(self.key, self.record.load, duration_ms);
+            let now = mono_now();
+            let duration = SlotDuration {
+                load: self.record.load,
+                total_ms: now.millis_since(self.record.sent_at),
+                has_prompt: self.has_prompt,
+            };
+            pool.record_slot_time(self.key, duration, now);
         }
     }
 }
--- a/ggt-daemon/src/front/mod.rs
+++ b/ggt-daemon/src/front/mod.rs
@@ -38,6 +38,7 @@
 mod store;
 mod stream;
 mod warmup;
+mod work_times;
 
 pub use run::FrontError;
 pub use run::run_front;
--- a/ggt-daemon/src/front/settings.rs
+++ b/ggt-daemon/src/front/settings.rs
@@ -61,6 +61,9 @@
     /// longer after each trial that crashes another one.
     #[serde(default = "default_crash_refusal_s")]
     pub crash_refusal_s: f64,
+    /// Whether the durations of requests without a prompt show how fast targets are, so that slower ones get fewer.
+    #[serde(default)]
+    pub measure_work_times: bool,
     /// Least severe level to log: `error`, `warn`, `info`, `debug` or `trace`.
     #[serde(default = "default_log_level")]
     pub log_level: String,
--- a/ggt-daemon/src/front/settings_change.rs
+++ b/ggt-daemon/src/front/settings_change.rs
@@ -9,7 +9,7 @@
 /// Settings that differ between the daemons of one fleet: names, places and addresses.
 const HOST_FIELDS: [&str; 6] = ["name", "data_centre", "callers", "ready", "admin", "peer"];
 /// Settings that are only read when the daemon starts.
-const START_FIELDS: [&str; 11] = [
+const START_FIELDS: [&str; 12] = [
     "name",
     "data_centre",
     "callers",
@@ -20,6 +20,7 @@
     "store_history_s",
     "first_start",
     "crash_refusal_s",
+    "measure_work_times",
     "log_level",
 ];
 
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -194,6 +194,8 @@
         if settings.first_start {
             versions.record_first_start();
         }
+        let mut pool = TargetPool::default();
+        pool.measures_work_times = settings.measure_work_times;
         let centre_hash = stable_hash(settings.data_centre.as_bytes()) as u32;
         Self {
             centre_hash,
@@ -204,7 +206,7 @@
             metrics,
             incarnation: wall_now().as_millis(),
             started_at: mono_now(),
-            pool: RefCell::default(),
+            pool: RefCell::new(pool),
             reach: RefCell::default(),
             reach_suspects: RefCell::default(),
             reach_suspected: Notify::new(),
@@ -346,6 +348,7 @@
         self.apply_peer_rates(&digest);
         self.apply_peer_fragilities(&digest);
         self.apply_peer_loads(&digest);
+        self.apply_peer_work_times(&digest);
         self.has_heard_peer.set(true);
         let mut outage = self.outage.get();
         let age_ms = u64::from(digest.platform_age_ms);
--- a/ggt-standin/src/users_platform/server.rs
+++ b/ggt-standin/src/users_platform/server.rs
@@ -316,6 +316,11 @@
     }
 }
 
+/// Name of the header that states a server's load.
+const LOAD_NAME: &str = "X-Server-Load";
+/// The load that servers state unless a script states another one.
+const USUAL_LOAD_LINE: &str = "X-Server-Load: 1,0,8\r\n";
+
 /// Writes a complete response with the attempt id, server stamp and load headers, and keeps the
 /// connection open.
 pub fn respond(
@@ -327,7 +332,7 @@
     respond_with(request, stream, status, "", body)
 }
 
-/// Writes a complete response like [`respond`], with additional header lines.
+/// Writes a complete response like [`respond`], with additional header lines, which may state another load.
 pub fn respond_with(
     request: &WireRequest,
     stream: &mut TcpStream,
@@ -336,9 +341,10 @@
     body: &str,
 ) -> AfterResponse {
     let id = request.header("x-attempt-id").unwrap_or("-");
+    let load = if lines.contains(LOAD_NAME) { "" } else { USUAL_LOAD_LINE };
     let text = format!(
         "HTTP/1.1 {status} Scripted\r\nX-Attempt-Id: {id}\r\nX-Server-Stamp: stamp-{id}\r\n\
-         X-Server-Load: 1,0,8\r\n{lines}Content-Length: {}\r\n\r\n{body}",
+         {load}{lines}Content-Length: {}\r\n\r\n{body}",
         body.len()
     );
     match stream.write_all(text.as_bytes()) {
--- a/ggt-wire/tests/codec.rs
+++ b/ggt-wire/tests/codec.rs
@@ -13,6 +13,7 @@
 use ggt_core::fleet::PeerReach;
 use ggt_core::fleet::RateReport;
 use ggt_core::fleet::StatedLoadReport;
+use ggt_core::fleet::WorkTimeReport;
 use ggt_core::ident::CustomerName;
 use ggt_core::ident::DaemonName;
 use ggt_core::membership::DatagramHeader;
@@ -220,6 +221,7 @@
             rejecting: vec![13],
         }],
         stated_loads: vec![StatedLoadReport { target: 13, requests: 21, age_ms: 350 }],
+        work_times: vec![WorkTimeReport { target: 13, percent: 250, age_ms: 90 }],
     }
 }
 
@@ -239,11 +241,16 @@
         reach: PeerReach::default(),
         fragile: Vec::new(),
         stated_loads: Vec::new(),
+        work_times: Vec::new(),
         ..digest()
     };
     let mut bytes = encode_digest(&without_ages).expect("should encode");
-    for field in ["last", "2nd last", "3rd last", "4th last", "5th last", "6th last", "7th last"] {
-        assert_eq!(bytes.pop(), Some(0), "the {field} should be an empty list or zero");
+    for place in 1..=8 {
+        assert_eq!(
+            bytes.pop(),
+            Some(0),
+            "field {place} from the end should be an empty list or zero"
+        );
     }
     assert_eq!(decode_digest(&bytes).expect("should decode"), without_ages);
     assert!(decode_digest(&bytes[..bytes.len() / 2]).is_err());
@@ -256,11 +263,16 @@
         reach: PeerReach::default(),
         fragile: Vec::new(),
         stated_loads: Vec::new(),
+        work_times: Vec::new(),
         ..digest()
     };
     let mut bytes = encode_digest(&without_rates).expect("should encode");
-    for field in ["last", "2nd last", "3rd last", "4th last", "5th last"] {
-        assert_eq!(bytes.pop(), Some(0), "the {field} should be an empty list or zero");
+    for place in 1..=6 {
+        assert_eq!(
+            bytes.pop(),
+            Some(0),
+            "field {place} from the end should be an empty list or zero"
+        );
     }
     assert_eq!(decode_digest(&bytes).expect("should decode"), without_rates);
 }
@@ -272,10 +284,11 @@
         reach: PeerReach::default(),
         fragile: Vec::new(),
         stated_loads: Vec::new(),
+        work_times: Vec::new(),
         ..digest()
     };
     let mut bytes = encode_digest(&without_reach).expect("should encode");
-    assert_eq!([bytes.pop(), bytes.pop(), bytes.pop(), bytes.pop()], [Some(0); 4]);
+    (0..5).for_each(|_| assert_eq!(bytes.pop(), Some(0)));
     let decoded = decode_digest(&bytes).expect("should decode");
     assert_eq!(decoded, without_reach);
     assert_eq!(decoded.reach.protocol, 0);
@@ -339,20 +352,33 @@
 
 #[test]
 fn digest_of_a_build_without_fragile_services_decodes() {
-    let without_fragile = PeerDigest { fragile: Vec::new(), stated_loads: Vec::new(), ..digest() };
+    let without_fragile = PeerDigest {
+        fragile: Vec::new(),
+        stated_loads: Vec::new(),
+        work_times: Vec::new(),
+        ..digest()
+    };
     let mut bytes = encode_digest(&without_fragile).expect("should encode");
-    assert_eq!([bytes.pop(), bytes.pop()], [Some(0); 2], "the last fields should be empty lists");
+    (0..3).for_each(|_| assert_eq!(bytes.pop(), Some(0), "the last fields should be empty lists"));
     assert_eq!(decode_digest(&bytes).expect("should decode"), without_fragile);
 }
 
 #[test]
 fn digest_of_a_build_without_stated_loads_decodes() {
-    let without_loads = PeerDigest { stated_loads: Vec::new(), ..digest() };
+    let without_loads = PeerDigest { stated_loads: Vec::new(), work_times: Vec::new(), ..digest() };
     let mut bytes = encode_digest(&without_loads).expect("should encode");
-    assert_eq!(bytes.pop(), Some(0), "the last field should be an empty list");
+    (0..2).for_each(|_| assert_eq!(bytes.pop(), Some(0), "the last fields should be empty lists"));
     assert_eq!(decode_digest(&bytes).expect("should decode"), without_loads);
 }
 
+#[test]
+fn digest_of_a_build_without_work_times_decodes() {
+    let without_work_times = PeerDigest { work_times: Vec::new(), ..digest() };
+    let mut bytes = encode_digest(&without_work_times).expect("should encode");
+    assert_eq!(bytes.pop(), Some(0), "the last field should be an empty list");
+    assert_eq!(decode_digest(&bytes).expect("should decode"), without_work_times);
+}
+
 #[test]
 fn earlier_builds_ignore_fields_at_the_end_of_a_digest() {
     let bytes = encode_digest(&digest()).expect("should encode");
