fix: a request that another instance turned away is no attempt, and all daemons learn of it

Cause: the send to a target that had ended counted as the only attempt that their route allows, though what replied with 421 is another instance and has not run it. Change: up to two such sends of a request do not count; each still takes a retry from the budget. The daemon that is told has its peers told at once, and all leave the target out.

--- a/ggt-core/src/fleet/digest.rs
+++ b/ggt-core/src/fleet/digest.rs
@@ -74,6 +74,9 @@
     pub stated_loads: Vec<StatedLoadReport>,
     /// Work times that targets have lately stated to the sender. Digests of earlier builds end before this field.
     pub work_times: Vec<WorkTimeReport>,
+    /// Short hashes of targets at whose addresses other instances have lately replied to the sender. Digests of
+    /// earlier builds end before this field.
+    pub replaced: Vec<u32>,
 }
 
 /// What a daemon can do with requests that peers forward to it.
@@ -240,6 +243,7 @@
             fragile: Vec::new(),
             stated_loads: Vec::new(),
             work_times: Vec::new(),
+            replaced: Vec::new(),
         }
     }
 
--- a/ggt-core/src/targets/choice.rs
+++ b/ggt-core/src/targets/choice.rs
@@ -190,7 +190,9 @@
         }
         let untried: Vec<_> = elsewhere
             .into_iter()
-            .filter(|(key, _)| !query.tried.contains(key))
+            .filter(|(key, state)| {
+                !query.tried.contains(key) && !state.replacement.is_in_force(now)
+            })
             .filter(|(_, state)| query.silent_since.is_none_or(|since| !is_silent(state, since)))
             .collect();
         let staying = untried.iter().filter(|(_, state)| !state.record.is_leaving);
--- a/ggt-core/src/targets/mod.rs
+++ b/ggt-core/src/targets/mod.rs
@@ -17,6 +17,7 @@
 mod prefix_rates;
 mod prefixes;
 mod rate;
+mod replacement;
 mod stated_load;
 mod work_time;
 
@@ -49,6 +50,7 @@
 pub use rate::RateShare;
 pub use rate::RateStatement;
 pub use rate::TargetRate;
+pub use replacement::TargetReplacement;
 pub use stated_load::LoadStatement;
 pub use stated_load::StatedLoad;
 pub use work_time::TargetWorkTime;
--- a/ggt-core/src/targets/pool.rs
+++ b/ggt-core/src/targets/pool.rs
@@ -27,6 +27,7 @@
 use crate::targets::TargetClosing;
 use crate::targets::TargetRate;
 use crate::targets::TargetRecord;
+use crate::targets::TargetReplacement;
 use crate::targets::TargetWorkTime;
 use crate::targets::WorkTimeStatement;
 use crate::targets::admission::ServiceAdmission;
@@ -92,6 +93,8 @@
     pub busy_since: MonoTime,
     /// When this daemon learnt that the target is leaving.
     pub leaving_since: Option<MonoTime>,
+    /// What shows that another instance has its address.
+    pub replacement: TargetReplacement,
     /// When the target is to be removed; `None` while the platform lists it.
     pub remove_at: Option<MonoTime>,
     /// Cached prefixes by their short hashes, and when each was last recorded.
@@ -116,6 +119,7 @@
             last_reply_at: MonoTime::default(),
             busy_since: MonoTime::default(),
             leaving_since: None,
+            replacement: TargetReplacement::default(),
             remove_at: None,
             prefixes: HashMap::new(),
             record,
--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -49,6 +49,8 @@
 
 /// Maximum number of connections that one request may try to open.
 const MAX_CONNECTS: u32 = 5;
+/// Maximum number of sends of one request to addresses at which other instances reply, beyond its attempts.
+const MAX_MISDIRECTED_SENDS: u32 = 2;
 /// `retry-after` in milliseconds for a request that no target has run.
 const NOT_RUN_RETRY_MS: u64 = 150;
 
@@ -161,6 +163,8 @@
     tried: Vec<TargetKey>,
     sent_target: Option<SentTarget>,
     sends: u32,
+    /// Sends that another instance turned away and that do not count as attempts.
+    misdirected_sends: u32,
     connects: u32,
     may_have_run: bool,
     /// Whether the request goes on with a stream that is known to have begun.
@@ -205,6 +209,7 @@
             tried: Vec::new(),
             sent_target: None,
             sends: 0,
+            misdirected_sends: 0,
             connects: 0,
             may_have_run,
             has_begun_before: false,
@@ -418,6 +423,11 @@
             SendError::Refused { status, is_misdirected } => {
                 self.record_send(key, "refused", status.as_str());
                 self.record_refusal(key, is_misdirected);
+                if is_misdirected && self.misdirected_sends < MAX_MISDIRECTED_SENDS {
+                    // It reached no target of the service, so it is no attempt of the route's maximum.
+                    self.misdirected_sends += 1;
+                    self.sends = self.sends.saturating_sub(1);
+                }
                 if self.is_service_fragile() {
                     return Err(self.fragile_refusal());
                 }
--- a/ggt-daemon/src/front/attempt/outcome.rs
+++ b/ggt-daemon/src/front/attempt/outcome.rs
@@ -16,7 +16,7 @@
     pub(super) fn record_refusal(&self, key: TargetKey, is_misdirected: bool) {
         if is_misdirected {
             // Another target has taken over the address.
-            self.state.connections.close_idle(key);
+            self.state.record_replacement(key);
             self.state.record_outcome(key, SendOutcome::Unreachable);
             if let Some(target) = self.sent_target {
                 self.state.record_target_end(target.crash, "another instance replied");
--- a/ggt-daemon/src/front/digests.rs
+++ b/ggt-daemon/src/front/digests.rs
@@ -32,6 +32,8 @@
 const MAX_PREFIXES: usize = 64;
 /// Maximum number of target crashes that a digest reports.
 const MAX_CRASHES: usize = 24;
+/// Maximum number of replaced targets that a digest reports.
+const MAX_REPLACED: usize = 16;
 /// Maximum number of exonerated requests that a digest reports.
 const MAX_EXONERATED: usize = 8;
 /// Delay before an early digest, so that changes in quick succession go into one.
@@ -142,6 +144,7 @@
         fragile: state.fragility_reports(now),
         stated_loads: state.stated_load_reports(now),
         work_times: state.work_time_reports(now),
+        replaced: pool.replaced_targets(now).take(MAX_REPLACED).collect(),
         ..PeerDigest::new(state.settings().peer, state.incarnation, number)
     };
     digest.set_crashes(crashes, now);
--- a/ggt-daemon/src/front/mod.rs
+++ b/ggt-daemon/src/front/mod.rs
@@ -28,6 +28,7 @@
 mod prepare;
 mod rates;
 mod reach;
+mod replacements;
 mod response;
 mod retries;
 mod run;
--- a/ggt-wire/tests/codec.rs
+++ b/ggt-wire/tests/codec.rs
@@ -222,6 +222,7 @@
         }],
         stated_loads: vec![StatedLoadReport { target: 13, requests: 21, age_ms: 350 }],
         work_times: vec![WorkTimeReport { target: 13, percent: 250, age_ms: 90 }],
+        replaced: vec![15],
     }
 }
 
@@ -242,10 +243,11 @@
         fragile: Vec::new(),
         stated_loads: Vec::new(),
         work_times: Vec::new(),
+        replaced: Vec::new(),
         ..digest()
     };
     let mut bytes = encode_digest(&without_ages).expect("should encode");
-    for place in 1..=8 {
+    for place in 1..=9 {
         assert_eq!(
             bytes.pop(),
             Some(0),
@@ -264,10 +266,11 @@
         fragile: Vec::new(),
         stated_loads: Vec::new(),
         work_times: Vec::new(),
+        replaced: Vec::new(),
         ..digest()
     };
     let mut bytes = encode_digest(&without_rates).expect("should encode");
-    for place in 1..=6 {
+    for place in 1..=7 {
         assert_eq!(
             bytes.pop(),
             Some(0),
@@ -285,10 +288,11 @@
         fragile: Vec::new(),
         stated_loads: Vec::new(),
         work_times: Vec::new(),
+        replaced: Vec::new(),
         ..digest()
     };
     let mut bytes = encode_digest(&without_reach).expect("should encode");
-    (0..5).for_each(|_| assert_eq!(bytes.pop(), Some(0)));
+    (0..6).for_each(|_| assert_eq!(bytes.pop(), Some(0)));
     let decoded = decode_digest(&bytes).expect("should decode");
     assert_eq!(decoded, without_reach);
     assert_eq!(decoded.reach.protocol, 0);
@@ -356,27 +360,33 @@
         fragile: Vec::new(),
         stated_loads: Vec::new(),
         work_times: Vec::new(),
+        replaced: Vec::new(),
         ..digest()
     };
     let mut bytes = encode_digest(&without_fragile).expect("should encode");
-    (0..3).for_each(|_| assert_eq!(bytes.pop(), Some(0), "the last fields should be empty lists"));
+    (0..4).for_each(|_| assert_eq!(bytes.pop(), Some(0), "the last fields should be empty lists"));
     assert_eq!(decode_digest(&bytes).expect("should decode"), without_fragile);
 }
 
 #[test]
 fn digest_of_a_build_without_stated_loads_decodes() {
-    let without_loads = PeerDigest { stated_loads: Vec::new(), work_times: Vec::new(), ..digest() };
+    let without_loads = PeerDigest {
+        stated_loads: Vec::new(),
+        work_times: Vec::new(),
+        replaced: Vec::new(),
+        ..digest()
+    };
     let mut bytes = encode_digest(&without_loads).expect("should encode");
-    (0..2).for_each(|_| assert_eq!(bytes.pop(), Some(0), "the last fields should be empty lists"));
+    (0..3).for_each(|_| assert_eq!(bytes.pop(), Some(0), "the last fields should be empty lists"));
     assert_eq!(decode_digest(&bytes).expect("should decode"), without_loads);
 }
 
 #[test]
-fn digest_of_a_build_without_work_times_decodes() {
-    let without_work_times = PeerDigest { work_times: Vec::new(), ..digest() };
-    let mut bytes = encode_digest(&without_work_times).expect("should encode");
-    assert_eq!(bytes.pop(), Some(0), "the last field should be an empty list");
-    assert_eq!(decode_digest(&bytes).expect("should decode"), without_work_times);
+fn digest_of_a_build_without_work_times_and_replaced_targets_decodes() {
+    let without = PeerDigest { work_times: Vec::new(), replaced: Vec::new(), ..digest() };
+    let mut bytes = encode_digest(&without).expect("should encode");
+    (0..2).for_each(|_| assert_eq!(bytes.pop(), Some(0), "the last fields should be empty lists"));
+    assert_eq!(decode_digest(&bytes).expect("should decode"), without);
 }
 
 #[test]
