feat: routes and customers may allow some regions only

Cause: the allowed regions of routes and customers were not decoded, so a request could reach a target, and its body a daemon, in any region. Change: the daemon that takes a request derives the data centres in which it may be processed, by the new setting regions; choice, admission, copies of caches and forwarding to peers keep to them. Where route and customer both restrict, both bind. Nothing allowed: refused at once.

--- a/ggt-core/src/routes/mod.rs
+++ b/ggt-core/src/routes/mod.rs
@@ -1,5 +1,11 @@
 //! Routing configuration of the front end: routes, services, API keys of customers and limits.
 
+mod regions;
+
+pub use regions::AllowedRegions;
+pub use regions::RegionMap;
+
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 
 use crate::ident::mix_hash;
@@ -46,6 +52,8 @@
     pub is_sticky: bool,
     /// Services among which the requests are split.
     pub services: Vec<ServiceWeight>,
+    /// Regions in which requests may be processed.
+    pub allowed_regions: AllowedRegions,
 }
 
 impl RouteEntry {
@@ -96,6 +104,8 @@
     pub name: String,
     /// Priority of its requests; overrides that of the route.
     pub priority: Option<u32>,
+    /// Regions in which its requests may be processed.
+    pub allowed_regions: AllowedRegions,
 }
 
 /// Bounds on what callers may send.
@@ -189,6 +199,15 @@
         self.customers.as_ref()?.get(key)
     }
 
+    /// All regions that routes and customers name.
+    pub fn named_regions(&self) -> BTreeSet<&str> {
+        let routes = self.hosts.values().flat_map(HashMap::values);
+        let customers = self.customers.iter().flat_map(HashMap::values);
+        let of_routes = routes.flat_map(|route| route.allowed_regions.names());
+        let of_customers = customers.flat_map(|customer| customer.allowed_regions.names());
+        of_routes.chain(of_customers).collect()
+    }
+
     /// All services.
     pub fn services(&self) -> impl Iterator<Item = &ServiceEntry> {
         self.services.values()
--- a/ggt-core/src/targets/admission.rs
+++ b/ggt-core/src/targets/admission.rs
@@ -152,7 +152,8 @@
     fn millis_until_open(&self, query: &ChoiceQuery<'_>, now: MonoTime) -> u64 {
         let more_urgent = self.more_urgent_priorities(query, now);
         let targets = self.of_service(query.service).iter().filter_map(|key| self.target(*key));
-        let usable = targets.filter(|state| !state.record.is_leaving && !self.is_evacuated(state));
+        let usable =
+            targets.filter(|state| !state.record.is_leaving && self.may_serve(state, query));
         let open_at = usable.filter_map(|state| opens_at(state, more_urgent, now));
         open_at.min().map_or(0, |open_at| open_at.millis_since(now))
     }
@@ -163,7 +164,7 @@
         let targets = self.of_service(query.service).iter().filter_map(|key| self.target(*key));
         let usable = targets
             .filter(|state| !state.record.is_leaving && !state.health.is_unreachable())
-            .filter(|state| state.remove_at.is_none() && !self.is_evacuated(state))
+            .filter(|state| state.remove_at.is_none() && self.may_serve(state, query))
             .filter(|state| query.version.is_none_or(|version| state.record.version == version));
         let opens_at = usable.map(|state| state.closing.opens_at()).min();
         opens_at.map_or(0, |opens_at| opens_at.millis_since(now))
@@ -181,7 +182,7 @@
         let usable = targets.filter(|state| {
             !state.record.is_leaving
                 && !state.health.is_unreachable()
-                && !self.is_evacuated(state)
+                && self.may_serve(state, query)
                 && !state.closing.is_closed(now)
         });
         let (load, limit) = usable.fold((0.0, 0.0), |(load, limit), state| {
@@ -240,6 +241,11 @@
         ((slots + queued) * (1.0 - reserve)).max(1.0)
     }
 
+    /// Whether a target may serve a request at all, by its data centre.
+    fn may_serve(&self, state: &TargetState, query: &ChoiceQuery<'_>) -> bool {
+        query.allows(state) && !self.is_evacuated(state)
+    }
+
     /// How long work takes at the target with this key, relative to the usual time of its service.
     pub fn relative_work_time(&self, key: TargetKey, now: MonoTime) -> f64 {
         self.target(key).map_or(1.0, |state| self.work_time(state, now))
--- a/ggt-core/src/targets/choice.rs
+++ b/ggt-core/src/targets/choice.rs
@@ -47,6 +47,15 @@
     pub silent_since: Option<MonoTime>,
     /// The only version that may serve the request, which goes on with a stream.
     pub version: Option<SoftwareVersion>,
+    /// The only data centres in which the request may be processed; `None` if all are allowed.
+    pub allowed_centres: Option<&'a [String]>,
+}
+
+impl ChoiceQuery<'_> {
+    /// Whether the request may be processed by a target, by its data centre.
+    pub(super) fn allows(&self, state: &TargetState) -> bool {
+        self.allowed_centres.is_none_or(|centres| centres.contains(&state.record.data_centre))
+    }
 }
 
 /// Why a target was chosen.
@@ -117,6 +126,9 @@
     /// The service has no usable target.
     #[snafu(display("the service has no usable target"))]
     NoTarget,
+    /// The service has no target in a data centre in which the request may be processed.
+    #[snafu(display("no target of the service is in an allowed region"))]
+    NotAllowed,
     /// All targets of the service are in evacuated data centres.
     #[snafu(display("every target of the service is in an evacuated data centre"))]
     Evacuated,
@@ -183,8 +195,12 @@
     ) -> Result<TargetChoice, ChoiceError> {
         let keys = self.of_service(query.service).iter();
         let all = keys.filter_map(|key| self.target(*key).map(|state| (*key, state)));
+        let allowed: Vec<_> = all.filter(|(_, state)| query.allows(state)).collect();
+        if allowed.is_empty() && query.allowed_centres.is_some() {
+            return Err(ChoiceError::NotAllowed);
+        }
         let (evacuated, elsewhere): (Vec<_>, Vec<_>) =
-            all.partition(|(_, state)| self.is_evacuated(state));
+            allowed.into_iter().partition(|(_, state)| self.is_evacuated(state));
         if elsewhere.is_empty() && !evacuated.is_empty() {
             return Err(ChoiceError::Evacuated);
         }
@@ -314,7 +330,7 @@
         let version = self.target(chosen)?.record.version;
         let sources = others
             .filter_map(|key| self.target(*key).map(|state| (*key, state)))
-            .filter(|(_, state)| self.may_be_source(state, now))
+            .filter(|(_, state)| query.allows(state) && self.may_be_source(state, now))
             .filter(|(_, state)| state.record.version == version)
             .filter(|(_, state)| state.has_cached(anchor.hash) && is_healthy(state, now));
         sources.max_by_key(|(_, state)| state.last_reply_at).map(|(key, _)| key)
--- a/ggt-core/tests/fleet.rs
+++ b/ggt-core/tests/fleet.rs
@@ -215,8 +215,12 @@
     table.apply(ready(6, PeerReach::default()), at(0));
     table.apply(PeerDigest { is_leaving: true, ..ready(7, reach(&[])) }, at(0));
     table.apply(PeerDigest { target_revision: 0, ..ready(8, reach(&[])) }, at(0));
-    let query =
-        |hash| ForwardQuery { service_hash: service_hash("s"), request_hash: hash, centre_hash: 0 };
+    let query = |hash| ForwardQuery {
+        service_hash: service_hash("s"),
+        request_hash: hash,
+        centre_hash: 0,
+        allowed_centres: None,
+    };
     let mut firsts = BTreeMap::new();
     for number in 0..9_000_u64 {
         let hash = split_hash(&format!("request {number}"));
--- a/ggt-core/tests/pool_fixture/mod.rs
+++ b/ggt-core/tests/pool_fixture/mod.rs
@@ -48,5 +48,6 @@
         is_idempotent: true,
         silent_since: None,
         version: None,
+        allowed_centres: None,
     }
 }
--- a/ggt-core/tests/routes.rs
+++ b/ggt-core/tests/routes.rs
@@ -1,9 +1,12 @@
 //! Routes by host and longest path prefix, weighted services and API keys.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 
+use ggt_core::routes::AllowedRegions;
 use ggt_core::routes::CallerLimits;
 use ggt_core::routes::CustomerEntry;
+use ggt_core::routes::RegionMap;
 use ggt_core::routes::RouteConfig;
 use ggt_core::routes::RouteEntry;
 use ggt_core::routes::ServiceWeight;
@@ -28,6 +31,7 @@
         is_public: false,
         is_sticky: false,
         services: services.iter().map(weighted).collect(),
+        allowed_regions: Default::default(),
     }
 }
 
@@ -65,7 +69,11 @@
 #[test]
 fn keys_are_required_only_if_customers_are_configured() {
     assert!(!config(Vec::new()).requires_key());
-    let customer = CustomerEntry { name: "c".to_owned(), priority: Some(2) };
+    let customer = CustomerEntry {
+        name: "c".to_owned(),
+        priority: Some(2),
+        allowed_regions: Default::default(),
+    };
     let customers = HashMap::from([("key".to_owned(), customer.clone())]);
     let config =
         RouteConfig::new(1, Vec::new(), Vec::new(), Some(customers), CallerLimits::default());
@@ -73,3 +81,38 @@
     assert_eq!(config.customer("key"), Some(&customer));
     assert_eq!(config.customer("removed"), None);
 }
+
+fn regions() -> BTreeMap<String, String> {
+    let pairs = [("a", "north"), ("b", "north"), ("c", "south"), ("d", "east")];
+    pairs.map(|(centre, region)| (centre.to_owned(), region.to_owned())).into()
+}
+
+fn allowed(names: &[&str]) -> AllowedRegions {
+    AllowedRegions::new(names.iter().map(|name| (*name).to_owned()).collect())
+}
+
+// Guards against requests that leave the regions which their route or their customer allows.
+#[test]
+fn regions_of_route_and_customer_both_bind() {
+    let centres = |route: &[&str], customer: &[&str]| {
+        RegionMap::new(&regions()).allowed_centres(&allowed(route), &allowed(customer))
+    };
+    assert_eq!(centres(&[], &[]), None);
+    assert_eq!(centres(&["north"], &[]), Some(vec!["a".to_owned(), "b".to_owned()]));
+    assert_eq!(centres(&[], &["south"]), Some(vec!["c".to_owned()]));
+    assert_eq!(centres(&["north", "south"], &["south", "east"]), Some(vec!["c".to_owned()]));
+    assert_eq!(centres(&["north"], &["south"]), Some(Vec::new()));
+    assert_eq!(
+        centres(&["nowhere"], &[]),
+        Some(Vec::new()),
+        "a region that no data centre lies in"
+    );
+}
+
+#[test]
+fn neighbours_share_a_region() {
+    let regions = regions();
+    let map = RegionMap::new(&regions);
+    assert_eq!(map.neighbours("b"), ["a", "b"]);
+    assert_eq!(map.neighbours("unknown"), ["unknown"]);
+}
--- a/ggt-core/tests/targets.rs
+++ b/ggt-core/tests/targets.rs
@@ -65,6 +65,7 @@
         is_idempotent: true,
         silent_since: None,
         version: None,
+        allowed_centres: None,
     }
 }
 
--- a/ggt-daemon/src/front/attempt/admission.rs
+++ b/ggt-daemon/src/front/attempt/admission.rs
@@ -15,6 +15,8 @@
 const NO_TARGET_RETRY_MS: u64 = 400;
 /// `retry-after` in milliseconds when all targets of the service are in evacuated data centres.
 const EVACUATED_RETRY_MS: u64 = 1_000;
+/// `retry-after` in milliseconds when the service has no target in an allowed region.
+const NOT_ALLOWED_RETRY_MS: u64 = 1_000;
 /// `retry-after` in milliseconds when no usable target has the version that began the stream.
 const NO_VERSION_RETRY_MS: u64 = 1_000;
 /// Utilisation of a service (load over capacity) from which customers' fair shares are enforced.
@@ -36,6 +38,7 @@
             is_idempotent: job.route.is_idempotent,
             silent_since: None,
             version: self.version.get(),
+            allowed_centres: job.allowed_centres.as_deref(),
         }
     }
 
@@ -108,6 +111,7 @@
         match (self.may_have_run, error) {
             (true, _) => FrontRefusal::new(StatusCode::BAD_GATEWAY, "no-target"),
             (false, ChoiceError::NoTarget) => refuse_now("no-target", NO_TARGET_RETRY_MS),
+            (false, ChoiceError::NotAllowed) => refuse_now("not-allowed", NOT_ALLOWED_RETRY_MS),
             (false, ChoiceError::Evacuated) => refuse_now("evacuated", EVACUATED_RETRY_MS),
             (false, ChoiceError::NoVersion) => refuse_now("no-version", NO_VERSION_RETRY_MS),
             (false, ChoiceError::Full) => self.overload_refusal("no-room"),
--- a/ggt-daemon/src/front/attempt/forward.rs
+++ b/ggt-daemon/src/front/attempt/forward.rs
@@ -168,6 +168,7 @@
             last_event,
             first_attempt: first_attempt.or_else(|| last_event.map(|_| job.id.clone())),
             version: self.version.get(),
+            allowed_centres: job.allowed_centres.clone(),
         }
     }
 }
--- a/ggt-daemon/src/front/changes.rs
+++ b/ggt-daemon/src/front/changes.rs
@@ -155,6 +155,7 @@
         );
         self.extend_stream_memory(config.longest_stream_ms());
         self.apply_cold_start_limits(&config);
+        self.log_unknown_regions(&config);
         *self.route_config.borrow_mut() = Some(Rc::new(config));
     }
 }
--- a/ggt-daemon/src/front/forward/mod.rs
+++ b/ggt-daemon/src/front/forward/mod.rs
@@ -44,10 +44,12 @@
     /// Peers to which a request may be offered, the best first.
     pub fn forward_peers(&self, job: &FrontJob) -> Vec<SocketAddr> {
         let now = mono_now();
+        let allowed_centres = self.allowed_peer_centres(job);
         let query = ForwardQuery {
             service_hash: service_hash(&job.service),
             request_hash: split_hash(&job.id),
             centre_hash: self.centre_hash,
+            allowed_centres: allowed_centres.as_deref(),
         };
         let mut held = self.held_peers.borrow_mut();
         held.retain(|_, held_until| now < *held_until);
--- a/ggt-daemon/src/front/job.rs
+++ b/ggt-daemon/src/front/job.rs
@@ -37,6 +37,8 @@
     pub customer: Option<String>,
     /// Priority; 0 is the highest.
     pub priority: u32,
+    /// The only data centres in which the request may be processed; `None` if all are allowed.
+    pub allowed_centres: Option<Vec<String>>,
     /// Prefix hashes of the prompt, if the route is sticky.
     pub chain: Option<PrefixChain>,
     pub method: Method,
--- a/ggt-daemon/src/front/mod.rs
+++ b/ggt-daemon/src/front/mod.rs
@@ -28,6 +28,7 @@
 mod prepare;
 mod rates;
 mod reach;
+mod regions;
 mod replacements;
 mod response;
 mod retries;
--- a/ggt-daemon/src/front/prepare.rs
+++ b/ggt-daemon/src/front/prepare.rs
@@ -15,6 +15,7 @@
 use ggt_core::crashes::RequestSuspects;
 use ggt_core::crashes::SuspectKey;
 use ggt_core::prompts::PrefixChain;
+use ggt_core::routes::AllowedRegions;
 use ggt_core::routes::CustomerEntry;
 use ggt_core::routes::RouteConfig;
 use ggt_core::routes::RouteEntry;
@@ -67,6 +68,7 @@
         version: config.version(),
         service: service.to_owned(),
         priority: customer.and_then(|customer| customer.priority).unwrap_or(route.priority),
+        allowed_centres: state.allowed_centres(route, customer),
         customer: customer_name,
         chain,
         method: parts.method.clone(),
@@ -142,6 +144,7 @@
         is_public: true,
         is_sticky: forwarded.route.is_sticky,
         services: Vec::new(),
+        allowed_regions: AllowedRegions::default(),
     };
     let path = parts.uri.path_and_query().map_or(parts.uri.path(), |path| path.as_str());
     let chain = route.is_sticky.then(|| prefix_chain(&headers));
@@ -153,6 +156,7 @@
         service: forwarded.service.clone(),
         customer: forwarded.customer.clone(),
         priority: forwarded.priority,
+        allowed_centres: forwarded.allowed_centres.clone(),
         chain,
         method: parts.method.clone(),
         path: path.to_owned(),
--- a/ggt-daemon/src/front/response.rs
+++ b/ggt-daemon/src/front/response.rs
@@ -76,7 +76,7 @@
 }
 
 /// Causes of refusals that a peer may state.
-const PEER_CAUSES: [&str; 15] = [
+const PEER_CAUSES: [&str; 16] = [
     "body-broke-off",
     "body-too-long",
     "crashes-targets",
@@ -87,6 +87,7 @@
     "no-room",
     "no-route",
     "no-version",
+    "not-allowed",
     "over-share",
     "rate-limited",
     "target-lost",
--- a/ggt-daemon/src/front/settings.rs
+++ b/ggt-daemon/src/front/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a daemon that serves the users' platform.
 
+use std::collections::BTreeMap;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -11,6 +12,7 @@
 use crate::settings::SettingsError;
 use crate::settings::parse_checked;
 use ggt_core::retry_window::RetryLimit;
+use ggt_core::routes::RegionMap;
 
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
@@ -22,6 +24,9 @@
     pub name: String,
     /// Data centre of the daemon's host.
     pub data_centre: String,
+    /// Region of each data centre; empty if requests are not restricted to regions.
+    #[serde(default)]
+    pub regions: BTreeMap<String, String>,
     /// Listen address for callers.
     pub callers: SocketAddr,
     /// Listen address for the platform's readiness checks.
@@ -88,6 +93,11 @@
         hosts.map(|host: IpAddr| SocketAddr::new(host, self.peer.port())).collect()
     }
 
+    /// The region of each data centre.
+    pub fn region_map(&self) -> RegionMap<'_> {
+        RegionMap::new(&self.regions)
+    }
+
     /// The fleet's retry budget for each service.
     pub fn retry_limit(&self) -> RetryLimit {
         RetryLimit {
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -184,6 +184,11 @@
     pub packed_reply: RefCell<PackedReply>,
 }
 
+/// Short hash of a data centre's name, as in digests.
+pub fn short_centre_hash(data_centre: &str) -> u32 {
+    stable_hash(data_centre.as_bytes()) as u32
+}
+
 impl FrontState {
     /// State of a daemon that starts now.
     pub fn new(settings: FrontSettings, metrics: FrontMetrics) -> Self {
@@ -196,7 +201,7 @@
         }
         let mut pool = TargetPool::default();
         pool.measures_work_times = settings.measure_work_times;
-        let centre_hash = stable_hash(settings.data_centre.as_bytes()) as u32;
+        let centre_hash = short_centre_hash(&settings.data_centre);
         Self {
             centre_hash,
             digest_number: Cell::new(0),
--- a/ggt-wire/src/forward/mod.rs
+++ b/ggt-wire/src/forward/mod.rs
@@ -13,6 +13,8 @@
 
 /// Header of a forwarded request; counts only on the port for peers.
 pub const REQUEST_HEADER: &str = "ggt-forwarded";
+/// Encoding of an absent value.
+const ABSENT_FIELD: &str = "00";
 /// Header of the reply to a forwarded request.
 pub const REPLY_HEADER: &str = "ggt-forwarded-reply";
 
@@ -47,6 +49,9 @@
     pub first_attempt: Option<String>,
     /// The only version that may serve the request, which goes on with a stream.
     pub version: Option<SoftwareVersion>,
+    /// The only data centres in which the request may be processed; `None` if all are allowed. Earlier builds do
+    /// not send it, and ignore it.
+    pub allowed_centres: Option<Vec<String>>,
 }
 
 /// The facts of a route that a peer needs to serve a request.
@@ -91,12 +96,12 @@
     encode(request)
 }
 
-/// Decodes the header of a forwarded request.
+/// Decodes the header of a forwarded request. Its last field may be missing: earlier builds do not send it.
 ///
 /// # Errors
 /// The error of the codec for a value that is none.
 pub fn decode_request(value: &str) -> Result<ForwardedRequest, postcard::Error> {
-    decode(value)
+    decode(value).or_else(|error| decode(&format!("{value}{ABSENT_FIELD}")).map_err(|_| error))
 }
 
 /// Encodes the header of a reply to a forwarded request.
--- a/ggt-wire/tests/codec.rs
+++ b/ggt-wire/tests/codec.rs
@@ -321,9 +321,19 @@
         last_event: Some(7),
         first_attempt: Some("id-1".into()),
         version: Some(SoftwareVersion::named("v1")),
+        allowed_centres: Some(vec!["a".into(), "b".into()]),
     }
 }
 
+// Guards against requests of daemons of an earlier build that are taken for malformed.
+#[test]
+fn forwarded_request_of_a_build_without_allowed_centres_decodes() {
+    let without = ForwardedRequest { allowed_centres: None, ..forwarded_request() };
+    let value = encode_request(&without).expect("should encode");
+    let earlier = value.strip_suffix("00").expect("the last field should be absent");
+    assert_eq!(decode_request(earlier).expect("should decode"), without);
+}
+
 // Guards against facts of a forwarded request that are lost or changed on the way to the peer.
 #[test]
 fn forwarded_requests_and_their_replies_round_trip_as_header_values() {
