feat: shares of the whole fleet, and a queue for requests whose place is certain in time

Cause: max-min shares hold within one daemon's own requests. With 63 daemons before 24 places each sees less than one request of most customers, so a large customer takes the places of small ones; and a request that finds no place is refused although one within its objective is certain. Change: with the setting fleet_shares daemons report what they are offered for services near their capacity, and each admits of a customer the part that is within its share of all. With wait_for_room a request waits in a bounded queue by priority, share and deadline, while its place is certain. Both settings are off by default.

--- a/ggt-core/src/fleet/digest.rs
+++ b/ggt-core/src/fleet/digest.rs
@@ -9,6 +9,7 @@
 use crate::crashes::CrashId;
 use crate::crashes::CrashReport;
 use crate::crashes::SuspectKey;
+use crate::limits::DemandReport;
 use crate::targets::FragilityRecord;
 use crate::targets::FragilityStatement;
 use crate::targets::InFlightLoad;
@@ -77,6 +78,9 @@
     /// Short hashes of targets at whose addresses other instances have lately replied to the sender. Digests of
     /// earlier builds end before this field.
     pub replaced: Vec<u32>,
+    /// What the sender is offered for services that are near their capacity. Digests of earlier builds end before
+    /// this field.
+    pub demands: Vec<DemandReport>,
 }
 
 /// What a daemon can do with requests that peers forward to it.
@@ -244,6 +248,7 @@
             stated_loads: Vec::new(),
             work_times: Vec::new(),
             replaced: Vec::new(),
+            demands: Vec::new(),
         }
     }
 
--- a/ggt-core/src/lib.rs
+++ b/ggt-core/src/lib.rs
@@ -30,3 +30,4 @@
 pub mod targets;
 pub mod verdict;
 pub mod versions;
+pub mod waiting;
--- a/ggt-core/src/limits/mod.rs
+++ b/ggt-core/src/limits/mod.rs
@@ -1,7 +1,16 @@
-//! Fair shares of an overloaded workload, enforced by each daemon on its own part of the traffic.
+//! Fair shares of an overloaded workload: of each daemon's own part of the traffic, or of all that daemons report.
 
+mod demand;
+mod demand_table;
 mod share_table;
 
+pub use demand::DemandCounter;
+pub use demand::DemandReport;
+pub use demand::FleetDemand;
+pub use demand::MAX_REPORTED_CUSTOMERS;
+pub use demand_table::DemandQuery;
+pub use demand_table::DemandTable;
+pub use demand_table::OverFleetShare;
 pub use share_table::SharePermit;
 pub use share_table::ShareTable;
 
--- a/ggt-core/src/targets/access.rs
+++ b/ggt-core/src/targets/access.rs
@@ -3,6 +3,7 @@
 //! Health, reachability and capacity are separate questions: they rank targets that may get requests.
 
 use crate::clock::MonoTime;
+use crate::targets::ChoiceQuery;
 use crate::targets::TargetKey;
 use crate::targets::TargetPool;
 use crate::targets::TargetState;
@@ -61,6 +62,14 @@
         !self.evacuations.is_empty() && self.evacuations.contains(&state.record.data_centre)
     }
 
+    /// What checks of access for a request need to know.
+    pub(super) fn access_query(&self, query: &ChoiceQuery<'_>, now: MonoTime) -> AccessQuery {
+        AccessQuery {
+            more_urgent: self.more_urgent_priorities(query, now),
+            is_fragile: self.max_rejections(query.service).is_some(),
+        }
+    }
+
     /// Whether a target may get a request now.
     ///
     /// # Errors
--- a/ggt-core/src/targets/admission.rs
+++ b/ggt-core/src/targets/admission.rs
@@ -10,9 +10,11 @@
 use crate::targets::TargetKey;
 use crate::targets::TargetPool;
 use crate::targets::TargetState;
+use crate::targets::access::AccessQuery;
 use crate::targets::access::opens_at;
 use crate::targets::choice::PREFILL_TOKENS_PER_MS;
 use crate::targets::work_time::DurationMean;
+use crate::waiting::RoomForecast;
 
 /// Fraction of the latency objective for which a request may always queue for a slot.
 const MIN_WAIT_FRACTION: f64 = 0.4;
@@ -205,13 +207,82 @@
         now: MonoTime,
     ) -> bool {
         let load = f64::from(state.requests(now));
-        let admission = self.admission_of(query.service);
-        let more_urgent = admission.more_urgent_priorities(query.priority, now);
-        let max_backlog_ms = query.goal_ms as f64 * BACKLOG_FACTOR.powi(more_urgent);
-        let is_backlogged = f64::from(state.backlog_tokens()) / PREFILL_TOKENS_PER_MS
-            > max_backlog_ms
-            && load >= MIN_BUSY_FRACTION * f64::from(state.record.slots);
-        load + 1.0 <= self.max_in_flight(state, query, now) && !is_backlogged
+        load + 1.0 <= self.max_in_flight(state, query, now)
+            && !self.is_backlogged(state, query, now)
+    }
+
+    /// Whether a target is busy and has more prompts to prefill than the request can wait for.
+    fn is_backlogged(&self, state: &TargetState, query: &ChoiceQuery<'_>, now: MonoTime) -> bool {
+        let load = f64::from(state.requests(now));
+        self.backlog_ms(state) > self.max_backlog_ms(query, now)
+            && load >= MIN_BUSY_FRACTION * f64::from(state.record.slots)
+    }
+
+    /// Milliseconds that a target takes to prefill the prompts it has.
+    fn backlog_ms(&self, state: &TargetState) -> f64 {
+        f64::from(state.backlog_tokens()) / PREFILL_TOKENS_PER_MS
+    }
+
+    /// Milliseconds of prefill before which a request may be queued.
+    fn max_backlog_ms(&self, query: &ChoiceQuery<'_>, now: MonoTime) -> f64 {
+        let more_urgent = self.more_urgent_priorities(query, now);
+        query.goal_ms as f64 * BACKLOG_FACTOR.powi(more_urgent as i32)
+    }
+
+    /// When a place for the request is to become free, by what is known of the targets; `daemons` share them.
+    pub fn room_forecast(
+        &self,
+        query: &ChoiceQuery<'_>,
+        daemons: usize,
+        now: MonoTime,
+    ) -> RoomForecast {
+        let access = self.access_query(query, now);
+        let targets = self.of_service(query.service).iter().filter_map(|key| self.target(*key));
+        let usable = targets.filter(|state| {
+            !state.record.is_leaving
+                && state.remove_at.is_none()
+                && !state.health.is_unreachable()
+                && self.may_serve(state, query)
+        });
+        let slot_ms = self.admission_of(query.service).slot_ms.unwrap_or_default();
+        let mut slots_per_ms = 0.0;
+        let mut first_ms = None;
+        for state in usable {
+            let place_ms =
+                slot_ms * self.work_time(state, now) / f64::from(state.record.slots.max(1));
+            slots_per_ms += if place_ms > 0.0 { 1.0 / place_ms } else { 0.0 };
+            if let Some(wait_ms) = self.millis_until_room(state, query, access, now) {
+                first_ms = Some(first_ms.map_or(wait_ms, |first: u64| first.min(wait_ms)));
+            }
+        }
+        let interval_ms = match slots_per_ms > 0.0 {
+            true => daemons.max(1) as f64 / slots_per_ms,
+            false => 0.0,
+        };
+        RoomForecast { first_ms, interval_ms }
+    }
+
+    /// Milliseconds until a target has room for the request; `None` if that depends on other requests or daemons.
+    fn millis_until_room(
+        &self,
+        state: &TargetState,
+        query: &ChoiceQuery<'_>,
+        access: AccessQuery,
+        now: MonoTime,
+    ) -> Option<u64> {
+        let access_ms = match self.check_access(state, access, now) {
+            Ok(()) => 0,
+            Err(denial) => denial.ends_at?.millis_since(now),
+        };
+        let slot_ms = self.admission_of(query.service).slot_ms.unwrap_or_default();
+        let excess = f64::from(state.requests(now)) + 1.0 - self.max_in_flight(state, query, now);
+        let slots = f64::from(state.record.slots.max(1));
+        let place_ms = excess.max(0.0) * slot_ms * self.work_time(state, now) / slots;
+        let backlog_ms = match self.is_backlogged(state, query, now) {
+            true => self.backlog_ms(state) - self.max_backlog_ms(query, now),
+            false => 0.0,
+        };
+        Some(access_ms.max(place_ms.max(backlog_ms).max(0.0).ceil() as u64))
     }
 
     /// Requests that are in flight at a target on average when it gets as many as it takes.
--- a/ggt-core/src/targets/choice.rs
+++ b/ggt-core/src/targets/choice.rs
@@ -220,10 +220,7 @@
         if query.version.is_some() && listed.is_empty() {
             return Err(ChoiceError::NoVersion);
         }
-        let access = AccessQuery {
-            more_urgent: self.more_urgent_priorities(query, now),
-            is_fragile: self.max_rejections(query.service).is_some(),
-        };
+        let access = self.access_query(query, now);
         let may_get_more = |state: &TargetState| self.check_access(state, access, now).is_ok();
         if let Some(choice) = choose_trial(&listed, query, now, may_get_more) {
             return Ok(choice);
--- a/ggt-daemon/src/front/attempt/admission.rs
+++ b/ggt-daemon/src/front/attempt/admission.rs
@@ -1,4 +1,4 @@
-//! Admission of requests by utilisation and customer shares, and refusals when a service is at capacity.
+//! Refusals of requests that no target takes, and when their callers should retry.
 
 use http::StatusCode;
 
@@ -19,8 +19,6 @@
 const NOT_ALLOWED_RETRY_MS: u64 = 1_000;
 /// `retry-after` in milliseconds when no usable target has the version that began the stream.
 const NO_VERSION_RETRY_MS: u64 = 1_000;
-/// Utilisation of a service (load over capacity) from which customers' fair shares are enforced.
-const FAIR_SHARE_UTILISATION: f64 = 0.9;
 
 impl UpstreamAttempts {
     /// Inputs for the choice of a target.
@@ -42,37 +40,6 @@
         }
     }
 
-    /// Counts the request against its customer's share of the service, at most once. While the
-    /// service is near capacity, refuses customers that exceed their fair share.
-    pub(super) fn admit(&mut self) -> Result<(), FrontRefusal> {
-        if self.permit.is_some() || self.may_have_run {
-            return Ok(());
-        }
-        let settings = self.state.settings();
-        let now = mono_now();
-        self.state.pool.borrow_mut().record_request(&self.job.service, self.job.priority, now);
-        // A stream that goes on was admitted when it began, so it is not refused for its customer's share.
-        let utilisation = match self.has_begun_before {
-            true => 0.0,
-            false => self.state.pool.borrow().utilisation(&self.query(&settings), now),
-        };
-        let customer = self.job.customer.clone().unwrap_or_default();
-        let mut shares = self.state.shares.borrow_mut();
-        let pool = (self.job.service.clone(), self.job.priority);
-        let admission = shares.admit(&pool, &customer, 1.0, utilisation, FAIR_SHARE_UTILISATION);
-        drop(shares);
-        match admission {
-            Ok(permit) => {
-                self.permit = Some(permit);
-                Ok(())
-            }
-            Err(_) => {
-                let status = StatusCode::TOO_MANY_REQUESTS;
-                Err(FrontRefusal { status, ..self.overload_refusal("over-share") })
-            }
-        }
-    }
-
     /// Refusal of a request that has not run because the service is overloaded; `retry-after` grows
     /// with the duration of the overload. Also logs the service's state.
     pub(super) fn overload_refusal(&self, cause: &'static str) -> FrontRefusal {
--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -7,8 +7,10 @@
 mod move_on;
 mod outcome;
 mod send;
+mod shares;
 mod silence;
 mod statements;
+mod waiting;
 
 pub use failure::FailureKind;
 pub use failure::ReplyFailure;
@@ -28,6 +30,7 @@
 use hyper::body::Incoming;
 
 use crate::clock::mono_now;
+use crate::front::attempt::shares::ShareState;
 use crate::front::job::FrontJob;
 use crate::front::job::SendGuard;
 use crate::front::origins::StreamStart;
@@ -185,6 +188,7 @@
     /// Version of the target that has served the request at a peer.
     forwarded_version: Option<SoftwareVersion>,
     permit: Option<SharePermit<(String, u32)>>,
+    share_state: ShareState,
 }
 
 impl Drop for UpstreamAttempts {
@@ -221,6 +225,7 @@
             last_peer: None,
             forwarded_version: None,
             permit: None,
+            share_state: ShareState::default(),
         }
     }
 
@@ -294,7 +299,7 @@
             if self.connects >= MAX_CONNECTS && self.must_forward() {
                 return Err(self.send_failure_refusal());
             }
-            let choice = self.choose()?;
+            let choice = self.choose_in_time().await?;
             let end = self.send(&choice, last_event).await;
             if let Some(reply) = self.finish_send(choice.key, end, last_event).await? {
                 return Ok(reply);
@@ -335,21 +340,27 @@
         }
     }
 
-    /// Admits the request and chooses the target of the next send.
-    fn choose(&mut self) -> Result<TargetChoice, FrontRefusal> {
-        self.admit()?;
-        let (state, job) = (&self.state, &self.job);
-        let settings = state.settings();
-        let now = mono_now();
-        let silent_since = self.moving_since.take();
+    /// Chooses the target of the next send.
+    fn try_choose(&self) -> Result<TargetChoice, ChoiceError> {
+        let settings = self.state.settings();
+        let silent_since = self.moving_since.get();
         // A request that leaves a silent target only goes to one with capacity.
         let may_have_run = self.may_have_run && silent_since.is_none();
         let query = ChoiceQuery { may_have_run, silent_since, ..self.query(&settings) };
-        let chosen = state.pool.borrow().choose(&query, now);
-        let choice = chosen.map_err(|e| self.choice_refusal(e))?;
+        self.state.pool.borrow().choose(&query, mono_now())
+    }
+
+    /// Records and logs the choice of the target of the next send.
+    fn begin_send(&mut self, choice: TargetChoice) -> TargetChoice {
+        self.moving_since.take();
+        self.record_admission();
+        let (state, job) = (&self.state, &self.job);
+        let now = mono_now();
         let pool = state.pool.borrow();
         let Some(target) = pool.target(choice.key) else {
-            return Err(self.choice_refusal(ChoiceError::NoTarget));
+            // The send finds no target.
+            self.sent_target = None;
+            return choice;
         };
         let told = target.report.map(|(report, told_at)| {
             format!("{} told_age_ms={}", report.requests(), now.millis_since(told_at))
@@ -403,7 +414,7 @@
         // The silence of an earlier target says nothing about this one.
         self.stayed_since.take();
         self.tried.push(choice.key);
-        Ok(choice)
+        choice
     }
 
     /// Records a failed send. Returns `Ok` if the request may be sent to another target, otherwise
--- a/ggt-daemon/src/front/attempt/move_on.rs
+++ b/ggt-daemon/src/front/attempt/move_on.rs
@@ -20,6 +20,7 @@
 use crate::front::state::FrontState;
 use crate::logging::quoted;
 use ggt_core::clock::MonoTime;
+use ggt_core::targets::ChoiceError;
 use ggt_core::targets::SendOutcome;
 use ggt_core::targets::TargetChoice;
 use ggt_core::targets::TargetKey;
@@ -159,7 +160,7 @@
     {
         let silent_since = self.moving_since.get();
         let target = silent.target();
-        let Ok(choice) = self.choose() else {
+        let Ok(choice) = self.choose_now() else {
             return self.stay(silent, silent_since, "no-target");
         };
         match self.send_beside(silent, &choice, last_event).await {
@@ -181,6 +182,13 @@
         }
     }
 
+    /// Chooses another target for a request that is at a silent one; it does not wait for room.
+    fn choose_now(&mut self) -> Result<TargetChoice, ChoiceError> {
+        let choice = self.try_choose();
+        self.moving_since.take();
+        choice.map(|choice| self.begin_send(choice))
+    }
+
     /// Sends the request to the chosen target while the silent send is kept.
     async fn send_beside<S>(
         &mut self,
--- a/ggt-daemon/src/front/digests.rs
+++ b/ggt-daemon/src/front/digests.rs
@@ -14,10 +14,12 @@
 use crate::front::state::FrontState;
 use crate::front::state::StoreFolder;
 use crate::logging::quoted;
+use ggt_core::clock::MonoTime;
 use ggt_core::crashes::CrashReport;
 use ggt_core::fleet::BATCH_INTERVAL_MS;
 use ggt_core::fleet::PeerDigest;
 use ggt_core::fleet::batch_size;
+use ggt_core::limits::DemandReport;
 use ggt_core::store_watch::ANNOUNCE_MS;
 use ggt_wire::digest::decode_digest;
 use ggt_wire::digest::encode_digest;
@@ -34,6 +36,8 @@
 const MAX_CRASHES: usize = 24;
 /// Maximum number of replaced targets that a digest reports.
 const MAX_REPLACED: usize = 16;
+/// Maximum number of services and priorities whose demand a digest reports.
+const MAX_DEMANDS: usize = 4;
 /// Maximum number of exonerated requests that a digest reports.
 const MAX_EXONERATED: usize = 8;
 /// Delay before an early digest, so that changes in quick succession go into one.
@@ -145,12 +149,22 @@
         stated_loads: state.stated_load_reports(now),
         work_times: state.work_time_reports(now),
         replaced: pool.replaced_targets(now).take(MAX_REPLACED).collect(),
+        demands: state.demand_reports(now),
         ..PeerDigest::new(state.settings().peer, state.incarnation, number)
     };
     digest.set_crashes(crashes, now);
     digest
 }
 
+impl FrontState {
+    /// What this daemon is offered for services that are near their capacity, for a digest.
+    fn demand_reports(&self, now: MonoTime) -> Vec<DemandReport> {
+        let mut reports = self.demands.borrow_mut().reports(now);
+        reports.truncate(MAX_DEMANDS);
+        reports
+    }
+}
+
 /// Receives digests, and what else other daemons send in datagrams, until the task is dropped.
 pub async fn run_receiver(state: Rc<FrontState>, socket: Rc<UdpSocket>) {
     let mut buffer = [0; 2 * MAX_DATAGRAM_BYTES];
--- a/ggt-daemon/src/front/metrics.rs
+++ b/ggt-daemon/src/front/metrics.rs
@@ -33,6 +33,7 @@
     taken: Counter<u64>,
     evacuations: Gauge<u64>,
     cold_targets: Gauge<u64>,
+    wait_ms: Histogram<f64>,
     reply_ms: Histogram<f64>,
     first_event_ms: Histogram<f64>,
 }
@@ -60,6 +61,7 @@
             taken: meter.u64_counter("front_taken").build(),
             evacuations: meter.u64_gauge("front_evacuations").build(),
             cold_targets: meter.u64_gauge("front_cold_targets").build(),
+            wait_ms: histogram("front_wait"),
             reply_ms: histogram("front_reply"),
             first_event_ms: histogram("front_first_event"),
             _provider: provider,
@@ -73,6 +75,11 @@
         self.reply_ms.record(millis as f64, &labels);
     }
 
+    /// Records for how long a request waited for a place, and whether it was `sent` or `refused` then.
+    pub fn record_wait(&self, outcome: &'static str, millis: u64) {
+        self.wait_ms.record(millis as f64, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a request that the daemon refused itself.
     pub fn record_refusal(&self, cause: &str) {
         self.refusals.add(1, &[KeyValue::new("cause", cause.to_owned())]);
--- a/ggt-daemon/src/front/settings.rs
+++ b/ggt-daemon/src/front/settings.rs
@@ -69,6 +69,12 @@
     /// Whether the durations of requests without a prompt show how fast targets are, so that slower ones get fewer.
     #[serde(default)]
     pub measure_work_times: bool,
+    /// Whether customers' shares of an overloaded service are those of the whole fleet, by what all daemons report.
+    #[serde(default)]
+    pub fleet_shares: bool,
+    /// Whether a request that finds no place waits for one that is certain within its latency objective.
+    #[serde(default)]
+    pub wait_for_room: bool,
     /// Least severe level to log: `error`, `warn`, `info`, `debug` or `trace`.
     #[serde(default = "default_log_level")]
     pub log_level: String,
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -37,6 +37,7 @@
 use ggt_core::fleet::ViewPace;
 use ggt_core::fleet::WatchRole;
 use ggt_core::ident::stable_hash;
+use ggt_core::limits::DemandTable;
 use ggt_core::limits::ShareTable;
 use ggt_core::partition::ReachTable;
 use ggt_core::retry_window::RetryWindow;
@@ -51,6 +52,7 @@
 use ggt_core::versions::ServiceKey;
 use ggt_core::versions::VersionHistory;
 use ggt_core::versions::VersionState;
+use ggt_core::waiting::WaitQueue;
 use ggt_platform::CONFIG_KEY;
 use ggt_platform::OPERATOR_PREFIX;
 use ggt_platform::TARGET_PREFIX;
@@ -156,6 +158,10 @@
     pub stream_memory_ms: Cell<u64>,
     /// Customers' shares of each service, by service and priority.
     pub shares: RefCell<ShareTable<(String, u32), String>>,
+    /// What customers ask of each service, by service and priority.
+    pub demands: RefCell<DemandTable>,
+    /// Requests that wait for a place, by service.
+    pub wait_queues: RefCell<HashMap<String, WaitQueue>>,
     /// Memory of buffered replies.
     pub buffers: BufferBudget,
     /// Requests in flight.
@@ -231,6 +237,8 @@
             origins_untold: Notify::new(),
             stream_memory_ms: Cell::new(MIN_MEMORY_MS),
             shares: RefCell::default(),
+            demands: RefCell::default(),
+            wait_queues: RefCell::default(),
             buffers: BufferBudget::default(),
             in_flight: Cell::new(0),
             edge: EdgeHandle::default(),
--- a/ggt-testkit/src/http.rs
+++ b/ggt-testkit/src/http.rs
@@ -57,6 +57,12 @@
         self.header("authorization", &format!("Bearer {key}"))
     }
 
+    /// Sets the key of the customer on the users' platform, in place of another one.
+    pub fn token(mut self, key: &str) -> Self {
+        self.headers.retain(|(name, _)| name != "authorization");
+        self.header("authorization", &format!("Token {key}"))
+    }
+
     /// Sets the body.
     pub fn body(mut self, body: &str) -> Self {
         body.clone_into(&mut self.body);
--- a/ggt-wire/tests/codec.rs
+++ b/ggt-wire/tests/codec.rs
@@ -16,6 +16,7 @@
 use ggt_core::fleet::WorkTimeReport;
 use ggt_core::ident::CustomerName;
 use ggt_core::ident::DaemonName;
+use ggt_core::limits::DemandReport;
 use ggt_core::membership::DatagramHeader;
 use ggt_core::membership::GossipItem;
 use ggt_core::membership::PeerMessage;
@@ -223,6 +224,12 @@
         stated_loads: vec![StatedLoadReport { target: 13, requests: 21, age_ms: 350 }],
         work_times: vec![WorkTimeReport { target: 13, percent: 250, age_ms: 90 }],
         replaced: vec![15],
+        demands: vec![DemandReport {
+            pool: 16,
+            offered: 900,
+            admitted: 300,
+            largest: vec![(17, 600)],
+        }],
     }
 }
 
@@ -244,10 +251,11 @@
         stated_loads: Vec::new(),
         work_times: Vec::new(),
         replaced: Vec::new(),
+        demands: Vec::new(),
         ..digest()
     };
     let mut bytes = encode_digest(&without_ages).expect("should encode");
-    for place in 1..=9 {
+    for place in 1..=10 {
         assert_eq!(
             bytes.pop(),
             Some(0),
@@ -267,10 +275,11 @@
         stated_loads: Vec::new(),
         work_times: Vec::new(),
         replaced: Vec::new(),
+        demands: Vec::new(),
         ..digest()
     };
     let mut bytes = encode_digest(&without_rates).expect("should encode");
-    for place in 1..=7 {
+    for place in 1..=8 {
         assert_eq!(
             bytes.pop(),
             Some(0),
@@ -289,10 +298,11 @@
         stated_loads: Vec::new(),
         work_times: Vec::new(),
         replaced: Vec::new(),
+        demands: Vec::new(),
         ..digest()
     };
     let mut bytes = encode_digest(&without_reach).expect("should encode");
-    (0..6).for_each(|_| assert_eq!(bytes.pop(), Some(0)));
+    (0..7).for_each(|_| assert_eq!(bytes.pop(), Some(0)));
     let decoded = decode_digest(&bytes).expect("should decode");
     assert_eq!(decoded, without_reach);
     assert_eq!(decoded.reach.protocol, 0);
@@ -371,10 +381,11 @@
         stated_loads: Vec::new(),
         work_times: Vec::new(),
         replaced: Vec::new(),
+        demands: Vec::new(),
         ..digest()
     };
     let mut bytes = encode_digest(&without_fragile).expect("should encode");
-    (0..4).for_each(|_| assert_eq!(bytes.pop(), Some(0), "the last fields should be empty lists"));
+    (0..5).for_each(|_| assert_eq!(bytes.pop(), Some(0), "the last fields should be empty lists"));
     assert_eq!(decode_digest(&bytes).expect("should decode"), without_fragile);
 }
 
@@ -384,18 +395,24 @@
         stated_loads: Vec::new(),
         work_times: Vec::new(),
         replaced: Vec::new(),
+        demands: Vec::new(),
         ..digest()
     };
     let mut bytes = encode_digest(&without_loads).expect("should encode");
-    (0..3).for_each(|_| assert_eq!(bytes.pop(), Some(0), "the last fields should be empty lists"));
+    (0..4).for_each(|_| assert_eq!(bytes.pop(), Some(0), "the last fields should be empty lists"));
     assert_eq!(decode_digest(&bytes).expect("should decode"), without_loads);
 }
 
 #[test]
-fn digest_of_a_build_without_work_times_and_replaced_targets_decodes() {
-    let without = PeerDigest { work_times: Vec::new(), replaced: Vec::new(), ..digest() };
+fn digest_of_a_build_without_work_times_replaced_targets_and_demands_decodes() {
+    let without = PeerDigest {
+        work_times: Vec::new(),
+        replaced: Vec::new(),
+        demands: Vec::new(),
+        ..digest()
+    };
     let mut bytes = encode_digest(&without).expect("should encode");
-    (0..2).for_each(|_| assert_eq!(bytes.pop(), Some(0), "the last fields should be empty lists"));
+    (0..3).for_each(|_| assert_eq!(bytes.pop(), Some(0), "the last fields should be empty lists"));
     assert_eq!(decode_digest(&bytes).expect("should decode"), without);
 }
 
