fix: half of a reply without a length that ends with its leaving server is not complete

Cause: a reply without a length of a server that leaves or is unlisted was taken for complete without asking the server, and the listener of a process that has ended may accept a connection for some moments. Change: the server has to reply to a health check then; one that stays is asked a little later.

--- a/ggt-core/src/routes/mod.rs
+++ b/ggt-core/src/routes/mod.rs
@@ -87,6 +87,8 @@
 pub struct ServiceEntry {
     /// Name of the service.
     pub name: String,
+    /// Path of its targets' health checks.
+    pub health_path: Option<String>,
     /// Maximum number of connections that each of its targets accepts, from all daemons together.
     pub max_connections: Option<u32>,
     /// Capacity of its engines, if its targets are model engines.
--- a/ggt-daemon/src/front/attempt/crash_check.rs
+++ b/ggt-daemon/src/front/attempt/crash_check.rs
@@ -82,27 +82,6 @@
         check.await.ok()?.ok()
     }
 
-    /// Whether a reply of the last send that ended with its connection, without stating its length, may
-    /// be taken as complete: nothing shows that the target has ended. One that is leaving may have.
-    pub async fn has_outlived_reply(&self) -> bool {
-        let Some(target) = self.sent_target else { return false };
-        let is_listed = {
-            let pool = self.state.pool.borrow();
-            pool.target(target.key)
-                .is_some_and(|state| !state.record.is_leaving && state.remove_at.is_none())
-        };
-        if !is_listed {
-            return true;
-        }
-        if self.state.record_unframed_end(&self.job, target.crash) {
-            return false;
-        }
-        // A host that lost power or is cut off sends no end of the connection, and an error of this
-        // process says nothing about the target.
-        let check = check_target(self.state.clone(), target).await;
-        !check.is_err_and(|error| error.is_refused())
-    }
-
     /// Applies a failure to connect to the target of the present send: replies that other requests
     /// lost at it count as crashes if it has ended.
     pub(super) async fn record_connect_failure(&self, error: &ConnectError) {
@@ -133,7 +112,7 @@
 }
 
 /// Opens a connection to a target, and records a failure.
-async fn check_target(
+pub(super) async fn check_target(
     state: Rc<FrontState>,
     target: SentTarget,
 ) -> Result<TargetConnection, ConnectError> {
--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -4,6 +4,7 @@
 mod crash_check;
 mod failure;
 mod forward;
+mod liveness;
 mod move_on;
 mod outcome;
 mod send;
--- a/ggt-standin/src/users_platform/server.rs
+++ b/ggt-standin/src/users_platform/server.rs
@@ -153,6 +153,15 @@
         crash(&self.state);
     }
 
+    /// Closes all connections and then, after this time, the listener, in whose queue others wait until then: the
+    /// sockets of a process that has ended are not closed at the same moment.
+    pub fn crash_listener_last(&self, delay: Duration) {
+        self.state.gate.close(10 * delay, SilenceKind::AcceptsNothing);
+        close_connections(&self.state);
+        thread::sleep(delay);
+        crash(&self.state);
+    }
+
     /// Closes the listener and leaves all connections open without ever sending on them, as a host
     /// that lost power does.
     pub fn fall_silent(&self) {
--- /dev/null
+++ b/ggt-testkit/tests/platform_unframed_replies.rs
@@ -0,0 +1,170 @@
+//! Replies without a length: one that ends since its server is gone is not taken for complete, and one that a leaving
+//! server completes is.
+
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use ggt_standin::users_platform::AfterResponse;
+use ggt_standin::users_platform::ServerStandin;
+use ggt_standin::users_platform::WireRequest;
+use ggt_testkit::front::FrontFleet;
+use ggt_testkit::front::await_ready;
+use ggt_testkit::http::HttpResponse;
+use ggt_testkit::log_book::LogBook;
+use ggt_testkit::wait::wait_until;
+
+/// Routes whose requests run once: buffered replies and streams.
+const ROUTES: [&str; 2] = ["once", "talk"];
+/// Requests in flight on each route.
+const REQUESTS: usize = 4;
+/// Time from the end of a server's connections to that of its listener.
+const LISTENER_DELAY: Duration = Duration::from_millis(5);
+/// Interval at which a held reply checks whether it may end.
+const HOLD_INTERVAL: Duration = Duration::from_millis(10);
+
+/// A reply without a length: half of a body, or an event of a stream.
+fn unframed_reply(request: &WireRequest) -> String {
+    let id = request.attempt_id();
+    let head = format!("HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Stamp: s-{id}\r\n");
+    match request.path.starts_with("/talk/") {
+        true => format!("{head}\r\nid: 1\ndata: one\n\n"),
+        false => format!("{head}\r\nhalf of it"),
+    }
+}
+
+/// How a server leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Departure {
+    /// Not at all: it stays registered as ready.
+    None,
+    /// It registers as draining.
+    Announced,
+    /// Its registration is removed.
+    Unlisted,
+}
+
+/// A server that begins replies without a length and holds their ends back, and a daemon.
+struct LeavingCase {
+    fleet: FrontFleet,
+    log: Arc<LogBook>,
+    begun: Arc<AtomicUsize>,
+    may_end: Arc<AtomicBool>,
+}
+
+impl LeavingCase {
+    fn start() -> Self {
+        let mut fleet = FrontFleet::start(1, 0);
+        let log = fleet.keep_logs();
+        fleet.add_daemon(0, None);
+        fleet.daemons.iter().for_each(await_ready);
+        let (begun, may_end): (Arc<AtomicUsize>, Arc<AtomicBool>) = Default::default();
+        let (begins, ends) = (begun.clone(), may_end.clone());
+        fleet.servers[0].set_script(move |request, stream| {
+            // The daemon may have closed the connection already.
+            let _ = stream.write_all(unframed_reply(request).as_bytes());
+            begins.fetch_add(1, Ordering::SeqCst);
+            while !ends.load(Ordering::SeqCst) {
+                thread::sleep(HOLD_INTERVAL);
+            }
+            AfterResponse::Close
+        });
+        Self { fleet, log, begun, may_end }
+    }
+
+    /// Lets the server leave while requests are in flight, and end as `end` says; returns the responses.
+    fn responses<E>(&self, departure: Departure, end: E) -> Vec<HttpResponse>
+    where
+        E: Fn(&Self),
+    {
+        thread::scope(|scope| {
+            let send = |route: &'static str, number: usize| {
+                let (path, id) = (format!("/{route}/"), format!("{route}-{number}"));
+                let request = self.fleet.request(0, "POST", &path, &id).body("x");
+                scope.spawn(move || request.send().expect("should respond"))
+            };
+            let requests = ROUTES.iter().flat_map(|route| (0..REQUESTS).map(move |n| (*route, n)));
+            let requests: Vec<_> = requests.map(|(route, n)| send(route, n)).collect();
+            let all = requests.len();
+            wait_until("all replies have begun", || self.begun.load(Ordering::SeqCst) == all);
+            self.leave(departure);
+            end(self);
+            let responses = requests.into_iter().map(|request| request.join());
+            responses.map(|response| response.expect("should not panic")).collect()
+        })
+    }
+
+    fn leave(&self, departure: Departure) {
+        let status = match departure {
+            Departure::None => return,
+            Departure::Announced => {
+                self.fleet.register_in_state(0, "draining");
+                "leaving"
+            }
+            Departure::Unlisted => {
+                self.fleet.remove_registration(&self.fleet.servers[0].id());
+                "unlisted"
+            }
+        };
+        wait_until("the daemon knows that the server leaves", || {
+            self.log.count("target", status) > 0
+        });
+    }
+
+    fn end_replies(&self) {
+        self.may_end.store(true, Ordering::SeqCst);
+    }
+}
+
+/// Lets a server leave and be gone before its replies are whole; `crash` ends it.
+fn check_cut_replies<C>(departure: Departure, crash: C)
+where
+    C: Fn(&ServerStandin),
+{
+    let case = LeavingCase::start();
+    let responses = case.responses(departure, |case| {
+        crash(&case.fleet.servers[0]);
+        case.end_replies();
+    });
+    for response in responses {
+        let looks_whole = response.status == 200 && response.is_complete;
+        assert!(!looks_whole, "{departure:?}: {response:?}");
+    }
+}
+
+// Guards against half of a reply that its caller takes for the whole, as its server was gone early.
+#[test]
+fn replies_without_length_that_end_with_a_leaving_server_are_not_complete() {
+    check_cut_replies(Departure::Announced, ServerStandin::crash);
+}
+
+// Guards against the same at a server that never said that it leaves.
+#[test]
+fn replies_without_length_that_end_with_an_unlisted_server_are_not_complete() {
+    check_cut_replies(Departure::Unlisted, ServerStandin::crash);
+}
+
+// Guards against the same at a process whose listener accepts connections for some moments after its end.
+#[test]
+fn replies_without_length_are_not_complete_if_the_listener_of_their_server_is_closed_last() {
+    let crash_late = |server: &ServerStandin| server.crash_listener_last(LISTENER_DELAY);
+    for departure in [Departure::None, Departure::Announced, Departure::Unlisted] {
+        check_cut_replies(departure, crash_late);
+    }
+}
+
+// Guards against whole replies of a leaving server that are rejected, since it might have been gone.
+#[test]
+fn replies_without_length_that_a_leaving_server_completes_are_complete() {
+    for departure in [Departure::Announced, Departure::Unlisted] {
+        let case = LeavingCase::start();
+        for response in case.responses(departure, LeavingCase::end_replies) {
+            let seen = (response.status, response.is_complete);
+            assert_eq!(seen, (200, true), "{departure:?}: {response:?}");
+        }
+    }
+}
