fix: targets that end in an evacuated data centre do not count as a cut of this daemon

What callers saw: while a data centre was evacuated and went down, its daemons' checks of lost requests failed there, and two to four failures in a row made a daemon believe that it reaches no target of the service; it forwarded requests to peers until its next probe. Cause: the targets that count were those outside, the failures those of any target. Change: a target in an evacuated data centre says nothing about the reach of its service. Evidence: servers_that_end_while_they_are_evacuated_do_not_count_as_a_cut fails before (event=reach status=cut-off).

--- a/ggt-core/src/targets/access.rs
+++ b/ggt-core/src/targets/access.rs
@@ -58,7 +58,7 @@
     }
 
     /// Whether a target's data centre is evacuated, so that it gets no new requests of any kind.
-    pub(super) fn is_evacuated(&self, state: &TargetState) -> bool {
+    pub fn is_evacuated(&self, state: &TargetState) -> bool {
         !self.evacuations.is_empty() && self.evacuations.contains(&state.record.data_centre)
     }
 
--- a/ggt-daemon/src/front/reach.rs
+++ b/ggt-daemon/src/front/reach.rs
@@ -215,10 +215,12 @@
         self.reach.borrow().cut_since(service).is_some()
     }
 
-    /// Name of a target's service, and the targets there.
+    /// Name of a target's service, and the targets there; `None` if the target is in an evacuated data centre, so
+    /// that it says nothing about whether this daemon reaches the service.
     fn service_of(&self, key: TargetKey) -> Option<(String, Vec<TargetKey>)> {
         let pool = self.pool.borrow();
-        let service = pool.target(key)?.record.service.clone();
+        let state = pool.target(key).filter(|state| !pool.is_evacuated(state))?;
+        let service = state.record.service.clone();
         let targets = pool.staying_targets(&service).map(|(key, _)| key).collect();
         Some((service, targets))
     }
--- a/ggt-testkit/tests/platform_evacuation.rs
+++ b/ggt-testkit/tests/platform_evacuation.rs
@@ -222,3 +222,35 @@
     }
     assert_eq!(counts(&fleet), before);
 }
+
+// Guards against servers that go down with their evacuated data centre and make daemons believe that they reach no
+// server at all.
+#[test]
+fn servers_that_end_while_they_are_evacuated_do_not_count_as_a_cut() {
+    let (fleet, log) = two_centres(1);
+    let is_over = Arc::new(AtomicBool::new(false));
+    for number in [0, 2] {
+        let is_over = is_over.clone();
+        fleet.servers[number].set_script(move |request, stream| {
+            while !is_over.load(Ordering::SeqCst) {
+                thread::sleep(Duration::from_millis(5));
+            }
+            respond(request, stream, 200, "whole")
+        });
+    }
+    thread::scope(|scope| {
+        for number in 0..24 {
+            let fleet = &fleet;
+            scope.spawn(move || send(fleet, 0, "/once/", &format!("lost-{number}")));
+        }
+        wait_until("both servers run requests", || {
+            [0, 2].iter().all(|number: &usize| !fleet.servers[*number].requests().is_empty())
+        });
+        evacuate(&fleet.store, EVACUATED);
+        wait_for(&log, "in-force", 1);
+        [0, 2].iter().for_each(|number: &usize| fleet.servers[*number].crash());
+        is_over.store(true, Ordering::SeqCst);
+    });
+    assert_eq!(send_all(&fleet, 0, "after"), REQUESTS);
+    assert_eq!(log.count("reach", "cut-off"), 0, "the daemon reaches the other servers");
+}
