fix: a daemon reads past pages of the operator's keys that are of no folder

What callers saw: nothing yet; with more than 500 other keys below op/ a starting daemon would read the first page for ever and never be ready. Cause: the next page was asked for after the last key that was kept, and since evacuations share their prefix with other keys none may be. Change: it is asked for after the last key of the page. Found by reading the change again. Evidence: evacuation_behind_pages_of_other_keys_is_found fails before, as the daemon is never ready.

--- a/ggt-daemon/src/front/store/snapshot.rs
+++ b/ggt-daemon/src/front/store/snapshot.rs
@@ -42,10 +42,10 @@
     timeout_ms: u64,
 ) -> Result<StoreBatch, CallError> {
     let mut snapshot = StoreBatch { revision: u64::MAX, is_snapshot: true, changes: Vec::new() };
+    let mut after: Option<String> = None;
     loop {
-        let after = snapshot.changes.last().map(|last| last.key.as_str());
         let is_first = after.is_none();
-        let path = range_path(folder.prefix(), after, mode);
+        let path = range_path(folder.prefix(), after.as_deref(), mode);
         let reply = client.call(&path, timeout_ms).await?;
         let page = parse_range(&reply.body, parse_era(&reply.headers))?;
         if !is_first && !is_same_history(page.revision, snapshot.revision) {
@@ -55,6 +55,8 @@
         // Pages may have different revisions: the result is valid at the oldest one, and the watch
         // returns the changes after it.
         snapshot.revision = snapshot.revision.min(page.revision);
+        // Keys of other folders may share the prefix, and fill whole pages.
+        after = page.changes.last().map(|last| last.key.clone());
         let of_folder = |item: &StoreItem| StoreFolder::of_key(&item.key) == Some(folder);
         let items = page.changes.into_iter().filter(of_folder);
         snapshot.changes.extend(items.map(into_store_change));
--- a/ggt-testkit/tests/platform_evacuation.rs
+++ b/ggt-testkit/tests/platform_evacuation.rs
@@ -254,3 +254,16 @@
     assert_eq!(send_all(&fleet, 0, "after"), REQUESTS);
     assert_eq!(log.count("reach", "cut-off"), 0, "the daemon reaches the other servers");
 }
+
+// Guards against a daemon that reads the first page of the operator's keys again and again, or not the later ones.
+#[test]
+fn evacuation_behind_pages_of_other_keys_is_found() {
+    let (mut fleet, log) = two_centres(0);
+    (0..1_100).for_each(|number| fleet.store.put(&format!("op/any-{number:04}"), ENTRY));
+    evacuate(&fleet.store, EVACUATED);
+    fleet.add_daemon(0, None);
+    fleet.daemons.iter().for_each(await_ready);
+    wait_for(&log, "in-force", 1);
+    assert_eq!(send_all(&fleet, 0, "paged"), REQUESTS);
+    assert_eq!(counts(&fleet).0, 0, "requests in the evacuated data centre");
+}
