--- a/ggt-core/tests/evacuation.rs
+++ b/ggt-core/tests/evacuation.rs
@@ -1,7 +1,9 @@
 //! Data centres that the operator evacuates: what their targets still get, and what requests get instead.
 
+mod centre_fixture;
 mod pool_fixture;
 
+use crate::centre_fixture::two_centres;
 use crate::pool_fixture::pool_of;
 use crate::pool_fixture::query;
 use crate::pool_fixture::record;
@@ -25,15 +27,6 @@
     MonoTime::from_millis(millis)
 }
 
-/// A pool with two targets in data centre `a` and two in `b`.
-fn two_centres() -> TargetPool {
-    let mut pool = pool_of(2);
-    for number in 2..4 {
-        pool.put(TargetRecord { data_centre: "b".to_owned(), ..record(number) });
-    }
-    pool
-}
-
 fn centre_of(pool: &TargetPool, key: TargetKey) -> String {
     pool.target(key).map(|state| state.record.data_centre.clone()).unwrap_or_default()
 }
--- a/ggt-core/tests/regions.rs
+++ b/ggt-core/tests/regions.rs
@@ -1,14 +1,14 @@
 //! Requests that may be processed in some regions only: which targets and peers they may reach.
 
+mod centre_fixture;
 mod digest_fixture;
 mod pool_fixture;
 
 use std::net::SocketAddr;
 
+use crate::centre_fixture::two_centres;
 use crate::digest_fixture::empty_digest;
-use crate::pool_fixture::pool_of;
 use crate::pool_fixture::query;
-use crate::pool_fixture::record;
 use ggt_core::clock::MonoTime;
 use ggt_core::fleet::FleetTable;
 use ggt_core::fleet::ForwardQuery;
@@ -18,22 +18,11 @@
 use ggt_core::targets::ChoiceError;
 use ggt_core::targets::ChoiceQuery;
 use ggt_core::targets::SendOutcome;
-use ggt_core::targets::TargetPool;
-use ggt_core::targets::TargetRecord;
 
 fn at(millis: u64) -> MonoTime {
     MonoTime::from_millis(millis)
 }
 
-/// A pool with two targets in data centre `a` and two in `b`.
-fn two_centres() -> TargetPool {
-    let mut pool = pool_of(2);
-    for number in 2..4 {
-        pool.put(TargetRecord { data_centre: "b".to_owned(), ..record(number) });
-    }
-    pool
-}
-
 // Guards against any kind of send to a data centre outside the allowed regions, also when nothing else is left.
 #[test]
 fn restricted_request_stays_in_its_data_centres() {
--- a/ggt-testkit/src/bin/ggt-soak.rs
+++ b/ggt-testkit/src/bin/ggt-soak.rs
@@ -50,6 +50,9 @@
     /// let the store fail with changes of the configuration around, and check that these are obeyed in time
     #[argh(switch)]
     changes: bool,
+    /// evacuate data centres, and check that daemons send nothing there in time
+    #[argh(switch)]
+    evacuations: bool,
     /// print the faults of all soaks, not only of those with violations
     #[argh(switch)]
     show_faults: bool,
@@ -74,6 +77,7 @@
             has_cuts: args.cuts,
             has_versions: args.versions,
             has_changes: args.changes,
+            has_evacuations: args.evacuations,
             max_fault_interval: Duration::from_millis(args.max_pause_ms),
         });
         println!(
--- a/ggt-testkit/src/soak/deployment.rs
+++ b/ggt-testkit/src/soak/deployment.rs
@@ -35,6 +35,8 @@
 use crate::soak::crashing::is_crashing;
 use crate::soak::cuts::CutLog;
 use crate::soak::disruption::DisruptionState;
+use crate::soak::evacuations::EVACUATION_CENTRES;
+use crate::soak::evacuations::EvacuationLog;
 use crate::soak::invariants::InvariantChecker;
 use crate::soak::limits::ServerLimit;
 use crate::soak::versions::ServingVersions;
@@ -104,6 +106,8 @@
     has_direct_servers: bool,
     /// The configuration published last.
     pub(super) change_log: Arc<ChangeLog>,
+    /// The evacuations in force.
+    pub(super) evacuation_log: Arc<EvacuationLog>,
     _proxy: ChildProcess,
 }
 
@@ -117,6 +121,9 @@
             false => json!({}),
         };
         let mut fleet = FrontFleet::start_with(0, 0, settings);
+        if options.has_evacuations {
+            fleet.data_centres = EVACUATION_CENTRES.to_vec();
+        }
         let log_book = fleet.keep_logs();
         let proxy_control = fleet.unused_address();
         let control = proxy_control.to_string();
@@ -142,6 +149,7 @@
             silent_until: vec![Instant::now(); options.servers],
             has_direct_servers: options.has_silence,
             change_log: Arc::default(),
+            evacuation_log: Arc::default(),
             _proxy: proxy,
             fleet: {
                 (0..options.servers).for_each(|n| fleet.add_unregistered_server(&format!("i-{n}")));
@@ -178,11 +186,16 @@
         let (limit, disruptions) = (self.limits[number].clone(), self.disruptions.clone());
         let (name, gate) = (self.fleet.servers[number].id(), self.fleet.servers[number].gate());
         let own_disruption = self.server_disruptions[number].clone();
+        let (evacuations, data_centre) =
+            (self.evacuation_log.clone(), self.fleet.data_centre(number));
+        let store_disruption = self.store_disruption.clone();
         self.fleet.servers[number].set_script(move |request, stream| {
             let id = request.attempt_id().to_owned();
             let kind = request.path.split('/').nth(1).unwrap_or_default();
             if let Some(daemon) = daemon_of(&id) {
                 limit.record_arrival(&name, &disruptions[daemon], &checker);
+                let passed = [&*disruptions[daemon], &*store_disruption, &*own_disruption];
+                evacuations.check_arrival(data_centre, &id, passed, &checker);
             }
             checker.record_run(&id, matches!(kind, "once" | "talk"));
             let lines = limit.header_line();
--- a/ggt-testkit/src/soak/mod.rs
+++ b/ggt-testkit/src/soak/mod.rs
@@ -7,6 +7,7 @@
 mod cuts;
 mod deployment;
 mod disruption;
+mod evacuations;
 mod faults;
 mod invariants;
 mod limits;
@@ -63,6 +64,8 @@
     /// Whether the store fails again and again, with changes of the configuration around, and daemons are
     /// checked to obey these in time.
     pub has_changes: bool,
+    /// Whether data centres are evacuated, and daemons are checked to send nothing there.
+    pub has_evacuations: bool,
     /// Upper bound (exclusive) of the pause before each fault.
     pub max_fault_interval: Duration,
 }
@@ -81,6 +84,7 @@
             has_cuts: false,
             has_versions: false,
             has_changes: false,
+            has_evacuations: false,
             max_fault_interval: Duration::from_millis(500),
         }
     }
@@ -172,10 +176,17 @@
         let limits = deployment.limits.clone();
         thread::spawn(move || run_limits(seed, &limits, &is_over))
     });
+    let evacuations = options.has_evacuations.then(|| {
+        let (seed, is_over) = (options.seed, are_faults_over.clone());
+        let (store, checker) = (deployment.fleet.store.clone(), checker.clone());
+        let log = deployment.evacuation_log.clone();
+        thread::spawn(move || log.run(seed, &store, &checker, &is_over))
+    });
     let mut random = SmallRng::seed_from_u64(options.seed);
     run_faults(&mut deployment, &mut random, options, &checker);
     are_faults_over.store(true, Ordering::SeqCst);
-    join_callers(crashing_caller.into_iter().chain(limits).chain(changes), &checker);
+    let helpers = crashing_caller.into_iter().chain(limits).chain(changes).chain(evacuations);
+    join_callers(helpers, &checker);
     deployment.heal();
     deployment.await_service(&checker);
     is_over.store(true, Ordering::SeqCst);
--- a/ggt-testkit/tests/soak.rs
+++ b/ggt-testkit/tests/soak.rs
@@ -109,3 +109,15 @@
         ..SoakOptions::default()
     });
 }
+
+/// Daemons that send requests to a data centre that is evacuated, after restarts, pauses and outages of the store.
+#[test]
+fn evacuations_hold_under_injected_faults() {
+    run(&SoakOptions {
+        seed: 5201,
+        faults_for: Duration::from_secs(20),
+        has_evacuations: true,
+        max_fault_interval: Duration::from_millis(2_500),
+        ..SoakOptions::default()
+    });
+}
