--- a/ggt-core/src/targets/cold_start.rs
+++ b/ggt-core/src/targets/cold_start.rs
@@ -10,8 +10,8 @@
 use crate::targets::TargetPool;
 use crate::targets::health::MAX_HOLD_DOWN_MS;
 
-/// Milliseconds to which the time of a cold start is cut, so that a target that errs is used again.
-const MAX_WARM_UP_MS: u64 = 600_000;
+/// Milliseconds to which the time of a cold start is limited, so that a target that errs is used again.
+const MAX_COLD_MS: u64 = 600_000;
 
 /// What each target of a service takes while it is cold, and for how long a start leaves it cold.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -63,13 +63,13 @@
 
     /// Applies the target's own statement that it stays cold for this time, or is warm.
     pub fn apply(&mut self, limit: ColdStartLimit, left_ms: u64, now: MonoTime) {
-        let left_ms = left_ms.min(limit.duration_ms).min(MAX_WARM_UP_MS);
+        let left_ms = left_ms.min(limit.duration_ms).min(MAX_COLD_MS);
         *self = Self { per_second: limit.per_second, ends_at: now + left_ms, absence: None };
     }
 
     /// Records that the target may have started a moment ago.
     fn record_possible_start(&mut self, limit: ColdStartLimit, now: MonoTime) {
-        let ends_at = now + limit.duration_ms.min(MAX_WARM_UP_MS);
+        let ends_at = now + limit.duration_ms.min(MAX_COLD_MS);
         let ends_at = ends_at.max(self.ends_at);
         *self = Self { per_second: limit.per_second, ends_at, absence: None };
     }
@@ -77,7 +77,7 @@
     /// Records that the target accepts no connection, so that it may start at any time from now on. If no daemon
     /// is known to get a reply, that is forgotten after the longest hold-down.
     fn record_absence(&mut self, limit: ColdStartLimit, now: MonoTime) {
-        let warm_at = now + limit.duration_ms.min(MAX_WARM_UP_MS);
+        let warm_at = now + limit.duration_ms.min(MAX_COLD_MS);
         let absence = Some(TargetAbsence { noticed_at: now, warm_at });
         *self = Self { per_second: limit.per_second, ends_at: warm_at + MAX_HOLD_DOWN_MS, absence };
     }
--- a/ggt-core/src/targets/mod.rs
+++ b/ggt-core/src/targets/mod.rs
@@ -17,6 +17,7 @@
 mod prefix_rates;
 mod prefixes;
 mod rate;
+mod registrations;
 mod replacement;
 mod stated_load;
 mod work_time;
--- a/ggt-core/src/targets/pool.rs
+++ b/ggt-core/src/targets/pool.rs
@@ -34,16 +34,13 @@
 use crate::targets::fragile::ServiceFragility;
 use crate::targets::prefix_rates::PrefixRates;
 use crate::targets::prefixes::short_prefix;
+use crate::targets::registrations::DepartedTarget;
 
 new_key_type! {
     /// Identifies one incarnation of a target in a [`TargetPool`].
     pub struct TargetKey;
 }
 
-/// Milliseconds for which an incarnation that was removed stays known: longer than the age of a copy from
-/// which the store may come back.
-const DEPARTED_TTL_MS: u64 = 120_000;
-
 /// Number of other targets in a data centre from which a partition can be told from crashes.
 const MIN_CENTRE_TARGETS: usize = 2;
 
@@ -102,7 +99,7 @@
 }
 
 impl TargetState {
-    fn new(record: TargetRecord) -> Self {
+    pub(super) fn new(record: TargetRecord) -> Self {
         let location_hash = stable_hash(record.id.as_bytes());
         Self {
             short_hash: mix_hash(location_hash, record.incarnation) as u32,
@@ -142,25 +139,15 @@
     }
 }
 
-/// An incarnation that was removed.
-#[derive(Clone, Copy, Debug)]
-struct DepartedTarget {
-    incarnation: u64,
-    /// Whether it had announced that it leaves.
-    has_announced: bool,
-    /// Until when it is remembered.
-    expires_at: MonoTime,
-}
-
 /// All registered targets, and those that the platform has stopped listing but may list again.
 #[derive(Clone, Debug, Default)]
 pub struct TargetPool {
     pub(super) targets: SlotMap<TargetKey, TargetState>,
-    by_id: HashMap<String, TargetKey>,
+    pub(super) by_id: HashMap<String, TargetKey>,
     pub(super) by_hash: HashMap<u32, TargetKey>,
     pub(super) by_service: HashMap<String, Vec<TargetKey>>,
     /// The latest incarnations of removed targets, by id.
-    departed: HashMap<String, DepartedTarget>,
+    pub(super) departed: HashMap<String, DepartedTarget>,
     /// Queue for digests: short hashes of prefix and target, and the number of digests still to
     /// come.
     pub(super) prefix_queue: VecDeque<(u32, u32, u8)>,
@@ -180,66 +167,6 @@
 }
 
 impl TargetPool {
-    /// Whether a registration is of a former incarnation of its target: one that was written late, or comes from
-    /// an older copy of the store.
-    pub fn is_outdated(&self, record: &TargetRecord) -> bool {
-        let known = self.by_id.get(&record.id).and_then(|key| self.targets.get(*key));
-        let known = known.map(|state| state.record.incarnation);
-        let departed = self.departed.get(&record.id).map(|target| target.incarnation);
-        known.max(departed).is_some_and(|latest| record.incarnation < latest)
-    }
-
-    /// Stores a registration, unless it is outdated; `true` when it is a new incarnation or begins to leave.
-    pub fn put(&mut self, mut record: TargetRecord) -> bool {
-        if self.is_outdated(&record) {
-            return false;
-        }
-        // The platform may list it again from an older copy, or not know yet what its replies state.
-        let departed = self.departed.get(&record.id);
-        record.is_leaving |= departed
-            .is_some_and(|target| target.has_announced && target.incarnation == record.incarnation);
-        let known = self.by_id.get(&record.id).and_then(|key| self.targets.get(*key));
-        let has_left = |state: &TargetState| {
-            state.record.is_leaving && state.record.incarnation == record.incarnation
-        };
-        // An incarnation that has announced that it leaves accepts no requests again.
-        let is_known_to_leave = known.is_some_and(has_left);
-        record.is_leaving |= is_known_to_leave;
-        if let Some(key) = self.by_id.get(&record.id).copied() {
-            let state = &mut self.targets[key];
-            let is_same_incarnation = state.record.incarnation == record.incarnation
-                && state.record.address == record.address
-                && state.record.service == record.service;
-            if is_same_incarnation {
-                let is_change = record.is_leaving && !is_known_to_leave;
-                state.record = record;
-                state.remove_at = None;
-                return is_change;
-            }
-            self.remove(key);
-        }
-        let (id, service) = (record.id.clone(), record.service.clone());
-        let state = TargetState::new(record);
-        let hash = state.short_hash;
-        let key = self.targets.insert(state);
-        self.by_id.insert(id, key);
-        self.by_hash.insert(hash, key);
-        self.by_service.entry(service).or_default().push(key);
-        true
-    }
-
-    /// Crash ids of the incarnations that a registration shows to have ended: the target has
-    /// started again, or another one has got its address since.
-    pub fn ended_by(&self, record: &TargetRecord) -> Vec<CrashId> {
-        let has_ended = |state: &&TargetState| {
-            if state.record.id == record.id {
-                return state.record.incarnation < record.incarnation;
-            }
-            state.record.address == record.address && state.record.incarnation <= record.incarnation
-        };
-        self.targets.values().filter(has_ended).map(TargetState::crash_id).collect()
-    }
-
     /// Whether all other targets in the data centre of this one are unreachable, which points to a
     /// network partition; `false` with fewer than `MIN_CENTRE_TARGETS` others.
     pub fn is_centre_unreachable(&self, key: TargetKey) -> bool {
@@ -252,41 +179,6 @@
         others.len() >= MIN_CENTRE_TARGETS && others.iter().all(|is_unreachable| *is_unreachable)
     }
 
-    /// Records when this daemon learnt that a target is leaving; only the first call has an effect.
-    pub fn record_leaving_since(&mut self, id: &str, now: MonoTime) {
-        if let Some(state) = self.by_id.get(id).and_then(|key| self.targets.get_mut(*key)) {
-            state.leaving_since.get_or_insert(now);
-        }
-    }
-
-    /// Records that the platform no longer lists a target, which is to be removed at `remove_at`.
-    pub fn record_unlisted(&mut self, id: &str, remove_at: MonoTime) {
-        if let Some(state) = self.by_id.get(id).and_then(|key| self.targets.get_mut(*key)) {
-            state.remove_at = Some(remove_at);
-        }
-    }
-
-    /// Removes the targets whose time of removal has come, and returns their keys and ids.
-    pub fn expire(&mut self, now: MonoTime) -> Vec<(TargetKey, String)> {
-        let is_due =
-            |state: &TargetState| state.remove_at.is_some_and(|remove_at| remove_at <= now);
-        let removed = self.targets.iter().filter(|(_, state)| is_due(state));
-        let removed: Vec<_> = removed.map(|(key, state)| (key, state.record.id.clone())).collect();
-        for (key, id) in &removed {
-            if let Some(record) = self.targets.get(*key).map(|state| &state.record) {
-                let departed = DepartedTarget {
-                    incarnation: record.incarnation,
-                    has_announced: record.is_leaving,
-                    expires_at: now + DEPARTED_TTL_MS,
-                };
-                self.departed.insert(id.clone(), departed);
-            }
-            self.remove(*key);
-        }
-        self.departed.retain(|_, target| now < target.expires_at);
-        removed
-    }
-
     /// A target by its key.
     pub fn target(&self, key: TargetKey) -> Option<&TargetState> {
         self.targets.get(key)
@@ -512,7 +404,7 @@
             change(peers.backlog_tokens, before.backlog_tokens, after.backlog_tokens);
     }
 
-    fn remove(&mut self, key: TargetKey) {
+    pub(super) fn remove(&mut self, key: TargetKey) {
         let Some(state) = self.targets.remove(key) else { return };
         self.by_id.remove(&state.record.id);
         self.by_hash.remove(&state.short_hash);
