fix: the test of a cut daemon starts fleets until each daemon has its own links

Cause: the test. Each daemon has its own links to the targets in its platform's list; under load one got the list from the cut daemon first (event=revision folder=hosts source=peer, 70 ms after its start) and shared that one's links and cut. Change: the test starts another fleet if a daemon's list came from a peer; its checks are as they were. Daemon code unchanged.

--- a/ggt-testkit/tests/cut_off_daemon.rs
+++ b/ggt-testkit/tests/cut_off_daemon.rs
@@ -18,8 +18,12 @@
 const HELD_REQUESTS: usize = 12;
 /// A request that stays in flight after its first event.
 const HELD_PATH: &str = "/chat?tokens=2&hold_after=1";
+/// What the log line has of a list of targets that came from a peer.
+const FOREIGN_LINKS: [&str; 2] = ["folder=hosts", "source=peer"];
+/// Fleets that are started until each daemon has its own links.
+const MAX_STARTS: usize = 10;
 
-fn fleet() -> TestFleet {
+fn start_fleet() -> TestFleet {
     TestFleet::start_with_own_routes(FleetOptions {
         centres: vec![("recife-a", 3)],
         engines: 4,
@@ -28,6 +32,17 @@
     })
 }
 
+/// A fleet in which each daemon has the links of its own platform. On a busy machine a daemon may get the list of
+/// targets from a peer first, and would share that one's links and its cut.
+fn fleet() -> TestFleet {
+    let has_own_links = |fleet: &TestFleet| {
+        let mut logs = (0..fleet.daemons.len()).map(|daemon| fleet.log(daemon));
+        logs.all(|log| !log.lines().any(|line| FOREIGN_LINKS.iter().all(|x| line.contains(x))))
+    };
+    let mut starts = (0..MAX_STARTS).map(|_| start_fleet());
+    starts.find(has_own_links).expect("each daemon should have its own links")
+}
+
 fn statuses(status: &Value) -> Vec<&str> {
     let targets = status["targets"].as_array().map(Vec::as_slice).unwrap_or_default();
     targets.iter().filter_map(|target| target["status"].as_str()).collect()
