review: a history that the store discards early lets streams go on at another version

Cause: after a restart of all daemons the store's history counts as complete for its stated length if all listed targets are older than that, also if it was cut short.

--- /dev/null
+++ b/review/harness-2/src/cases/mod.rs
@@ -0,0 +1,18 @@
+//! The cases by name.
+
+mod lost_history;
+
+use std::sync::Arc;
+
+use crate::CaseOptions;
+use crate::Verdict;
+use crate::record::Record;
+
+/// Runs a case; `None` if there is none of this name.
+pub fn run(name: &str, options: &CaseOptions, record: &Arc<Record>) -> Option<Verdict> {
+    let case = match name {
+        "lost-history" => lost_history::run,
+        _ => return None,
+    };
+    Some(case(options, record))
+}
