review: many unfinished bodies of legal size take a machine over its memory

Cause: request bodies are collected in memory up to the configured maximum each, without a bound for all together.

--- a/review/harness-2/src/cases/mod.rs
+++ b/review/harness-2/src/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases by name.
 
 mod lost_history;
+mod many_bodies;
 
 use std::sync::Arc;
 
@@ -12,6 +13,7 @@
 pub fn run(name: &str, options: &CaseOptions, record: &Arc<Record>) -> Option<Verdict> {
     let case = match name {
         "lost-history" => lost_history::run,
+        "many-bodies" => many_bodies::run,
         _ => return None,
     };
     Some(case(options, record))
--- a/review/harness-2/src/fleet.rs
+++ b/review/harness-2/src/fleet.rs
@@ -6,7 +6,6 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
-use std::net::TcpStream;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -138,10 +137,6 @@
         reply.is_some_and(|reply| reply.status == 200)
     }
 
-    /// Opens a connection as a client does.
-    pub fn connect(&self) -> Option<TcpStream> {
-        connect(self.front)
-    }
 }
 
 /// A store, servers and daemons; the daemons are killed when it is dropped.
@@ -205,7 +200,7 @@
             .map(|machine| SocketAddr::new(self.loopback.ip(machine), 7_329).to_string())
             .collect();
         for number in 0..count {
-            let mut free = || self.loopback.free(number);
+            let free = || self.loopback.free(number);
             let (front, ready, control) = (free(), free(), free());
             let settings = render(
                 &std::fs::read_to_string(TEMPLATE).expect("the template"),
