--- a/review/harness-2/src/cases/lost_history.rs
+++ b/review/harness-2/src/cases/lost_history.rs
@@ -78,7 +78,7 @@
         fleet.add_server(&format!("i-{version}-{number}"), version);
         let started = unix_millis() - SERVER_AGE_MS;
         fleet.register(number, "s", "ready", started);
-        fleet.servers[number].set_script(move |request, stream| send(version, request, stream));
+        fleet.servers[number].set_script(move |request, stream| send_events(version, request, stream));
     }
     // The entries were written a minute ago: the store keeps 20 s of history.
     fleet.store.compact();
@@ -204,7 +204,7 @@
 }
 
 /// Sends the events that the caller lacks, one after the other.
-fn send(version: &str, request: &WireRequest, stream: &mut TcpStream) -> AfterResponse {
+pub fn send_events(version: &str, request: &WireRequest, stream: &mut TcpStream) -> AfterResponse {
     if stream.write_all(stream_head(request).as_bytes()).is_err() {
         return AfterResponse::Close;
     }
--- a/review/harness-2/src/cases/mod.rs
+++ b/review/harness-2/src/cases/mod.rs
@@ -2,6 +2,8 @@
 
 mod lost_history;
 mod many_bodies;
+mod short_error;
+mod taken_up;
 
 use std::sync::Arc;
 
@@ -14,6 +16,8 @@
     let case = match name {
         "lost-history" => lost_history::run,
         "many-bodies" => many_bodies::run,
+        "taken-up" => taken_up::run,
+        "short-error" => short_error::run,
         _ => return None,
     };
     Some(case(options, record))
