--- a/review/harness-2/src/cases/many_bodies.rs
+++ b/review/harness-2/src/cases/many_bodies.rs
@@ -107,7 +107,9 @@
     let count = count.lock().unwrap_or_else(PoisonError::into_inner);
     let lost: Vec<_> = count.lost.iter().filter(|id| has_run(id)).collect();
     for id in &lost {
-        record.line(&format!("lost: {id} was run by a server, and its channel ended without an answer"));
+        record.line(&format!(
+            "lost: {id} was run by a server, and its channel ended without an answer"
+        ));
     }
     record.line(&format!(
         "ordinary clients: {} answered, {} refused, {} without an answer, {} not accepted; servers ran {} requests",
@@ -138,7 +140,8 @@
         peak = peak.max(resident_bytes(process));
         if peak > MEMORY_MB * BYTES_PER_MEGABYTE {
             fleet.machines[0].kill();
-            record.line(&format!("platform: {peak} bytes exceed the memory; the process is killed"));
+            record
+                .line(&format!("platform: {peak} bytes exceed the memory; the process is killed"));
             thread::sleep(Duration::from_millis(500));
             return (peak, true);
         }
--- a/review/harness-2/src/cases/short_error.rs
+++ b/review/harness-2/src/cases/short_error.rs
@@ -26,7 +26,8 @@
 /// Routes of the requests.
 const ROUTES: [&str; 4] = ["talk", "chat", "once", "read"];
 /// Whole text of the error answer.
-const WHOLE: &str = "the model could not be loaded: step 1 of 2 failed; step 2 of 2 failed; nothing was written\n";
+const WHOLE: &str =
+    "the model could not be loaded: step 1 of 2 failed; step 2 of 2 failed; nothing was written\n";
 /// Bytes of it that are sent before the crash.
 const SENT_BYTES: usize = 40;
 /// Time between the two halves.
--- a/review/harness-2/src/cases/taken_up.rs
+++ b/review/harness-2/src/cases/taken_up.rs
@@ -89,7 +89,9 @@
         .flat_map(|(number, (id, last))| {
             let machine = fronts[(number + 1) % MACHINES];
             let new_id = format!("new-{number:02}");
-            let new = thread::spawn(move || (new_id.clone(), false, attempt(machine, STREAMS + number, &new_id, None)));
+            let new = thread::spawn(move || {
+                (new_id.clone(), false, attempt(machine, STREAMS + number, &new_id, None))
+            });
             let again = last.map(|last| {
                 let again_id = format!("{id}-again");
                 thread::spawn(move || {
@@ -130,12 +132,7 @@
 }
 
 /// Begins a stream and reads it until its channel breaks, or is to be broken by the client; returns the last event.
-fn begin(
-    machine: SocketAddr,
-    number: usize,
-    id: &str,
-    is_broken: &AtomicBool,
-) -> Option<u64> {
+fn begin(machine: SocketAddr, number: usize, id: &str, is_broken: &AtomicBool) -> Option<u64> {
     let stream = connect(machine)?;
     let mut lines = client_lines(id, DEADLINE_MS);
     lines.extend(prompt_lines(number));
--- a/review/harness-2/src/fleet.rs
+++ b/review/harness-2/src/fleet.rs
@@ -138,7 +138,6 @@
         let reply = connect(self.ready).and_then(|stream| exchange(&stream, &text, ""));
         reply.is_some_and(|reply| reply.status == 200)
     }
-
 }
 
 /// A store, servers and daemons; the daemons are killed when it is dropped.
