--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves out the disruption;
-# VARIANT=history-kept lets the store keep its history.
+# VARIANT=chunks has 8 clients send their bodies in chunks of one byte.
 cd "$(dirname "$0")/../.." || exit 2
-exec review/harness-2/target/release/review-case lost-history review/6
+exec review/harness-2/target/release/review-case many-bodies review/6
--- a/review/harness-2/src/cases/lost_history.rs
+++ b/review/harness-2/src/cases/lost_history.rs
@@ -18,6 +18,7 @@
 use crate::client::connect;
 use crate::client::head;
 use crate::client::read_reply;
+use crate::engine::LONG_STREAM;
 use crate::engine::prompt_lines;
 use crate::engine::set_engine;
 use crate::fleet::Fleet;
@@ -178,7 +179,7 @@
     origin: Option<(&str, u64)>,
 ) -> Option<Reply> {
     let mut lines = client_lines(id, DEADLINE_MS);
-    lines.extend(prompt_lines(number));
+    lines.extend(prompt_lines(number, LONG_STREAM));
     if let Some((origin, last)) = origin {
         lines.push(("Last-Event-Id", last.to_string()));
         lines.push(("Resumes", origin.to_owned()));
--- a/review/harness-2/src/cases/mod.rs
+++ b/review/harness-2/src/cases/mod.rs
@@ -2,6 +2,7 @@
 
 mod lost_history;
 mod many_bodies;
+mod same_id;
 mod short_error;
 mod taken_up;
 
@@ -17,6 +18,7 @@
         "lost-history" => lost_history::run,
         "many-bodies" => many_bodies::run,
         "taken-up" => taken_up::run,
+        "same-id" => same_id::run,
         "short-error" => short_error::run,
         _ => return None,
     };
--- a/review/harness-2/src/cases/taken_up.rs
+++ b/review/harness-2/src/cases/taken_up.rs
@@ -16,6 +16,7 @@
 use crate::client::connect;
 use crate::client::head;
 use crate::client::read_reply;
+use crate::engine::LONG_STREAM;
 use crate::engine::prompt_lines;
 use crate::engine::set_engine;
 use crate::fleet::Fleet;
@@ -135,7 +136,7 @@
 fn begin(machine: SocketAddr, number: usize, id: &str, is_broken: &AtomicBool) -> Option<u64> {
     let stream = connect(machine)?;
     let mut lines = client_lines(id, DEADLINE_MS);
-    lines.extend(prompt_lines(number));
+    lines.extend(prompt_lines(number, LONG_STREAM));
     let text = head("POST", "/chat/a", &lines);
     (&stream).write_all(format!("{text}Content-Length: 1\r\n\r\nx").as_bytes()).ok()?;
     let closer = stream.try_clone().ok()?;
@@ -159,7 +160,7 @@
     origin: Option<(&str, u64)>,
 ) -> Option<Reply> {
     let mut lines = client_lines(id, DEADLINE_MS);
-    lines.extend(prompt_lines(number));
+    lines.extend(prompt_lines(number, LONG_STREAM));
     if let Some((origin, last)) = origin {
         lines.push(("Last-Event-Id", last.to_string()));
         lines.push(("Resumes", origin.to_owned()));
--- a/review/harness-2/src/engine.rs
+++ b/review/harness-2/src/engine.rs
@@ -16,10 +16,16 @@
 use ggt_standin::users_platform::WireRequest;
 use ggt_standin::users_platform::stream_head;
 
-/// Events of a stream.
-pub const EVENTS: u64 = 80;
+/// Tokens in an event.
+const EVENT_TOKENS: u64 = 7;
+/// Events of a long stream.
+pub const LONG_STREAM: u64 = 80;
+/// Events of a short one.
+pub const SHORT_STREAM: u64 = 3;
 /// Time between two events.
 const EVENT_INTERVAL: Duration = Duration::from_millis(100);
+/// Number of prompt parts that requests share.
+const CHATS: usize = 12;
 /// Model of all requests.
 const MODEL: &str = "m";
 
@@ -52,12 +58,12 @@
     });
 }
 
-/// Header lines of a prompt with a shared part and one of this request's own.
-pub fn prompt_lines(number: usize) -> Vec<(&'static str, String)> {
+/// Header lines of a prompt with a shared part and one of this request's own, for so many events.
+pub fn prompt_lines(number: usize, events: u64) -> Vec<(&'static str, String)> {
     vec![
         ("X-Model", MODEL.to_owned()),
-        ("X-Token-Count", "1300,560".to_owned()),
-        ("X-Prompt-Prefix", format!("a1:600,{:x}:700", 0xb000 + number)),
+        ("X-Token-Count", format!("1300,{}", events * EVENT_TOKENS)),
+        ("X-Prompt-Prefix", format!("{:x}:600,{:x}:700", 0xa000 + number % CHATS, 0xb000 + number)),
     ]
 }
 
@@ -83,7 +89,10 @@
     if stream.write_all(stream_head(request).as_bytes()).is_err() {
         return AfterResponse::Close;
     }
-    for id in request.last_event_id().unwrap_or_default() + 1..=EVENTS {
+    let tokens =
+        request.header("x-token-count").and_then(|text| text.split_once(',')?.1.parse().ok());
+    let events = tokens.unwrap_or(0_u64) / EVENT_TOKENS;
+    for id in request.last_event_id().unwrap_or_default() + 1..=events {
         let event = format!("id: {id}\ndata: {version}\n\n");
         let chunk = format!("{:x}\r\n{event}\r\n", event.len());
         if stream.write_all(chunk.as_bytes()).is_err() {
