--- a/review/harness-2/src/client.rs
+++ b/review/harness-2/src/client.rs
@@ -106,7 +106,7 @@
         }
         let before = bytes.len() as u64;
         reader.by_ref().take(length).read_to_end(bytes).ok()?;
-        if bytes.len() as u64 != before + length || read_line(reader)? != "" {
+        if bytes.len() as u64 != before + length || !read_line(reader)?.is_empty() {
             return None;
         }
     }
