--- a/ggt-core/src/fleet/forwarding.rs
+++ b/ggt-core/src/fleet/forwarding.rs
@@ -8,13 +8,15 @@
 use crate::routing::rendezvous_score;
 
 /// Version of the protocol between daemons that this build speaks.
-pub const PEER_PROTOCOL: u8 = 3;
+pub const PEER_PROTOCOL: u8 = 4;
 /// The version from which a daemon takes forwarded requests.
 pub const FORWARD_PROTOCOL: u8 = 1;
 /// The version from which a daemon replies to questions for the origin of a stream that come as datagrams.
 pub(super) const QUESTION_PROTOCOL: u8 = 2;
 /// The version from which a daemon keeps a forwarded request within its allowed regions.
 const REGION_PROTOCOL: u8 = 3;
+/// The version from which a daemon replies to questions for cached prompt parts.
+pub(super) const CACHE_PROTOCOL: u8 = 4;
 /// Weight of peers in the daemon's own data centre relative to others.
 const OWN_CENTRE_WEIGHT: f64 = 4.0;
 
--- a/ggt-core/src/fleet/mod.rs
+++ b/ggt-core/src/fleet/mod.rs
@@ -34,6 +34,7 @@
 use std::net::SocketAddr;
 
 use crate::clock::MonoTime;
+use crate::fleet::forwarding::CACHE_PROTOCOL;
 use crate::fleet::members::MemberTable;
 use crate::fleet::members::member_hash;
 use crate::fleet::members::member_score;
@@ -255,6 +256,16 @@
         self.alive(now).filter(|peer| member_score(hash, peer.member_hash) < own).count()
     }
 
+    /// The daemon that lists the prefix cache of the target with this hash: the first of all that are alive, in an
+    /// order that is the same on all daemons with the same view; `None` if that is this daemon.
+    pub fn lister(&self, hash: u64, now: MonoTime) -> Option<SocketAddr> {
+        let own = member_score(hash, member_hash(self.own_address));
+        let peers = self.alive(now).filter(|peer| peer.digest.reach.protocol >= CACHE_PROTOCOL);
+        let scores = peers.map(|peer| (member_score(hash, peer.member_hash), peer.digest.address));
+        let first = scores.min().filter(|(score, _)| *score < own);
+        first.map(|(_, address)| address)
+    }
+
     /// This daemon's part of a limit of requests per second that the target with this hash takes from
     /// all daemons together.
     pub fn rate_share(&self, hash: u64, limit: f64) -> RateShare {
--- a/ggt-core/src/prompts/mod.rs
+++ b/ggt-core/src/prompts/mod.rs
@@ -38,6 +38,15 @@
         &self.prefixes
     }
 
+    /// The part that belongs to the request or its session alone; `None` if the prompt has only one part, which other
+    /// requests may share.
+    pub fn own_part(&self) -> Option<PromptPart> {
+        match self.prefixes.as_slice() {
+            [] | [_] => None,
+            [.., own] => Some(*own),
+        }
+    }
+
     /// Number of tokens of the whole prompt.
     pub fn tokens(&self) -> u32 {
         self.prefixes.iter().map(|prefix| prefix.tokens).sum()
--- a/ggt-core/src/versions/history.rs
+++ b/ggt-core/src/versions/history.rs
@@ -52,13 +52,16 @@
         self.known_since = self.current_since;
     }
 
-    /// Records the versions that the targets have had since `since`, as the store's history shows.
-    pub fn record_past(&mut self, past: &PastVersions, since: MonoTime, now: MonoTime) {
+    /// Records the versions that the store's history names; `is_whole` is whether it has all changes that there ever
+    /// were.
+    pub fn record_past(&mut self, past: &PastVersions, is_whole: bool, now: MonoTime) {
         for (service, version) in past.versions() {
             self.record_target(*service, *version, now);
         }
-        self.current_since = Some(self.current_since.map_or(since, |current| current.min(since)));
-        self.known_since = Some(self.known_since.map_or(since, |known| known.min(since)));
+        if is_whole && !past.has_unknown() {
+            self.current_since = Some(MonoTime::default());
+            self.known_since = self.current_since;
+        }
     }
 
     /// The version of a service that this daemon has seen, if it knows of no other over the last
--- a/ggt-core/src/versions/past.rs
+++ b/ggt-core/src/versions/past.rs
@@ -1,6 +1,6 @@
 //! Which versions the targets had before this daemon started, from the store's history of their entries.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::versions::ServiceKey;
 use crate::versions::SoftwareVersion;
@@ -23,8 +23,6 @@
         service: ServiceKey,
         /// Version of its software.
         version: SoftwareVersion,
-        /// Unix time in milliseconds at which the target started.
-        born: u64,
         /// Whether this change created the entry.
         is_new: bool,
     },
@@ -34,46 +32,43 @@
     Removed,
 }
 
-/// The versions of all targets over a past span of time.
+/// The versions of targets that the store's history names.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PastVersions {
     versions: Vec<(ServiceKey, SoftwareVersion)>,
+    has_unknown: bool,
 }
 
 impl PastVersions {
-    /// The versions that the history and the targets listed now, each with the time of its start, show for
-    /// the span since the Unix time `begins_at` in milliseconds. `None` if others are possible: an entry
-    /// whose earlier content is not known was removed or taken over by another incarnation, or the history
-    /// lacks the start of a target within the span, so that it does not reach back that far.
-    pub fn review(
-        changes: &[PastChange],
-        listed: &[(String, u64)],
-        begins_at: u64,
-    ) -> Option<Self> {
-        let mut known: BTreeMap<&str, u64> = BTreeMap::new();
-        let mut versions = Vec::new();
+    /// The versions that these changes name.
+    ///
+    /// They are all that there have been only if the history is whole: the store may have discarded the changes before
+    /// these at any time, and nothing in the others shows when.
+    pub fn review(changes: &[PastChange]) -> Self {
+        let mut known = BTreeSet::new();
+        let mut past = Self::default();
         for change in changes {
             let id = change.target_id.as_str();
             match change.state {
-                PastState::Registered { service, version, born, is_new } => {
-                    let is_same_as_before = is_new || born < begins_at || known.contains_key(id);
-                    if !is_same_as_before {
-                        return None;
-                    }
-                    known.insert(id, born);
-                    versions.push((service, version));
+                PastState::Registered { service, version, is_new } => {
+                    past.has_unknown |= !is_new && !known.contains(id);
+                    known.insert(id);
+                    past.versions.push((service, version));
                 }
-                PastState::Removed if known.contains_key(id) => {}
-                PastState::Removed | PastState::Unreadable => return None,
+                PastState::Removed => past.has_unknown |= !known.contains(id),
+                PastState::Unreadable => past.has_unknown = true,
             }
         }
-        let has_start = |(id, born): &(String, u64)| known.get(id.as_str()) == Some(born);
-        let is_complete = listed.iter().all(|entry| entry.1 < begins_at || has_start(entry));
-        is_complete.then_some(Self { versions })
+        past
     }
 
     /// The versions, by service; one may be there several times.
     pub fn versions(&self) -> &[(ServiceKey, SoftwareVersion)] {
         &self.versions
     }
+
+    /// Whether an entry had other content before these changes, which they do not show.
+    pub const fn has_unknown(&self) -> bool {
+        self.has_unknown
+    }
 }
--- a/ggt-core/src/versions/timing.rs
+++ b/ggt-core/src/versions/timing.rs
@@ -12,6 +12,11 @@
 /// Time in milliseconds in which replies are read that have arrived while the asking daemon was busy.
 pub const BUSY_GRACE_MS: u64 = 5;
 
+/// Maximum time in milliseconds for the replies of the daemons that list the targets' prefix caches.
+pub const CACHE_ASK_MS: u64 = 300;
+/// Maximum time in milliseconds that such a daemon waits for lists before it replies with those that it has.
+pub const LIST_WAIT_MS: u64 = 200;
+
 /// Longest time in milliseconds from a stream's first event until those that are told know its version, with
 /// `delivery_ms` for a datagram on the way.
 pub const fn longest_tell_ms(delivery_ms: u64) -> u64 {
@@ -22,3 +27,9 @@
 pub const fn longest_ask_ms() -> u64 {
     FIRST_ASK_MS + ASK_MS + 2 * BUSY_GRACE_MS
 }
+
+/// Longest time in milliseconds until a stream that no daemon knows goes on or is refused, apart from a request to
+/// the platform.
+pub const fn longest_decision_ms() -> u64 {
+    longest_ask_ms() + CACHE_ASK_MS + BUSY_GRACE_MS
+}
--- a/ggt-core/tests/regions.rs
+++ b/ggt-core/tests/regions.rs
@@ -62,6 +62,9 @@
     assert_eq!(pool.choose(&restricted, at(10)), Err(ChoiceError::Full));
 }
 
+/// Last version of the protocol between daemons without allowed regions.
+const NO_REGION_PROTOCOL: u8 = 2;
+
 // Guards against bodies that are handed to a daemon outside the allowed regions, or to one that would not keep them
 // there.
 #[test]
@@ -69,7 +72,7 @@
     let address = |number: u8| SocketAddr::from(([10, 0, 0, number], 7_000));
     let mut table = FleetTable::new(address(1));
     for (number, centre_hash, protocol) in
-        [(2, 20, PEER_PROTOCOL), (3, 30, PEER_PROTOCOL), (4, 20, PEER_PROTOCOL - 1)]
+        [(2, 20, PEER_PROTOCOL), (3, 30, PEER_PROTOCOL), (4, 20, NO_REGION_PROTOCOL)]
     {
         let digest = PeerDigest {
             centre_hash,
--- a/ggt-core/tests/versions.rs
+++ b/ggt-core/tests/versions.rs
@@ -192,9 +192,9 @@
     assert_ne!(StreamKey::new("c", "1s", "a"), StreamKey::new("c1", "s", "a"));
 }
 
-/// A change of the entry of a target that started at this Unix time.
-fn past_change(id: &str, version: SoftwareVersion, born: u64, is_new: bool) -> PastChange {
-    let state = PastState::Registered { service: service(), version, born, is_new };
+/// A change of the entry of a target.
+fn past_change(id: &str, version: SoftwareVersion, is_new: bool) -> PastChange {
+    let state = PastState::Registered { service: service(), version, is_new };
     PastChange { target_id: id.to_owned(), state }
 }
 
@@ -202,57 +202,68 @@
     PastChange { target_id: id.to_owned(), state: PastState::Removed }
 }
 
-/// Unix time in milliseconds at which the span of the history begins.
-const BEGINS_AT: u64 = 100_000;
-
 // Guards against a service that counts as having had one version, as that of targets that have left is not read.
 #[test]
 fn history_shows_versions_that_have_left() {
-    let changes = [
-        past_change("i-1", old(), 50_000, false),
-        past_removal("i-1"),
-        past_change("i-2", new(), 105_000, true),
-    ];
-    let listed = [("i-2".to_owned(), 105_000), ("i-3".to_owned(), 60_000)];
-    let past = PastVersions::review(&changes, &listed, BEGINS_AT).expect("a complete history");
-    let mut history = VersionHistory::default();
-    history.record_target(service(), new(), at(20_000));
-    history.record_past(&past, at(0), at(20_000));
-    assert_eq!(
-        history.state(service(), MEMORY_MS, at(20_000)),
-        VersionState::Open { listed: None }
-    );
-    assert_eq!(history.only_seen(service(), MEMORY_MS, at(20_000)), None);
+    let changes =
+        [past_change("i-1", old(), true), past_removal("i-1"), past_change("i-2", new(), true)];
+    for is_whole in [true, false] {
+        let mut history = VersionHistory::default();
+        history.record_target(service(), new(), at(20_000));
+        history.record_past(&PastVersions::review(&changes), is_whole, at(20_000));
+        assert_eq!(
+            history.state(service(), MEMORY_MS, at(20_000)),
+            VersionState::Open { listed: None }
+        );
+        assert_eq!(history.only_seen(service(), MEMORY_MS, at(20_000)), None);
+    }
 }
 
 // Guards against streams that are refused after a restart although there has been one version only.
 #[test]
-fn history_without_changes_shows_that_there_has_been_one_version() {
-    let listed = [("i-1".to_owned(), 60_000)];
-    let past = PastVersions::review(&[], &listed, BEGINS_AT).expect("a complete history");
+fn whole_history_of_one_version_shows_that_there_has_been_no_other() {
+    let past = PastVersions::review(&[past_change("i-1", old(), true)]);
     let mut history = VersionHistory::default();
     history.record_view(true, at(40_000));
     history.record_target(service(), old(), at(40_000));
     assert_eq!(history.only_seen(service(), MEMORY_MS, at(40_000)), None);
-    history.record_past(&past, at(40_000 - MEMORY_MS), at(40_000));
+    history.record_past(&past, true, at(40_000));
     assert_eq!(history.state(service(), MEMORY_MS, at(40_000)), VersionState::Single(old()));
     history.record_view(false, at(40_100));
     assert_eq!(history.only_seen(service(), MEMORY_MS, at(40_100)), Some(old()));
 }
 
-// Guards against a history that is taken for complete although the store has dropped some of it, or a version was
-// there that it does not name.
+// Guards against a history that is taken for complete although the store has discarded some of it, early or not: the
+// entries that are left do not show which versions were there before.
 #[test]
-fn history_that_may_lack_a_version_is_incomplete() {
-    let young = [("i-1".to_owned(), 105_000)];
-    assert_eq!(PastVersions::review(&[], &young, BEGINS_AT), None, "its start is missing");
-    let another_start = [past_change("i-1", old(), 103_000, true)];
-    assert_eq!(PastVersions::review(&another_start, &young, BEGINS_AT), None);
-    assert_eq!(PastVersions::review(&[past_removal("i-9")], &[], BEGINS_AT), None);
-    let taken_over = [past_change("i-1", new(), 105_000, false)];
-    assert_eq!(PastVersions::review(&taken_over, &young, BEGINS_AT), None);
+fn history_that_is_not_whole_proves_no_single_version() {
+    for changes in [vec![], vec![past_change("i-1", old(), true)]] {
+        let mut history = VersionHistory::default();
+        history.record_view(true, at(40_000));
+        history.record_target(service(), old(), at(40_000));
+        history.record_past(&PastVersions::review(&changes), false, at(40_000));
+        let open = VersionState::Open { listed: Some(old()) };
+        assert_eq!(history.state(service(), MEMORY_MS, at(40_000)), open);
+        assert_eq!(history.only_seen(service(), MEMORY_MS, at(40_000)), None);
+    }
+}
+
+// Guards against a version that the changes do not name: an entry that was there before them, or was unreadable.
+#[test]
+fn history_with_entries_of_unknown_content_proves_no_single_version() {
     let unreadable = PastChange { target_id: "i-2".to_owned(), state: PastState::Unreadable };
-    assert_eq!(PastVersions::review(&[unreadable], &[], BEGINS_AT), None);
+    for change in [past_removal("i-9"), past_change("i-1", old(), false), unreadable] {
+        let past = PastVersions::review(&[change]);
+        assert!(past.has_unknown());
+        let mut history = VersionHistory::default();
+        history.record_view(true, at(40_000));
+        history.record_target(service(), old(), at(40_000));
+        history.record_past(&past, true, at(40_000));
+        let open = VersionState::Open { listed: Some(old()) };
+        assert_eq!(history.state(service(), MEMORY_MS, at(40_000)), open);
+    }
+    let named = [past_change("i-1", old(), true), past_removal("i-1")];
+    assert!(!PastVersions::review(&named).has_unknown());
 }
 
 fn knows(version: SoftwareVersion) -> OriginReply {
--- /dev/null
+++ b/ggt-daemon/src/front/cache_lists.rs
@@ -0,0 +1,140 @@
+//! Lists of the targets' prefix caches: requested at the start of a daemon, and for streams that no daemon knows.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+use crate::clock::mono_now;
+use crate::front::call::CallError;
+use crate::front::call::get;
+use crate::front::state::CONNECT_TIMEOUT;
+use crate::front::state::FrontState;
+use crate::logging::quoted;
+use crate::upstream::TargetConnection;
+use ggt_core::clock::MonoTime;
+use ggt_core::prompts::prefix_hash;
+use ggt_core::targets::TargetKey;
+use ggt_core::versions::CachedTokens;
+use ggt_core::versions::LIST_WAIT_MS;
+use ggt_core::versions::ListedPart;
+use ggt_platform::CACHE_LIST_PATH;
+use ggt_platform::parse_cache_list;
+
+/// Timeout of one target's list.
+const LIST_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Longest wait for lists that are asked for.
+const LIST_WAIT: Duration = Duration::from_millis(LIST_WAIT_MS);
+/// Maximum number of lists that are requested for one question.
+const MAX_LISTS: usize = 64;
+
+/// What current lists of these targets, by their short hashes, say about a prompt part. Targets without one are
+/// listed first, and left out if that takes too long.
+pub async fn list_part(state: &Rc<FrontState>, targets: &[u32], prefix: u64) -> Vec<ListedPart> {
+    let requests = targets.iter().filter_map(|target| {
+        let key = state.pool.borrow().by_short_hash(*target)?;
+        ListRequest::begin(state, key)
+    });
+    for request in requests.take(MAX_LISTS) {
+        let state = state.clone();
+        spawn_local(async move { request.finish(&state).await });
+    }
+    // Lists that have not arrived by then are left out.
+    let _ = timeout(LIST_WAIT, wait_for_lists(state, targets)).await;
+    let now = mono_now();
+    let listings = state.listings.borrow();
+    targets.iter().filter_map(|target| listings.part(*target, prefix, now)).collect()
+}
+
+async fn wait_for_lists(state: &FrontState, targets: &[u32]) {
+    loop {
+        let arrived = state.list_arrived.notified();
+        if !targets.iter().any(|target| state.listings.borrow().is_requested(*target)) {
+            return;
+        }
+        arrived.await;
+    }
+}
+
+/// Requests the list of a target's prefix cache, unless there is a current one or it has been requested, and records
+/// what it holds.
+pub async fn list_target(state: &FrontState, key: TargetKey) {
+    if let Some(request) = ListRequest::begin(state, key) {
+        request.finish(state).await;
+    }
+}
+
+/// A list that is to be requested from a target.
+struct ListRequest {
+    key: TargetKey,
+    hash: u32,
+    address: SocketAddr,
+    requested_at: MonoTime,
+}
+
+impl ListRequest {
+    /// A request that counts as begun; `None` if there is a current list or one has been requested.
+    fn begin(state: &FrontState, key: TargetKey) -> Option<Self> {
+        let pool = state.pool.borrow();
+        let target = pool.target(key)?;
+        let requested_at = mono_now();
+        let is_due = state.listings.borrow_mut().begin(target.short_hash, requested_at);
+        let (hash, address) = (target.short_hash, target.record.address);
+        is_due.then_some(Self { key, hash, address, requested_at })
+    }
+
+    /// Requests the list, and records what it holds.
+    async fn finish(self, state: &FrontState) {
+        let Self { key, hash, address, requested_at } = self;
+        let listed = fetch_list(address).await;
+        let after_ms = mono_now().millis_since(requested_at);
+        match listed {
+            Ok(parts) => {
+                let count = parts.len();
+                log::info!("event=cache-list address={address} parts={count} after_ms={after_ms}");
+                state.record_list(key, hash, &parts, requested_at);
+            }
+            Err(cause) => {
+                let cause = quoted(&cause);
+                log::info!("event=cache-list address={address} cause={cause} after_ms={after_ms}");
+                state.listings.borrow_mut().record_failure(hash, mono_now());
+            }
+        }
+        state.list_arrived.notify_waiters();
+    }
+}
+
+async fn fetch_list(address: SocketAddr) -> Result<Vec<CachedTokens>, String> {
+    let call = async {
+        let mut connection = TargetConnection::open(address, CONNECT_TIMEOUT).await?;
+        get(&mut connection, address, CACHE_LIST_PATH).await
+    };
+    let reply = timeout(LIST_TIMEOUT, call).await.unwrap_or(Err(CallError::Timeout));
+    let reply = reply.map_err(|e| e.to_string())?;
+    if reply.status != 200 {
+        return Err(format!("status {}", reply.status));
+    }
+    let parts = parse_cache_list(&reply.body).map_err(|e| e.to_string())?;
+    let cached = parts.iter().map(|part| CachedTokens {
+        prefix: prefix_hash(&part.model, part.hash),
+        tokens: part.tokens,
+    });
+    Ok(cached.collect())
+}
+
+impl FrontState {
+    fn record_list(
+        &self,
+        key: TargetKey,
+        hash: u32,
+        parts: &[CachedTokens],
+        requested_at: MonoTime,
+    ) {
+        let now = mono_now();
+        let mut pool = self.pool.borrow_mut();
+        parts.iter().for_each(|part| pool.record_listed_prefix(key, part.prefix, now));
+        self.listings.borrow_mut().record(hash, parts, requested_at);
+    }
+}
--- a/ggt-daemon/src/front/digests.rs
+++ b/ggt-daemon/src/front/digests.rs
@@ -180,11 +180,13 @@
     }
 }
 
-async fn receive(state: &FrontState, socket: &UdpSocket, bytes: &[u8], peer: SocketAddr) {
+async fn receive(state: &Rc<FrontState>, socket: &UdpSocket, bytes: &[u8], peer: SocketAddr) {
     match datagram_kind(bytes) {
         DatagramKind::Origins => state.apply_origins(bytes),
         DatagramKind::OriginQuestion => state.answer_question(bytes, peer).await,
         DatagramKind::OriginAnswer => state.apply_answer(bytes, peer),
+        DatagramKind::CacheQuestion => state.answer_cache_question(bytes, peer),
+        DatagramKind::CacheAnswer => state.apply_cache_answer(bytes, peer),
         DatagramKind::Digest => {
             if let Some(started) = apply_datagram(state, bytes) {
                 greet(state, socket, started).await;
--- a/ggt-daemon/src/front/mod.rs
+++ b/ggt-daemon/src/front/mod.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod buffered;
 mod buffers;
+mod cache_lists;
 mod call;
 mod callers;
 mod changes;
--- /dev/null
+++ b/ggt-daemon/src/front/origins/cached.rs
@@ -0,0 +1,153 @@
+//! Finds out which version began a stream that no daemon knows, from the targets' prefix caches.
+//!
+//! Each target is listed by one daemon, which replies to the questions of the others, so that no target is asked by
+//! all of them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::join;
+use tokio::time::timeout;
+
+use crate::clock::mono_now;
+use crate::front::cache_lists::list_part;
+use crate::front::job::FrontJob;
+use crate::front::origins::inquiries::OpenInquiry;
+use crate::front::state::FrontState;
+use crate::logging::quoted;
+use ggt_core::prompts::PrefixChain;
+use ggt_core::targets::TargetState;
+use ggt_core::versions::BUSY_GRACE_MS;
+use ggt_core::versions::CACHE_ASK_MS;
+use ggt_core::versions::CacheVerdict;
+use ggt_core::versions::ListedPart;
+use ggt_core::versions::OriginTarget;
+use ggt_core::versions::judge_cached;
+use ggt_wire::origins::CacheAnswer;
+use ggt_wire::origins::CacheQuestion;
+use ggt_wire::origins::encode_cache_answer;
+use ggt_wire::origins::encode_cache_question;
+
+/// Maximum number of targets in one question, so that the reply fits into a datagram.
+const MAX_ASKED_TARGETS: usize = 100;
+const ASK_TIMEOUT: Duration = Duration::from_millis(CACHE_ASK_MS);
+/// Time in which replies that have arrived are read.
+const BUSY_GRACE: Duration = Duration::from_millis(BUSY_GRACE_MS);
+
+/// Judges by the targets' prefix caches which version began the stream that a request takes up.
+pub(super) async fn find_cached(state: &Rc<FrontState>, job: &FrontJob) -> CacheVerdict {
+    let Some(part) = job.chain.as_ref().and_then(PrefixChain::own_part) else {
+        return CacheVerdict::NoPart;
+    };
+    let targets = origin_targets(state, &job.service);
+    if targets.windows(2).any(|pair| pair[0].version != pair[1].version) {
+        return CacheVerdict::Ambiguous;
+    }
+    let listed = ask_listers(state, &targets, part.hash).await;
+    let has_departed = |_| false;
+    judge_cached(part.tokens, &targets, &listed, has_departed)
+}
+
+/// The targets of a service at which a stream may have begun.
+fn origin_targets(state: &FrontState, service: &str) -> Vec<OriginTarget> {
+    let now = mono_now();
+    let pool = state.pool.borrow();
+    let targets = pool.of_service(service).iter().filter_map(|key| pool.target(*key));
+    let is_gone = |target: &TargetState| {
+        target.health.is_unreachable() || target.replacement.is_in_force(now)
+    };
+    let origin_target = |target: &TargetState| OriginTarget {
+        hash: target.short_hash,
+        version: target.record.version,
+        is_gone: is_gone(target),
+    };
+    targets.map(origin_target).collect()
+}
+
+/// What the lists of these targets say about a part, by the daemons that list them.
+async fn ask_listers(
+    state: &Rc<FrontState>,
+    targets: &[OriginTarget],
+    prefix: u64,
+) -> Vec<ListedPart> {
+    let mut own = Vec::new();
+    let mut by_peer: BTreeMap<SocketAddr, Vec<u32>> = BTreeMap::new();
+    for target in targets {
+        match state.lister(target.hash) {
+            Some(peer) => by_peer.entry(peer).or_default().push(target.hash),
+            None => own.push(target.hash),
+        }
+    }
+    let mut open = state.cache_inquiries.open();
+    let asked = by_peer.values().map(Vec::len).sum();
+    for (peer, hashes) in by_peer {
+        for targets in hashes.chunks(MAX_ASKED_TARGETS) {
+            send_question(state, peer, open.number(), prefix, targets).await;
+        }
+    }
+    let (mut listed, replies) = join!(list_part(state, &own, prefix), collect(&mut open, asked));
+    listed.extend(replies);
+    listed
+}
+
+async fn send_question(
+    state: &FrontState,
+    peer: SocketAddr,
+    number: u64,
+    prefix: u64,
+    targets: &[u32],
+) {
+    let question = CacheQuestion { number, prefix, targets: targets.to_vec() };
+    let sent = match encode_cache_question(&question) {
+        Ok(bytes) => state.send_datagram(&bytes, peer).await.map_err(|e| e.to_string()),
+        Err(e) => Err(e.to_string()),
+    };
+    if let Err(e) = sent {
+        log::info!("event=cache-question peer={peer} cause={}", quoted(&e));
+    }
+}
+
+/// Collects replies until all of the `asked` targets are in them. Targets without one in time count as not listed.
+async fn collect(open: &mut OpenInquiry<Vec<ListedPart>>, asked: usize) -> Vec<ListedPart> {
+    let mut replies = Vec::new();
+    let mut receive = async || {
+        while replies.len() < asked
+            && let Some((_, listed)) = open.receiver.recv().await
+        {
+            replies.extend(listed);
+        }
+    };
+    if timeout(ASK_TIMEOUT, receive()).await.is_err() {
+        // Replies may have arrived while this daemon was busy.
+        let _ = timeout(BUSY_GRACE, receive()).await;
+    }
+    replies
+}
+
+impl FrontState {
+    /// The other daemon that lists the prefix cache of the target with this short hash; `None` if this one does.
+    fn lister(&self, target: u32) -> Option<SocketAddr> {
+        let pool = self.pool.borrow();
+        let location = pool.by_short_hash(target).and_then(|key| pool.target(key))?.location_hash;
+        self.fleet.borrow().lister(location, mono_now())
+    }
+}
+
+/// Replies to a daemon that asks which targets have a prompt part cached.
+pub(super) async fn answer_cached(
+    state: &Rc<FrontState>,
+    question: CacheQuestion,
+    peer: SocketAddr,
+) {
+    let targets = &question.targets[..question.targets.len().min(MAX_ASKED_TARGETS)];
+    let listed = list_part(state, targets, question.prefix).await;
+    let sent = match encode_cache_answer(&CacheAnswer { number: question.number, listed }) {
+        Ok(bytes) => state.send_datagram(&bytes, peer).await.map_err(|e| e.to_string()),
+        Err(e) => Err(e.to_string()),
+    };
+    if let Err(e) = sent {
+        log::info!("event=cache-question peer={peer} cause={}", quoted(&e));
+    }
+}
--- a/ggt-daemon/src/front/origins/inquiry.rs
+++ b/ggt-daemon/src/front/origins/inquiry.rs
@@ -1,22 +1,15 @@
 //! Asks other daemons which version began a stream, by datagrams: a daemon that is at its limit accepts connections
 //! late, and is asked for many streams at once after others were lost.
 
-use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use slotmap::Key;
-use slotmap::KeyData;
-use slotmap::SlotMap;
-use slotmap::new_key_type;
-use tokio::sync::mpsc;
-use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::sync::mpsc::UnboundedSender;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+use crate::front::origins::inquiries::OpenInquiry;
 use crate::front::peers::fetch_origin;
 use crate::front::state::FrontState;
 use crate::logging::quoted;
@@ -28,46 +21,19 @@
 use ggt_core::versions::StreamKey;
 use ggt_core::versions::VersionState;
 use ggt_core::versions::judge_replies;
-use ggt_wire::origins::OriginAnswer;
 use ggt_wire::origins::OriginQuestion;
 use ggt_wire::origins::encode_question;
 
 /// Time in which replies that have arrived are read.
 const BUSY_GRACE: Duration = Duration::from_millis(BUSY_GRACE_MS);
 
-new_key_type! {
-    /// Identifies an inquiry; it goes out with the question.
-    struct InquiryKey;
-}
-
-/// A daemon's reply, or `None` if it could not be asked.
-type PeerReply = (SocketAddr, Option<OriginReply>);
-
-/// The inquiries that wait for replies.
-#[derive(Default)]
-pub struct InquiryTable {
-    inquiries: RefCell<SlotMap<InquiryKey, UnboundedSender<PeerReply>>>,
-}
-
-impl InquiryTable {
-    /// Passes a daemon's reply to the inquiry that asked for it; one that has ended ignores it.
-    pub fn apply(&self, peer: SocketAddr, answer: &OriginAnswer) {
-        let key = InquiryKey::from(KeyData::from_ffi(answer.number));
-        if let Some(sender) = self.inquiries.borrow().get(key) {
-            // The receiver lives as long as the entry.
-            let _ = sender.send((peer, Some(answer.reply)));
-        }
-    }
-}
-
 /// Questions to other daemons about one stream, and the replies that have arrived.
 pub(super) struct OriginInquiry {
     state: Rc<FrontState>,
-    own_key: InquiryKey,
+    /// Its replies are `None` of daemons that could not be asked.
+    open: OpenInquiry<Option<OriginReply>>,
     key: StreamKey,
     service: ServiceKey,
-    sender: UnboundedSender<PeerReply>,
-    receiver: UnboundedReceiver<PeerReply>,
     asked: usize,
     /// Daemons that are still expected to reply.
     pending: BTreeMap<SocketAddr, OriginCandidate>,
@@ -76,15 +42,11 @@
 
 impl OriginInquiry {
     pub(super) fn new(state: &Rc<FrontState>, key: StreamKey, service: ServiceKey) -> Self {
-        let (sender, receiver) = mpsc::unbounded_channel();
-        let own_key = state.inquiries.inquiries.borrow_mut().insert(sender.clone());
         Self {
             state: state.clone(),
-            own_key,
+            open: state.inquiries.open(),
             key,
             service,
-            sender,
-            receiver,
             asked: 0,
             pending: BTreeMap::new(),
             replies: Vec::new(),
@@ -129,8 +91,8 @@
             self.send_request(peer);
             return;
         }
-        let number = self.own_key.data().as_ffi();
-        let question = OriginQuestion { number, key: self.key, service: self.service };
+        let question =
+            OriginQuestion { number: self.open.number(), key: self.key, service: self.service };
         let sent = match encode_question(&question) {
             Ok(bytes) => self.state.send_datagram(&bytes, peer).await.map_err(|e| e.to_string()),
             Err(e) => Err(e.to_string()),
@@ -142,7 +104,7 @@
 
     /// Asks a daemon of an earlier build.
     fn send_request(&self, peer: SocketAddr) {
-        let (key, service, sender) = (self.key, self.service, self.sender.clone());
+        let (key, service, sender) = (self.key, self.service, self.open.sender.clone());
         spawn_local(async move {
             let reply = match fetch_origin(peer, key, service).await {
                 Ok(reply) => Some(reply),
@@ -158,7 +120,7 @@
 
     async fn collect(&mut self) {
         while !self.pending.is_empty()
-            && let Some((peer, reply)) = self.receiver.recv().await
+            && let Some((peer, reply)) = self.open.receiver.recv().await
         {
             if self.pending.remove(&peer).is_none() {
                 continue;
@@ -170,9 +132,3 @@
         }
     }
 }
-
-impl Drop for OriginInquiry {
-    fn drop(&mut self) {
-        self.state.inquiries.inquiries.borrow_mut().remove(self.own_key);
-    }
-}
--- a/ggt-daemon/src/front/origins/lookup.rs
+++ b/ggt-daemon/src/front/origins/lookup.rs
@@ -5,12 +5,14 @@
 
 use crate::clock::mono_now;
 use crate::front::job::FrontJob;
+use crate::front::origins::cached::find_cached;
 use crate::front::origins::inquiry::OriginInquiry;
 use crate::front::response::FrontRefusal;
 use crate::front::state::FrontState;
 use crate::front::store::refresh_targets;
 use crate::logging::quoted;
 use ggt_core::versions::ASK_MS;
+use ggt_core::versions::CacheVerdict;
 use ggt_core::versions::FIRST_ASK_MS;
 use ggt_core::versions::OriginVerdict;
 use ggt_core::versions::ServiceKey;
@@ -41,6 +43,8 @@
     Agreed,
     /// This daemon has seen one version only, though its view had gaps, and the caller names no attempt.
     Assumed,
+    /// Only targets of one version have the prompt's own part cached.
+    Cached,
 }
 
 impl OriginSource {
@@ -52,6 +56,7 @@
             Self::Peer => "peer",
             Self::Agreed => "agreed",
             Self::Assumed => "assumed",
+            Self::Cached => "cached",
         }
     }
 }
@@ -82,10 +87,18 @@
     let started_at = mono_now();
     let key = job.stream_key().unwrap_or(NO_STREAM);
     let mut inquiry = OriginInquiry::new(state, key, ServiceKey::named(&job.service));
-    let found = find_origin(state, job, &mut inquiry).await;
+    let mut found = find_origin(state, job, &mut inquiry).await;
+    let mut caches = "-";
+    if found.is_none() {
+        let verdict = find_cached(state, job).await;
+        caches = verdict.as_str();
+        if let CacheVerdict::Cached(version) = verdict {
+            found = Some((OriginSource::Cached, version));
+        }
+    }
     log::info!(
         "event=origin request_id={} first_attempt={} service={} outcome={} software={} asked={} \
-         replied={} after_ms={}",
+         replied={} caches={caches} after_ms={}",
         quoted(&job.id),
         quoted(job.headers.first_attempt.as_deref().unwrap_or("-")),
         job.service,
@@ -97,7 +110,8 @@
     );
     match found {
         Some((source, version)) => {
-            let has_begun = matches!(source, OriginSource::Own | OriginSource::Peer);
+            let has_begun =
+                matches!(source, OriginSource::Own | OriginSource::Peer | OriginSource::Cached);
             Ok(StreamStart { version: Some(version), has_begun })
         }
         None => Err(FrontRefusal::not_run("unknown-origin", UNKNOWN_RETRY_MS)),
--- a/ggt-daemon/src/front/origins/mod.rs
+++ b/ggt-daemon/src/front/origins/mod.rs
@@ -2,22 +2,28 @@
 //! daemons, and asked of them.
 //!
 //! Others are told of each stream, also while there is one version only: when a second one joins, the daemon that
-//! would have to tell them may have been lost.
+//! would have to tell them may have been lost. If no daemon knows a stream, the targets' prefix caches decide.
 
+mod cached;
+mod inquiries;
 mod inquiry;
 mod lookup;
 mod tell;
 
-pub use inquiry::InquiryTable;
+pub use inquiries::InquiryTable;
 pub use lookup::StreamStart;
 pub use lookup::find_start;
 pub use tell::run_origins;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
+
+use tokio::task::spawn_local;
 
 use crate::clock::mono_now;
 use crate::front::job::FrontJob;
+use crate::front::origins::cached::answer_cached;
 use crate::front::state::FrontState;
 use crate::front::state::StoreFolder;
 use crate::logging::quoted;
@@ -31,6 +37,8 @@
 use ggt_core::versions::VersionState;
 use ggt_wire::origins::OriginAnswer;
 use ggt_wire::origins::decode_answer;
+use ggt_wire::origins::decode_cache_answer;
+use ggt_wire::origins::decode_cache_question;
 use ggt_wire::origins::decode_origins;
 use ggt_wire::origins::decode_question;
 use ggt_wire::origins::encode_answer;
@@ -91,11 +99,34 @@
     /// Applies another daemon's reply to a question of this one.
     pub fn apply_answer(&self, bytes: &[u8], peer: SocketAddr) {
         match decode_answer(bytes) {
-            Ok(answer) => self.inquiries.apply(peer, &answer),
+            Ok(answer) => self.inquiries.apply(answer.number, peer, Some(answer.reply)),
             Err(e) => log::warn!("event=origin peer={peer} outcome=unreadable cause=\"{e}\""),
         }
     }
 
+    /// Replies to a daemon that asks which targets have a prompt part cached, once they are listed.
+    pub fn answer_cache_question(self: &Rc<Self>, bytes: &[u8], peer: SocketAddr) {
+        match decode_cache_question(bytes) {
+            Ok(question) => {
+                let state = self.clone();
+                spawn_local(async move { answer_cached(&state, question, peer).await });
+            }
+            Err(e) => {
+                log::warn!("event=cache-question peer={peer} outcome=unreadable cause=\"{e}\"")
+            }
+        }
+    }
+
+    /// Applies another daemon's reply to such a question of this one.
+    pub fn apply_cache_answer(&self, bytes: &[u8], peer: SocketAddr) {
+        match decode_cache_answer(bytes) {
+            Ok(answer) => self.cache_inquiries.apply(answer.number, peer, answer.listed),
+            Err(e) => {
+                log::warn!("event=cache-question peer={peer} outcome=unreadable cause=\"{e}\"")
+            }
+        }
+    }
+
     /// Reply to a daemon that asks which version began a stream.
     pub fn origin_reply(&self, key: StreamKey, service: ServiceKey) -> OriginReply {
         let only_version = match self.version_state(service) {
@@ -123,6 +154,7 @@
         for (service, name) in services {
             self.log_version_state(service, name, versions.state(service, memory_ms, now));
         }
+        self.listings.borrow_mut().expire(now);
         let mut origins = self.origins.borrow_mut();
         origins.expire(now);
         // Those that could not be told, as no other daemon was known.
--- a/ggt-daemon/src/front/settings.rs
+++ b/ggt-daemon/src/front/settings.rs
@@ -39,7 +39,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
-    /// Seconds of changes that the store keeps, unless it drops them sooner; 0 if that is not known.
+    /// Seconds of changes that the store keeps, unless it discards them sooner. Accepted for settings files of earlier
+    /// builds, without effect: nothing follows from it, since the store may discard them at any time.
     #[serde(default)]
     pub store_history_s: f64,
     /// The fleet's retry budget for each service.
@@ -113,11 +114,6 @@
         }
     }
 
-    /// Milliseconds of changes that the store keeps, unless it drops them sooner.
-    pub fn store_history_ms(&self) -> u64 {
-        (self.store_history_s * MILLIS_PER_SECOND) as u64
-    }
-
     /// Milliseconds from the acknowledgement of any change until every daemon must know it.
     pub fn change_delay_ms(&self) -> u64 {
         self.config_delay_ms.min(self.leaving_delay_ms).min(self.evacuation_delay_ms)
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -48,6 +48,9 @@
 use ggt_core::store_watch::WatchTiming;
 use ggt_core::targets::TargetKey;
 use ggt_core::targets::TargetPool;
+use ggt_core::versions::ListedPart;
+use ggt_core::versions::ListingTable;
+use ggt_core::versions::OriginReply;
 use ggt_core::versions::OriginTable;
 use ggt_core::versions::ServiceKey;
 use ggt_core::versions::VersionHistory;
@@ -151,7 +154,13 @@
     /// Which version began each stream.
     pub origins: RefCell<OriginTable>,
     /// Questions to other daemons for the origins of streams.
-    pub inquiries: InquiryTable,
+    pub inquiries: InquiryTable<Option<OriginReply>>,
+    /// Questions to other daemons for the targets that have a prompt part cached.
+    pub cache_inquiries: InquiryTable<Vec<ListedPart>>,
+    /// The latest lists of targets' prefix caches.
+    pub listings: RefCell<ListingTable>,
+    /// Notified when a list has arrived or failed.
+    pub list_arrived: Notify,
     /// Notified when streams have begun that other daemons have to be told of.
     pub origins_untold: Notify,
     /// Milliseconds for which a stream, or a version of a service, is kept in mind.
@@ -234,6 +243,9 @@
             version_states: RefCell::default(),
             origins: RefCell::new(OriginTable::new(MAX_ORIGINS)),
             inquiries: InquiryTable::default(),
+            cache_inquiries: InquiryTable::default(),
+            listings: RefCell::default(),
+            list_arrived: Notify::new(),
             origins_untold: Notify::new(),
             stream_memory_ms: Cell::new(MIN_MEMORY_MS),
             shares: RefCell::default(),
--- a/ggt-daemon/src/front/store/past.rs
+++ b/ggt-daemon/src/front/store/past.rs
@@ -1,13 +1,11 @@
 //! Reads the store's history at the start of a daemon, for the versions that targets have had before.
 
 use crate::clock::mono_now;
-use crate::clock::wall_now;
 use crate::front::call::CallError;
 use crate::front::state::FrontState;
 use crate::front::state::StoreFolder;
 use crate::front::store::client::StoreClient;
 use crate::logging::quoted;
-use ggt_core::clock::MonoTime;
 use ggt_core::fleet::WatchRole;
 use ggt_core::store_watch::WatchRequest;
 use ggt_core::store_watch::WatchTiming;
@@ -24,8 +22,6 @@
 /// Number of targets up to which a fleet is taken for one in which every daemon watches the store, before
 /// the other daemons are known.
 const MAX_SMALL_POOL: usize = 100;
-/// Milliseconds by which the history is taken to be shorter than the store states.
-const HISTORY_MARGIN_MS: u64 = 1_000;
 /// Number of failed attempts after which the history is not read.
 const MAX_ATTEMPTS: u32 = 3;
 
@@ -126,30 +122,14 @@
 }
 
 fn record_history(state: &FrontState, history: &StoreHistory) {
-    let span_ms = match history.is_whole {
-        true => u64::MAX,
-        false => state.settings().store_history_ms().saturating_sub(HISTORY_MARGIN_MS),
-    };
-    let now = mono_now();
-    let begins_at = wall_now().as_millis().saturating_sub(span_ms);
     let changes: Vec<_> = history.reply.changes.iter().filter_map(past_change).collect();
-    let listed: Vec<_> = {
-        let pool = state.pool.borrow();
-        let records = pool.iter().map(|(_, target)| &target.record);
-        records.map(|record| (record.id.clone(), record.incarnation)).collect()
-    };
-    let past = PastVersions::review(&changes, &listed, begins_at);
-    if let Some(past) = &past {
-        let since = MonoTime::from_millis(now.as_millis().saturating_sub(span_ms));
-        state.versions.borrow_mut().record_past(past, since, now);
-    }
+    let past = PastVersions::review(&changes);
+    state.versions.borrow_mut().record_past(&past, history.is_whole, mono_now());
     log::info!(
-        "event=past outcome={} whole={} span_ms={} changes={} targets={}",
-        if past.is_some() { "complete" } else { "incomplete" },
+        "event=past outcome={} whole={} changes={}",
+        if past.has_unknown() { "incomplete" } else { "complete" },
         history.is_whole,
-        span_ms.min(now.as_millis()),
         changes.len(),
-        listed.len(),
     );
 }
 
@@ -162,7 +142,6 @@
         Some(Ok(record)) => PastState::Registered {
             service: ServiceKey::named(&record.service),
             version: record.version,
-            born: record.incarnation,
             is_new: item.is_new,
         },
         // An entry that has been unreadable ever since names no target.
--- a/ggt-daemon/src/front/warmup.rs
+++ b/ggt-daemon/src/front/warmup.rs
@@ -4,29 +4,19 @@
 //! restarts at once, each daemon queries the cache lists of some of the engines and shares them
 //! with the others, so that no engine is queried twice.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use rand::Rng;
 use tokio::time::sleep;
-use tokio::time::timeout;
 
 use crate::clock::mono_now;
-use crate::front::call::CallError;
-use crate::front::call::get;
+use crate::front::cache_lists::list_target;
 use crate::front::peers::fetch_prefixes;
-use crate::front::state::CONNECT_TIMEOUT;
 use crate::front::state::FrontState;
 use crate::logging::quoted;
-use crate::upstream::TargetConnection;
 use ggt_core::fleet::MIN_WARM_AGE_MS;
-use ggt_core::ident::stable_hash;
-use ggt_core::prompts::prefix_hash;
-use ggt_core::routing::rendezvous_score;
 use ggt_core::targets::TargetKey;
-use ggt_platform::CACHE_LIST_PATH;
-use ggt_platform::parse_cache_list;
 
 /// Interval between checks for a configuration and targets.
 const READY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -34,8 +24,6 @@
 const PEER_DISCOVERY_DELAY: Duration = Duration::from_millis(300);
 /// Longest pause in milliseconds before busy daemons are queried again.
 const MAX_BUSY_PAUSE_MS: u64 = 1_000;
-/// Timeout of one engine's cache list.
-const LIST_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Loads once which target has which prompt prefixes cached.
 pub async fn run_warmup(state: Rc<FrontState>) {
@@ -50,8 +38,8 @@
         fetched = fetch_view(&state).await;
     }
     if fetched == ViewFetch::Failed && !state.settings().first_start {
-        for (key, address) in assigned_engines(&state) {
-            load_cache_list(&state, key, address).await;
+        for key in assigned_engines(&state) {
+            list_target(&state, key).await;
         }
     }
 }
@@ -98,53 +86,17 @@
     mono_now().millis_since(state.started_at) < MIN_WARM_AGE_MS
 }
 
-/// Engines that this daemon queries; rendezvous hashing assigns each engine to one daemon that is
-/// alive.
-fn assigned_engines(state: &FrontState) -> Vec<(TargetKey, SocketAddr)> {
+/// Engines that this daemon queries; each is assigned to one of the daemons that are alive.
+fn assigned_engines(state: &FrontState) -> Vec<TargetKey> {
     let Some(config) = state.route_config() else { return Vec::new() };
-    let own_address = state.settings().peer;
     let fleet = state.fleet.borrow();
-    let peers: Vec<_> = fleet.alive(mono_now()).map(|peer| peer.digest.address).collect();
-    let score = |daemon: &SocketAddr, location_hash: u64| {
-        rendezvous_score(location_hash, stable_hash(daemon.to_string().as_bytes()), 1.0)
-    };
+    let now = mono_now();
     let pool = state.pool.borrow();
     let engines = pool.iter().filter(|(_, target)| {
         config.service(&target.record.service).is_some_and(|service| service.engine.is_some())
     });
     engines
-        .filter(|(_, target)| {
-            let location_hash = target.location_hash;
-            peers.iter().all(|peer| score(peer, location_hash) < score(&own_address, location_hash))
-        })
-        .map(|(key, target)| (key, target.record.address))
+        .filter(|(_, target)| fleet.lister(target.location_hash, now).is_none())
+        .map(|(key, _)| key)
         .collect()
 }
-
-async fn load_cache_list(state: &FrontState, key: TargetKey, address: SocketAddr) {
-    let call = async {
-        let mut connection = TargetConnection::open(address, CONNECT_TIMEOUT).await?;
-        get(&mut connection, address, CACHE_LIST_PATH).await
-    };
-    let reply = timeout(LIST_TIMEOUT, call).await.unwrap_or(Err(CallError::Timeout));
-    let parts = match reply {
-        Ok(reply) if reply.status == 200 => {
-            parse_cache_list(&reply.body).map_err(|e| e.to_string())
-        }
-        Ok(reply) => Err(format!("status {}", reply.status)),
-        Err(e) => Err(e.to_string()),
-    };
-    match parts {
-        Ok(parts) => {
-            let now = mono_now();
-            let mut pool = state.pool.borrow_mut();
-            for part in &parts {
-                pool.record_listed_prefix(key, prefix_hash(&part.model, part.hash), now);
-            }
-            log::info!("event=warmup source=engine address={address} parts={}", parts.len());
-        }
-        Err(cause) => {
-            log::info!("event=warmup source=engine address={address} cause={}", quoted(&cause));
-        }
-    }
-}
--- a/ggt-testkit/src/front/mod.rs
+++ b/ggt-testkit/src/front/mod.rs
@@ -24,6 +24,7 @@
 
 pub use crate::front::asked_peer::AskedPeer;
 pub use crate::front::links::DaemonLinks;
+pub use crate::front::versions::PartCache;
 pub use crate::front::versions::VersionScript;
 pub use crate::front::versions::versions_in;
 
@@ -36,8 +37,6 @@
 
 /// Deadline that callers send with each request.
 const DEADLINE_MS: u64 = 20_000;
-/// Seconds of changes that the store keeps unless a test makes it drop them.
-const STORE_HISTORY_S: u64 = 20;
 /// Last octet of the address of the daemon with number 0.
 const FIRST_DAEMON_OCTET: usize = 100;
 /// Port for gossip and calls between daemons, the same on each daemon's address.
@@ -289,15 +288,9 @@
             // Only the IP address counts: seeds are contacted at the peer port.
             "seeds": [SocketAddr::new(self.net.ip(octet_of(seed)), 1)],
             "store": store.unwrap_or(own_store),
-            "store_history_s": STORE_HISTORY_S,
             "retries": { "ratio": 0.2, "slack": 50.0, "window_s": 10.0 },
             "grace_s": 8.0,
         });
-        if older_program(number).is_some()
-            && let Some(fields) = settings.as_object_mut()
-        {
-            fields.remove("store_history_s");
-        }
         merge(&mut settings, &self.settings);
         let file = self.folder.join(format!("d-{number}.json"));
         std::fs::write(&file, settings.to_string()).expect("should write the settings file");
--- /dev/null
+++ b/ggt-testkit/tests/platform_all_lost.rs
@@ -0,0 +1,173 @@
+//! All daemons are killed at once: no daemon knows which version began the streams that callers take up then. The
+//! servers' prefix caches show it.
+
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use serde_json::Value;
+use serde_json::json;
+
+use ggt_platform::TARGET_PREFIX;
+use ggt_standin::users_platform::ServerStandin;
+use ggt_standin::users_platform::test_config;
+use ggt_testkit::front::FrontFleet;
+use ggt_testkit::front::PartCache;
+use ggt_testkit::front::VersionScript;
+use ggt_testkit::front::await_ready;
+use ggt_testkit::front::versions_in;
+use ggt_testkit::http::HttpResponse;
+
+const OLD: &str = "v1";
+const NEW: &str = "v2";
+const DAEMONS: usize = 3;
+/// Events of each stream.
+const EVENTS: u64 = 12;
+/// The last event that a caller has of a stream that it takes up.
+const LAST_EVENT: u64 = 5;
+/// Streams of each case.
+const STREAMS: usize = 24;
+/// Tokens that a server generates for a stream.
+const GENERATED_TOKENS: u64 = 35;
+/// Milliseconds for which the servers have run before: longer than any stream.
+const SERVER_AGE_MS: u128 = 60_000;
+/// Timeout of all routes.
+const TIMEOUT_MS: u64 = 12_000;
+/// Pause of a caller between two attempts.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// The test configuration with streams that are shorter than the history that the store usually keeps.
+fn config() -> Value {
+    let mut config = test_config(2);
+    let routes = config["Routes"].as_array_mut().into_iter().flatten();
+    routes.for_each(|route| route["TimeoutMs"] = json!(TIMEOUT_MS));
+    config
+}
+
+/// A fleet whose servers have these versions.
+fn start(versions: &[&'static str]) -> FrontFleet {
+    let mut fleet = FrontFleet::start_with(0, 0, json!({ "store_history_s": 20 }));
+    fleet.publish(&config());
+    for (number, version) in versions.iter().enumerate() {
+        fleet.add_unregistered_server(&format!("i-{number}"));
+        set_script(&fleet.servers[number], version);
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("clock is set").as_millis();
+        let entry = fleet.servers[number].registration("s", "a", "ready");
+        let born = format!(r#""born":{}"#, now - SERVER_AGE_MS);
+        let key = format!("{TARGET_PREFIX}{}", fleet.servers[number].id());
+        fleet.store.put(&key, &entry.replace(r#""born":1"#, &born));
+    }
+    (0..DAEMONS).for_each(|number| fleet.add_daemon(number, None));
+    fleet.daemons.iter().for_each(await_ready);
+    fleet
+}
+
+/// Makes a server keep the parts of prompts, and send whole streams.
+fn set_script(server: &ServerStandin, version: &'static str) {
+    let script = VersionScript { version, events: 1..=EVENTS, is_cut: false };
+    let parts = PartCache::default();
+    server.set_version(version);
+    server.set_script(move |request, stream| {
+        let list = parts.serve(request, stream, GENERATED_TOKENS);
+        list.unwrap_or_else(|| script.send(request, stream))
+    });
+}
+
+/// Sends an attempt of the stream with this number; `last` is the last event that the caller has.
+fn attempt(
+    fleet: &FrontFleet,
+    daemon: usize,
+    id: &str,
+    stream: usize,
+    last: Option<u64>,
+) -> HttpResponse {
+    let prompt = format!("a{}:600,b{stream}:700", stream % 4);
+    let request = fleet.request(daemon, "POST", "/chat/", id);
+    let request = request.header("x-model", "m").header("x-token-count", "1300,84");
+    let mut request = request.header("x-prompt-prefix", &prompt);
+    if let Some(last) = last {
+        request = request.header("last-event-id", &last.to_string());
+        request = request.header("resumes", &format!("first-{stream}"));
+    }
+    request.body("x").send().expect("should respond")
+}
+
+/// Begins all streams; returns the version of each.
+fn begin_streams(fleet: &FrontFleet) -> Vec<String> {
+    let begin_one = |number: usize| {
+        let response = attempt(fleet, number % DAEMONS, &format!("first-{number}"), number, None);
+        let versions = versions_in(&response.body);
+        assert_eq!(versions.len(), 1, "{}", response.body);
+        versions.into_iter().next().unwrap_or_default().to_owned()
+    };
+    (0..STREAMS).map(begin_one).collect()
+}
+
+/// Kills all daemons and starts them again.
+fn lose_all(fleet: &mut FrontFleet) {
+    (0..DAEMONS).for_each(|daemon| fleet.daemons[daemon].process.kill());
+    (0..DAEMONS).for_each(|daemon| fleet.restart_without_waiting(daemon));
+    fleet.daemons.iter().for_each(await_ready);
+}
+
+/// Takes all streams up after `LAST_EVENT`, a few times if they are refused; returns the responses.
+fn take_up(fleet: &FrontFleet) -> Vec<HttpResponse> {
+    let take_up_one = |number: usize| {
+        let mut response = None;
+        for turn in 0..5 {
+            let id = format!("next-{number}-{turn}");
+            let daemon = (number + turn) % DAEMONS;
+            let next = attempt(fleet, daemon, &id, number, Some(LAST_EVENT));
+            let is_refused = next.status == 503;
+            assert!(!is_refused || fleet.request_count(&id) == 0, "{id}");
+            response = Some(next);
+            if !is_refused {
+                break;
+            }
+            std::thread::sleep(RETRY_PAUSE);
+        }
+        response.expect("an attempt")
+    };
+    (0..STREAMS).map(take_up_one).collect()
+}
+
+/// Removes the registrations of the servers of the old version, and stops them.
+fn end_old_servers(fleet: &FrontFleet) {
+    let old = fleet.servers.iter().filter(|server| server.version() == OLD);
+    for server in old {
+        fleet.remove_registration(&server.id());
+        server.crash();
+    }
+}
+
+// Guards against streams joined from two versions: the servers of one left, the store discarded that early, and all
+// daemons were killed. What is left of the history named one version only.
+#[test]
+fn streams_of_a_version_that_left_are_refused_after_the_history_of_that_is_lost() {
+    let mut fleet = start(&[OLD, NEW, OLD, NEW]);
+    let versions = begin_streams(&fleet);
+    assert!(versions.iter().any(|version| version == OLD));
+    end_old_servers(&fleet);
+    fleet.store.compact();
+    lose_all(&mut fleet);
+    for (version, response) in versions.iter().zip(take_up(&fleet)) {
+        match version.as_str() {
+            OLD => assert_eq!(response.status, 503, "{}", response.body),
+            _ => assert_eq!(versions_in(&response.body).into_iter().collect::<Vec<_>>(), [NEW]),
+        }
+    }
+}
+
+// Guards against streams that are refused after all daemons were killed, since the history of a store that runs for
+// long is never whole: all servers have one version, and hold the streams' prompts.
+#[test]
+fn streams_go_on_after_the_loss_of_all_daemons_if_there_is_one_version() {
+    let mut fleet = start(&[OLD; 4]);
+    begin_streams(&fleet);
+    fleet.store.compact();
+    lose_all(&mut fleet);
+    for response in take_up(&fleet) {
+        assert_eq!(response.status, 200, "{}", response.body);
+        assert!(response.is_complete);
+    }
+}
