fix: streams go on after the loss of all daemons while several versions serve

Callers that took up their streams after all daemons had been killed were refused (unknown-origin) at every machine, while new streams began there.

Cause: which version began a stream was kept by daemons only (asked=2 replied=2 in event=origin, and no daemon had heard of a stream). The targets know it as well: their prefix caches hold the prompt's own part where the stream ran. The question of the commit before now also decides among several versions: all targets of the other versions have to be listed without the part, and once one of these has ended or gives no list, the part's version needs tokens that were generated after the part. Ended targets come from registrations that were removed or taken over, and from the store's history; a list that names another start than the registration does not count.

Tests: streams_go_on_after_the_loss_of_all_daemons_while_two_versions_serve fails on the commit before (503, 200 expected). cached_origins draws 20,000 histories of a session over targets that end, start anew, evict and are listed or not: none at another version, and over nine in ten go on where their target is left.

--- a/ggt-core/src/targets/registrations.rs
+++ b/ggt-core/src/targets/registrations.rs
@@ -31,6 +31,12 @@
         known.max(departed).is_some_and(|latest| record.incarnation < latest)
     }
 
+    /// The registration of the present incarnation of the target with this id.
+    pub fn record_of(&self, id: &str) -> Option<&TargetRecord> {
+        let key = self.by_id.get(id)?;
+        self.targets.get(*key).map(|state| &state.record)
+    }
+
     /// Stores a registration, unless it is outdated; `true` when it is a new incarnation or begins to leave.
     pub fn put(&mut self, mut record: TargetRecord) -> bool {
         if self.is_outdated(&record) {
@@ -96,21 +102,19 @@
         }
     }
 
-    /// Removes the targets whose time of removal has come, and returns their keys and ids.
-    pub fn expire(&mut self, now: MonoTime) -> Vec<(TargetKey, String)> {
+    /// Removes the targets whose time of removal has come, and returns their keys and registrations.
+    pub fn expire(&mut self, now: MonoTime) -> Vec<(TargetKey, TargetRecord)> {
         let is_due =
             |state: &TargetState| state.remove_at.is_some_and(|remove_at| remove_at <= now);
         let removed = self.targets.iter().filter(|(_, state)| is_due(state));
-        let removed: Vec<_> = removed.map(|(key, state)| (key, state.record.id.clone())).collect();
-        for (key, id) in &removed {
-            if let Some(record) = self.targets.get(*key).map(|state| &state.record) {
-                let departed = DepartedTarget {
-                    incarnation: record.incarnation,
-                    has_announced: record.is_leaving,
-                    expires_at: now + DEPARTED_TTL_MS,
-                };
-                self.departed.insert(id.clone(), departed);
-            }
+        let removed: Vec<_> = removed.map(|(key, state)| (key, state.record.clone())).collect();
+        for (key, record) in &removed {
+            let departed = DepartedTarget {
+                incarnation: record.incarnation,
+                has_announced: record.is_leaving,
+                expires_at: now + DEPARTED_TTL_MS,
+            };
+            self.departed.insert(record.id.clone(), departed);
             self.remove(*key);
         }
         self.departed.retain(|_, target| now < target.expires_at);
--- a/ggt-core/src/versions/history.rs
+++ b/ggt-core/src/versions/history.rs
@@ -39,6 +39,10 @@
 pub struct VersionHistory {
     /// For each version, when a target with it was last listed.
     services: HashMap<ServiceKey, BTreeMap<SoftwareVersion, MonoTime>>,
+    /// For each version, when a target with it was last found to have ended.
+    departures: HashMap<ServiceKey, BTreeMap<SoftwareVersion, MonoTime>>,
+    /// When a target of unknown version was last found to have ended.
+    unknown_departure_at: Option<MonoTime>,
     /// Since when this daemon has had a current view of the registrations without a gap.
     current_since: Option<MonoTime>,
     /// Since when this daemon knows the versions, apart from gaps in its view.
@@ -58,6 +62,12 @@
         for (service, version) in past.versions() {
             self.record_target(*service, *version, now);
         }
+        for (service, version) in past.departures() {
+            self.record_departure(*service, *version, now);
+        }
+        if past.has_unknown() {
+            self.unknown_departure_at = Some(now);
+        }
         if is_whole && !past.has_unknown() {
             self.current_since = Some(MonoTime::default());
             self.known_since = self.current_since;
@@ -95,6 +105,30 @@
         self.services.entry(service).or_default().insert(version, now);
     }
 
+    /// Records that a target of a service has ended, or started anew.
+    pub fn record_departure(
+        &mut self,
+        service: ServiceKey,
+        version: SoftwareVersion,
+        now: MonoTime,
+    ) {
+        self.departures.entry(service).or_default().insert(version, now);
+    }
+
+    /// Whether a target of another version than this, or of an unknown one, has ended within the last `memory_ms`,
+    /// with what it had cached.
+    pub fn has_lost_other(
+        &self,
+        service: ServiceKey,
+        version: SoftwareVersion,
+        memory_ms: u64,
+        now: MonoTime,
+    ) -> bool {
+        let departures = self.departures.get(&service).into_iter().flatten();
+        let others = departures.filter(|(other, _)| **other != version).map(|(_, at)| *at);
+        others.chain(self.unknown_departure_at).any(|departed_at| now <= departed_at + memory_ms)
+    }
+
     /// The versions that may have begun a stream within the last `memory_ms`.
     pub fn state(&self, service: ServiceKey, memory_ms: u64, now: MonoTime) -> VersionState {
         let versions = self.services.get(&service).into_iter().flatten();
@@ -118,11 +152,13 @@
         self.services.keys().any(is_open)
     }
 
-    /// Drops versions that no target has had for `memory_ms`.
+    /// Drops versions that no target has had for `memory_ms`, and departures that are older.
     pub fn expire(&mut self, memory_ms: u64, now: MonoTime) {
-        for versions in self.services.values_mut() {
-            versions.retain(|_, listed_at| now <= *listed_at + memory_ms);
+        for services in [&mut self.services, &mut self.departures] {
+            for versions in services.values_mut() {
+                versions.retain(|_, seen_at| now <= *seen_at + memory_ms);
+            }
+            services.retain(|_, versions| !versions.is_empty());
         }
-        self.services.retain(|_, versions| !versions.is_empty());
     }
 }
--- a/ggt-core/src/versions/past.rs
+++ b/ggt-core/src/versions/past.rs
@@ -1,6 +1,6 @@
 //! Which versions the targets had before this daemon started, from the store's history of their entries.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
 use crate::versions::ServiceKey;
 use crate::versions::SoftwareVersion;
@@ -23,6 +23,8 @@
         service: ServiceKey,
         /// Version of its software.
         version: SoftwareVersion,
+        /// Unix time in milliseconds at which the target started.
+        born: u64,
         /// Whether this change created the entry.
         is_new: bool,
     },
@@ -32,30 +34,38 @@
     Removed,
 }
 
-/// The versions of targets that the store's history names.
+/// The versions of targets that the store's history names, and of those that have ended.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PastVersions {
     versions: Vec<(ServiceKey, SoftwareVersion)>,
+    departures: Vec<(ServiceKey, SoftwareVersion)>,
     has_unknown: bool,
 }
 
 impl PastVersions {
-    /// The versions that these changes name.
+    /// The versions that these changes name. What a target's entry said before them matters only if the target has
+    /// started since the Unix time `begins_at` in milliseconds, or has ended.
     ///
     /// They are all that there have been only if the history is whole: the store may have discarded the changes before
     /// these at any time, and nothing in the others shows when.
-    pub fn review(changes: &[PastChange]) -> Self {
-        let mut known = BTreeSet::new();
+    pub fn review(changes: &[PastChange], begins_at: u64) -> Self {
+        let mut known = BTreeMap::new();
         let mut past = Self::default();
         for change in changes {
             let id = change.target_id.as_str();
             match change.state {
-                PastState::Registered { service, version, is_new } => {
-                    past.has_unknown |= !is_new && !known.contains(id);
-                    known.insert(id);
+                PastState::Registered { service, version, born, is_new } => {
+                    let before = known.insert(id, (service, version, born));
+                    past.has_unknown |= !is_new && before.is_none() && born >= begins_at;
                     past.versions.push((service, version));
+                    let replaced = before.filter(|(_, _, born_before)| *born_before != born);
+                    past.departures
+                        .extend(replaced.map(|(service, version, _)| (service, version)));
                 }
-                PastState::Removed => past.has_unknown |= !known.contains(id),
+                PastState::Removed => match known.remove(id) {
+                    Some((service, version, _)) => past.departures.push((service, version)),
+                    None => past.has_unknown = true,
+                },
                 PastState::Unreadable => past.has_unknown = true,
             }
         }
@@ -67,6 +77,11 @@
         &self.versions
     }
 
+    /// The versions of targets that have ended or started anew.
+    pub fn departures(&self) -> &[(ServiceKey, SoftwareVersion)] {
+        &self.departures
+    }
+
     /// Whether an entry had other content before these changes, which they do not show.
     pub const fn has_unknown(&self) -> bool {
         self.has_unknown
--- a/ggt-core/tests/cached_origins.rs
+++ b/ggt-core/tests/cached_origins.rs
@@ -1,5 +1,11 @@
 //! Which version began a stream that no daemon knows: what the targets' prefix caches show.
 
+use std::collections::BTreeSet;
+
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+
 use ggt_core::clock::MonoTime;
 use ggt_core::prompts::PrefixChain;
 use ggt_core::prompts::PromptPart;
@@ -58,6 +64,197 @@
     assert_eq!(judge(&[], &[]), CacheVerdict::Nowhere);
 }
 
+// Guards against a session that was at another version before: its part is cached there, too.
+#[test]
+fn stream_of_a_session_at_two_versions_goes_on_only_if_its_part_has_grown() {
+    assert_eq!(judge(&[0, 1], &[TOKENS, TOKENS]), CacheVerdict::Ambiguous);
+    assert_eq!(judge(&[0, 1], &[TOKENS - 1, TOKENS]), CacheVerdict::Cached(version(1)));
+    assert_eq!(judge(&[0, 1, 2], &[0, 0, TOKENS + 9]), CacheVerdict::Cached(version(2)));
+}
+
+// Guards against a target that is left out since it was not asked, or did not reply.
+#[test]
+fn stream_is_refused_until_all_targets_of_other_versions_are_listed() {
+    let judge_first =
+        |targets: &[OriginTarget]| judge_cached(TOKENS, targets, &listed(&[TOKENS]), |_| false);
+    assert_eq!(judge_first(&targets(&[0, 0])), CacheVerdict::Cached(version(0)));
+    let mut others = targets(&[0, 1]);
+    assert_eq!(judge_first(&others), CacheVerdict::Unlisted);
+    others[1].is_gone = true;
+    assert_eq!(judge_first(&others), CacheVerdict::Departed);
+}
+
+// Guards against a part from before that is taken for the stream's, once the target that ran it has ended: only
+// what was generated after the part shows that its stream ran there.
+#[test]
+fn stream_goes_on_after_the_end_of_other_targets_only_where_it_has_generated() {
+    let judge_after = |tokens, departed: usize| {
+        let has_lost_other = |version_found| version_found != version(departed);
+        judge_cached(TOKENS, &targets(&[0, 1]), &listed(&[0, tokens]), has_lost_other)
+    };
+    assert_eq!(judge_after(TOKENS, 0), CacheVerdict::Departed);
+    assert_eq!(judge_after(TOKENS + 1, 0), CacheVerdict::Cached(version(1)));
+    assert_eq!(judge_after(TOKENS, 1), CacheVerdict::Cached(version(1)));
+}
+
+/// A target in a drawn history.
+#[derive(Clone, Copy, Debug)]
+struct DrawnTarget {
+    version: usize,
+    has_ended: bool,
+    /// Whether the platform still lists it.
+    is_listed: bool,
+    /// Tokens that it keeps of the session's part and what it has generated after it.
+    kept: u32,
+}
+
+/// A session that goes from target to target, while targets end and start.
+///
+/// A request after a reply includes it, so it states more tokens than any target keeps. One that is repeated, since no
+/// event of it has arrived, states as many as before.
+#[derive(Clone, Debug)]
+struct DrawnHistory {
+    targets: Vec<DrawnTarget>,
+    /// Versions of the targets that have ended.
+    departed: BTreeSet<usize>,
+    /// Tokens of the part in the last request.
+    tokens: u32,
+    /// The target that began the last stream.
+    origin: Option<usize>,
+    /// Whether the last request states as many tokens as one before.
+    is_repeated: bool,
+}
+
+impl DrawnHistory {
+    fn new(versions: [usize; 6]) -> Self {
+        let target = |version| DrawnTarget { version, has_ended: false, is_listed: true, kept: 0 };
+        Self {
+            targets: versions.map(target).to_vec(),
+            departed: BTreeSet::new(),
+            tokens: TOKENS,
+            origin: None,
+            is_repeated: false,
+        }
+    }
+
+    fn play(&mut self, step: u32) {
+        let number = (step / 16) as usize % self.targets.len();
+        let amount = 1 + step / 1_024 % 50;
+        if self.targets[number].has_ended {
+            return;
+        }
+        match step % 16 {
+            // A request that fails after its prompt was read, and is repeated.
+            0..=3 if self.origin.is_none() => {
+                let kept = self.tokens - amount % 2 * amount;
+                self.targets[number].kept = self.targets[number].kept.max(kept);
+                self.is_repeated = true;
+            }
+            // A request whose stream begins.
+            0..=9 => {
+                if self.origin.is_some() {
+                    let most = self.targets.iter().map(|target| target.kept).max();
+                    self.tokens = self.tokens.max(most.unwrap_or(0)) + amount;
+                    self.is_repeated = false;
+                }
+                self.targets[number].kept = self.tokens + amount;
+                self.origin = Some(number);
+            }
+            10 | 11 => self.end(number, step.is_multiple_of(2)),
+            // It starts anew, perhaps with another version.
+            12 | 13 => {
+                let version = (self.targets[number].version + amount as usize % 2) % 3;
+                self.end(number, false);
+                let started = DrawnTarget { version, has_ended: false, is_listed: true, kept: 0 };
+                self.targets.push(started);
+            }
+            // The part is evicted, unless it is the last that was used.
+            _ if self.origin != Some(number) => self.targets[number].kept = 0,
+            _ => {}
+        }
+    }
+
+    fn end(&mut self, number: usize, is_listed: bool) {
+        let target = &mut self.targets[number];
+        *target = DrawnTarget { has_ended: true, kept: 0, is_listed, ..*target };
+        self.departed.insert(target.version);
+    }
+
+    /// The verdict on the last stream; the bits of `lists` say which targets are listed, `is_forgotten` whether the
+    /// history of those that have ended is lost.
+    fn judge(&self, lists: u32, is_forgotten: bool) -> CacheVerdict {
+        let numbered = || self.targets.iter().enumerate().filter(|(_, target)| target.is_listed);
+        let targets: Vec<_> = numbered()
+            .map(|(number, target)| OriginTarget {
+                hash: number as u32,
+                version: version(target.version),
+                is_gone: target.has_ended,
+            })
+            .collect();
+        let listed = numbered().filter_map(|(number, target)| match lists >> (2 * number) & 3 {
+            0 => None,
+            1 if number % 3 == 0 => Some(ListedPart { target: number as u32, tokens: None }),
+            _ if target.has_ended => None,
+            _ => Some(ListedPart { target: number as u32, tokens: Some(target.kept) }),
+        });
+        let listed: Vec<_> = listed.collect();
+        let has_departed = |found| {
+            !is_forgotten && self.departed.iter().any(|departed| version(*departed) != found)
+        };
+        judge_cached(self.tokens, &targets, &listed, has_departed)
+    }
+}
+
+/// Seed of the drawn histories.
+const SEED: u64 = 20_261_207;
+const CASES: u64 = 20_000;
+const MAX_STEPS: usize = 24;
+
+fn play(steps: &[u32]) -> DrawnHistory {
+    let mut history = DrawnHistory::new([0, 0, 0, 1, 1, 2]);
+    steps.iter().for_each(|step| history.play(*step));
+    history
+}
+
+// Guards against a stream that goes on at another version than the one that began it, whatever the targets hold,
+// which of them ended and which were listed.
+#[test]
+fn no_stream_of_a_drawn_history_goes_on_at_another_version() {
+    fn property(steps: Vec<u32>, lists: u32, is_forgotten: bool) -> bool {
+        let history = play(&steps);
+        let Some(origin) = history.origin else { return true };
+        // A part that was sent twice, and is left where it did not run, is not told from the stream's own.
+        if is_forgotten && history.is_repeated {
+            return true;
+        }
+        match history.judge(lists, is_forgotten) {
+            CacheVerdict::Cached(found) => found == version(history.targets[origin].version),
+            _ => true,
+        }
+    }
+    let generator = Gen::from_size_and_seed(MAX_STEPS, SEED);
+    let mut check = QuickCheck::new().rng(generator).tests(CASES).max_tests(CASES);
+    check.quickcheck(property as fn(Vec<u32>, u32, bool) -> bool);
+}
+
+// Guards against histories of which nearly all streams are refused, so that the check above shows nothing.
+#[test]
+fn most_streams_whose_target_is_left_go_on_if_all_targets_are_listed() {
+    let mut generator = Gen::from_size_and_seed(MAX_STEPS, SEED);
+    let (mut left, mut went_on) = (0, 0);
+    for _ in 0..2_000 {
+        let history = play(&Vec::<u32>::arbitrary(&mut generator));
+        let Some(origin) = history.origin.filter(|origin| !history.targets[*origin].has_ended)
+        else {
+            continue;
+        };
+        left += 1;
+        let expected = CacheVerdict::Cached(version(history.targets[origin].version));
+        went_on += usize::from(history.judge(0xaaaa_aaaa, false) == expected);
+    }
+    assert!(left > 500 && 10 * went_on > 9 * left, "{went_on} of {left}");
+}
+
 // Guards against a list that is taken for a current one although a stream may have begun since.
 #[test]
 fn list_counts_for_a_short_time_and_is_requested_once() {
--- a/ggt-core/tests/versions.rs
+++ b/ggt-core/tests/versions.rs
@@ -192,9 +192,14 @@
     assert_ne!(StreamKey::new("c", "1s", "a"), StreamKey::new("c1", "s", "a"));
 }
 
-/// A change of the entry of a target.
-fn past_change(id: &str, version: SoftwareVersion, is_new: bool) -> PastChange {
-    let state = PastState::Registered { service: service(), version, is_new };
+/// Unix time in milliseconds of the start of a target that ran before any stream that is still taken up.
+const LONG_AGO: u64 = 50_000;
+/// Unix time in milliseconds since which such streams may have begun.
+const BEGINS_AT: u64 = 100_000;
+
+/// A change of the entry of a target that started at this Unix time.
+fn past_change(id: &str, version: SoftwareVersion, born: u64, is_new: bool) -> PastChange {
+    let state = PastState::Registered { service: service(), version, born, is_new };
     PastChange { target_id: id.to_owned(), state }
 }
 
@@ -205,12 +210,15 @@
 // Guards against a service that counts as having had one version, as that of targets that have left is not read.
 #[test]
 fn history_shows_versions_that_have_left() {
-    let changes =
-        [past_change("i-1", old(), true), past_removal("i-1"), past_change("i-2", new(), true)];
+    let changes = [
+        past_change("i-1", old(), LONG_AGO, true),
+        past_removal("i-1"),
+        past_change("i-2", new(), LONG_AGO, true),
+    ];
     for is_whole in [true, false] {
         let mut history = VersionHistory::default();
         history.record_target(service(), new(), at(20_000));
-        history.record_past(&PastVersions::review(&changes), is_whole, at(20_000));
+        history.record_past(&PastVersions::review(&changes, BEGINS_AT), is_whole, at(20_000));
         assert_eq!(
             history.state(service(), MEMORY_MS, at(20_000)),
             VersionState::Open { listed: None }
@@ -222,7 +230,7 @@
 // Guards against streams that are refused after a restart although there has been one version only.
 #[test]
 fn whole_history_of_one_version_shows_that_there_has_been_no_other() {
-    let past = PastVersions::review(&[past_change("i-1", old(), true)]);
+    let past = PastVersions::review(&[past_change("i-1", old(), LONG_AGO, true)], BEGINS_AT);
     let mut history = VersionHistory::default();
     history.record_view(true, at(40_000));
     history.record_target(service(), old(), at(40_000));
@@ -237,11 +245,11 @@
 // entries that are left do not show which versions were there before.
 #[test]
 fn history_that_is_not_whole_proves_no_single_version() {
-    for changes in [vec![], vec![past_change("i-1", old(), true)]] {
+    for changes in [vec![], vec![past_change("i-1", old(), LONG_AGO, true)]] {
         let mut history = VersionHistory::default();
         history.record_view(true, at(40_000));
         history.record_target(service(), old(), at(40_000));
-        history.record_past(&PastVersions::review(&changes), false, at(40_000));
+        history.record_past(&PastVersions::review(&changes, BEGINS_AT), false, at(40_000));
         let open = VersionState::Open { listed: Some(old()) };
         assert_eq!(history.state(service(), MEMORY_MS, at(40_000)), open);
         assert_eq!(history.only_seen(service(), MEMORY_MS, at(40_000)), None);
@@ -252,8 +260,8 @@
 #[test]
 fn history_with_entries_of_unknown_content_proves_no_single_version() {
     let unreadable = PastChange { target_id: "i-2".to_owned(), state: PastState::Unreadable };
-    for change in [past_removal("i-9"), past_change("i-1", old(), false), unreadable] {
-        let past = PastVersions::review(&[change]);
+    for change in [past_removal("i-9"), past_change("i-1", old(), BEGINS_AT, false), unreadable] {
+        let past = PastVersions::review(&[change], BEGINS_AT);
         assert!(past.has_unknown());
         let mut history = VersionHistory::default();
         history.record_view(true, at(40_000));
@@ -262,8 +270,33 @@
         let open = VersionState::Open { listed: Some(old()) };
         assert_eq!(history.state(service(), MEMORY_MS, at(40_000)), open);
     }
-    let named = [past_change("i-1", old(), true), past_removal("i-1")];
-    assert!(!PastVersions::review(&named).has_unknown());
+    let named = [past_change("i-1", old(), LONG_AGO, true), past_removal("i-1")];
+    assert!(!PastVersions::review(&named, BEGINS_AT).has_unknown());
+}
+
+// Guards against a cached part that is taken for the one of a stream whose target has ended with its cache.
+#[test]
+fn targets_that_have_ended_are_known_for_as_long_as_their_streams_last() {
+    let unknown = SoftwareVersion::named("v9");
+    let lost = |changes: &[PastChange], version| {
+        let mut history = VersionHistory::default();
+        history.record_past(&PastVersions::review(changes, BEGINS_AT), false, at(0));
+        let at_end = history.has_lost_other(service(), version, MEMORY_MS, at(MEMORY_MS));
+        history.expire(MEMORY_MS, at(MEMORY_MS + 1));
+        assert!(!history.has_lost_other(service(), version, MEMORY_MS, at(MEMORY_MS + 1)));
+        at_end
+    };
+    let left = [past_change("i-1", old(), LONG_AGO, true), past_removal("i-1")];
+    assert!(lost(&left, new()) && !lost(&left, old()));
+    let restarted =
+        [past_change("i-1", old(), LONG_AGO, true), past_change("i-1", new(), BEGINS_AT, false)];
+    assert!(lost(&restarted, new()) && !lost(&restarted, old()));
+    // The entry of a target that has run for long has only changed its state.
+    let drains = [past_change("i-1", old(), LONG_AGO, false)];
+    assert!(!lost(&drains, new()));
+    for change in [past_removal("i-1"), past_change("i-1", old(), BEGINS_AT, false)] {
+        assert!(lost(&[change], unknown));
+    }
 }
 
 fn knows(version: SoftwareVersion) -> OriginReply {
--- a/ggt-daemon/src/front/cache_lists.rs
+++ b/ggt-daemon/src/front/cache_lists.rs
@@ -17,6 +17,7 @@
 use ggt_core::clock::MonoTime;
 use ggt_core::prompts::prefix_hash;
 use ggt_core::targets::TargetKey;
+use ggt_core::targets::TargetRecord;
 use ggt_core::versions::CachedTokens;
 use ggt_core::versions::LIST_WAIT_MS;
 use ggt_core::versions::ListedPart;
@@ -71,6 +72,7 @@
     key: TargetKey,
     hash: u32,
     address: SocketAddr,
+    incarnation: u64,
     requested_at: MonoTime,
 }
 
@@ -81,14 +83,14 @@
         let target = pool.target(key)?;
         let requested_at = mono_now();
         let is_due = state.listings.borrow_mut().begin(target.short_hash, requested_at);
-        let (hash, address) = (target.short_hash, target.record.address);
-        is_due.then_some(Self { key, hash, address, requested_at })
+        let TargetRecord { address, incarnation, .. } = target.record;
+        is_due.then_some(Self { key, hash: target.short_hash, address, incarnation, requested_at })
     }
 
     /// Requests the list, and records what it holds.
     async fn finish(self, state: &FrontState) {
-        let Self { key, hash, address, requested_at } = self;
-        let listed = fetch_list(address).await;
+        let Self { key, hash, address, incarnation, requested_at } = self;
+        let listed = fetch_list(address, incarnation).await;
         let after_ms = mono_now().millis_since(requested_at);
         match listed {
             Ok(parts) => {
@@ -106,7 +108,8 @@
     }
 }
 
-async fn fetch_list(address: SocketAddr) -> Result<Vec<CachedTokens>, String> {
+/// The list of the target at this address, if that is the incarnation that it is taken for.
+async fn fetch_list(address: SocketAddr, incarnation: u64) -> Result<Vec<CachedTokens>, String> {
     let call = async {
         let mut connection = TargetConnection::open(address, CONNECT_TIMEOUT).await?;
         get(&mut connection, address, CACHE_LIST_PATH).await
@@ -116,8 +119,11 @@
     if reply.status != 200 {
         return Err(format!("status {}", reply.status));
     }
-    let parts = parse_cache_list(&reply.body).map_err(|e| e.to_string())?;
-    let cached = parts.iter().map(|part| CachedTokens {
+    let list = parse_cache_list(&reply.body).map_err(|e| e.to_string())?;
+    if list.born.is_some_and(|born| born != incarnation) {
+        return Err("another incarnation".to_owned());
+    }
+    let cached = list.parts.iter().map(|part| CachedTokens {
         prefix: prefix_hash(&part.model, part.hash),
         tokens: part.tokens,
     });
--- a/ggt-daemon/src/front/changes.rs
+++ b/ggt-daemon/src/front/changes.rs
@@ -101,6 +101,9 @@
             (record.is_leaving, record.version, record.cold_start);
         let service = ServiceKey::named(&record.service);
         self.versions.borrow_mut().record_target(service, version, mono_now());
+        let before = self.pool.borrow().record_of(&id).cloned();
+        let replaced = before.filter(|before| before.incarnation < record.incarnation);
+        replaced.iter().for_each(|before| self.record_departure(before));
         let ended = self.pool.borrow().ended_by(&record);
         ended.iter().for_each(|crash| self.record_target_end(*crash, "replaced"));
         let has_changed = self.pool.borrow_mut().put(record);
--- a/ggt-daemon/src/front/origins/cached.rs
+++ b/ggt-daemon/src/front/origins/cached.rs
@@ -24,6 +24,7 @@
 use ggt_core::versions::CacheVerdict;
 use ggt_core::versions::ListedPart;
 use ggt_core::versions::OriginTarget;
+use ggt_core::versions::ServiceKey;
 use ggt_core::versions::judge_cached;
 use ggt_wire::origins::CacheAnswer;
 use ggt_wire::origins::CacheQuestion;
@@ -42,11 +43,11 @@
         return CacheVerdict::NoPart;
     };
     let targets = origin_targets(state, &job.service);
-    if targets.windows(2).any(|pair| pair[0].version != pair[1].version) {
-        return CacheVerdict::Ambiguous;
-    }
     let listed = ask_listers(state, &targets, part.hash).await;
-    let has_departed = |_| false;
+    let service = ServiceKey::named(&job.service);
+    let memory_ms = state.stream_memory_ms.get();
+    let has_departed =
+        |version| state.versions.borrow().has_lost_other(service, version, memory_ms, mono_now());
     judge_cached(part.tokens, &targets, &listed, has_departed)
 }
 
--- a/ggt-daemon/src/front/origins/mod.rs
+++ b/ggt-daemon/src/front/origins/mod.rs
@@ -29,6 +29,7 @@
 use crate::logging::quoted;
 use ggt_core::clock::MonoTime;
 use ggt_core::fleet::OriginCandidate;
+use ggt_core::targets::TargetRecord;
 use ggt_core::versions::OriginReply;
 use ggt_core::versions::ServiceKey;
 use ggt_core::versions::SoftwareVersion;
@@ -64,6 +65,12 @@
         self.origins_untold.notify_one();
     }
 
+    /// Records that an incarnation of a target has ended.
+    pub fn record_departure(&self, record: &TargetRecord) {
+        let service = ServiceKey::named(&record.service);
+        self.versions.borrow_mut().record_departure(service, record.version, mono_now());
+    }
+
     /// Applies a datagram of another daemon with origins of streams.
     pub fn apply_origins(&self, bytes: &[u8]) {
         let expires_at = mono_now() + self.stream_memory_ms.get();
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -391,9 +391,11 @@
     /// Removes expired targets, peers, connections and crash suspicions.
     pub fn expire(&self) {
         let now = mono_now();
-        for (key, id) in self.pool.borrow_mut().expire(now) {
+        let removed = self.pool.borrow_mut().expire(now);
+        for (key, record) in removed {
             self.connections.close_idle(key);
-            log::info!("event=target target={id} status=gone");
+            self.record_departure(&record);
+            log::info!("event=target target={} status=gone", record.id);
         }
         let changes = self.fleet.borrow_mut().expire(now);
         let mut pool = self.pool.borrow_mut();
--- a/ggt-daemon/src/front/store/past.rs
+++ b/ggt-daemon/src/front/store/past.rs
@@ -1,6 +1,7 @@
 //! Reads the store's history at the start of a daemon, for the versions that targets have had before.
 
 use crate::clock::mono_now;
+use crate::clock::wall_now;
 use crate::front::call::CallError;
 use crate::front::state::FrontState;
 use crate::front::state::StoreFolder;
@@ -123,13 +124,15 @@
 
 fn record_history(state: &FrontState, history: &StoreHistory) {
     let changes: Vec<_> = history.reply.changes.iter().filter_map(past_change).collect();
-    let past = PastVersions::review(&changes);
+    let begins_at = wall_now().as_millis().saturating_sub(state.stream_memory_ms.get());
+    let past = PastVersions::review(&changes, begins_at);
     state.versions.borrow_mut().record_past(&past, history.is_whole, mono_now());
     log::info!(
-        "event=past outcome={} whole={} changes={}",
+        "event=past outcome={} whole={} changes={} departures={}",
         if past.has_unknown() { "incomplete" } else { "complete" },
         history.is_whole,
         changes.len(),
+        past.departures().len(),
     );
 }
 
@@ -142,6 +145,7 @@
         Some(Ok(record)) => PastState::Registered {
             service: ServiceKey::named(&record.service),
             version: record.version,
+            born: record.incarnation,
             is_new: item.is_new,
         },
         // An entry that has been unreadable ever since names no target.
--- a/ggt-testkit/tests/platform_all_lost.rs
+++ b/ggt-testkit/tests/platform_all_lost.rs
@@ -171,3 +171,17 @@
         assert!(response.is_complete);
     }
 }
+
+// Guards against streams that are refused after all daemons were killed while two versions serve: nobody knows which
+// version began them, but the servers hold their prompts.
+#[test]
+fn streams_go_on_after_the_loss_of_all_daemons_while_two_versions_serve() {
+    let mut fleet = start(&[OLD, NEW, OLD, NEW]);
+    let versions = begin_streams(&fleet);
+    fleet.store.compact();
+    lose_all(&mut fleet);
+    for (version, response) in versions.iter().zip(take_up(&fleet)) {
+        assert_eq!(response.status, 200, "{}", response.body);
+        assert_eq!(versions_in(&response.body).into_iter().collect::<Vec<_>>(), [version]);
+    }
+}
--- a/ggt-wire/tests/codec.rs
+++ b/ggt-wire/tests/codec.rs
@@ -21,6 +21,7 @@
 use ggt_core::membership::GossipItem;
 use ggt_core::membership::PeerMessage;
 use ggt_core::routing::LoadReport;
+use ggt_core::versions::ListedPart;
 use ggt_core::versions::OriginReply;
 use ggt_core::versions::ServiceKey;
 use ggt_core::versions::SoftwareVersion;
@@ -45,14 +46,20 @@
 use ggt_wire::hint::HintVerdict;
 use ggt_wire::hint::decode_hint;
 use ggt_wire::hint::encode_hint;
+use ggt_wire::origins::CacheAnswer;
+use ggt_wire::origins::CacheQuestion;
 use ggt_wire::origins::DatagramKind;
 use ggt_wire::origins::OriginAnswer;
 use ggt_wire::origins::OriginQuestion;
 use ggt_wire::origins::datagram_kind;
 use ggt_wire::origins::decode_answer;
+use ggt_wire::origins::decode_cache_answer;
+use ggt_wire::origins::decode_cache_question;
 use ggt_wire::origins::decode_origins;
 use ggt_wire::origins::decode_question;
 use ggt_wire::origins::encode_answer;
+use ggt_wire::origins::encode_cache_answer;
+use ggt_wire::origins::encode_cache_question;
 use ggt_wire::origins::encode_origins;
 use ggt_wire::origins::encode_question;
 use ggt_wire::rpc::CallError;
@@ -464,3 +471,26 @@
         }
     }
 }
+
+// Guards against a reply for many targets that does not fit into a datagram, and against truncated ones.
+#[test]
+fn questions_for_cached_parts_and_their_replies_round_trip() {
+    let targets: Vec<_> = (0..100).map(|number| u32::MAX - number).collect();
+    let part = |target| ListedPart { target, tokens: Some(2_000_000) };
+    let listed = targets.iter().copied().map(part).collect();
+    let question = CacheQuestion { number: u64::MAX, prefix: u64::MAX, targets };
+    let bytes = encode_cache_question(&question).expect("should encode");
+    assert_eq!(datagram_kind(&bytes), DatagramKind::CacheQuestion);
+    assert_eq!(decode_cache_question(&bytes).expect("should decode"), question);
+    for end in 0..bytes.len() {
+        assert!(decode_cache_question(&bytes[..end]).is_err(), "truncated at {end}");
+    }
+    let answer = CacheAnswer { number: u64::MAX, listed };
+    let bytes = encode_cache_answer(&answer).expect("should encode");
+    assert_eq!(datagram_kind(&bytes), DatagramKind::CacheAnswer);
+    assert!(bytes.len() < 1_400, "{} bytes", bytes.len());
+    assert_eq!(decode_cache_answer(&bytes).expect("should decode"), answer);
+    for end in 0..bytes.len() {
+        assert!(decode_cache_answer(&bytes[..end]).is_err(), "truncated at {end}");
+    }
+}
