fix: bodies of requests stay within the daemon's memory

Callers whose requests were running got no response: other callers' large bodies, which stopped just short of their end, took the daemon over its memory, and it was killed.

Cause: each body was collected up to the limit of one, before the request was checked, without a bound for all and without a time limit; each chunk was kept with the buffer that it was read into.

All bodies now share one room (request_bodies_mb; a fifth of memory_mb, or 48 MB), never less than the longest allowed body. Their stated length is set aside before they are read; without one they grow in steps. Large bodies leave a quarter to small ones, and one customer's half of the rest to others' large ones. What finds no room is refused as not run. A body that brings less than 16 KiB in a second keeps its room only until another one needs it. Route, key and headers are checked before the body is read. Bodies that peers hand over draw on the same room.

--- a/ggt-core/src/crashes/suspects.rs
+++ b/ggt-core/src/crashes/suspects.rs
@@ -16,7 +16,9 @@
 const MAX_PARTS: usize = 64;
 
 /// What requests have in common that may crash the targets which run them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct SuspectKey(pub u64);
 
 impl SuspectKey {
--- a/ggt-core/src/lib.rs
+++ b/ggt-core/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms)]
 
+pub mod bodies;
 pub mod claims;
 pub mod clock;
 pub mod config;
--- a/ggt-daemon/src/front/callers.rs
+++ b/ggt-daemon/src/front/callers.rs
@@ -6,15 +6,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
 use http::header;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -27,6 +23,9 @@
 use crate::clock::mono_now;
 use crate::edge::ConnectionGuard;
 use crate::edge::accept_connections;
+use crate::front::bodies::BodyLimit;
+use crate::front::bodies::discard_body;
+use crate::front::bodies::read_body;
 use crate::front::job::JobGuard;
 use crate::front::prepare::prepare_job;
 use crate::front::response::FrontRefusal;
@@ -117,11 +116,22 @@
     let id = attempt_id.unwrap_or("-").to_owned();
     let guard = JobGuard::new(state.clone(), &id, received_at);
     let limits = state.route_config().map_or_else(CallerLimits::default, |config| *config.limits());
-    let checked = match read_body(body, limits.max_body_bytes).await {
-        Ok(body) => parse_request_headers(&parts.headers)
-            .map_err(|_| FrontRefusal::new(StatusCode::BAD_REQUEST, "malformed-header"))
-            .and_then(|headers| prepare_job(&state, &parts, headers, body, received_at)),
-        Err(refusal) => Err(refusal),
+    let checked = parse_request_headers(&parts.headers)
+        .map_err(|_| FrontRefusal::new(StatusCode::BAD_REQUEST, "malformed-header"))
+        .and_then(|headers| prepare_job(&state, &parts, headers, received_at));
+    let checked = match checked {
+        Ok(job) => {
+            let limit = BodyLimit {
+                max_bytes: limits.max_body_bytes,
+                max_pause: Duration::from_millis(limits.idle_timeout_ms),
+            };
+            let body = read_body(&state.bodies, body, limit, job.owner(), &parts.headers).await;
+            body.map(|body| job.with_body(body))
+        }
+        Err(refusal) => {
+            discard_body(body, &parts.headers).await;
+            Err(refusal)
+        }
     };
     let job = match checked {
         Ok(job) => Rc::new(job),
@@ -133,13 +143,3 @@
     state.record_request(&job.service);
     serve_job(&state, job, guard).await
 }
-
-async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, FrontRefusal> {
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => {
-            Err(FrontRefusal::new(StatusCode::PAYLOAD_TOO_LARGE, "body-too-long"))
-        }
-        Err(_) => Err(FrontRefusal::new(StatusCode::BAD_REQUEST, "body-broke-off")),
-    }
-}
--- a/ggt-daemon/src/front/forward/serve.rs
+++ b/ggt-daemon/src/front/forward/serve.rs
@@ -4,16 +4,14 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
+use std::time::Duration;
 
-use bytes::Bytes;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
 use http::header;
 use http::request::Parts;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -25,6 +23,8 @@
 use crate::clock::mono_now;
 use crate::edge::ConnectionGuard;
 use crate::edge::accept_connections;
+use crate::front::bodies::BodyLimit;
+use crate::front::bodies::read_body;
 use crate::front::internal::respond;
 use crate::front::job::FrontJob;
 use crate::front::job::JobGuard;
@@ -47,6 +47,8 @@
 /// Maximum size in bytes of a forwarded request's body; the forwarding daemon has applied the configured
 /// limit.
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+/// Longest pause between two pieces of it.
+const MAX_BODY_PAUSE: Duration = Duration::from_millis(2_000);
 
 /// Serves the port for peers until the edge is closed.
 pub async fn serve_peers(state: Rc<FrontState>, listener: TcpListener) {
@@ -139,10 +141,12 @@
     }
     let forwarded = take_envelope(parts)
         .ok_or(FrontRefusal::new(StatusCode::BAD_REQUEST, "malformed-header"))?;
-    let body = read_body(body).await?;
     let headers = parse_request_headers(&parts.headers)
         .map_err(|_| FrontRefusal::new(StatusCode::BAD_REQUEST, "malformed-header"))?;
-    prepare_forwarded(state, parts, headers, body, received_at, forwarded)
+    let job = prepare_forwarded(state, parts, headers, received_at, forwarded)?;
+    let limit = BodyLimit { max_bytes: MAX_BODY_BYTES, max_pause: MAX_BODY_PAUSE };
+    let body = read_body(&state.bodies, body, limit, job.owner(), &parts.headers).await?;
+    Ok(job.with_body(body))
 }
 
 /// Takes what the forwarding daemon says out of the headers, which then are the caller's.
@@ -151,13 +155,6 @@
     decode_request(value.to_str().ok()?).ok()
 }
 
-async fn read_body(body: Incoming) -> Result<Bytes, FrontRefusal> {
-    match Limited::new(body, MAX_BODY_BYTES).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(_) => Err(FrontRefusal::new(StatusCode::BAD_REQUEST, "body-broke-off")),
-    }
-}
-
 fn add_reply_header(
     mut response: Response<ResponseBody>,
     job: Option<&FrontJob>,
--- a/ggt-daemon/src/front/job.rs
+++ b/ggt-daemon/src/front/job.rs
@@ -13,6 +13,7 @@
 use crate::logging::quoted;
 use ggt_core::clock::MonoTime;
 use ggt_core::crashes::RequestSuspects;
+use ggt_core::crashes::SuspectKey;
 use ggt_core::prompts::PrefixChain;
 use ggt_core::routes::RouteEntry;
 use ggt_core::targets::SendRecord;
@@ -59,6 +60,40 @@
     pub has_begun_send: Cell<bool>,
 }
 
+/// A request whose head has been validated, and whose body is still to be read.
+pub struct PendingJob {
+    job: FrontJob,
+}
+
+impl PendingJob {
+    /// Of a job that has everything but its body and its suspects.
+    pub const fn new(job: FrontJob) -> Self {
+        Self { job }
+    }
+
+    /// The caller's attempt id and the customer's name.
+    pub fn owner(&self) -> (&str, Option<&str>) {
+        (&self.job.id, self.job.customer.as_deref())
+    }
+
+    /// Sets what the peer that forwarded the request has decided: itself, the attempts that are left, and the
+    /// deadline.
+    pub fn hand_over(&mut self, handover: Handover, max_attempts: u32, deadline: MonoTime) {
+        self.job.handover = Some(handover);
+        self.job.route.max_attempts = max_attempts;
+        self.job.deadline = deadline;
+    }
+
+    /// The job with its body.
+    pub fn with_body(self, body: Bytes) -> FrontJob {
+        let job = self.job;
+        let caller = job.customer.as_deref().unwrap_or_default();
+        let fingerprint = SuspectKey::of_request(&format!("{caller} {}", job.path), &body);
+        let suspects = RequestSuspects::new(fingerprint).with_parts(&job.headers.parts);
+        FrontJob { body, suspects, ..job }
+    }
+}
+
 impl FrontJob {
     /// Whether the caller has events of the stream already and takes it up. Event 0 may be the first one, or stand
     /// for none; a caller that has it names the attempt that brought it.
--- a/ggt-daemon/src/front/metrics.rs
+++ b/ggt-daemon/src/front/metrics.rs
@@ -33,6 +33,7 @@
     taken: Counter<u64>,
     evacuations: Gauge<u64>,
     cold_targets: Gauge<u64>,
+    request_bodies: Gauge<u64>,
     wait_ms: Histogram<f64>,
     reply_ms: Histogram<f64>,
     first_event_ms: Histogram<f64>,
@@ -61,6 +62,7 @@
             taken: meter.u64_counter("front_taken").build(),
             evacuations: meter.u64_gauge("front_evacuations").build(),
             cold_targets: meter.u64_gauge("front_cold_targets").build(),
+            request_bodies: meter.u64_gauge("front_request_bodies").with_unit("By").build(),
             wait_ms: histogram("front_wait"),
             reply_ms: histogram("front_reply"),
             first_event_ms: histogram("front_first_event"),
@@ -68,6 +70,11 @@
         })
     }
 
+    /// Records the bytes that are set aside for the bodies of requests.
+    pub fn record_request_bodies(&self, bytes: u64) {
+        self.request_bodies.record(bytes, &[]);
+    }
+
     /// Counts a finished request and records its latency.
     pub fn record_end(&self, outcome: &'static str, millis: u64) {
         let labels = [KeyValue::new("outcome", outcome)];
--- a/ggt-daemon/src/front/mod.rs
+++ b/ggt-daemon/src/front/mod.rs
@@ -5,6 +5,7 @@
 //! module and `ggt-core` use the project's own types.
 
 mod attempt;
+mod bodies;
 mod buffered;
 mod buffers;
 mod cache_lists;
--- a/ggt-daemon/src/front/prepare.rs
+++ b/ggt-daemon/src/front/prepare.rs
@@ -9,6 +9,7 @@
 
 use crate::front::forward::Handover;
 use crate::front::job::FrontJob;
+use crate::front::job::PendingJob;
 use crate::front::response::FrontRefusal;
 use crate::front::state::FrontState;
 use ggt_core::clock::MonoTime;
@@ -28,7 +29,7 @@
 /// `retry-after` in milliseconds when the route has no service.
 const NO_SERVICE_RETRY_MS: u64 = 1_000;
 
-/// Builds the job of a request whose head has been decoded and whose body has been read.
+/// Builds the job of a request whose head has been decoded, apart from its body.
 ///
 /// # Errors
 /// [`FrontRefusal`] holds the response for an invalid request.
@@ -36,9 +37,8 @@
     state: &FrontState,
     parts: &Parts,
     headers: RequestHeaders,
-    body: Bytes,
     received_at: MonoTime,
-) -> Result<FrontJob, FrontRefusal> {
+) -> Result<PendingJob, FrontRefusal> {
     let Some(config) = state.route_config() else {
         return Err(FrontRefusal::not_run("no-configuration", STARTING_RETRY_MS));
     };
@@ -61,8 +61,7 @@
     let target_path =
         parts.uri.path_and_query().map_or(path, |path_and_query| path_and_query.as_str());
     let customer_name = customer.map(|customer| customer.name.clone());
-    let suspects = request_suspects(customer_name.as_deref(), target_path, &headers, &body);
-    Ok(FrontJob {
+    Ok(PendingJob::new(FrontJob {
         id: attempt_id,
         route: route.clone(),
         version: config.version(),
@@ -74,17 +73,17 @@
         method: parts.method.clone(),
         path: target_path.to_owned(),
         raw_headers: parts.headers.clone(),
-        body,
-        suspects,
+        body: Bytes::new(),
+        suspects: RequestSuspects::new(SuspectKey::default()),
         handover: None,
         received_at,
         deadline: received_at + wait_ms,
         has_begun_send: Cell::new(false),
         headers,
-    })
+    }))
 }
 
-/// Builds the job of a request that a peer forwarded. If this daemon has a newer configuration than the
+/// Builds the job of a request that a peer forwarded, apart from its body. If this daemon has a newer configuration than the
 /// peer, that decides; otherwise what the peer has decided holds.
 ///
 /// # Errors
@@ -93,10 +92,9 @@
     state: &FrontState,
     parts: &Parts,
     headers: RequestHeaders,
-    body: Bytes,
     received_at: MonoTime,
     forwarded: ForwardedRequest,
-) -> Result<FrontJob, FrontRefusal> {
+) -> Result<PendingJob, FrontRefusal> {
     let Some(config) = state.route_config() else {
         return Err(FrontRefusal::not_run("no-configuration", STARTING_RETRY_MS));
     };
@@ -110,12 +108,10 @@
         served_version: Cell::default(),
     };
     let mut job = match config.version() > forwarded.config_version {
-        true => prepare_job(state, parts, headers, body, received_at)?,
-        false => decided_job(parts, headers, body, received_at, &forwarded)?,
+        true => prepare_job(state, parts, headers, received_at)?,
+        false => decided_job(parts, headers, received_at, &forwarded)?,
     };
-    job.handover = Some(handover);
-    job.route.max_attempts = attempts;
-    job.deadline = received_at + remaining_ms;
+    job.hand_over(handover, attempts, received_at + remaining_ms);
     Ok(job)
 }
 
@@ -123,10 +119,9 @@
 fn decided_job(
     parts: &Parts,
     headers: RequestHeaders,
-    body: Bytes,
     received_at: MonoTime,
     forwarded: &ForwardedRequest,
-) -> Result<FrontJob, FrontRefusal> {
+) -> Result<PendingJob, FrontRefusal> {
     let Some(id) = headers.attempt_id.clone() else {
         return Err(FrontRefusal::new(StatusCode::BAD_REQUEST, "no-attempt-id"));
     };
@@ -148,8 +143,7 @@
     };
     let path = parts.uri.path_and_query().map_or(parts.uri.path(), |path| path.as_str());
     let chain = route.is_sticky.then(|| prefix_chain(&headers));
-    let suspects = request_suspects(forwarded.customer.as_deref(), path, &headers, &body);
-    Ok(FrontJob {
+    Ok(PendingJob::new(FrontJob {
         id,
         route,
         version: forwarded.config_version,
@@ -161,25 +155,14 @@
         method: parts.method.clone(),
         path: path.to_owned(),
         raw_headers: parts.headers.clone(),
-        body,
-        suspects,
+        body: Bytes::new(),
+        suspects: RequestSuspects::new(SuspectKey::default()),
         handover: None,
         received_at,
         deadline: received_at + forwarded.remaining_ms,
         has_begun_send: Cell::new(false),
         headers,
-    })
-}
-
-fn request_suspects(
-    customer: Option<&str>,
-    path: &str,
-    headers: &RequestHeaders,
-    body: &Bytes,
-) -> RequestSuspects {
-    let caller = customer.unwrap_or_default();
-    let fingerprint = SuspectKey::of_request(&format!("{caller} {path}"), body);
-    RequestSuspects::new(fingerprint).with_parts(&headers.parts)
+    }))
 }
 
 fn find_customer<'a>(
--- a/ggt-daemon/src/front/response.rs
+++ b/ggt-daemon/src/front/response.rs
@@ -76,18 +76,21 @@
 }
 
 /// Causes of refusals that a peer may state.
-const PEER_CAUSES: [&str; 16] = [
+const PEER_CAUSES: [&str; 19] = [
     "body-broke-off",
     "body-too-long",
+    "body-too-slow",
     "crashes-targets",
     "deadline",
     "evacuated",
     "malformed-header",
     "no-attempt-id",
+    "no-memory",
     "no-room",
     "no-route",
     "no-version",
     "not-allowed",
+    "over-memory-share",
     "over-share",
     "rate-limited",
     "target-lost",
--- a/ggt-daemon/src/front/settings.rs
+++ b/ggt-daemon/src/front/settings.rs
@@ -15,6 +15,13 @@
 use ggt_core::routes::RegionMap;
 
 const MILLIS_PER_SECOND: f64 = 1_000.0;
+const BYTES_PER_MEGABYTE: f64 = 1_000_000.0;
+/// Share of the memory that the bodies of requests may take together.
+const REQUEST_BODIES_SHARE: f64 = 0.2;
+/// Megabytes that they may take at least.
+const MIN_REQUEST_BODIES_MB: f64 = 16.0;
+/// Megabytes that they may take where the memory is not known.
+const DEFAULT_REQUEST_BODIES_MB: f64 = 48.0;
 
 /// Settings of one daemon that serves the users' platform.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -48,6 +55,12 @@
     /// Bandwidth of the host's link in megabits per second.
     #[serde(default = "default_link_mbps")]
     pub link_mbps: f64,
+    /// Megabytes of memory that the process may take; `None` if that is not known.
+    #[serde(default)]
+    pub memory_mb: Option<f64>,
+    /// Megabytes that the bodies of requests may take together; unless given, a fifth of `memory_mb`.
+    #[serde(default)]
+    pub request_bodies_mb: Option<f64>,
     /// Whether the whole fleet starts for the first time, so that no target has anything cached
     /// yet.
     #[serde(default)]
@@ -105,6 +118,14 @@
         RegionMap::new(&self.regions)
     }
 
+    /// Bytes that the bodies of requests may take together.
+    pub fn request_body_bytes(&self) -> usize {
+        let share_mb = self.memory_mb.map(|memory_mb| memory_mb * REQUEST_BODIES_SHARE);
+        let default_mb =
+            share_mb.map_or(DEFAULT_REQUEST_BODIES_MB, |mb| mb.max(MIN_REQUEST_BODIES_MB));
+        (self.request_bodies_mb.unwrap_or(default_mb) * BYTES_PER_MEGABYTE) as usize
+    }
+
     /// The fleet's retry budget for each service.
     pub fn retry_limit(&self) -> RetryLimit {
         RetryLimit {
@@ -175,6 +196,12 @@
         ("retries.ratio", !(0.0..=1.0).contains(&retries.ratio), "must lie between 0 and 1"),
         ("retries.slack", retries.slack < 0.0, "must not be negative"),
         ("retries.window_s", retries.window_s <= 0.0, "must be more than 0"),
+        ("memory_mb", settings.memory_mb.is_some_and(|mb| mb <= 0.0), "must be more than 0"),
+        (
+            "request_bodies_mb",
+            settings.request_bodies_mb.is_some_and(|mb| mb <= 0.0),
+            "must be more than 0",
+        ),
         ("grace_s", settings.grace_s <= 0.0, "must be more than 0"),
         ("crash_refusal_s", settings.crash_refusal_s <= 0.0, "must be more than 0"),
         ("log_level", log_level.is_err(), "must be error, warn, info, debug or trace"),
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -17,6 +17,7 @@
 use crate::clock::mono_now;
 use crate::clock::wall_now;
 use crate::edge::EdgeHandle;
+use crate::front::bodies::BodyBudget;
 use crate::front::buffers::BufferBudget;
 use crate::front::crashes::CRASH_OPTIONS;
 use crate::front::metrics::FrontMetrics;
@@ -41,6 +42,7 @@
 use ggt_core::limits::ShareTable;
 use ggt_core::partition::ReachTable;
 use ggt_core::retry_window::RetryWindow;
+use ggt_core::routes::CallerLimits;
 use ggt_core::routes::RouteConfig;
 use ggt_core::store_cache::PlatformOutage;
 use ggt_core::store_cache::StoreCache;
@@ -171,6 +173,8 @@
     pub demands: RefCell<DemandTable>,
     /// Requests that wait for a place, by service.
     pub wait_queues: RefCell<HashMap<String, WaitQueue>>,
+    /// Memory of the bodies of requests.
+    pub bodies: BodyBudget,
     /// Memory of buffered replies.
     pub buffers: BufferBudget,
     /// Requests in flight.
@@ -217,6 +221,7 @@
         let mut pool = TargetPool::default();
         pool.measures_work_times = settings.measure_work_times;
         let centre_hash = short_centre_hash(&settings.data_centre);
+        let bodies = BodyBudget::new(settings.request_body_bytes());
         Self {
             centre_hash,
             digest_number: Cell::new(0),
@@ -251,6 +256,7 @@
             shares: RefCell::default(),
             demands: RefCell::default(),
             wait_queues: RefCell::default(),
+            bodies,
             buffers: BufferBudget::default(),
             in_flight: Cell::new(0),
             edge: EdgeHandle::default(),
@@ -402,6 +408,9 @@
         pool.set_report_pace(self.fleet.borrow().report_pace(now));
         changes.iter().for_each(|c| pool.replace_peer_load(c.hash, c.before, c.after));
         drop(pool);
+        let limits = self.route_config().map_or_else(CallerLimits::default, |c| *c.limits());
+        self.bodies.set_room(self.settings().request_body_bytes(), limits.max_body_bytes);
+        self.metrics.record_request_bodies(self.bodies.held() as u64);
         self.expire_evacuations(now);
         self.metrics.record_cold_targets(self.pool.borrow().cold_targets(now) as u64);
         self.update_rate_shares();
