--- a/ggt-testkit/tests/platform_versions.rs
+++ b/ggt-testkit/tests/platform_versions.rs
@@ -213,6 +213,9 @@
     let versions = begin_cut_streams(&fleet, 0);
     // A stream's version is told to other daemons within moments of its first event.
     check_taken_up(&fleet, 1, &versions);
+    wait_until("the last daemon has been told of all streams", || {
+        fleet.metric(LAST, "front_origins", r#"change="heard""#) >= STREAMS as f64
+    });
     (0..LAST).for_each(|daemon| fleet.daemons[daemon].process.kill());
     check_taken_up(&fleet, LAST, &versions);
 }
