fix: a target that has ended serves no stream of its version until its start is known

Callers got streams joined from two versions: the last server of the old version crashed and was back under its id with the new one, before its registration said so.

Cause: a registration describes the incarnation that wrote it, and the pool kept it for whatever replied at the address. After the hold-down a new stream served as the trial request (event=route reason=trial), succeeded, and the target counted as sound, as the old version. A success shows health, not identity.

Once an incarnation is known to have ended, its target's version equals no other, for choice, admission, copies of caches and the origin of streams, until a new registration or the target's own statement of its start. If only this daemon was cut off, regaining the service ends that, or a question for the start 2 s after the first reply.

--- a/ggt-core/src/targets/candidates.rs
+++ b/ggt-core/src/targets/candidates.rs
@@ -146,7 +146,7 @@
     version: SoftwareVersion,
     now: MonoTime,
 ) -> Vec<(TargetKey, &'a TargetState)> {
-    let has_version = |state: &TargetState| state.record.version == version;
+    let has_version = |state: &TargetState| state.version() == version;
     let same: Vec<_> = listed.iter().filter(|(_, state)| has_version(state)).copied().collect();
     if !same.is_empty() {
         return same;
--- a/ggt-core/src/targets/choice.rs
+++ b/ggt-core/src/targets/choice.rs
@@ -297,7 +297,7 @@
             return false;
         };
         let targets = self.of_service(query.service).iter().filter_map(|key| self.target(*key));
-        targets.filter(|state| !state.record.is_leaving).any(|s| s.record.version != version)
+        targets.filter(|state| !state.record.is_leaving).any(|s| s.version() != version)
     }
 
     /// Whether other targets may copy what a target has cached. One in an evacuated data centre may for a short
@@ -324,11 +324,11 @@
         }
         let others = self.of_service(query.service).iter().filter(|key| **key != chosen);
         // What another version has cached does not fit.
-        let version = self.target(chosen)?.record.version;
+        let version = self.target(chosen)?.version();
         let sources = others
             .filter_map(|key| self.target(*key).map(|state| (*key, state)))
             .filter(|(_, state)| query.allows(state) && self.may_be_source(state, now))
-            .filter(|(_, state)| state.record.version == version)
+            .filter(|(_, state)| state.version() == version)
             .filter(|(_, state)| state.has_cached(anchor.hash) && is_healthy(state, now));
         sources.max_by_key(|(_, state)| state.last_reply_at).map(|(key, _)| key)
     }
--- a/ggt-core/src/targets/pool.rs
+++ b/ggt-core/src/targets/pool.rs
@@ -25,6 +25,7 @@
 use crate::targets::SendOutcome;
 use crate::targets::StatedLoad;
 use crate::targets::TargetClosing;
+use crate::targets::TargetLifetime;
 use crate::targets::TargetRate;
 use crate::targets::TargetRecord;
 use crate::targets::TargetReplacement;
@@ -92,6 +93,8 @@
     pub leaving_since: Option<MonoTime>,
     /// What shows that another instance has its address.
     pub replacement: TargetReplacement,
+    /// Whether the registered incarnation is still there.
+    pub lifetime: TargetLifetime,
     /// When the target is to be removed; `None` while the platform lists it.
     pub remove_at: Option<MonoTime>,
     /// Cached prefixes by their short hashes, and when each was last recorded.
@@ -117,6 +120,7 @@
             busy_since: MonoTime::default(),
             leaving_since: None,
             replacement: TargetReplacement::default(),
+            lifetime: TargetLifetime::default(),
             remove_at: None,
             prefixes: HashMap::new(),
             record,
@@ -346,6 +350,9 @@
         if let SendOutcome::Unreachable | SendOutcome::Unresponsive = outcome {
             state.in_flight_limit.record_unreachable();
         }
+        if outcome == SendOutcome::Good {
+            state.lifetime.record_reply(now);
+        }
         let held_until = state.health.record(outcome, sibling_share, now);
         if matches!(outcome, SendOutcome::Unreachable | SendOutcome::Unresponsive)
             && state.health.is_absent(now)
@@ -361,6 +368,7 @@
         for key in failed.iter().chain([&accepting]) {
             if let Some(state) = self.targets.get_mut(*key) {
                 state.health.record_regained();
+                state.lifetime.confirm();
                 state.rate.cold_start.record_regained();
             }
         }
--- a/ggt-core/tests/versions.rs
+++ b/ggt-core/tests/versions.rs
@@ -332,3 +332,35 @@
     let mixed = VersionState::Open { listed: None };
     assert_eq!(judge_replies(&[only(old())], 3, mixed), OriginVerdict::Unknown);
 }
+
+// Guards against a stream that goes on at a target whose incarnation has ended, though something replies there, and
+// against one that stays refused although the target says that it is the registered incarnation.
+#[test]
+fn target_that_has_ended_serves_no_stream_of_its_version_until_its_start_is_known() {
+    let mut pool = mixed_pool(1, 2);
+    let ended = keys_of(&pool, old())[0];
+    let choose = |pool: &TargetPool, millis| pool.choose(&pinned(old(), 1), at(millis));
+    assert_eq!(choose(&pool, 0).map(|choice| choice.key), Ok(ended));
+    let crash = pool.target(ended).expect("a target").crash_id();
+    assert!(pool.record_end_of(crash) && !pool.record_end_of(crash));
+    pool.record_outcome(ended, SendOutcome::Good, at(100));
+    assert_eq!(choose(&pool, 100), Err(ChoiceError::NoVersion));
+    let version = pool.target(ended).expect("a target").version();
+    assert!(version != old() && version != new());
+    assert_eq!(pool.choose(&pinned(version, 1), at(100)).map(|choice| choice.key), Ok(ended));
+    // It is asked some time after its first reply, and now and then until it says its start.
+    assert!(pool.due_lifetime_checks(at(2_000)).is_empty());
+    assert_eq!(pool.due_lifetime_checks(at(2_100)), [ended]);
+    assert!(pool.due_lifetime_checks(at(12_000)).is_empty());
+    assert_eq!(pool.due_lifetime_checks(at(12_100)), [ended]);
+    assert!(pool.confirm_lifetime(ended) && !pool.confirm_lifetime(ended));
+    assert_eq!(choose(&pool, 12_200).map(|choice| choice.key), Ok(ended));
+    assert!(pool.due_lifetime_checks(at(60_000)).is_empty());
+    // A registration of a new incarnation says which version is there.
+    assert!(pool.record_end_of(crash));
+    let record = pool.target(ended).expect("a target").record.clone();
+    let incarnation = record.incarnation + 1;
+    assert!(pool.put(TargetRecord { incarnation, version: new(), ..record }));
+    assert_eq!(keys_of(&pool, new()).len(), 3);
+    assert_eq!(choose(&pool, 60_000), Err(ChoiceError::NoVersion));
+}
--- a/ggt-daemon/src/front/attempt/choose.rs
+++ b/ggt-daemon/src/front/attempt/choose.rs
@@ -10,7 +10,6 @@
 use ggt_core::targets::ChoiceQuery;
 use ggt_core::targets::TargetChoice;
 use ggt_core::targets::TargetPool;
-use ggt_core::targets::TargetRecord;
 use ggt_core::targets::TargetState;
 
 impl UpstreamAttempts {
@@ -37,9 +36,12 @@
             return choice;
         };
         self.log_route(&pool, target, &choice, now);
-        let TargetRecord { address, version, .. } = target.record;
-        let sent_target =
-            SentTarget { key: choice.key, address, crash: target.crash_id(), version };
+        let sent_target = SentTarget {
+            key: choice.key,
+            address: target.record.address,
+            crash: target.crash_id(),
+            version: target.version(),
+        };
         drop(pool);
         state.metrics.record_choice(choice.reason.as_str());
         self.sent_target = Some(sent_target);
@@ -76,7 +78,7 @@
             job.service,
             target.record.id,
             target.record.incarnation,
-            target.record.version,
+            target.version(),
             job.headers.last_event.map_or("-".to_owned(), |event| event.to_string()),
             quoted(job.headers.first_attempt.as_deref().unwrap_or("-")),
             choice.reason.as_str(),
--- a/ggt-daemon/src/front/cache_lists.rs
+++ b/ggt-daemon/src/front/cache_lists.rs
@@ -22,6 +22,7 @@
 use ggt_core::versions::LIST_WAIT_MS;
 use ggt_core::versions::ListedPart;
 use ggt_platform::CACHE_LIST_PATH;
+use ggt_platform::CacheList;
 use ggt_platform::parse_cache_list;
 
 /// Timeout of one target's list.
@@ -90,7 +91,11 @@
     /// Requests the list, and records what it holds.
     async fn finish(self, state: &FrontState) {
         let Self { key, hash, address, incarnation, requested_at } = self;
-        let listed = fetch_list(address, incarnation).await;
+        let list = request_list(address).await;
+        if list.as_ref().is_ok_and(|list| list.born == Some(incarnation)) {
+            state.pool.borrow_mut().confirm_lifetime(key);
+        }
+        let listed = list.and_then(|list| parts_of(&list, incarnation));
         let after_ms = mono_now().millis_since(requested_at);
         match listed {
             Ok(parts) => {
@@ -108,8 +113,28 @@
     }
 }
 
-/// The list of the target at this address, if that is the incarnation that it is taken for.
-async fn fetch_list(address: SocketAddr, incarnation: u64) -> Result<Vec<CachedTokens>, String> {
+/// The parts in a list, if the target that gave it is this incarnation.
+fn parts_of(list: &CacheList, incarnation: u64) -> Result<Vec<CachedTokens>, String> {
+    if list.born.is_some_and(|born| born != incarnation) {
+        return Err("another incarnation".to_owned());
+    }
+    let cached = list.parts.iter().map(|part| CachedTokens {
+        prefix: prefix_hash(&part.model, part.hash),
+        tokens: part.tokens,
+    });
+    Ok(cached.collect())
+}
+
+/// Whether the target at this address is this incarnation, by what it says of its start.
+///
+/// # Errors
+/// The cause if it does not say it.
+pub async fn is_incarnation_there(address: SocketAddr, incarnation: u64) -> Result<bool, String> {
+    let list = request_list(address).await?;
+    list.born.map(|born| born == incarnation).ok_or("no start stated".to_owned())
+}
+
+async fn request_list(address: SocketAddr) -> Result<CacheList, String> {
     let call = async {
         let mut connection = TargetConnection::open(address, CONNECT_TIMEOUT).await?;
         get(&mut connection, address, CACHE_LIST_PATH).await
@@ -119,15 +144,7 @@
     if reply.status != 200 {
         return Err(format!("status {}", reply.status));
     }
-    let list = parse_cache_list(&reply.body).map_err(|e| e.to_string())?;
-    if list.born.is_some_and(|born| born != incarnation) {
-        return Err("another incarnation".to_owned());
-    }
-    let cached = list.parts.iter().map(|part| CachedTokens {
-        prefix: prefix_hash(&part.model, part.hash),
-        tokens: part.tokens,
-    });
-    Ok(cached.collect())
+    parse_cache_list(&reply.body).map_err(|e| e.to_string())
 }
 
 impl FrontState {
--- a/ggt-daemon/src/front/crashes.rs
+++ b/ggt-daemon/src/front/crashes.rs
@@ -119,6 +119,7 @@
     /// Records that a target has ended: each reply lost at it counts as a crash. `cause` is logged.
     pub fn record_target_end(&self, crash: CrashId, cause: &str) {
         let now = mono_now();
+        self.record_lifetime_end(crash, cause);
         let replies = self.losses.borrow_mut().record_end(crash, now, now + LOSS_WINDOW_MS);
         for reply in &replies {
             self.record_crash(reply, crash, cause);
--- a/ggt-daemon/src/front/digests.rs
+++ b/ggt-daemon/src/front/digests.rs
@@ -51,6 +51,7 @@
 pub async fn run_digests(state: Rc<FrontState>, socket: Rc<UdpSocket>) {
     loop {
         state.expire();
+        state.check_lifetimes(mono_now());
         state.connections.sweep();
         state.peer_connections.sweep();
         send_digests(&state, &socket).await;
--- a/ggt-daemon/src/front/mod.rs
+++ b/ggt-daemon/src/front/mod.rs
@@ -22,6 +22,7 @@
 mod internal;
 mod job;
 mod leaving;
+mod lifetimes;
 mod loads;
 mod metrics;
 mod origins;
--- a/ggt-daemon/src/front/origins/cached.rs
+++ b/ggt-daemon/src/front/origins/cached.rs
@@ -57,7 +57,9 @@
     let pool = state.pool.borrow();
     let targets = pool.of_service(service).iter().filter_map(|key| pool.target(*key));
     let is_gone = |target: &TargetState| {
-        target.health.is_unreachable() || target.replacement.is_in_force(now)
+        target.health.is_unreachable()
+            || target.replacement.is_in_force(now)
+            || target.lifetime.has_ended()
     };
     let origin_target = |target: &TargetState| OriginTarget {
         hash: target.short_hash,
--- a/ggt-daemon/src/front/origins/mod.rs
+++ b/ggt-daemon/src/front/origins/mod.rs
@@ -152,7 +152,7 @@
         let mut services = BTreeMap::new();
         let mut versions = self.versions.borrow_mut();
         versions.record_view(self.has_current_view(now), now);
-        for (_, target) in pool.iter() {
+        for (_, target) in pool.iter().filter(|(_, target)| !target.lifetime.has_ended()) {
             let service = ServiceKey::named(&target.record.service);
             versions.record_target(service, target.record.version, now);
             services.insert(service, target.record.service.as_str());
--- a/ggt-testkit/tests/platform_versions.rs
+++ b/ggt-testkit/tests/platform_versions.rs
@@ -6,8 +6,11 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use ggt_platform::CACHE_LIST_PATH;
 use ggt_platform::TARGET_PREFIX;
+use ggt_standin::users_platform::AfterResponse;
 use ggt_standin::users_platform::ServerStandin;
+use ggt_standin::users_platform::respond;
 use ggt_testkit::front::FrontFleet;
 use ggt_testkit::front::VersionScript;
 use ggt_testkit::front::versions_in;
@@ -343,6 +346,96 @@
     (0..2).for_each(|daemon| check_taken_up(&fleet, daemon, &versions));
 }
 
+fn whole_script(version: &'static str) -> VersionScript {
+    VersionScript { version, events: 1..=EVENTS, is_cut: false }
+}
+
+// Guards against streams of a server that has ended, which go on at the one that is back under its id with another
+// version, before that has registered: a new stream that is served there does not show the version.
+#[test]
+fn streams_do_not_go_on_at_a_server_that_is_back_with_another_version_before_it_registers() {
+    let mut fleet = FrontFleet::start(0, 0);
+    for number in 0..4 {
+        fleet.add_unregistered_server(&format!("i-{number}"));
+        whole_script(if number == 0 { "v1" } else { "v2" }).set_on(&fleet.servers[number]);
+        fleet.register_in_state(number, "ready");
+    }
+    let fleet = with_daemons(fleet, 1);
+    let server = &fleet.servers[0];
+    server.set_script(|request, stream| {
+        let script = VersionScript { version: "v1", events: 1..=CUT_AFTER, is_cut: true };
+        script.send(request, stream)
+    });
+    let (mut begun, mut number) = (Vec::new(), 0);
+    wait_until("the server has begun streams", || {
+        number += 1;
+        let id = format!("first-{number}");
+        let response = begin(&fleet, 0, &id);
+        begun.extend(versions_in(&response.body).contains("v1").then_some(id));
+        begun.len() >= 3
+    });
+    server.set_script(|_, _| AfterResponse::Crash);
+    wait_until("the server has crashed", || {
+        number += 1;
+        begin(&fleet, 0, &format!("crash-{number}"));
+        server.is_down()
+    });
+    // It is back at once, and registers later.
+    whole_script("v2").set_on(server);
+    server.restart("i-0").expect("the server should start again");
+    wait_until("a new stream is served there", || {
+        number += 1;
+        begin(&fleet, 0, &format!("new-{number}"));
+        server.requests().iter().any(|request| request.attempt_id().starts_with("new-"))
+    });
+    for (number, origin) in begun.iter().enumerate() {
+        let id = format!("again-{number}");
+        let response = take_up(&fleet, 0, &id, Some(origin), CUT_AFTER);
+        assert_eq!((response.status, fleet.request_count(&id)), (503, 0), "{}", response.body);
+    }
+}
+
+// Guards against streams that are refused for good at a server that only seemed to have ended: it says that it is the
+// incarnation that is registered.
+#[test]
+fn streams_go_on_at_a_server_that_states_the_registered_start() {
+    let fleet = FrontFleet::start(4, 1);
+    let respond_as = |server: &ServerStandin, version| {
+        let script = whole_script(version);
+        server.set_version(version);
+        server.set_script(move |request, stream| match request.path.as_str() {
+            CACHE_LIST_PATH => respond(request, stream, 200, r#"{"born":1,"held":[]}"#),
+            _ => script.send(request, stream),
+        });
+    };
+    respond_as(&fleet.servers[0], "v1");
+    (1..4).for_each(|number| respond_as(&fleet.servers[number], "v2"));
+    (0..4).for_each(|number| register_as_born(&fleet, &fleet.servers[number], 1));
+    let server = &fleet.servers[0];
+    let (mut begun, mut number) = (Vec::new(), 0);
+    wait_until("the server has begun streams", || {
+        number += 1;
+        let id = format!("first-{number}");
+        let response = begin(&fleet, 0, &id);
+        begun.extend(versions_in(&response.body).contains("v1").then_some(id));
+        begun.len() >= 3
+    });
+    server.set_script(|_, _| AfterResponse::Crash);
+    wait_until("the server refuses connections", || {
+        number += 1;
+        begin(&fleet, 0, &format!("crash-{number}"));
+        server.is_down()
+    });
+    respond_as(server, "v1");
+    server.restart("i-0").expect("the server should accept connections again");
+    wait_until("streams go on there", || {
+        number += 1;
+        begin(&fleet, 0, &format!("new-{number}"));
+        let response = take_up(&fleet, 0, &format!("again-{number}"), Some(&begun[0]), CUT_AFTER);
+        response.status == 200 && versions_in(&response.body) == BTreeSet::from(["v1"])
+    });
+}
+
 // Guards against a daemon that refuses streams for as long as a release may be under way although they began
 // after all daemons had restarted, so that their versions are known.
 #[test]
