fix: a reply counts as complete only by one check

Callers of streaming routes got a part of a target's error reply as a whole answer, with its stamp: the target had crashed in the middle of a reply without a length.

Cause: the end of a reply was judged in three places, and the one for error replies on streaming routes did not ask whether the target had outlived its reply. A reply that counts as complete now holds a CompleteEnd, which only UpstreamAttempts::check_end makes, and the code that reads a whole reply stands once (front/attempt/whole.rs).

--- a/ggt-daemon/src/front/attempt/liveness.rs
+++ b/ggt-daemon/src/front/attempt/liveness.rs
@@ -10,6 +10,8 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::front::attempt::FailureKind;
+use crate::front::attempt::ReplyFailure;
 use crate::front::attempt::SentTarget;
 use crate::front::attempt::UpstreamAttempts;
 use crate::front::attempt::crash_check::check_target;
@@ -24,10 +26,28 @@
 /// Path of the health check of a service whose configuration names none; any reply will do.
 const DEFAULT_HEALTH_PATH: &str = "/";
 
+/// Shows that the end of a reply is its completion. Only [`UpstreamAttempts::check_end`] makes one.
+#[derive(Clone, Copy, Debug)]
+pub struct CompleteEnd {
+    _checked: (),
+}
+
 impl UpstreamAttempts {
+    /// Checks that the reply of the last send, which has ended, is complete. One that states its length or comes in
+    /// chunks is (`is_framed`), or it would have ended with an error; any other only if its target has not ended with it.
+    ///
+    /// # Errors
+    /// [`ReplyFailure`] when the target has ended.
+    pub async fn check_end(&self, is_framed: bool) -> Result<CompleteEnd, ReplyFailure> {
+        match is_framed || self.has_outlived_reply().await {
+            true => Ok(CompleteEnd { _checked: () }),
+            false => Err(ReplyFailure::new(FailureKind::Reset, "target ended with its reply")),
+        }
+    }
+
     /// Whether a reply of the last send that ended with its connection, without stating its length, may
     /// be taken as complete. Nothing shows that its target has ended; one that is leaving shows that it has not.
-    pub async fn has_outlived_reply(&self) -> bool {
+    async fn has_outlived_reply(&self) -> bool {
         let Some(target) = self.sent_target else { return false };
         if !self.is_staying(target) {
             // Its end is planned, so it blames no request.
--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -13,11 +13,14 @@
 mod silence;
 mod statements;
 mod waiting;
+mod whole;
 
 pub use failure::FailureKind;
 pub use failure::ReplyFailure;
 pub use failure::SendError;
+pub use liveness::CompleteEnd;
 pub use move_on::MovedReply;
+pub use whole::WholeReply;
 
 use std::cell::Cell;
 use std::future::ready;
--- a/ggt-daemon/src/front/stream/mod.rs
+++ b/ggt-daemon/src/front/stream/mod.rs
@@ -13,17 +13,17 @@
 use http::Response;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
-use tokio::time::timeout;
 
 use crate::clock::mono_now;
 use crate::clock::time_until;
+use crate::front::attempt::CompleteEnd;
 use crate::front::attempt::FailureKind;
 use crate::front::attempt::MovedReply;
 use crate::front::attempt::ReplyFailure;
 use crate::front::attempt::TargetReply;
 use crate::front::attempt::UpstreamAttempts;
-use crate::front::buffers::ReadError;
-use crate::front::buffers::read_body;
+use crate::front::attempt::WholeReply;
+use crate::front::buffered::is_retryable;
 use crate::front::job::FrontJob;
 use crate::front::job::JobGuard;
 use crate::front::origins::find_start;
@@ -45,7 +45,9 @@
     /// Events to be forwarded; empty if the caller has them already.
     Events(Vec<u8>),
     /// The stream is complete.
-    Complete,
+    Complete(CompleteEnd),
+    /// The reply has ended, and it has not been checked yet whether it is complete.
+    Ended,
     /// The reply was interrupted or cannot be forwarded.
     Interrupted(ReplyFailure),
     /// The target sent nothing for too long, and a retry at another one is reserved.
@@ -74,9 +76,9 @@
             guard.end("refused", refusal.status.as_u16(), refusal.cause);
             return refusal.into_response(Some(&job.id));
         }
-        Err(StartError::ErrorReply(reply, body)) => {
-            guard.end("answered", reply.0.as_u16(), "whole");
-            return forwarded_response(reply.0, &reply.1, ResponseBody::Complete(Some(body)));
+        Err(StartError::ErrorReply(whole)) => {
+            guard.end("answered", whole.status.as_u16(), "whole");
+            return whole.into_response();
         }
     };
     let (status, raw_headers) = (reply.status, reply.raw_headers.clone());
@@ -99,9 +101,9 @@
 /// Response in place of a stream.
 enum StartError {
     /// The daemon's own final response.
-    Refused(crate::front::response::FrontRefusal),
-    /// Error reply of a target: status, headers and complete body.
-    ErrorReply((http::StatusCode, http::HeaderMap), bytes::Bytes),
+    Refused(FrontRefusal),
+    /// Error reply of a target.
+    ErrorReply(WholeReply),
 }
 
 /// Relays a stream to the caller, resuming it at other targets where the route allows it.
@@ -141,7 +143,7 @@
                 continue;
             }
             match self.read_checked(&mut reply).await {
-                outcome @ (ReadOutcome::Events(_) | ReadOutcome::Complete) => {
+                outcome @ (ReadOutcome::Events(_) | ReadOutcome::Complete(_)) => {
                     reply.guard.record_prefill();
                     self.keep_version();
                     return Ok((reply, outcome));
@@ -173,23 +175,16 @@
         reply: TargetReply,
     ) -> Result<Option<StartError>, StartError> {
         let key = reply.key();
-        let TargetReply { status, raw_headers, body, connection, .. } = reply;
-        let outcome = if status.is_server_error() { SendOutcome::Bad } else { SendOutcome::Good };
-        self.state.record_outcome(key, outcome);
-        let time_left = time_until(self.job.deadline);
-        let collected = timeout(time_left, read_body(&self.state.buffers, body)).await;
-        let is_retryable = status.is_server_error() && self.job.route.is_idempotent;
-        match collected.unwrap_or(Err(ReadError::Deadline)) {
-            Ok(body) => {
-                let error_reply = StartError::ErrorReply((status, raw_headers), body);
-                if is_retryable && self.attempts.try_next_send() {
-                    Ok(Some(error_reply))
-                } else {
-                    Err(error_reply)
+        match self.attempts.read_whole(reply).await {
+            Ok(whole) => {
+                let may_retry = is_retryable(&self.job, whole.status);
+                let error_reply = StartError::ErrorReply(whole);
+                match may_retry && self.attempts.try_next_send() {
+                    true => Ok(Some(error_reply)),
+                    false => Err(error_reply),
                 }
             }
-            Err(e) => {
-                let failure = e.into_failure().with_bytes(connection.received_bytes());
+            Err(failure) => {
                 self.attempts.record_interruption(key, &failure).await;
                 match self.attempts.try_next_send() {
                     true => Ok(None),
@@ -222,10 +217,10 @@
                         return;
                     }
                 }
-                ReadOutcome::Complete => {
+                ReadOutcome::Complete(end) => {
                     self.finish(reply);
                     guard.end("answered", 200, "whole");
-                    sender.finish();
+                    sender.finish(end);
                     return;
                 }
                 interrupted => match self.resume(reply, &interrupted).await {
@@ -314,7 +309,7 @@
                 let failure = failure.clone().with_bytes(received_bytes);
                 self.attempts.record_interruption(key, &failure).await;
             }
-            ReadOutcome::Events(_) | ReadOutcome::Complete => {}
+            ReadOutcome::Events(_) | ReadOutcome::Complete(_) | ReadOutcome::Ended => {}
         }
         if self.attempts.try_next_send() {
             Ok(())
@@ -327,15 +322,15 @@
     /// caller has got an event and the target has not crashed.
     async fn read_checked(&mut self, reply: &mut TargetReply) -> ReadOutcome {
         let outcome = self.read(reply).await;
-        if reply.headers.is_framed || !matches!(outcome, ReadOutcome::Complete) {
+        if !matches!(outcome, ReadOutcome::Ended) {
             return outcome;
         }
-        if self.events.last().is_none() {
+        if !reply.headers.is_framed && self.events.last().is_none() {
             return interrupted(FailureKind::Reset, "ended before the first event");
         }
-        match self.attempts.has_outlived_reply().await {
-            true => ReadOutcome::Complete,
-            false => interrupted(FailureKind::Reset, "target ended with its reply"),
+        match self.attempts.check_end(reply.headers.is_framed).await {
+            Ok(end) => ReadOutcome::Complete(end),
+            Err(failure) => ReadOutcome::Interrupted(failure),
         }
     }
 
@@ -370,7 +365,7 @@
                 None if events.has_partial_event() => {
                     return interrupted(FailureKind::Reset, "ended within an event");
                 }
-                None => return ReadOutcome::Complete,
+                None => return ReadOutcome::Ended,
                 Some(Err(e)) => return interrupted(FailureKind::Reset, error_chain(&e)),
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
--- a/ggt-daemon/src/front/stream/queue.rs
+++ b/ggt-daemon/src/front/stream/queue.rs
@@ -14,6 +14,8 @@
 use bytes::Bytes;
 use snafu::Snafu;
 
+use crate::front::attempt::CompleteEnd;
+
 /// Number of queued bytes from which the relay waits for the caller.
 const MAX_QUEUED_BYTES: usize = 32 * 1024;
 
@@ -81,8 +83,8 @@
         Ok(())
     }
 
-    /// Ends the stream as complete after the queued events.
-    pub fn finish(&self) {
+    /// Ends the stream as complete after the queued events, since the reply has ended so.
+    pub fn finish(&self, _end: CompleteEnd) {
         self.state.borrow_mut().end(Ok(()));
     }
 
--- a/ggt-testkit/tests/platform_unframed_replies.rs
+++ b/ggt-testkit/tests/platform_unframed_replies.rs
@@ -168,3 +168,33 @@
         }
     }
 }
+
+/// Routes of all kinds.
+const ALL_ROUTES: [&str; 4] = ["read", "once", "chat", "talk"];
+/// An error reply's body, and how much of it is sent before the server crashes.
+const ERROR_BODY: &str = "the model could not be loaded: step 1 of 2 failed; nothing was written";
+const SENT_BYTES: usize = 40;
+
+// Guards against the part of an error reply that looks whole on some kinds of route, as its server crashed in the
+// middle of it.
+#[test]
+fn error_replies_without_length_that_a_crash_cuts_are_not_complete() {
+    for route in ALL_ROUTES {
+        let fleet = FrontFleet::start(3, 1);
+        for server in &fleet.servers {
+            server.set_script(|request, stream| {
+                let id = request.attempt_id();
+                let head = format!("X-Attempt-Id: {id}\r\nX-Server-Stamp: s-{id}\r\n");
+                let text =
+                    format!("HTTP/1.1 500 Failed\r\n{head}\r\n{}", &ERROR_BODY[..SENT_BYTES]);
+                // The daemon may have closed the connection already.
+                let _ = stream.write_all(text.as_bytes());
+                thread::sleep(HOLD_INTERVAL);
+                AfterResponse::Crash
+            });
+        }
+        let response = fleet.request(0, "POST", &format!("/{route}/"), "id").body("x").send();
+        let response = response.expect("should respond");
+        assert_eq!(response.header("x-server-stamp"), None, "{route}: {response:?}");
+    }
+}
