fix: a reply without a length is no whole one if its target has not read the upload

A target that answers a long upload at once, without a length, and ends its reply in order while the upload is still being written: the caller got the part as a complete 200. A reset in its place was noticed before. The end of the connection says nothing about a reply whose target gave up on the request, so such a reply is complete only if the request has been written whole; and a connection on which it has not is not kept, as it holds the body.

--- a/ggt-daemon/src/front/attempt/liveness.rs
+++ b/ggt-daemon/src/front/attempt/liveness.rs
@@ -34,13 +34,25 @@
 
 impl UpstreamAttempts {
     /// Checks that the reply of the last send, which has ended, is complete. One that states its length or comes in
-    /// chunks is (`is_framed`), or it would have ended with an error; any other only if its target has not ended with it.
+    /// chunks is (`is_framed`), or it would have ended with an error. Any other is only if its target has read the whole
+    /// request (`has_sent_all`), since one that has not may have given up on it, and has not ended with its reply.
     ///
     /// # Errors
-    /// [`ReplyFailure`] when the target has ended.
-    pub async fn check_end(&self, is_framed: bool) -> Result<CompleteEnd, ReplyFailure> {
-        match is_framed || self.has_outlived_reply().await {
-            true => Ok(CompleteEnd { _checked: () }),
+    /// [`ReplyFailure`] when the reply may have broken off.
+    pub async fn check_end(
+        &self,
+        is_framed: bool,
+        has_sent_all: bool,
+    ) -> Result<CompleteEnd, ReplyFailure> {
+        let complete = CompleteEnd { _checked: () };
+        if is_framed {
+            return Ok(complete);
+        }
+        if !has_sent_all {
+            return Err(ReplyFailure::new(FailureKind::Reset, "ended before the request was read"));
+        }
+        match self.has_outlived_reply().await {
+            true => Ok(complete),
             false => Err(ReplyFailure::new(FailureKind::Reset, "target ended with its reply")),
         }
     }
--- a/ggt-daemon/src/front/attempt/whole.rs
+++ b/ggt-daemon/src/front/attempt/whole.rs
@@ -45,13 +45,15 @@
         let body = timeout(time_until(job.deadline), read_body(&state.buffers, body)).await;
         let body = body.unwrap_or(Err(ReadError::Deadline));
         let body = body.map_err(|e| e.into_failure().with_bytes(connection.received_bytes()))?;
+        let has_sent_all = connection.has_written_all();
         let outcome = if status.is_server_error() { SendOutcome::Bad } else { SendOutcome::Good };
         state.record_outcome(key, outcome);
-        if !headers.closes_connection && job.route.is_idempotent {
+        // A connection on which the request is still being written holds its body.
+        if !headers.closes_connection && job.route.is_idempotent && has_sent_all {
             state.keep_connection(key, peer, connection, headers.keep_alive_seconds);
         }
         drop(guard);
-        let end = self.check_end(headers.is_framed).await?;
+        let end = self.check_end(headers.is_framed, has_sent_all).await?;
         if headers.is_framed && peer.is_none() && !status.is_server_error() {
             state.record_completion(job, status);
         }
--- a/ggt-daemon/src/front/stream/mod.rs
+++ b/ggt-daemon/src/front/stream/mod.rs
@@ -328,7 +328,8 @@
         if !reply.headers.is_framed && self.events.last().is_none() {
             return interrupted(FailureKind::Reset, "ended before the first event");
         }
-        match self.attempts.check_end(reply.headers.is_framed).await {
+        let has_sent_all = reply.connection.has_written_all();
+        match self.attempts.check_end(reply.headers.is_framed, has_sent_all).await {
             Ok(end) => ReadOutcome::Complete(end),
             Err(failure) => ReadOutcome::Interrupted(failure),
         }
@@ -341,7 +342,8 @@
         if headers.is_framed && peer.is_none() {
             self.state.record_completion(&self.job, status);
         }
-        if !headers.closes_connection && self.job.route.is_idempotent {
+        let may_keep = self.job.route.is_idempotent && connection.has_written_all();
+        if !headers.closes_connection && may_keep {
             self.state.keep_connection(key, peer, connection, headers.keep_alive_seconds);
         }
         drop(guard);
--- a/ggt-daemon/src/upstream/connection.rs
+++ b/ggt-daemon/src/upstream/connection.rs
@@ -11,6 +11,7 @@
 use http::Request;
 use http::Response;
 use http_body_util::Full;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
@@ -77,6 +78,8 @@
     sender: SendRequest<Full<Bytes>>,
     tracker: Arc<SendTracker>,
     is_reused: bool,
+    /// Least number of bytes that the last request takes on the connection.
+    request_bytes: u64,
     task: AbortHandle,
 }
 
@@ -108,7 +111,7 @@
                 log::debug!("event=channel address={address} cause=\"{e}\"");
             }
         });
-        Ok(Self { sender, tracker, is_reused: false, task: task.abort_handle() })
+        Ok(Self { sender, tracker, is_reused: false, request_bytes: 0, task: task.abort_handle() })
     }
 
     /// Whether the connection has carried a request before.
@@ -126,6 +129,11 @@
         self.tracker.has_written()
     }
 
+    /// Whether the last request has been written to its end.
+    pub fn has_written_all(&self) -> bool {
+        self.tracker.written_bytes() >= self.request_bytes
+    }
+
     /// Waits until the last reply has been read to its end.
     ///
     /// # Errors
@@ -152,6 +160,7 @@
         send_deadline: MonoTime,
     ) -> Result<Response<Incoming>, SendFailure> {
         self.tracker.begin(send_deadline);
+        self.request_bytes = least_bytes(&request);
         let result = self.sender.send_request(request).await;
         self.tracker.record_head();
         result.map_err(|e| match self.has_written() {
@@ -161,6 +170,14 @@
     }
 }
 
+/// Least number of bytes that a request takes on a connection: the HTTP layer may add headers.
+fn least_bytes(request: &Request<Full<Bytes>>) -> u64 {
+    let headers = request.headers().iter();
+    let head: usize = headers.map(|(name, value)| name.as_str().len() + value.len()).sum();
+    let body = request.body().size_hint().exact().unwrap_or_default();
+    head as u64 + body
+}
+
 struct IdleConnection {
     connection: TargetConnection,
     expires_at: MonoTime,
--- a/ggt-daemon/src/upstream/tracker.rs
+++ b/ggt-daemon/src/upstream/tracker.rs
@@ -48,6 +48,8 @@
     has_head: AtomicBool,
     /// Bytes received since the request began.
     received_bytes: AtomicU64,
+    /// Bytes written since the request began.
+    written_bytes: AtomicU64,
     /// Deadline for writing the first byte, in milliseconds of the monotonic clock.
     send_deadline: AtomicU64,
     idle_timeout: Duration,
@@ -67,6 +69,7 @@
             has_written: AtomicBool::new(false),
             has_head: AtomicBool::new(false),
             received_bytes: AtomicU64::new(0),
+            written_bytes: AtomicU64::new(0),
             send_deadline: AtomicU64::new(send_deadline.as_millis()),
             idle_timeout,
             counter,
@@ -79,6 +82,7 @@
         self.send_deadline.store(send_deadline.as_millis(), Ordering::SeqCst);
         self.has_head.store(false, Ordering::SeqCst);
         self.received_bytes.store(0, Ordering::SeqCst);
+        self.written_bytes.store(0, Ordering::SeqCst);
         self.has_written.store(false, Ordering::SeqCst);
     }
 
@@ -92,6 +96,17 @@
         self.received_bytes.load(Ordering::SeqCst)
     }
 
+    /// Bytes that have been written since the request began.
+    pub fn written_bytes(&self) -> u64 {
+        self.written_bytes.load(Ordering::SeqCst)
+    }
+
+    fn record_write(&self, written: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(length)) = written {
+            self.written_bytes.fetch_add(*length as u64, Ordering::SeqCst);
+        }
+    }
+
     fn record_read(&self, length: usize) {
         self.received_bytes.fetch_add(length as u64, Ordering::SeqCst);
     }
@@ -233,7 +248,9 @@
     ) -> Poll<io::Result<usize>> {
         self.tracker.start_write()?;
         context.waker().wake_by_ref();
-        Pin::new(&mut self.inner).poll_write(context, bytes)
+        let written = Pin::new(&mut self.inner).poll_write(context, bytes);
+        self.tracker.record_write(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -247,7 +264,9 @@
     ) -> Poll<io::Result<usize>> {
         self.tracker.start_write()?;
         context.waker().wake_by_ref();
-        Pin::new(&mut self.inner).poll_write_vectored(context, slices)
+        let written = Pin::new(&mut self.inner).poll_write_vectored(context, slices);
+        self.tracker.record_write(&written);
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/ggt-testkit/tests/platform_unframed_replies.rs
+++ b/ggt-testkit/tests/platform_unframed_replies.rs
@@ -1,7 +1,10 @@
 //! Replies without a length: one that ends since its server is gone is not taken for complete, and one that a leaving
 //! server completes is.
 
+use std::io::Read;
 use std::io::Write;
+use std::net::Shutdown;
+use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
@@ -9,9 +12,13 @@
 use std::thread;
 use std::time::Duration;
 
+use serde_json::json;
+
+use ggt_platform::TARGET_PREFIX;
 use ggt_standin::users_platform::AfterResponse;
 use ggt_standin::users_platform::ServerStandin;
 use ggt_standin::users_platform::WireRequest;
+use ggt_standin::users_platform::test_config;
 use ggt_testkit::front::FrontFleet;
 use ggt_testkit::front::await_ready;
 use ggt_testkit::http::HttpResponse;
@@ -24,6 +31,8 @@
 const REQUESTS: usize = 4;
 /// Time from the end of a server's connections to that of its listener.
 const LISTENER_DELAY: Duration = Duration::from_millis(5);
+/// Time for which a server that reads nothing more keeps its connection.
+const UPLOAD_HOLD: Duration = Duration::from_secs(3);
 /// Interval at which a held reply checks whether it may end.
 const HOLD_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -198,3 +207,64 @@
         assert_eq!(response.header("x-server-stamp"), None, "{route}: {response:?}");
     }
 }
+
+/// Bytes of an upload that no server reads whole: more than all buffers on its way.
+const UPLOAD_BYTES: usize = 16 * 1024 * 1024;
+
+/// How a server ends a reply to an upload that it has not read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum UploadEnd {
+    /// It closes, which resets the connection.
+    Close,
+    /// It sends no more, and reads nothing.
+    Finish,
+}
+
+/// Serves connections at a listener: reads the beginning of each request, and replies with a part of a body.
+fn serve_uploads(listener: TcpListener, end: UploadEnd) {
+    for mut stream in listener.incoming().flatten() {
+        thread::spawn(move || {
+            let mut beginning = [0; 4096];
+            let length = stream.read(&mut beginning).unwrap_or(0);
+            let text = String::from_utf8_lossy(&beginning[..length]).to_ascii_lowercase();
+            let lines = text.lines().find_map(|line| line.strip_prefix("x-attempt-id: "));
+            let id = lines.unwrap_or("-").trim();
+            let head = format!("X-Attempt-Id: {id}\r\nX-Server-Stamp: s-{id}\r\n");
+            let event = "id: 1\ndata: one\n\n";
+            // The daemon may have closed the connection already.
+            let _ = stream.write_all(format!("HTTP/1.1 200 OK\r\n{head}\r\n{event}").as_bytes());
+            if end == UploadEnd::Finish {
+                // Ignored: the daemon may have closed it.
+                let _ = stream.shutdown(Shutdown::Write);
+                thread::sleep(UPLOAD_HOLD);
+            }
+        });
+    }
+}
+
+// Guards against the part of a reply without a length that looks whole though its server stopped reading the upload.
+#[test]
+fn replies_without_length_to_uploads_that_are_not_read_are_not_complete() {
+    for end in [UploadEnd::Close, UploadEnd::Finish] {
+        let mut fleet = FrontFleet::start(1, 0);
+        let mut config = test_config(2);
+        config["Limits"]["MaxBodyBytes"] = json!(UPLOAD_BYTES);
+        fleet.publish(&config);
+        let listener = TcpListener::bind(fleet.unused_address()).expect("a free address");
+        let address = listener.local_addr().expect("an address");
+        thread::spawn(move || serve_uploads(listener, end));
+        let server = &fleet.servers[0];
+        let entry = server.registration("s", "a", "ready");
+        let entry = entry.replace(&server.address.to_string(), &address.to_string());
+        fleet.store.put(&format!("{TARGET_PREFIX}{}", server.id()), &entry);
+        fleet.add_daemon(0, None);
+        fleet.daemons.iter().for_each(await_ready);
+        for route in ALL_ROUTES {
+            let request = fleet.request(0, "POST", &format!("/{route}/"), &format!("id-{route}"));
+            let response = request.body(&"x".repeat(UPLOAD_BYTES)).send();
+            let response = response.expect("should respond");
+            let looks_whole = response.status == 200 && response.is_complete;
+            assert!(!looks_whole, "{end:?} {route}: {response:?}");
+        }
+    }
+}
