fix: an interim status in place of a reply is no reply

A target that answers 101 Switching Protocols had it passed on as a final response with its stamp, on all four kinds of route. Nobody has asked for another protocol, and what follows on such a connection is no HTTP. The connection to a target now reports it as an invalid reply, on both interfaces (502). Statuses of 000, 099, 0, 2000 and none were 502 before, also behind a peer.

--- a/ggt-daemon/src/front/attempt/send.rs
+++ b/ggt-daemon/src/front/attempt/send.rs
@@ -365,6 +365,7 @@
     let (kind, cause) = match failure {
         SendFailure::NotSent { cause } => return Err(not_sent(&cause)),
         SendFailure::TooLong { cause } => (FailureKind::TooLong, cause),
+        SendFailure::Invalid { cause } => (FailureKind::InvalidReply, cause),
         SendFailure::Lost { cause } if connection.is_reused() => {
             (FailureKind::StaleConnection, cause)
         }
--- a/ggt-daemon/src/front/forward/send.rs
+++ b/ggt-daemon/src/front/forward/send.rs
@@ -83,9 +83,11 @@
     match sent {
         Ok(response) => judge_response(response, connection),
         Err(SendFailure::NotSent { cause }) => PeerOutcome::NotTaken { cause },
-        Err(SendFailure::Lost { cause } | SendFailure::TooLong { cause }) => {
-            PeerOutcome::Lost { cause }
-        }
+        Err(
+            SendFailure::Lost { cause }
+            | SendFailure::TooLong { cause }
+            | SendFailure::Invalid { cause },
+        ) => PeerOutcome::Lost { cause },
     }
 }
 
--- a/ggt-daemon/src/upstream/call.rs
+++ b/ggt-daemon/src/upstream/call.rs
@@ -97,7 +97,9 @@
         match failure {
             SendFailure::NotSent { cause } => Self::NotSent { cause, is_silence: false },
             SendFailure::Lost { cause } => Self::NoReply { cause, is_silence: false },
-            SendFailure::TooLong { cause } => Self::WrongReply { cause },
+            SendFailure::TooLong { cause } | SendFailure::Invalid { cause } => {
+                Self::WrongReply { cause }
+            }
         }
     }
 }
--- a/ggt-daemon/src/upstream/connection.rs
+++ b/ggt-daemon/src/upstream/connection.rs
@@ -60,6 +60,12 @@
         /// Text of the underlying error.
         cause: String,
     },
+    /// The same, and what the target has sent is no final reply.
+    #[snafu(display("{cause}"))]
+    Invalid {
+        /// What it has sent.
+        cause: String,
+    },
 }
 
 impl SendFailure {
@@ -163,10 +169,15 @@
         self.request_bytes = least_bytes(&request);
         let result = self.sender.send_request(request).await;
         self.tracker.record_head();
-        result.map_err(|e| match self.has_written() {
-            true => SendFailure::of_written(&e),
-            false => SendFailure::NotSent { cause: error_chain(&e) },
-        })
+        match result {
+            // Nobody has asked for another protocol, so what follows is no reply.
+            Ok(response) if response.status().is_informational() => Err(SendFailure::Invalid {
+                cause: format!("status {}", response.status().as_u16()),
+            }),
+            Ok(response) => Ok(response),
+            Err(e) if self.has_written() => Err(SendFailure::of_written(&e)),
+            Err(e) => Err(SendFailure::NotSent { cause: error_chain(&e) }),
+        }
     }
 }
 
--- a/ggt-testkit/tests/platform_broken_heads.rs
+++ b/ggt-testkit/tests/platform_broken_heads.rs
@@ -98,3 +98,52 @@
     fleet.cut(0, LinkKind::Reset);
     check_all(&fleet, 0);
 }
+
+/// Statuses of replies that are no final ones: switching protocols, and what is no status.
+const STATUSES: [&str; 6] = ["101", "000", "099", "0", "2000", "20x"];
+
+fn check_statuses(fleet: &FrontFleet, daemon: usize) {
+    for status in STATUSES {
+        fleet.servers.iter().for_each(|server| {
+            server.set_script(|request, stream| respond(request, stream, 200, "whole"));
+        });
+        wait_until("a request is answered whole", || {
+            let whole = fleet.request(daemon, "GET", WHOLE_PATH, "whole").send();
+            whole.is_some_and(|response| response.status == 200)
+        });
+        for server in &fleet.servers {
+            server.set_script(move |request, stream| {
+                let id = request.attempt_id();
+                let head = format!(
+                    "HTTP/1.1 {status} Odd\r\nX-Attempt-Id: {id}\r\nX-Server-Stamp: stamp-{id}\r\n\
+                     Connection: upgrade\r\nUpgrade: other\r\nContent-Length: 0\r\n\r\n"
+                );
+                // The daemon may have closed the connection already.
+                let _ = stream.write_all(head.as_bytes());
+                AfterResponse::Keep
+            });
+        }
+        for (method, path) in KINDS {
+            let id = format!("id-{daemon}-{status}{path}").replace('/', "-");
+            let response = fleet.request(daemon, method, path, &id).body("x").send();
+            let response = response.expect("should respond");
+            assert_eq!(response.status, 502, "{id}: {response:?}");
+            assert_eq!(response.header("x-server-stamp"), None, "{id}");
+        }
+    }
+}
+
+// Guards against a reply with a status that is no final one, which reaches the caller as an answer.
+#[test]
+fn reply_without_a_final_status_is_no_reply() {
+    let fleet = FrontFleet::start(1, 1);
+    check_statuses(&fleet, 0);
+}
+
+// Guards against the same behind a peer.
+#[test]
+fn reply_without_a_final_status_is_no_reply_through_a_peer() {
+    let fleet = FrontFleet::start_linked(2, 2);
+    fleet.cut(0, LinkKind::Reset);
+    check_statuses(&fleet, 0);
+}
