fix: readers of bodies are woken only when one has given way; only engines are asked for lists

Each admission of a body woke all tasks that read one, so a crowd of unfinished bodies cost work with each request of others. The table now counts revocations, and readers are woken when there was one.

The question for cached parts and for a target's start went to targets of any service with a sticky route. A service without engines does not know that request and might take it for one of a caller; such targets now count as not listed.

--- a/ggt-core/src/bodies/mod.rs
+++ b/ggt-core/src/bodies/mod.rs
@@ -135,6 +135,8 @@
     large_held: usize,
     /// Bytes of large bodies by customer.
     customers: HashMap<u64, usize>,
+    /// Number of bodies that have given way.
+    revocations: u64,
 }
 
 impl BodyTable {
@@ -147,6 +149,7 @@
             held: 0,
             large_held: 0,
             customers: HashMap::new(),
+            revocations: 0,
         };
         table.set_room(room, 0);
         table
@@ -163,6 +166,11 @@
         self.held
     }
 
+    /// Number of bodies that have given way to others so far.
+    pub const fn revocations(&self) -> u64 {
+        self.revocations
+    }
+
     /// Bytes that they may take together.
     pub const fn room(&self) -> usize {
         self.room
@@ -284,6 +292,7 @@
     fn revoke(&mut self, key: BodyKey) {
         let Some(entry) = self.entries.get(key).copied() else { return };
         self.count_out(entry);
+        self.revocations += 1;
         self.entries[key].state = BodyState::Revoked;
     }
 
--- a/ggt-core/tests/bodies.rs
+++ b/ggt-core/tests/bodies.rs
@@ -71,7 +71,7 @@
     let next = table.admit(9, LARGE, at(4_000)).expect("room");
     let revoked =
         |table: &BodyTable| keys.iter().map(|key| table.is_revoked(*key)).collect::<Vec<_>>();
-    assert_eq!(revoked(&table), [true, false, false]);
+    assert_eq!((revoked(&table), table.revocations()), (vec![true, false, false], 1));
     assert_eq!(table.grow(keys[0], LARGE, at(4_000)), Err(BodyDenial::Revoked));
     table.finish(next, LARGE);
     assert!(table.admit(8, LARGE, at(4_000)).is_ok());
--- a/ggt-daemon/src/front/bodies.rs
+++ b/ggt-daemon/src/front/bodies.rs
@@ -76,13 +76,17 @@
         Ok(BodyBuffer { budget: self.clone(), key, bytes: Vec::new(), room: bytes })
     }
 
-    /// Applies a change that may take room from other bodies, and wakes those that read them.
+    /// Applies a change that may take room from other bodies, and wakes those that read them if it has.
     fn settle<R, A>(&self, act: A) -> R
     where
         A: FnOnce(&mut BodyTable) -> R,
     {
-        let result = act(&mut self.lock());
-        self.revoked.notify_waiters();
+        let mut table = self.lock();
+        let before = table.revocations();
+        let result = act(&mut table);
+        if table.revocations() > before {
+            self.revoked.notify_waiters();
+        }
         result
     }
 }
--- a/ggt-daemon/src/front/cache_lists.rs
+++ b/ggt-daemon/src/front/cache_lists.rs
@@ -81,7 +81,7 @@
     /// A request that counts as begun; `None` if there is a current list or one has been requested.
     fn begin(state: &FrontState, key: TargetKey) -> Option<Self> {
         let pool = state.pool.borrow();
-        let target = pool.target(key)?;
+        let target = pool.target(key).filter(|target| state.is_engine(&target.record))?;
         let requested_at = mono_now();
         let is_due = state.listings.borrow_mut().begin(target.short_hash, requested_at);
         let TargetRecord { address, incarnation, .. } = target.record;
@@ -148,6 +148,13 @@
 }
 
 impl FrontState {
+    /// Whether a target has a prefix cache. Others do not know the request for its list.
+    pub fn is_engine(&self, record: &TargetRecord) -> bool {
+        let config = self.route_config();
+        let service = config.as_ref().and_then(|config| config.service(&record.service));
+        service.is_some_and(|service| service.engine.is_some())
+    }
+
     fn record_list(
         &self,
         key: TargetKey,
--- a/ggt-daemon/src/front/lifetimes.rs
+++ b/ggt-daemon/src/front/lifetimes.rs
@@ -42,9 +42,8 @@
 }
 
 async fn check_lifetime(state: &FrontState, key: TargetKey) {
-    let Some(record) = state.pool.borrow().target(key).map(|target| target.record.clone()) else {
-        return;
-    };
+    let record = state.pool.borrow().target(key).map(|target| target.record.clone());
+    let Some(record) = record.filter(|record| state.is_engine(record)) else { return };
     let outcome = match is_incarnation_there(record.address, record.incarnation).await {
         Ok(true) => {
             state.pool.borrow_mut().confirm_lifetime(key);
--- a/ggt-daemon/src/front/warmup.rs
+++ b/ggt-daemon/src/front/warmup.rs
@@ -88,13 +88,10 @@
 
 /// Engines that this daemon queries; each is assigned to one of the daemons that are alive.
 fn assigned_engines(state: &FrontState) -> Vec<TargetKey> {
-    let Some(config) = state.route_config() else { return Vec::new() };
     let fleet = state.fleet.borrow();
     let now = mono_now();
     let pool = state.pool.borrow();
-    let engines = pool.iter().filter(|(_, target)| {
-        config.service(&target.record.service).is_some_and(|service| service.engine.is_some())
-    });
+    let engines = pool.iter().filter(|(_, target)| state.is_engine(&target.record));
     engines
         .filter(|(_, target)| fleet.lister(target.location_hash, now).is_none())
         .map(|(key, _)| key)
--- a/ggt-testkit/tests/platform_all_lost.rs
+++ b/ggt-testkit/tests/platform_all_lost.rs
@@ -36,9 +36,12 @@
 /// Pause of a caller between two attempts.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
-/// The test configuration with streams that are shorter than the history that the store usually keeps.
+/// The test configuration with streams that are shorter than the history that the store usually keeps, and servers
+/// that cache prompts.
 fn config() -> Value {
     let mut config = test_config(2);
+    config["Services"][0]["Engine"] =
+        json!({ "Slots": 8, "KvCapTokens": 100_000, "Models": [{ "Name": "m" }] });
     let routes = config["Routes"].as_array_mut().into_iter().flatten();
     routes.for_each(|route| route["TimeoutMs"] = json!(TIMEOUT_MS));
     config
--- a/ggt-testkit/tests/platform_versions.rs
+++ b/ggt-testkit/tests/platform_versions.rs
@@ -6,11 +6,14 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use serde_json::json;
+
 use ggt_platform::CACHE_LIST_PATH;
 use ggt_platform::TARGET_PREFIX;
 use ggt_standin::users_platform::AfterResponse;
 use ggt_standin::users_platform::ServerStandin;
 use ggt_standin::users_platform::respond;
+use ggt_standin::users_platform::test_config;
 use ggt_testkit::front::FrontFleet;
 use ggt_testkit::front::VersionScript;
 use ggt_testkit::front::versions_in;
@@ -399,7 +402,12 @@
 // incarnation that is registered.
 #[test]
 fn streams_go_on_at_a_server_that_states_the_registered_start() {
-    let fleet = FrontFleet::start(4, 1);
+    let fleet = FrontFleet::start(4, 0);
+    let mut config = test_config(2);
+    let models = json!([{ "Name": "m" }]);
+    config["Services"][0]["Engine"] = json!({ "Slots": 8, "KvCapTokens": 1_000, "Models": models });
+    fleet.publish(&config);
+    let fleet = with_daemons(fleet, 1);
     let respond_as = |server: &ServerStandin, version| {
         let script = whole_script(version);
         server.set_version(version);
