test: rejections are noted before they are counted

requests_are_refused_until_the_first_server_takes_them_again counted what its server had noted as soon as it had read the responses, and the server notes a rejection after it has written the response (traced before, with 30 ms between the two).

--- a/ggt-testkit/tests/platform_retry_after.rs
+++ b/ggt-testkit/tests/platform_retry_after.rs
@@ -117,6 +117,8 @@
     let rejections = turn_away(&fleet, 0, false);
     let first = (0..DAEMONS).map(|daemon| (send(&fleet, daemon, "/once/", 0), Instant::now()));
     let first: Vec<_> = first.collect();
+    // The server notes a rejection after it has written the response.
+    wait_until("all rejections are noted", || lock(&rejections).len() >= DAEMONS);
     assert_eq!(lock(&rejections).len(), DAEMONS);
     let ends: Vec<_> = lock(&rejections).iter().map(|(_, at)| *at + CLOSED_TIME).collect();
     let check_refusal = |response: &HttpResponse, received_at: Instant, end: Instant| {
