refactor: the judgement of cached parts names what it asks of other versions

judge_cached's argument says whether a target of another version has ended; its name and comment said a version's own. No change of behaviour.

--- a/ggt-core/src/versions/cached.rs
+++ b/ggt-core/src/versions/cached.rs
@@ -53,13 +53,14 @@
 /// targets say about the part.
 ///
 /// An earlier request of the same session leaves fewer tokens than this one states. If it does not, the part may be
-/// cached at several versions, or only at the wrong one, once a target has ended: `has_departed` says that of a
-/// version's targets. Then only more tokens than the part has will do, since these were generated after it.
+/// cached at several versions, or only at the wrong one, once the target that ran the stream has ended.
+/// `has_lost_other` says whether a target of another version than its argument has. Then only more tokens than the part
+/// has will do, since these were generated after it.
 pub fn judge_cached<D>(
     tokens: u32,
     targets: &[OriginTarget],
     listed: &[ListedPart],
-    has_departed: D,
+    has_lost_other: D,
 ) -> CacheVerdict
 where
     D: Fn(SoftwareVersion) -> bool,
@@ -82,12 +83,12 @@
     if others().any(|target| !target.is_gone && !is_listed(&target)) {
         return CacheVerdict::Unlisted;
     }
-    let has_lost_other = has_departed(version) || others().any(|target| kept(target).is_none());
+    let may_have_lost = has_lost_other(version) || others().any(|target| kept(target).is_none());
     let has_generated = targets
         .iter()
         .filter(|target| target.version == version)
         .any(|target| kept(target).is_some_and(|kept| kept > tokens));
-    match has_lost_other && !has_generated {
+    match may_have_lost && !has_generated {
         true => CacheVerdict::Departed,
         false => CacheVerdict::Cached(version),
     }
--- a/ggt-core/tests/cached_origins.rs
+++ b/ggt-core/tests/cached_origins.rs
@@ -198,10 +198,10 @@
             _ => Some(ListedPart { target: number as u32, tokens: Some(target.kept) }),
         });
         let listed: Vec<_> = listed.collect();
-        let has_departed = |found| {
+        let has_lost_other = |found| {
             !is_forgotten && self.departed.iter().any(|departed| version(*departed) != found)
         };
-        judge_cached(self.tokens, &targets, &listed, has_departed)
+        judge_cached(self.tokens, &targets, &listed, has_lost_other)
     }
 }
 
--- a/ggt-daemon/src/front/origins/cached.rs
+++ b/ggt-daemon/src/front/origins/cached.rs
@@ -46,9 +46,9 @@
     let listed = ask_listers(state, &targets, part.hash).await;
     let service = ServiceKey::named(&job.service);
     let memory_ms = state.stream_memory_ms.get();
-    let has_departed =
+    let has_lost_other =
         |version| state.versions.borrow().has_lost_other(service, version, memory_ms, mono_now());
-    judge_cached(part.tokens, &targets, &listed, has_departed)
+    judge_cached(part.tokens, &targets, &listed, has_lost_other)
 }
 
 /// The targets of a service at which a stream may have begun.
