test: parts of replies behind a peer, and odd statuses on the own interface

Behind a peer an error that a crash cuts and half of a success are not complete, on all kinds of route; on the own interface 101 and 000 are no replies, and replies without a length were dropped before. A first form of the test of the peer reached the servers by a link, which accepts connections for a crashed server, so that the peer took it for alive; it reaches them directly now.

--- a/ggt-daemon/tests/upstream.rs
+++ b/ggt-daemon/tests/upstream.rs
@@ -104,6 +104,18 @@
     }
 }
 
+// Guards against a reply that is no final one, such as the switch to a protocol that nobody asked for.
+#[test]
+fn reply_without_a_final_status_is_dropped() {
+    let switch = "HTTP/1.1 101 Switching Protocols\r\nx-request-id: id-1\r\nupgrade: x\r\n\r\n";
+    let zero = "HTTP/1.1 000 Odd\r\nx-request-id: id-1\r\ncontent-length: 0\r\n\r\n";
+    for reply in [switch, zero] {
+        let (address, _served) = start_target(reply);
+        let failure = call(address, mono_now() + 10_000).expect_err("unusable reply");
+        assert_eq!(failure.verdict(), RunVerdict::Unknown, "{failure}");
+    }
+}
+
 #[test]
 fn reply_sent_before_the_request_is_read_yields_its_status_or_the_verdict_unknown() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
--- a/ggt-testkit/tests/platform_unframed_replies.rs
+++ b/ggt-testkit/tests/platform_unframed_replies.rs
@@ -5,6 +5,7 @@
 use std::io::Write;
 use std::net::Shutdown;
 use std::net::TcpListener;
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
@@ -16,6 +17,7 @@
 
 use ggt_platform::TARGET_PREFIX;
 use ggt_standin::users_platform::AfterResponse;
+use ggt_standin::users_platform::LinkKind;
 use ggt_standin::users_platform::ServerStandin;
 use ggt_standin::users_platform::WireRequest;
 use ggt_standin::users_platform::test_config;
@@ -184,30 +186,73 @@
 const ERROR_BODY: &str = "the model could not be loaded: step 1 of 2 failed; nothing was written";
 const SENT_BYTES: usize = 40;
 
+/// Sends the beginning of an error reply, and crashes.
+fn crash_within_error(request: &WireRequest, stream: &mut TcpStream) -> AfterResponse {
+    let id = request.attempt_id();
+    let head = format!("X-Attempt-Id: {id}\r\nX-Server-Stamp: s-{id}\r\n");
+    let text = format!("HTTP/1.1 500 Failed\r\n{head}\r\n{}", &ERROR_BODY[..SENT_BYTES]);
+    // The daemon may have closed the connection already.
+    let _ = stream.write_all(text.as_bytes());
+    thread::sleep(HOLD_INTERVAL);
+    AfterResponse::Crash
+}
+
 // Guards against the part of an error reply that looks whole on some kinds of route, as its server crashed in the
 // middle of it.
 #[test]
 fn error_replies_without_length_that_a_crash_cuts_are_not_complete() {
     for route in ALL_ROUTES {
         let fleet = FrontFleet::start(3, 1);
-        for server in &fleet.servers {
-            server.set_script(|request, stream| {
-                let id = request.attempt_id();
-                let head = format!("X-Attempt-Id: {id}\r\nX-Server-Stamp: s-{id}\r\n");
-                let text =
-                    format!("HTTP/1.1 500 Failed\r\n{head}\r\n{}", &ERROR_BODY[..SENT_BYTES]);
-                // The daemon may have closed the connection already.
-                let _ = stream.write_all(text.as_bytes());
-                thread::sleep(HOLD_INTERVAL);
-                AfterResponse::Crash
-            });
-        }
+        fleet.servers.iter().for_each(|server| server.set_script(crash_within_error));
         let response = fleet.request(0, "POST", &format!("/{route}/"), "id").body("x").send();
         let response = response.expect("should respond");
         assert_eq!(response.header("x-server-stamp"), None, "{route}: {response:?}");
     }
 }
 
+/// Three servers and two daemons, of which the first is cut off from the servers. The second one reaches them without
+/// a link, which would accept connections for a server that has crashed.
+fn start_with_peer() -> FrontFleet {
+    let mut fleet = FrontFleet::start(3, 0);
+    let addresses: Vec<_> = fleet.servers.iter().map(|server| server.address).collect();
+    fleet.link_daemons(1, &addresses);
+    fleet.publish(&test_config(2));
+    (0..addresses.len()).for_each(|number| fleet.register_in_state(number, "ready"));
+    (0..2).for_each(|number| fleet.add_daemon(number, None));
+    fleet.daemons.iter().for_each(await_ready);
+    fleet.cut(0, LinkKind::Reset);
+    fleet
+}
+
+// Guards against the same, and against half of a success, behind a peer.
+#[test]
+fn parts_of_replies_are_not_complete_through_a_peer() {
+    for route in ALL_ROUTES {
+        for is_error in [true, false] {
+            let fleet = start_with_peer();
+            wait_until("a peer serves the request", || {
+                let response = fleet.request(0, "POST", "/read/", "whole").body("x").send();
+                response.is_some_and(|response| response.status == 200)
+            });
+            for server in &fleet.servers {
+                server.set_script(move |request, stream| match is_error {
+                    true => crash_within_error(request, stream),
+                    false => {
+                        // The daemon may have closed the connection already.
+                        let _ = stream.write_all(unframed_reply(request).as_bytes());
+                        thread::sleep(HOLD_INTERVAL);
+                        AfterResponse::Crash
+                    }
+                });
+            }
+            let response = fleet.request(0, "POST", &format!("/{route}/"), "id").body("x").send();
+            let Some(response) = response else { continue };
+            let has_stamp = response.header("x-server-stamp").is_some();
+            assert!(!(has_stamp && response.is_complete), "{route}: {response:?}");
+        }
+    }
+}
+
 /// Bytes of an upload that no server reads whole: more than all buffers on its way.
 const UPLOAD_BYTES: usize = 16 * 1024 * 1024;
 
