--- a/ggt-testkit/src/front/mod.rs
+++ b/ggt-testkit/src/front/mod.rs
@@ -24,7 +24,6 @@
 
 pub use crate::front::asked_peer::AskedPeer;
 pub use crate::front::links::DaemonLinks;
-pub use crate::front::versions::PartCache;
 pub use crate::front::versions::VersionScript;
 pub use crate::front::versions::versions_in;
 
--- a/ggt-testkit/src/front/versions.rs
+++ b/ggt-testkit/src/front/versions.rs
@@ -1,21 +1,13 @@
 //! Servers whose events name their software version.
 
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::io::Write;
 use std::net::TcpStream;
 use std::ops::RangeInclusive;
-use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::PoisonError;
 
-use serde_json::json;
-
-use ggt_platform::CACHE_LIST_PATH;
 use ggt_standin::users_platform::AfterResponse;
 use ggt_standin::users_platform::ServerStandin;
 use ggt_standin::users_platform::WireRequest;
-use ggt_standin::users_platform::respond;
 use ggt_standin::users_platform::stream_head;
 
 /// Replies with events that name a software version.
@@ -57,34 +49,3 @@
 pub fn versions_in(body: &str) -> BTreeSet<&str> {
     body.lines().filter_map(|line| line.strip_prefix("data: ")).collect()
 }
-
-/// The prompt parts that a server keeps, with the tokens of each.
-#[derive(Clone, Debug, Default)]
-pub struct PartCache {
-    parts: Arc<Mutex<BTreeMap<String, u64>>>,
-}
-
-impl PartCache {
-    /// Replies to a request for the list of the parts; keeps the parts of any other request's prompt, with `generated`
-    /// tokens after the last one, and returns `None`.
-    pub fn serve(
-        &self,
-        request: &WireRequest,
-        stream: &mut TcpStream,
-        generated: u64,
-    ) -> Option<AfterResponse> {
-        let mut parts = self.parts.lock().unwrap_or_else(PoisonError::into_inner);
-        if request.path != CACHE_LIST_PATH {
-            let list = request.header("x-prompt-prefix").unwrap_or_default();
-            let entries = list.split(',').filter_map(|part| part.split_once(':'));
-            let mut entries = entries.map(|(id, tokens)| (id, tokens.parse().unwrap_or(0_u64)));
-            let own = entries.next_back().map(|(id, tokens)| (id, tokens + generated));
-            let kept = entries.chain(own).map(|(id, tokens)| (id.to_owned(), tokens));
-            parts.extend(kept);
-            return None;
-        }
-        let held: Vec<_> = parts.iter().map(|(id, tokens)| json!(["", id, tokens, "m"])).collect();
-        let body = json!({ "epoch": 1, "NextToken": 1, "held": held }).to_string();
-        Some(respond(request, stream, 200, &body))
-    }
-}
--- a/ggt-testkit/tests/platform_all_lost.rs
+++ b/ggt-testkit/tests/platform_all_lost.rs
@@ -9,10 +9,10 @@
 use serde_json::json;
 
 use ggt_platform::TARGET_PREFIX;
+use ggt_standin::users_platform::PartCache;
 use ggt_standin::users_platform::ServerStandin;
 use ggt_standin::users_platform::test_config;
 use ggt_testkit::front::FrontFleet;
-use ggt_testkit::front::PartCache;
 use ggt_testkit::front::VersionScript;
 use ggt_testkit::front::await_ready;
 use ggt_testkit::front::versions_in;
--- a/ggt-testkit/tests/platform_versions.rs
+++ b/ggt-testkit/tests/platform_versions.rs
@@ -349,6 +349,19 @@
     (0..2).for_each(|daemon| check_taken_up(&fleet, daemon, &versions));
 }
 
+/// Begins streams until some have begun at the server of `v1`; returns the attempts of these.
+fn begin_at_old_server(fleet: &FrontFleet) -> Vec<String> {
+    let (mut begun, mut number) = (Vec::new(), 0);
+    wait_until("the server has begun streams", || {
+        number += 1;
+        let id = format!("first-{number}");
+        let response = begin(fleet, 0, &id);
+        begun.extend(versions_in(&response.body).contains("v1").then_some(id));
+        begun.len() >= 3
+    });
+    begun
+}
+
 fn whole_script(version: &'static str) -> VersionScript {
     VersionScript { version, events: 1..=EVENTS, is_cut: false }
 }
@@ -369,15 +382,9 @@
         let script = VersionScript { version: "v1", events: 1..=CUT_AFTER, is_cut: true };
         script.send(request, stream)
     });
-    let (mut begun, mut number) = (Vec::new(), 0);
-    wait_until("the server has begun streams", || {
-        number += 1;
-        let id = format!("first-{number}");
-        let response = begin(&fleet, 0, &id);
-        begun.extend(versions_in(&response.body).contains("v1").then_some(id));
-        begun.len() >= 3
-    });
+    let begun = begin_at_old_server(&fleet);
     server.set_script(|_, _| AfterResponse::Crash);
+    let mut number = 0;
     wait_until("the server has crashed", || {
         number += 1;
         begin(&fleet, 0, &format!("crash-{number}"));
@@ -420,15 +427,9 @@
     (1..4).for_each(|number| respond_as(&fleet.servers[number], "v2"));
     (0..4).for_each(|number| register_as_born(&fleet, &fleet.servers[number], 1));
     let server = &fleet.servers[0];
-    let (mut begun, mut number) = (Vec::new(), 0);
-    wait_until("the server has begun streams", || {
-        number += 1;
-        let id = format!("first-{number}");
-        let response = begin(&fleet, 0, &id);
-        begun.extend(versions_in(&response.body).contains("v1").then_some(id));
-        begun.len() >= 3
-    });
+    let begun = begin_at_old_server(&fleet);
     server.set_script(|_, _| AfterResponse::Crash);
+    let mut number = 0;
     wait_until("the server refuses connections", || {
         number += 1;
         begin(&fleet, 0, &format!("crash-{number}"));
