--- a/review/harness-3/src/cases/mod.rs
+++ b/review/harness-3/src/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
-mod crowd;
+mod memory;
+mod same_id;
 
 use crate::Stage;
 use crate::Verdict;
@@ -8,7 +9,8 @@
 /// The case with this name.
 pub fn find(name: &str) -> Option<fn(&Stage) -> Verdict> {
     match name {
-        "crowd" => Some(crowd::play),
+        "memory" => Some(memory::play),
+        "same-id" => Some(same_id::play),
         _ => None,
     }
 }
--- a/review/harness-3/src/main.rs
+++ b/review/harness-3/src/main.rs
@@ -5,7 +5,10 @@
 
 mod cases;
 mod client;
+mod crowd;
 mod daemon;
+mod desk;
+mod engine;
 mod http;
 mod record;
 mod server;
@@ -39,6 +42,11 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<_> = std::env::args().skip(1).collect();
+    match arguments.first().map(String::as_str) {
+        Some("engine") => return engine::run(&arguments[1..]),
+        Some("crowd") => return crowd::run(&arguments[1..]),
+        _ => {}
+    }
     let [case, folder] = arguments.as_slice() else {
         eprintln!("usage: review-cases-3 CASE FOLDER");
         return ExitCode::from(2);
