--- a/review/harness-3/src/cases/memory.rs
+++ b/review/harness-3/src/cases/memory.rs
@@ -121,8 +121,7 @@
                 daemon.name,
                 daemon.open_files()
             ));
-            let _ = daemon.process.kill();
-            let _ = daemon.process.wait();
+            daemon.kill();
             sleep(Duration::from_millis(500));
             return most;
         }
--- a/review/harness-3/src/cases/mod.rs
+++ b/review/harness-3/src/cases/mod.rs
@@ -2,6 +2,7 @@
 
 mod descriptors;
 mod memory;
+mod one_part;
 mod same_id;
 
 use crate::Stage;
@@ -12,6 +13,7 @@
     match name {
         "descriptors" => Some(descriptors::play),
         "memory" => Some(memory::play),
+        "one-part" => Some(one_part::play),
         "same-id" => Some(same_id::play),
         _ => None,
     }
--- a/review/harness-3/src/client.rs
+++ b/review/harness-3/src/client.rs
@@ -16,9 +16,6 @@
 pub struct Outcome {
     /// The final status; `None` if there was none within the time.
     pub status: Option<u16>,
-    pub headers: Vec<(String, String)>,
-    pub body: Vec<u8>,
-    pub end: BodyEnd,
     pub after: Duration,
 }
 
@@ -30,20 +27,9 @@
 }
 
 /// Sends a request, and waits for its whole answer for `limit`.
-pub fn request(
-    address: SocketAddr,
-    head: &str,
-    body: &[u8],
-    limit: Duration,
-) -> Outcome {
+pub fn request(address: SocketAddr, head: &str, body: &[u8], limit: Duration) -> Outcome {
     let began_at = Instant::now();
-    let none = |after| Outcome {
-        status: None,
-        headers: Vec::new(),
-        body: Vec::new(),
-        end: BodyEnd::Broken,
-        after,
-    };
+    let none = |after| Outcome { status: None, after };
     // Clients allow a new channel one second to be established.
     let connected = TcpStream::connect_timeout(&address, Duration::from_secs(1).min(limit));
     let Ok(mut stream) = connected else { return none(began_at.elapsed()) };
@@ -55,12 +41,7 @@
     }
     let mut reader = Reader::new(stream);
     let Some(response) = read_head(&mut reader) else { return none(began_at.elapsed()) };
-    let (body, end) = read_body(&mut reader, &response);
-    Outcome {
-        status: Some(response.status()),
-        headers: response.headers,
-        body,
-        end,
-        after: began_at.elapsed(),
-    }
+    let (_, end) = read_body(&mut reader, &response);
+    let status = (end != BodyEnd::Broken).then(|| response.status());
+    Outcome { status, after: began_at.elapsed() }
 }
--- a/review/harness-3/src/crowd.rs
+++ b/review/harness-3/src/crowd.rs
@@ -111,11 +111,7 @@
     }
 }
 
-fn join(
-    front: SocketAddr,
-    number: usize,
-    request: CrowdRequest,
-) -> std::io::Result<TcpStream> {
+fn join(front: SocketAddr, number: usize, request: CrowdRequest) -> std::io::Result<TcpStream> {
     let CrowdRequest { pads, body_bytes } = request;
     let mut stream = TcpStream::connect_timeout(&front, Duration::from_secs(5))?;
     stream.set_write_timeout(Some(Duration::from_secs(5)))?;
--- a/review/harness-3/src/daemon.rs
+++ b/review/harness-3/src/daemon.rs
@@ -107,10 +107,17 @@
         matches!(self.process.try_wait(), Ok(None))
     }
 
-    /// Kills the process, and starts it again.
-    pub fn restart(&mut self) {
+    /// Kills the process.
+    pub fn kill(&mut self) {
         let _ = self.process.kill();
         let _ = self.process.wait();
+    }
+
+    /// Starts it again, in a fleet that is not new.
+    pub fn start_again(&mut self) {
+        let text = std::fs::read_to_string(&self.settings).expect("settings file");
+        let text = text.replace("\"first_start\":true", "\"first_start\":false");
+        std::fs::write(&self.settings, text).expect("settings file");
         self.process = spawn(&self.settings, &self.log, self.max_files);
     }
 
@@ -132,8 +139,7 @@
 
 impl Drop for Daemon {
     fn drop(&mut self) {
-        let _ = self.process.kill();
-        let _ = self.process.wait();
+        self.kill();
     }
 }
 
--- a/review/harness-3/src/http.rs
+++ b/review/harness-3/src/http.rs
@@ -20,11 +20,6 @@
         self.headers.iter().find(|(key, _)| key == name).map(|(_, value)| value.as_str())
     }
 
-    /// The method of a request.
-    pub fn method(&self) -> &str {
-        self.first_line.split(' ').next().unwrap_or_default()
-    }
-
     /// Path and query of a request.
     pub fn path(&self) -> &str {
         self.first_line.split(' ').nth(1).unwrap_or_default()
--- a/review/harness-3/src/main.rs
+++ b/review/harness-3/src/main.rs
@@ -13,6 +13,7 @@
 mod record;
 mod server;
 mod store;
+mod streams;
 
 use std::path::Path;
 use std::path::PathBuf;
