--- a/review/harness-3/src/cases/descriptors.rs
+++ b/review/harness-3/src/cases/descriptors.rs
@@ -14,6 +14,7 @@
 use crate::client::request;
 use crate::crowd::Crowd;
 use crate::crowd::CrowdRequest;
+use crate::daemon::MAX_FILES;
 use crate::daemon::Plan;
 use crate::desk;
 use crate::desk::TIMEOUT_MS;
@@ -22,8 +23,6 @@
 use crate::http::read_head;
 use crate::store::Store;
 
-/// Descriptors of a machine of the small sites.
-const MAX_FILES: u64 = 4_100;
 /// Channels of the crowd.
 const CROWD: usize = 4_400;
 const REQUEST: CrowdRequest = CrowdRequest { pads: 0, body_bytes: 4_000 };
@@ -46,7 +45,7 @@
     let mut plan = Plan::new(&stage.folder, store.address, &["127.0.0.1"], &["z1"]);
     plan.max_files = Some(MAX_FILES);
     let mut daemon = plan.start(0);
-    if !daemon.wait_until_ready(Duration::from_secs(10)) {
+    if !daemon.wait_until_ready(Duration::from_secs(10)) || !daemon.has_files(MAX_FILES) {
         return Verdict::Unplayed;
     }
     sleep(Duration::from_secs(3));
--- a/review/harness-3/src/cases/memory.rs
+++ b/review/harness-3/src/cases/memory.rs
@@ -18,6 +18,7 @@
 use crate::crowd::Crowd;
 use crate::crowd::CrowdRequest;
 use crate::daemon::Daemon;
+use crate::daemon::MAX_FILES;
 use crate::daemon::MEMORY_MB;
 use crate::daemon::Plan;
 use crate::desk;
@@ -37,7 +38,7 @@
 /// How long the server works on a request.
 const WORK: Duration = Duration::from_millis(400);
 /// For how long the clients send.
-const LENGTH: Duration = Duration::from_secs(25);
+const LENGTH: Duration = Duration::from_secs(40);
 /// Pause between two looks at the memory.
 const LOOK: Duration = Duration::from_millis(20);
 /// Channels that a machine may close without an answer after it has passed a request on.
@@ -56,9 +57,10 @@
     let record = &stage.record;
     let store = Store::start();
     let run_ids = desk::open(&store, WORK, record);
-    let plan = Plan::new(&stage.folder, store.address, &["127.0.0.1"], &["z1"]);
+    let mut plan = Plan::new(&stage.folder, store.address, &["127.0.0.1"], &["z1"]);
+    plan.max_files = Some(MAX_FILES);
     let mut daemon = plan.start(0);
-    if !daemon.wait_until_ready(Duration::from_secs(10)) {
+    if !daemon.wait_until_ready(Duration::from_secs(10)) || !daemon.has_files(MAX_FILES) {
         return Verdict::Unplayed;
     }
     sleep(Duration::from_secs(3));
--- a/review/harness-3/src/daemon.rs
+++ b/review/harness-3/src/daemon.rs
@@ -24,6 +24,8 @@
 const SETTINGS_VARIABLE: &str = "GREENGAGETURN_BOOT";
 /// Memory of a machine of the small sites, in megabytes.
 pub const MEMORY_MB: u64 = 260;
+/// Descriptors of a machine of the small sites.
+pub const MAX_FILES: u64 = 4_100;
 
 /// One daemon; it is killed when this is dropped.
 pub struct Daemon {
@@ -130,6 +132,15 @@
         kilobytes.unwrap_or(0_u64) * 1_024
     }
 
+    /// Whether the process may open as many files as the plan says.
+    pub fn has_files(&self, wanted: u64) -> bool {
+        let path = format!("/proc/{}/limits", self.process.id());
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        let line = text.lines().find_map(|line| line.strip_prefix("Max open files"));
+        let soft = line.and_then(|line| line.split_whitespace().next());
+        soft.and_then(|soft| soft.parse::<u64>().ok()).is_some_and(|soft| soft >= wanted)
+    }
+
     /// Number of open files.
     pub fn open_files(&self) -> usize {
         let path = format!("/proc/{}/fd", self.process.id());
