--- a/review/harness-3/src/cases/mod.rs
+++ b/review/harness-3/src/cases/mod.rs
@@ -3,6 +3,7 @@
 mod descriptors;
 mod memory;
 mod one_part;
+mod repeated;
 mod same_id;
 
 use crate::Stage;
@@ -14,6 +15,7 @@
         "descriptors" => Some(descriptors::play),
         "memory" => Some(memory::play),
         "one-part" => Some(one_part::play),
+        "repeated" => Some(repeated::play),
         "same-id" => Some(same_id::play),
         _ => None,
     }
--- a/review/harness-3/src/engine.rs
+++ b/review/harness-3/src/engine.rs
@@ -1,6 +1,6 @@
 //! Stand-in for a model server in a process of its own, so that a signal can end it as a crash does.
 //!
-//! `review-cases-3 engine PORT ID VERSION BORN EVENTS GAP_MS` prints a line for each request that it runs.
+//! `review-cases-3 engine PORT ID VERSION BORN EVENTS GAP_MS SLOTS` prints a line for each request that it runs.
 
 use std::collections::BTreeMap;
 use std::io::BufRead;
@@ -29,8 +29,10 @@
 use crate::server::write_answer;
 use crate::server::write_misdirected;
 
-/// Slots of an engine.
-pub const SLOTS: usize = 48;
+/// Path prefix of requests that are answered with a few events without a pause.
+pub const SHORT_PATH: &str = "/draft/short/";
+/// Events of such an answer.
+const SHORT_EVENTS: u64 = 4;
 /// Tokens that an event holds.
 const EVENT_TOKENS: u64 = 7;
 
@@ -44,6 +46,8 @@
     pub address: SocketAddr,
     pub events: u64,
     pub gap_ms: u64,
+    /// Requests that it runs at once; it turns further ones away.
+    pub slots: u64,
 }
 
 /// An engine's process; it is killed when this is dropped.
@@ -59,7 +63,8 @@
         let mut command = Command::new(program);
         command.arg("engine").arg(spec.address.port().to_string());
         command.args([&spec.id, &spec.version]);
-        command.args([spec.born, spec.events, spec.gap_ms].map(|number| number.to_string()));
+        let numbers = [spec.born, spec.events, spec.gap_ms, spec.slots];
+        command.args(numbers.map(|number| number.to_string()));
         let mut process = command.stdout(Stdio::piped()).stdin(Stdio::null()).spawn().ok()?;
         let lines = BufReader::new(process.stdout.take()?);
         let record = record.clone();
@@ -80,10 +85,15 @@
 
     /// The entry that it writes to the store.
     pub fn entry(&self, service: &str, zone: &str) -> String {
-        let EngineSpec { version, born, address, .. } = &self.spec;
+        self.entry_in_state(service, zone, "ready")
+    }
+
+    /// The same, in this state.
+    pub fn entry_in_state(&self, service: &str, zone: &str, state: &str) -> String {
+        let EngineSpec { version, born, address, slots, .. } = &self.spec;
         format!(
             "{{\"Service\":\"{service}\",\"Address\":\"{address}\",\"Zone\":\"{zone}\",\
-             \"Version\":\"{version}\",\"Slots\":{SLOTS},\"State\":\"ready\",\"ColdLeftMs\":0,\
+             \"Version\":\"{version}\",\"Slots\":{slots},\"State\":\"{state}\",\"ColdLeftMs\":0,\
              \"Stage\":\"unified\",\"Models\":[{{\"Name\":\"m\",\"Version\":1,\"Adapters\":[]}}],\
              \"Seq\":1,\"born\":{born}}}"
         )
@@ -117,14 +127,14 @@
 struct EngineState {
     /// Tokens that are kept of each part, and the model.
     held: BTreeMap<String, (u64, String)>,
-    running: usize,
+    running: u64,
 }
 
 /// Runs an engine in this process until it is killed.
 pub fn run(arguments: &[String]) -> ExitCode {
     let [port, id, version, numbers @ ..] = arguments else { return ExitCode::from(2) };
     let numbers: Vec<u64> = numbers.iter().filter_map(|text| text.parse().ok()).collect();
-    let [born, events, gap_ms] = numbers.as_slice() else { return ExitCode::from(2) };
+    let [born, events, gap_ms, slots] = numbers.as_slice() else { return ExitCode::from(2) };
     let Ok(port) = port.parse::<u16>() else { return ExitCode::from(2) };
     let address = SocketAddr::from(([127, 0, 0, 1], port));
     let spec = EngineSpec {
@@ -134,6 +144,7 @@
         address,
         events: *events,
         gap_ms: *gap_ms,
+        slots: *slots,
     };
     let Ok(listener) = TcpListener::bind(address) else { return ExitCode::from(2) };
     let (spec, state) = (Arc::new(spec), Arc::new(Mutex::new(EngineState::default())));
@@ -186,6 +197,15 @@
     request: &Request,
     writer: &mut TcpStream,
 ) -> Next {
+    let is_full = {
+        let mut state = state.lock().expect("engine");
+        let is_full = state.running >= spec.slots;
+        state.running += u64::from(!is_full);
+        is_full
+    };
+    if is_full {
+        return write_full(spec, request, writer);
+    }
     let last = request.head.get("last-event-id").and_then(|text| text.parse::<u64>().ok());
     let last = last.unwrap_or_default();
     println!(
@@ -196,12 +216,25 @@
         request.id(),
         request.head.get("x-tenant").unwrap_or("-"),
     );
-    state.lock().expect("engine").running += 1;
     let is_whole = write_events(spec, state, request, last, writer).is_ok();
     state.lock().expect("engine").running -= 1;
     if is_whole { Next::Keep } else { Next::Close }
 }
 
+/// Turns a request away for want of a slot.
+fn write_full(spec: &EngineSpec, request: &Request, writer: &mut TcpStream) -> Next {
+    let text = format!(
+        "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: {}\r\nX-Not-Executed: 1\r\n\
+         X-Server-Load: {slots},0,{slots}\r\nContent-Length: 0\r\n\r\n",
+        request.id(),
+        slots = spec.slots
+    );
+    match writer.write_all(text.as_bytes()) {
+        Ok(()) => Next::Keep,
+        Err(_) => Next::Close,
+    }
+}
+
 fn write_events(
     spec: &EngineSpec,
     state: &Mutex<EngineState>,
@@ -212,16 +245,21 @@
     let running = state.lock().expect("engine").running;
     let head = format!(
         "HTTP/1.1 200 OK\r\nX-Attempt-Id: {}\r\nX-Server-Stamp: {}.{}.{}\r\n\
-         X-Server-Load: {running},0,{SLOTS}\r\nX-Weight-Versions: 1\r\n\
+         X-Server-Load: {running},0,{slots}\r\nX-Weight-Versions: 1\r\n\
          Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
         request.id(),
         spec.id,
         spec.version,
         request.id(),
+        slots = spec.slots,
     );
     writer.write_all(head.as_bytes())?;
-    for event in last + 1..=spec.events {
-        sleep(Duration::from_millis(spec.gap_ms));
+    let (events, gap_ms) = match request.head.path().starts_with(SHORT_PATH) {
+        true => (SHORT_EVENTS, 0),
+        false => (spec.events, spec.gap_ms),
+    };
+    for event in last + 1..=events {
+        sleep(Duration::from_millis(gap_ms));
         hold_parts(state, request, event * EVENT_TOKENS);
         let text = format!("id: {event}\ndata: {} {} {event}\n\n", spec.version, spec.id);
         let chunk = format!("{:x}\r\n{text}\r\n", text.len());
--- a/review/harness-3/src/store.rs
+++ b/review/harness-3/src/store.rs
@@ -69,6 +69,16 @@
         self.changed.notify_all();
     }
 
+    /// Removes an item.
+    pub fn remove(&self, key: &str) {
+        let mut state = self.state.lock().expect("store");
+        state.revision += 1;
+        let revision = state.revision;
+        state.items.remove(key);
+        state.log.push((revision, key.to_owned(), None));
+        self.changed.notify_all();
+    }
+
     /// Answers nothing from now on.
     pub fn fall_silent(&self) {
         let mut state = self.state.lock().expect("store");
--- a/review/harness-3/src/streams.rs
+++ b/review/harness-3/src/streams.rs
@@ -12,10 +12,13 @@
 
 use crate::engine::Engine;
 use crate::engine::EngineSpec;
+use crate::engine::SHORT_PATH;
 use crate::http::Reader;
 use crate::http::read_head;
 use crate::record::Record;
 
+/// Slots of an engine, as on the small sites.
+const SLOTS: u64 = 48;
 /// Events of a stream, and the pause between two.
 const EVENTS: u64 = 24;
 const GAP_MS: u64 = 200;
@@ -33,7 +36,8 @@
     record: &Record,
 ) -> Option<Engine> {
     let (id, version) = (id.to_owned(), version.to_owned());
-    let spec = EngineSpec { id, version, born, address, events: EVENTS, gap_ms: GAP_MS };
+    let slots = SLOTS;
+    let spec = EngineSpec { id, version, born, address, events: EVENTS, gap_ms: GAP_MS, slots };
     Engine::start(spec, record)
 }
 
@@ -77,6 +81,9 @@
 pub struct StreamClient {
     number: usize,
     record: Record,
+    /// Begins its attempt ids.
+    tag: char,
+    path: &'static str,
     /// Prompt parts before the one of its own.
     shared_parts: &'static str,
     /// Least pauses after its tries.
@@ -103,6 +110,8 @@
         Self {
             number,
             record,
+            tag: 'c',
+            path: "/draft/",
             shared_parts: "5c1e07a2:512,",
             pauses: &[],
             take_ups: Vec::new(),
@@ -117,6 +126,11 @@
         Self { shared_parts: "", pauses, ..Self::new(number, record) }
     }
 
+    /// The same prompt, for a short answer.
+    pub fn with_short_answer(number: usize, record: Record) -> Self {
+        Self { tag: 's', path: SHORT_PATH, ..Self::new(number, record) }
+    }
+
     fn into_stream(self, is_whole: bool) -> ClientStream {
         let has_begun = self.first_attempt.is_some();
         let Self { take_ups, versions, .. } = self;
@@ -160,12 +174,13 @@
         front: SocketAddr,
         left: Duration,
     ) -> std::io::Result<AttemptEnd> {
-        let id = format!("c{:02}-{attempt}", self.number);
+        let id = format!("{}{:02}-{attempt}", self.tag, self.number);
         let mut head = format!(
-            "POST /draft/{} HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: {id}\r\n\
+            "POST {}{} HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: {id}\r\n\
              X-Model: m\r\nX-Token-Count: 920,170\r\n\
              X-Prompt-Prefix: {}{:x}:408\r\nX-Deadline-Ms: {}\r\n\
              Authorization: Token key1\r\nContent-Length: 4\r\n",
+            self.path,
             self.number,
             self.shared_parts,
             0xa000 + self.number,
