--- a/review/harness-3/src/cases/mod.rs
+++ b/review/harness-3/src/cases/mod.rs
@@ -3,6 +3,7 @@
 mod descriptors;
 mod memory;
 mod one_part;
+mod regained;
 mod repeated;
 mod same_id;
 
@@ -15,6 +16,7 @@
         "descriptors" => Some(descriptors::play),
         "memory" => Some(memory::play),
         "one-part" => Some(one_part::play),
+        "regained" => Some(regained::play),
         "repeated" => Some(repeated::play),
         "same-id" => Some(same_id::play),
         _ => None,
--- a/review/harness-3/src/cases/one_part.rs
+++ b/review/harness-3/src/cases/one_part.rs
@@ -98,7 +98,9 @@
 ) -> Vec<thread::JoinHandle<ClientStream>> {
     let clients = (first..first + STREAMS).map(|number| {
         let (fronts, record) = (fronts.to_vec(), stage.record.clone());
-        thread::spawn(move || StreamClient::with_one_part(number, record, PAUSES).play(&fronts))
+        thread::spawn(move || {
+            StreamClient::with_one_part(number, record).with_pauses(PAUSES).play(&fronts)
+        })
     });
     clients.collect()
 }
--- a/review/harness-3/src/cases/same_id.rs
+++ b/review/harness-3/src/cases/same_id.rs
@@ -1,10 +1,10 @@
-//! The last server of an old software version starts again under its id, at a new version, while the store is down.
+//! The last server of an old software version crashes and is back under its id, at a new version. Streams are taken up
+//! at a daemon that had no request there meanwhile, before the server's first heartbeat.
 
 use std::net::SocketAddr;
 use std::thread;
 use std::thread::sleep;
 use std::time::Duration;
-use std::time::Instant;
 
 use crate::Stage;
 use crate::Verdict;
@@ -22,10 +22,8 @@
 const STREAMS: usize = 24;
 /// For how long the server is down.
 const DOWN: Duration = Duration::from_millis(700);
-/// For how long the store is down: the site's days have 8 s.
-const STORE_DOWN: Duration = Duration::from_millis(6_000);
-/// Time within which a server has written its entry again after that.
-const WRITTEN_AGAIN: Duration = Duration::from_millis(1_000);
+/// A server writes its entry every `HeartbeatMs`, first so long after its start.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
 /// Streams that may hold events of two versions.
 const ALLOWED: usize = 2;
 
@@ -59,21 +57,16 @@
     sleep(Duration::from_millis(1_000));
     let mut restarted = None;
     if stage.has_trouble {
-        store.fall_silent();
-        let store_back_at = Instant::now() + STORE_DOWN;
-        record.say("the store is down");
         sleep(Duration::from_millis(500));
         record.say("server i-1 (v1) crashes");
         old.kill();
         sleep(DOWN);
         restarted = start_engine("i-1", "v2", unix_ms(), old.spec.address, record);
         record.say("server i-1 is back, at v2");
-        sleep(store_back_at.saturating_duration_since(Instant::now()));
-        store.resume();
-        record.say("the store is back");
-        sleep(WRITTEN_AGAIN);
+        sleep(HEARTBEAT);
         if let Some(engine) = &restarted {
             store.put("servers/i-1", &engine.entry("writers", "z1"));
+            record.say("server i-1 has written its entry");
         }
     }
     let streams: Vec<ClientStream> =
--- a/review/harness-3/src/store.rs
+++ b/review/harness-3/src/store.rs
@@ -28,9 +28,6 @@
     items: BTreeMap<String, Item>,
     log: Vec<(u64, String, Option<Item>)>,
     revision: u64,
-    /// Whether no request is answered; it holds for connections that are open then for good.
-    is_silent: bool,
-    silences: u64,
 }
 
 /// The store.
@@ -79,33 +76,12 @@
         self.changed.notify_all();
     }
 
-    /// Answers nothing from now on.
-    pub fn fall_silent(&self) {
-        let mut state = self.state.lock().expect("store");
-        state.is_silent = true;
-        state.silences += 1;
-    }
-
-    /// Answers on new connections again.
-    pub fn resume(&self) {
-        let mut state = self.state.lock().expect("store");
-        state.is_silent = false;
-        state.silences += 1;
-    }
-
     fn serve(&self, stream: TcpStream) {
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = Reader::new(stream);
-        let silences = self.state.lock().expect("store").silences;
         while let Some(head) = read_head(&mut reader) {
             read_body(&mut reader, &head);
             let (status, body) = self.respond(&head);
-            {
-                let state = self.state.lock().expect("store");
-                if state.is_silent || state.silences != silences {
-                    continue;
-                }
-            }
             let text = format!(
                 "HTTP/1.1 {status} Store\r\nContent-Type: application/json\r\nStore-Era: 0\r\n\
                  Content-Length: {}\r\n\r\n{body}",
--- a/review/harness-3/src/streams.rs
+++ b/review/harness-3/src/streams.rs
@@ -121,9 +121,9 @@
         }
     }
 
-    /// A client whose prompt has one part, its own, and that pauses at least so long after its tries.
-    pub fn with_one_part(number: usize, record: Record, pauses: &'static [Duration]) -> Self {
-        Self { shared_parts: "", pauses, ..Self::new(number, record) }
+    /// A client whose prompt has one part, its own.
+    pub fn with_one_part(number: usize, record: Record) -> Self {
+        Self { shared_parts: "", ..Self::new(number, record) }
     }
 
     /// The same prompt, for a short answer.
@@ -131,6 +131,11 @@
         Self { tag: 's', path: SHORT_PATH, ..Self::new(number, record) }
     }
 
+    /// The same client, which pauses at least so long after its tries.
+    pub fn with_pauses(self, pauses: &'static [Duration]) -> Self {
+        Self { pauses, ..self }
+    }
+
     fn into_stream(self, is_whole: bool) -> ClientStream {
         let has_begun = self.first_attempt.is_some();
         let Self { take_ups, versions, .. } = self;
