--- a/review/harness-3/src/cases/same_id.rs
+++ b/review/harness-3/src/cases/same_id.rs
@@ -19,9 +19,11 @@
 use crate::streams::start_engine;
 
 /// Streams that begin.
-const STREAMS: usize = 24;
+const STREAMS: usize = 48;
+/// Servers of the service, one of them of the old version: the site's days let up to a quarter crash.
+const SERVERS: usize = 4;
 /// For how long the server is down.
-const DOWN: Duration = Duration::from_millis(700);
+const DOWN: Duration = Duration::from_millis(300);
 /// A server writes its entry every `HeartbeatMs`, first so long after its start.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 /// Streams that may hold events of two versions.
@@ -35,11 +37,16 @@
     let Some(mut old) = start_engine("i-1", "v1", born, free_address(), record) else {
         return Verdict::Unplayed;
     };
-    let Some(new) = start_engine("i-2", "v2", born + 1, free_address(), record) else {
-        return Verdict::Unplayed;
-    };
     store.put("servers/i-1", &old.entry("writers", "z1"));
-    store.put("servers/i-2", &new.entry("writers", "z1"));
+    let mut others = Vec::new();
+    for number in 2..=SERVERS {
+        let id = format!("i-{number}");
+        let Some(engine) = start_engine(&id, "v2", born, free_address(), record) else {
+            return Verdict::Unplayed;
+        };
+        store.put(&format!("servers/{id}"), &engine.entry("writers", "z1"));
+        others.push(engine);
+    }
     let hosts = ["127.0.0.1", "127.0.0.2", "127.0.0.3"];
     let plan = Plan::new(&stage.folder, store.address, &hosts, &["z1", "z2", "z3"]);
     let daemons: Vec<Daemon> = (0..hosts.len()).map(|number| plan.start(number)).collect();
