fix: streams are not decided before the store's history has been read

Cause: a starting daemon reads which targets have left some 70 ms after the registrations, and takes up streams meanwhile; a departure that it did not know yet counted as none. In a fleet of more than 100 targets most daemons never read the history.

Change: the history that is not read yet is told from one that shows nothing; a stream that would be decided by it waits as long as the lists may take, and is refused then. A task of its own reads the history at once, tries again until it succeeds, and asks another daemon where this one does not read it.

Test: streams_are_not_decided_before_the_history_of_the_store_is_read failed before (200 with events of v2, 503 expected), as did earlier_answers_... with long first answers.

--- a/ggt-core/src/versions/cached.rs
+++ b/ggt-core/src/versions/cached.rs
@@ -37,6 +37,8 @@
     None,
     /// There may be some: what is known does not reach back that far.
     Unknown,
+    /// There may be some, which the store's history may name, and it has not been read yet.
+    Unread,
     /// There is one.
     Known,
 }
@@ -50,6 +52,8 @@
     NoPart,
     /// A target that may have the part has not been listed.
     Unlisted,
+    /// Targets of one version have the part, and the store's history has not been read yet.
+    Unread,
     /// Targets of several versions may have run the stream.
     Ambiguous,
     /// No target has the part.
@@ -66,6 +70,7 @@
             Self::Cached(_) => "cached",
             Self::NoPart => "no-part",
             Self::Unlisted => "unlisted",
+            Self::Unread => "unread",
             Self::Ambiguous => "ambiguous",
             Self::Nowhere => "nowhere",
             Self::Departed => "departed",
@@ -174,17 +179,18 @@
     if others().any(|target| view.is_pending(target)) {
         return CacheVerdict::Unlisted;
     }
+    if is_fitting {
+        return CacheVerdict::Cached(version);
+    }
     let losses = match others().any(|target| view.tokens(target).is_none()) {
         true => OtherLosses::Known,
         false => other_losses(version),
     };
-    let is_shown = match losses {
-        OtherLosses::None => true,
-        OtherLosses::Unknown => !view.versions(&KeptPart::POSSIBLE).is_empty(),
-        OtherLosses::Known => is_fitting,
-    };
-    match is_shown {
-        true => CacheVerdict::Cached(version),
-        false => CacheVerdict::Departed,
+    let is_possible = !view.versions(&KeptPart::POSSIBLE).is_empty();
+    match losses {
+        OtherLosses::None => CacheVerdict::Cached(version),
+        OtherLosses::Unknown if is_possible => CacheVerdict::Cached(version),
+        OtherLosses::Unread if is_possible => CacheVerdict::Unread,
+        OtherLosses::Unknown | OtherLosses::Unread | OtherLosses::Known => CacheVerdict::Departed,
     }
 }
--- a/ggt-core/src/versions/history.rs
+++ b/ggt-core/src/versions/history.rs
@@ -48,6 +48,8 @@
     current_since: Option<MonoTime>,
     /// Since when this daemon knows the versions, apart from gaps in its view.
     known_since: Option<MonoTime>,
+    /// Whether the store's history is still to be read.
+    is_past_pending: bool,
 }
 
 impl VersionHistory {
@@ -57,6 +59,30 @@
         self.known_since = self.current_since;
     }
 
+    /// Records that the store's history is still to be read.
+    pub fn record_pending_past(&mut self) {
+        self.is_past_pending = true;
+    }
+
+    /// Whether the store's history is still to be read, and may show what this daemon does not know of the last
+    /// `memory_ms`.
+    pub fn is_past_pending(&self, memory_ms: u64, now: MonoTime) -> bool {
+        self.is_past_pending && !self.is_known_for(memory_ms, now)
+    }
+
+    /// What this daemon knows of the last `memory_ms`, for others that have not read the store's history. It need not be
+    /// all that there has been.
+    pub fn recent_past(&self, memory_ms: u64, now: MonoTime) -> PastVersions {
+        let recent = |versions: &HashMap<ServiceKey, BTreeMap<SoftwareVersion, MonoTime>>| {
+            let all = versions.iter().flat_map(|(service, versions)| {
+                versions.iter().map(|(version, at)| ((*service, *version), *at))
+            });
+            all.filter(|(_, at)| now <= *at + memory_ms).map(|(entry, _)| entry).collect()
+        };
+        let has_unknown = self.unknown_departure_at.is_some_and(|at| now <= at + memory_ms);
+        PastVersions::new(recent(&self.services), recent(&self.departures), has_unknown)
+    }
+
     /// Records the versions that the store's history names; `is_whole` is whether it has all changes that there ever
     /// were.
     pub fn record_past(&mut self, past: &PastVersions, is_whole: bool, now: MonoTime) {
@@ -69,6 +95,7 @@
         if past.has_unknown() {
             self.unknown_departure_at = Some(now);
         }
+        self.is_past_pending = false;
         if is_whole && !past.has_unknown() {
             self.current_since = Some(MonoTime::default());
             self.known_since = self.current_since;
@@ -135,6 +162,7 @@
         match losses.any(|departed_at| now <= departed_at + memory_ms) {
             true => OtherLosses::Known,
             false if self.is_known_for(memory_ms, now) => OtherLosses::None,
+            false if self.is_past_pending => OtherLosses::Unread,
             false => OtherLosses::Unknown,
         }
     }
--- a/ggt-core/src/versions/past.rs
+++ b/ggt-core/src/versions/past.rs
@@ -2,6 +2,9 @@
 
 use std::collections::BTreeMap;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::versions::ServiceKey;
 use crate::versions::SoftwareVersion;
 
@@ -35,7 +38,7 @@
 }
 
 /// The versions of targets that the store's history names, and of those that have ended.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PastVersions {
     versions: Vec<(ServiceKey, SoftwareVersion)>,
     departures: Vec<(ServiceKey, SoftwareVersion)>,
@@ -43,6 +46,15 @@
 }
 
 impl PastVersions {
+    /// These versions, and those of targets that have ended; `has_unknown` is whether one of unknown version has.
+    pub const fn new(
+        versions: Vec<(ServiceKey, SoftwareVersion)>,
+        departures: Vec<(ServiceKey, SoftwareVersion)>,
+        has_unknown: bool,
+    ) -> Self {
+        Self { versions, departures, has_unknown }
+    }
+
     /// The versions that these changes name. What a target's entry said before them matters only if the target has
     /// started since the Unix time `begins_at` in milliseconds, or has ended.
     ///
--- a/ggt-core/tests/cached_origins.rs
+++ b/ggt-core/tests/cached_origins.rs
@@ -161,6 +161,17 @@
     }
 }
 
+// Guards against a stream that goes on before it can be known that a target of another version has ended.
+#[test]
+fn stream_waits_for_the_history_unless_its_progress_shows_where_it_ran() {
+    let judge_kept = |kept| judge(&[0, 1], &[0, kept], OtherLosses::Unread);
+    for kept in [TOKENS, kept_after(24)] {
+        assert_eq!(judge_kept(kept), CacheVerdict::Unread);
+    }
+    assert_eq!(judge_kept(kept_after(LAST_EVENT - 1)), CacheVerdict::Departed);
+    assert_eq!(judge_kept(kept_after(LAST_EVENT)), CacheVerdict::Cached(version(1)));
+}
+
 // Guards against a service whose events are of unknown size: nothing shows then that a part was kept for this stream.
 #[test]
 fn stream_of_unknown_progress_is_refused_after_the_end_of_a_target_of_another_version() {
--- a/ggt-core/tests/versions.rs
+++ b/ggt-core/tests/versions.rs
@@ -275,6 +275,44 @@
     assert!(!PastVersions::review(&named, BEGINS_AT).has_unknown());
 }
 
+// Guards against a daemon that takes what it has not read yet for nothing, and one that waits for it for ever.
+#[test]
+fn past_is_pending_until_it_is_read_or_too_old_to_matter() {
+    let mut history = VersionHistory::default();
+    history.record_pending_past();
+    history.record_view(true, at(0));
+    let losses = |history: &VersionHistory, millis| {
+        history.other_losses(service(), new(), MEMORY_MS, at(millis))
+    };
+    assert!(history.is_past_pending(MEMORY_MS, at(MEMORY_MS - 1)));
+    assert_eq!(losses(&history, MEMORY_MS - 1), OtherLosses::Unread);
+    assert!(!history.is_past_pending(MEMORY_MS, at(MEMORY_MS)));
+    assert_eq!(losses(&history, MEMORY_MS), OtherLosses::None);
+    let left = [past_change("i-1", old(), LONG_AGO, true), past_removal("i-1")];
+    history.record_past(&PastVersions::review(&left, BEGINS_AT), false, at(100));
+    assert!(!history.is_past_pending(MEMORY_MS, at(200)));
+    assert_eq!(losses(&history, 200), OtherLosses::Known);
+}
+
+// Guards against daemons that leave the history to others and take what they hear for less than it is.
+#[test]
+fn past_that_a_peer_knows_names_its_versions_and_departures() {
+    let mut reader = VersionHistory::default();
+    let left =
+        [past_change("i-1", old(), LONG_AGO, true), past_removal("i-1"), past_removal("i-9")];
+    reader.record_past(&PastVersions::review(&left, BEGINS_AT), true, at(0));
+    reader.record_target(service(), new(), at(10));
+    let told = reader.recent_past(MEMORY_MS, at(MEMORY_MS));
+    let mut follower = VersionHistory::default();
+    follower.record_pending_past();
+    follower.record_target(service(), new(), at(50));
+    follower.record_past(&told, false, at(100));
+    assert_eq!(follower.other_losses(service(), new(), MEMORY_MS, at(100)), OtherLosses::Known);
+    let several = VersionState::Open { listed: None };
+    assert_eq!(follower.state(service(), MEMORY_MS, at(100)), several);
+    assert_eq!(reader.recent_past(MEMORY_MS, at(MEMORY_MS + 11)), PastVersions::default());
+}
+
 // Guards against a cached part that is taken for the one of a stream whose target has ended with its cache.
 #[test]
 fn targets_that_have_ended_are_known_for_as_long_as_their_streams_last() {
--- a/ggt-daemon/src/front/origins/cached.rs
+++ b/ggt-daemon/src/front/origins/cached.rs
@@ -47,7 +47,7 @@
         return CacheVerdict::NoPart;
     };
     let targets = origin_targets(state, &job.service);
-    let listed = ask_listers(state, &targets, part.hash).await;
+    let (listed, ()) = join!(ask_listers(state, &targets, part.hash), await_past(state));
     let service = ServiceKey::named(&job.service);
     let memory_ms = state.stream_memory_ms.get();
     let other_losses =
@@ -58,6 +58,15 @@
     verdict
 }
 
+/// Waits until the versions of before this daemon's start are known, as long as lists may take.
+async fn await_past(state: &FrontState) {
+    let read = state.past_read.notified();
+    if state.is_past_pending() {
+        // After that, the verdict says that they are not.
+        let _ = timeout(ASK_TIMEOUT, read).await;
+    }
+}
+
 /// How much the stream that a request takes up had generated, if its service states how many tokens an event has.
 fn stream_progress(state: &FrontState, job: &FrontJob) -> Option<StreamProgress> {
     let config = state.route_config()?;
--- a/ggt-daemon/src/front/peers.rs
+++ b/ggt-daemon/src/front/peers.rs
@@ -34,11 +34,14 @@
 use ggt_core::store_watch::FETCH_HEDGE_MS;
 use ggt_core::store_watch::FETCH_INTERVAL_MS;
 use ggt_core::versions::OriginReply;
+use ggt_core::versions::PastVersions;
 use ggt_core::versions::ServiceKey;
 use ggt_core::versions::StreamKey;
 
 /// Path at which peers fetch all cached prefixes.
 const PREFIXES_PATH: &str = "/reads";
+/// Path at which peers fetch the versions that targets have had.
+const PAST_PATH: &str = "/past-versions";
 /// Start of the paths at which peers ask which version began a stream.
 const ORIGIN_PATH: &str = "/origins/";
 /// Interval between checks whether a peer has a newer revision of a folder.
@@ -221,6 +224,11 @@
     fetch_value(peer, PREFIXES_PATH).await
 }
 
+/// Fetches which versions the targets have had within the life of a stream, as far as a peer knows.
+pub async fn fetch_past(peer: SocketAddr) -> Result<PastVersions, FetchError> {
+    fetch_value(peer, PAST_PATH).await
+}
+
 async fn fetch_value<V>(peer: SocketAddr, path: &str) -> Result<V, FetchError>
 where
     V: DeserializeOwned,
@@ -264,10 +272,13 @@
     Unknown,
 }
 
-/// Reply to a peer that requests a folder's changes after a revision, the cached prefixes, or the origin of a stream.
+/// Reply to a peer that requests a folder's changes after a revision, the cached prefixes, the versions that
+/// targets have had, or the origin of a stream.
 pub fn peer_reply(state: &FrontState, path: &str) -> PeerReply {
-    if path == PREFIXES_PATH {
-        return prefixes_reply(state);
+    match path {
+        PREFIXES_PATH => return prefixes_reply(state),
+        PAST_PATH => return past_reply(state),
+        _ => {}
     }
     let body = match path.strip_prefix(ORIGIN_PATH) {
         Some(stream) => origin_reply(state, stream),
@@ -289,6 +300,14 @@
     body.map_or(PeerReply::Unknown, PeerReply::Body)
 }
 
+fn past_reply(state: &FrontState) -> PeerReply {
+    if state.is_past_pending() {
+        return PeerReply::Busy;
+    }
+    let past = state.versions.borrow().recent_past(state.stream_memory_ms.get(), mono_now());
+    into_reply(PAST_PATH, pack(&past)).map_or(PeerReply::Unknown, PeerReply::Body)
+}
+
 fn folder_reply(state: &FrontState, path: &str) -> Option<Bytes> {
     let (name, after) = path.strip_prefix("/facts/")?.split_once('/')?;
     let folder = StoreFolder::ALL.into_iter().find(|folder| folder.as_str() == name)?;
--- a/ggt-daemon/src/front/run.rs
+++ b/ggt-daemon/src/front/run.rs
@@ -33,6 +33,7 @@
 use crate::front::settings_change::settings_digest;
 use crate::front::state::FrontState;
 use crate::front::state::StoreFolder;
+use crate::front::store::run_past;
 use crate::front::store::run_watch;
 use crate::front::warmup::run_warmup;
 use crate::lifecycle::RunningTimer;
@@ -138,6 +139,7 @@
     spawn_loop("receiver", move || run_receiver(looped.0.clone(), looped.1.clone()));
     let looped = state.clone();
     spawn_loop("origins", move || run_origins(looped.clone()));
+    spawn_local(run_past(state.clone()));
     spawn_local(run_warmup(state.clone()));
     spawn_local(run_reload(state.clone(), file, reload_signals));
     spawn_local(serve_callers(state.clone(), callers));
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -151,6 +151,8 @@
     pub target_probes: RefCell<BTreeMap<CrashId, MonoTime>>,
     /// The versions that the targets of each service have had.
     pub versions: RefCell<VersionHistory>,
+    /// Notified when the versions of before this daemon's start are known, as far as they can be.
+    pub past_read: Notify,
     /// For each service, which versions may have begun its streams, as last logged.
     pub version_states: RefCell<BTreeMap<ServiceKey, VersionState>>,
     /// Which version began each stream.
@@ -215,8 +217,9 @@
         let crash_options =
             CrashOptions { first_refusal_ms: settings.crash_refusal_ms(), ..CRASH_OPTIONS };
         let mut versions = VersionHistory::default();
-        if settings.first_start {
-            versions.record_first_start();
+        match settings.first_start {
+            true => versions.record_first_start(),
+            false => versions.record_pending_past(),
         }
         let mut pool = TargetPool::default();
         pool.measures_work_times = settings.measure_work_times;
@@ -245,6 +248,7 @@
             target_probes: RefCell::default(),
             losses: RefCell::new(LossTable::new(CRASH_OPTIONS.capacity)),
             versions: RefCell::new(versions),
+            past_read: Notify::new(),
             version_states: RefCell::default(),
             origins: RefCell::new(OriginTable::new(MAX_ORIGINS)),
             inquiries: InquiryTable::default(),
--- a/ggt-daemon/src/front/store/mod.rs
+++ b/ggt-daemon/src/front/store/mod.rs
@@ -4,6 +4,8 @@
 mod past;
 mod snapshot;
 
+pub use past::run_past;
+
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,7 +20,6 @@
 use crate::front::state::FrontState;
 use crate::front::state::StoreFolder;
 use crate::front::store::client::StoreClient;
-use crate::front::store::past::PastReading;
 use crate::front::store::snapshot::read_folders;
 use crate::logging::quoted;
 use ggt_core::fleet::WatchRole;
@@ -112,7 +113,6 @@
     /// Whether the changes since the last known revision cannot be had, so that all folders must be read
     /// again in full.
     must_read_anew: bool,
-    past: PastReading,
 }
 
 impl StoreWatch {
@@ -121,7 +121,6 @@
             client: StoreClient::new(state.settings().store),
             schedule: WatchSchedule::new(state.watch_timing()),
             must_read_anew: false,
-            past: PastReading::new(state),
         }
     }
 
@@ -141,7 +140,6 @@
         match result {
             Ok(batches) => {
                 self.apply(state, batches, waited_ms).await;
-                self.past.advance(state, &mut self.client, timing).await;
             }
             Err(
                 e @ (CallError::Status { status: 410 }
--- a/ggt-daemon/src/front/store/past.rs
+++ b/ggt-daemon/src/front/store/past.rs
@@ -1,8 +1,16 @@
-//! Reads the store's history at the start of a daemon, for the versions that targets have had before.
+//! Finds out at the start of a daemon which versions targets have had before, from the store's history or other daemons.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::seq::IteratorRandom;
+use tokio::time::sleep;
 
 use crate::clock::mono_now;
 use crate::clock::wall_now;
 use crate::front::call::CallError;
+use crate::front::peers::fetch_past;
 use crate::front::state::FrontState;
 use crate::front::state::StoreFolder;
 use crate::front::store::client::StoreClient;
@@ -23,60 +31,97 @@
 /// Number of targets up to which a fleet is taken for one in which every daemon watches the store, before
 /// the other daemons are known.
 const MAX_SMALL_POOL: usize = 100;
-/// Number of failed attempts after which the history is not read.
-const MAX_ATTEMPTS: u32 = 3;
+/// Pauses in milliseconds between attempts to find out the past: the first, which doubles, and the longest.
+const FIRST_PAUSE_MS: u64 = 250;
+const MAX_PAUSE_MS: u64 = 2_000;
+/// Interval at which a starting daemon checks whether it has read the registrations.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Progress of reading the history.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum PastReading {
-    /// It has failed so often.
-    Pending { attempts: u32 },
-    /// It has been read, or is not needed.
-    Done,
+/// Finds out which versions the targets have had before this daemon started: from the store's history, or from another
+/// daemon if this one leaves the history to others or cannot read it. Ends once they are known, or streams of before
+/// cannot be there any more.
+pub async fn run_past(state: Rc<FrontState>) {
+    let mut pause_ms = FIRST_PAUSE_MS;
+    while state.is_past_pending() {
+        if state.cache(StoreFolder::Targets).borrow().revision() == 0 {
+            sleep(START_CHECK_INTERVAL).await;
+            continue;
+        }
+        let past = match reads_store(&state) {
+            true => read_past(&state).await,
+            false => None,
+        };
+        let past = match past {
+            Some(past) => Some(past),
+            None => fetch_from_peer(&state).await,
+        };
+        if let Some((past, is_whole)) = past {
+            state.versions.borrow_mut().record_past(&past, is_whole, mono_now());
+            state.past_read.notify_waiters();
+            return;
+        }
+        sleep(Duration::from_millis(pause_ms)).await;
+        pause_ms = (pause_ms * 2).min(MAX_PAUSE_MS);
+    }
 }
 
-impl PastReading {
-    /// The state of a daemon that starts now. On the first start of a fleet there is no past.
-    pub(super) fn new(state: &FrontState) -> Self {
-        match state.settings().first_start {
-            true => Self::Done,
-            false => Self::Pending { attempts: 0 },
-        }
+impl FrontState {
+    /// Whether the versions of before this daemon's start may still become known, and matter.
+    pub(in crate::front) fn is_past_pending(&self) -> bool {
+        let memory_ms = self.stream_memory_ms.get();
+        self.versions.borrow().is_past_pending(memory_ms, mono_now())
     }
+}
 
-    /// Reads the history if that is due and records what it shows.
-    pub(super) async fn advance(
-        &mut self,
-        state: &FrontState,
-        client: &mut StoreClient,
-        timing: WatchTiming,
-    ) {
-        let Self::Pending { attempts } = *self else { return };
-        let is_small = state.pool.borrow().len() <= MAX_SMALL_POOL;
-        if !is_small && state.fleet_role() != WatchRole::Watcher {
-            return;
+/// Whether this daemon reads the store's history itself.
+fn reads_store(state: &FrontState) -> bool {
+    let is_small = state.pool.borrow().len() <= MAX_SMALL_POOL;
+    is_small || state.fleet_role() == WatchRole::Watcher
+}
+
+async fn read_past(state: &FrontState) -> Option<(PastVersions, bool)> {
+    let mut client = StoreClient::new(state.settings().store);
+    let history = match read_history(state, &mut client, state.watch_timing()).await {
+        Ok(history) => history,
+        Err(e) => {
+            log::info!("event=past outcome=failed cause={}", quoted(&e.to_string()));
+            return None;
         }
-        match read_history(state, client, timing).await {
-            Ok(history) => {
-                *self = Self::Done;
-                record_history(state, &history);
-            }
-            Err(e) => {
-                client.disconnect();
-                let attempts = attempts + 1;
-                *self = match attempts < MAX_ATTEMPTS {
-                    true => Self::Pending { attempts },
-                    false => Self::Done,
-                };
-                log::info!(
-                    "event=past outcome=failed attempts={attempts} cause={}",
-                    quoted(&e.to_string())
-                );
-            }
+    };
+    let changes: Vec<_> = history.reply.changes.iter().filter_map(past_change).collect();
+    let begins_at = wall_now().as_millis().saturating_sub(state.stream_memory_ms.get());
+    let past = PastVersions::review(&changes, begins_at);
+    log::info!(
+        "event=past outcome={} whole={} changes={} departures={}",
+        if past.has_unknown() { "incomplete" } else { "complete" },
+        history.is_whole,
+        changes.len(),
+        past.departures().len(),
+    );
+    Some((past, history.is_whole))
+}
+
+async fn fetch_from_peer(state: &FrontState) -> Option<(PastVersions, bool)> {
+    let peer = random_peer(state)?;
+    match fetch_past(peer).await {
+        Ok(past) => {
+            let departures = past.departures().len();
+            log::info!("event=past outcome=fetched peer={peer} departures={departures}");
+            Some((past, false))
+        }
+        Err(e) => {
+            let cause = quoted(&e.to_string());
+            log::info!("event=past outcome=failed peer={peer} cause={cause}");
+            None
         }
     }
 }
 
+fn random_peer(state: &FrontState) -> Option<SocketAddr> {
+    let fleet = state.fleet.borrow();
+    fleet.alive(mono_now()).map(|peer| peer.digest.address).choose(&mut rand::rng())
+}
+
 /// The changes that the store still has.
 struct StoreHistory {
     reply: StoreReply,
@@ -122,20 +167,6 @@
     }
 }
 
-fn record_history(state: &FrontState, history: &StoreHistory) {
-    let changes: Vec<_> = history.reply.changes.iter().filter_map(past_change).collect();
-    let begins_at = wall_now().as_millis().saturating_sub(state.stream_memory_ms.get());
-    let past = PastVersions::review(&changes, begins_at);
-    state.versions.borrow_mut().record_past(&past, history.is_whole, mono_now());
-    log::info!(
-        "event=past outcome={} whole={} changes={} departures={}",
-        if past.has_unknown() { "incomplete" } else { "complete" },
-        history.is_whole,
-        changes.len(),
-        past.departures().len(),
-    );
-}
-
 /// What an item of the history says about a target; `None` for other items.
 fn past_change(item: &StoreItem) -> Option<PastChange> {
     let id = target_id(&item.key)?;
--- a/ggt-standin/src/users_platform/store.rs
+++ b/ggt-standin/src/users_platform/store.rs
@@ -43,6 +43,8 @@
     compacted_revision: u64,
     /// Number of times that the store came back from a copy; named in all responses.
     era: u64,
+    /// Watches from an earlier revision than this one wait while it is set.
+    held_revision: Option<u64>,
     /// Status of all responses while it is set.
     failure_status: Option<u16>,
     /// Number of calls of `stop_responding`; connections opened before the last one get no response.
@@ -144,6 +146,18 @@
         state.log.clear();
     }
 
+    /// Holds back what changed before now, until it is released.
+    pub fn hold_history(&self) {
+        let mut state = lock(&self.state);
+        state.held_revision = Some(state.revision);
+    }
+
+    /// Ends [`Self::hold_history`].
+    pub fn release_history(&self) {
+        lock(&self.state).held_revision = None;
+        self.changed.notify_all();
+    }
+
     /// A copy of the present data.
     pub fn copy(&self) -> StoreCopy {
         let state = lock(&self.state);
@@ -264,6 +278,10 @@
             state.watches.push((prefix.to_owned(), after));
             state.era
         };
+        let is_held =
+            |state: &mut StoreState| state.held_revision.is_some_and(|revision| after < revision);
+        let released = self.changed.wait_while(lock(&self.state), is_held);
+        drop(released.unwrap_or_else(PoisonError::into_inner));
         let is_unchanged = |state: &mut StoreState| {
             let is_new = |(revision, key, _): &(u64, String, Option<StoredItem>)| {
                 *revision > after && key.starts_with(prefix)
--- a/ggt-testkit/tests/platform_all_lost.rs
+++ b/ggt-testkit/tests/platform_all_lost.rs
@@ -38,6 +38,9 @@
 const SHORT_TOKENS: u64 = 2 * EVENT_TOKENS;
 /// Begins the ids of requests for such an answer.
 const SHORT_PREFIX: &str = "short-";
+/// The same for an answer with many tokens.
+const LONG_TOKENS: u64 = EVENTS * EVENT_TOKENS;
+const LONG_PREFIX: &str = "long-";
 /// Header that names the only version whose servers run the request.
 const WANTED_HEADER: &str = "x-wanted-version";
 /// Milliseconds for which the servers have run before: longer than any stream.
@@ -84,9 +87,10 @@
         if request.header(WANTED_HEADER).is_some_and(|wanted| wanted != version) {
             return respond_with(request, stream, 503, "X-Not-Executed: 1\r\n", "");
         }
-        let generated = match request.attempt_id().starts_with(SHORT_PREFIX) {
-            true => SHORT_TOKENS,
-            false => GENERATED_TOKENS,
+        let generated = match request.attempt_id() {
+            id if id.starts_with(SHORT_PREFIX) => SHORT_TOKENS,
+            id if id.starts_with(LONG_PREFIX) => LONG_TOKENS,
+            _ => GENERATED_TOKENS,
         };
         let list = parts.serve(request, stream, generated);
         list.unwrap_or_else(|| script.send(request, stream))
@@ -148,9 +152,14 @@
 
 /// Takes all streams up after `LAST_EVENT`, a few times if they are refused; returns the responses.
 fn take_up(fleet: &FrontFleet) -> Vec<HttpResponse> {
+    take_up_within(fleet, 5)
+}
+
+/// The same with this many attempts for each stream at most.
+fn take_up_within(fleet: &FrontFleet, attempts: usize) -> Vec<HttpResponse> {
     let take_up_one = |number: usize| {
         let mut response = None;
-        for turn in 0..5 {
+        for turn in 0..attempts {
             let id = format!("next-{number}-{turn}");
             let daemon = (number + turn) % DAEMONS;
             let next = attempt(fleet, daemon, &id, number, Some(LAST_EVENT));
@@ -222,24 +231,53 @@
     }
 }
 
-// Guards against streams joined from two versions: their prompts were answered at the new version before, and the servers
-// of the old one, which ran the streams, have left when all daemons are killed.
-#[test]
-fn earlier_answers_to_their_prompts_do_not_show_where_streams_ran_after_the_loss_of_all_daemons() {
-    let mut fleet = start(&[OLD, NEW]);
-    let version_of = |stream: usize| if stream < STREAMS / 2 { OLD } else { NEW };
+/// Has all prompts answered at the new version, with ids of this beginning, and begins the first half of the streams at
+/// the old version, the others at the new one.
+fn answer_and_begin(fleet: &FrontFleet, prefix: &str) {
+    (0..STREAMS).for_each(|stream| answer_at(fleet, NEW, &format!("{prefix}{stream}"), stream));
     (0..STREAMS).for_each(|stream| {
-        answer_at(&fleet, NEW, &format!("{SHORT_PREFIX}{stream}"), stream);
+        answer_at(fleet, version_of(stream), &format!("first-{stream}"), stream);
     });
-    (0..STREAMS).for_each(|stream| {
-        answer_at(&fleet, version_of(stream), &format!("first-{stream}"), stream);
-    });
-    end_old_servers(&fleet);
-    lose_all(&mut fleet);
-    for (stream, response) in take_up(&fleet).iter().enumerate() {
+}
+
+/// The version of a stream that [`answer_and_begin`] has begun.
+const fn version_of(stream: usize) -> &'static str {
+    if stream < STREAMS / 2 { OLD } else { NEW }
+}
+
+/// Checks that only the streams that began at the new version go on.
+fn check_new_go_on(responses: &[HttpResponse]) {
+    for (stream, response) in responses.iter().enumerate() {
         match version_of(stream) {
             OLD => assert_eq!(response.status, 503, "{stream}: {}", response.body),
             _ => assert_eq!(versions_in(&response.body), [NEW].into(), "{stream}"),
         }
     }
 }
+
+// Guards against streams joined from two versions: their prompts were answered at the new version before, and the servers
+// of the old one, which ran the streams, have left when all daemons are killed.
+#[test]
+fn earlier_answers_to_their_prompts_do_not_show_where_streams_ran_after_the_loss_of_all_daemons() {
+    for prefix in [SHORT_PREFIX, LONG_PREFIX] {
+        let mut fleet = start(&[OLD, NEW]);
+        answer_and_begin(&fleet, prefix);
+        end_old_servers(&fleet);
+        lose_all(&mut fleet);
+        check_new_go_on(&take_up(&fleet));
+    }
+}
+
+// Guards against streams joined from two versions: they are taken up before the daemons have read in the store's history
+// that servers of another version have left.
+#[test]
+fn streams_are_not_decided_before_the_history_of_the_store_is_read() {
+    let mut fleet = start(&[OLD, NEW]);
+    answer_and_begin(&fleet, LONG_PREFIX);
+    end_old_servers(&fleet);
+    fleet.store.hold_history();
+    lose_all(&mut fleet);
+    check_new_go_on(&take_up_within(&fleet, 1));
+    fleet.store.release_history();
+    check_new_go_on(&take_up(&fleet));
+}
