fix: a part of which the last block is not full counts as kept

Cause: a part counted as kept only with all tokens that the request states; engines keep whole blocks of 16 tokens of a prompt.

Change: what does not fill a block of the whole prompt may be missing, exactly so much.

Test: streams_go_on_after_the_loss_of_all_daemons_where_servers_keep_whole_blocks failed before (503, 200 expected).

--- a/ggt-core/src/versions/cached.rs
+++ b/ggt-core/src/versions/cached.rs
@@ -10,6 +10,9 @@
 use crate::versions::SoftwareVersion;
 use crate::versions::StreamProgress;
 
+/// Usual number of tokens in a block of a prefix cache, which may keep whole blocks of a prompt only.
+const BLOCK_TOKENS: u32 = 16;
+
 /// A target at which the stream may have begun.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OriginTarget {
@@ -26,6 +29,8 @@
 pub struct StreamPart {
     /// Tokens of the part, as the request states them.
     pub tokens: u32,
+    /// Tokens of the whole prompt, which ends with the part.
+    pub prompt_tokens: u32,
     /// How much the stream had generated after it; `None` if that is not known.
     pub progress: Option<StreamProgress>,
 }
@@ -100,9 +105,15 @@
 }
 
 impl StreamPart {
-    /// What keeping this many tokens shows; `None` if they are not the whole part.
+    /// What keeping this many tokens shows; `None` if they are not the whole part, or as much of it as fills blocks.
     fn kept(&self, tokens: u32) -> Option<KeptPart> {
-        let generated = tokens.checked_sub(self.tokens.max(1))?;
+        if tokens == 0 {
+            return None;
+        }
+        let Some(generated) = tokens.checked_sub(self.tokens) else {
+            let is_whole = self.tokens - tokens == self.prompt_tokens % BLOCK_TOKENS;
+            return is_whole.then_some(KeptPart::Open);
+        };
         let Some(progress) = self.progress.filter(|_| generated > 0) else {
             return Some(KeptPart::Open);
         };
--- a/ggt-daemon/src/front/origins/cached.rs
+++ b/ggt-daemon/src/front/origins/cached.rs
@@ -17,7 +17,6 @@
 use crate::front::origins::inquiries::OpenInquiry;
 use crate::front::state::FrontState;
 use crate::logging::quoted;
-use ggt_core::prompts::PrefixChain;
 use ggt_core::targets::TargetState;
 use ggt_core::versions::BUSY_GRACE_MS;
 use ggt_core::versions::CACHE_ASK_MS;
@@ -43,16 +42,16 @@
 
 /// Judges by the targets' prefix caches which version began the stream that a request takes up.
 pub(super) async fn find_cached(state: &Rc<FrontState>, job: &FrontJob) -> CacheVerdict {
-    let Some(part) = job.chain.as_ref().and_then(PrefixChain::own_part) else {
-        return CacheVerdict::NoPart;
-    };
+    let Some(chain) = &job.chain else { return CacheVerdict::NoPart };
+    let Some(part) = chain.own_part() else { return CacheVerdict::NoPart };
     let targets = origin_targets(state, &job.service);
     let (listed, ()) = join!(ask_listers(state, &targets, part.hash), await_past(state));
     let service = ServiceKey::named(&job.service);
     let memory_ms = state.stream_memory_ms.get();
     let other_losses =
         |version| state.versions.borrow().other_losses(service, version, memory_ms, mono_now());
-    let part = StreamPart { tokens: part.tokens, progress: stream_progress(state, job) };
+    let progress = stream_progress(state, job);
+    let part = StreamPart { tokens: part.tokens, prompt_tokens: chain.tokens(), progress };
     let verdict = judge_cached(&part, &targets, &listed, other_losses);
     log_evidence(job, &part, &targets, &listed, verdict);
     verdict
--- a/ggt-standin/src/users_platform/part_cache.rs
+++ b/ggt-standin/src/users_platform/part_cache.rs
@@ -16,12 +16,24 @@
 const LIST_PATH: &str = "/v1/kv-list";
 
 /// The prompt parts that a server keeps, with the tokens of each.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct PartCache {
     parts: Arc<Mutex<BTreeMap<String, u64>>>,
+    block_tokens: u64,
+}
+
+impl Default for PartCache {
+    fn default() -> Self {
+        Self::of_blocks(1)
+    }
 }
 
 impl PartCache {
+    /// A cache that keeps whole blocks of this many tokens.
+    pub fn of_blocks(block_tokens: u64) -> Self {
+        Self { parts: Arc::default(), block_tokens }
+    }
+
     /// Replies to a request for the list of the parts; keeps the parts of any other request's prompt, with `generated`
     /// tokens after the last one, and returns `None`.
     pub fn serve(
@@ -34,10 +46,13 @@
         if request.path != LIST_PATH {
             let list = request.header("x-prompt-prefix").unwrap_or_default();
             let entries = list.split(',').filter_map(|part| part.split_once(':'));
-            let mut entries = entries.map(|(id, tokens)| (id, tokens.parse().unwrap_or(0_u64)));
-            let own = entries.next_back().map(|(id, tokens)| (id, tokens + generated));
-            let kept = entries.chain(own).map(|(id, tokens)| (id.to_owned(), tokens));
-            parts.extend(kept);
+            let entries = entries.map(|(id, tokens)| (id, tokens.parse().unwrap_or(0_u64)));
+            let mut entries: Vec<_> = entries.collect();
+            let total: u64 = entries.iter().map(|(_, tokens)| tokens).sum();
+            if let Some((_, own)) = entries.last_mut() {
+                *own = (*own + generated).saturating_sub((total + generated) % self.block_tokens);
+            }
+            parts.extend(entries.into_iter().map(|(id, tokens)| (id.to_owned(), tokens)));
             return None;
         }
         let held: Vec<_> = parts.iter().map(|(id, tokens)| json!(["", id, tokens, "m"])).collect();
