fix: a cut that ends does not show that the registered targets are there

Cause: when no target of a service accepts connections the daemon counts as cut off. The first connection that was accepted ended the cut and confirmed the registered incarnations, also of targets that had not accepted one yet. Evidence: event=reach status=regained, then event=route of the streams at the registered version, before event=target of the new incarnation.

Change: a target that accepts no connection is in doubt until it states the registered start to a question that was asked afterwards. It is asked when it accepts a connection, and when a stream has no other target of its version left; the daemon that lists its cache asks for all others, so a cut costs each target few questions. The datagrams' kinds stand in a module of their own, and one function sends them (it stood five times).

Five tests of digests of earlier builds are one that goes through all of their fields.

--- a/ggt-core/src/targets/choice.rs
+++ b/ggt-core/src/targets/choice.rs
@@ -297,7 +297,7 @@
             return false;
         };
         let targets = self.of_service(query.service).iter().filter_map(|key| self.target(*key));
-        targets.filter(|state| !state.record.is_leaving).any(|s| s.version() != version)
+        targets.filter(|state| !state.record.is_leaving).any(|s| !s.may_have_version(version))
     }
 
     /// Whether other targets may copy what a target has cached. One in an evacuated data centre may for a short
--- a/ggt-core/src/targets/lifetime.rs
+++ b/ggt-core/src/targets/lifetime.rs
@@ -1,7 +1,11 @@
 //! Whether the process at a target's address is still the incarnation that its registration describes.
 //!
 //! A target that has ended may be back at once, under its id and with another version, before its registration says
-//! so. A reply shows that a process is there, but not which one.
+//! so. A connection that is accepted, or a reply, shows that a process is there, but not which one: only the target's own
+//! word does, the start that it states.
+
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::clock::MonoTime;
 use crate::crashes::CrashId;
@@ -11,85 +15,225 @@
 use crate::targets::TargetState;
 use crate::versions::SoftwareVersion;
 
-/// Milliseconds after the first reply from such a target after which it is asked for its start: a target that has
-/// started anew has registered by then.
+/// Milliseconds after the first reply from a target that is known to have ended after which it is asked for its start:
+/// one that has started anew has registered by then.
 const CHECK_DELAY_MS: u64 = 2_000;
-/// Milliseconds between two questions, if a target does not say it.
+/// Milliseconds between two questions, if such a target does not say it.
 const CHECK_INTERVAL_MS: u64 = 10_000;
 /// Hash that tells the version of an unknown incarnation from that of a target that names none.
 const UNKNOWN_SEED: u64 = 0x75_6e_6b_6e;
 
+/// What a target says of its start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StatedStart {
+    /// It is the registered incarnation.
+    Registered,
+    /// It is another one.
+    Another,
+    /// It does not say.
+    Unstated,
+}
+
+impl StatedStart {
+    /// The statement as written in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Registered => "registered",
+            Self::Another => "another",
+            Self::Unstated => "unstated",
+        }
+    }
+}
+
+/// Whether the registered incarnation is there.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum LifetimeState {
+    /// Nothing speaks against it.
+    #[default]
+    Assumed,
+    /// It may have ended: the target accepted no connection, or another daemon says so.
+    Doubted,
+    /// It has ended.
+    Ended,
+}
+
 /// What is known of the incarnation at a target's address.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TargetLifetime {
-    has_ended: bool,
+    state: LifetimeState,
+    /// When something last spoke against the registered incarnation.
+    doubted_at: MonoTime,
+    /// When the target was last asked and said that it is there.
+    confirmed_at: MonoTime,
     /// When the process that is there now is asked for its start, if it has replied.
     check_at: Option<MonoTime>,
 }
 
 impl TargetLifetime {
     /// Whether the registered incarnation has ended, as far as is known.
-    pub const fn has_ended(&self) -> bool {
-        self.has_ended
+    pub fn has_ended(&self) -> bool {
+        self.state == LifetimeState::Ended
+    }
+
+    /// Whether it may have ended.
+    pub fn is_doubted(&self) -> bool {
+        self.state == LifetimeState::Doubted
     }
 
     /// Records that the incarnation has ended.
-    pub fn record_end(&mut self) {
-        self.has_ended = true;
+    pub fn record_end(&mut self, now: MonoTime) {
+        self.state = LifetimeState::Ended;
+        self.doubted_at = now;
+        self.check_at = None;
+    }
+
+    /// Records that the incarnation may have ended at `doubted_at`.
+    pub fn record_doubt(&mut self, doubted_at: MonoTime) {
+        if doubted_at <= self.confirmed_at {
+            return;
+        }
+        self.doubted_at = self.doubted_at.max(doubted_at);
+        if self.state == LifetimeState::Assumed {
+            self.state = LifetimeState::Doubted;
+            self.check_at = None;
+        }
+    }
+
+    /// Records that the daemon was cut off from the target, which may explain what looked like its end.
+    pub fn record_regained(&mut self, now: MonoTime) {
+        if self.has_ended() {
+            self.state = LifetimeState::Doubted;
+            self.check_at = Some(now);
+        }
+    }
+
+    /// Records that a process at the target's address accepted a connection.
+    pub fn record_accept(&mut self, now: MonoTime) {
+        if self.is_doubted() {
+            self.check_at.get_or_insert(now);
+        }
     }
 
     /// Records a reply from the target's address.
     pub fn record_reply(&mut self, now: MonoTime) {
-        if self.has_ended {
-            self.check_at.get_or_insert(now + CHECK_DELAY_MS);
+        match self.state {
+            LifetimeState::Assumed => {}
+            LifetimeState::Doubted => self.record_accept(now),
+            LifetimeState::Ended => _ = self.check_at.get_or_insert(now + CHECK_DELAY_MS),
+        }
+    }
+
+    /// Applies what the target said of its start when it was asked at `asked_at`; `true` if its incarnation is known to
+    /// be there by that, and was not before.
+    ///
+    /// A target that does not say it keeps the benefit of a doubt, but not of its end.
+    pub fn apply_start(&mut self, start: StatedStart, asked_at: MonoTime) -> bool {
+        let is_there = match start {
+            StatedStart::Registered => self.state != LifetimeState::Assumed,
+            StatedStart::Unstated => self.is_doubted(),
+            StatedStart::Another => false,
+        };
+        let is_confirmed = is_there && self.doubted_at <= asked_at;
+        if is_confirmed {
+            *self = Self { confirmed_at: asked_at, ..Self::default() };
         }
+        is_confirmed
     }
 
-    /// Records that the registered incarnation is there: the target has said so, or only this daemon was cut off.
-    pub fn confirm(&mut self) {
-        *self = Self::default();
+    /// Whether the target is to be asked for its start now; it then counts as asked.
+    fn begin_check(&mut self, now: MonoTime) -> bool {
+        let is_due = self.check_at.is_some_and(|at| at <= now);
+        if is_due {
+            self.check_at = self.has_ended().then_some(now + CHECK_INTERVAL_MS);
+        }
+        is_due
     }
 }
 
 impl TargetState {
-    /// Version of the software at the target's address: the registered one, or once that incarnation has ended, one
-    /// that equals no other.
+    /// Version of the software at the target's address: the registered one, or unless that incarnation is taken to be
+    /// there, one that equals no other.
     pub fn version(&self) -> SoftwareVersion {
         let seed = mix_hash(self.record.incarnation, UNKNOWN_SEED);
-        match self.lifetime.has_ended() {
-            true => SoftwareVersion::unnamed(&self.record.id, seed),
-            false => self.record.version,
+        match self.lifetime.state {
+            LifetimeState::Assumed => self.record.version,
+            LifetimeState::Doubted | LifetimeState::Ended => {
+                SoftwareVersion::unnamed(&self.record.id, seed)
+            }
+        }
+    }
+
+    /// Whether the target has this version unless its incarnation has ended.
+    pub fn may_have_version(&self, version: SoftwareVersion) -> bool {
+        match self.lifetime.state {
+            LifetimeState::Assumed | LifetimeState::Doubted => self.record.version == version,
+            LifetimeState::Ended => self.version() == version,
         }
     }
 }
 
 impl TargetPool {
     /// Records that the incarnation of a target has ended; `true` if that was not known.
-    pub fn record_end_of(&mut self, crash: CrashId) -> bool {
+    pub fn record_end_of(&mut self, crash: CrashId, now: MonoTime) -> bool {
         let mut targets = self.targets.values_mut().filter(|state| state.crash_id() == crash);
         let Some(state) = targets.next().filter(|state| !state.lifetime.has_ended()) else {
             return false;
         };
-        state.lifetime.record_end();
+        state.lifetime.record_end(now);
         true
     }
 
-    /// Targets that have replied since their incarnation ended, and are to be asked for their start now.
-    pub fn due_lifetime_checks(&mut self, now: MonoTime) -> Vec<TargetKey> {
-        let is_due = |state: &TargetState| state.lifetime.check_at.is_some_and(|at| at <= now);
-        let due = self.targets.iter_mut().filter(|(_, state)| is_due(state));
-        due.map(|(key, state)| {
-            state.lifetime.check_at = Some(now + CHECK_INTERVAL_MS);
-            key
-        })
-        .collect()
+    /// Records that the incarnation of a target may have ended at `doubted_at`; `true` if that is news.
+    pub fn record_doubt(&mut self, key: TargetKey, doubted_at: MonoTime) -> bool {
+        let Some(state) = self.targets.get_mut(key) else { return false };
+        let before = state.lifetime.state;
+        state.lifetime.record_doubt(doubted_at);
+        state.lifetime.state != before
     }
 
-    /// Records that the registered incarnation of a target is there; `true` if it was taken to have ended.
-    pub fn confirm_lifetime(&mut self, key: TargetKey) -> bool {
+    /// Records that a target accepted a connection; `true` if it is to be asked for its start.
+    pub fn record_accept(&mut self, key: TargetKey, now: MonoTime) -> bool {
         let Some(state) = self.targets.get_mut(key) else { return false };
-        let had_ended = state.lifetime.has_ended();
-        state.lifetime.confirm();
-        had_ended
+        state.lifetime.record_accept(now);
+        state.lifetime.is_doubted()
+    }
+
+    /// Targets that have replied or accepted a connection since their incarnation was doubted or ended, and are to be
+    /// asked for their start now.
+    pub fn due_lifetime_checks(&mut self, now: MonoTime) -> Vec<TargetKey> {
+        let due = self
+            .targets
+            .iter_mut()
+            .filter_map(|(key, state)| state.lifetime.begin_check(now).then_some(key));
+        due.collect()
+    }
+
+    /// Targets that may serve a stream of this version if their incarnations are still there; none if others are known
+    /// to.
+    pub fn doubted_targets(
+        &self,
+        service: &str,
+        version: SoftwareVersion,
+        tried: &[TargetKey],
+    ) -> Vec<TargetKey> {
+        let untried = self.of_service(service).iter().filter(|key| !tried.contains(key));
+        let targets = untried.filter_map(|key| self.target(*key).map(|state| (*key, state)));
+        let staying = targets.filter(|(_, state)| !state.record.is_leaving);
+        let of_version: Vec<_> =
+            staying.filter(|(_, state)| state.may_have_version(version)).collect();
+        let is_sure =
+            |state: &TargetState| !state.lifetime.is_doubted() && !state.health.is_unreachable();
+        if of_version.iter().any(|(_, state)| is_sure(state)) {
+            return Vec::new();
+        }
+        let doubted = of_version.iter().filter(|(_, state)| state.lifetime.is_doubted());
+        doubted.map(|(key, _)| *key).collect()
+    }
+
+    /// Applies what a target said of its start when it was asked at `asked_at`; `true` if its incarnation is known to be
+    /// there by that, and was not before.
+    pub fn apply_start(&mut self, key: TargetKey, start: StatedStart, asked_at: MonoTime) -> bool {
+        let state = self.targets.get_mut(key);
+        state.is_some_and(|state| state.lifetime.apply_start(start, asked_at))
     }
 }
--- a/ggt-core/src/targets/mod.rs
+++ b/ggt-core/src/targets/mod.rs
@@ -43,6 +43,7 @@
 pub use fragile::InFlightLimit;
 pub use health::HealthState;
 pub use health::SendOutcome;
+pub use lifetime::StatedStart;
 pub use lifetime::TargetLifetime;
 pub use pool::SendRecord;
 pub use pool::TargetKey;
--- a/ggt-core/src/targets/pool.rs
+++ b/ggt-core/src/targets/pool.rs
@@ -364,11 +364,11 @@
 
     /// Ends the hold-downs of targets that were unreachable while this daemon was cut off from their
     /// service.
-    pub fn record_regained(&mut self, accepting: TargetKey, failed: &[TargetKey]) {
+    pub fn record_regained(&mut self, accepting: TargetKey, failed: &[TargetKey], now: MonoTime) {
         for key in failed.iter().chain([&accepting]) {
             if let Some(state) = self.targets.get_mut(*key) {
                 state.health.record_regained();
-                state.lifetime.confirm();
+                state.lifetime.record_regained(now);
                 state.rate.cold_start.record_regained();
             }
         }
--- a/ggt-core/tests/cold_starts.rs
+++ b/ggt-core/tests/cold_starts.rs
@@ -202,7 +202,7 @@
     assert!(!is_cold(&pool, keys[0], 10));
     pool.record_outcome(keys[0], SendOutcome::Unresponsive, at(4_000));
     assert!(is_cold(&pool, keys[0], 4_010), "longer than a sound target is silent");
-    pool.record_regained(keys[1], &keys);
+    pool.record_regained(keys[1], &keys, at(0));
     assert!(!is_cold(&pool, keys[0], 4_020), "this daemon was cut off");
 }
 
--- a/ggt-core/tests/versions.rs
+++ b/ggt-core/tests/versions.rs
@@ -11,6 +11,7 @@
 use ggt_core::targets::ChoiceReason;
 use ggt_core::targets::SendOutcome;
 use ggt_core::targets::SlotDuration;
+use ggt_core::targets::StatedStart;
 use ggt_core::targets::TargetKey;
 use ggt_core::targets::TargetPool;
 use ggt_core::targets::TargetRecord;
@@ -387,7 +388,7 @@
     let choose = |pool: &TargetPool, millis| pool.choose(&pinned(old(), 1), at(millis));
     assert_eq!(choose(&pool, 0).map(|choice| choice.key), Ok(ended));
     let crash = pool.target(ended).expect("a target").crash_id();
-    assert!(pool.record_end_of(crash) && !pool.record_end_of(crash));
+    assert!(pool.record_end_of(crash, at(0)) && !pool.record_end_of(crash, at(0)));
     pool.record_outcome(ended, SendOutcome::Good, at(100));
     assert_eq!(choose(&pool, 100), Err(ChoiceError::NoVersion));
     let version = pool.target(ended).expect("a target").version();
@@ -398,11 +399,12 @@
     assert_eq!(pool.due_lifetime_checks(at(2_100)), [ended]);
     assert!(pool.due_lifetime_checks(at(12_000)).is_empty());
     assert_eq!(pool.due_lifetime_checks(at(12_100)), [ended]);
-    assert!(pool.confirm_lifetime(ended) && !pool.confirm_lifetime(ended));
+    let mut is_confirmed = || pool.apply_start(ended, StatedStart::Registered, at(12_100));
+    assert!(is_confirmed() && !is_confirmed());
     assert_eq!(choose(&pool, 12_200).map(|choice| choice.key), Ok(ended));
     assert!(pool.due_lifetime_checks(at(60_000)).is_empty());
     // A registration of a new incarnation says which version is there.
-    assert!(pool.record_end_of(crash));
+    assert!(pool.record_end_of(crash, at(60_000)));
     let record = pool.target(ended).expect("a target").record.clone();
     let incarnation = record.incarnation + 1;
     assert!(pool.put(TargetRecord { incarnation, version: new(), ..record }));
--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -47,6 +47,7 @@
 use ggt_core::crashes::CrashId;
 use ggt_core::limits::SharePermit;
 use ggt_core::targets::TargetKey;
+use ggt_core::targets::TargetState;
 use ggt_core::versions::SoftwareVersion;
 use ggt_platform::ReplyHeaders;
 
@@ -240,9 +241,14 @@
         self.has_begun_before = start.has_begun;
     }
 
-    /// The version of the target of the last send.
+    /// The version of the target of the last send. If it was in doubt when the target was chosen, that may have been
+    /// settled since.
     pub fn sent_version(&self) -> Option<SoftwareVersion> {
-        self.sent_target.map(|target| target.version).or(self.forwarded_version)
+        let Some(sent) = self.sent_target else { return self.forwarded_version };
+        let pool = self.state.pool.borrow();
+        let target = pool.target(sent.key).filter(|target| target.crash_id() == sent.crash);
+        let settled = target.filter(|target| target.record.version != sent.version);
+        Some(settled.map_or(sent.version, TargetState::version))
     }
 
     /// Whether the request may be sent to another target after a failure. Takes the retry from the
@@ -299,6 +305,9 @@
             if self.connects >= MAX_CONNECTS && self.must_forward() {
                 return Err(self.send_failure_refusal());
             }
+            if let Some(version) = self.version.get() {
+                self.state.settle_version(&self.job.service, version, &self.tried).await;
+            }
             let choice = self.choose_in_time().await?;
             let end = self.send(&choice, last_event).await;
             if let Some(reply) = self.finish_send(choice.key, end, last_event).await? {
--- a/ggt-daemon/src/front/cache_lists.rs
+++ b/ggt-daemon/src/front/cache_lists.rs
@@ -9,6 +9,7 @@
 
 use crate::clock::mono_now;
 use crate::front::call::CallError;
+use crate::front::call::CallReply;
 use crate::front::call::get;
 use crate::front::state::CONNECT_TIMEOUT;
 use crate::front::state::FrontState;
@@ -16,6 +17,7 @@
 use crate::upstream::TargetConnection;
 use ggt_core::clock::MonoTime;
 use ggt_core::prompts::prefix_hash;
+use ggt_core::targets::StatedStart;
 use ggt_core::targets::TargetKey;
 use ggt_core::targets::TargetRecord;
 use ggt_core::versions::CachedTokens;
@@ -91,9 +93,11 @@
     /// Requests the list, and records what it holds.
     async fn finish(self, state: &FrontState) {
         let Self { key, hash, address, incarnation, requested_at } = self;
-        let list = request_list(address).await;
-        if list.as_ref().is_ok_and(|list| list.born == Some(incarnation)) {
-            state.pool.borrow_mut().confirm_lifetime(key);
+        let reply = request_list(address).await.map_err(|e| e.to_string());
+        let list = reply.and_then(|reply| read_list(&reply));
+        if let Ok(list) = &list {
+            let start = list_start(list, incarnation);
+            state.pool.borrow_mut().apply_start(key, start, requested_at);
         }
         let listed = list.and_then(|list| parts_of(&list, incarnation));
         let after_ms = mono_now().millis_since(requested_at);
@@ -125,26 +129,39 @@
     Ok(cached.collect())
 }
 
-/// Whether the target at this address is this incarnation, by what it says of its start.
+/// What the target at this address says of its start, against that of a registered incarnation.
 ///
 /// # Errors
-/// The cause if it does not say it.
-pub async fn is_incarnation_there(address: SocketAddr, incarnation: u64) -> Result<bool, String> {
-    let list = request_list(address).await?;
-    list.born.map(|born| born == incarnation).ok_or("no start stated".to_owned())
+/// The cause if it does not reply.
+pub async fn stated_start(address: SocketAddr, incarnation: u64) -> Result<StatedStart, String> {
+    let reply = request_list(address).await.map_err(|e| e.to_string())?;
+    match reply.status {
+        404 => Ok(StatedStart::Unstated),
+        _ => read_list(&reply).map(|list| list_start(&list, incarnation)),
+    }
+}
+
+fn list_start(list: &CacheList, incarnation: u64) -> StatedStart {
+    match list.born {
+        None => StatedStart::Unstated,
+        Some(born) if born == incarnation => StatedStart::Registered,
+        Some(_) => StatedStart::Another,
+    }
 }
 
-async fn request_list(address: SocketAddr) -> Result<CacheList, String> {
+async fn request_list(address: SocketAddr) -> Result<CallReply, CallError> {
     let call = async {
         let mut connection = TargetConnection::open(address, CONNECT_TIMEOUT).await?;
         get(&mut connection, address, CACHE_LIST_PATH).await
     };
-    let reply = timeout(LIST_TIMEOUT, call).await.unwrap_or(Err(CallError::Timeout));
-    let reply = reply.map_err(|e| e.to_string())?;
-    if reply.status != 200 {
-        return Err(format!("status {}", reply.status));
+    timeout(LIST_TIMEOUT, call).await.unwrap_or(Err(CallError::Timeout))
+}
+
+fn read_list(reply: &CallReply) -> Result<CacheList, String> {
+    match reply.status {
+        200 => parse_cache_list(&reply.body).map_err(|e| e.to_string()),
+        status => Err(format!("status {status}")),
     }
-    parse_cache_list(&reply.body).map_err(|e| e.to_string())
 }
 
 impl FrontState {
--- a/ggt-daemon/src/front/digests.rs
+++ b/ggt-daemon/src/front/digests.rs
@@ -23,8 +23,8 @@
 use ggt_core::store_watch::ANNOUNCE_MS;
 use ggt_wire::digest::decode_digest;
 use ggt_wire::digest::encode_digest;
-use ggt_wire::origins::DatagramKind;
-use ggt_wire::origins::datagram_kind;
+use ggt_wire::marked::DatagramKind;
+use ggt_wire::marked::datagram_kind;
 
 /// Maximum size of a datagram in bytes; small enough not to be fragmented.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
@@ -51,7 +51,6 @@
 pub async fn run_digests(state: Rc<FrontState>, socket: Rc<UdpSocket>) {
     loop {
         state.expire();
-        state.check_lifetimes(mono_now());
         state.connections.sweep();
         state.peer_connections.sweep();
         send_digests(&state, &socket).await;
@@ -188,6 +187,8 @@
         DatagramKind::OriginAnswer => state.apply_answer(bytes, peer),
         DatagramKind::CacheQuestion => state.answer_cache_question(bytes, peer),
         DatagramKind::CacheAnswer => state.apply_cache_answer(bytes, peer),
+        DatagramKind::LifetimeQuestion => state.answer_lifetime_question(bytes, peer),
+        DatagramKind::LifetimeAnswer => state.apply_lifetime_answer(bytes, peer),
         DatagramKind::Digest => {
             if let Some(started) = apply_datagram(state, bytes) {
                 greet(state, socket, started).await;
--- a/ggt-daemon/src/front/health.rs
+++ b/ggt-daemon/src/front/health.rs
@@ -14,6 +14,7 @@
             self.log_hold_down(key, held_until);
         }
         if matches!(outcome, SendOutcome::Unreachable | SendOutcome::Unresponsive) {
+            self.doubt_lifetime(key, mono_now(), "connection");
             self.record_connect_failure(key, outcome);
         }
     }
--- a/ggt-daemon/src/front/origins/cached.rs
+++ b/ggt-daemon/src/front/origins/cached.rs
@@ -154,13 +154,7 @@
     targets: &[u32],
 ) {
     let question = CacheQuestion { number, prefix, targets: targets.to_vec() };
-    let sent = match encode_cache_question(&question) {
-        Ok(bytes) => state.send_datagram(&bytes, peer).await.map_err(|e| e.to_string()),
-        Err(e) => Err(e.to_string()),
-    };
-    if let Err(e) = sent {
-        log::info!("event=cache-question peer={peer} cause={}", quoted(&e));
-    }
+    state.send_encoded(encode_cache_question(&question), peer, "cache-question").await;
 }
 
 /// Collects replies until all of the `asked` targets are in them. Targets without one in time count as not listed.
@@ -182,7 +176,7 @@
 
 impl FrontState {
     /// The other daemon that lists the prefix cache of the target with this short hash; `None` if this one does.
-    fn lister(&self, target: u32) -> Option<SocketAddr> {
+    pub(in crate::front) fn lister(&self, target: u32) -> Option<SocketAddr> {
         let pool = self.pool.borrow();
         let location = pool.by_short_hash(target).and_then(|key| pool.target(key))?.location_hash;
         self.fleet.borrow().lister(location, mono_now())
@@ -197,11 +191,6 @@
 ) {
     let targets = &question.targets[..question.targets.len().min(MAX_ASKED_TARGETS)];
     let listed = list_part(state, targets, question.prefix).await;
-    let sent = match encode_cache_answer(&CacheAnswer { number: question.number, listed }) {
-        Ok(bytes) => state.send_datagram(&bytes, peer).await.map_err(|e| e.to_string()),
-        Err(e) => Err(e.to_string()),
-    };
-    if let Err(e) = sent {
-        log::info!("event=cache-question peer={peer} cause={}", quoted(&e));
-    }
+    let answer = CacheAnswer { number: question.number, listed };
+    state.send_encoded(encode_cache_answer(&answer), peer, "cache-question").await;
 }
--- a/ggt-daemon/src/front/origins/inquiries.rs
+++ b/ggt-daemon/src/front/origins/inquiries.rs
@@ -42,7 +42,7 @@
     }
 
     /// Begins an inquiry.
-    pub(super) fn open(&self) -> OpenInquiry<R> {
+    pub fn open(&self) -> OpenInquiry<R> {
         let (sender, receiver) = mpsc::unbounded_channel();
         let key = self.senders.borrow_mut().insert(sender.clone());
         OpenInquiry { senders: self.senders.clone(), key, sender, receiver }
@@ -51,17 +51,17 @@
 
 /// An inquiry that waits for replies until it is dropped.
 #[derive(Debug)]
-pub(super) struct OpenInquiry<R> {
+pub struct OpenInquiry<R> {
     senders: Rc<RefCell<SenderMap<R>>>,
     key: InquiryKey,
     /// For replies that come in another way than by datagrams.
-    pub(super) sender: UnboundedSender<(SocketAddr, R)>,
-    pub(super) receiver: UnboundedReceiver<(SocketAddr, R)>,
+    pub sender: UnboundedSender<(SocketAddr, R)>,
+    pub receiver: UnboundedReceiver<(SocketAddr, R)>,
 }
 
 impl<R> OpenInquiry<R> {
     /// Number of its questions.
-    pub(super) fn number(&self) -> u64 {
+    pub fn number(&self) -> u64 {
         self.key.data().as_ffi()
     }
 }
--- a/ggt-daemon/src/front/origins/inquiry.rs
+++ b/ggt-daemon/src/front/origins/inquiry.rs
@@ -93,13 +93,7 @@
         }
         let question =
             OriginQuestion { number: self.open.number(), key: self.key, service: self.service };
-        let sent = match encode_question(&question) {
-            Ok(bytes) => self.state.send_datagram(&bytes, peer).await.map_err(|e| e.to_string()),
-            Err(e) => Err(e.to_string()),
-        };
-        if let Err(e) = sent {
-            log::info!("event=origin peer={peer} cause={}", quoted(&e));
-        }
+        self.state.send_encoded(encode_question(&question), peer, "origin").await;
     }
 
     /// Asks a daemon of an earlier build.
--- a/ggt-daemon/src/front/origins/mod.rs
+++ b/ggt-daemon/src/front/origins/mod.rs
@@ -11,6 +11,7 @@
 mod tell;
 
 pub use inquiries::InquiryTable;
+pub use inquiries::OpenInquiry;
 pub use lookup::StreamStart;
 pub use lookup::find_start;
 pub use tell::run_origins;
@@ -26,7 +27,6 @@
 use crate::front::origins::cached::answer_cached;
 use crate::front::state::FrontState;
 use crate::front::state::StoreFolder;
-use crate::logging::quoted;
 use ggt_core::clock::MonoTime;
 use ggt_core::fleet::OriginCandidate;
 use ggt_core::targets::TargetRecord;
@@ -94,13 +94,8 @@
             }
         };
         let reply = self.origin_reply(question.key, question.service);
-        let sent = match encode_answer(&OriginAnswer { number: question.number, reply }) {
-            Ok(bytes) => self.send_datagram(&bytes, peer).await.map_err(|e| e.to_string()),
-            Err(e) => Err(e.to_string()),
-        };
-        if let Err(e) = sent {
-            log::info!("event=origin peer={peer} cause={}", quoted(&e));
-        }
+        let answer = OriginAnswer { number: question.number, reply };
+        self.send_encoded(encode_answer(&answer), peer, "origin").await;
     }
 
     /// Applies another daemon's reply to a question of this one.
--- a/ggt-daemon/src/front/origins/tell.rs
+++ b/ggt-daemon/src/front/origins/tell.rs
@@ -9,7 +9,6 @@
 
 use crate::clock::mono_now;
 use crate::front::state::FrontState;
-use crate::logging::quoted;
 use ggt_core::fleet::OPEN_ORIGIN_HOLDERS;
 use ggt_core::fleet::ORIGIN_HOLDERS;
 use ggt_core::versions::OPEN_TELL_DELAY_MS;
@@ -50,16 +49,8 @@
     }
     for (peer, origins) in by_peer {
         for batch in origins.chunks(MAX_TOLD) {
-            let sent = match encode_origins(batch) {
-                Ok(bytes) => state.send_datagram(&bytes, peer).await.map_err(|e| e.to_string()),
-                Err(e) => Err(e.to_string()),
-            };
-            match sent {
-                Ok(()) => state.metrics.record_origins("told", batch.len() as u64),
-                Err(e) => {
-                    let (count, cause) = (batch.len(), quoted(&e));
-                    log::info!("event=origins peer={peer} count={count} cause={cause}");
-                }
+            if state.send_encoded(encode_origins(batch), peer, "origins").await {
+                state.metrics.record_origins("told", batch.len() as u64);
             }
         }
     }
--- a/ggt-daemon/src/front/reach.rs
+++ b/ggt-daemon/src/front/reach.rs
@@ -176,6 +176,7 @@
         let opened = TargetConnection::open(address, CONNECT_TIMEOUT).await;
         if opened.is_ok() {
             self.record_accept(key);
+            self.record_lifetime_accept(key);
         }
         opened
     }
@@ -201,7 +202,7 @@
         let regained = self.reach.borrow_mut().record_accept(&service, key);
         if let Some(ReachRegained { cut_since, failed }) = regained {
             self.digest_requested.notify_one();
-            self.pool.borrow_mut().record_regained(key, &failed);
+            self.pool.borrow_mut().record_regained(key, &failed, mono_now());
             log::warn!(
                 "event=reach service={service} status=regained cut_ms={} failed={}",
                 mono_now().millis_since(cut_since),
--- a/ggt-daemon/src/front/run.rs
+++ b/ggt-daemon/src/front/run.rs
@@ -23,6 +23,7 @@
 use crate::front::digests::run_receiver;
 use crate::front::forward::serve_peers;
 use crate::front::internal::serve_internal;
+use crate::front::lifetimes::run_lifetimes;
 use crate::front::metrics::FrontMetrics;
 use crate::front::origins::run_origins;
 use crate::front::peers::run_fetch;
@@ -139,6 +140,8 @@
     spawn_loop("receiver", move || run_receiver(looped.0.clone(), looped.1.clone()));
     let looped = state.clone();
     spawn_loop("origins", move || run_origins(looped.clone()));
+    let looped = state.clone();
+    spawn_loop("lifetimes", move || run_lifetimes(looped.clone()));
     spawn_local(run_past(state.clone()));
     spawn_local(run_warmup(state.clone()));
     spawn_local(run_reload(state.clone(), file, reload_signals));
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -20,6 +20,7 @@
 use crate::front::bodies::BodyBudget;
 use crate::front::buffers::BufferBudget;
 use crate::front::crashes::CRASH_OPTIONS;
+use crate::front::lifetimes::StartQuestions;
 use crate::front::metrics::FrontMetrics;
 use crate::front::origins::InquiryTable;
 use crate::front::origins::MAX_ORIGINS;
@@ -62,6 +63,7 @@
 use ggt_platform::OPERATOR_PREFIX;
 use ggt_platform::TARGET_PREFIX;
 use ggt_platform::evacuated_centre;
+use ggt_wire::lifetimes::TargetStart;
 
 /// Milliseconds after its start for which a daemon waits for a digest before it is ready.
 const PEER_WAIT_MS: u64 = 300;
@@ -165,6 +167,12 @@
     pub listings: RefCell<ListingTable>,
     /// Notified when a list has arrived or failed.
     pub list_arrived: Notify,
+    /// Notified when targets whose incarnations are in doubt can be asked for their starts.
+    pub lifetime_doubted: Notify,
+    /// Questions to other daemons for the starts of targets.
+    pub lifetime_inquiries: InquiryTable<Vec<TargetStart>>,
+    /// Questions to targets for their starts that are about to be sent.
+    pub start_questions: RefCell<StartQuestions>,
     /// Notified when streams have begun that other daemons have to be told of.
     pub origins_untold: Notify,
     /// Milliseconds for which a stream, or a version of a service, is kept in mind.
@@ -255,6 +263,9 @@
             cache_inquiries: InquiryTable::default(),
             listings: RefCell::default(),
             list_arrived: Notify::new(),
+            lifetime_doubted: Notify::new(),
+            lifetime_inquiries: InquiryTable::default(),
+            start_questions: RefCell::default(),
             origins_untold: Notify::new(),
             stream_memory_ms: Cell::new(MIN_MEMORY_MS),
             shares: RefCell::default(),
@@ -367,11 +378,29 @@
         self.outage.set(outage);
     }
 
+    /// Sends an encoded message as a datagram to another daemon; returns whether it was sent. A failure is logged as this
+    /// event.
+    pub async fn send_encoded(
+        &self,
+        encoded: Result<Vec<u8>, postcard::Error>,
+        peer: SocketAddr,
+        event: &str,
+    ) -> bool {
+        let sent = match encoded {
+            Ok(bytes) => self.send_datagram(&bytes, peer).await.map_err(|e| e.to_string()),
+            Err(e) => Err(e.to_string()),
+        };
+        if let Err(e) = &sent {
+            log::info!("event={event} peer={peer} cause={}", quoted(e));
+        }
+        sent.is_ok()
+    }
+
     /// Sends a datagram to another daemon.
     ///
     /// # Errors
     /// The I/O error, also if the socket is not bound yet.
-    pub async fn send_datagram(&self, bytes: &[u8], peer: SocketAddr) -> io::Result<()> {
+    async fn send_datagram(&self, bytes: &[u8], peer: SocketAddr) -> io::Result<()> {
         let socket = self.peer_socket.get().ok_or(io::ErrorKind::NotConnected)?;
         socket.send_to(bytes, peer).await.map(drop)
     }
--- a/ggt-wire/src/lib.rs
+++ b/ggt-wire/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod forward;
 pub mod headers;
 pub mod hint;
+pub mod lifetimes;
+pub mod marked;
 pub mod origins;
 pub mod platform;
 pub mod rpc;
--- a/ggt-wire/src/origins/mod.rs
+++ b/ggt-wire/src/origins/mod.rs
@@ -1,45 +1,17 @@
 //! Encoding of the datagrams about the origins of streams that daemons on the users' platform send to each other.
-//! Each kind begins with a byte of its own; digests begin with 0 or 1, the kind of an address.
 
 use serde::Deserialize;
 use serde::Serialize;
-use serde::de::DeserializeOwned;
 
+use crate::marked::DatagramKind;
+use crate::marked::decode_marked;
+use crate::marked::encode_marked;
 use ggt_core::versions::ListedPart;
 use ggt_core::versions::OriginReply;
 use ggt_core::versions::ServiceKey;
 use ggt_core::versions::StreamKey;
 use ggt_core::versions::StreamOrigin;
 
-/// First byte of a datagram with origins.
-const ORIGINS_MARK: u8 = 0xb7;
-/// First byte of a datagram that asks for the origin of a stream.
-const QUESTION_MARK: u8 = 0xb8;
-/// First byte of the reply to it.
-const REPLY_MARK: u8 = 0xb9;
-
-/// First byte of a datagram that asks which targets have a prompt part cached.
-const CACHE_QUESTION_MARK: u8 = 0xba;
-/// First byte of the reply to it.
-const CACHE_REPLY_MARK: u8 = 0xbb;
-
-/// What a datagram between daemons is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum DatagramKind {
-    /// A digest.
-    Digest,
-    /// Origins of streams that the sender tells of.
-    Origins,
-    /// A question for the origin of a stream.
-    OriginQuestion,
-    /// The reply to such a question.
-    OriginAnswer,
-    /// A question for the targets that have a prompt part cached.
-    CacheQuestion,
-    /// The reply to such a question.
-    CacheAnswer,
-}
-
 /// Asks a daemon which version began a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OriginQuestion {
@@ -80,24 +52,12 @@
     pub listed: Vec<ListedPart>,
 }
 
-/// The kind of a datagram, by its first byte.
-pub fn datagram_kind(bytes: &[u8]) -> DatagramKind {
-    match bytes.first() {
-        Some(&ORIGINS_MARK) => DatagramKind::Origins,
-        Some(&QUESTION_MARK) => DatagramKind::OriginQuestion,
-        Some(&REPLY_MARK) => DatagramKind::OriginAnswer,
-        Some(&CACHE_QUESTION_MARK) => DatagramKind::CacheQuestion,
-        Some(&CACHE_REPLY_MARK) => DatagramKind::CacheAnswer,
-        _ => DatagramKind::Digest,
-    }
-}
-
 /// Encodes origins as a datagram.
 ///
 /// # Errors
 /// The error of the codec.
 pub fn encode_origins(origins: &[StreamOrigin]) -> Result<Vec<u8>, postcard::Error> {
-    postcard::to_extend(origins, vec![ORIGINS_MARK])
+    encode_marked(DatagramKind::Origins, origins)
 }
 
 /// Decodes a datagram with origins.
@@ -105,7 +65,7 @@
 /// # Errors
 /// The error of the codec for bytes that are no origins.
 pub fn decode_origins(bytes: &[u8]) -> Result<Vec<StreamOrigin>, postcard::Error> {
-    decode_marked(ORIGINS_MARK, bytes)
+    decode_marked(DatagramKind::Origins, bytes)
 }
 
 /// Encodes a question as a datagram.
@@ -113,7 +73,7 @@
 /// # Errors
 /// The error of the codec.
 pub fn encode_question(question: &OriginQuestion) -> Result<Vec<u8>, postcard::Error> {
-    postcard::to_extend(question, vec![QUESTION_MARK])
+    encode_marked(DatagramKind::OriginQuestion, question)
 }
 
 /// Decodes a datagram with a question.
@@ -121,7 +81,7 @@
 /// # Errors
 /// The error of the codec for bytes that are no question.
 pub fn decode_question(bytes: &[u8]) -> Result<OriginQuestion, postcard::Error> {
-    decode_marked(QUESTION_MARK, bytes)
+    decode_marked(DatagramKind::OriginQuestion, bytes)
 }
 
 /// Encodes the reply to a question as a datagram.
@@ -129,7 +89,7 @@
 /// # Errors
 /// The error of the codec.
 pub fn encode_answer(answer: &OriginAnswer) -> Result<Vec<u8>, postcard::Error> {
-    postcard::to_extend(answer, vec![REPLY_MARK])
+    encode_marked(DatagramKind::OriginAnswer, answer)
 }
 
 /// Decodes a datagram with the reply to a question.
@@ -137,7 +97,7 @@
 /// # Errors
 /// The error of the codec for bytes that are no such reply.
 pub fn decode_answer(bytes: &[u8]) -> Result<OriginAnswer, postcard::Error> {
-    decode_marked(REPLY_MARK, bytes)
+    decode_marked(DatagramKind::OriginAnswer, bytes)
 }
 
 /// Encodes a question for cached parts as a datagram.
@@ -145,7 +105,7 @@
 /// # Errors
 /// The error of the codec.
 pub fn encode_cache_question(question: &CacheQuestion) -> Result<Vec<u8>, postcard::Error> {
-    postcard::to_extend(question, vec![CACHE_QUESTION_MARK])
+    encode_marked(DatagramKind::CacheQuestion, question)
 }
 
 /// Decodes a datagram with a question for cached parts.
@@ -153,7 +113,7 @@
 /// # Errors
 /// The error of the codec for bytes that are no such question.
 pub fn decode_cache_question(bytes: &[u8]) -> Result<CacheQuestion, postcard::Error> {
-    decode_marked(CACHE_QUESTION_MARK, bytes)
+    decode_marked(DatagramKind::CacheQuestion, bytes)
 }
 
 /// Encodes the reply to a question for cached parts as a datagram.
@@ -161,7 +121,7 @@
 /// # Errors
 /// The error of the codec.
 pub fn encode_cache_answer(answer: &CacheAnswer) -> Result<Vec<u8>, postcard::Error> {
-    postcard::to_extend(answer, vec![CACHE_REPLY_MARK])
+    encode_marked(DatagramKind::CacheAnswer, answer)
 }
 
 /// Decodes a datagram with the reply to a question for cached parts.
@@ -169,15 +129,5 @@
 /// # Errors
 /// The error of the codec for bytes that are no such reply.
 pub fn decode_cache_answer(bytes: &[u8]) -> Result<CacheAnswer, postcard::Error> {
-    decode_marked(CACHE_REPLY_MARK, bytes)
-}
-
-fn decode_marked<V>(mark: u8, bytes: &[u8]) -> Result<V, postcard::Error>
-where
-    V: DeserializeOwned,
-{
-    match bytes.split_first() {
-        Some((first, value)) if *first == mark => postcard::from_bytes(value),
-        _ => Err(postcard::Error::DeserializeBadEncoding),
-    }
+    decode_marked(DatagramKind::CacheAnswer, bytes)
 }
--- a/ggt-wire/tests/codec.rs
+++ b/ggt-wire/tests/codec.rs
@@ -21,6 +21,7 @@
 use ggt_core::membership::GossipItem;
 use ggt_core::membership::PeerMessage;
 use ggt_core::routing::LoadReport;
+use ggt_core::targets::StatedStart;
 use ggt_core::versions::ListedPart;
 use ggt_core::versions::OriginReply;
 use ggt_core::versions::ServiceKey;
@@ -46,12 +47,19 @@
 use ggt_wire::hint::HintVerdict;
 use ggt_wire::hint::decode_hint;
 use ggt_wire::hint::encode_hint;
+use ggt_wire::lifetimes::LifetimeAnswer;
+use ggt_wire::lifetimes::LifetimeQuestion;
+use ggt_wire::lifetimes::TargetStart;
+use ggt_wire::lifetimes::decode_lifetime_answer;
+use ggt_wire::lifetimes::decode_lifetime_question;
+use ggt_wire::lifetimes::encode_lifetime_answer;
+use ggt_wire::lifetimes::encode_lifetime_question;
+use ggt_wire::marked::DatagramKind;
+use ggt_wire::marked::datagram_kind;
 use ggt_wire::origins::CacheAnswer;
 use ggt_wire::origins::CacheQuestion;
-use ggt_wire::origins::DatagramKind;
 use ggt_wire::origins::OriginAnswer;
 use ggt_wire::origins::OriginQuestion;
-use ggt_wire::origins::datagram_kind;
 use ggt_wire::origins::decode_answer;
 use ggt_wire::origins::decode_cache_answer;
 use ggt_wire::origins::decode_cache_question;
@@ -246,73 +254,38 @@
     assert_eq!(decode_digest(&bytes).expect("should decode"), digest());
 }
 
-// Guards against fleets with two builds in which daemons no longer know each other.
-#[test]
-fn digest_of_a_build_without_crash_ages_decodes() {
-    let without_ages = PeerDigest {
-        crash_ages_ms: Vec::new(),
-        exonerated: Vec::new(),
-        rates: Vec::new(),
-        reach: PeerReach::default(),
-        fragile: Vec::new(),
-        stated_loads: Vec::new(),
-        work_times: Vec::new(),
-        replaced: Vec::new(),
-        demands: Vec::new(),
-        ..digest()
-    };
-    let mut bytes = encode_digest(&without_ages).expect("should encode");
-    for place in 1..=10 {
-        assert_eq!(
-            bytes.pop(),
-            Some(0),
-            "field {place} from the end should be an empty list or zero"
-        );
-    }
-    assert_eq!(decode_digest(&bytes).expect("should decode"), without_ages);
-    assert!(decode_digest(&bytes[..bytes.len() / 2]).is_err());
-}
+/// Empties a field of a digest, which then takes so many bytes.
+type LaterField = (fn(&mut PeerDigest), usize);
 
-#[test]
-fn digest_of_a_build_without_rates_decodes() {
-    let without_rates = PeerDigest {
-        rates: Vec::new(),
-        reach: PeerReach::default(),
-        fragile: Vec::new(),
-        stated_loads: Vec::new(),
-        work_times: Vec::new(),
-        replaced: Vec::new(),
-        demands: Vec::new(),
-        ..digest()
-    };
-    let mut bytes = encode_digest(&without_rates).expect("should encode");
-    for place in 1..=8 {
-        assert_eq!(
-            bytes.pop(),
-            Some(0),
-            "field {place} from the end should be an empty list or zero"
-        );
-    }
-    assert_eq!(decode_digest(&bytes).expect("should decode"), without_rates);
-}
+/// Empties the last fields of a digest, which earlier builds do not send, from the end on.
+const LATER_FIELDS: [LaterField; 9] = [
+    (|digest| digest.demands.clear(), 1),
+    (|digest| digest.replaced.clear(), 1),
+    (|digest| digest.work_times.clear(), 1),
+    (|digest| digest.stated_loads.clear(), 1),
+    (|digest| digest.fragile.clear(), 1),
+    (|digest| digest.reach = PeerReach::default(), 2),
+    (|digest| digest.rates.clear(), 1),
+    (|digest| digest.exonerated.clear(), 1),
+    (|digest| digest.crash_ages_ms.clear(), 1),
+];
 
-// Guards against requests being forwarded to daemons of a build that does not know them.
+// Guards against fleets with two builds in which daemons no longer know each other, or in which requests are forwarded
+// to daemons that take none.
 #[test]
-fn digest_of_a_build_that_takes_no_forwarded_requests_says_so() {
-    let without_reach = PeerDigest {
-        reach: PeerReach::default(),
-        fragile: Vec::new(),
-        stated_loads: Vec::new(),
-        work_times: Vec::new(),
-        replaced: Vec::new(),
-        demands: Vec::new(),
-        ..digest()
-    };
-    let mut bytes = encode_digest(&without_reach).expect("should encode");
-    (0..7).for_each(|_| assert_eq!(bytes.pop(), Some(0)));
-    let decoded = decode_digest(&bytes).expect("should decode");
-    assert_eq!(decoded, without_reach);
-    assert_eq!(decoded.reach.protocol, 0);
+fn digests_of_all_earlier_builds_decode() {
+    let (mut earlier, mut missing) = (digest(), 0);
+    for (number, (empty, length)) in LATER_FIELDS.into_iter().enumerate() {
+        empty(&mut earlier);
+        missing += length;
+        let bytes = encode_digest(&earlier).expect("should encode");
+        let (sent, left_out) = bytes.split_at(bytes.len() - missing);
+        assert!(left_out.iter().all(|byte| *byte == 0), "field {number} from the end");
+        assert_eq!(decode_digest(sent).expect("should decode"), earlier);
+    }
+    assert_eq!(earlier.reach.protocol, 0);
+    let bytes = encode_digest(&earlier).expect("should encode");
+    assert!(decode_digest(&bytes[..(bytes.len() - missing) / 2]).is_err());
 }
 
 fn forwarded_request() -> ForwardedRequest {
@@ -381,48 +354,6 @@
     }
 }
 
-#[test]
-fn digest_of_a_build_without_fragile_services_decodes() {
-    let without_fragile = PeerDigest {
-        fragile: Vec::new(),
-        stated_loads: Vec::new(),
-        work_times: Vec::new(),
-        replaced: Vec::new(),
-        demands: Vec::new(),
-        ..digest()
-    };
-    let mut bytes = encode_digest(&without_fragile).expect("should encode");
-    (0..5).for_each(|_| assert_eq!(bytes.pop(), Some(0), "the last fields should be empty lists"));
-    assert_eq!(decode_digest(&bytes).expect("should decode"), without_fragile);
-}
-
-#[test]
-fn digest_of_a_build_without_stated_loads_decodes() {
-    let without_loads = PeerDigest {
-        stated_loads: Vec::new(),
-        work_times: Vec::new(),
-        replaced: Vec::new(),
-        demands: Vec::new(),
-        ..digest()
-    };
-    let mut bytes = encode_digest(&without_loads).expect("should encode");
-    (0..4).for_each(|_| assert_eq!(bytes.pop(), Some(0), "the last fields should be empty lists"));
-    assert_eq!(decode_digest(&bytes).expect("should decode"), without_loads);
-}
-
-#[test]
-fn digest_of_a_build_without_work_times_replaced_targets_and_demands_decodes() {
-    let without = PeerDigest {
-        work_times: Vec::new(),
-        replaced: Vec::new(),
-        demands: Vec::new(),
-        ..digest()
-    };
-    let mut bytes = encode_digest(&without).expect("should encode");
-    (0..3).for_each(|_| assert_eq!(bytes.pop(), Some(0), "the last fields should be empty lists"));
-    assert_eq!(decode_digest(&bytes).expect("should decode"), without);
-}
-
 #[test]
 fn earlier_builds_ignore_fields_at_the_end_of_a_digest() {
     let bytes = encode_digest(&digest()).expect("should encode");
@@ -494,3 +425,28 @@
         assert!(decode_cache_answer(&bytes[..end]).is_err(), "truncated at {end}");
     }
 }
+
+// Guards against lifetime messages that are taken for others, and ones that do not fit into a datagram.
+#[test]
+fn questions_for_starts_of_targets_and_their_replies_round_trip() {
+    let targets: Vec<_> = (0..100).map(|number| u32::MAX - number).collect();
+    let starts = [StatedStart::Registered, StatedStart::Another, StatedStart::Unstated];
+    let start =
+        |(target, start): (&u32, &StatedStart)| TargetStart { target: *target, start: *start };
+    let starts = targets.iter().zip(starts.iter().cycle()).map(start).collect();
+    let question = LifetimeQuestion { number: u64::MAX, targets };
+    let bytes = encode_lifetime_question(&question).expect("should encode");
+    assert_eq!(datagram_kind(&bytes), DatagramKind::LifetimeQuestion);
+    assert_eq!(decode_lifetime_question(&bytes).expect("should decode"), question);
+    for end in 0..bytes.len() {
+        assert!(decode_lifetime_question(&bytes[..end]).is_err(), "truncated at {end}");
+    }
+    let answer = LifetimeAnswer { number: u64::MAX, starts };
+    let bytes = encode_lifetime_answer(&answer).expect("should encode");
+    assert_eq!(datagram_kind(&bytes), DatagramKind::LifetimeAnswer);
+    assert!(bytes.len() < 1_400, "{} bytes", bytes.len());
+    assert_eq!(decode_lifetime_answer(&bytes).expect("should decode"), answer);
+    for end in 0..bytes.len() {
+        assert!(decode_lifetime_answer(&bytes[..end]).is_err(), "truncated at {end}");
+    }
+}
