fix: daemons that are told of a target's end doubt its incarnation

Cause: digests tell of crashes by the requests that were lost, and the receiver counted them against these requests only. A crash whose requests completed elsewhere was not told at all.

Change: digests name the targets that have ended, for 3 s and with the age of the news. The receiver doubts the incarnation unless the target has stated its start since, and asks it when a stream needs it; a peer that is wrong costs a question. Earlier builds ignore the field.

Tests: streams_do_not_go_on_at_a_restarted_server_where_a_peer_has_seen_its_end failed before (200, 503 expected); ends_are_reported_for_a_short_time_with_their_age.

--- a/ggt-core/src/fleet/digest.rs
+++ b/ggt-core/src/fleet/digest.rs
@@ -81,6 +81,9 @@
     /// What the sender is offered for services that are near their capacity. Digests of earlier builds end before
     /// this field.
     pub demands: Vec<DemandReport>,
+    /// Targets that have lately ended, by what the sender has seen or the targets have said. Digests of earlier builds
+    /// end before this field.
+    pub ended: Vec<EndReport>,
 }
 
 /// What a daemon can do with requests that peers forward to it.
@@ -221,6 +224,22 @@
     }
 }
 
+/// The end of a target, as the sender of a digest knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndReport {
+    /// Short hash of the target's incarnation.
+    pub target: u32,
+    /// Milliseconds since it was noticed, when the digest was made.
+    pub age_ms: u32,
+}
+
+impl EndReport {
+    /// When it was noticed, on the receiver's clock.
+    pub fn noticed_at(&self, now: MonoTime) -> MonoTime {
+        MonoTime::from_millis(now.as_millis().saturating_sub(u64::from(self.age_ms)))
+    }
+}
+
 impl PeerDigest {
     /// A digest that reports nothing, of a daemon that does not watch the platform.
     pub fn new(address: SocketAddr, incarnation: u64, number: u64) -> Self {
@@ -249,6 +268,7 @@
             work_times: Vec::new(),
             replaced: Vec::new(),
             demands: Vec::new(),
+            ended: Vec::new(),
         }
     }
 
--- a/ggt-core/src/fleet/mod.rs
+++ b/ggt-core/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod pace;
 mod warmup;
 
+pub use digest::EndReport;
 pub use digest::FragilityReport;
 pub use digest::PeerDigest;
 pub use digest::PeerReach;
--- a/ggt-core/src/targets/lifetime.rs
+++ b/ggt-core/src/targets/lifetime.rs
@@ -9,6 +9,7 @@
 
 use crate::clock::MonoTime;
 use crate::crashes::CrashId;
+use crate::fleet::EndReport;
 use crate::ident::mix_hash;
 use crate::targets::TargetKey;
 use crate::targets::TargetPool;
@@ -20,6 +21,8 @@
 const CHECK_DELAY_MS: u64 = 2_000;
 /// Milliseconds between two questions, if such a target does not say it.
 const CHECK_INTERVAL_MS: u64 = 10_000;
+/// Milliseconds for which other daemons are told that a target has ended.
+const REPORT_MS: u64 = 3_000;
 /// Hash that tells the version of an unknown incarnation from that of a target that names none.
 const UNKNOWN_SEED: u64 = 0x75_6e_6b_6e;
 
@@ -67,6 +70,8 @@
     confirmed_at: MonoTime,
     /// When the process that is there now is asked for its start, if it has replied.
     check_at: Option<MonoTime>,
+    /// Until when other daemons are told of the end.
+    reported_until: MonoTime,
 }
 
 impl TargetLifetime {
@@ -85,6 +90,7 @@
         self.state = LifetimeState::Ended;
         self.doubted_at = now;
         self.check_at = None;
+        self.reported_until = now + REPORT_MS;
     }
 
     /// Records that the incarnation may have ended at `doubted_at`.
@@ -236,4 +242,19 @@
         let state = self.targets.get_mut(key);
         state.is_some_and(|state| state.lifetime.apply_start(start, asked_at))
     }
+
+    /// The ends of targets that other daemons are to be told of.
+    pub fn end_reports(&self, now: MonoTime) -> impl Iterator<Item = EndReport> {
+        let ended = self
+            .targets
+            .values()
+            .filter(move |state| state.lifetime.has_ended() && now < state.lifetime.reported_until);
+        ended.map(move |state| {
+            let age_ms = now.millis_since(state.lifetime.doubted_at);
+            EndReport {
+                target: state.short_hash,
+                age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
+            }
+        })
+    }
 }
--- a/ggt-core/tests/lifetimes.rs
+++ b/ggt-core/tests/lifetimes.rs
@@ -5,6 +5,7 @@
 use crate::pool_fixture::pool_of;
 use crate::pool_fixture::query;
 use ggt_core::clock::MonoTime;
+use ggt_core::fleet::EndReport;
 use ggt_core::targets::ChoiceError;
 use ggt_core::targets::ChoiceQuery;
 use ggt_core::targets::StatedStart;
@@ -123,3 +124,17 @@
     assert_eq!(doubted(&pool, &[]), keys[..2]);
     assert!(pool.doubted_targets(SERVICE, SoftwareVersion::named("v2"), &[]).is_empty());
 }
+
+// Guards against ends that other daemons are told of for ever, or of which they think that they are new.
+#[test]
+fn ends_are_reported_for_a_short_time_with_their_age() {
+    let (mut pool, keys) = pool_with(2);
+    let hash = target(&pool, keys[0]).short_hash;
+    let crash = target(&pool, keys[0]).crash_id();
+    pool.record_doubt(keys[1], at(0));
+    assert!(pool.record_end_of(crash, at(0)) && !pool.record_end_of(crash, at(100)));
+    let reports = |millis| pool.end_reports(at(millis)).collect::<Vec<_>>();
+    assert_eq!(reports(2_500), [EndReport { target: hash, age_ms: 2_500 }]);
+    assert_eq!(reports(2_500)[0].noticed_at(at(2_510)), at(10));
+    assert!(reports(3_000).is_empty());
+}
--- a/ggt-daemon/src/front/digests.rs
+++ b/ggt-daemon/src/front/digests.rs
@@ -36,6 +36,8 @@
 const MAX_CRASHES: usize = 24;
 /// Maximum number of replaced targets that a digest reports.
 const MAX_REPLACED: usize = 16;
+/// Maximum number of ended targets that a digest reports.
+const MAX_ENDED: usize = 16;
 /// Maximum number of services and priorities whose demand a digest reports.
 const MAX_DEMANDS: usize = 4;
 /// Maximum number of exonerated requests that a digest reports.
@@ -149,6 +151,7 @@
         stated_loads: state.stated_load_reports(now),
         work_times: state.work_time_reports(now),
         replaced: pool.replaced_targets(now).take(MAX_REPLACED).collect(),
+        ended: pool.end_reports(now).take(MAX_ENDED).collect(),
         demands: state.demand_reports(now),
         ..PeerDigest::new(state.settings().peer, state.incarnation, number)
     };
--- a/ggt-daemon/src/front/lifetimes.rs
+++ b/ggt-daemon/src/front/lifetimes.rs
@@ -23,6 +23,7 @@
 use crate::logging::quoted;
 use ggt_core::clock::MonoTime;
 use ggt_core::crashes::CrashId;
+use ggt_core::fleet::PeerDigest;
 use ggt_core::targets::StatedStart;
 use ggt_core::targets::TargetKey;
 use ggt_core::targets::TargetState;
@@ -91,6 +92,7 @@
         if !is_news {
             return;
         }
+        self.digest_requested.notify_one();
         let pool = self.pool.borrow();
         let ended = pool.iter().find(|(_, target)| target.crash_id() == crash);
         if let Some((_, target)) = ended {
@@ -112,6 +114,17 @@
         }
     }
 
+    /// Applies what a peer knows of ended targets.
+    pub(super) fn apply_peer_ends(&self, digest: &PeerDigest) {
+        let now = mono_now();
+        for report in &digest.ended {
+            let key = self.pool.borrow().by_short_hash(report.target);
+            if let Some(key) = key {
+                self.doubt_lifetime(key, report.noticed_at(now), "peer");
+            }
+        }
+    }
+
     /// Records that a target accepted a connection: if its incarnation is in doubt, the process that is there can be
     /// asked.
     pub(super) fn record_lifetime_accept(&self, key: TargetKey) {
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -414,6 +414,7 @@
         self.apply_peer_loads(&digest);
         self.apply_peer_work_times(&digest);
         self.apply_peer_replacements(&digest);
+        self.apply_peer_ends(&digest);
         self.has_heard_peer.set(true);
         let mut outage = self.outage.get();
         let age_ms = u64::from(digest.platform_age_ms);
--- a/ggt-testkit/tests/platform_restarts.rs
+++ b/ggt-testkit/tests/platform_restarts.rs
@@ -6,6 +6,7 @@
 use serde_json::json;
 
 use ggt_platform::CACHE_LIST_PATH;
+use ggt_standin::users_platform::AfterResponse;
 use ggt_standin::users_platform::LinkKind;
 use ggt_standin::users_platform::ServerStandin;
 use ggt_standin::users_platform::respond;
@@ -128,6 +129,25 @@
     }
 }
 
+// Guards against a stream that goes on at a server which is back with another version, at a daemon that had no request
+// there meanwhile and was told of its crash by another one.
+#[test]
+fn streams_do_not_go_on_at_a_restarted_server_where_a_peer_has_seen_its_end() {
+    let mut fleet = start_servers(&[OLD, NEW, NEW, NEW], 0);
+    start_daemons(&mut fleet, 3);
+    let begun = begin_old(&fleet, 0);
+    let server = &fleet.servers[0];
+    server.set_script(|_, _| AfterResponse::Crash);
+    // No other server can go on with it, so its loss counts as a crash.
+    take_up(&fleet, 0, "crash", &begun[0]);
+    wait_until("the server has crashed", || server.is_down());
+    wait_until("the last daemon is told", || {
+        fleet.metric(2, "front_crashes_total", "change=\"told\"") > 0.0
+    });
+    start_again(server);
+    check_refused(&fleet, 2, &begun);
+}
+
 // Guards against streams that are lost after a cut of their daemon: the servers say that they are the registered ones.
 #[test]
 fn streams_go_on_after_the_cut_of_a_daemon_ends() {
--- a/ggt-wire/src/digest/mod.rs
+++ b/ggt-wire/src/digest/mod.rs
@@ -4,7 +4,7 @@
 
 /// Encoding of empty lists and zeros for the fields that earlier builds do not send, appended before
 /// decoding.
-const EMPTY_FIELDS: [u8; 10] = [0; 10];
+const EMPTY_FIELDS: [u8; 11] = [0; 11];
 
 /// Encodes a digest.
 ///
--- a/ggt-wire/tests/codec.rs
+++ b/ggt-wire/tests/codec.rs
@@ -8,6 +8,7 @@
 use ggt_core::clock::WallTime;
 use ggt_core::crashes::CrashId;
 use ggt_core::crashes::SuspectKey;
+use ggt_core::fleet::EndReport;
 use ggt_core::fleet::FragilityReport;
 use ggt_core::fleet::PeerDigest;
 use ggt_core::fleet::PeerReach;
@@ -245,6 +246,7 @@
             admitted: 300,
             largest: vec![(17, 600)],
         }],
+        ended: vec![EndReport { target: 18, age_ms: 250 }],
     }
 }
 
@@ -258,7 +260,8 @@
 type LaterField = (fn(&mut PeerDigest), usize);
 
 /// Empties the last fields of a digest, which earlier builds do not send, from the end on.
-const LATER_FIELDS: [LaterField; 9] = [
+const LATER_FIELDS: [LaterField; 10] = [
+    (|digest| digest.ended.clear(), 1),
     (|digest| digest.demands.clear(), 1),
     (|digest| digest.replaced.clear(), 1),
     (|digest| digest.work_times.clear(), 1),
