fix: a large fleet that starts reads the store's history at once

Change: the seeds, whom all others know, read it at once; the others ask them and those that watch the store, after 50 ms and in pauses of 0.8 s at most.

--- a/ggt-daemon/src/front/store/past.rs
+++ b/ggt-daemon/src/front/store/past.rs
@@ -32,8 +32,8 @@
 /// the other daemons are known.
 const MAX_SMALL_POOL: usize = 100;
 /// Pauses in milliseconds between attempts to find out the past: the first, which doubles, and the longest.
-const FIRST_PAUSE_MS: u64 = 250;
-const MAX_PAUSE_MS: u64 = 2_000;
+const FIRST_PAUSE_MS: u64 = 50;
+const MAX_PAUSE_MS: u64 = 800;
 /// Interval at which a starting daemon checks whether it has read the registrations.
 const START_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -73,10 +73,13 @@
     }
 }
 
-/// Whether this daemon reads the store's history itself.
+/// Whether this daemon reads the store's history itself. Of a larger fleet, which may be starting as a whole, a few do at
+/// once: its seeds, whom all others know.
 fn reads_store(state: &FrontState) -> bool {
     let is_small = state.pool.borrow().len() <= MAX_SMALL_POOL;
-    is_small || state.fleet_role() == WatchRole::Watcher
+    let settings = state.settings();
+    let is_seed = settings.seed_peers().contains(&settings.peer);
+    is_small || is_seed || state.fleet_role() == WatchRole::Watcher
 }
 
 async fn read_past(state: &FrontState) -> Option<(PastVersions, bool)> {
@@ -102,7 +105,7 @@
 }
 
 async fn fetch_from_peer(state: &FrontState) -> Option<(PastVersions, bool)> {
-    let peer = random_peer(state)?;
+    let peer = past_source(state)?;
     match fetch_past(peer).await {
         Ok(past) => {
             let departures = past.departures().len();
@@ -117,9 +120,15 @@
     }
 }
 
-fn random_peer(state: &FrontState) -> Option<SocketAddr> {
+/// The daemon that is asked next: another seed or a daemon that watches the store, unless none is known.
+fn past_source(state: &FrontState) -> Option<SocketAddr> {
+    let settings = state.settings();
     let fleet = state.fleet.borrow();
-    fleet.alive(mono_now()).map(|peer| peer.digest.address).choose(&mut rand::rng())
+    let alive = || fleet.alive(mono_now()).map(|peer| &peer.digest);
+    let watching = alive().filter(|digest| digest.is_watching).map(|digest| digest.address);
+    let seeds = settings.seed_peers().into_iter().filter(|seed| *seed != settings.peer);
+    let source = seeds.chain(watching).choose(&mut rand::rng());
+    source.or_else(|| alive().map(|digest| digest.address).choose(&mut rand::rng()))
 }
 
 /// The changes that the store still has.
