fix: targets in doubt are asked only when a stream needs them

Each daemon asked each target that accepted a connection again, as soon as it did.

Change: a target is asked when a stream has no other one of its version left, or 2 s after its first connection; what it has said since the doubt began answers all who ask. A stream that begins at a target in doubt has a version that names the target, which is settled when the stream is taken up. Copies of caches go by the registered version: a target that has started anew has nothing cached.

--- a/ggt-core/src/targets/admission.rs
+++ b/ggt-core/src/targets/admission.rs
@@ -167,7 +167,7 @@
         let usable = targets
             .filter(|state| !state.record.is_leaving && !state.health.is_unreachable())
             .filter(|state| state.remove_at.is_none() && self.may_serve(state, query))
-            .filter(|state| query.version.is_none_or(|version| state.may_have_version(version)));
+            .filter(|state| query.version.is_none_or(|version| state.likely_version() == version));
         let opens_at = usable.map(|state| state.closing.opens_at()).min();
         opens_at.map_or(0, |opens_at| opens_at.millis_since(now))
     }
--- a/ggt-core/src/targets/choice.rs
+++ b/ggt-core/src/targets/choice.rs
@@ -297,7 +297,7 @@
             return false;
         };
         let targets = self.of_service(query.service).iter().filter_map(|key| self.target(*key));
-        targets.filter(|state| !state.record.is_leaving).any(|s| !s.may_have_version(version))
+        targets.filter(|state| !state.record.is_leaving).any(|s| s.likely_version() != version)
     }
 
     /// Whether other targets may copy what a target has cached. One in an evacuated data centre may for a short
@@ -323,12 +323,12 @@
             return None;
         }
         let others = self.of_service(query.service).iter().filter(|key| **key != chosen);
-        // What another version has cached does not fit.
-        let version = self.target(chosen)?.version();
+        // What another version has cached does not fit; a target that has started anew has nothing cached.
+        let version = self.target(chosen)?.likely_version();
         let sources = others
             .filter_map(|key| self.target(*key).map(|state| (*key, state)))
             .filter(|(_, state)| query.allows(state) && self.may_be_source(state, now))
-            .filter(|(_, state)| state.version() == version)
+            .filter(|(_, state)| state.likely_version() == version)
             .filter(|(_, state)| state.has_cached(anchor.hash) && is_healthy(state, now));
         sources.max_by_key(|(_, state)| state.last_reply_at).map(|(key, _)| key)
     }
--- a/ggt-core/src/targets/lifetime.rs
+++ b/ggt-core/src/targets/lifetime.rs
@@ -16,10 +16,10 @@
 use crate::targets::TargetState;
 use crate::versions::SoftwareVersion;
 
-/// Milliseconds after the first reply from a target that is known to have ended after which it is asked for its start:
-/// one that has started anew has registered by then.
+/// Milliseconds after the first connection or reply of a target after which it is asked for its start if no stream needs
+/// it before: one that has started anew has registered by then, and a cut has ended for other daemons, too.
 const CHECK_DELAY_MS: u64 = 2_000;
-/// Milliseconds between two questions, if such a target does not say it.
+/// Milliseconds between two questions, if a target that is known to have ended does not say it.
 const CHECK_INTERVAL_MS: u64 = 10_000;
 /// Milliseconds for which other daemons are told that a target has ended.
 const REPORT_MS: u64 = 3_000;
@@ -85,6 +85,17 @@
         self.state == LifetimeState::Doubted
     }
 
+    /// Whether the target has said since this time that it is the registered incarnation, and nothing has spoken against
+    /// it since then.
+    pub fn is_confirmed_since(&self, time: MonoTime) -> bool {
+        self.state == LifetimeState::Assumed && self.confirmed_at >= time
+    }
+
+    /// When something last spoke against the registered incarnation.
+    pub const fn doubted_at(&self) -> MonoTime {
+        self.doubted_at
+    }
+
     /// Records that the incarnation has ended.
     pub fn record_end(&mut self, now: MonoTime) {
         self.state = LifetimeState::Ended;
@@ -99,7 +110,7 @@
             return;
         }
         self.doubted_at = self.doubted_at.max(doubted_at);
-        if self.state == LifetimeState::Assumed {
+        if !self.has_ended() {
             self.state = LifetimeState::Doubted;
             self.check_at = None;
         }
@@ -109,23 +120,21 @@
     pub fn record_regained(&mut self, now: MonoTime) {
         if self.has_ended() {
             self.state = LifetimeState::Doubted;
-            self.check_at = Some(now);
+            self.check_at = Some(now + CHECK_DELAY_MS);
         }
     }
 
     /// Records that a process at the target's address accepted a connection.
     pub fn record_accept(&mut self, now: MonoTime) {
         if self.is_doubted() {
-            self.check_at.get_or_insert(now);
+            self.check_at.get_or_insert(now + CHECK_DELAY_MS);
         }
     }
 
     /// Records a reply from the target's address.
     pub fn record_reply(&mut self, now: MonoTime) {
-        match self.state {
-            LifetimeState::Assumed => {}
-            LifetimeState::Doubted => self.record_accept(now),
-            LifetimeState::Ended => _ = self.check_at.get_or_insert(now + CHECK_DELAY_MS),
+        if self.state != LifetimeState::Assumed {
+            self.check_at.get_or_insert(now + CHECK_DELAY_MS);
         }
     }
 
@@ -139,9 +148,13 @@
             StatedStart::Unstated => self.is_doubted(),
             StatedStart::Another => false,
         };
+        if start == StatedStart::Registered {
+            self.confirmed_at = self.confirmed_at.max(asked_at);
+        }
         let is_confirmed = is_there && self.doubted_at <= asked_at;
         if is_confirmed {
-            *self = Self { confirmed_at: asked_at, ..Self::default() };
+            let confirmed_at = self.confirmed_at.max(asked_at);
+            *self = Self { confirmed_at, ..Self::default() };
         }
         is_confirmed
     }
@@ -160,22 +173,24 @@
     /// Version of the software at the target's address: the registered one, or unless that incarnation is taken to be
     /// there, one that equals no other.
     pub fn version(&self) -> SoftwareVersion {
-        let seed = mix_hash(self.record.incarnation, UNKNOWN_SEED);
         match self.lifetime.state {
             LifetimeState::Assumed => self.record.version,
-            LifetimeState::Doubted | LifetimeState::Ended => {
-                SoftwareVersion::unnamed(&self.record.id, seed)
-            }
+            LifetimeState::Doubted | LifetimeState::Ended => self.unknown_version(),
         }
     }
 
-    /// Whether the target has this version unless its incarnation has ended.
-    pub fn may_have_version(&self, version: SoftwareVersion) -> bool {
+    /// The version that the target has unless its incarnation has ended without anybody knowing it.
+    pub fn likely_version(&self) -> SoftwareVersion {
         match self.lifetime.state {
-            LifetimeState::Assumed | LifetimeState::Doubted => self.record.version == version,
-            LifetimeState::Ended => self.version() == version,
+            LifetimeState::Assumed | LifetimeState::Doubted => self.record.version,
+            LifetimeState::Ended => self.unknown_version(),
         }
     }
+
+    /// The version of what is at the target's address while it is not known to be the registered incarnation.
+    fn unknown_version(&self) -> SoftwareVersion {
+        SoftwareVersion::unnamed(&self.record.id, mix_hash(self.record.incarnation, UNKNOWN_SEED))
+    }
 }
 
 impl TargetPool {
@@ -197,11 +212,11 @@
         state.lifetime.state != before
     }
 
-    /// Records that a target accepted a connection; `true` if it is to be asked for its start.
-    pub fn record_accept(&mut self, key: TargetKey, now: MonoTime) -> bool {
-        let Some(state) = self.targets.get_mut(key) else { return false };
-        state.lifetime.record_accept(now);
-        state.lifetime.is_doubted()
+    /// Records that a target accepted a connection.
+    pub fn record_accept(&mut self, key: TargetKey, now: MonoTime) {
+        if let Some(state) = self.targets.get_mut(key) {
+            state.lifetime.record_accept(now);
+        }
     }
 
     /// Targets that have replied or accepted a connection since their incarnation was doubted or ended, and are to be
@@ -214,6 +229,21 @@
         due.collect()
     }
 
+    /// The target at which streams of this version began while it was not known which incarnation is there. If that turns
+    /// out to be the registered one, their version is the registered one, too.
+    pub fn target_of_unknown_version(
+        &self,
+        service: &str,
+        version: SoftwareVersion,
+    ) -> Option<TargetKey> {
+        let mut keys = self.of_service(service).iter().copied();
+        keys.find(|key| {
+            self.target(*key).is_some_and(|state| {
+                !state.lifetime.has_ended() && state.unknown_version() == version
+            })
+        })
+    }
+
     /// Targets that may serve a stream of this version if their incarnations are still there; none if others are known
     /// to.
     pub fn doubted_targets(
@@ -226,7 +256,7 @@
         let targets = untried.filter_map(|key| self.target(*key).map(|state| (*key, state)));
         let staying = targets.filter(|(_, state)| !state.record.is_leaving);
         let of_version: Vec<_> =
-            staying.filter(|(_, state)| state.may_have_version(version)).collect();
+            staying.filter(|(_, state)| state.likely_version() == version).collect();
         let is_sure =
             |state: &TargetState| !state.lifetime.is_doubted() && !state.health.is_unreachable();
         if of_version.iter().any(|(_, state)| is_sure(state)) {
--- a/ggt-daemon/src/front/attempt/mod.rs
+++ b/ggt-daemon/src/front/attempt/mod.rs
@@ -184,6 +184,8 @@
     has_reserved_forward: Cell<bool>,
     /// The only version that may serve the request, which goes on with a stream.
     version: Cell<Option<SoftwareVersion>>,
+    /// Whether the stream began at a target that was in doubt then, and that has been settled.
+    has_settled_version: bool,
     /// The last peer that took the request.
     last_peer: Option<SocketAddr>,
     /// Version of the target that has served the request at a peer.
@@ -223,6 +225,7 @@
             stayed_since: Cell::default(),
             has_reserved_forward: Cell::default(),
             version: Cell::default(),
+            has_settled_version: false,
             last_peer: None,
             forwarded_version: None,
             permit: None,
@@ -235,6 +238,12 @@
         self.version.set(version);
     }
 
+    /// Whether the stream is known to other daemons by another version than that of the last send: it began at a target
+    /// that was in doubt then.
+    pub const fn has_settled_version(&self) -> bool {
+        self.has_settled_version
+    }
+
     /// Goes on with a stream that may have begun before.
     pub fn go_on_with(&mut self, start: StreamStart) {
         self.version.set(start.version);
@@ -306,7 +315,10 @@
                 return Err(self.send_failure_refusal());
             }
             if let Some(version) = self.version.get() {
-                self.state.settle_version(&self.job.service, version, &self.tried).await;
+                let settled = self.state.settle_version(&self.job.service, version, &self.tried);
+                let settled = settled.await;
+                self.has_settled_version |= settled != version;
+                self.version.set(Some(settled));
             }
             let choice = self.choose_in_time().await?;
             let end = self.send(&choice, last_event).await;
--- a/ggt-daemon/src/front/lifetimes.rs
+++ b/ggt-daemon/src/front/lifetimes.rs
@@ -9,7 +9,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::join;
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
 use tokio::task::spawn_local;
@@ -28,6 +27,7 @@
 use ggt_core::targets::TargetKey;
 use ggt_core::targets::TargetState;
 use ggt_core::versions::SoftwareVersion;
+use ggt_wire::lifetimes::DoubtedTarget;
 use ggt_wire::lifetimes::LifetimeAnswer;
 use ggt_wire::lifetimes::LifetimeQuestion;
 use ggt_wire::lifetimes::TargetStart;
@@ -57,6 +57,9 @@
     answered: Notify,
 }
 
+/// Targets in doubt by their short hashes, and when something last spoke against each.
+type DoubtMap = BTreeMap<u32, MonoTime>;
+
 /// Questions to targets that have not been sent yet, by the targets' short hashes. A reply counts only for those who
 /// asked before it was requested.
 pub type StartQuestions = BTreeMap<u32, Rc<StartQuestion>>;
@@ -64,10 +67,7 @@
 /// Asks targets whose incarnations are in doubt for their starts, until the task is dropped.
 pub async fn run_lifetimes(state: Rc<FrontState>) {
     loop {
-        tokio::select! {
-            () = sleep(CHECK_INTERVAL) => {}
-            () = state.lifetime_doubted.notified() => {}
-        }
+        sleep(CHECK_INTERVAL).await;
         let due = state.pool.borrow_mut().due_lifetime_checks(mono_now());
         if !due.is_empty() {
             let state = state.clone();
@@ -125,99 +125,123 @@
         }
     }
 
-    /// Records that a target accepted a connection: if its incarnation is in doubt, the process that is there can be
-    /// asked.
-    pub(super) fn record_lifetime_accept(&self, key: TargetKey) {
-        if self.pool.borrow_mut().record_accept(key, mono_now()) {
-            self.lifetime_doubted.notify_one();
-        }
-    }
-
     /// Asks the targets that may serve a stream of this version, if all that are left and were not tried are in doubt.
+    /// Returns the version that the stream needs: that of a target that was in doubt when the stream began there may be
+    /// known now.
     pub(super) async fn settle_version(
         self: &Rc<Self>,
         service: &str,
         version: SoftwareVersion,
         tried: &[TargetKey],
-    ) {
+    ) -> SoftwareVersion {
+        let began_at = self.pool.borrow().target_of_unknown_version(service, version);
+        let version = match began_at {
+            Some(key) => self.settled_version(key).await.unwrap_or(version),
+            None => version,
+        };
         let doubted = self.pool.borrow().doubted_targets(service, version, tried);
         if !doubted.is_empty() {
             // Those that have not replied by then stay in doubt.
             let _ = timeout(SETTLE_TIMEOUT, self.settle_lifetimes(&doubted)).await;
         }
+        version
     }
 
-    /// Asks these targets for their starts and applies what they say.
+    /// The registered version of a target, if it says now that it is the registered incarnation.
+    async fn settled_version(self: &Rc<Self>, key: TargetKey) -> Option<SoftwareVersion> {
+        let now = mono_now();
+        let hash = self.pool.borrow().target(key)?.short_hash;
+        let asked = self.settle_doubts(vec![(hash, now)]);
+        // Without a reply by then it stays in doubt.
+        let _ = timeout(SETTLE_TIMEOUT, asked).await;
+        let pool = self.pool.borrow();
+        let target = pool.target(key).filter(|target| target.lifetime.is_confirmed_since(now))?;
+        Some(target.record.version)
+    }
+
+    /// Has these targets asked for their starts and applies what they say.
     async fn settle_lifetimes(self: &Rc<Self>, keys: &[TargetKey]) {
-        let asked_at = mono_now();
-        let mut own = Vec::new();
-        let mut by_peer: BTreeMap<SocketAddr, Vec<u32>> = BTreeMap::new();
-        let hashes: Vec<_> = {
+        let doubts: Vec<_> = {
             let pool = self.pool.borrow();
-            keys.iter()
-                .filter_map(|key| pool.target(*key))
-                .map(|target| target.short_hash)
-                .collect()
+            let targets = keys.iter().filter_map(|key| pool.target(*key));
+            targets.map(|target| (target.short_hash, target.lifetime.doubted_at())).collect()
         };
-        for hash in hashes {
-            match self.lister(hash) {
-                Some(peer) => by_peer.entry(peer).or_default().push(hash),
-                None => own.push(hash),
-            }
+        self.settle_doubts(doubts).await;
+    }
+
+    async fn settle_doubts(self: &Rc<Self>, doubts: Vec<(u32, MonoTime)>) {
+        let mut by_lister: BTreeMap<Option<SocketAddr>, DoubtMap> = BTreeMap::new();
+        for (hash, doubted_at) in doubts {
+            by_lister.entry(self.lister(hash)).or_default().insert(hash, doubted_at);
         }
         let mut asked = JoinSet::new();
-        for (peer, targets) in by_peer {
+        for (lister, doubts) in by_lister {
             let state = self.clone();
-            asked.spawn_local(async move { state.ask_through(peer, targets, asked_at).await });
+            asked.spawn_local(async move {
+                match lister {
+                    Some(peer) => state.ask_through(peer, doubts).await,
+                    None => drop(state.ask_targets(&doubts).await),
+                }
+            });
         }
-        join!(self.ask_targets(own, asked_at), async {
-            while asked.join_next().await.is_some() {}
-        });
+        while asked.join_next().await.is_some() {}
     }
 
     /// Has a peer ask these targets, and asks those that it says nothing of.
-    async fn ask_through(self: Rc<Self>, peer: SocketAddr, targets: Vec<u32>, asked_at: MonoTime) {
+    async fn ask_through(self: &Rc<Self>, peer: SocketAddr, mut doubts: DoubtMap) {
         let mut open = self.lifetime_inquiries.open();
+        let now = mono_now();
+        let targets: Vec<_> =
+            doubts.iter().map(|(hash, at)| DoubtedTarget::new(*hash, *at, now)).collect();
         for targets in targets.chunks(MAX_ASKED_TARGETS) {
             let question = LifetimeQuestion { number: open.number(), targets: targets.to_vec() };
             self.send_encoded(encode_lifetime_question(&question), peer, "lifetime-question").await;
         }
-        let mut left = targets;
         // What the peer has not said by then is asked by this daemon.
-        let _ = timeout(PEER_TIMEOUT, self.collect_starts(&mut open, &mut left, asked_at)).await;
-        self.ask_targets(left, asked_at).await;
+        let _ = timeout(PEER_TIMEOUT, self.collect_starts(&mut open, &mut doubts)).await;
+        self.ask_targets(&doubts).await;
     }
 
     async fn collect_starts(
         &self,
         open: &mut OpenInquiry<Vec<TargetStart>>,
-        left: &mut Vec<u32>,
-        asked_at: MonoTime,
+        doubts: &mut DoubtMap,
     ) {
-        while !left.is_empty()
+        while !doubts.is_empty()
             && let Some((peer, starts)) = open.receiver.recv().await
         {
             for TargetStart { target, start } in starts {
-                left.retain(|hash| *hash != target);
-                self.apply_start(target, start, asked_at, &peer.to_string());
+                if let Some(doubted_at) = doubts.remove(&target) {
+                    // It says nothing of what has come up since.
+                    self.apply_start(target, start, doubted_at, &peer.to_string());
+                }
             }
         }
     }
 
-    async fn ask_targets(self: &Rc<Self>, targets: Vec<u32>, asked_at: MonoTime) {
+    /// What targets say of their starts, by their short hashes; those that do not reply are left out.
+    async fn ask_targets(self: &Rc<Self>, doubts: &DoubtMap) -> Vec<TargetStart> {
         let mut asked = JoinSet::new();
-        for hash in targets {
-            let state = self.clone();
+        for (hash, doubted_at) in doubts {
+            let (state, target, doubted_at) = (self.clone(), *hash, *doubted_at);
             asked.spawn_local(async move {
-                if let Some(start) = state.ask_start(hash).await {
-                    state.apply_start(hash, start, asked_at, "target");
-                }
+                let start = match state.is_confirmed_since(target, doubted_at) {
+                    true => Some(StatedStart::Registered),
+                    false => state.ask_start(target).await,
+                };
+                start.map(|start| TargetStart { target, start })
             });
         }
-        while asked.join_next().await.is_some() {}
+        asked.join_all().await.into_iter().flatten().collect()
+    }
+
+    fn is_confirmed_since(&self, hash: u32, time: MonoTime) -> bool {
+        let pool = self.pool.borrow();
+        let target = pool.by_short_hash(hash).and_then(|key| pool.target(key));
+        target.is_some_and(|target| target.lifetime.is_confirmed_since(time))
     }
 
-    /// What a target says of its start when it is asked from now on; `None` if it does not reply.
+    /// What a target says of its start when it is asked from now on, which is applied; `None` if it does not reply.
     async fn ask_start(self: &Rc<Self>, hash: u32) -> Option<StatedStart> {
         let waiting = self.start_questions.borrow().get(&hash).cloned();
         let question = waiting.unwrap_or_else(|| self.begin_question(hash));
@@ -237,7 +261,12 @@
         spawn_local(async move {
             sleep(GROUP_TIME).await;
             state.start_questions.borrow_mut().remove(&hash);
-            asked.start.set(state.request_start(hash).await);
+            let asked_at = mono_now();
+            let start = state.request_start(hash).await;
+            if let Some(start) = start {
+                state.apply_start(hash, start, asked_at, "target");
+            }
+            asked.start.set(start);
             asked.is_answered.set(true);
             asked.answered.notify_waiters();
         });
@@ -285,16 +314,12 @@
                 return;
             }
         };
+        let now = mono_now();
+        let targets = question.targets.iter().take(MAX_ASKED_TARGETS);
+        let doubts = targets.map(|doubt| (doubt.target, doubt.doubted_at(now))).collect();
         let state = self.clone();
         spawn_local(async move {
-            let mut asked = JoinSet::new();
-            for target in question.targets.into_iter().take(MAX_ASKED_TARGETS) {
-                let state = state.clone();
-                asked.spawn_local(async move {
-                    Some(TargetStart { target, start: state.ask_start(target).await? })
-                });
-            }
-            let starts = asked.join_all().await.into_iter().flatten().collect();
+            let starts = state.ask_targets(&doubts).await;
             let answer = LifetimeAnswer { number: question.number, starts };
             state.send_encoded(encode_lifetime_answer(&answer), peer, "lifetime-question").await;
         });
--- a/ggt-daemon/src/front/reach.rs
+++ b/ggt-daemon/src/front/reach.rs
@@ -176,7 +176,7 @@
         let opened = TargetConnection::open(address, CONNECT_TIMEOUT).await;
         if opened.is_ok() {
             self.record_accept(key);
-            self.record_lifetime_accept(key);
+            self.pool.borrow_mut().record_accept(key, mono_now());
         }
         opened
     }
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -167,8 +167,6 @@
     pub listings: RefCell<ListingTable>,
     /// Notified when a list has arrived or failed.
     pub list_arrived: Notify,
-    /// Notified when targets whose incarnations are in doubt can be asked for their starts.
-    pub lifetime_doubted: Notify,
     /// Questions to other daemons for the starts of targets.
     pub lifetime_inquiries: InquiryTable<Vec<TargetStart>>,
     /// Questions to targets for their starts that are about to be sent.
@@ -263,7 +261,6 @@
             cache_inquiries: InquiryTable::default(),
             listings: RefCell::default(),
             list_arrived: Notify::new(),
-            lifetime_doubted: Notify::new(),
             lifetime_inquiries: InquiryTable::default(),
             start_questions: RefCell::default(),
             origins_untold: Notify::new(),
--- a/ggt-daemon/src/front/stream/mod.rs
+++ b/ggt-daemon/src/front/stream/mod.rs
@@ -161,7 +161,9 @@
     fn keep_version(&self) {
         if let Some(version) = self.attempts.sent_version() {
             self.attempts.require_version(Some(version));
-            self.state.record_origin(&self.job, version);
+            if !self.attempts.has_settled_version() {
+                self.state.record_origin(&self.job, version);
+            }
             if let Some(handover) = &self.job.handover {
                 handover.served_version.set(Some(version));
             }
--- a/ggt-wire/src/lifetimes/mod.rs
+++ b/ggt-wire/src/lifetimes/mod.rs
@@ -6,6 +6,7 @@
 use crate::marked::DatagramKind;
 use crate::marked::decode_marked;
 use crate::marked::encode_marked;
+use ggt_core::clock::MonoTime;
 use ggt_core::targets::StatedStart;
 
 /// Asks a daemon whether targets are the incarnations that are registered.
@@ -13,11 +14,33 @@
 pub struct LifetimeQuestion {
     /// Number of the question, which the reply repeats.
     pub number: u64,
-    /// Short hashes of the targets.
-    pub targets: Vec<u32>,
+    /// The targets.
+    pub targets: Vec<DoubtedTarget>,
 }
 
-/// What a target said of its start after the question had arrived.
+/// A target whose incarnation is in doubt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DoubtedTarget {
+    /// Short hash of the registered incarnation.
+    pub target: u32,
+    /// Milliseconds since something last spoke against it, when the question was made.
+    pub age_ms: u32,
+}
+
+impl DoubtedTarget {
+    /// A target that was last doubted at this time.
+    pub fn new(target: u32, doubted_at: MonoTime, now: MonoTime) -> Self {
+        let age_ms = u32::try_from(now.millis_since(doubted_at)).unwrap_or(u32::MAX);
+        Self { target, age_ms }
+    }
+
+    /// When it was last doubted, on the receiver's clock; not before that by the time of the message on the way.
+    pub fn doubted_at(&self, now: MonoTime) -> MonoTime {
+        MonoTime::from_millis(now.as_millis().saturating_sub(u64::from(self.age_ms)))
+    }
+}
+
+/// What a target said of its start after what spoke against its incarnation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetStart {
     /// Short hash of the registered incarnation.
