fix: an end of unknown version is told from one of another version

Cause: refuses a part with more than the stream had generated once a target of another version has ended.

Change: such an end is a case of its own. As much as the stream had, or more, decides then, as before; the part alone does not.

--- a/ggt-core/src/versions/cached.rs
+++ b/ggt-core/src/versions/cached.rs
@@ -44,6 +44,8 @@
     Unknown,
     /// There may be some, which the store's history may name, and it has not been read yet.
     Unread,
+    /// A target has ended whose version is not known.
+    Unversioned,
     /// There is one.
     Known,
 }
@@ -100,8 +102,18 @@
 
 impl KeptPart {
     const ALL: [Self; 4] = [Self::Open, Self::Shorter, Self::Fitting, Self::Longer];
-    /// What a target may keep at which the stream ran.
-    const POSSIBLE: [Self; 3] = [Self::Open, Self::Fitting, Self::Longer];
+
+    /// What shows that a stream ran where it is kept, given what is known of targets of other versions that have ended.
+    ///
+    /// The more likely there is one that may have run it, the more has to speak for a target that is left.
+    const fn sufficient(losses: OtherLosses) -> &'static [Self] {
+        match losses {
+            OtherLosses::None => &Self::ALL,
+            OtherLosses::Unknown => &[Self::Open, Self::Fitting, Self::Longer],
+            OtherLosses::Unversioned => &[Self::Fitting, Self::Longer],
+            OtherLosses::Unread | OtherLosses::Known => &[Self::Fitting],
+        }
+    }
 }
 
 impl StreamPart {
@@ -190,18 +202,16 @@
     if others().any(|target| view.is_pending(target)) {
         return CacheVerdict::Unlisted;
     }
-    if is_fitting {
-        return CacheVerdict::Cached(version);
-    }
     let losses = match others().any(|target| view.tokens(target).is_none()) {
         true => OtherLosses::Known,
         false => other_losses(version),
     };
-    let is_possible = !view.versions(&KeptPart::POSSIBLE).is_empty();
+    let has_any = |kinds: &[KeptPart]| !view.versions(kinds).is_empty();
     match losses {
-        OtherLosses::None => CacheVerdict::Cached(version),
-        OtherLosses::Unknown if is_possible => CacheVerdict::Cached(version),
-        OtherLosses::Unread if is_possible => CacheVerdict::Unread,
-        OtherLosses::Unknown | OtherLosses::Unread | OtherLosses::Known => CacheVerdict::Departed,
+        _ if has_any(KeptPart::sufficient(losses)) => CacheVerdict::Cached(version),
+        OtherLosses::Unread if has_any(KeptPart::sufficient(OtherLosses::Unknown)) => {
+            CacheVerdict::Unread
+        }
+        _ => CacheVerdict::Departed,
     }
 }
--- a/ggt-core/src/versions/history.rs
+++ b/ggt-core/src/versions/history.rs
@@ -156,11 +156,14 @@
         memory_ms: u64,
         now: MonoTime,
     ) -> OtherLosses {
+        let is_recent = |departed_at: MonoTime| now <= departed_at + memory_ms;
         let departures = self.departures.get(&service).into_iter().flatten();
-        let others = departures.filter(|(other, _)| **other != version).map(|(_, at)| *at);
-        let mut losses = others.chain(self.unknown_departure_at);
-        match losses.any(|departed_at| now <= departed_at + memory_ms) {
-            true => OtherLosses::Known,
+        let mut others = departures.filter(|(other, _)| **other != version);
+        if others.any(|(_, departed_at)| is_recent(*departed_at)) {
+            return OtherLosses::Known;
+        }
+        match self.unknown_departure_at.is_some_and(is_recent) {
+            true => OtherLosses::Unversioned,
             false if self.is_known_for(memory_ms, now) => OtherLosses::None,
             false if self.is_past_pending => OtherLosses::Unread,
             false => OtherLosses::Unknown,
