fix: connections of callers are bounded in memory together

Change: each connection counts with what it and the head of its request take (ggt-core/src/connections). Without room, idle connections and requests that arrive too slowly give way, the longest first; a request that is whole never does. Where nobody may give way, no connection is accepted and no further head is read. The headers of a request are held once. Setting connections_mb, two fifths of the memory by default. Readers that read nothing are not part of it.

--- a/ggt-core/src/bodies/mod.rs
+++ b/ggt-core/src/bodies/mod.rs
@@ -10,6 +10,7 @@
 use slotmap::new_key_type;
 use snafu::Snafu;
 
+use crate::arrival::ArrivalWindow;
 use crate::clock::MonoTime;
 
 new_key_type! {
@@ -23,10 +24,6 @@
 const LARGE_SHARE: f64 = 0.75;
 /// Share of that which those of one customer may take, if it has more than one.
 const CUSTOMER_SHARE: f64 = 0.5;
-/// Milliseconds over which the rate of a body is taken.
-pub const RATE_WINDOW_MS: u64 = 1_000;
-/// Bytes that a body has to bring in such a window to keep its room when others need it.
-pub const MIN_WINDOW_BYTES: usize = 16 * 1024;
 
 /// Why a body cannot be read on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
@@ -64,42 +61,6 @@
     Revoked,
 }
 
-/// What a body has brought lately. The first bytes after the end of a window begin the next one.
-#[derive(Clone, Copy, Debug)]
-struct ArrivalWindow {
-    began_at: MonoTime,
-    bytes: usize,
-    /// Since when the windows before it, without a break, have brought too little.
-    slow_since: Option<MonoTime>,
-}
-
-impl ArrivalWindow {
-    const fn new(now: MonoTime) -> Self {
-        Self { began_at: now, bytes: 0, slow_since: None }
-    }
-
-    /// Since when too little has arrived; `None` if that is not so.
-    fn slow_since(&self, now: MonoTime) -> Option<MonoTime> {
-        let age_ms = now.millis_since(self.began_at);
-        let has_enough = self.bytes >= MIN_WINDOW_BYTES;
-        // No byte has arrived since the end of a window that is over.
-        let is_slow = age_ms >= 2 * RATE_WINDOW_MS || age_ms >= RATE_WINDOW_MS && !has_enough;
-        match is_slow {
-            true => self.slow_since.or(Some(self.began_at)),
-            false => self.slow_since,
-        }
-    }
-
-    fn record(&mut self, bytes: usize, now: MonoTime) {
-        if now.millis_since(self.began_at) >= RATE_WINDOW_MS {
-            let has_enough = self.bytes >= MIN_WINDOW_BYTES;
-            let slow_since = self.slow_since(now).filter(|_| !has_enough);
-            *self = Self { began_at: now, bytes: 0, slow_since };
-        }
-        self.bytes += bytes;
-    }
-}
-
 #[derive(Clone, Copy, Debug)]
 struct BodyEntry {
     /// Hash of the customer.
--- a/ggt-core/src/lib.rs
+++ b/ggt-core/src/lib.rs
@@ -7,10 +7,12 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms)]
 
+pub mod arrival;
 pub mod bodies;
 pub mod claims;
 pub mod clock;
 pub mod config;
+pub mod connections;
 pub mod crashes;
 pub mod evacuation;
 pub mod events;
--- a/ggt-core/tests/bodies.rs
+++ b/ggt-core/tests/bodies.rs
@@ -3,10 +3,10 @@
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
 
+use ggt_core::arrival::MIN_WINDOW_BYTES;
+use ggt_core::arrival::RATE_WINDOW_MS;
 use ggt_core::bodies::BodyDenial;
 use ggt_core::bodies::BodyTable;
-use ggt_core::bodies::MIN_WINDOW_BYTES;
-use ggt_core::bodies::RATE_WINDOW_MS;
 use ggt_core::bodies::SMALL_BODY_BYTES;
 use ggt_core::clock::MonoTime;
 
--- a/ggt-daemon/src/edge/handle.rs
+++ b/ggt-daemon/src/edge/handle.rs
@@ -112,12 +112,29 @@
 pub async fn accept_connections<F>(handle: &EdgeHandle, listener: TcpListener, serve: F)
 where
     F: Fn(TcpStream, SocketAddr),
+{
+    accept_with_room(handle, listener, serve, async || ()).await;
+}
+
+/// The same, but each connection is accepted only once `wait_for_room` has ended; at the end all are.
+pub async fn accept_with_room<F, W>(
+    handle: &EdgeHandle,
+    listener: TcpListener,
+    serve: F,
+    wait_for_room: W,
+) where
+    F: Fn(TcpStream, SocketAddr),
+    W: AsyncFn(),
 {
     handle.open_listeners.fetch_add(1, Ordering::SeqCst);
     let _listener_guard = ConnectionGuard(handle.open_listeners.clone());
+    let accept = async || {
+        wait_for_room().await;
+        listener.accept().await
+    };
     loop {
         tokio::select! {
-            accepted = listener.accept() => match accepted {
+            accepted = accept() => match accepted {
                 Ok((stream, peer)) => serve(stream, peer),
                 Err(e) => {
                     log::warn!("event=accept cause=\"{e}\"");
--- a/ggt-daemon/src/edge/mod.rs
+++ b/ggt-daemon/src/edge/mod.rs
@@ -13,6 +13,7 @@
 pub use handle::ConnectionGuard;
 pub use handle::EdgeHandle;
 pub use handle::accept_connections;
+pub use handle::accept_with_room;
 pub use listen::EdgeContext;
 pub use listen::serve_callers;
 pub use prepare::RequestError;
--- a/ggt-daemon/src/front/bodies.rs
+++ b/ggt-daemon/src/front/bodies.rs
@@ -174,27 +174,51 @@
 }
 
 /// Reads the body of a customer's request.
-///
-/// # Errors
-/// [`FrontRefusal`], the final response, when the body is too long, breaks off, pauses for too long or has no room.
-pub async fn read_body(
-    budget: &BodyBudget,
-    mut body: Incoming,
-    limit: BodyLimit,
-    (id, customer): (&str, Option<&str>),
-    headers: &HeaderMap,
-) -> Result<Bytes, FrontRefusal> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
+pub struct BodyReader<'a> {
+    pub budget: &'a BodyBudget,
+    pub limit: BodyLimit,
+    /// The attempt id of the request, and its customer's name.
+    pub owner: (&'a str, Option<&'a str>),
+}
+
+impl BodyReader<'_> {
+    /// Reads the body unless the request has to give way, which `revoked` tells by its end.
+    ///
+    /// # Errors
+    /// [`FrontRefusal`], the final response, when the body is too long, breaks off, pauses for too long, has no room or
+    /// gives way.
+    pub async fn read<V>(
+        &self,
+        mut body: Incoming,
+        headers: &HeaderMap,
+        revoked: V,
+    ) -> Result<Bytes, FrontRefusal>
+    where
+        V: Future,
+    {
+        if body.is_end_stream() {
+            return Ok(Bytes::new());
+        }
+        let collected = tokio::select! {
+            biased;
+            collected = self.collect(&mut body) => collected,
+            _ = revoked => Err(BodyFailure::Denied(BodyDenial::Revoked)),
+        };
+        let failure = match collected {
+            Ok(bytes) => return Ok(bytes),
+            Err(failure) => failure,
+        };
+        if let BodyFailure::Denied(denial) = failure {
+            self.log_denial(denial, &body);
+        }
+        discard_body(body, headers).await;
+        Err(failure.into_refusal())
     }
-    let owner = stable_hash(customer.unwrap_or_default().as_bytes());
-    let failure = match collect(budget, &mut body, limit, owner).await {
-        Ok(bytes) => return Ok(bytes),
-        Err(failure) => failure,
-    };
-    if let BodyFailure::Denied(denial) = failure {
+
+    fn log_denial(&self, denial: BodyDenial, body: &Incoming) {
+        let (id, customer) = self.owner;
         let (held, room) = {
-            let table = budget.lock();
+            let table = self.budget.lock();
             (table.held(), table.room())
         };
         log::info!(
@@ -205,36 +229,34 @@
             body.size_hint().exact().map_or("-".to_owned(), |bytes| bytes.to_string()),
         );
     }
-    discard_body(body, headers).await;
-    Err(failure.into_refusal())
-}
 
-async fn collect(
-    budget: &BodyBudget,
-    body: &mut Incoming,
-    limit: BodyLimit,
-    owner: u64,
-) -> Result<Bytes, BodyFailure> {
-    let stated = body.size_hint().exact().map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
-    if stated.is_some_and(|bytes| bytes > limit.max_bytes) {
-        return Err(BodyFailure::TooLong);
-    }
-    let first_bytes = stated.unwrap_or(FIRST_STEP_BYTES);
-    let mut buffer = budget.admit(owner, first_bytes).map_err(BodyFailure::Denied)?;
-    loop {
-        let frame = tokio::select! {
-            biased;
-            frame = timeout(limit.max_pause, body.frame()) => frame.map_err(|_| BodyFailure::Paused)?,
-            () = buffer.wait_for_revocation() => {
-                return Err(BodyFailure::Denied(BodyDenial::Revoked));
-            }
-        };
-        let Some(frame) = frame else { return Ok(buffer.into_bytes()) };
-        let data = frame.map_err(|_| BodyFailure::BrokenOff)?.into_data().unwrap_or_default();
-        if buffer.bytes.len() + data.len() > limit.max_bytes {
+    async fn collect(&self, body: &mut Incoming) -> Result<Bytes, BodyFailure> {
+        let Self { budget, limit, owner: (_, customer) } = self;
+        let stated =
+            body.size_hint().exact().map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
+        if stated.is_some_and(|bytes| bytes > limit.max_bytes) {
             return Err(BodyFailure::TooLong);
         }
-        buffer.push(&data).map_err(BodyFailure::Denied)?;
+        let first_bytes = stated.unwrap_or(FIRST_STEP_BYTES);
+        let customer = stable_hash(customer.unwrap_or_default().as_bytes());
+        let mut buffer = budget.admit(customer, first_bytes).map_err(BodyFailure::Denied)?;
+        loop {
+            let frame = tokio::select! {
+                biased;
+                frame = timeout(limit.max_pause, body.frame()) => {
+                    frame.map_err(|_| BodyFailure::Paused)?
+                }
+                () = buffer.wait_for_revocation() => {
+                    return Err(BodyFailure::Denied(BodyDenial::Revoked));
+                }
+            };
+            let Some(frame) = frame else { return Ok(buffer.into_bytes()) };
+            let data = frame.map_err(|_| BodyFailure::BrokenOff)?.into_data().unwrap_or_default();
+            if buffer.bytes.len() + data.len() > limit.max_bytes {
+                return Err(BodyFailure::TooLong);
+            }
+            buffer.push(&data).map_err(BodyFailure::Denied)?;
+        }
     }
 }
 
--- a/ggt-daemon/src/front/forward/serve.rs
+++ b/ggt-daemon/src/front/forward/serve.rs
@@ -1,6 +1,7 @@
 //! Serves the port for peers: requests that they forward, and their own.
 
 use std::convert::Infallible;
+use std::future::pending;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -24,7 +25,7 @@
 use crate::edge::ConnectionGuard;
 use crate::edge::accept_connections;
 use crate::front::bodies::BodyLimit;
-use crate::front::bodies::read_body;
+use crate::front::bodies::BodyReader;
 use crate::front::internal::respond;
 use crate::front::job::FrontJob;
 use crate::front::job::JobGuard;
@@ -145,8 +146,9 @@
         .map_err(|_| FrontRefusal::new(StatusCode::BAD_REQUEST, "malformed-header"))?;
     let job = prepare_forwarded(state, parts, headers, received_at, forwarded)?;
     let limit = BodyLimit { max_bytes: MAX_BODY_BYTES, max_pause: MAX_BODY_PAUSE };
-    let body = read_body(&state.bodies, body, limit, job.owner(), &parts.headers).await?;
-    Ok(job.with_body(body))
+    let reader = BodyReader { budget: &state.bodies, limit, owner: job.owner() };
+    let body = reader.read(body, &parts.headers, pending::<()>()).await?;
+    Ok(job.with_body(std::mem::take(&mut parts.headers), body))
 }
 
 /// Takes what the forwarding daemon says out of the headers, which then are the caller's.
--- a/ggt-daemon/src/front/job.rs
+++ b/ggt-daemon/src/front/job.rs
@@ -60,7 +60,8 @@
     pub has_begun_send: Cell<bool>,
 }
 
-/// A request whose head has been validated, and whose body is still to be read.
+/// A request whose head has been validated, and whose body is still to be read. Its headers stay with the reader until
+/// then, so that they are held once.
 pub struct PendingJob {
     job: FrontJob,
 }
@@ -84,13 +85,13 @@
         self.job.deadline = deadline;
     }
 
-    /// The job with its body.
-    pub fn with_body(self, body: Bytes) -> FrontJob {
+    /// The job with the headers of its request and its body.
+    pub fn with_body(self, raw_headers: HeaderMap, body: Bytes) -> FrontJob {
         let job = self.job;
         let caller = job.customer.as_deref().unwrap_or_default();
         let fingerprint = SuspectKey::of_request(&format!("{caller} {}", job.path), &body);
         let suspects = RequestSuspects::new(fingerprint).with_parts(&job.headers.parts);
-        FrontJob { body, suspects, ..job }
+        FrontJob { raw_headers, body, suspects, ..job }
     }
 }
 
--- a/ggt-daemon/src/front/metrics.rs
+++ b/ggt-daemon/src/front/metrics.rs
@@ -34,6 +34,8 @@
     evacuations: Gauge<u64>,
     cold_targets: Gauge<u64>,
     request_bodies: Gauge<u64>,
+    connections: Gauge<u64>,
+    connection_bytes: Gauge<u64>,
     wait_ms: Histogram<f64>,
     reply_ms: Histogram<f64>,
     first_event_ms: Histogram<f64>,
@@ -63,6 +65,8 @@
             evacuations: meter.u64_gauge("front_evacuations").build(),
             cold_targets: meter.u64_gauge("front_cold_targets").build(),
             request_bodies: meter.u64_gauge("front_request_bodies").with_unit("By").build(),
+            connections: meter.u64_gauge("front_connections").build(),
+            connection_bytes: meter.u64_gauge("front_connection_memory").with_unit("By").build(),
             wait_ms: histogram("front_wait"),
             reply_ms: histogram("front_reply"),
             first_event_ms: histogram("front_first_event"),
@@ -75,6 +79,12 @@
         self.request_bodies.record(bytes, &[]);
     }
 
+    /// Records the number of callers' connections, and the bytes that count for them.
+    pub fn record_connections(&self, count: u64, bytes: u64) {
+        self.connections.record(count, &[]);
+        self.connection_bytes.record(bytes, &[]);
+    }
+
     /// Counts a finished request and records its latency.
     pub fn record_end(&self, outcome: &'static str, millis: u64) {
         let labels = [KeyValue::new("outcome", outcome)];
--- a/ggt-daemon/src/front/mod.rs
+++ b/ggt-daemon/src/front/mod.rs
@@ -13,6 +13,7 @@
 mod callers;
 mod changes;
 mod cold_starts;
+mod connections;
 mod crashes;
 mod digests;
 mod evacuations;
--- a/ggt-daemon/src/front/prepare.rs
+++ b/ggt-daemon/src/front/prepare.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 
 use bytes::Bytes;
+use http::HeaderMap;
 use http::StatusCode;
 use http::header;
 use http::request::Parts;
@@ -72,7 +73,7 @@
         chain,
         method: parts.method.clone(),
         path: target_path.to_owned(),
-        raw_headers: parts.headers.clone(),
+        raw_headers: HeaderMap::new(),
         body: Bytes::new(),
         suspects: RequestSuspects::new(SuspectKey::default()),
         handover: None,
@@ -154,7 +155,7 @@
         chain,
         method: parts.method.clone(),
         path: path.to_owned(),
-        raw_headers: parts.headers.clone(),
+        raw_headers: HeaderMap::new(),
         body: Bytes::new(),
         suspects: RequestSuspects::new(SuspectKey::default()),
         handover: None,
--- a/ggt-daemon/src/front/settings.rs
+++ b/ggt-daemon/src/front/settings.rs
@@ -11,7 +11,9 @@
 use crate::settings::InvalidSetting;
 use crate::settings::SettingsError;
 use crate::settings::parse_checked;
+use ggt_core::connections::ConnectionLimits;
 use ggt_core::retry_window::RetryLimit;
+use ggt_core::routes::CallerLimits;
 use ggt_core::routes::RegionMap;
 
 const MILLIS_PER_SECOND: f64 = 1_000.0;
@@ -22,6 +24,10 @@
 const MIN_REQUEST_BODIES_MB: f64 = 16.0;
 /// Megabytes that they may take where the memory is not known.
 const DEFAULT_REQUEST_BODIES_MB: f64 = 48.0;
+/// Share of the memory that the connections of callers may take together, beside the bodies of their requests.
+const CONNECTIONS_SHARE: f64 = 0.4;
+/// Megabytes that they may take where the memory is not known.
+const DEFAULT_CONNECTIONS_MB: f64 = 256.0;
 
 /// Settings of one daemon that serves the users' platform.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -61,6 +67,10 @@
     /// Megabytes that the bodies of requests may take together; unless given, a fifth of `memory_mb`.
     #[serde(default)]
     pub request_bodies_mb: Option<f64>,
+    /// Megabytes that the connections of callers may take together, beside the bodies of their requests; unless given, two
+    /// fifths of `memory_mb`.
+    #[serde(default)]
+    pub connections_mb: Option<f64>,
     /// Whether the whole fleet starts for the first time, so that no target has anything cached
     /// yet.
     #[serde(default)]
@@ -126,6 +136,17 @@
         (self.request_bodies_mb.unwrap_or(default_mb) * BYTES_PER_MEGABYTE) as usize
     }
 
+    /// What connections of callers may take, where callers have these limits.
+    pub fn connection_limits(&self, callers: &CallerLimits) -> ConnectionLimits {
+        let share_mb = self.memory_mb.map(|memory_mb| memory_mb * CONNECTIONS_SHARE);
+        let max_mb = self.connections_mb.or(share_mb).unwrap_or(DEFAULT_CONNECTIONS_MB);
+        ConnectionLimits {
+            max_connections: usize::MAX,
+            max_bytes: (max_mb * BYTES_PER_MEGABYTE) as usize,
+            max_head_bytes: callers.max_head_bytes,
+        }
+    }
+
     /// The fleet's retry budget for each service.
     pub fn retry_limit(&self) -> RetryLimit {
         RetryLimit {
@@ -202,6 +223,11 @@
             settings.request_bodies_mb.is_some_and(|mb| mb <= 0.0),
             "must be more than 0",
         ),
+        (
+            "connections_mb",
+            settings.connections_mb.is_some_and(|mb| mb <= 0.0),
+            "must be more than 0",
+        ),
         ("grace_s", settings.grace_s <= 0.0, "must be more than 0"),
         ("crash_refusal_s", settings.crash_refusal_s <= 0.0, "must be more than 0"),
         ("log_level", log_level.is_err(), "must be error, warn, info, debug or trace"),
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -19,6 +19,7 @@
 use crate::edge::EdgeHandle;
 use crate::front::bodies::BodyBudget;
 use crate::front::buffers::BufferBudget;
+use crate::front::connections::ConnectionBudget;
 use crate::front::crashes::CRASH_OPTIONS;
 use crate::front::lifetimes::StartQuestions;
 use crate::front::metrics::FrontMetrics;
@@ -183,6 +184,8 @@
     pub wait_queues: RefCell<HashMap<String, WaitQueue>>,
     /// Memory of the bodies of requests.
     pub bodies: BodyBudget,
+    /// Connections of callers, and what they may take.
+    pub caller_connections: Rc<ConnectionBudget>,
     /// Memory of buffered replies.
     pub buffers: BufferBudget,
     /// Requests in flight.
@@ -231,6 +234,8 @@
         pool.measures_work_times = settings.measure_work_times;
         let centre_hash = short_centre_hash(&settings.data_centre);
         let bodies = BodyBudget::new(settings.request_body_bytes());
+        let limits = settings.connection_limits(&CallerLimits::default());
+        let caller_connections = Rc::new(ConnectionBudget::new(limits));
         Self {
             centre_hash,
             digest_number: Cell::new(0),
@@ -269,6 +274,7 @@
             demands: RefCell::default(),
             wait_queues: RefCell::default(),
             bodies,
+            caller_connections,
             buffers: BufferBudget::default(),
             in_flight: Cell::new(0),
             edge: EdgeHandle::default(),
@@ -442,6 +448,10 @@
         let limits = self.route_config().map_or_else(CallerLimits::default, |c| *c.limits());
         self.bodies.set_room(self.settings().request_body_bytes(), limits.max_body_bytes);
         self.metrics.record_request_bodies(self.bodies.held() as u64);
+        let connection_limits = self.settings().connection_limits(&limits);
+        self.caller_connections.set_limits(connection_limits);
+        let (connections, bytes) = self.caller_connections.usage();
+        self.metrics.record_connections(connections as u64, bytes as u64);
         self.expire_evacuations(now);
         self.metrics.record_cold_targets(self.pool.borrow().cold_targets(now) as u64);
         self.update_rate_shares();
--- a/ggt-testkit/tests/platform_bodies.rs
+++ b/ggt-testkit/tests/platform_bodies.rs
@@ -5,9 +5,12 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -31,6 +34,17 @@
 const MAX_MEMORY: u64 = 72 * 1024 * 1024;
 /// The same beside bodies in chunks of one byte, 8 MiB in all.
 const MAX_CHUNK_MEMORY: u64 = 48 * 1024 * 1024;
+/// Callers with long heads whose bodies do not end, and the memory in bytes that their daemon has.
+const LONG_HEAD_CALLERS: usize = 900;
+const LONG_HEAD_MEMORY_MB: u64 = 48;
+/// Headers of such a head beside the usual ones, and the length of each value.
+const LONG_HEAD_LINES: usize = 85;
+const LONG_HEAD_VALUE_BYTES: usize = 165;
+/// Length of the bodies of callers that take many connections.
+const SHORT_BODY_BYTES: usize = 1_000;
+/// Bytes that such a body lacks, and the pause between two of them.
+const SLOW_BYTES: usize = 200;
+const SLOW_PAUSE: Duration = Duration::from_secs(2);
 /// Descriptors that the daemon may have open beside the callers' connections.
 const MAX_OTHER_FDS: usize = 100;
 const DEADLINE_MS: u64 = 20_000;
@@ -45,11 +59,17 @@
     TURN.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn start(settings: Value) -> FrontFleet {
-    let mut fleet = FrontFleet::start_with(2, 0, settings);
+fn config() -> Value {
     let mut config = test_config(2);
     config["Limits"]["MaxBodyBytes"] = json!(MAX_BODY_BYTES);
-    fleet.publish(&config);
+    config["Limits"]["MaxHeaderBytes"] = json!(16 * 1024);
+    config["Limits"]["IdleTimeoutMs"] = json!(15_000);
+    config
+}
+
+fn start(settings: Value) -> FrontFleet {
+    let mut fleet = FrontFleet::start_with(2, 0, settings);
+    fleet.publish(&config());
     fleet.add_daemon(0, None);
     fleet.daemons.iter().for_each(ggt_testkit::front::await_ready);
     fleet
@@ -90,6 +110,63 @@
     send_body(callers, id, &lines, pieces(MAX_BODY_BYTES - MISSING_BYTES))
 }
 
+/// Connections whose bodies do not end, though a byte of each arrives now and then, until this is dropped.
+struct SlowCrowd {
+    size: usize,
+    has_ended: Arc<AtomicBool>,
+    sender: Option<thread::JoinHandle<()>>,
+}
+
+impl SlowCrowd {
+    fn start(connections: Vec<TcpStream>) -> Self {
+        let (size, has_ended) = (connections.len(), Arc::new(AtomicBool::new(false)));
+        let ended = has_ended.clone();
+        let sender = thread::spawn(move || {
+            for _ in 0..SLOW_BYTES - 1 {
+                // The daemon may have closed some.
+                connections.iter().for_each(|mut stream| drop(stream.write_all(b"x")));
+                let pauses = SLOW_PAUSE.as_millis() / CHECK_INTERVAL.as_millis();
+                for _ in 0..pauses {
+                    thread::sleep(CHECK_INTERVAL);
+                    if ended.load(Ordering::SeqCst) {
+                        return;
+                    }
+                }
+            }
+        });
+        Self { size, has_ended, sender: Some(sender) }
+    }
+}
+
+impl Drop for SlowCrowd {
+    fn drop(&mut self) {
+        self.has_ended.store(true, Ordering::SeqCst);
+        self.sender.take().into_iter().for_each(|sender| drop(sender.join()));
+    }
+}
+
+/// Begins short bodies that stop just short of their ends, with these lines in their heads, one after the other. A
+/// connection that the daemon does not accept in time is left out.
+fn send_many_unfinished(callers: SocketAddr, count: usize, lines: &str) -> SlowCrowd {
+    let text = |number: usize| {
+        let headers = caller_headers(&format!("m-{number}"), DEADLINE_MS);
+        let headers = headers.iter().map(|(name, value)| format!("{name}: {value}\r\n"));
+        let body = "x".repeat(SHORT_BODY_BYTES - SLOW_BYTES);
+        format!(
+            "POST /read/ HTTP/1.1\r\n{}{lines}content-length: {SHORT_BODY_BYTES}\r\n\r\n{body}",
+            headers.collect::<String>()
+        )
+    };
+    let send = |number| {
+        let mut stream = TcpStream::connect_timeout(&callers, Duration::from_secs(1)).ok()?;
+        stream.set_write_timeout(Some(Duration::from_secs(1))).ok()?;
+        // A daemon that has no room for the connection may have closed it.
+        let _ = stream.write_all(text(number).as_bytes());
+        Some(stream)
+    };
+    SlowCrowd::start((0..count).filter_map(send).collect())
+}
+
 /// Runs one caller for each number at the same time; returns their connections.
 fn send_all<S>(count: usize, send: S) -> Vec<TcpStream>
 where
@@ -133,6 +210,7 @@
     assert!(fleet.daemons[0].process.is_running());
     let (memory, descriptors) = (peak_memory(fleet), descriptors(fleet));
     assert!(fleet.daemons[0].process.is_running());
+    println!("peak memory {memory} bytes, {descriptors} descriptors");
     assert!(memory < max_memory, "{memory} bytes");
     assert!(descriptors < callers + MAX_OTHER_FDS, "{descriptors} descriptors");
     let response = fleet.request(0, "POST", "/once/", "ordinary").body("x").send();
@@ -178,6 +256,19 @@
     check(&mut fleet, connections.len(), MAX_CHUNK_MEMORY);
 }
 
+// Guards against the same for many requests with long heads whose bodies do not end: each took some 80 kB beside its body,
+// and nothing bounded their number.
+#[test]
+fn daemon_stays_within_its_memory_beside_many_long_heads() {
+    let _turn = run_alone();
+    let mut fleet = start(json!({ "memory_mb": LONG_HEAD_MEMORY_MB }));
+    let callers = fleet.daemons[0].callers;
+    let line = |number| format!("x-pad-{number}: {}\r\n", "p".repeat(LONG_HEAD_VALUE_BYTES));
+    let lines: String = (0..LONG_HEAD_LINES).map(line).collect();
+    let crowd = send_many_unfinished(callers, LONG_HEAD_CALLERS, &lines);
+    check(&mut fleet, crowd.size, LONG_HEAD_MEMORY_MB * 1024 * 1024);
+}
+
 // Guards against bodies over the limit that take more than a buffer, announced or just sent.
 #[test]
 fn bodies_over_the_limit_are_refused_and_take_no_memory() {
