fix: connections of callers are bounded in number

At the bound those give way that do at the bound of memory. The new test of platform_bodies: no response within 120 s on the code before; answered now.

--- a/ggt-daemon/src/front/connections.rs
+++ b/ggt-daemon/src/front/connections.rs
@@ -14,6 +14,8 @@
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
+use rustix::process::Resource;
+use rustix::process::getrlimit;
 use slotmap::SecondaryMap;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
@@ -39,6 +41,11 @@
 /// Milliseconds between two log lines about connections that have to wait or end.
 const LOG_INTERVAL_MS: u64 = 1_000;
 
+/// Number of files that the process may have open; `None` if it is not limited.
+pub fn max_files() -> Option<u64> {
+    getrlimit(Resource::Nofile).current
+}
+
 /// The connections of callers, and what they may take.
 #[derive(Debug)]
 pub struct ConnectionBudget {
--- a/ggt-daemon/src/front/settings.rs
+++ b/ggt-daemon/src/front/settings.rs
@@ -28,6 +28,8 @@
 const CONNECTIONS_SHARE: f64 = 0.4;
 /// Megabytes that they may take where the memory is not known.
 const DEFAULT_CONNECTIONS_MB: f64 = 256.0;
+/// Share of the open files that they may be; the rest is for targets, other daemons, the store and files.
+const CALLERS_FILES_SHARE: f64 = 2.0 / 3.0;
 
 /// Settings of one daemon that serves the users' platform.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -71,6 +73,10 @@
     /// fifths of `memory_mb`.
     #[serde(default)]
     pub connections_mb: Option<f64>,
+    /// Number of files that the process may have open, if the host allows fewer than the system; `None` if only the
+    /// system's limit counts.
+    #[serde(default)]
+    pub max_files: Option<u64>,
     /// Whether the whole fleet starts for the first time, so that no target has anything cached
     /// yet.
     #[serde(default)]
@@ -136,12 +142,20 @@
         (self.request_bodies_mb.unwrap_or(default_mb) * BYTES_PER_MEGABYTE) as usize
     }
 
-    /// What connections of callers may take, where callers have these limits.
-    pub fn connection_limits(&self, callers: &CallerLimits) -> ConnectionLimits {
+    /// What connections of callers may take, where callers have these limits and the system lets the process have so many
+    /// files open.
+    pub fn connection_limits(
+        &self,
+        callers: &CallerLimits,
+        system_files: Option<u64>,
+    ) -> ConnectionLimits {
         let share_mb = self.memory_mb.map(|memory_mb| memory_mb * CONNECTIONS_SHARE);
         let max_mb = self.connections_mb.or(share_mb).unwrap_or(DEFAULT_CONNECTIONS_MB);
+        let max_files = self.max_files.into_iter().chain(system_files).min();
+        let max_connections =
+            max_files.map_or(usize::MAX, |files| (files as f64 * CALLERS_FILES_SHARE) as usize);
         ConnectionLimits {
-            max_connections: usize::MAX,
+            max_connections,
             max_bytes: (max_mb * BYTES_PER_MEGABYTE) as usize,
             max_head_bytes: callers.max_head_bytes,
         }
@@ -228,6 +242,7 @@
             settings.connections_mb.is_some_and(|mb| mb <= 0.0),
             "must be more than 0",
         ),
+        ("max_files", settings.max_files == Some(0), "must be more than 0"),
         ("grace_s", settings.grace_s <= 0.0, "must be more than 0"),
         ("crash_refusal_s", settings.crash_refusal_s <= 0.0, "must be more than 0"),
         ("log_level", log_level.is_err(), "must be error, warn, info, debug or trace"),
--- a/ggt-daemon/src/front/state.rs
+++ b/ggt-daemon/src/front/state.rs
@@ -20,6 +20,7 @@
 use crate::front::bodies::BodyBudget;
 use crate::front::buffers::BufferBudget;
 use crate::front::connections::ConnectionBudget;
+use crate::front::connections::max_files;
 use crate::front::crashes::CRASH_OPTIONS;
 use crate::front::lifetimes::StartQuestions;
 use crate::front::metrics::FrontMetrics;
@@ -234,7 +235,7 @@
         pool.measures_work_times = settings.measure_work_times;
         let centre_hash = short_centre_hash(&settings.data_centre);
         let bodies = BodyBudget::new(settings.request_body_bytes());
-        let limits = settings.connection_limits(&CallerLimits::default());
+        let limits = settings.connection_limits(&CallerLimits::default(), max_files());
         let caller_connections = Rc::new(ConnectionBudget::new(limits));
         Self {
             centre_hash,
@@ -448,7 +449,7 @@
         let limits = self.route_config().map_or_else(CallerLimits::default, |c| *c.limits());
         self.bodies.set_room(self.settings().request_body_bytes(), limits.max_body_bytes);
         self.metrics.record_request_bodies(self.bodies.held() as u64);
-        let connection_limits = self.settings().connection_limits(&limits);
+        let connection_limits = self.settings().connection_limits(&limits, max_files());
         self.caller_connections.set_limits(connection_limits);
         let (connections, bytes) = self.caller_connections.usage();
         self.metrics.record_connections(connections as u64, bytes as u64);
--- a/ggt-testkit/src/front/mod.rs
+++ b/ggt-testkit/src/front/mod.rs
@@ -66,6 +66,8 @@
     pub servers: Vec<ServerStandin>,
     /// Daemons by index.
     pub daemons: Vec<FrontDaemon>,
+    /// Maximum number of open files of each daemon that starts from now on, if it is limited.
+    pub max_files: Option<u64>,
     net: LoopbackNet,
     folder: PathBuf,
     /// Settings of all daemons that replace or extend the usual ones.
@@ -124,6 +126,7 @@
             links: (0..linked_daemons).map(|_| DaemonLinks::start(net)).collect(),
             servers: Vec::new(),
             daemons: Vec::new(),
+            max_files: None,
             net,
             folder,
             settings,
@@ -143,7 +146,12 @@
 
     fn spawn_daemon(&self, number: usize, settings: &Path) -> ChildProcess {
         let program = older_program(number);
-        ChildProcess::spawn_daemon_of(program.as_deref(), settings, self.log_book.as_ref())
+        let process =
+            ChildProcess::spawn_daemon_of(program.as_deref(), settings, self.log_book.as_ref());
+        if let Some(max_files) = self.max_files {
+            process.limit_files(max_files);
+        }
+        process
     }
 
     /// Cuts a daemon off from all servers in this way, and returns when that is in force.
--- a/ggt-testkit/src/process.rs
+++ b/ggt-testkit/src/process.rs
@@ -12,8 +12,11 @@
 use std::sync::Arc;
 
 use rustix::process::Pid;
+use rustix::process::Resource;
+use rustix::process::Rlimit;
 use rustix::process::Signal;
 use rustix::process::kill_process;
+use rustix::process::prlimit;
 
 use crate::log_book::LogBook;
 use crate::wait::wait_for;
@@ -101,6 +104,16 @@
         Self { child }
     }
 
+    /// Limits the number of files that the process may have open, as soon as it has started.
+    ///
+    /// # Panics
+    /// When the process does not exist any more.
+    pub fn limit_files(&self, max_files: u64) {
+        let limit = Rlimit { current: Some(max_files), maximum: Some(max_files) };
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        prlimit(pid, Resource::Nofile, limit).expect("process should accept the limit");
+    }
+
     /// The process id.
     pub fn id(&self) -> u32 {
         self.child.id()
--- a/ggt-testkit/tests/platform_bodies.rs
+++ b/ggt-testkit/tests/platform_bodies.rs
@@ -45,6 +45,9 @@
 /// Bytes that such a body lacks, and the pause between two of them.
 const SLOW_BYTES: usize = 200;
 const SLOW_PAUSE: Duration = Duration::from_secs(2);
+/// Descriptors that a process may have open where callers take more connections, and these callers.
+const MAX_FILES: u64 = 160;
+const MANY_CALLERS: usize = 240;
 /// Descriptors that the daemon may have open beside the callers' connections.
 const MAX_OTHER_FDS: usize = 100;
 const DEADLINE_MS: u64 = 20_000;
@@ -269,6 +272,21 @@
     check(&mut fleet, crowd.size, LONG_HEAD_MEMORY_MB * 1024 * 1024);
 }
 
+// Guards against a daemon that has no descriptor left for ordinary callers, its targets and the store, since requests
+// whose bodies do not end take all.
+#[test]
+fn ordinary_callers_are_served_beside_more_connections_than_the_daemon_may_have() {
+    let _turn = run_alone();
+    let mut fleet = FrontFleet::start_with(2, 0, json!({}));
+    fleet.publish(&config());
+    fleet.max_files = Some(MAX_FILES);
+    fleet.add_daemon(0, None);
+    fleet.daemons.iter().for_each(ggt_testkit::front::await_ready);
+    let callers = fleet.daemons[0].callers;
+    let crowd = send_many_unfinished(callers, MANY_CALLERS, "");
+    check(&mut fleet, crowd.size, MAX_MEMORY);
+}
+
 // Guards against bodies over the limit that take more than a buffer, announced or just sent.
 #[test]
 fn bodies_over_the_limit_are_refused_and_take_no_memory() {
